--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the policies and of the daemon."""
--- /dev/null
+++ b/mustardscale/config_records.py
@@ -0,0 +1,223 @@
+"""Profiles, service choices and the records that carry them on the log."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import msgspec
+import xxhash
+
+from mustardscale.exceptions import MustardscaleError
+
+SCHEMA_VERSION = 1
+
+
+class RecordError(MustardscaleError):
+    """A record cannot be decoded; it is skipped."""
+
+
+@dataclasses.dataclass(slots=True)
+class Profile:
+    """How requests of a service are treated.
+
+    Attributes:
+        first_token_s: target time to first token, seconds.
+        per_token_s: target time per output token, seconds.
+        patience_s: seconds for which a request may be queued; above
+            first_token_s the service prefers a late answer to a refusal.
+        weight: share of a contended pool relative to other services.
+        goodput_weight: how much goodput counts.
+        waste_weight: how much wasted prefill counts.
+        overbook_probability: accepted probability that decode memory runs out.
+        rate_per_s: requests a second for each service; 0 is unlimited.
+        burst: requests that may come at once.
+        max_prompt_tokens: longest prompt accepted.
+        max_output_tokens: longest answer given.
+        max_concurrent: limit of work in progress for each service, 0 for none.
+        floor_max_concurrent: limit of work on the floor, over all services
+            (the smallest over the profiles in use counts), 0 for none.
+        retry_share: retries permitted as a share of requests.
+        timeout_s: deadline of a request that names none, seconds.
+    """
+
+    first_token_s: float = 0.9
+    per_token_s: float = 0.03
+    patience_s: float = 0.9
+    weight: float = 1.0
+    goodput_weight: float = 1.0
+    waste_weight: float = 1.0
+    overbook_probability: float = 0.01
+    rate_per_s: float = 0.0
+    burst: float = 20.0
+    max_prompt_tokens: int = 60_000
+    max_output_tokens: int = 4_000
+    max_concurrent: int = 0
+    floor_max_concurrent: int = 0
+    retry_share: float = 0.1
+    timeout_s: float = 120.0
+
+    def __post_init__(self):
+        """Checks the ranges."""
+        for name in (
+            'first_token_s',
+            'per_token_s',
+            'patience_s',
+            'weight',
+            'timeout_s',
+            'max_prompt_tokens',
+            'max_output_tokens',
+            'burst',
+        ):
+            if getattr(self, name) <= 0:
+                raise ValueError(f'{name} must be above 0')
+        for name in (
+            'goodput_weight',
+            'waste_weight',
+            'rate_per_s',
+            'max_concurrent',
+            'floor_max_concurrent',
+        ):
+            if getattr(self, name) < 0:
+                raise ValueError(f'{name} must not be negative')
+        for name in ('overbook_probability', 'retry_share'):
+            if not 0 <= getattr(self, name) <= 1:
+                raise ValueError(f'{name} must be from 0 to 1')
+
+
+class ServiceKind(enum.StrEnum):
+    """What stands behind a service."""
+
+    LANGUAGE = 'language'
+    PLAIN = 'plain'
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceChoice:
+    """A service and the profile that it runs under.
+
+    Attributes:
+        profile: name of the profile.
+        kind: what stands behind it.
+        model: model of a language service.
+        token_sha256: hexadecimal hashes of the bearer tokens that reach it.
+        idempotent_methods: HTTP methods that may be sent again.
+    """
+
+    profile: str
+    kind: ServiceKind = ServiceKind.LANGUAGE
+    model: str = ''
+    token_sha256: tuple[str, ...] = ()
+    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class ConfigKey:
+    """Names one configuration entry.
+
+    Attributes:
+        kind: 'profile' or 'service'.
+        name: its name.
+    """
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        """Returns the form used on the command line."""
+        return f'{self.kind}/{self.name}'
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigChange:
+    """A published change of one entry.
+
+    Attributes:
+        key: the entry.
+        base: version (offset) that it was made from; 0 if there was none.
+        change_id: id chosen by the publisher.
+        author: who published it.
+        profile: the new profile, when the key names one.
+        service: the new choice, when the key names a service.
+    """
+
+    key: ConfigKey
+    base: int
+    change_id: str
+    author: str
+    profile: Profile | None = None
+    service: ServiceChoice | None = None
+
+    def __post_init__(self):
+        """Checks that the content fits the key."""
+        content = {'profile': self.profile, 'service': self.service}
+        if self.key.kind not in content or content[self.key.kind] is None:
+            raise ValueError(f'{self.key} carries no matching content')
+        if sum(value is not None for value in content.values()) != 1:
+            raise ValueError(f'{self.key} carries more than one content')
+
+
+@dataclasses.dataclass(slots=True)
+class VersionedChange:
+    """A change together with the version that it became."""
+
+    version: int
+    change: ConfigChange
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigSnapshot:
+    """The current change of every key, appended before retention ends."""
+
+    entries: tuple[VersionedChange, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Envelope:
+    """A record on the log: schema version, checksum, content."""
+
+    schema: int
+    checksum: int
+    body: msgspec.Raw
+
+
+@dataclasses.dataclass(slots=True)
+class _Body:
+    """The content of a record: exactly one of the two is set."""
+
+    change: ConfigChange | None = None
+    snapshot: ConfigSnapshot | None = None
+
+
+def encode_record(content: ConfigChange | ConfigSnapshot) -> bytes:
+    """Encodes a record for the log."""
+    if isinstance(content, ConfigChange):
+        body = msgspec.json.encode(_Body(change=content))
+    else:
+        body = msgspec.json.encode(_Body(snapshot=content))
+    envelope = _Envelope(
+        SCHEMA_VERSION, xxhash.xxh3_64_intdigest(body), msgspec.Raw(body)
+    )
+    return msgspec.json.encode(envelope)
+
+
+def decode_record(payload: bytes) -> ConfigChange | ConfigSnapshot:
+    """Decodes a record from the log.
+
+    Raises:
+        RecordError: it is damaged or of another schema version.
+    """
+    try:
+        envelope = msgspec.json.decode(payload, type=_Envelope)
+        if envelope.schema != SCHEMA_VERSION:
+            raise RecordError(f'schema version {envelope.schema}')
+        if xxhash.xxh3_64_intdigest(bytes(envelope.body)) != envelope.checksum:
+            raise RecordError('checksum does not match')
+        body = msgspec.json.decode(envelope.body, type=_Body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RecordError(str(error)) from error
+    if body.change is not None and body.snapshot is None:
+        return body.change
+    if body.snapshot is not None and body.change is None:
+        return body.snapshot
+    raise RecordError('neither a change nor a snapshot')
--- /dev/null
+++ b/mustardscale/engines.py
@@ -0,0 +1,294 @@
+"""The interface to model engines and the messages exchanged with them."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import enum
+from collections.abc import AsyncIterator
+
+# Tokens covered by one block hash of a prompt.
+BLOCK_TOKENS = 512
+# Bytes of text that count as one token where the engine has not counted yet.
+BYTES_PER_TOKEN = 4
+
+REFUSED_LEAVING = 'leaving'
+REFUSED_MEMORY = 'memory'
+REFUSED_KV_EVICTED = 'kv_evicted'
+REFUSED_MODEL = 'model'
+REFUSED_FENCED = 'fenced'
+REFUSED_STALE_ATTEMPT = 'stale_attempt'
+REFUSED_UNKNOWN_STREAM = 'unknown_stream'
+
+
+class EngineRole(enum.StrEnum):
+    """What an engine does."""
+
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class StreamStage(enum.StrEnum):
+    """Where a request stands on an engine."""
+
+    QUEUED = 'queued'
+    PREFILL = 'prefill'
+    KEPT = 'kept'
+    TRANSFER = 'transfer'
+    DECODE = 'decode'
+    FINISHED = 'finished'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """A prompt by length and content hashes.
+
+    Attributes:
+        tokens: length in tokens.
+        block_hashes: chained 64-bit hash of each full block of BLOCK_TOKENS.
+        fingerprint: 64-bit hash of the whole prompt.
+        text: the content; empty in replays, which know only the hashes.
+    """
+
+    tokens: int
+    block_hashes: tuple[int, ...]
+    fingerprint: int
+    text: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class StreamTag:
+    """Identifies one attempt at a request on an endpoint.
+
+    Attributes:
+        request_id: the request's id.
+        attempt: number of the attempt, from 1; a higher one replaces a lower.
+        host: id of the entry host that holds the caller.
+        incarnation: start number of that host's process.
+    """
+
+    request_id: str
+    attempt: int
+    host: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillCall:
+    """Order to compute a prompt's KV cache.
+
+    Attributes:
+        tag: the attempt.
+        model: name of the model.
+        prompt: the prompt.
+        emitted: tokens already delivered, computed after the prompt.
+        priority: a lower number goes first in the engine's queue.
+    """
+
+    tag: StreamTag
+    model: str
+    prompt: Prompt
+    emitted: tuple[str, ...] = ()
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillResult:
+    """A computed KV cache, kept by the engine for less than a second.
+
+    Attributes:
+        kv_id: handle for the transfer.
+        prompt_tokens: tokens of the prompt by the engine's own count.
+        cached_tokens: tokens taken from the prefix cache, not computed.
+        kv_bytes: size of the transfer.
+        keep_s: seconds for which the result is kept.
+    """
+
+    kv_id: str
+    prompt_tokens: int
+    cached_tokens: int
+    kv_bytes: int
+    keep_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodeCall:
+    """Order to import a KV cache and decode from it.
+
+    Attributes:
+        tag: the attempt.
+        model: name of the model.
+        kv_id: handle of the prefill result.
+        source: address (URL) of the prefill engine that keeps it.
+        prompt: the prompt.
+        first_index: index of the first token to emit.
+        max_tokens: index at which the stream ends at the latest.
+        priority: a lower number is preempted last.
+    """
+
+    tag: StreamTag
+    model: str
+    kv_id: str
+    source: str
+    prompt: Prompt
+    first_index: int
+    max_tokens: int
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenEvent:
+    """Consecutive tokens of one stream.
+
+    Attributes:
+        request_id: the request's id.
+        attempt: number of the attempt.
+        index: index of the first token in texts.
+        texts: the tokens' texts.
+        finish_reason: '' while more follow, else 'stop', 'length',
+            'cancelled' or 'preempted'.
+    """
+
+    request_id: str
+    attempt: int
+    index: int
+    texts: tuple[str, ...]
+    finish_reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamInfo:
+    """One stream that an engine holds.
+
+    Attributes:
+        tag: the attempt.
+        stage: where it stands.
+        pieces: memory pieces held.
+        next_index: index of the next token to emit.
+    """
+
+    tag: StreamTag
+    stage: StreamStage
+    pieces: int
+    next_index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's view of its own load, published with a lag.
+
+    Attributes:
+        role: current role.
+        model: model loaded, or '' while it loads.
+        model_version: version of that model.
+        pieces_total: memory in pieces.
+        pieces_free: free memory in pieces.
+        active: streams in the decode batch.
+        queued_tokens: prompt tokens queued or being computed.
+        prefill_tokens_per_s: rate at which prompt tokens are computed.
+        step_s: duration of the last decode step, seconds.
+        age_s: age of this report, seconds.
+        leaving: whether the engine refuses new work.
+        start: start number of the engine process; a change means a crash.
+        order_term: fencing number of the last order carried out.
+        link_bytes_per_s: rate of the link for KV transfers.
+    """
+
+    role: EngineRole
+    model: str
+    model_version: str
+    pieces_total: int
+    pieces_free: int
+    active: int
+    queued_tokens: int
+    prefill_tokens_per_s: float
+    step_s: float
+    age_s: float
+    leaving: bool
+    start: int
+    order_term: int
+    link_bytes_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prefix block entered or left an engine's cache.
+
+    Attributes:
+        sequence: number of the event; a gap means that events were lost.
+        block_hash: hash of the block.
+        stored: True when it entered, False when it was evicted.
+    """
+
+    sequence: int
+    block_hash: int
+    stored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """The whole wanted state of an engine.
+
+    Attributes:
+        term: fencing number: the log offset of the claim to give orders.
+        role: wanted role.
+        model: wanted model.
+        model_version: wanted version.
+        adapters: wanted adapters.
+    """
+
+    term: int
+    role: EngineRole
+    model: str
+    model_version: str = ''
+    adapters: tuple[str, ...] = ()
+
+
+class Engine(abc.ABC):
+    """One model engine.
+
+    Methods raise EndpointUnreachableError when nothing was sent,
+    EndpointRefusedError when the engine did not take the work, and
+    EndpointFailedError when the connection was lost afterwards.
+    """
+
+    @abc.abstractmethod
+    async def prefill(self, call: PrefillCall) -> PrefillResult:
+        """Computes a prompt's KV cache and keeps it for a short time."""
+
+    @abc.abstractmethod
+    def decode(self, call: DecodeCall) -> AsyncIterator[TokenEvent]:
+        """Imports a KV cache and yields tokens.
+
+        Closing the iterator does not cancel the stream; cancel() does.
+        """
+
+    @abc.abstractmethod
+    def resume(
+        self, request_id: str, attempt: int, from_index: int
+    ) -> AsyncIterator[TokenEvent]:
+        """Attaches to a stream and yields its tokens from an index on."""
+
+    @abc.abstractmethod
+    async def cancel(self, request_id: str, attempt: int) -> None:
+        """Frees whatever attempts up to this one hold; idempotent."""
+
+    @abc.abstractmethod
+    async def streams(self) -> list[StreamInfo]:
+        """Lists the streams held, at all stages."""
+
+    @abc.abstractmethod
+    async def report(self) -> LoadReport:
+        """Reads the latest published load report."""
+
+    @abc.abstractmethod
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Reads the cache events published after a sequence number."""
+
+    @abc.abstractmethod
+    async def order(self, order: EngineOrder) -> None:
+        """Asks the engine to reach a state; returns when it is accepted."""
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return None
--- /dev/null
+++ b/mustardscale/peers.py
@@ -0,0 +1,371 @@
+"""The messages between entry hosts and the interface that carries them.
+
+Each request message is answered by the reply type named in REPLY_BY_REQUEST.
+"""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from mustardscale.engines import StreamStage, StreamTag
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRecord:
+    """A configuration record as it stands on the log.
+
+    Attributes:
+        offset: its offset on the configuration stream.
+        payload: the record's bytes.
+    """
+
+    offset: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantine:
+    """A request that endpoints crashed on.
+
+    Attributes:
+        key: request id, or prompt fingerprint in hexadecimal.
+        crashes: endpoints that crashed with it in flight.
+        age_s: seconds since the last crash.
+        alone: crashes at which no other request was in flight.
+    """
+
+    key: str
+    crashes: int
+    age_s: float
+    alone: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sent to each peer at a fixed interval; the reply is the peer's own.
+
+    Attributes:
+        host: id of the sender.
+        incarnation: start number of the sender's process.
+        data_centre: the sender's data centre.
+        draining: whether the sender takes no new requests.
+        config_offset: newest configuration offset folded.
+        config_digest: hash over the folded state, to find differences.
+        leaving: ids of endpoints known to be leaving.
+        quarantined: requests to keep off endpoints.
+    """
+
+    host: str
+    incarnation: int
+    data_centre: str
+    draining: bool
+    config_offset: int
+    config_digest: int
+    leaving: tuple[str, ...] = ()
+    quarantined: tuple[Quarantine, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmitRequest:
+    """Asks a pool's owner for endpoints; answered once decided.
+
+    Attributes:
+        pool: id of the pool.
+        tag: the attempt.
+        service: the service that asks.
+        prompt_tokens: prompt length including tokens already emitted.
+        block_hashes: chained hashes of the prompt's blocks.
+        fingerprint: hash of the whole prompt.
+        max_tokens: tokens that may still be emitted.
+        first_token_s: seconds left to the first-token target; may be negative.
+        deadline_s: seconds left to the deadline.
+        waited_s: seconds since the caller's request arrived.
+        excluded: ids of endpoints that must not be used again.
+        alone: whether to run it with no other request on the endpoint.
+    """
+
+    pool: str
+    tag: StreamTag
+    service: str
+    prompt_tokens: int
+    block_hashes: tuple[int, ...]
+    fingerprint: int
+    max_tokens: int
+    first_token_s: float
+    deadline_s: float
+    waited_s: float = 0.0
+    excluded: tuple[str, ...] = ()
+    alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmitReply:
+    """The owner's decision.
+
+    Attributes:
+        outcome: COMPLETE for a grant, else a code of the class 'not run'.
+        prefill: id of the prefill endpoint.
+        decode: id of the decode endpoint.
+        retry_after_s: when refused, seconds after which to come back.
+        priority: priority for the engines' queues.
+    """
+
+    outcome: int
+    prefill: str = ''
+    decode: str = ''
+    retry_after_s: float = 0.0
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldStream:
+    """A stream that an entry host holds against a pool.
+
+    Attributes:
+        tag: the attempt.
+        service: the service that asked.
+        prefill: id of the prefill endpoint.
+        decode: id of the decode endpoint.
+        stage: where it stands.
+        prompt_tokens: prompt length in tokens.
+        emitted: tokens emitted by this attempt so far.
+        max_tokens: tokens that this attempt may emit.
+    """
+
+    tag: StreamTag
+    service: str
+    prefill: str
+    decode: str
+    stage: StreamStage
+    prompt_tokens: int
+    emitted: int
+    max_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """All streams that an entry host holds against a pool.
+
+    Sent at a fixed interval and on change of owner; it registers the streams
+    with a new owner and renews them with the present one.
+    """
+
+    pool: str
+    host: str
+    incarnation: int
+    streams: tuple[HeldStream, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Frees a reservation, with what was observed.
+
+    Attributes:
+        pool: id of the pool.
+        tag: the attempt.
+        outcome: how the attempt ended.
+        computed_tokens: prompt tokens computed, not taken from the cache.
+        emitted: tokens emitted by this attempt.
+        finished: whether the stream ended by itself ('stop' or 'length').
+    """
+
+    pool: str
+    tag: StreamTag
+    outcome: int
+    computed_tokens: int
+    emitted: int
+    finished: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryEntry:
+    """Where a request is being served.
+
+    Attributes:
+        request_id: the request's id.
+        fingerprint: hash of the request's content.
+        host: entry host that serves it.
+        incarnation: start number of that host's process.
+        attempt: number of the attempt, 0 before the first grant.
+        decode: id of the decode endpoint, '' before decoding.
+        done: whether the answer was delivered whole.
+    """
+
+    request_id: str
+    fingerprint: int
+    host: str
+    incarnation: int
+    attempt: int = 0
+    decode: str = ''
+    done: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryRegister:
+    """Registers or updates an entry at the request's home.
+
+    Attributes:
+        entry: the entry.
+        takeover: replace an entry that another host holds.
+        rebuild: registration again with a new home; never refused.
+    """
+
+    entry: DirectoryEntry
+    takeover: bool = False
+    rebuild: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryReply:
+    """Answer to a registration.
+
+    Attributes:
+        accepted: whether the sender now holds the entry.
+        settled: False while the home is still collecting registrations.
+        found: the earlier entry, if there is one.
+    """
+
+    accepted: bool
+    settled: bool
+    found: tuple[DirectoryEntry, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryRemove:
+    """Ends an entry that the sender holds; done entries stay for a while."""
+
+    request_id: str
+    host: str
+    incarnation: int
+    done: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamLookup:
+    """Asks a pool owner or host what is known of a request's stream."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamLookupReply:
+    """The streams known of a request, the newest attempt first."""
+
+    streams: tuple[HeldStream, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamRelease:
+    """Asks a host to stop serving a request that moved to the sender."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamReleaseReply:
+    """Whether the host held the request and has let it go.
+
+    Attributes:
+        released: whether it was held here and is now let go.
+        emitted: the tokens that this host had received.
+        attempt: number of the attempt.
+        prefill: id of the prefill endpoint.
+        decode: id of the decode endpoint.
+    """
+
+    released: bool
+    emitted: tuple[str, ...] = ()
+    attempt: int = 0
+    prefill: str = ''
+    decode: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigFetch:
+    """Asks for the records of a peer's folded configuration.
+
+    Attributes:
+        after: only records with an offset above this; 0 for all.
+    """
+
+    after: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigFetchReply:
+    """The current record of each configuration key."""
+
+    records: tuple[ConfigRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Empty answer."""
+
+
+PeerRequest = (
+    Heartbeat
+    | AdmitRequest
+    | Progress
+    | Release
+    | DirectoryRegister
+    | DirectoryRemove
+    | StreamLookup
+    | StreamRelease
+    | ConfigFetch
+)
+PeerReply = (
+    Heartbeat
+    | AdmitReply
+    | Acknowledgement
+    | DirectoryReply
+    | StreamLookupReply
+    | StreamReleaseReply
+    | ConfigFetchReply
+)
+
+REPLY_BY_REQUEST: dict[type, type] = {
+    Heartbeat: Heartbeat,
+    AdmitRequest: AdmitReply,
+    Progress: Acknowledgement,
+    Release: Acknowledgement,
+    DirectoryRegister: DirectoryReply,
+    DirectoryRemove: Acknowledgement,
+    StreamLookup: StreamLookupReply,
+    StreamRelease: StreamReleaseReply,
+    ConfigFetch: ConfigFetchReply,
+}
+
+PeerHandler = Callable[[str, PeerRequest], Awaitable[PeerReply]]
+
+
+class PeerTransport(abc.ABC):
+    """Carries requests between entry hosts."""
+
+    @abc.abstractmethod
+    async def start(self, handler: PeerHandler) -> None:
+        """Starts to serve; handler gets the peer's id and the request."""
+
+    @abc.abstractmethod
+    async def call(
+        self, host: str, address: str, request: PeerRequest, timeout_s: float
+    ) -> PeerReply:
+        """Sends a request and returns the reply.
+
+        Cancelling the call cancels the handler at the peer.
+
+        Args:
+            host: id of the peer.
+            address: 'ip:port' of the peer.
+            request: the message.
+            timeout_s: seconds until the call is given up.
+
+        Raises:
+            PeerUnavailableError: no reply came; the peer may have acted.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes all connections and stops serving."""
--- /dev/null
+++ b/mustardscale/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policies."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the router."""
