--- a/mustardscale/config_records.py
+++ b/mustardscale/config_records.py
@@ -167,9 +167,15 @@
 
 @dataclasses.dataclass(slots=True)
 class ConfigSnapshot:
-    """The current change of every key, appended before retention ends."""
+    """The current change of every key, appended before retention ends.
+
+    Attributes:
+        entries: the current change of each key.
+        folded_offset: offset up to which the log is contained in it.
+    """
 
     entries: tuple[VersionedChange, ...]
+    folded_offset: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -146,16 +146,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
-    """All streams that an entry host holds against a pool.
+    """Streams that an entry host holds against a pool.
 
     Sent at a fixed interval and on change of owner; it registers the streams
     with a new owner and renews them with the present one.
+
+    Attributes:
+        pool: id of the pool.
+        host: id of the sender.
+        incarnation: start number of the sender's process.
+        streams: the streams.
+        complete: whether these are all that the sender holds.
     """
 
     pool: str
     host: str
     incarnation: int
     streams: tuple[HeldStream, ...]
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,22 +231,32 @@
 
     Attributes:
         accepted: whether the sender now holds the entry.
-        settled: False while the home is still collecting registrations.
+        known_s: seconds for which the home has been in charge of this id
+            without a break; entries older than that may be missing.
         found: the earlier entry, if there is one.
     """
 
     accepted: bool
-    settled: bool
+    known_s: float
     found: tuple[DirectoryEntry, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryRemove:
-    """Ends an entry that the sender holds; done entries stay for a while."""
+    """Ends an entry that the sender holds; the home remembers it for a while.
+
+    Attributes:
+        request_id: the request's id.
+        host: id of the sender.
+        incarnation: start number of the sender's process.
+        attempt: number of the last attempt made.
+        done: whether the answer was delivered whole.
+    """
 
     request_id: str
     host: str
     incarnation: int
+    attempt: int
     done: bool
 
 
@@ -258,7 +276,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamRelease:
-    """Asks a host to stop serving a request that moved to the sender."""
+    """Asks a host to stop serving a request that its caller took elsewhere."""
 
     request_id: str
 
@@ -295,7 +313,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetchReply:
-    """The current record of each configuration key."""
+    """The folded configuration as one snapshot record, or nothing.
+
+    Attributes:
+        records: a snapshot record; its offset is the offset folded up to.
+    """
 
     records: tuple[ConfigRecord, ...]
 
