--- /dev/null
+++ b/mustardscale/admission.py
@@ -0,0 +1,262 @@
+"""The entry host's side of admission: asking owners and reporting to them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Sequence
+
+from mustardscale.blackboard import Blackboard, ServedRequest
+from mustardscale.config_records import Profile
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import (
+    Acknowledgement,
+    AdmitReply,
+    AdmitRequest,
+    HeldStream,
+    PeerRequest,
+    Progress,
+    Release,
+)
+from mustardscale.pools import PoolMembers, divide_pools
+from mustardscale.rendezvous import owner, rank
+from mustardscale.requests import LanguageRequest
+
+log = logging.getLogger(__name__)
+
+PROGRESS_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 1.0
+OWNER_RETRY_S = 0.1
+RETRY_AFTER_S = 2.0
+# Beyond a request's patience, time for the owner's answer to arrive, seconds.
+ANSWER_MARGIN_S = 2.0
+
+
+class AdmissionClient(Controller):
+    """Asks pool owners for endpoints and names the streams held here."""
+
+    def __init__(
+        self, blackboard: Blackboard, calls: PeerCalls, rng: random.Random
+    ):
+        self._blackboard = blackboard
+        self._calls = calls
+        self._rng = rng
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._pools_by_id: dict[str, PoolMembers] = {}
+        self._owner_by_pool: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Names the streams held here to their pools' owners."""
+        while True:
+            await self.report_all()
+            await pause(PROGRESS_INTERVAL_S, self._rng)
+
+    def follow_membership(self) -> None:
+        """Notes a change of hosts or endpoints."""
+        board = self._blackboard
+        self._pools_by_id = divide_pools(
+            board.endpoints_by_id.values(), board.region
+        )
+        hosts = board.serving_hosts()
+        owner_by_pool = {
+            pool_id: owner(pool_id, hosts) for pool_id in self._pools_by_id
+        }
+        if owner_by_pool != self._owner_by_pool:
+            self._owner_by_pool = owner_by_pool
+            self._start(self.report_all())
+
+    def pools_for(self, model: str, prompt_key: str) -> list[PoolMembers]:
+        """Returns a model's pools, the preferred one first.
+
+        Pools of this data centre come first; among them prompts with the same
+        beginning prefer the same pool.
+        """
+        pools = [
+            pool for pool in self._pools_by_id.values() if pool.model == model
+        ]
+        ranked = rank(prompt_key, [pool.id for pool in pools])
+        place = {pool_id: number for number, pool_id in enumerate(ranked)}
+        here = self._blackboard.data_centre
+        return sorted(
+            pools, key=lambda p: (p.data_centre not in ('', here), place[p.id])
+        )
+
+    async def admit(
+        self,
+        request: LanguageRequest,
+        served: ServedRequest,
+        profile: Profile,
+        model: str,
+        excluded: Sequence[str],
+        deadline_at: float,
+    ) -> AdmitReply:
+        """Waits for endpoints.
+
+        Raises:
+            OutcomeError: the owner refused, or no owner answered.
+        """
+        hashes = request.prompt.block_hashes
+        prompt_key = str(hashes[0] if hashes else request.prompt.fingerprint)
+        pools = self.pools_for(model, prompt_key)
+        if not pools:
+            raise OutcomeError(
+                Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S
+            )
+        reply = AdmitReply(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
+        for pool in pools:
+            served.pool = pool.id
+            ask = self._ask(request, served, profile, excluded, deadline_at)
+            reply = await self._ask_owner(ask, deadline_at, profile)
+            if reply.outcome == Outcome.COMPLETE:
+                return reply
+            if reply.outcome not in (
+                Outcome.POOL_SATURATED,
+                Outcome.NO_ENDPOINT,
+                Outcome.OWNER_UNAVAILABLE,
+            ):
+                break
+        raise OutcomeError(
+            Outcome(reply.outcome),
+            retry_after_s=reply.retry_after_s or RETRY_AFTER_S,
+        )
+
+    def _ask(
+        self,
+        request: LanguageRequest,
+        served: ServedRequest,
+        profile: Profile,
+        excluded: Sequence[str],
+        deadline_at: float,
+    ) -> AdmitRequest:
+        now = asyncio.get_running_loop().time()
+        waited_s = now - served.arrived_at
+        assert served.tag is not None
+        return AdmitRequest(
+            pool=served.pool,
+            tag=served.tag,
+            service=served.service,
+            prompt_tokens=served.prompt_tokens,
+            block_hashes=request.prompt.block_hashes,
+            fingerprint=request.prompt.fingerprint,
+            max_tokens=max(1, served.max_tokens - len(served.emitted)),
+            first_token_s=profile.first_token_s - waited_s,
+            deadline_s=deadline_at - now,
+            waited_s=waited_s,
+            excluded=tuple(excluded),
+        )
+
+    async def _ask_owner(
+        self, ask: AdmitRequest, deadline_at: float, profile: Profile
+    ) -> AdmitReply:
+        """Asks until an owner has decided; owners may change meanwhile."""
+        loop = asyncio.get_running_loop()
+        give_up_at = min(
+            deadline_at, loop.time() + profile.patience_s + ANSWER_MARGIN_S
+        )
+        while True:
+            left_s = give_up_at - loop.time()
+            if left_s <= 0:
+                return AdmitReply(Outcome.OWNER_UNAVAILABLE)
+            reply = await self._ask_once(ask, left_s)
+            if reply is not None and reply.outcome != Outcome.OWNER_UNAVAILABLE:
+                return reply
+            await asyncio.sleep(min(OWNER_RETRY_S, left_s))
+
+    async def _ask_once(
+        self, ask: AdmitRequest, timeout_s: float
+    ) -> AdmitReply | None:
+        """Asks the present owner; None if it gave no answer."""
+        host = self._owner_by_pool.get(ask.pool, self._blackboard.host)
+        call = asyncio.create_task(
+            self._calls.call(host, ask, AdmitReply, timeout_s)
+        )
+        try:
+            while not call.done():
+                await asyncio.wait([call], timeout=OWNER_RETRY_S)
+                if self._owner_by_pool.get(ask.pool) != host:
+                    return call.result() if call.done() else None
+            return call.result()
+        except PeerUnavailableError as error:
+            log.debug('owner %s gave no answer: %s', host, error)
+            return None
+        except asyncio.CancelledError:
+            self._drop_grant(ask)
+            raise
+        finally:
+            call.cancel()
+
+    def _drop_grant(self, ask: AdmitRequest) -> None:
+        """Frees a grant whose answer nobody waits for any more."""
+        release = Release(ask.pool, ask.tag, Outcome.CALLER_LEFT, 0, 0, False)
+        self._send(ask.pool, release)
+
+    def report_stage(self, served: ServedRequest) -> None:
+        """Tells the pool's owner that a stream reached a stage."""
+        stream = served.held_stream()
+        if stream is not None:
+            self._send(served.pool, self._progress(served.pool, [stream]))
+
+    def release(
+        self,
+        served: ServedRequest,
+        outcome: Outcome,
+        computed_tokens: int,
+        finished: bool,
+    ) -> None:
+        """Frees the reservation of the present attempt."""
+        if served.tag is None or not served.pool:
+            return
+        emitted = len(served.emitted) - served.attempt_base
+        release = Release(
+            served.pool,
+            served.tag,
+            outcome,
+            computed_tokens,
+            emitted,
+            finished,
+        )
+        self._send(served.pool, release)
+
+    async def report_all(self) -> None:
+        """Names all streams held here to the owners of their pools."""
+        streams_by_pool: dict[str, list[HeldStream]] = {}
+        for served in self._blackboard.served_by_id.values():
+            stream = served.held_stream()
+            if stream is not None and not served.taken_over:
+                streams_by_pool.setdefault(served.pool, []).append(stream)
+        for pool_id, streams in streams_by_pool.items():
+            self._send(pool_id, self._progress(pool_id, streams, True))
+
+    def _progress(
+        self, pool_id: str, streams: list[HeldStream], complete: bool = False
+    ) -> Progress:
+        return Progress(
+            pool_id,
+            self._blackboard.host,
+            self._blackboard.incarnation,
+            tuple(streams),
+            complete,
+        )
+
+    def _send(self, pool_id: str, request: PeerRequest) -> None:
+        """Sends a report to a pool's owner without waiting."""
+        host = self._owner_by_pool.get(pool_id)
+        if host is not None:
+            self._start(self._deliver(host, request))
+
+    async def _deliver(self, host: str, request: PeerRequest) -> None:
+        try:
+            await self._calls.call(
+                host, request, Acknowledgement, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('report to owner %s failed: %s', host, error)
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/mustardscale/blackboard.py
@@ -0,0 +1,269 @@
+"""The state of one process, which its controllers read and write."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import math
+
+from mustardscale.config_state import ConfigState
+from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
+from mustardscale.host_list import ListedKind
+from mustardscale.peers import DirectoryEntry, HeldStream
+
+
+class Signal:
+    """Wakes the tasks that wait for a change."""
+
+    __slots__ = ('_event',)
+
+    def __init__(self):
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wakes all waiting tasks."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Waits for the next change; returns False after timeout_s."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class HostEntry:
+    """An entry host as this process knows it.
+
+    Attributes:
+        id: its name.
+        address: 'ip:port' for peers.
+        data_centre: its data centre.
+        operators_address: 'ip:port' for operators.
+        incarnation: start number of its process, 0 while unknown.
+        listed: whether the host list names it.
+        draining: whether it takes no new requests.
+        heard_at: loop time of the last heartbeat.
+        silent: whether heartbeats have stopped.
+        silent_since: loop time at which it was declared silent.
+    """
+
+    id: str
+    address: str
+    data_centre: str
+    operators_address: str = ''
+    incarnation: int = 0
+    listed: bool = True
+    draining: bool = False
+    heard_at: float = -math.inf
+    silent: bool = True
+    silent_since: float = -math.inf
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointEntry:
+    """An endpoint as this process knows it.
+
+    Attributes:
+        id: its name.
+        kind: engine or plain.
+        address: 'ip:port'.
+        data_centre: its data centre.
+        region: its region.
+        service: plain service that it serves.
+        model: model that the engine serves.
+        role: role of the engine.
+        fencing: whether it refuses orders with an old term.
+        listed: whether the host list names it.
+        listed_leaving: whether the host list says that it is leaving.
+        leaving_until: loop time until which peers' or its own word that it is
+            leaving counts.
+        report: its last load report.
+        reported_at: loop time of that report.
+        unreachable_since: loop time since when it did not answer, or None.
+        in_flight: calls that this host has in progress there.
+    """
+
+    id: str
+    kind: ListedKind
+    address: str
+    data_centre: str
+    region: str
+    service: str = ''
+    model: str = ''
+    role: EngineRole | None = None
+    fencing: bool = True
+    listed: bool = True
+    listed_leaving: bool = False
+    leaving_until: float = -math.inf
+    report: LoadReport | None = None
+    reported_at: float = -math.inf
+    unreachable_since: float | None = None
+    in_flight: int = 0
+
+    def leaving(self, now: float) -> bool:
+        """Returns whether the endpoint takes no new work."""
+        return self.listed_leaving or now < self.leaving_until
+
+
+@dataclasses.dataclass(slots=True)
+class ServedRequest:
+    """A request whose caller is connected to this host.
+
+    Attributes:
+        id: the request's id.
+        service: the service that asks.
+        fingerprint: hash of its content.
+        arrived_at: loop time of arrival.
+        pool: id of the pool, '' for plain services.
+        tag: the present attempt.
+        prefill: id of the prefill endpoint.
+        decode: id of the decode endpoint.
+        stage: where it stands.
+        prompt_tokens: prompt length of the present attempt, tokens.
+        max_tokens: tokens wanted at most.
+        emitted: tokens received so far.
+        attempt_base: tokens received before the present attempt.
+        started: whether an endpoint may have begun work on it.
+        taken_over: whether its caller resumed it at another host.
+        home: host that holds its directory entry.
+    """
+
+    id: str
+    service: str
+    fingerprint: int
+    arrived_at: float
+    pool: str = ''
+    tag: StreamTag | None = None
+    prefill: str = ''
+    decode: str = ''
+    stage: StreamStage = StreamStage.QUEUED
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    emitted: list[str] = dataclasses.field(default_factory=list)
+    attempt_base: int = 0
+    started: bool = False
+    taken_over: bool = False
+    home: str = ''
+
+    def held_stream(self) -> HeldStream | None:
+        """Returns what is registered with the pool's owner, if granted."""
+        if self.tag is None or not self.prefill:
+            return None
+        return HeldStream(
+            tag=self.tag,
+            service=self.service,
+            prefill=self.prefill,
+            decode=self.decode,
+            stage=self.stage,
+            prompt_tokens=self.prompt_tokens,
+            emitted=len(self.emitted) - self.attempt_base,
+            max_tokens=self.max_tokens - self.attempt_base,
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class DirectoryRow:
+    """A directory entry at its home.
+
+    Attributes:
+        entry: the entry.
+        ended_at: loop time at which it ended, or None while it is served.
+    """
+
+    entry: DirectoryEntry
+    ended_at: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """Crashes that happened with a request in flight.
+
+    Attributes:
+        crashes: number of crashed endpoints that count against it.
+        last_at: loop time of the last crash.
+        quarantined: whether it is kept off endpoints.
+    """
+
+    crashes: int
+    last_at: float
+    quarantined: bool = False
+
+
+class Blackboard:
+    """Everything that one process knows.
+
+    Attributes:
+        host: id of this host.
+        incarnation: start number of this process.
+        data_centre: this host's data centre.
+        region: this host's region.
+        draining: whether this host is shutting down.
+        config: the folded configuration.
+        hosts_by_id: the other entry hosts.
+        endpoints_by_id: all endpoints.
+        served_by_id: requests whose callers are connected here.
+        directory_by_request_id: directory entries whose home is here.
+        suspicions_by_key: requests that endpoints crashed on.
+        membership_changed: notified when a host or endpoint comes or goes.
+        config_changed: notified when the configuration moves on.
+        quorum_at: send time of the newest heartbeat round that a majority of
+            the listed hosts answered.
+    """
+
+    __slots__ = (
+        'config',
+        'config_changed',
+        'data_centre',
+        'directory_by_request_id',
+        'draining',
+        'endpoints_by_id',
+        'host',
+        'hosts_by_id',
+        'incarnation',
+        'membership_changed',
+        'quorum_at',
+        'region',
+        'served_by_id',
+        'suspicions_by_key',
+    )
+
+    def __init__(
+        self, host: str, incarnation: int, data_centre: str, region: str
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.region = region
+        self.draining = False
+        self.config = ConfigState()
+        self.hosts_by_id: dict[str, HostEntry] = {}
+        self.endpoints_by_id: dict[str, EndpointEntry] = {}
+        self.served_by_id: dict[str, ServedRequest] = {}
+        self.directory_by_request_id: dict[str, DirectoryRow] = {}
+        self.suspicions_by_key: dict[str, Suspicion] = {}
+        self.membership_changed = Signal()
+        self.config_changed = Signal()
+        self.quorum_at = -math.inf
+
+    def live_hosts(self) -> list[str]:
+        """Returns the ids of hosts that are heard, this one included."""
+        heard = [
+            host.id for host in self.hosts_by_id.values() if not host.silent
+        ]
+        return sorted([*heard, self.host])
+
+    def serving_hosts(self) -> list[str]:
+        """Returns the ids of live hosts that may own pools and entries."""
+        serving = [
+            host.id
+            for host in self.hosts_by_id.values()
+            if not host.silent and not host.draining
+        ]
+        if not self.draining or not serving:
+            serving.append(self.host)
+        return sorted(serving)
--- /dev/null
+++ b/mustardscale/cancellation.py
@@ -0,0 +1,77 @@
+"""Frees what cancelled attempts hold on endpoints, until it is confirmed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.exceptions import MustardscaleError
+
+log = logging.getLogger(__name__)
+
+CANCEL_TIMEOUT_S = 1.0
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 2.0
+# Beyond this the pool owner's comparison of streams takes over, seconds.
+GIVE_UP_AFTER_S = 30.0
+
+
+class Canceller:
+    """Sends cancels in the background and repeats them until answered."""
+
+    def __init__(self, blackboard: Blackboard, clients: EndpointClients):
+        self._blackboard = blackboard
+        self._clients = clients
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def cancel(self, endpoint_id: str, request_id: str, attempt: int) -> None:
+        """Frees what attempts up to this one hold on an endpoint."""
+        if not endpoint_id:
+            return
+        task = asyncio.create_task(
+            self._cancel(endpoint_id, request_id, attempt)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @property
+    def pending(self) -> int:
+        """Returns the number of cancels not confirmed yet."""
+        return len(self._tasks)
+
+    async def wait_idle(self) -> None:
+        """Waits until every cancel is confirmed or given up."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def stop(self) -> None:
+        """Gives up all cancels."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _cancel(
+        self, endpoint_id: str, request_id: str, attempt: int
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + GIVE_UP_AFTER_S
+        retry_s = FIRST_RETRY_S
+        while loop.time() < give_up_at:
+            engine = self._clients.engine(endpoint_id)
+            if engine is None:
+                return
+            try:
+                async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                    await engine.cancel(request_id, attempt)
+            except (MustardscaleError, TimeoutError) as error:
+                log.debug(
+                    'cancel of %s at %s not confirmed: %s',
+                    request_id,
+                    endpoint_id,
+                    error,
+                )
+                await asyncio.sleep(retry_s)
+                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+            else:
+                return
--- /dev/null
+++ b/mustardscale/config_sync.py
@@ -0,0 +1,206 @@
+"""Keeps the folded configuration in step with the log and the peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.config_records import ConfigSnapshot, encode_record
+from mustardscale.config_state import Fate
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import (
+    LogUnavailableError,
+    LogUncertainError,
+    PeerUnavailableError,
+)
+from mustardscale.log_client import CONFIG_STREAM, LogClient, LogPage
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import ConfigFetch, ConfigFetchReply
+from mustardscale.rendezvous import owner
+
+log = logging.getLogger(__name__)
+
+LONG_POLL_S = 5.0
+RETRY_S = 0.5
+PEER_TIMEOUT_S = 1.0
+# A snapshot is appended when this many records follow the last one.
+SNAPSHOT_AFTER_RECORDS = 200
+SNAPSHOT_CHECK_S = 10.0
+# A snapshot is appended at this interval even if nothing changed, so that one
+# is always retained; it must be well under the log's retention.
+SNAPSHOT_INTERVAL_S = 300.0
+
+
+class ConfigLogController(Controller):
+    """Folds the configuration stream of the log.
+
+    Attributes:
+        log_reachable: whether the last read succeeded.
+        snapshot_offset: offset of the newest snapshot read from the log.
+        snapshot_read_at: loop time at which it was read.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, client: LogClient, rng: random.Random
+    ):
+        self._blackboard = blackboard
+        self._client = client
+        self._rng = rng
+        self.log_reachable = False
+        self.snapshot_offset = 0
+        self.snapshot_read_at = -math.inf
+
+    async def run(self) -> None:
+        """Reads new records as they come."""
+        while True:
+            state = self._blackboard.config
+            try:
+                page = await self._client.read(
+                    CONFIG_STREAM, state.read_offset, wait_s=LONG_POLL_S
+                )
+            except LogUnavailableError as error:
+                self.log_reachable = False
+                log.warning('configuration not read from the log: %s', error)
+                await pause(RETRY_S, self._rng)
+            else:
+                self.log_reachable = True
+                self.apply(page)
+
+    def apply(self, page: LogPage) -> None:
+        """Folds one page of records."""
+        state = self._blackboard.config
+        for record in page.records:
+            result = state.apply(record.offset, record.payload)
+            if result.fate is Fate.MERGED:
+                self.snapshot_offset = record.offset
+                self.snapshot_read_at = asyncio.get_running_loop().time()
+            if result.fate is Fate.UNREADABLE:
+                log.error(
+                    'record %d of the configuration is skipped: %s',
+                    record.offset,
+                    result.detail,
+                    extra={'code': Outcome.RECORD_UNREADABLE},
+                )
+        if not state.settled:
+            log.error(
+                'the log dropped records after offset %d before they were '
+                'read; waiting for a snapshot',
+                state.folded_offset,
+            )
+        if page.records:
+            self._blackboard.config_changed.notify()
+
+
+class ConfigPeerController(Controller):
+    """Copies the configuration from peers that are further on.
+
+    This serves a host that is cut from the log, that starts during an outage
+    or that finds a gap.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, calls: PeerCalls, rng: random.Random
+    ):
+        self._blackboard = blackboard
+        self._calls = calls
+        self._rng = rng
+        self.ahead_by_host: dict[str, int] = {}
+        calls.handle(ConfigFetch, self._on_fetch)
+
+    async def run(self) -> None:
+        """Asks one random peer at a time."""
+        while True:
+            await self._blackboard.config_changed.wait(RETRY_S)
+            hosts = self._blackboard.live_hosts()
+            peers = [host for host in hosts if host != self._blackboard.host]
+            if peers:
+                await self._fetch(self._rng.choice(peers))
+
+    async def _fetch(self, host: str) -> None:
+        state = self._blackboard.config
+        request = ConfigFetch(state.folded_offset)
+        try:
+            reply = await self._calls.call(
+                host, request, ConfigFetchReply, PEER_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('no configuration from %s: %s', host, error)
+            return
+        before = state.folded_offset
+        for record in reply.records:
+            state.merge(record.payload)
+        if state.folded_offset > before:
+            log.info(
+                'configuration up to offset %d copied from %s',
+                state.folded_offset,
+                host,
+            )
+            self._blackboard.config_changed.notify()
+
+    async def _on_fetch(
+        self, sender: str, request: ConfigFetch
+    ) -> ConfigFetchReply:
+        return ConfigFetchReply(self._blackboard.config.records(request.after))
+
+
+class SnapshotController(Controller):
+    """Appends snapshots so that versions in force outlive the log's retention.
+
+    Any host may append one; the hosts share the work by rendezvous hashing,
+    and a doubled snapshot does no harm.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        reader: ConfigLogController,
+        client: LogClient,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._reader = reader
+        self._client = client
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Checks at a fixed interval whether a snapshot is due."""
+        while True:
+            await pause(SNAPSHOT_CHECK_S, self._rng)
+            hosts = self._blackboard.serving_hosts()
+            chosen = owner('config-snapshot', hosts) == self._blackboard.host
+            if chosen and self._due():
+                await self._append(self._blackboard.config.snapshot())
+
+    def _due(self) -> bool:
+        state = self._blackboard.config
+        if not state.by_key or not state.settled:
+            return False
+        unsaved = state.folded_offset - self._reader.snapshot_offset
+        now = asyncio.get_running_loop().time()
+        age_s = now - self._reader.snapshot_read_at
+        return unsaved > SNAPSHOT_AFTER_RECORDS or age_s > SNAPSHOT_INTERVAL_S
+
+    async def _append(self, snapshot: ConfigSnapshot) -> None:
+        try:
+            await self._client.append(
+                CONFIG_STREAM, [encode_record(snapshot)]
+            )
+        except (LogUnavailableError, LogUncertainError) as error:
+            log.warning('snapshot not appended: %s', error)
+        else:
+            log.info('snapshot up to %d appended', snapshot.folded_offset)
+
+
+async def wait_for_config(blackboard: Blackboard, timeout_s: float) -> bool:
+    """Waits until any configuration is known; False after timeout_s."""
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    while not blackboard.config.by_key:
+        left = deadline - asyncio.get_running_loop().time()
+        if left <= 0:
+            return False
+        await blackboard.config_changed.wait(left)
+    return True
--- /dev/null
+++ b/mustardscale/directory.py
@@ -0,0 +1,299 @@
+"""The request directory: which host serves which request id.
+
+The home of an id is chosen by rendezvous hashing over the serving hosts. It
+holds soft state: after a change of home the hosts that serve requests register
+them again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from mustardscale.blackboard import Blackboard, DirectoryRow, ServedRequest
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import (
+    Acknowledgement,
+    DirectoryEntry,
+    DirectoryRegister,
+    DirectoryRemove,
+    DirectoryReply,
+)
+from mustardscale.rendezvous import owner
+
+log = logging.getLogger(__name__)
+
+# Seconds for which a home remembers entries that have ended.
+ENDED_MEMORY_S = 120.0
+CALL_TIMEOUT_S = 1.5
+RETRY_AFTER_S = 2.0
+# A home answers only if a majority of the listed hosts answered a heartbeat
+# sent within this time, seconds.
+QUORUM_LEASE_S = 2.0
+EXPIRY_INTERVAL_S = 5.0
+
+
+class DirectoryHome(Controller):
+    """Answers for the ids whose home is this host."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        settle_s: float,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._settle_s = settle_s
+        self._rng = rng
+        self._hosts: list[str] = []
+        self._previous_hosts: list[str] = []
+        self._changed_at = asyncio.get_running_loop().time()
+        self._started_at = self._changed_at
+        calls.handle(DirectoryRegister, self._on_register)
+        calls.handle(DirectoryRemove, self._on_remove)
+
+    async def run(self) -> None:
+        """Forgets ended entries."""
+        while True:
+            await pause(EXPIRY_INTERVAL_S, self._rng)
+            self._expire()
+
+    def follow_membership(self) -> None:
+        """Notes a change of the serving hosts."""
+        hosts = self._blackboard.serving_hosts()
+        if hosts == self._hosts:
+            return
+        self._previous_hosts = self._hosts
+        self._hosts = hosts
+        self._changed_at = asyncio.get_running_loop().time()
+
+    def _in_charge_since(self, request_id: str) -> float:
+        """Returns the loop time since when this host is the id's home."""
+        was_home = bool(self._previous_hosts) and (
+            owner(request_id, self._previous_hosts) == self._blackboard.host
+        )
+        return self._started_at if was_home else self._changed_at
+
+    async def _on_register(
+        self, sender: str, request: DirectoryRegister
+    ) -> DirectoryReply:
+        request_id = request.entry.request_id
+        if not request.rebuild:
+            await self._settle(request_id)
+            if not self._may_answer(request_id):
+                return DirectoryReply(False, 0.0)
+        now = asyncio.get_running_loop().time()
+        known_s = now - self._in_charge_since(request_id)
+        rows = self._blackboard.directory_by_request_id
+        row = rows.get(request_id)
+        found = (row.entry,) if row is not None else ()
+        accepted = row is None or self._may_replace(row, request)
+        if accepted:
+            rows[request_id] = DirectoryRow(request.entry)
+        return DirectoryReply(accepted, known_s, found)
+
+    def _may_answer(self, request_id: str) -> bool:
+        """Returns whether no other host can be the home of an id now."""
+        board = self._blackboard
+        now = asyncio.get_running_loop().time()
+        if now - board.quorum_at > QUORUM_LEASE_S:
+            return False
+        return owner(request_id, board.serving_hosts()) == board.host
+
+    async def _settle(self, request_id: str) -> None:
+        """Waits until the hosts had time to register with a new home."""
+        loop = asyncio.get_running_loop()
+        settled_at = self._in_charge_since(request_id) + self._settle_s
+        while (wait_s := settled_at - loop.time()) > 0:
+            await asyncio.sleep(wait_s)
+            settled_at = self._in_charge_since(request_id) + self._settle_s
+
+    def _may_replace(
+        self, row: DirectoryRow, request: DirectoryRegister
+    ) -> bool:
+        old = row.entry
+        new = request.entry
+        same_holder = (old.host, old.incarnation) == (
+            new.host,
+            new.incarnation,
+        )
+        if same_holder:
+            return not old.done
+        if request.rebuild:
+            return row.ended_at is None and new.attempt >= old.attempt
+        if old.fingerprint != new.fingerprint:
+            return False
+        if old.done:
+            return False
+        return (
+            row.ended_at is not None
+            or request.takeover
+            or not self._holder_is_live(old)
+        )
+
+    def _holder_is_live(self, entry: DirectoryEntry) -> bool:
+        if entry.host == self._blackboard.host:
+            return entry.incarnation == self._blackboard.incarnation
+        host = self._blackboard.hosts_by_id.get(entry.host)
+        if host is None or host.silent:
+            return False
+        return host.incarnation == entry.incarnation
+
+    async def _on_remove(
+        self, sender: str, request: DirectoryRemove
+    ) -> Acknowledgement:
+        row = self._blackboard.directory_by_request_id.get(request.request_id)
+        holder = (request.host, request.incarnation)
+        if row is not None and holder == (
+            row.entry.host,
+            row.entry.incarnation,
+        ):
+            row.ended_at = asyncio.get_running_loop().time()
+            row.entry = DirectoryEntry(
+                row.entry.request_id,
+                row.entry.fingerprint,
+                row.entry.host,
+                row.entry.incarnation,
+                max(row.entry.attempt, request.attempt),
+                row.entry.decode,
+                request.done,
+            )
+        return Acknowledgement()
+
+    def _expire(self) -> None:
+        horizon = asyncio.get_running_loop().time() - ENDED_MEMORY_S
+        rows = self._blackboard.directory_by_request_id
+        ended = [
+            request_id
+            for request_id, row in rows.items()
+            if row.ended_at is not None and row.ended_at < horizon
+        ]
+        for request_id in ended:
+            del rows[request_id]
+
+
+class DirectoryClient:
+    """Registers the requests that this host serves with their homes."""
+
+    def __init__(self, blackboard: Blackboard, calls: PeerCalls):
+        self._blackboard = blackboard
+        self._calls = calls
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def register(
+        self, served: ServedRequest, takeover: bool = False
+    ) -> DirectoryReply:
+        """Registers a request before anything is done for it.
+
+        Raises:
+            OutcomeError: DIRECTORY_UNAVAILABLE, when the home gave no answer.
+        """
+        home = owner(served.id, self._blackboard.serving_hosts())
+        request = DirectoryRegister(self._entry(served), takeover)
+        try:
+            reply = await self._calls.call(
+                home, request, DirectoryReply, CALL_TIMEOUT_S * 2
+            )
+        except PeerUnavailableError as error:
+            raise OutcomeError(
+                Outcome.DIRECTORY_UNAVAILABLE, str(error), RETRY_AFTER_S
+            ) from error
+        if not reply.accepted and not reply.found:
+            raise OutcomeError(
+                Outcome.DIRECTORY_UNAVAILABLE, retry_after_s=RETRY_AFTER_S
+            )
+        served.home = home
+        return reply
+
+    def update(self, served: ServedRequest) -> None:
+        """Tells the home of a new attempt or endpoint, without waiting."""
+        self._start(self._rebuild(served))
+
+    def remove(self, served: ServedRequest, done: bool) -> None:
+        """Ends a registration, without waiting."""
+        if served.home:
+            self._start(self._remove(served, done))
+
+    def follow_membership(self) -> None:
+        """Registers requests again whose home has changed."""
+        hosts = self._blackboard.serving_hosts()
+        for served in list(self._blackboard.served_by_id.values()):
+            home = owner(served.id, hosts)
+            if served.home and served.home != home and not served.taken_over:
+                served.home = home
+                self._start(self._rebuild(served))
+
+    async def confirm(self, served: ServedRequest) -> bool:
+        """Asks the home whether this host still holds a request.
+
+        Used after a pause of this process, before more is sent to the caller.
+        """
+        request = DirectoryRegister(self._entry(served))
+        try:
+            home = owner(served.id, self._blackboard.serving_hosts())
+            reply = await self._calls.call(
+                home, request, DirectoryReply, CALL_TIMEOUT_S * 2
+            )
+        except PeerUnavailableError:
+            return False
+        return reply.accepted
+
+    def _entry(self, served: ServedRequest) -> DirectoryEntry:
+        return DirectoryEntry(
+            request_id=served.id,
+            fingerprint=served.fingerprint,
+            host=self._blackboard.host,
+            incarnation=self._blackboard.incarnation,
+            attempt=served.tag.attempt if served.tag else 0,
+            decode=served.decode,
+        )
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _rebuild(self, served: ServedRequest) -> None:
+        request = DirectoryRegister(self._entry(served), rebuild=True)
+        try:
+            await self._calls.call(
+                served.home, request, DirectoryReply, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('request %s not registered: %s', served.id, error)
+
+    async def _remove(self, served: ServedRequest, done: bool) -> None:
+        request = DirectoryRemove(
+            served.id,
+            self._blackboard.host,
+            self._blackboard.incarnation,
+            served.tag.attempt if served.tag else 0,
+            done,
+        )
+        try:
+            await self._calls.call(
+                served.home, request, Acknowledgement, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('request %s not removed: %s', served.id, error)
+
+
+def check_reply(reply: DirectoryReply, served: ServedRequest) -> None:
+    """Turns a directory's refusal into the caller's outcome.
+
+    Raises:
+        OutcomeError: another send of the id is or was served.
+    """
+    if reply.accepted:
+        return
+    found = reply.found[0]
+    if found.fingerprint != served.fingerprint:
+        raise OutcomeError(Outcome.REQUEST_ID_REUSED)
+    if found.done:
+        raise OutcomeError(Outcome.ALREADY_COMPLETED)
+    raise OutcomeError(Outcome.ALREADY_IN_PROGRESS)
--- /dev/null
+++ b/mustardscale/limits.py
@@ -0,0 +1,118 @@
+"""Rates, concurrency and retries of services at this host."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.config_records import Profile
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome
+from mustardscale.token_bucket import RetryBudget, TokenBucket
+
+RETRY_AFTER_S = 1.0
+# Retries permitted to a service with little traffic, for each minute.
+RETRY_MINIMUM = 3
+
+
+class ServiceLimits:
+    """Enforces this host's share of each service's limits."""
+
+    def __init__(self, blackboard: Blackboard):
+        self._blackboard = blackboard
+        self._bucket_by_service: dict[str, TokenBucket] = {}
+        self._retries_by_service: dict[
+            str, tuple[float | None, RetryBudget]
+        ] = {}
+        self.active_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    def enter(self, service: str, profile: Profile) -> None:
+        """Counts a request in.
+
+        Raises:
+            OutcomeError: a limit is reached; the request was not run.
+        """
+        self._check_rate(service, profile)
+        hosts = len(self._blackboard.serving_hosts())
+        self._check_concurrency(service, profile, hosts)
+        self.active_by_service[service] += 1
+        self._retries(service, profile).request()
+
+    def leave(self, service: str) -> None:
+        """Counts a request out."""
+        self.active_by_service[service] -= 1
+
+    def take_retry(self, service: str, profile: Profile) -> bool:
+        """Takes one retry from the service's budget, if there is one."""
+        return self._retries(service, profile).retry()
+
+    def _check_rate(self, service: str, profile: Profile) -> None:
+        if profile.rate_per_s <= 0:
+            return
+        now = asyncio.get_running_loop().time()
+        hosts = len(self._blackboard.serving_hosts())
+        rate = profile.rate_per_s / hosts
+        burst = max(1.0, profile.burst / hosts)
+        bucket = self._bucket_by_service.get(service)
+        if bucket is None:
+            bucket = TokenBucket(rate, burst)
+            self._bucket_by_service[service] = bucket
+        elif (bucket.rate, bucket.burst) != (rate, burst):
+            bucket.change(rate, burst, now)
+        wait_s = bucket.take(now)
+        if wait_s > 0:
+            raise OutcomeError(Outcome.RATE_LIMITED, retry_after_s=wait_s)
+
+    def _check_concurrency(
+        self, service: str, profile: Profile, hosts: int
+    ) -> None:
+        active = self.active_by_service[service]
+        limit = _share(profile.max_concurrent, hosts)
+        if limit and active >= limit:
+            raise OutcomeError(
+                Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S
+            )
+        floor_limit = _share(self._floor_limit(), hosts)
+        if floor_limit and self.active_by_service.total() >= floor_limit:
+            raise OutcomeError(
+                Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S
+            )
+
+    def _floor_limit(self) -> int:
+        """Returns the smallest floor limit of the profiles in use."""
+        config = self._blackboard.config
+        limits = [
+            config.profiles_by_name[entry.choice.profile].profile
+            for entry in config.services_by_name.values()
+            if entry.choice.profile in config.profiles_by_name
+        ]
+        return min(
+            (
+                profile.floor_max_concurrent
+                for profile in limits
+                if profile.floor_max_concurrent
+            ),
+            default=0,
+        )
+
+    def _retries(self, service: str, profile: Profile) -> RetryBudget:
+        share = profile.retry_share
+        known_share, budget = self._retries_by_service.get(
+            service, (None, RetryBudget(share, RETRY_MINIMUM))
+        )
+        if known_share != share:
+            budget = RetryBudget(share, RETRY_MINIMUM)
+            self._retries_by_service[service] = (share, budget)
+        return budget
+
+
+def _share(limit: int, hosts: int) -> int:
+    """Returns one host's share of a limit, at least 1 if there is a limit.
+
+    >>> _share(10, 4), _share(0, 4)
+    (3, 0)
+    """
+    return -(-limit // hosts)
--- /dev/null
+++ b/mustardscale/membership.py
@@ -0,0 +1,307 @@
+"""Which hosts and endpoints are there, from the host list and heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+
+from mustardscale.blackboard import (
+    Blackboard,
+    EndpointEntry,
+    HostEntry,
+    Suspicion,
+)
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.host_list import HostList, ListedHost, ListedKind
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import Heartbeat, Quarantine
+
+log = logging.getLogger(__name__)
+
+# Seconds for which a peer's or an endpoint's own word that it is leaving
+# outweighs a host list that does not say so yet.
+LEAVING_MEMORY_S = 30.0
+# Hosts unlisted and silent for this long are forgotten, seconds.
+FORGET_AFTER_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class MembershipTimes:
+    """Intervals of the membership controller, seconds.
+
+    Attributes:
+        heartbeat_s: between heartbeats to a peer.
+        dead_after_s: silence after which a peer counts as dead.
+        host_list_s: between reads of the host list.
+    """
+
+    heartbeat_s: float = 0.5
+    dead_after_s: float = 2.5
+    host_list_s: float = 1.0
+
+
+class HostListController(Controller):
+    """Reads the host list into the blackboard."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        host_list: HostList,
+        times: MembershipTimes,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._host_list = host_list
+        self._times = times
+        self._rng = rng
+        self.fetched_at: float | None = None
+
+    async def run(self) -> None:
+        """Reads the list at a fixed interval."""
+        while True:
+            try:
+                listed = await self._host_list.fetch()
+            except PeerUnavailableError as error:
+                log.warning('host list not read, keeping the last: %s', error)
+            else:
+                self.fetched_at = asyncio.get_running_loop().time()
+                self.apply(listed)
+            await pause(self._times.host_list_s, self._rng)
+
+    def apply(self, listed: list[ListedHost]) -> None:
+        """Merges one reading of the list."""
+        now = asyncio.get_running_loop().time()
+        changed = self._apply_hosts(listed, now)
+        changed = self._apply_endpoints(listed) or changed
+        if changed:
+            self._blackboard.membership_changed.notify()
+
+    def _apply_hosts(self, listed: list[ListedHost], now: float) -> bool:
+        hosts_by_id = self._blackboard.hosts_by_id
+        entries = [
+            host
+            for host in listed
+            if host.kind is ListedKind.ENTRY
+            and host.id != self._blackboard.host
+        ]
+        changed = False
+        for host in entries:
+            known = hosts_by_id.get(host.id)
+            if known is None or known.address != host.address:
+                hosts_by_id[host.id] = HostEntry(
+                    host.id,
+                    host.address,
+                    host.data_centre,
+                    host.operators_address,
+                    silent_since=now,
+                )
+                changed = True
+        listed_ids = {host.id for host in entries}
+        for known in list(hosts_by_id.values()):
+            known.listed = known.id in listed_ids
+            gone = known.silent and now - known.silent_since > FORGET_AFTER_S
+            if not known.listed and gone:
+                del hosts_by_id[known.id]
+                changed = True
+        return changed
+
+    def _apply_endpoints(self, listed: list[ListedHost]) -> bool:
+        endpoints_by_id = self._blackboard.endpoints_by_id
+        entries = [
+            host for host in listed if host.kind is not ListedKind.ENTRY
+        ]
+        changed = False
+        for host in entries:
+            known = endpoints_by_id.get(host.id)
+            if known is None or known.address != host.address:
+                known = endpoints_by_id[host.id] = _endpoint_of(host)
+                changed = True
+            if known.listed_leaving != host.leaving or not known.listed:
+                known.listed_leaving = host.leaving
+                known.listed = True
+                changed = True
+        listed_ids = {host.id for host in entries}
+        for known in list(endpoints_by_id.values()):
+            if known.id not in listed_ids:
+                del endpoints_by_id[known.id]
+                changed = True
+        return changed
+
+
+def _endpoint_of(host: ListedHost) -> EndpointEntry:
+    """Makes the blackboard's entry of a listed endpoint."""
+    return EndpointEntry(
+        id=host.id,
+        kind=host.kind,
+        address=host.address,
+        data_centre=host.data_centre,
+        region=host.region,
+        service=host.service,
+        model=host.model,
+        role=host.role,
+        fencing=host.fencing,
+    )
+
+
+class HeartbeatController(Controller):
+    """Exchanges heartbeats with the peers and decides who is live."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        times: MembershipTimes,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._calls = calls
+        self._times = times
+        self._rng = rng
+        self._in_flight: dict[str, asyncio.Task[None]] = {}
+        self._answered_sent_at_by_host: dict[str, float] = {}
+        calls.handle(Heartbeat, self._on_heartbeat)
+
+    async def run(self) -> None:
+        """Sends a heartbeat to each peer at a fixed interval."""
+        try:
+            while True:
+                for host in list(self._blackboard.hosts_by_id):
+                    if host not in self._in_flight:
+                        task = asyncio.create_task(self._exchange(host))
+                        self._in_flight[host] = task
+                self._mark_silent()
+                self._update_quorum()
+                await pause(self._times.heartbeat_s, self._rng)
+        finally:
+            for task in self._in_flight.values():
+                task.cancel()
+
+    async def announce(self) -> None:
+        """Sends a heartbeat to every live peer at once."""
+        hosts = [
+            host
+            for host in self._blackboard.live_hosts()
+            if host != self._blackboard.host
+        ]
+        await asyncio.gather(*(self._exchange(host) for host in hosts))
+
+    def heartbeat(self) -> Heartbeat:
+        """Returns what this host tells its peers."""
+        now = asyncio.get_running_loop().time()
+        board = self._blackboard
+        leaving = [
+            endpoint.id
+            for endpoint in board.endpoints_by_id.values()
+            if endpoint.leaving(now)
+        ]
+        quarantined = [
+            Quarantine(key, suspicion.crashes, now - suspicion.last_at, 1)
+            for key, suspicion in board.suspicions_by_key.items()
+            if suspicion.quarantined
+        ]
+        return Heartbeat(
+            host=board.host,
+            incarnation=board.incarnation,
+            data_centre=board.data_centre,
+            draining=board.draining,
+            config_offset=board.config.folded_offset,
+            config_digest=board.config.digest(),
+            leaving=tuple(leaving),
+            quarantined=tuple(quarantined),
+        )
+
+    async def _exchange(self, host: str) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        try:
+            reply = await self._calls.call(
+                host, self.heartbeat(), Heartbeat, self._times.dead_after_s
+            )
+        except PeerUnavailableError as error:
+            log.debug('no heartbeat from %s: %s', host, error)
+        else:
+            self._answered_sent_at_by_host[host] = sent_at
+            self._hear(reply)
+        finally:
+            self._in_flight.pop(host, None)
+
+    async def _on_heartbeat(self, sender: str, beat: Heartbeat) -> Heartbeat:
+        if sender == beat.host:
+            self._hear(beat)
+        return self.heartbeat()
+
+    def _hear(self, beat: Heartbeat) -> None:
+        now = asyncio.get_running_loop().time()
+        host = self._blackboard.hosts_by_id.get(beat.host)
+        if host is None or beat.incarnation < host.incarnation:
+            return
+        changed = (
+            host.silent
+            or host.incarnation != beat.incarnation
+            or host.draining != beat.draining
+        )
+        host.heard_at = now
+        host.silent = False
+        host.incarnation = beat.incarnation
+        host.draining = beat.draining
+        self._merge_leaving(beat, now)
+        self._merge_quarantine(beat, now)
+        config = self._blackboard.config
+        if beat.config_offset > config.folded_offset:
+            self._blackboard.config_changed.notify()
+        if changed:
+            log.info(
+                'host %s is live, incarnation %d', host.id, host.incarnation
+            )
+            self._blackboard.membership_changed.notify()
+
+    def _merge_leaving(self, beat: Heartbeat, now: float) -> None:
+        for endpoint_id in beat.leaving:
+            endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
+            if endpoint is not None and not endpoint.leaving(now):
+                endpoint.leaving_until = now + LEAVING_MEMORY_S
+                self._blackboard.membership_changed.notify()
+
+    def _merge_quarantine(self, beat: Heartbeat, now: float) -> None:
+        suspicions = self._blackboard.suspicions_by_key
+        for item in beat.quarantined:
+            known = suspicions.get(item.key)
+            if known is None or not known.quarantined:
+                suspicions[item.key] = _suspicion_of(item, now)
+
+    def _mark_silent(self) -> None:
+        now = asyncio.get_running_loop().time()
+        changed = False
+        for host in self._blackboard.hosts_by_id.values():
+            overdue = now - host.heard_at > self._times.dead_after_s
+            if overdue and not host.silent:
+                log.warning('host %s is silent', host.id)
+                host.silent = True
+                host.silent_since = now
+                changed = True
+        if changed:
+            self._blackboard.membership_changed.notify()
+
+    def _update_quorum(self) -> None:
+        """Finds the newest send time that a majority has answered."""
+        now = asyncio.get_running_loop().time()
+        listed = [
+            host.id
+            for host in self._blackboard.hosts_by_id.values()
+            if host.listed and not host.draining
+        ]
+        answered = [
+            self._answered_sent_at_by_host.get(host, float('-inf'))
+            for host in listed
+        ]
+        needed = (len(listed) + 1) // 2
+        newest_first = sorted(answered, reverse=True)
+        quorum_at = newest_first[needed - 1] if needed else now
+        self._blackboard.quorum_at = max(self._blackboard.quorum_at, quorum_at)
+
+
+def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
+    """Makes the blackboard's entry of a quarantine told by a peer."""
+    return Suspicion(item.crashes, now - item.age_s, quarantined=True)
--- /dev/null
+++ b/mustardscale/plain_calls.py
@@ -0,0 +1,240 @@
+"""Serves requests to plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import xxhash
+
+from mustardscale.blackboard import Blackboard, EndpointEntry, ServedRequest
+from mustardscale.claim_state import ClaimRecord
+from mustardscale.claims import Claims
+from mustardscale.config_records import Profile
+from mustardscale.directory import (
+    ENDED_MEMORY_S,
+    DirectoryClient,
+    check_reply,
+)
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.host_list import ListedKind
+from mustardscale.limits import ServiceLimits
+from mustardscale.membership import LEAVING_MEMORY_S
+from mustardscale.outcomes import Outcome
+from mustardscale.plain_endpoints import PlainAnswer, PlainCall
+from mustardscale.requests import PlainRequest
+
+log = logging.getLogger(__name__)
+
+RETRY_AFTER_S = 1.0
+# An endpoint that could not be connected to is avoided for this long, seconds.
+UNREACHABLE_MEMORY_S = 1.0
+MAX_TRIES = 8
+
+
+class PlainService:
+    """Serves plain requests whose callers are connected to this host."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        directory: DirectoryClient,
+        claims: Claims,
+        clients: EndpointClients,
+        limits: ServiceLimits,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._directory = directory
+        self._claims = claims
+        self._clients = clients
+        self._limits = limits
+        self._rng = rng
+
+    async def serve(
+        self, request: PlainRequest, profile: Profile
+    ) -> PlainAnswer:
+        """Returns the service's answer.
+
+        Raises:
+            OutcomeError: the request ended without an answer.
+        """
+        deadline_at = asyncio.get_running_loop().time() + (
+            request.timeout_s or profile.timeout_s
+        )
+        if not request.idempotent:
+            self._claims.check_known(request.id, _fingerprint(request))
+        self._limits.enter(request.service, profile)
+        try:
+            if request.idempotent:
+                return await self._serve_idempotent(
+                    request, profile, deadline_at
+                )
+            return await self._serve_once(request, deadline_at)
+        finally:
+            self._limits.leave(request.service)
+
+    async def _serve_idempotent(
+        self, request: PlainRequest, profile: Profile, deadline_at: float
+    ) -> PlainAnswer:
+        tried: set[str] = set()
+        sent = False
+        while True:
+            endpoint = self._choose(request.service, tried, deadline_at, sent)
+            tried.add(endpoint.id)
+            try:
+                return await self._send(request, endpoint, deadline_at)
+            except (EndpointUnreachableError, EndpointRefusedError) as error:
+                log.debug('endpoint %s: %s', endpoint.id, error)
+            except EndpointFailedError as error:
+                sent = True
+                if not self._limits.take_retry(request.service, profile):
+                    raise OutcomeError(
+                        Outcome.PLAIN_SERVICE_FAILED
+                    ) from error
+            except TimeoutError as error:
+                raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
+
+    async def _serve_once(
+        self, request: PlainRequest, deadline_at: float
+    ) -> PlainAnswer:
+        """Runs a request that must not be run twice."""
+        if request.id in self._blackboard.served_by_id:
+            raise OutcomeError(Outcome.ALREADY_IN_PROGRESS)
+        served = ServedRequest(
+            id=request.id,
+            service=request.service,
+            fingerprint=_fingerprint(request),
+            arrived_at=asyncio.get_running_loop().time(),
+        )
+        self._blackboard.served_by_id[request.id] = served
+        answered = False
+        try:
+            known_s = await self._register(served)
+            claim = await self._claims.claim(
+                request.id, served.fingerprint, known_s
+            )
+            answer = await self._dispatch(request, claim, deadline_at)
+            answered = True
+            return answer
+        finally:
+            self._blackboard.served_by_id.pop(request.id, None)
+            self._directory.remove(served, answered)
+
+    async def _register(self, served: ServedRequest) -> float:
+        """Returns for how long the id is known not to have been served.
+
+        Without an answer of the directory nothing is known, and the log
+        decides alone.
+        """
+        try:
+            reply = await self._directory.register(served)
+        except OutcomeError:
+            return 0.0
+        check_reply(reply, served)
+        if reply.found:
+            return 0.0
+        return min(reply.known_s, ENDED_MEMORY_S)
+
+    async def _dispatch(
+        self, request: PlainRequest, claim: ClaimRecord, deadline_at: float
+    ) -> PlainAnswer:
+        """Sends a claimed request; nothing is sent after it may have left."""
+        tried: set[str] = set()
+        while True:
+            try:
+                endpoint = self._choose(
+                    request.service, tried, deadline_at, False
+                )
+            except OutcomeError:
+                self._claims.abandon(claim)
+                raise
+            tried.add(endpoint.id)
+            try:
+                answer = await self._send(request, endpoint, deadline_at)
+            except (EndpointUnreachableError, EndpointRefusedError) as error:
+                log.debug('endpoint %s: %s', endpoint.id, error)
+            except (EndpointFailedError, TimeoutError) as error:
+                self._claims.finish(claim, answered=False)
+                raise OutcomeError(Outcome.ANSWER_LOST) from error
+            except asyncio.CancelledError:
+                self._claims.finish(claim, answered=False)
+                raise
+            else:
+                self._claims.finish(claim, answered=True)
+                return answer
+
+    def _choose(
+        self, service: str, tried: set[str], deadline_at: float, sent: bool
+    ) -> EndpointEntry:
+        """Chooses the less loaded of two random endpoints."""
+        now = asyncio.get_running_loop().time()
+        if now >= deadline_at:
+            raise OutcomeError(
+                Outcome.DEADLINE_EXCEEDED if sent else Outcome.DEADLINE_IN_QUEUE
+            )
+        candidates = [
+            endpoint
+            for endpoint in self._blackboard.endpoints_by_id.values()
+            if endpoint.kind is ListedKind.PLAIN
+            and endpoint.service == service
+            and endpoint.id not in tried
+            and not endpoint.leaving(now)
+        ]
+        reachable = [
+            endpoint
+            for endpoint in candidates
+            if endpoint.unreachable_since is None
+            or now - endpoint.unreachable_since > UNREACHABLE_MEMORY_S
+        ]
+        candidates = reachable or candidates
+        if not candidates or len(tried) >= MAX_TRIES:
+            raise OutcomeError(
+                Outcome.PLAIN_SERVICE_FAILED if sent else Outcome.NO_ENDPOINT,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        pair = self._rng.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda endpoint: endpoint.in_flight)
+
+    async def _send(
+        self, request: PlainRequest, endpoint: EndpointEntry, deadline_at: float
+    ) -> PlainAnswer:
+        loop = asyncio.get_running_loop()
+        client = self._clients.plain(endpoint.id)
+        if client is None:
+            raise EndpointUnreachableError(f'{endpoint.id} is not listed')
+        call = PlainCall(
+            request.id,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            timeout_s=deadline_at - loop.time(),
+        )
+        endpoint.in_flight += 1
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                answer = await client.call(call)
+        except EndpointUnreachableError:
+            endpoint.unreachable_since = loop.time()
+            raise
+        except EndpointRefusedError:
+            endpoint.leaving_until = loop.time() + LEAVING_MEMORY_S
+            raise
+        finally:
+            endpoint.in_flight -= 1
+        endpoint.unreachable_since = None
+        return answer
+
+
+def _fingerprint(request: PlainRequest) -> int:
+    """Returns a hash of a request's content."""
+    head = f'{request.service} {request.method} {request.path}\n'.encode()
+    return xxhash.xxh3_64_intdigest(head + request.body)
--- /dev/null
+++ b/mustardscale/policy/base.py
@@ -0,0 +1,230 @@
+"""The state of a pool at its owner and the interface of placement policies."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import random
+
+from mustardscale.config_records import Profile
+from mustardscale.engines import (
+    CacheEvent,
+    EngineRole,
+    LoadReport,
+    StreamStage,
+    StreamTag,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import AdmitRequest, HeldStream, Release
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingRequest:
+    """An admission that is not decided yet.
+
+    Attributes:
+        request: what the entry host asks.
+        arrived_at: loop time at which it came to this owner.
+        first_token_at: loop time by which the first token is due.
+        deadline_at: loop time of its deadline.
+        suspect: whether an endpoint crashed with it in flight.
+    """
+
+    request: AdmitRequest
+    arrived_at: float
+    first_token_at: float
+    deadline_at: float
+    suspect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """A grant that is in use.
+
+    Attributes:
+        stream: what the entry host last said of it.
+        fingerprint: hash of the prompt, 0 when not known.
+        granted_at: loop time of the grant.
+        renewed_at: loop time at which its host last named it.
+        decoding_since: loop time of the first progress in decode, or None.
+        suspect: whether an endpoint crashed with the request in flight.
+        block_hashes: chained hashes of the prompt's blocks.
+    """
+
+    stream: HeldStream
+    fingerprint: int
+    granted_at: float
+    renewed_at: float
+    decoding_since: float | None = None
+    suspect: bool = False
+    block_hashes: tuple[int, ...] = ()
+
+    @property
+    def request_id(self) -> str:
+        """Returns the request's id."""
+        return self.stream.tag.request_id
+
+
+@dataclasses.dataclass(slots=True)
+class EngineState:
+    """An engine of the pool.
+
+    Attributes:
+        id: its name.
+        role: its role.
+        data_centre: its data centre.
+        usable: whether new work may be sent there.
+        report: its last load report.
+        reported_at: loop time at which the report was read.
+    """
+
+    id: str
+    role: EngineRole
+    data_centre: str
+    usable: bool = True
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class PoolState:
+    """All that an owner knows of its pool.
+
+    Attributes:
+        id: the pool's id.
+        engines_by_id: its engines.
+        waiting_by_request_id: admissions not decided yet.
+        reservations_by_request_id: grants in use.
+        profile_by_service: the profile of each language service.
+    """
+
+    id: str
+    engines_by_id: dict[str, EngineState] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting_by_request_id: dict[str, WaitingRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    reservations_by_request_id: dict[str, Reservation] = dataclasses.field(
+        default_factory=dict
+    )
+    profile_by_service: dict[str, Profile] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def engines(self, role: EngineRole) -> list[EngineState]:
+        """Returns the usable engines of a role, ordered by id."""
+        engines = [
+            engine
+            for engine in self.engines_by_id.values()
+            if engine.usable and engine.role is role
+        ]
+        return sorted(engines, key=lambda engine: engine.id)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A decision to run a request.
+
+    Attributes:
+        request_id: the request's id.
+        prefill: id of the prefill engine.
+        decode: id of the decode engine.
+        priority: priority for the engines' queues.
+    """
+
+    request_id: str
+    prefill: str
+    decode: str
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A decision not to run a request.
+
+    Attributes:
+        request_id: the request's id.
+        outcome: a code of the class 'not run'.
+        retry_after_s: seconds after which a new send may succeed.
+    """
+
+    request_id: str
+    outcome: Outcome
+    retry_after_s: float
+
+
+Decision = Grant | Refusal
+
+
+class PlacementPolicy(abc.ABC):
+    """Decides which waiting requests run where; one instance for each pool.
+
+    decide() reads the pool and the policy's own learnt state and changes
+    neither; the observe methods feed the learnt state.
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+
+    @abc.abstractmethod
+    def decide(self, pool: PoolState, now: float) -> list[Decision]:
+        """Decides on waiting requests; those not named keep waiting."""
+
+    def observe_grant(
+        self, pool: PoolState, reservation: Reservation, now: float
+    ) -> None:
+        """Notes that a grant was given."""
+        return None
+
+    def observe_stage(
+        self,
+        pool: PoolState,
+        reservation: Reservation,
+        stage: StreamStage,
+        now: float,
+    ) -> None:
+        """Notes that a stream has reached a stage."""
+        return None
+
+    def observe_release(
+        self,
+        pool: PoolState,
+        reservation: Reservation,
+        release: Release,
+        now: float,
+    ) -> None:
+        """Notes that a stream has ended."""
+        return None
+
+    def observe_report(
+        self, pool: PoolState, engine: EngineState, report: LoadReport, now: float
+    ) -> None:
+        """Notes a load report."""
+        return None
+
+    def observe_cache(
+        self,
+        pool: PoolState,
+        engine: EngineState,
+        events: list[CacheEvent],
+        now: float,
+    ) -> None:
+        """Notes cache events of a prefill engine."""
+        return None
+
+
+def candidate_engines(
+    pool: PoolState, role: EngineRole, request: AdmitRequest
+) -> list[EngineState]:
+    """Returns the engines of a role that a request may use."""
+    return [
+        engine
+        for engine in pool.engines(role)
+        if engine.id not in request.excluded
+    ]
+
+
+def tag_key(tag: StreamTag) -> tuple[str, int]:
+    """Returns the key of an attempt."""
+    return (tag.request_id, tag.attempt)
--- /dev/null
+++ b/mustardscale/pool_owner.py
@@ -0,0 +1,446 @@
+"""Admission to the pools that this host owns."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.config_records import ServiceKind
+from mustardscale.controller import Controller
+from mustardscale.engines import EngineRole, StreamStage
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import (
+    Acknowledgement,
+    AdmitReply,
+    AdmitRequest,
+    HeldStream,
+    Progress,
+    Release,
+    StreamLookup,
+    StreamLookupReply,
+)
+from mustardscale.policy.base import (
+    Decision,
+    EngineState,
+    Grant,
+    PlacementPolicy,
+    PoolState,
+    Reservation,
+    WaitingRequest,
+    candidate_engines,
+)
+from mustardscale.pools import PoolMembers, divide_pools
+from mustardscale.quarantine import Suspicions
+from mustardscale.rendezvous import owner
+
+log = logging.getLogger(__name__)
+
+# Interval at which waiting requests are decided again, seconds.
+DECISION_INTERVAL_S = 0.02
+# A grant not named by its host for this long is dropped, seconds.
+RESERVATION_LEASE_S = 2.0
+# Time for which a new owner collects registrations before it grants, seconds.
+SETTLE_S = 0.8
+# Signs of a crash within this time belong to the same crash, seconds.
+CRASH_WINDOW_S = 5.0
+# Tokens past the point of a crash after which a suspect is cleared.
+CLEARED_AFTER_TOKENS = 8
+
+_STAGE_ORDER = {stage: number for number, stage in enumerate(StreamStage)}
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedPool:
+    """A pool that this host owns.
+
+    Attributes:
+        members: the pool's engines by the host list.
+        state: what the policy sees.
+        policy: the policy that decides.
+        owned_since: loop time at which this host became the owner.
+        reply_by_request_id: where the decisions are delivered.
+        waiting_by_request_id: admissions not decided yet, also those that the
+            policy does not see because a suspect must run apart.
+        start_by_engine_id: last start number seen of each engine.
+        crash_noted_at_by_engine_id: loop time of the last crash noted.
+    """
+
+    members: PoolMembers
+    state: PoolState
+    policy: PlacementPolicy
+    owned_since: float
+    reply_by_request_id: dict[str, asyncio.Future[AdmitReply]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    waiting_by_request_id: dict[str, WaitingRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    start_by_engine_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    crash_noted_at_by_engine_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class PoolOwner(Controller):
+    """Decides admissions for the pools whose owner is this host.
+
+    Attributes:
+        owned_by_id: the pools owned now.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        suspicions: Suspicions,
+        policy_type: type[PlacementPolicy],
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._suspicions = suspicions
+        self._policy_type = policy_type
+        self._rng = rng
+        self.owned_by_id: dict[str, OwnedPool] = {}
+        calls.handle(AdmitRequest, self._on_admit)
+        calls.handle(Progress, self._on_progress)
+        calls.handle(Release, self._on_release)
+        calls.handle(StreamLookup, self._on_lookup)
+
+    async def run(self) -> None:
+        """Decides at a fixed interval and drops expired reservations."""
+        while True:
+            for pool in list(self.owned_by_id.values()):
+                self._drop_expired(pool)
+                self.decide(pool)
+            await asyncio.sleep(DECISION_INTERVAL_S)
+
+    def follow_membership(self) -> None:
+        """Takes and gives up pools as hosts and endpoints come and go."""
+        board = self._blackboard
+        pools = divide_pools(board.endpoints_by_id.values(), board.region)
+        hosts = board.serving_hosts()
+        for pool_id, members in pools.items():
+            if owner(pool_id, hosts) == board.host:
+                self._take(members)
+            else:
+                self._give_up(pool_id)
+        for pool_id in set(self.owned_by_id) - set(pools):
+            self._give_up(pool_id)
+
+    def _take(self, members: PoolMembers) -> None:
+        pool = self.owned_by_id.get(members.id)
+        if pool is None:
+            pool = OwnedPool(
+                members,
+                PoolState(members.id),
+                self._policy_type(self._rng),
+                asyncio.get_running_loop().time(),
+            )
+            self.owned_by_id[members.id] = pool
+            log.info('owner of pool %s', members.id)
+        pool.members = members
+        self._refresh_engines(pool)
+
+    def _give_up(self, pool_id: str) -> None:
+        pool = self.owned_by_id.pop(pool_id, None)
+        if pool is None:
+            return
+        log.info('no longer owner of pool %s', pool_id)
+        for reply in pool.reply_by_request_id.values():
+            if not reply.done():
+                reply.set_result(AdmitReply(Outcome.OWNER_UNAVAILABLE))
+
+    def _refresh_engines(self, pool: OwnedPool) -> None:
+        """Copies what the blackboard knows of the engines into the pool."""
+        now = asyncio.get_running_loop().time()
+        engines_by_id = pool.state.engines_by_id
+        for engine_id in pool.members.engine_ids:
+            entry = self._blackboard.endpoints_by_id.get(engine_id)
+            if entry is None:
+                continue
+            report = entry.report
+            role = report.role if report else entry.role
+            engine = engines_by_id.get(engine_id)
+            if engine is None:
+                engine = engines_by_id[engine_id] = EngineState(
+                    engine_id, role or EngineRole.DECODE, entry.data_centre
+                )
+            engine.role = role or engine.role
+            model_ready = report is None or report.model == entry.model
+            engine.usable = (
+                not entry.leaving(now)
+                and entry.unreachable_since is None
+                and model_ready
+            )
+            new_report = entry.reported_at != engine.reported_at
+            engine.report = report
+            engine.reported_at = entry.reported_at
+            if report is not None and new_report:
+                pool.policy.observe_report(pool.state, engine, report, now)
+        for engine_id in set(engines_by_id) - set(pool.members.engine_ids):
+            del engines_by_id[engine_id]
+
+    def refresh(self) -> None:
+        """Brings the pools up to date with new reports and profiles."""
+        config = self._blackboard.config
+        for pool in self.owned_by_id.values():
+            self._refresh_engines(pool)
+            pool.state.profile_by_service = {
+                name: config.profiles_by_name[entry.choice.profile].profile
+                for name, entry in config.services_by_name.items()
+                if entry.choice.kind is ServiceKind.LANGUAGE
+                and entry.choice.profile in config.profiles_by_name
+            }
+
+    async def _on_admit(self, sender: str, request: AdmitRequest) -> AdmitReply:
+        pool = self.owned_by_id.get(request.pool)
+        if pool is None:
+            return AdmitReply(Outcome.OWNER_UNAVAILABLE)
+        request_id = request.tag.request_id
+        if self._suspicions.is_quarantined(request_id, request.fingerprint):
+            return AdmitReply(Outcome.QUARANTINED)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        reply: asyncio.Future[AdmitReply] = loop.create_future()
+        pool.reply_by_request_id[request_id] = reply
+        item = WaitingRequest(
+            request,
+            arrived_at=now,
+            first_token_at=now + request.first_token_s,
+            deadline_at=now + request.deadline_s,
+            suspect=self._is_suspect(request),
+        )
+        pool.waiting_by_request_id[request_id] = item
+        self.decide(pool)
+        try:
+            return await reply
+        finally:
+            if pool.reply_by_request_id.get(request_id) is reply:
+                del pool.reply_by_request_id[request_id]
+                pool.waiting_by_request_id.pop(request_id, None)
+
+    def decide(self, pool: OwnedPool) -> None:
+        """Lets the policy decide and carries its decisions out."""
+        now = asyncio.get_running_loop().time()
+        if not pool.waiting_by_request_id:
+            return
+        if now - pool.owned_since < SETTLE_S:
+            return
+        pool.state.waiting_by_request_id = _visible_waiting(pool)
+        for decision in pool.policy.decide(pool.state, now):
+            self._carry_out(pool, decision, now)
+
+    def _carry_out(
+        self, pool: OwnedPool, decision: Decision, now: float
+    ) -> None:
+        request_id = decision.request_id
+        item = pool.waiting_by_request_id.pop(request_id, None)
+        reply = pool.reply_by_request_id.get(request_id)
+        if item is None or reply is None or reply.done():
+            return
+        if isinstance(decision, Grant):
+            reservation = _reservation_of(item, decision, now)
+            pool.state.reservations_by_request_id[request_id] = reservation
+            pool.policy.observe_grant(pool.state, reservation, now)
+            reply.set_result(
+                AdmitReply(
+                    Outcome.COMPLETE,
+                    decision.prefill,
+                    decision.decode,
+                    priority=decision.priority,
+                )
+            )
+        else:
+            reply.set_result(
+                AdmitReply(
+                    decision.outcome, retry_after_s=decision.retry_after_s
+                )
+            )
+
+    async def _on_progress(
+        self, sender: str, request: Progress
+    ) -> Acknowledgement:
+        pool = self.owned_by_id.get(request.pool)
+        if pool is not None:
+            for stream in request.streams:
+                self._renew(pool, stream)
+        return Acknowledgement()
+
+    def _renew(self, pool: OwnedPool, stream: HeldStream) -> None:
+        now = asyncio.get_running_loop().time()
+        request_id = stream.tag.request_id
+        known = pool.state.reservations_by_request_id.get(request_id)
+        if known is None:
+            known = Reservation(stream, 0, now, now)
+            pool.state.reservations_by_request_id[request_id] = known
+            pool.policy.observe_grant(pool.state, known, now)
+            return
+        if stream.tag.attempt < known.stream.tag.attempt:
+            return
+        old_stage = known.stream.stage
+        known.renewed_at = now
+        if _STAGE_ORDER[stream.stage] < _STAGE_ORDER[old_stage] and (
+            stream.tag == known.stream.tag
+        ):
+            return
+        known.stream = stream
+        if stream.stage is StreamStage.DECODE and known.decoding_since is None:
+            known.decoding_since = now
+        if stream.stage is not old_stage:
+            pool.policy.observe_stage(pool.state, known, stream.stage, now)
+        if known.suspect and stream.emitted >= CLEARED_AFTER_TOKENS:
+            known.suspect = False
+            self._suspicions.clear(request_id, known.fingerprint)
+
+    async def _on_release(
+        self, sender: str, request: Release
+    ) -> Acknowledgement:
+        pool = self.owned_by_id.get(request.pool)
+        if pool is None:
+            return Acknowledgement()
+        request_id = request.tag.request_id
+        known = pool.state.reservations_by_request_id.get(request_id)
+        if known is not None and known.stream.tag == request.tag:
+            del pool.state.reservations_by_request_id[request_id]
+            now = asyncio.get_running_loop().time()
+            pool.policy.observe_release(pool.state, known, request, now)
+            if request.outcome == Outcome.ENDPOINT_FAILED:
+                pool.state.reservations_by_request_id[request_id] = known
+                self.note_crash(pool, working_engine(known))
+                del pool.state.reservations_by_request_id[request_id]
+            if request.outcome == Outcome.COMPLETE and request.finished:
+                self._suspicions.clear(request_id, known.fingerprint)
+            self.decide(pool)
+        return Acknowledgement()
+
+    async def _on_lookup(
+        self, sender: str, request: StreamLookup
+    ) -> StreamLookupReply:
+        found = [
+            pool.state.reservations_by_request_id[request.request_id].stream
+            for pool in self.owned_by_id.values()
+            if request.request_id in pool.state.reservations_by_request_id
+        ]
+        found.sort(key=lambda stream: -stream.tag.attempt)
+        return StreamLookupReply(tuple(found))
+
+    def _drop_expired(self, pool: OwnedPool) -> None:
+        horizon = asyncio.get_running_loop().time() - RESERVATION_LEASE_S
+        reservations = pool.state.reservations_by_request_id
+        for request_id, held in list(reservations.items()):
+            if held.renewed_at < horizon:
+                del reservations[request_id]
+                release = Release(
+                    pool.members.id,
+                    held.stream.tag,
+                    Outcome.CALLER_LEFT,
+                    0,
+                    held.stream.emitted,
+                    False,
+                )
+                now = asyncio.get_running_loop().time()
+                pool.policy.observe_release(pool.state, held, release, now)
+
+    def note_crash(self, pool: OwnedPool, engine_id: str) -> None:
+        """Counts a crash against the requests that the engine was running.
+
+        The broken streams and the new start number of one crash are noted
+        one after another; within CRASH_WINDOW_S they count once.
+        """
+        now = asyncio.get_running_loop().time()
+        noted_at = pool.crash_noted_at_by_engine_id.get(engine_id, -math.inf)
+        if now - noted_at < CRASH_WINDOW_S:
+            return
+        pool.crash_noted_at_by_engine_id[engine_id] = now
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        if entry is not None and entry.unreachable_since is None:
+            entry.unreachable_since = now
+            self._refresh_engines(pool)
+        in_flight = [
+            held
+            for held in pool.state.reservations_by_request_id.values()
+            if working_engine(held) == engine_id
+        ]
+        self._suspicions.record_crash(
+            engine_id,
+            [(held.request_id, held.fingerprint) for held in in_flight],
+        )
+        for waiting in pool.waiting_by_request_id.values():
+            waiting.suspect = self._is_suspect(waiting.request)
+        for held in in_flight:
+            held.suspect = True
+
+    def _is_suspect(self, request: AdmitRequest) -> bool:
+        crashes = self._suspicions.crashes(
+            request.tag.request_id, request.fingerprint
+        )
+        return crashes > 0
+
+
+def working_engine(held: Reservation) -> str:
+    """Returns the engine that works on a stream in its present stage."""
+    stream = held.stream
+    if stream.stage in (StreamStage.QUEUED, StreamStage.PREFILL):
+        return stream.prefill
+    return stream.decode
+
+
+def _visible_waiting(pool: OwnedPool) -> dict[str, WaitingRequest]:
+    """Returns what the policy may decide: at most one suspect, run apart.
+
+    A suspect is kept off engines that hold another one, so that a crash
+    names its cause.
+    """
+    visible: dict[str, WaitingRequest] = {}
+    suspect_engines = {
+        engine_id
+        for held in pool.state.reservations_by_request_id.values()
+        if held.suspect
+        for engine_id in (held.stream.prefill, held.stream.decode)
+    }
+    suspect_shown = False
+    for request_id, item in pool.waiting_by_request_id.items():
+        if not item.suspect:
+            visible[request_id] = item
+            continue
+        if suspect_shown:
+            continue
+        apart = dataclasses.replace(
+            item.request,
+            excluded=(*item.request.excluded, *sorted(suspect_engines)),
+        )
+        if all(
+            candidate_engines(pool.state, role, apart) for role in EngineRole
+        ):
+            visible[request_id] = dataclasses.replace(item, request=apart)
+            suspect_shown = True
+    return visible
+
+
+def _reservation_of(
+    item: WaitingRequest, grant: Grant, now: float
+) -> Reservation:
+    request = item.request
+    stream = HeldStream(
+        tag=request.tag,
+        service=request.service,
+        prefill=grant.prefill,
+        decode=grant.decode,
+        stage=StreamStage.QUEUED,
+        prompt_tokens=request.prompt_tokens,
+        emitted=0,
+        max_tokens=request.max_tokens,
+    )
+    return Reservation(
+        stream,
+        request.fingerprint,
+        granted_at=now,
+        renewed_at=now,
+        suspect=item.suspect,
+        block_hashes=request.block_hashes,
+    )
--- /dev/null
+++ b/mustardscale/pools.py
@@ -0,0 +1,121 @@
+"""Divides the engines of each model into pools that one host can own."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from mustardscale.blackboard import EndpointEntry
+from mustardscale.engines import EngineRole
+from mustardscale.host_list import ListedKind
+
+# Engines in one pool at most, unless a data centre lacks a role.
+MAX_POOL_ENGINES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolMembers:
+    """A pool and the engines in it.
+
+    Attributes:
+        id: the pool's id.
+        model: model that its engines serve.
+        data_centre: its data centre, '' when it spans a region.
+        engine_ids: its engines.
+    """
+
+    id: str
+    model: str
+    data_centre: str
+    engine_ids: tuple[str, ...]
+
+
+def divide_pools(
+    endpoints: Iterable[EndpointEntry], region: str
+) -> dict[str, PoolMembers]:
+    """Divides a region's engines into pools.
+
+    A model with few engines forms one pool over the region. A larger one is
+    cut by data centre and then into parts of at most MAX_POOL_ENGINES, each
+    with engines of both roles.
+
+    Args:
+        endpoints: endpoints of any kind and region.
+        region: the region whose engines are divided.
+
+    Returns:
+        The pools by id.
+    """
+    engines_by_model: dict[str, list[EndpointEntry]] = collections.defaultdict(
+        list
+    )
+    for endpoint in endpoints:
+        in_region = endpoint.region == region
+        if endpoint.kind is ListedKind.ENGINE and in_region and endpoint.model:
+            engines_by_model[endpoint.model].append(endpoint)
+    pools: dict[str, PoolMembers] = {}
+    for model, engines in sorted(engines_by_model.items()):
+        for pool in _divide_model(model, engines, region):
+            pools[pool.id] = pool
+    return pools
+
+
+def _divide_model(
+    model: str, engines: list[EndpointEntry], region: str
+) -> list[PoolMembers]:
+    engines = sorted(engines, key=lambda engine: engine.id)
+    if len(engines) <= MAX_POOL_ENGINES:
+        return [_pool(model, region, '', 0, engines)]
+    by_data_centre: dict[str, list[EndpointEntry]] = collections.defaultdict(
+        list
+    )
+    for engine in engines:
+        by_data_centre[engine.data_centre].append(engine)
+    if not all(_has_both_roles(group) for group in by_data_centre.values()):
+        return _cut(model, region, '', engines)
+    pools = []
+    for data_centre, group in sorted(by_data_centre.items()):
+        pools += _cut(model, region, data_centre, group)
+    return pools
+
+
+def _has_both_roles(engines: list[EndpointEntry]) -> bool:
+    roles = {engine.role for engine in engines}
+    return {EngineRole.PREFILL, EngineRole.DECODE} <= roles
+
+
+def _cut(
+    model: str, region: str, data_centre: str, engines: list[EndpointEntry]
+) -> list[PoolMembers]:
+    """Cuts a group into parts and deals each role over all of them."""
+    prefills = [e for e in engines if e.role is EngineRole.PREFILL]
+    decodes = [e for e in engines if e.role is not EngineRole.PREFILL]
+    parts = -(-len(engines) // MAX_POOL_ENGINES)
+    parts = max(1, min(parts, len(prefills), len(decodes)))
+    return [
+        _pool(
+            model,
+            region,
+            data_centre,
+            number,
+            prefills[number::parts] + decodes[number::parts],
+        )
+        for number in range(parts)
+    ]
+
+
+def _pool(
+    model: str,
+    region: str,
+    data_centre: str,
+    number: int,
+    engines: list[EndpointEntry],
+) -> PoolMembers:
+    place = data_centre or region
+    return PoolMembers(
+        f'{model}@{place}#{number}',
+        model,
+        data_centre,
+        tuple(engine.id for engine in engines),
+    )
--- /dev/null
+++ b/mustardscale/quarantine.py
@@ -0,0 +1,118 @@
+"""Keeps requests off endpoints that crash each endpoint that runs them.
+
+A first crash makes suspects of all requests in flight on the endpoint. A pool
+owner runs at most one suspect on an engine at a time, so that a second crash
+names its cause; a suspect that gets past the point of its crash is cleared.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Iterable
+
+from mustardscale.blackboard import Blackboard, Suspicion
+from mustardscale.outcomes import Outcome
+
+log = logging.getLogger(__name__)
+
+# Crashed endpoints after which a request is quarantined.
+QUARANTINE_CRASHES = 2
+# Suspicions and quarantines are forgotten after this time, seconds.
+SUSPICION_MEMORY_S = 600.0
+# Bound on the number of remembered keys.
+MAX_KEYS = 10_000
+
+
+def suspicion_keys(request_id: str, fingerprint: int) -> tuple[str, ...]:
+    """Returns the keys under which a request is remembered.
+
+    >>> suspicion_keys('a', 255)
+    ('a', '00000000000000ff')
+    >>> suspicion_keys('a', 0)
+    ('a',)
+    """
+    if not fingerprint:
+        return (request_id,)
+    return (request_id, f'{fingerprint:016x}')
+
+
+class Suspicions:
+    """Reads and writes the blackboard's suspicions."""
+
+    def __init__(self, blackboard: Blackboard):
+        self._by_key = blackboard.suspicions_by_key
+
+    def crashes(self, request_id: str, fingerprint: int) -> int:
+        """Returns how many crashes count against a request."""
+        return max(
+            (
+                self._by_key[key].crashes
+                for key in suspicion_keys(request_id, fingerprint)
+                if key in self._by_key
+            ),
+            default=0,
+        )
+
+    def is_quarantined(self, request_id: str, fingerprint: int) -> bool:
+        """Returns whether a request must be kept off endpoints."""
+        return any(
+            self._by_key[key].quarantined
+            for key in suspicion_keys(request_id, fingerprint)
+            if key in self._by_key
+        )
+
+    def record_crash(
+        self, endpoint_id: str, in_flight: Iterable[tuple[str, int]]
+    ) -> None:
+        """Counts an endpoint's crash against the requests in flight there.
+
+        Args:
+            endpoint_id: the endpoint that crashed.
+            in_flight: (request id, fingerprint) of each request.
+        """
+        requests = list(in_flight)
+        known = [item for item in requests if self.crashes(*item) > 0]
+        named = known if len(known) == 1 else []
+        log.warning(
+            'endpoint %s crashed with %d requests in flight, %d suspected',
+            endpoint_id,
+            len(requests),
+            len(known),
+            extra={'code': Outcome.ENDPOINT_CRASH_SUSPECTED},
+        )
+        for item in requests:
+            crashes = self.crashes(*item)
+            if item in named or crashes == 0:
+                self._count(item, crashes + 1)
+
+    def clear(self, request_id: str, fingerprint: int) -> None:
+        """Forgets a suspicion that turned out to be wrong."""
+        for key in suspicion_keys(request_id, fingerprint):
+            suspicion = self._by_key.get(key)
+            if suspicion is not None and not suspicion.quarantined:
+                del self._by_key[key]
+
+    def expire(self) -> None:
+        """Forgets old suspicions and keeps the number of keys bounded."""
+        horizon = asyncio.get_running_loop().time() - SUSPICION_MEMORY_S
+        oldest_first = sorted(
+            self._by_key, key=lambda key: self._by_key[key].last_at
+        )
+        surplus = len(oldest_first) - MAX_KEYS
+        for number, key in enumerate(oldest_first):
+            if number < surplus or self._by_key[key].last_at < horizon:
+                del self._by_key[key]
+
+    def _count(self, item: tuple[str, int], crashes: int) -> None:
+        now = asyncio.get_running_loop().time()
+        quarantined = crashes >= QUARANTINE_CRASHES
+        for key in suspicion_keys(*item):
+            self._by_key[key] = Suspicion(crashes, now, quarantined)
+        if quarantined:
+            log.error(
+                'request %s is quarantined after %d crashes',
+                item[0],
+                crashes,
+                extra={'code': Outcome.QUARANTINED},
+            )
--- /dev/null
+++ b/mustardscale/reconcile.py
@@ -0,0 +1,117 @@
+"""Cancels streams on engines whose caller or work is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.cancellation import Canceller
+from mustardscale.controller import Controller, pause
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.engines import StreamInfo, StreamStage
+from mustardscale.exceptions import MustardscaleError
+from mustardscale.outcomes import Outcome
+from mustardscale.policy.base import Reservation, tag_key
+from mustardscale.pool_owner import OwnedPool, PoolOwner
+
+log = logging.getLogger(__name__)
+
+INTERVAL_S = 1.0
+TIMEOUT_S = 1.0
+# Time for which a live host may leave a stream unnamed, seconds.
+UNNAMED_GRACE_S = 2.0
+
+
+class Reconciler(Controller):
+    """Compares the engines' streams with what live hosts name."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clients: EndpointClients,
+        pool_owner: PoolOwner,
+        canceller: Canceller,
+        resume_grace_s: float,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._clients = clients
+        self._pool_owner = pool_owner
+        self._canceller = canceller
+        self._resume_grace_s = resume_grace_s
+        self._rng = rng
+        self._unnamed_since: dict[tuple[str, str, int], float] = {}
+
+    async def run(self) -> None:
+        """Compares at a fixed interval."""
+        while True:
+            pools = list(self._pool_owner.owned_by_id.values())
+            await asyncio.gather(
+                *(
+                    self._compare(pool, engine_id)
+                    for pool in pools
+                    for engine_id in pool.members.engine_ids
+                )
+            )
+            await pause(INTERVAL_S, self._rng)
+
+    async def _compare(self, pool: OwnedPool, engine_id: str) -> None:
+        engine = self._clients.engine(engine_id)
+        if engine is None:
+            return
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                streams = await engine.streams()
+        except (MustardscaleError, TimeoutError) as error:
+            log.debug('streams of %s not read: %s', engine_id, error)
+            return
+        held = pool.state.reservations_by_request_id
+        present = set()
+        for info in streams:
+            if info.stage is StreamStage.FINISHED:
+                continue
+            key = (engine_id, *tag_key(info.tag))
+            present.add(key)
+            if _is_named(info, held.get(info.tag.request_id)):
+                self._unnamed_since.pop(key, None)
+            else:
+                self._judge(engine_id, info)
+        for key in list(self._unnamed_since):
+            if key[0] == engine_id and key not in present:
+                del self._unnamed_since[key]
+
+    def _judge(self, engine_id: str, info: StreamInfo) -> None:
+        """Cancels a stream that nobody names once its grace is over."""
+        now = asyncio.get_running_loop().time()
+        key = (engine_id, *tag_key(info.tag))
+        since = self._unnamed_since.setdefault(key, now)
+        grace_s = UNNAMED_GRACE_S
+        if not self._host_is_live(info):
+            grace_s = self._resume_grace_s
+        if now - since < grace_s:
+            return
+        log.warning(
+            'stream %s attempt %d at %s has no holder; cancelling it',
+            info.tag.request_id,
+            info.tag.attempt,
+            engine_id,
+            extra={'code': Outcome.ORPHAN_STREAM_CANCELLED},
+        )
+        self._canceller.cancel(
+            engine_id, info.tag.request_id, info.tag.attempt
+        )
+
+    def _host_is_live(self, info: StreamInfo) -> bool:
+        if info.tag.host == self._blackboard.host:
+            return info.tag.incarnation == self._blackboard.incarnation
+        host = self._blackboard.hosts_by_id.get(info.tag.host)
+        if host is None or host.silent:
+            return False
+        return host.incarnation == info.tag.incarnation
+
+
+def _is_named(info: StreamInfo, held: Reservation | None) -> bool:
+    """Returns whether the holder of a reservation still wants a stream."""
+    return held is not None and held.stream.tag.attempt <= info.tag.attempt
--- /dev/null
+++ b/mustardscale/router.py
@@ -0,0 +1,346 @@
+"""Puts the controllers of one entry host together."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import random
+from collections.abc import AsyncIterator, Callable
+
+from mustardscale.admission import AdmissionClient
+from mustardscale.blackboard import Blackboard
+from mustardscale.cancellation import Canceller
+from mustardscale.claims import Claims
+from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
+from mustardscale.config_sync import (
+    ConfigLogController,
+    ConfigPeerController,
+    SnapshotController,
+)
+from mustardscale.controller import Controller, keep_running
+from mustardscale.directory import DirectoryClient, DirectoryHome
+from mustardscale.endpoint_clients import EndpointClients, EndpointConnector
+from mustardscale.engine_watch import EngineWatch
+from mustardscale.engines import TokenEvent
+from mustardscale.exceptions import OutcomeError
+from mustardscale.host_list import HostList
+from mustardscale.language import LanguageService
+from mustardscale.limits import ServiceLimits
+from mustardscale.log_client import LogClient
+from mustardscale.membership import (
+    HeartbeatController,
+    HostListController,
+    MembershipTimes,
+)
+from mustardscale.metrics import Metrics
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import PeerTransport
+from mustardscale.plain_calls import PlainService
+from mustardscale.plain_endpoints import PlainAnswer
+from mustardscale.policy import POLICY_BY_NAME
+from mustardscale.pool_owner import PoolOwner
+from mustardscale.quarantine import Suspicions
+from mustardscale.reconcile import Reconciler
+from mustardscale.requests import LanguageRequest, PlainRequest
+from mustardscale.resumption import Resumption
+from mustardscale.service_api import RequestService
+from mustardscale.state_dump import dump_state, summarize_state
+
+MEMBERSHIP_POLL_S = 0.25
+SUSPICION_EXPIRY_S = 30.0
+DRAIN_POLL_S = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class RouterOptions:
+    """What distinguishes one entry host.
+
+    Attributes:
+        host: its id.
+        incarnation: start number of its process.
+        data_centre: its data centre.
+        region: its region.
+        policy: name of the placement policy.
+        times: intervals of membership.
+        resume_grace_s: seconds for which a dead host's streams are kept.
+    """
+
+    host: str
+    incarnation: int
+    data_centre: str
+    region: str
+    policy: str = 'mustardscale'
+    times: MembershipTimes = dataclasses.field(default_factory=MembershipTimes)
+    resume_grace_s: float = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Edges:
+    """The outside systems that a router uses.
+
+    Attributes:
+        log: the platform's log.
+        host_list: the platform's host list.
+        transport: carries messages to peers.
+        connector: makes clients of endpoints.
+        wall_clock: returns the wall-clock time, seconds.
+    """
+
+    log: LogClient
+    host_list: HostList
+    transport: PeerTransport
+    connector: EndpointConnector
+    wall_clock: Callable[[], float]
+
+
+class MembershipFollower(Controller):
+    """Tells the parts that depend on it when membership changes."""
+
+    def __init__(
+        self, blackboard: Blackboard, followers: list[Callable[[], None]]
+    ):
+        self._blackboard = blackboard
+        self._followers = followers
+
+    async def run(self) -> None:
+        """Runs the followers at each change, and now and then without one."""
+        while True:
+            for follow in self._followers:
+                follow()
+            await self._blackboard.membership_changed.wait(MEMBERSHIP_POLL_S)
+
+
+class SuspicionExpiry(Controller):
+    """Forgets old suspicions."""
+
+    def __init__(self, suspicions: Suspicions):
+        self._suspicions = suspicions
+
+    async def run(self) -> None:
+        """Expires at a fixed interval."""
+        while True:
+            await asyncio.sleep(SUSPICION_EXPIRY_S)
+            self._suspicions.expire()
+
+
+class Router(RequestService):
+    """One entry host: serves callers and takes part in the peers' work.
+
+    Attributes:
+        blackboard: the state that the controllers share.
+        metrics: counters and histograms.
+        pool_owner: admission to the pools owned here.
+        claims: claims on the log.
+    """
+
+    def __init__(
+        self, options: RouterOptions, edges: Edges, rng: random.Random
+    ):
+        board = Blackboard(
+            options.host,
+            options.incarnation,
+            options.data_centre,
+            options.region,
+        )
+        calls = PeerCalls(board, edges.transport)
+        clients = EndpointClients(board, edges.connector)
+        suspicions = Suspicions(board)
+        self.blackboard = board
+        self.metrics = Metrics()
+        self._edges = edges
+        self._calls = calls
+        self._clients = clients
+        self._tasks: list[asyncio.Task[None]] = []
+        self._active = 0
+
+        self.host_list = HostListController(
+            board, edges.host_list, options.times, rng
+        )
+        self.heartbeats = HeartbeatController(board, calls, options.times, rng)
+        self.config_log = ConfigLogController(board, edges.log, rng)
+        config_peers = ConfigPeerController(board, calls, rng)
+        snapshots = SnapshotController(board, self.config_log, edges.log, rng)
+        home = DirectoryHome(board, calls, options.times.dead_after_s, rng)
+        directory = DirectoryClient(board, calls)
+        admission = AdmissionClient(board, calls, rng)
+        self.pool_owner = PoolOwner(
+            board, calls, suspicions, POLICY_BY_NAME[options.policy], rng
+        )
+        self._canceller = Canceller(board, clients)
+        watch = EngineWatch(board, clients, self.pool_owner, rng)
+        reconciler = Reconciler(
+            board,
+            clients,
+            self.pool_owner,
+            self._canceller,
+            options.resume_grace_s,
+            rng,
+        )
+        limits = ServiceLimits(board)
+        self.claims = Claims(board, edges.log, edges.wall_clock, rng)
+        self._language = LanguageService(
+            board,
+            admission,
+            directory,
+            Resumption(board, calls),
+            clients,
+            self._canceller,
+            limits,
+            suspicions,
+            self.metrics,
+        )
+        self._plain = PlainService(
+            board, directory, self.claims, clients, limits, rng
+        )
+        follower = MembershipFollower(
+            board,
+            [
+                home.follow_membership,
+                self.pool_owner.follow_membership,
+                admission.follow_membership,
+                directory.follow_membership,
+            ],
+        )
+        self._controllers: list[Controller] = [
+            self.host_list,
+            self.heartbeats,
+            self.config_log,
+            config_peers,
+            snapshots,
+            home,
+            admission,
+            self.pool_owner,
+            watch,
+            reconciler,
+            follower,
+            SuspicionExpiry(suspicions),
+            *self.claims.streams,
+        ]
+
+    async def start(self) -> None:
+        """Starts to answer peers and starts the controllers."""
+        await self._edges.transport.start(self._calls.dispatch)
+        self._tasks = [
+            asyncio.create_task(keep_running(controller))
+            for controller in self._controllers
+        ]
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Stops taking requests and waits for those in progress.
+
+        Args:
+            timeout_s: seconds to wait at most.
+
+        Returns:
+            Whether all requests ended in time.
+        """
+        self.blackboard.draining = True
+        self.blackboard.membership_changed.notify()
+        await self.heartbeats.announce()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._active or self._canceller.pending:
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """Stops at once."""
+        self._canceller.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._edges.transport.close()
+        await self._clients.close()
+        await self._edges.log.close()
+        await self._edges.host_list.close()
+
+    def is_ready(self) -> bool:
+        """Returns whether new requests are taken."""
+        board = self.blackboard
+        return not board.draining and bool(board.config.services_by_name)
+
+    def authenticate(self, bearer_token: str) -> str:
+        """Returns the service that a bearer token belongs to."""
+        services = self.blackboard.config.services_by_name
+        if not services:
+            raise OutcomeError(
+                Outcome.CONFIG_UNAVAILABLE, retry_after_s=DRAIN_POLL_S
+            )
+        digest = hashlib.sha256(bearer_token.encode()).hexdigest()
+        for name, entry in services.items():
+            if digest in entry.choice.token_sha256:
+                return name
+        raise OutcomeError(Outcome.UNAUTHENTICATED)
+
+    def service_choice(self, service: str) -> ServiceChoice:
+        """Returns the published choice of a service."""
+        entry = self.blackboard.config.services_by_name.get(service)
+        if entry is None:
+            raise OutcomeError(Outcome.UNKNOWN_SERVICE)
+        return entry.choice
+
+    def service_kind(self, service: str) -> ServiceKind:
+        """Returns what stands behind a service."""
+        return self.service_choice(service).kind
+
+    def _profile(self, choice: ServiceChoice) -> Profile:
+        entry = self.blackboard.config.profiles_by_name.get(choice.profile)
+        if entry is None:
+            raise OutcomeError(
+                Outcome.CONFIG_UNAVAILABLE,
+                f'profile {choice.profile} is not published',
+            )
+        return entry.profile
+
+    async def serve_language(
+        self, request: LanguageRequest
+    ) -> AsyncIterator[TokenEvent]:
+        """Yields the tokens of an answer; closing it means the caller left."""
+        with self._counting(request.service):
+            choice = self.service_choice(request.service)
+            profile = self._profile(choice)
+            async with contextlib.aclosing(
+                self._language.serve(request, profile, choice.model)
+            ) as events:
+                async for event in events:
+                    yield event
+
+    async def serve_plain(self, request: PlainRequest) -> PlainAnswer:
+        """Returns a plain service's answer; cancelled if the caller leaves."""
+        with self._counting(request.service):
+            profile = self._profile(self.service_choice(request.service))
+            return await self._plain.serve(request, profile)
+
+    @contextlib.contextmanager
+    def _counting(self, service: str):
+        """Counts a request as active and records its outcome."""
+        if self.blackboard.draining:
+            raise OutcomeError(Outcome.DRAINING, retry_after_s=DRAIN_POLL_S)
+        self._active += 1
+        try:
+            yield
+        except OutcomeError as error:
+            self.metrics.count_outcome(service, error.outcome)
+            raise
+        except (GeneratorExit, asyncio.CancelledError):
+            self.metrics.count_outcome(service, Outcome.CALLER_LEFT)
+            raise
+        else:
+            self.metrics.count_outcome(service, Outcome.COMPLETE)
+        finally:
+            self._active -= 1
+
+    def dump(self) -> dict[str, object]:
+        """Returns the process's state as a JSON object."""
+        return dump_state(self.blackboard, self.pool_owner)
+
+    def status(self) -> dict[str, object]:
+        """Returns a summary of the state as a JSON object."""
+        return summarize_state(
+            self.blackboard, self.pool_owner, self.config_log.log_reachable
+        )
--- /dev/null
+++ b/mustardscale/state_dump.py
@@ -0,0 +1,122 @@
+"""Describes a process's state for operators, without prompts and secrets."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import math
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.engines import EngineRole
+from mustardscale.pool_owner import OwnedPool, PoolOwner
+
+
+def summarize_state(
+    board: Blackboard, pool_owner: PoolOwner, log_reachable: bool
+) -> dict[str, object]:
+    """Returns what the operators' status shows."""
+    now = asyncio.get_running_loop().time()
+    versions = {
+        str(key): entry.version for key, entry in board.config.by_key.items()
+    }
+    ages = {
+        host.id: round(now - host.heard_at, 3)
+        for host in board.hosts_by_id.values()
+        if math.isfinite(host.heard_at)
+    }
+    return {
+        'host': board.host,
+        'incarnation': board.incarnation,
+        'data_centre': board.data_centre,
+        'draining': board.draining,
+        'config_offset': board.config.folded_offset,
+        'config_versions': versions,
+        'hosts': ages,
+        'pools': {
+            pool_id: _pool_fill(pool)
+            for pool_id, pool in pool_owner.owned_by_id.items()
+        },
+        'log_reachable': log_reachable,
+        'requests': len(board.served_by_id),
+    }
+
+
+def _pool_fill(pool: OwnedPool) -> dict[str, object]:
+    decodes = pool.state.engines(EngineRole.DECODE)
+    reports = [engine.report for engine in decodes if engine.report]
+    total = sum(report.pieces_total for report in reports)
+    free = sum(report.pieces_free for report in reports)
+    return {
+        'waiting': len(pool.waiting_by_request_id),
+        'running': len(pool.state.reservations_by_request_id),
+        'pieces_total': total,
+        'pieces_used': total - free,
+        'engines': sorted(pool.state.engines_by_id),
+    }
+
+
+def dump_state(
+    board: Blackboard, pool_owner: PoolOwner
+) -> dict[str, object]:
+    """Returns all that a process knows, as a JSON object."""
+    return {
+        'host': board.host,
+        'incarnation': board.incarnation,
+        'draining': board.draining,
+        'quorum_at': _number(board.quorum_at),
+        'hosts_by_id': _plain(board.hosts_by_id),
+        'endpoints_by_id': _plain(board.endpoints_by_id),
+        'served_by_id': {
+            request_id: {
+                **_fields(served, skip=('emitted',)),
+                'emitted': len(served.emitted),
+            }
+            for request_id, served in board.served_by_id.items()
+        },
+        'directory_by_request_id': _plain(board.directory_by_request_id),
+        'suspicions_by_key': _plain(board.suspicions_by_key),
+        'config': {
+            'folded_offset': board.config.folded_offset,
+            'versions': {
+                str(key): entry.version
+                for key, entry in board.config.by_key.items()
+            },
+        },
+        'pools_by_id': {
+            pool_id: {
+                **_pool_fill(pool),
+                'reservations': _plain(
+                    pool.state.reservations_by_request_id
+                ),
+            }
+            for pool_id, pool in pool_owner.owned_by_id.items()
+        },
+    }
+
+
+def _plain(by_key: dict[str, object]) -> dict[str, object]:
+    return {key: _fields(value) for key, value in by_key.items()}
+
+
+def _fields(value: object, skip: tuple[str, ...] = ()) -> dict[str, object]:
+    if not dataclasses.is_dataclass(value):
+        raise TypeError(f'{type(value).__name__} is not a dataclass')
+    return {
+        field.name: _member(getattr(value, field.name))
+        for field in dataclasses.fields(value)
+        if field.name not in skip
+    }
+
+
+def _member(value: object) -> object:
+    if dataclasses.is_dataclass(value):
+        return _fields(value)
+    if isinstance(value, float):
+        return _number(value)
+    if isinstance(value, list | tuple):
+        return [_member(item) for item in value]
+    return value
+
+
+def _number(value: float) -> float | None:
+    return round(value, 3) if math.isfinite(value) else None
