Encode the messages between entry hosts with Cap'n Proto

Peers exchange frames over one TCP stream, so a frame needs a length, a call number and a kind that can be read before its content is trusted. The fixed 20-byte header gives these; the content is one union in Cap'n Proto.

The mapping between dataclasses and structs goes by field name and is built once for each class. Code written out for each message was weighed: it would be some 300 lines that can drift from the contract. Counters are signed 64-bit and hashes unsigned 64-bit, so no value of the contract needs narrowing. The words that may be read are limited to the payload's own size, since a few bytes can otherwise claim thousands of elements without a size; the test of that fails with a wider limit. The library reports damage by several unrelated exception types, so all are turned into PeerFrameError.

--- a/mustardscale/exceptions.py
+++ b/mustardscale/exceptions.py
@@ -72,3 +72,28 @@
 
 class PeerUnavailableError(MustardscaleError):
     """A peer could not be reached or did not answer in time."""
+
+
+class PeerCallError(PeerUnavailableError):
+    """The peer answered that it could not serve the call.
+
+    Attributes:
+        outcome: the code in the answer.
+    """
+
+    def __init__(self, outcome: Outcome, detail: str):
+        super().__init__(f'{outcome.value} {outcome.name}: {detail}')
+        self.outcome = outcome
+
+
+class PeerFrameError(MustardscaleError):
+    """A frame between entry hosts cannot be encoded or decoded.
+
+    Attributes:
+        outcome: PEER_FRAME_MALFORMED, PEER_FRAME_TOO_LARGE or
+            PEER_VERSION_UNSUPPORTED.
+    """
+
+    def __init__(self, outcome: Outcome, detail: str):
+        super().__init__(f'{outcome.value} {outcome.name}: {detail}')
+        self.outcome = outcome
--- /dev/null
+++ b/mustardscale/peer_messages.capnp
@@ -0,0 +1,186 @@
+@0xb7d1c2f09a4e5831;
+# Messages between entry hosts. Each struct mirrors the class of the same name
+# in mustardscale/peers.py; fields may be added at the end, never renumbered.
+
+struct Envelope {
+  union {
+    heartbeat @0 :Heartbeat;
+    admitRequest @1 :AdmitRequest;
+    admitReply @2 :AdmitReply;
+    progress @3 :Progress;
+    release @4 :Release;
+    directoryRegister @5 :DirectoryRegister;
+    directoryReply @6 :DirectoryReply;
+    directoryRemove @7 :DirectoryRemove;
+    streamLookup @8 :StreamLookup;
+    streamLookupReply @9 :StreamLookupReply;
+    streamRelease @10 :StreamRelease;
+    streamReleaseReply @11 :StreamReleaseReply;
+    configFetch @12 :ConfigFetch;
+    configFetchReply @13 :ConfigFetchReply;
+    acknowledgement @14 :Acknowledgement;
+    hello @15 :Hello;
+    callFailure @16 :CallFailure;
+  }
+}
+
+struct Hello {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  nonce @2 :Data;
+  proof @3 :Data;
+}
+
+struct CallFailure {
+  outcome @0 :Int32;
+  detail @1 :Text;
+}
+
+enum StreamStage {
+  queued @0;
+  prefill @1;
+  kept @2;
+  transfer @3;
+  decode @4;
+  finished @5;
+}
+
+struct StreamTag {
+  requestId @0 :Text;
+  attempt @1 :Int64;
+  host @2 :Text;
+  incarnation @3 :UInt64;
+}
+
+struct ConfigRecord {
+  offset @0 :Int64;
+  payload @1 :Data;
+}
+
+struct Quarantine {
+  key @0 :Text;
+  crashes @1 :Int64;
+  ageS @2 :Float64;
+  alone @3 :Int64;
+}
+
+struct Heartbeat {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  draining @3 :Bool;
+  configOffset @4 :Int64;
+  configDigest @5 :UInt64;
+  leaving @6 :List(Text);
+  quarantined @7 :List(Quarantine);
+}
+
+struct AdmitRequest {
+  pool @0 :Text;
+  tag @1 :StreamTag;
+  service @2 :Text;
+  promptTokens @3 :Int64;
+  blockHashes @4 :List(UInt64);
+  fingerprint @5 :UInt64;
+  maxTokens @6 :Int64;
+  firstTokenS @7 :Float64;
+  deadlineS @8 :Float64;
+  waitedS @9 :Float64;
+  excluded @10 :List(Text);
+  alone @11 :Bool;
+}
+
+struct AdmitReply {
+  outcome @0 :Int32;
+  prefill @1 :Text;
+  decode @2 :Text;
+  retryAfterS @3 :Float64;
+  priority @4 :Int64;
+}
+
+struct HeldStream {
+  tag @0 :StreamTag;
+  service @1 :Text;
+  prefill @2 :Text;
+  decode @3 :Text;
+  stage @4 :StreamStage;
+  promptTokens @5 :Int64;
+  emitted @6 :Int64;
+  maxTokens @7 :Int64;
+}
+
+struct Progress {
+  pool @0 :Text;
+  host @1 :Text;
+  incarnation @2 :UInt64;
+  streams @3 :List(HeldStream);
+}
+
+struct Release {
+  pool @0 :Text;
+  tag @1 :StreamTag;
+  outcome @2 :Int32;
+  computedTokens @3 :Int64;
+  emitted @4 :Int64;
+  finished @5 :Bool;
+}
+
+struct DirectoryEntry {
+  requestId @0 :Text;
+  fingerprint @1 :UInt64;
+  host @2 :Text;
+  incarnation @3 :UInt64;
+  attempt @4 :Int64;
+  decode @5 :Text;
+  done @6 :Bool;
+}
+
+struct DirectoryRegister {
+  entry @0 :DirectoryEntry;
+  takeover @1 :Bool;
+  rebuild @2 :Bool;
+}
+
+struct DirectoryReply {
+  accepted @0 :Bool;
+  settled @1 :Bool;
+  found @2 :List(DirectoryEntry);
+}
+
+struct DirectoryRemove {
+  requestId @0 :Text;
+  host @1 :Text;
+  incarnation @2 :UInt64;
+  done @3 :Bool;
+}
+
+struct StreamLookup {
+  requestId @0 :Text;
+}
+
+struct StreamLookupReply {
+  streams @0 :List(HeldStream);
+}
+
+struct StreamRelease {
+  requestId @0 :Text;
+}
+
+struct StreamReleaseReply {
+  released @0 :Bool;
+  emitted @1 :List(Text);
+  attempt @2 :Int64;
+  prefill @3 :Text;
+  decode @4 :Text;
+}
+
+struct ConfigFetch {
+  after @0 :Int64;
+}
+
+struct ConfigFetchReply {
+  records @0 :List(ConfigRecord);
+}
+
+struct Acknowledgement {
+}
--- /dev/null
+++ b/tests/test_peer_codec.py
@@ -0,0 +1,157 @@
+"""Tests of the frames between entry hosts."""
+
+import dataclasses
+import typing
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mustardscale import peers
+from mustardscale.engines import StreamTag
+from mustardscale.exceptions import PeerFrameError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_codec import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    TYPES_BY_KIND,
+    Frame,
+    FrameKind,
+    decode_frame,
+    decode_header,
+    encode_frame,
+)
+
+UNSIGNED_FIELDS = {
+    'incarnation',
+    'config_digest',
+    'fingerprint',
+    'block_hashes',
+}
+UNSIGNED = st.integers(0, 2**64 - 1)
+ADMIT = peers.AdmitRequest(
+    'pool', StreamTag('id', 1, 'a', 1), 's', 9000, (1, 2), 3, 100, 0.9, 60.0
+)
+
+
+def _values(name: str, kind: typing.Any) -> st.SearchStrategy:
+    if dataclasses.is_dataclass(kind):
+        return _instances(typing.cast(type, kind))
+    if typing.get_origin(kind) is tuple:
+        items = _values(name, typing.get_args(kind)[0])
+        return st.lists(items, max_size=3).map(tuple)
+    if kind is int:
+        signed = st.integers(-(2**31), 2**31 - 1)
+        return UNSIGNED if name in UNSIGNED_FIELDS else signed
+    if kind is float:
+        return st.floats(allow_nan=False)
+    return st.from_type(kind)
+
+
+def _instances(cls: type) -> st.SearchStrategy:
+    hints = typing.get_type_hints(cls)
+    return st.builds(
+        cls, **{name: _values(name, kind) for name, kind in hints.items()}
+    )
+
+
+FRAMES = st.one_of(
+    [
+        st.builds(Frame, st.just(kind), UNSIGNED, _instances(cls))
+        for kind, classes in TYPES_BY_KIND.items()
+        for cls in classes
+    ]
+    + [st.builds(Frame, st.just(FrameKind.CANCEL), UNSIGNED)]
+)
+
+
+def _code_of(data: bytes) -> Outcome | None:
+    try:
+        decode_frame(data)
+    except PeerFrameError as error:
+        return error.outcome
+    return None
+
+
+class TestRoundTrip:
+    """Decoding what was encoded."""
+
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(FRAMES)
+    def test_decoding_gives_back_what_was_encoded(self, frame):
+        assert decode_frame(encode_frame(frame)) == frame
+
+    def test_every_message_of_the_contract_has_a_kind(self):
+        requests = set(peers.REPLY_BY_REQUEST)
+        assert requests == set(TYPES_BY_KIND[FrameKind.REQUEST])
+        replies = set(peers.REPLY_BY_REQUEST.values())
+        assert replies == set(TYPES_BY_KIND[FrameKind.REPLY])
+
+    def test_null_character_in_text_is_kept(self):
+        request = dataclasses.replace(ADMIT, pool='a\0b')
+        frame = Frame(FrameKind.REQUEST, 1, request)
+        assert decode_frame(encode_frame(frame)) == frame
+
+
+class TestEncodingRefusals:
+    """Messages that may not be sent."""
+
+    def test_value_outside_the_range(self):
+        frame = Frame(FrameKind.REQUEST, 1, peers.ConfigFetch(2**63))
+        with pytest.raises(PeerFrameError):
+            encode_frame(frame)
+
+    def test_message_that_does_not_fit_the_kind(self):
+        with pytest.raises(PeerFrameError):
+            encode_frame(Frame(FrameKind.REPLY, 1, peers.ConfigFetch(1)))
+
+    def test_frame_above_the_limit(self):
+        record = peers.ConfigRecord(1, bytes(MAX_FRAME_BYTES))
+        reply = peers.ConfigFetchReply((record,))
+        with pytest.raises(PeerFrameError) as caught:
+            encode_frame(Frame(FrameKind.REPLY, 1, reply))
+        assert caught.value.outcome is Outcome.PEER_FRAME_TOO_LARGE
+
+
+class TestDamagedFrames:
+    """Bytes that are no frame."""
+
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(st.binary(max_size=200))
+    def test_arbitrary_bytes_raise_the_named_error(self, data):
+        assert _code_of(data) is Outcome.PEER_FRAME_MALFORMED
+
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(st.binary(max_size=200), st.sampled_from(FrameKind))
+    def test_arbitrary_payload_raises_nothing_else(self, payload, kind):
+        cancel = encode_frame(Frame(FrameKind.CANCEL, 1))
+        length = len(payload).to_bytes(4, 'big')
+        header = cancel[:5] + bytes([kind]) + cancel[6:16] + length
+        expected = (None, Outcome.PEER_FRAME_MALFORMED)
+        assert _code_of(header + payload) in expected
+
+    @settings(max_examples=600, deadline=None, derandomize=True)
+    @given(FRAMES, st.data())
+    def test_mutated_frames_raise_nothing_else(self, frame, data):
+        encoded = bytearray(encode_frame(frame))
+        for _ in range(data.draw(st.integers(1, 4))):
+            position = data.draw(st.integers(0, len(encoded) - 1))
+            encoded[position] = data.draw(st.integers(0, 255))
+        _code_of(bytes(encoded))
+        cut = data.draw(st.integers(0, len(encoded) - 1))
+        assert _code_of(bytes(encoded[:cut])) is not None
+
+    def test_small_payload_cannot_claim_many_elements(self):
+        frame = Frame(FrameKind.REPLY, 1, peers.ConfigFetchReply(()))
+        encoded = bytearray(encode_frame(frame))
+        # The last word is the list's pointer: 4096 elements without a size.
+        encoded[-8:] = (1 | (4096 << 35)).to_bytes(8, 'little')
+        assert _code_of(bytes(encoded)) is Outcome.PEER_FRAME_MALFORMED
+
+    def test_codes_of_version_and_size(self):
+        encoded = encode_frame(Frame(FrameKind.CANCEL, 7))
+        version = encoded[:4] + b'\x02' + encoded[5:]
+        assert _code_of(version) is Outcome.PEER_VERSION_UNSUPPORTED
+        large = encoded[:16] + (MAX_FRAME_BYTES + 1).to_bytes(4, 'big')
+        assert _code_of(large) is Outcome.PEER_FRAME_TOO_LARGE
+        assert decode_header(encoded[:HEADER_BYTES]).call_id == 7
