Carry calls between entry hosts over TCP

One connection to each peer carries all calls made to it, told apart by a call number, so that a slow admission does not hold up a heartbeat. Cancelling a call, its timeout and the loss of the connection all cancel the handler at the peer, so no work goes on for a caller that is gone.

A failed attempt lets later calls fail at once until the next attempt is due (50 ms, doubling to 1 s, with jitter). Letting them wait was weighed, but an entry host must learn quickly that a pool's owner is gone. The greeting checks that the host at an address is the one expected, since addresses are used again. With a peer key both sides prove that they hold it by HMAC over both nonces; frames after the greeting are neither signed nor encrypted.

--- /dev/null
+++ b/mustardscale/peer_connections.py
@@ -0,0 +1,242 @@
+"""Connections over which this host calls its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+import typing
+
+from mustardscale.exceptions import (
+    PeerCallError,
+    PeerFrameError,
+    PeerUnavailableError,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_codec import CallFailure, Frame, FrameKind, encode_frame
+from mustardscale.peer_streams import (
+    CONNECTION_LOST,
+    FrameStream,
+    GreetingError,
+    PeerIdentity,
+    PeerLimits,
+    greet_server,
+)
+from mustardscale.peers import REPLY_BY_REQUEST, PeerReply, PeerRequest
+
+log = logging.getLogger(__name__)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits 'ip:port'.
+
+    >>> split_address('[::1]:80')
+    ('::1', 80)
+    """
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+class PeerConnection:
+    """An open connection that carries many calls at once."""
+
+    def __init__(self, stream: FrameStream, limits: PeerLimits):
+        self.closed = False
+        self._stream = stream
+        self._limits = limits
+        self._call_ids = itertools.count(1)
+        self._future_by_call: dict[int, asyncio.Future[Frame]] = {}
+        self._reading = asyncio.create_task(self._read())
+
+    async def call(self, request: PeerRequest) -> PeerReply:
+        """Sends a request and returns the reply.
+
+        Raises:
+            PeerUnavailableError: no usable reply came.
+        """
+        if len(self._future_by_call) >= self._limits.calls:
+            raise PeerUnavailableError('too many calls in flight')
+        call_id = next(self._call_ids)
+        data = _encode_request(call_id, request)
+        future: asyncio.Future[Frame] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._future_by_call[call_id] = future
+        try:
+            self._stream.send(data)
+            await self._stream.drain()
+            frame = await future
+        except OSError as error:
+            raise PeerUnavailableError(f'connection lost: {error}') from error
+        finally:
+            del self._future_by_call[call_id]
+            if not future.done() or future.cancelled():
+                cancel = Frame(FrameKind.CANCEL, call_id)
+                self._stream.send(encode_frame(cancel))
+        return _reply_of(frame, request)
+
+    async def close(self) -> None:
+        """Closes the connection; calls in flight fail."""
+        self._reading.cancel()
+        await asyncio.gather(self._reading, return_exceptions=True)
+
+    async def _read(self) -> None:
+        reason = 'closed'
+        try:
+            await self._dispatch()
+        except PeerFrameError as error:
+            reason = str(error)
+            log.warning(
+                'connection closed: %s',
+                error,
+                extra={'code': int(error.outcome)},
+            )
+        except CONNECTION_LOST as error:
+            reason = repr(error)
+        finally:
+            self.closed = True
+            self._stream.close()
+            self._fail_calls(reason)
+
+    async def _dispatch(self) -> None:
+        while True:
+            try:
+                frame = await self._stream.receive(self._limits.idle_s)
+            except TimeoutError:
+                if self._future_by_call:
+                    continue
+                return
+            if frame.kind not in (FrameKind.REPLY, FrameKind.FAILURE):
+                raise PeerFrameError(
+                    Outcome.PEER_FRAME_MALFORMED,
+                    f'{frame.kind.name} in place of a reply',
+                )
+            future = self._future_by_call.get(frame.call_id)
+            # The call may have been given up since.
+            if future is not None and not future.done():
+                future.set_result(frame)
+
+    def _fail_calls(self, reason: str) -> None:
+        for future in self._future_by_call.values():
+            if not future.done():
+                future.set_exception(
+                    PeerUnavailableError(f'connection lost: {reason}')
+                )
+
+
+class OutboundPeer:
+    """One peer: its connection and when to try to connect again."""
+
+    def __init__(
+        self,
+        host: str,
+        identity: PeerIdentity,
+        limits: PeerLimits,
+        rng: random.Random,
+    ):
+        self.used_at = 0.0
+        self._host = host
+        self._identity = identity
+        self._limits = limits
+        self._rng = rng
+        self._address = ''
+        self._connection: PeerConnection | None = None
+        self._connecting = asyncio.Lock()
+        self._failures = 0
+        self._retry_at = 0.0
+
+    @property
+    def connected(self) -> bool:
+        """Whether a connection is open."""
+        return self._connection is not None and not self._connection.closed
+
+    async def connect(self, address: str) -> PeerConnection:
+        """Returns the open connection, connecting if there is none.
+
+        Raises:
+            PeerUnavailableError: the attempt failed, or the last one failed
+                a short time ago.
+        """
+        now = asyncio.get_running_loop().time()
+        self.used_at = now
+        async with self._connecting:
+            if address != self._address:
+                await self._move(address)
+            if self._connection is not None and not self._connection.closed:
+                return self._connection
+            wait_s = self._retry_at - asyncio.get_running_loop().time()
+            if wait_s > 0:
+                raise PeerUnavailableError(
+                    f'{self._host} failed; next attempt in {wait_s:.3f} s'
+                )
+            self._connection = await self._attempt()
+            return self._connection
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        if self._connection is not None:
+            await self._connection.close()
+            self._connection = None
+
+    async def _move(self, address: str) -> None:
+        await self.close()
+        self._address = address
+        self._failures = 0
+        self._retry_at = 0.0
+
+    async def _attempt(self) -> PeerConnection:
+        try:
+            async with asyncio.timeout(self._limits.connect_s):
+                connection = await self._open()
+        except (PeerFrameError, GreetingError, *CONNECTION_LOST) as error:
+            self._back_off()
+            log.info('no connection to %s: %r', self._host, error)
+            raise PeerUnavailableError(
+                f'no connection to {self._host}: {error!r}'
+            ) from error
+        self._failures = 0
+        return connection
+
+    async def _open(self) -> PeerConnection:
+        ip, port = split_address(self._address)
+        reader, writer = await asyncio.open_connection(ip, port)
+        stream = FrameStream(reader, writer, self._limits)
+        try:
+            await greet_server(
+                stream, self._identity, self._host, self._limits.connect_s
+            )
+        except BaseException:
+            stream.close()
+            raise
+        return PeerConnection(stream, self._limits)
+
+    def _back_off(self) -> None:
+        delay_s = min(
+            self._limits.backoff_limit_s,
+            self._limits.backoff_s * 2**self._failures,
+        )
+        self._failures += 1
+        now = asyncio.get_running_loop().time()
+        self._retry_at = now + delay_s * self._rng.uniform(0.5, 1.0)
+
+
+def _encode_request(call_id: int, request: PeerRequest) -> bytes:
+    try:
+        return encode_frame(Frame(FrameKind.REQUEST, call_id, request))
+    except PeerFrameError as error:
+        log.exception('request not sent', extra={'code': int(error.outcome)})
+        raise PeerUnavailableError(f'not sent: {error}') from error
+
+
+def _reply_of(frame: Frame, request: PeerRequest) -> PeerReply:
+    message = frame.message
+    if isinstance(message, CallFailure):
+        try:
+            outcome = Outcome(message.outcome)
+        except ValueError:
+            outcome = Outcome.INTERNAL_ERROR
+        raise PeerCallError(outcome, message.detail)
+    if type(message) is not REPLY_BY_REQUEST[type(request)]:
+        raise PeerUnavailableError(f'reply of type {type(message).__name__}')
+    return typing.cast(PeerReply, message)
--- /dev/null
+++ b/mustardscale/peer_server.py
@@ -0,0 +1,182 @@
+"""Serves the calls that other entry hosts make over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing
+
+from mustardscale.exceptions import OutcomeError, PeerFrameError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_codec import CallFailure, Frame, FrameKind, encode_frame
+from mustardscale.peer_streams import (
+    CONNECTION_LOST,
+    FrameStream,
+    GreetingError,
+    PeerIdentity,
+    PeerLimits,
+    greet_caller,
+)
+from mustardscale.peers import PeerHandler, PeerReply, PeerRequest
+
+log = logging.getLogger(__name__)
+
+
+class PeerServer:
+    """Accepts connections and runs the handler for each call."""
+
+    def __init__(
+        self, identity: PeerIdentity, handler: PeerHandler, limits: PeerLimits
+    ):
+        self._identity = identity
+        self._handler = handler
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> str:
+        """Listens and returns the address as 'ip:port'."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        name = self._server.sockets[0].getsockname()
+        return f'{name[0]}:{name[1]}'
+
+    async def close(self) -> None:
+        """Closes all connections and cancels the handlers."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer, self._limits)
+        if len(self._tasks) >= self._limits.connections:
+            log.warning('connection limit reached')
+            stream.close()
+            return
+        connection = _InboundConnection(
+            stream, self._identity, self._handler, self._limits
+        )
+        task = asyncio.create_task(connection.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _InboundConnection:
+    """One accepted connection and the handlers that it started."""
+
+    __slots__ = (
+        '_handler',
+        '_host',
+        '_identity',
+        '_limits',
+        '_stream',
+        '_task_by_call',
+    )
+
+    def __init__(
+        self,
+        stream: FrameStream,
+        identity: PeerIdentity,
+        handler: PeerHandler,
+        limits: PeerLimits,
+    ):
+        self._stream = stream
+        self._identity = identity
+        self._handler = handler
+        self._limits = limits
+        self._host = ''
+        self._task_by_call: dict[int, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Serves until the connection is lost, idle or damaged."""
+        try:
+            self._host = await greet_caller(
+                self._stream, self._identity, self._limits.connect_s
+            )
+            while True:
+                # Heartbeats keep the connection of a live caller busy.
+                frame = await self._stream.receive(2 * self._limits.idle_s)
+                self._take(frame)
+        except PeerFrameError as error:
+            self._log_refusal(error.outcome, error)
+        except GreetingError as error:
+            self._log_refusal(Outcome.UNAUTHENTICATED, error)
+        except CONNECTION_LOST as error:
+            log.info('connection from %r ended: %r', self._host, error)
+        finally:
+            self._stream.close()
+            await self._cancel_handlers()
+
+    def _log_refusal(self, outcome: Outcome, error: Exception) -> None:
+        log.warning(
+            'connection from %r closed: %s',
+            self._host,
+            error,
+            extra={'code': int(outcome)},
+        )
+
+    async def _cancel_handlers(self) -> None:
+        tasks = list(self._task_by_call.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _take(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.CANCEL:
+            task = self._task_by_call.get(frame.call_id)
+            if task is not None:
+                task.cancel()
+            return
+        if frame.kind is not FrameKind.REQUEST:
+            raise _malformed(f'{frame.kind.name} from a caller')
+        if frame.call_id in self._task_by_call:
+            raise _malformed(f'call {frame.call_id} is in flight already')
+        if len(self._task_by_call) >= self._limits.calls:
+            self._send_failure(
+                frame.call_id, Outcome.RATE_LIMITED, 'too many calls in flight'
+            )
+            return
+        request = typing.cast(PeerRequest, frame.message)
+        task = asyncio.create_task(self._answer(frame.call_id, request))
+        self._task_by_call[frame.call_id] = task
+        task.add_done_callback(
+            lambda _: self._task_by_call.pop(frame.call_id, None)
+        )
+
+    async def _answer(self, call_id: int, request: PeerRequest) -> None:
+        try:
+            reply = await self._handler(self._host, request)
+            self._send_reply(call_id, reply)
+        except OutcomeError as error:
+            self._send_failure(call_id, error.outcome, error.detail)
+        except PeerFrameError as error:
+            self._log_refusal(error.outcome, error)
+            self._send_failure(call_id, error.outcome, str(error))
+        except Exception:
+            code = Outcome.INTERNAL_ERROR
+            log.exception('handler failed', extra={'code': int(code)})
+            self._send_failure(call_id, code, 'see the log of the peer')
+        await self._drain()
+
+    def _send_reply(self, call_id: int, reply: PeerReply) -> None:
+        self._stream.send(encode_frame(Frame(FrameKind.REPLY, call_id, reply)))
+
+    def _send_failure(self, call_id: int, outcome: Outcome, text: str) -> None:
+        failure = CallFailure(int(outcome), text)
+        frame = Frame(FrameKind.FAILURE, call_id, failure)
+        self._stream.send(encode_frame(frame))
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self._limits.frame_s):
+                await self._stream.drain()
+        except OSError as error:
+            log.info('%r takes no answers: %r', self._host, error)
+            self._stream.close()
+
+
+def _malformed(detail: str) -> PeerFrameError:
+    return PeerFrameError(Outcome.PEER_FRAME_MALFORMED, detail)
--- /dev/null
+++ b/mustardscale/peer_streams.py
@@ -0,0 +1,210 @@
+"""Frames over a TCP connection, and the greeting that opens it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+from mustardscale.exceptions import MustardscaleError, PeerFrameError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_codec import (
+    HEADER_BYTES,
+    Frame,
+    FrameKind,
+    Hello,
+    decode_header,
+    decode_payload,
+    encode_frame,
+)
+
+# Raised by the stream when the connection is gone.
+CONNECTION_LOST = (OSError, EOFError)
+
+_NONCE_BYTES = 16
+
+
+class GreetingError(MustardscaleError):
+    """The peer is not the host that it should be, or lacks the peer key."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLimits:
+    """Bounds of connections between entry hosts.
+
+    Attributes:
+        connections: connections accepted at the same time.
+        calls: calls in flight on one connection.
+        drain_bytes: unsent bytes from which a sender waits.
+        abort_bytes: unsent bytes at which the connection is given up.
+        connect_s: seconds for connection and greeting.
+        frame_s: seconds from a frame's header to its end, and for sending.
+        idle_s: seconds without a call after which the caller closes; the
+            serving side closes after twice this time without a frame.
+        backoff_s: seconds before the second connection attempt.
+        backoff_limit_s: seconds between attempts at most.
+    """
+
+    connections: int = 256
+    calls: int = 4096
+    drain_bytes: int = 256 * 1024
+    abort_bytes: int = 4 * 1024 * 1024
+    connect_s: float = 1.0
+    frame_s: float = 5.0
+    idle_s: float = 30.0
+    backoff_s: float = 0.05
+    backoff_limit_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Who this process is to its peers.
+
+    Attributes:
+        host: id of this host.
+        incarnation: start number of this process.
+        key: the shared peer key; empty for none.
+    """
+
+    host: str
+    incarnation: int
+    key: bytes = dataclasses.field(default=b'', repr=False)
+
+
+class FrameStream:
+    """Sends and receives frames on one connection."""
+
+    __slots__ = ('_limits', '_reader', '_writer')
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: PeerLimits,
+    ):
+        self._reader = reader
+        self._writer = writer
+        self._limits = limits
+        writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
+
+    async def receive(self, idle_s: float) -> Frame:
+        """Receives the next frame.
+
+        Args:
+            idle_s: seconds to wait for the header.
+
+        Raises:
+            TimeoutError: no header came in time.
+            PeerFrameError: the frame is damaged or did not end in time.
+            OSError, EOFError: the connection is lost.
+        """
+        async with asyncio.timeout(idle_s):
+            data = await self._reader.readexactly(HEADER_BYTES)
+        header = decode_header(data)
+        try:
+            async with asyncio.timeout(self._limits.frame_s):
+                payload = await self._reader.readexactly(header.length)
+        except TimeoutError:
+            raise PeerFrameError(
+                Outcome.PEER_FRAME_MALFORMED, 'payload not received in time'
+            ) from None
+        return decode_payload(header, payload)
+
+    def send(self, data: bytes) -> None:
+        """Queues an encoded frame; aborts a connection that takes nothing."""
+        if self._writer.transport.is_closing():
+            return
+        self._writer.write(data)
+        unsent = self._writer.transport.get_write_buffer_size()
+        if unsent > self._limits.abort_bytes:
+            self.close()
+
+    async def drain(self) -> None:
+        """Waits until few bytes are unsent.
+
+        Raises:
+            OSError: the connection is lost.
+        """
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self._writer.transport.abort()
+
+
+async def greet_server(
+    stream: FrameStream, identity: PeerIdentity, host: str, connect_s: float
+) -> None:
+    """Opens a connection as the caller.
+
+    Raises:
+        GreetingError: another host answered, or one without the peer key.
+        TimeoutError, PeerFrameError, OSError, EOFError: no usable answer.
+    """
+    hello = Hello(identity.host, identity.incarnation, _nonce())
+    _send_hello(stream, hello)
+    answer = await _receive_hello(stream, connect_s)
+    if answer.host != host:
+        raise GreetingError(f'{answer.host!r} answers in place of {host!r}')
+    _check_proof(answer, _proof(identity.key, b'server', hello, answer))
+    proof = _proof(identity.key, b'caller', hello, answer)
+    _send_hello(stream, dataclasses.replace(hello, proof=proof))
+
+
+async def greet_caller(
+    stream: FrameStream, identity: PeerIdentity, connect_s: float
+) -> str:
+    """Answers a caller's greeting and returns the caller's host id.
+
+    Raises:
+        GreetingError: the caller does not hold the peer key.
+        TimeoutError, PeerFrameError, OSError, EOFError: no usable greeting.
+    """
+    hello = await _receive_hello(stream, connect_s)
+    answer = Hello(identity.host, identity.incarnation, _nonce())
+    proof = _proof(identity.key, b'server', hello, answer)
+    _send_hello(stream, dataclasses.replace(answer, proof=proof))
+    second = await _receive_hello(stream, connect_s)
+    if dataclasses.replace(second, proof=b'') != hello:
+        raise GreetingError('the two greetings differ')
+    _check_proof(second, _proof(identity.key, b'caller', hello, answer))
+    return hello.host
+
+
+def _nonce() -> bytes:
+    # Must not be predictable, so it does not come from the seeded generator.
+    return secrets.token_bytes(_NONCE_BYTES)
+
+
+def _send_hello(stream: FrameStream, hello: Hello) -> None:
+    stream.send(encode_frame(Frame(FrameKind.HELLO, 0, hello)))
+
+
+async def _receive_hello(stream: FrameStream, connect_s: float) -> Hello:
+    frame = await stream.receive(connect_s)
+    if not isinstance(frame.message, Hello):
+        raise PeerFrameError(
+            Outcome.PEER_FRAME_MALFORMED, f'{frame.kind.name} before a greeting'
+        )
+    return frame.message
+
+
+def _proof(key: bytes, role: bytes, hello: Hello, answer: Hello) -> bytes:
+    if not key:
+        return b''
+    digest = hmac.new(key, role, hashlib.sha256)
+    for side in (hello, answer):
+        for part in (
+            side.host.encode(),
+            str(side.incarnation).encode(),
+            side.nonce,
+        ):
+            digest.update(len(part).to_bytes(4, 'big') + part)
+    return digest.digest()
+
+
+def _check_proof(received: Hello, expected: bytes) -> None:
+    if not hmac.compare_digest(received.proof, expected):
+        raise GreetingError(f'{received.host!r} does not hold the peer key')
--- /dev/null
+++ b/mustardscale/tcp_peers.py
@@ -0,0 +1,82 @@
+"""Calls between entry hosts over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.peer_connections import OutboundPeer, split_address
+from mustardscale.peer_server import PeerServer
+from mustardscale.peer_streams import PeerIdentity, PeerLimits
+from mustardscale.peers import (
+    PeerHandler,
+    PeerReply,
+    PeerRequest,
+    PeerTransport,
+)
+
+
+class TcpPeerTransport(PeerTransport):
+    """One connection to each peer, which carries all calls made to it.
+
+    Attributes:
+        address: 'ip:port' listened on, once started.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        listen: str,
+        rng: random.Random,
+        limits: PeerLimits | None = None,
+    ):
+        self.address = listen
+        self._identity = identity
+        self._rng = rng
+        self._limits = limits or PeerLimits()
+        self._server: PeerServer | None = None
+        self._peer_by_host: dict[str, OutboundPeer] = {}
+
+    async def start(self, handler: PeerHandler) -> None:
+        """Starts to serve; handler gets the peer's id and the request."""
+        self._server = PeerServer(self._identity, handler, self._limits)
+        self.address = await self._server.start(*split_address(self.address))
+
+    async def call(
+        self, host: str, address: str, request: PeerRequest, timeout_s: float
+    ) -> PeerReply:
+        """Sends a request and returns the reply; see PeerTransport."""
+        peer = self._peer(host)
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await peer.connect(address)
+                return await connection.call(request)
+        except TimeoutError as error:
+            raise PeerUnavailableError(
+                f'no reply from {host} within {timeout_s} s'
+            ) from error
+
+    async def close(self) -> None:
+        """Closes all connections and stops serving."""
+        peers = list(self._peer_by_host.values())
+        self._peer_by_host.clear()
+        for peer in peers:
+            await peer.close()
+        if self._server is not None:
+            await self._server.close()
+
+    def _peer(self, host: str) -> OutboundPeer:
+        peer = self._peer_by_host.get(host)
+        if peer is None:
+            self._forget_unused()
+            peer = OutboundPeer(host, self._identity, self._limits, self._rng)
+            self._peer_by_host[host] = peer
+        return peer
+
+    def _forget_unused(self) -> None:
+        """Drops hosts that are gone, so that the table stays small."""
+        oldest = asyncio.get_running_loop().time() - self._limits.idle_s
+        for host, peer in list(self._peer_by_host.items()):
+            if not peer.connected and peer.used_at < oldest:
+                del self._peer_by_host[host]
