--- /dev/null
+++ b/standins/engine_orders.py
@@ -0,0 +1,88 @@
+"""Carries out the orders given to the model engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from mustardscale.engines import REFUSED_FENCED, EngineOrder, EngineRole
+from mustardscale.exceptions import EndpointRefusedError
+from standins.engine_parameters import EngineCounters, EngineParameters
+
+ModelLoader = Callable[[str, str], Awaitable[None]]
+
+
+class OrderDesk:
+    """Knows the role and the model, and changes them on orders.
+
+    Attributes:
+        role: current role.
+        model: model loaded, '' while one loads.
+        model_version: version of that model.
+        adapters: adapters loaded.
+        term: fencing number of the last order carried out.
+    """
+
+    def __init__(
+        self,
+        parameters: EngineParameters,
+        counters: EngineCounters,
+        load_model: ModelLoader | None,
+        on_model_change: Callable[[], None],
+    ):
+        """Starts with the role and model of the settings.
+
+        Args:
+            parameters: the settings.
+            counters: where orders carried out are noted.
+            load_model: reads a model and version from the weight store.
+            on_model_change: called when another model is to be loaded.
+        """
+        self.role = parameters.role
+        self.model = parameters.model
+        self.model_version = parameters.model_version
+        self.adapters: tuple[str, ...] = ()
+        self.term = 0
+        self._parameters = parameters
+        self._counters = counters
+        self._load_model = load_model
+        self._on_model_change = on_model_change
+        self._accepted_term = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def serves(self, role: EngineRole, model: str) -> bool:
+        """Returns whether work for this role and model is taken."""
+        return self.role is role and self.model == model
+
+    def accept(self, order: EngineOrder) -> None:
+        """Begins to carry out an order in place of an earlier one.
+
+        Raises:
+            EndpointRefusedError: its term is old and terms are checked.
+        """
+        if self._parameters.checks_fencing and order.term < self._accepted_term:
+            raise EndpointRefusedError(REFUSED_FENCED)
+        self._accepted_term = order.term
+        self.close()
+        self._task = asyncio.create_task(self._carry_out(order))
+
+    def close(self) -> None:
+        """Gives up the order that is being carried out."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _carry_out(self, order: EngineOrder) -> None:
+        wanted = (order.model, order.model_version)
+        if wanted != (self.model, self.model_version):
+            self.model = ''
+            self._on_model_change()
+            if self._load_model is not None:
+                await self._load_model(order.model, order.model_version)
+        await asyncio.sleep(self._parameters.order_s)
+        self.role = order.role
+        self.model = order.model
+        self.model_version = order.model_version
+        self.adapters = order.adapters
+        self.term = order.term
+        self._counters.orders_done.append(order)
