--- a/mustardscale/admission.py
+++ b/mustardscale/admission.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.config_records import Profile
@@ -103,9 +104,7 @@
         prompt_key = str(hashes[0] if hashes else request.prompt.fingerprint)
         pools = self.pools_for(model, prompt_key)
         if not pools:
-            raise OutcomeError(
-                Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S
-            )
+            raise OutcomeError(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
         reply = AdmitReply(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
         for pool in pools:
             served.pool = pool.id
@@ -256,7 +255,7 @@
         except PeerUnavailableError as error:
             log.debug('report to owner %s failed: %s', host, error)
 
-    def _start(self, coroutine) -> None:
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/mustardscale/claims.py
+++ b/mustardscale/claims.py
@@ -223,9 +223,7 @@
         except TimeoutError:
             log.debug('claim of %s never reached the log', note.request_id)
 
-    async def _try_append(
-        self, stream: ClaimStream, note: ClaimRecord
-    ) -> bool:
+    async def _try_append(self, stream: ClaimStream, note: ClaimRecord) -> bool:
         try:
             await stream.append(note)
         except (LogUnavailableError, LogUncertainError):
--- a/mustardscale/config_sync.py
+++ b/mustardscale/config_sync.py
@@ -186,9 +186,7 @@
 
     async def _append(self, snapshot: ConfigSnapshot) -> None:
         try:
-            await self._client.append(
-                CONFIG_STREAM, [encode_record(snapshot)]
-            )
+            await self._client.append(CONFIG_STREAM, [encode_record(snapshot)])
         except (LogUnavailableError, LogUncertainError) as error:
             log.warning('snapshot not appended: %s', error)
         else:
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -10,6 +10,8 @@
 import asyncio
 import logging
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 from mustardscale.blackboard import Blackboard, DirectoryRow, ServedRequest
 from mustardscale.controller import Controller, pause
@@ -253,7 +255,7 @@
             decode=served.decode,
         )
 
-    def _start(self, coroutine) -> None:
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/mustardscale/engines.py
+++ b/mustardscale/engines.py
@@ -5,7 +5,7 @@
 import abc
 import dataclasses
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 # Tokens covered by one block hash of a prompt.
 BLOCK_TOKENS = 512
@@ -257,7 +257,7 @@
         """Computes a prompt's KV cache and keeps it for a short time."""
 
     @abc.abstractmethod
-    def decode(self, call: DecodeCall) -> AsyncIterator[TokenEvent]:
+    def decode(self, call: DecodeCall) -> AsyncGenerator[TokenEvent, None]:
         """Imports a KV cache and yields tokens.
 
         Closing the iterator does not cancel the stream; cancel() does.
@@ -266,7 +266,7 @@
     @abc.abstractmethod
     def resume(
         self, request_id: str, attempt: int, from_index: int
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Attaches to a stream and yields its tokens from an index on."""
 
     @abc.abstractmethod
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard, ServedRequest
@@ -32,10 +32,10 @@
     OutcomeError,
 )
 from mustardscale.limits import ServiceLimits
-from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers import AdmitReply, DirectoryEntry
 from mustardscale.quarantine import Suspicions
+from mustardscale.request_metrics import RequestMetrics
 from mustardscale.requests import LanguageRequest
 from mustardscale.resumption import Resumption
 from mustardscale.token_assembler import TokenAssembler
@@ -103,7 +103,7 @@
         canceller: Canceller,
         limits: ServiceLimits,
         suspicions: Suspicions,
-        metrics: Metrics,
+        metrics: RequestMetrics,
     ):
         self._blackboard = blackboard
         self._admission = admission
@@ -117,7 +117,7 @@
 
     async def serve(
         self, request: LanguageRequest, profile: Profile, model: str
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Yields the tokens of an answer, each exactly once and in order.
 
         Closing the iterator or cancelling its task frees what it holds.
@@ -127,13 +127,21 @@
         """
         served = await self._accept(request, profile)
         delivered = False
+        first_at: float | None = None
+        clock = asyncio.get_running_loop().time
         try:
             async with contextlib.aclosing(
                 self._attempts(request, served, profile, model)
             ) as events:
                 async for event in events:
+                    if first_at is None:
+                        first_at = clock()
+                        self._metrics.record_first_token(
+                            served.service, first_at - served.arrived_at
+                        )
                     if event.finish_reason:
                         delivered = True
+                        self._record_pace(served, clock() - first_at)
                     yield event
         except TimeoutError as error:
             outcome = Outcome.DEADLINE_IN_QUEUE
@@ -145,6 +153,12 @@
         finally:
             self._end(served, delivered)
 
+    def _record_pace(self, served: ServedRequest, seconds: float) -> None:
+        if len(served.emitted) > 1:
+            self._metrics.record_per_token(
+                served.service, seconds / (len(served.emitted) - 1)
+            )
+
     async def _accept(
         self, request: LanguageRequest, profile: Profile
     ) -> ServedRequest:
@@ -203,7 +217,7 @@
         served: ServedRequest,
         profile: Profile,
         model: str,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Makes attempts until the answer is whole."""
         timeout_s = request.timeout_s or profile.timeout_s
         deadline_at = served.arrived_at + timeout_s
@@ -229,7 +243,6 @@
                         visible = _from_index(event, first_index)
                         if visible is not None:
                             await self._check_lease(served)
-                            self._metrics.record_tokens(served, visible)
                             yield visible
                 return
             except AttemptFailedError as failure:
@@ -295,7 +308,7 @@
         model: str,
         progress: _Progress,
         deadline_at: float,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Admits, prefills and decodes once."""
         progress.attempt += 1
         progress.computed_tokens = 0
@@ -305,6 +318,9 @@
         )
         served.prefill = grant.prefill
         served.decode = grant.decode
+        if not progress.runs:
+            now = asyncio.get_running_loop().time()
+            self._metrics.record_wait(served.service, now - served.arrived_at)
         kv_id = await self._prefill(request, served, model, grant, progress)
         served.stage = StreamStage.TRANSFER
         self._admission.report_stage(served)
@@ -399,7 +415,9 @@
         blamed = endpoint_id if error.reason == REFUSED_LEAVING else ''
         return AttemptFailedError(Outcome.NO_ENDPOINT, blamed, False)
 
-    async def _resume(self, served: ServedRequest) -> AsyncIterator[TokenEvent]:
+    async def _resume(
+        self, served: ServedRequest
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Attaches to a stream that another host left."""
         engine = self._engine(served.decode)
         tag = _tag_of(served)
@@ -410,45 +428,54 @@
                 yield event
 
     async def _read(
-        self, served: ServedRequest, events: AsyncIterator[TokenEvent]
-    ) -> AsyncIterator[TokenEvent]:
+        self, served: ServedRequest, events: AsyncGenerator[TokenEvent, None]
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Yields a stream's tokens in order, attaching again if it breaks."""
         engine = self._engine(served.decode)
         tag = _tag_of(served)
         assembler = TokenAssembler(
             tag.request_id, tag.attempt, len(served.emitted)
         )
-        reattached_at_index = -1
+        attached_at = -1
         while True:
             try:
                 async for event in events:
-                    for ready in assembler.push(event):
+                    ready = _next_tokens(assembler, event)
+                    if ready is not None:
                         self._note_tokens(served, ready)
                         yield ready
-                        if ready.finish_reason:
-                            return
+                    if assembler.finish_reason:
+                        return
                 raise EndpointFailedError('stream ended without a finish')
             except EndpointUnreachableError as error:
                 raise AttemptFailedError(
                     Outcome.ENDPOINT_FAILED, served.decode, True
                 ) from error
             except EndpointRefusedError as error:
-                blamed = ''
-                if error.reason == REFUSED_LEAVING:
-                    blamed = served.decode
-                raise AttemptFailedError(
-                    Outcome.ATTEMPTS_EXHAUSTED, blamed, True
-                ) from error
+                raise self._refused_decode(served, error) from error
             except EndpointFailedError as error:
-                if reattached_at_index == len(served.emitted):
+                if attached_at == assembler.next_index:
                     raise AttemptFailedError(
                         Outcome.ENDPOINT_FAILED, served.decode, True
                     ) from error
-                reattached_at_index = len(served.emitted)
+                attached_at = assembler.next_index
                 events = engine.resume(
-                    tag.request_id, tag.attempt, len(served.emitted)
+                    tag.request_id, tag.attempt, assembler.next_index
                 )
 
+    def _refused_decode(
+        self, served: ServedRequest, error: EndpointRefusedError
+    ) -> AttemptFailedError:
+        """Notes why a decode engine did not take or no longer has a stream."""
+        entry = self._blackboard.endpoints_by_id.get(served.decode)
+        if error.reason != REFUSED_LEAVING or entry is None:
+            return AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
+        now = asyncio.get_running_loop().time()
+        entry.leaving_until = now + LEAVING_MEMORY_S
+        return AttemptFailedError(
+            Outcome.ATTEMPTS_EXHAUSTED, served.decode, True
+        )
+
     def _note_tokens(self, served: ServedRequest, event: TokenEvent) -> None:
         if event.finish_reason in ('cancelled', 'preempted'):
             raise AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
@@ -507,6 +534,19 @@
     )
 
 
+def _next_tokens(
+    assembler: TokenAssembler, event: TokenEvent
+) -> TokenEvent | None:
+    """Returns the tokens that an event brings in order, None if none."""
+    index = assembler.next_index
+    texts = assembler.add(event)
+    if not texts and not assembler.finish_reason:
+        return None
+    return TokenEvent(
+        event.request_id, event.attempt, index, texts, assembler.finish_reason
+    )
+
+
 def _from_index(event: TokenEvent, first_index: int) -> TokenEvent | None:
     """Returns the part of an event from an index on, None if there is none."""
     skip = first_index - event.index
@@ -521,8 +561,8 @@
 
 
 async def _until(
-    events: AsyncIterator[TokenEvent], deadline_at: float
-) -> AsyncIterator[TokenEvent]:
+    events: AsyncGenerator[TokenEvent, None], deadline_at: float
+) -> AsyncGenerator[TokenEvent, None]:
     """Yields events until a deadline, which raises TimeoutError."""
     if not math.isfinite(deadline_at):
         raise ValueError('deadline must be finite')
--- a/mustardscale/limits.py
+++ b/mustardscale/limits.py
@@ -25,9 +25,7 @@
         self._retries_by_service: dict[
             str, tuple[float | None, RetryBudget]
         ] = {}
-        self.active_by_service: collections.Counter[str] = (
-            collections.Counter()
-        )
+        self.active_by_service: collections.Counter[str] = collections.Counter()
 
     def enter(self, service: str, profile: Profile) -> None:
         """Counts a request in.
@@ -72,14 +70,10 @@
         active = self.active_by_service[service]
         limit = _share(profile.max_concurrent, hosts)
         if limit and active >= limit:
-            raise OutcomeError(
-                Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S
-            )
+            raise OutcomeError(Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S)
         floor_limit = _share(self._floor_limit(), hosts)
         if floor_limit and self.active_by_service.total() >= floor_limit:
-            raise OutcomeError(
-                Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S
-            )
+            raise OutcomeError(Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S)
 
     def _floor_limit(self) -> int:
         """Returns the smallest floor limit of the profiles in use."""
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -110,9 +110,7 @@
 
     def _apply_endpoints(self, listed: list[ListedHost]) -> bool:
         endpoints_by_id = self._blackboard.endpoints_by_id
-        entries = [
-            host for host in listed if host.kind is not ListedKind.ENTRY
-        ]
+        entries = [host for host in listed if host.kind is not ListedKind.ENTRY]
         changed = False
         for host in entries:
             known = endpoints_by_id.get(host.id)
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -114,6 +114,7 @@
   host @1 :Text;
   incarnation @2 :UInt64;
   streams @3 :List(HeldStream);
+  complete @4 :Bool;
 }
 
 struct Release {
@@ -143,7 +144,7 @@
 
 struct DirectoryReply {
   accepted @0 :Bool;
-  settled @1 :Bool;
+  knownS @1 :Float64;
   found @2 :List(DirectoryEntry);
 }
 
@@ -151,7 +152,8 @@
   requestId @0 :Text;
   host @1 :Text;
   incarnation @2 :UInt64;
-  done @3 :Bool;
+  attempt @3 :Int64;
+  done @4 :Bool;
 }
 
 struct StreamLookup {
--- a/mustardscale/plain_calls.py
+++ b/mustardscale/plain_calls.py
@@ -96,9 +96,7 @@
             except EndpointFailedError as error:
                 sent = True
                 if not self._limits.take_retry(request.service, profile):
-                    raise OutcomeError(
-                        Outcome.PLAIN_SERVICE_FAILED
-                    ) from error
+                    raise OutcomeError(Outcome.PLAIN_SERVICE_FAILED) from error
             except TimeoutError as error:
                 raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
 
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -198,7 +198,11 @@
         return None
 
     def observe_report(
-        self, pool: PoolState, engine: EngineState, report: LoadReport, now: float
+        self,
+        pool: PoolState,
+        engine: EngineState,
+        report: LoadReport,
+        now: float,
     ) -> None:
         """Notes a load report."""
         return None
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -63,9 +63,7 @@
             engine.id: max(now, self._prefill_free_at_by_id.get(engine.id, now))
             for engine in pool.engines(EngineRole.PREFILL)
         }
-        pieces = {
-            engine.id: 0.0 for engine in pool.engines(EngineRole.DECODE)
-        }
+        pieces = {engine.id: 0.0 for engine in pool.engines(EngineRole.DECODE)}
         for held in pool.reservations_by_request_id.values():
             stream = held.stream
             if stream.decode in pieces:
@@ -100,9 +98,7 @@
         prefill = min(
             prefills, key=lambda engine: plan.prefill_free_at_by_id[engine.id]
         )
-        decode = min(
-            decodes, key=lambda engine: plan.pieces_by_id[engine.id]
-        )
+        decode = min(decodes, key=lambda engine: plan.pieces_by_id[engine.id])
         free_at = plan.prefill_free_at_by_id[prefill.id]
         need = self._need(
             request.service, request.prompt_tokens, 0, request.max_tokens
--- a/mustardscale/reconcile.py
+++ b/mustardscale/reconcile.py
@@ -99,9 +99,7 @@
             engine_id,
             extra={'code': Outcome.ORPHAN_STREAM_CANCELLED},
         )
-        self._canceller.cancel(
-            engine_id, info.tag.request_id, info.tag.attempt
-        )
+        self._canceller.cancel(engine_id, info.tag.request_id, info.tag.attempt)
 
     def _host_is_live(self, info: StreamInfo) -> bool:
         if info.tag.host == self._blackboard.host:
--- a/mustardscale/rendezvous.py
+++ b/mustardscale/rendezvous.py
@@ -25,6 +25,10 @@
     return sorted(node_ids, key=lambda node: _score(key, node), reverse=True)
 
 
-def owner(key: str, node_ids: Iterable[str]) -> str | None:
-    """Returns the node responsible for a key, None when there are none."""
-    return max(node_ids, key=lambda node: _score(key, node), default=None)
+def owner(key: str, node_ids: Iterable[str]) -> str:
+    """Returns the node responsible for a key.
+
+    Raises:
+        ValueError: there are no nodes.
+    """
+    return max(node_ids, key=lambda node: _score(key, node))
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -7,7 +7,7 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable, Iterator
 
 from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard
@@ -34,7 +34,6 @@
     HostListController,
     MembershipTimes,
 )
-from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import PeerTransport
@@ -44,6 +43,7 @@
 from mustardscale.pool_owner import PoolOwner
 from mustardscale.quarantine import Suspicions
 from mustardscale.reconcile import Reconciler
+from mustardscale.request_metrics import RequestMetrics
 from mustardscale.requests import LanguageRequest, PlainRequest
 from mustardscale.resumption import Resumption
 from mustardscale.service_api import RequestService
@@ -51,7 +51,7 @@
 
 MEMBERSHIP_POLL_S = 0.25
 SUSPICION_EXPIRY_S = 30.0
-DRAIN_POLL_S = 0.05
+DRAINING_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,12 +149,14 @@
         clients = EndpointClients(board, edges.connector)
         suspicions = Suspicions(board)
         self.blackboard = board
-        self.metrics = Metrics()
+        self.metrics = RequestMetrics()
         self._edges = edges
         self._calls = calls
         self._clients = clients
         self._tasks: list[asyncio.Task[None]] = []
         self._active = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
         self.host_list = HostListController(
             board, edges.host_list, options.times, rng
@@ -242,8 +244,8 @@
         await self.heartbeats.announce()
         try:
             async with asyncio.timeout(timeout_s):
-                while self._active or self._canceller.pending:
-                    await asyncio.sleep(DRAIN_POLL_S)
+                await self._idle.wait()
+                await self._canceller.wait_idle()
         except TimeoutError:
             return False
         return True
@@ -269,7 +271,7 @@
         services = self.blackboard.config.services_by_name
         if not services:
             raise OutcomeError(
-                Outcome.CONFIG_UNAVAILABLE, retry_after_s=DRAIN_POLL_S
+                Outcome.CONFIG_UNAVAILABLE, retry_after_s=DRAINING_RETRY_AFTER_S
             )
         digest = hashlib.sha256(bearer_token.encode()).hexdigest()
         for name, entry in services.items():
@@ -299,7 +301,7 @@
 
     async def serve_language(
         self, request: LanguageRequest
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Yields the tokens of an answer; closing it means the caller left."""
         with self._counting(request.service):
             choice = self.service_choice(request.service)
@@ -317,11 +319,14 @@
             return await self._plain.serve(request, profile)
 
     @contextlib.contextmanager
-    def _counting(self, service: str):
+    def _counting(self, service: str) -> Iterator[None]:
         """Counts a request as active and records its outcome."""
         if self.blackboard.draining:
-            raise OutcomeError(Outcome.DRAINING, retry_after_s=DRAIN_POLL_S)
+            raise OutcomeError(
+                Outcome.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
+            )
         self._active += 1
+        self._idle.clear()
         try:
             yield
         except OutcomeError as error:
@@ -334,6 +339,8 @@
             self.metrics.count_outcome(service, Outcome.COMPLETE)
         finally:
             self._active -= 1
+            if not self._active:
+                self._idle.set()
 
     def dump(self) -> dict[str, object]:
         """Returns the process's state as a JSON object."""
--- a/mustardscale/service_api.py
+++ b/mustardscale/service_api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from mustardscale.config_records import ServiceChoice, ServiceKind
 from mustardscale.engines import TokenEvent
@@ -28,7 +28,7 @@
     @abc.abstractmethod
     def serve_language(
         self, request: LanguageRequest
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Yields the tokens of an answer; closing it means the caller left."""
 
     @abc.abstractmethod
--- a/mustardscale/state_dump.py
+++ b/mustardscale/state_dump.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import math
+from collections.abc import Mapping
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.engines import EngineRole
@@ -55,9 +56,7 @@
     }
 
 
-def dump_state(
-    board: Blackboard, pool_owner: PoolOwner
-) -> dict[str, object]:
+def dump_state(board: Blackboard, pool_owner: PoolOwner) -> dict[str, object]:
     """Returns all that a process knows, as a JSON object."""
     return {
         'host': board.host,
@@ -85,21 +84,19 @@
         'pools_by_id': {
             pool_id: {
                 **_pool_fill(pool),
-                'reservations': _plain(
-                    pool.state.reservations_by_request_id
-                ),
+                'reservations': _plain(pool.state.reservations_by_request_id),
             }
             for pool_id, pool in pool_owner.owned_by_id.items()
         },
     }
 
 
-def _plain(by_key: dict[str, object]) -> dict[str, object]:
+def _plain(by_key: Mapping[str, object]) -> dict[str, object]:
     return {key: _fields(value) for key, value in by_key.items()}
 
 
 def _fields(value: object, skip: tuple[str, ...] = ()) -> dict[str, object]:
-    if not dataclasses.is_dataclass(value):
+    if not dataclasses.is_dataclass(value) or isinstance(value, type):
         raise TypeError(f'{type(value).__name__} is not a dataclass')
     return {
         field.name: _member(getattr(value, field.name))
@@ -109,7 +106,7 @@
 
 
 def _member(value: object) -> object:
-    if dataclasses.is_dataclass(value):
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return _fields(value)
     if isinstance(value, float):
         return _number(value)
--- /dev/null
+++ b/standins/memory_site.py
@@ -0,0 +1,298 @@
+"""A whole site in one process: entry hosts, endpoints and the platform.
+
+Everything runs on one event loop, so that tests and benches can use a paused
+clock; the entry hosts run the code that the daemon runs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+from collections.abc import Callable
+
+from mustardscale.blackboard import EndpointEntry
+from mustardscale.config_records import (
+    ConfigChange,
+    ConfigKey,
+    Profile,
+    ServiceChoice,
+    ServiceKind,
+    encode_record,
+)
+from mustardscale.endpoint_clients import EndpointConnector
+from mustardscale.engines import Engine, EngineRole
+from mustardscale.host_list import ListedHost, ListedKind
+from mustardscale.log_client import CONFIG_STREAM
+from mustardscale.plain_endpoints import PlainEndpoint
+from mustardscale.router import Edges, Router, RouterOptions
+from standins.engine_inprocess import InProcessEngine
+from standins.engine_model import EngineModel
+from standins.engine_parameters import EngineParameters
+from standins.expected_answers import output_length
+from standins.host_list_model import HostListModel, MemoryHostList
+from standins.kv_source import InProcessKvSource
+from standins.log_model import LogModel
+from standins.memory_log import MemoryLogClient
+from standins.memory_network import MemoryNetwork
+from standins.memory_peers import MemoryPeerNetwork
+from standins.plain_inprocess import MemoryPlainEndpoint
+from standins.plain_model import PlainModel
+
+# Wall-clock time at loop time 0, seconds since the epoch.
+WALL_START_S = 1_800_000_000.0
+CLIENT_DELAY_S = 0.0015
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteLayout:
+    """The size of a site.
+
+    Attributes:
+        region: its region.
+        data_centres: its data centres.
+        entry_hosts: number of entry hosts.
+        language_service: name of the language service, also its model.
+        prefill_engines: engines of the prefill role.
+        decode_engines: engines of the decode role.
+        plain_service: name of the plain service.
+        plain_endpoints: its endpoints.
+    """
+
+    region: str = 'dk-east'
+    data_centres: tuple[str, ...] = ('dc1', 'dc2', 'dc3', 'dc4')
+    entry_hosts: int = 6
+    language_service: str = 'katode-lm'
+    prefill_engines: int = 2
+    decode_engines: int = 3
+    plain_service: str = 'katode-ledger'
+    plain_endpoints: int = 4
+
+
+def token_of(service: str) -> str:
+    """Returns the bearer token of a service in stand-in sites."""
+    return f'token-{service}'
+
+
+class MemoryConnector(EndpointConnector):
+    """Makes in-process clients on behalf of one entry host."""
+
+    def __init__(self, site: MemorySite, host: str):
+        self._site = site
+        self._host = host
+
+    def engine(self, endpoint: EndpointEntry) -> Engine:
+        """Makes the client of an engine."""
+        model = self._site.engines_by_id[endpoint.id]
+        return InProcessEngine(
+            model,
+            CLIENT_DELAY_S,
+            lambda: self._site.reaches(self._host, endpoint.id),
+        )
+
+    def plain(self, endpoint: EndpointEntry) -> PlainEndpoint:
+        """Makes the client of a plain service's endpoint."""
+        model = self._site.plains_by_id[endpoint.id]
+        network = MemoryNetwork(
+            CLIENT_DELAY_S,
+            reachable=lambda: self._site.reaches(self._host, endpoint.id),
+        )
+        return MemoryPlainEndpoint(model, network)
+
+    def engine_url(self, endpoint: EndpointEntry) -> str:
+        """Returns the address by which other engines reach an engine."""
+        return endpoint.id
+
+
+class MemorySite:
+    """Entry hosts with stand-ins around them; make it inside a running loop.
+
+    Attributes:
+        layout: the size.
+        log: the log.
+        host_list: the host list.
+        peers: the network between entry hosts.
+        engines_by_id: the engines.
+        plains_by_id: the endpoints of the plain service.
+        routers_by_host: the entry hosts that are up.
+        cut_pairs: (host, endpoint or platform service) that are cut.
+    """
+
+    def __init__(
+        self,
+        layout: SiteLayout,
+        seed: int = 0,
+        policy: str = 'mustardscale',
+        parameters: EngineParameters | None = None,
+        length_of: Callable[[int, int], int] = output_length,
+    ):
+        self.layout = layout
+        self.rng = random.Random(seed)
+        self._policy = policy
+        self._length_of = length_of
+        self._incarnation = 0
+        self._change_number = 0
+        self.log = LogModel(random.Random(self.rng.random()))
+        self.peers = MemoryPeerNetwork(random.Random(self.rng.random()))
+        self.engines_by_id: dict[str, EngineModel] = {}
+        self.plains_by_id: dict[str, PlainModel] = {}
+        self.routers_by_host: dict[str, Router] = {}
+        self.cut_pairs: set[tuple[str, str]] = set()
+        self._kv_source = InProcessKvSource(self.engines_by_id)
+        self._make_engines(parameters or EngineParameters())
+        for number in range(layout.plain_endpoints):
+            name = f'{layout.plain_service}-{number + 1}'
+            self.plains_by_id[name] = PlainModel(
+                random.Random(self.rng.random())
+            )
+        self.host_list = HostListModel(self._listed())
+
+    def _make_engines(self, parameters: EngineParameters) -> None:
+        layout = self.layout
+        roles = [EngineRole.PREFILL] * layout.prefill_engines
+        roles += [EngineRole.DECODE] * layout.decode_engines
+        for number, role in enumerate(roles):
+            name = f'{layout.language_service}-{number + 1}'
+            self.engines_by_id[name] = EngineModel(
+                dataclasses.replace(
+                    parameters,
+                    role=role,
+                    model=layout.language_service,
+                    seed=self.rng.randrange(1 << 30),
+                ),
+                self._kv_source,
+                self._length_of,
+            )
+
+    def _listed(self) -> list[ListedHost]:
+        layout = self.layout
+        places = layout.data_centres
+        listed = [
+            self._listed_entry(f'entry-{number + 1}')
+            for number in range(layout.entry_hosts)
+        ]
+        for number, (name, engine) in enumerate(self.engines_by_id.items()):
+            listed.append(
+                ListedHost(
+                    name,
+                    ListedKind.ENGINE,
+                    name,
+                    places[number % len(places)],
+                    layout.region,
+                    service=layout.language_service,
+                    model=layout.language_service,
+                    role=engine.parameters.role,
+                )
+            )
+        for number, name in enumerate(self.plains_by_id):
+            listed.append(
+                ListedHost(
+                    name,
+                    ListedKind.PLAIN,
+                    name,
+                    places[number % len(places)],
+                    layout.region,
+                    service=layout.plain_service,
+                )
+            )
+        return listed
+
+    def _listed_entry(self, host: str) -> ListedHost:
+        places = self.layout.data_centres
+        number = int(host.rpartition('-')[2]) - 1
+        return ListedHost(
+            host,
+            ListedKind.ENTRY,
+            host,
+            places[number % len(places)],
+            self.layout.region,
+        )
+
+    def reaches(self, host: str, target: str) -> bool:
+        """Returns whether a host is up and not cut from a target."""
+        up = host in self.routers_by_host
+        return up and (host, target) not in self.cut_pairs
+
+    async def start(self) -> None:
+        """Starts all entry hosts."""
+        for number in range(self.layout.entry_hosts):
+            await self.start_host(f'entry-{number + 1}')
+
+    async def start_host(self, host: str) -> Router:
+        """Starts an entry host with a new incarnation."""
+        self._incarnation += 1
+        listed = self._listed_entry(host)
+        options = RouterOptions(
+            host,
+            self._incarnation,
+            listed.data_centre,
+            listed.region,
+            self._policy,
+        )
+        edges = Edges(
+            MemoryLogClient(
+                self.log,
+                MemoryNetwork(reachable=lambda: self.reaches(host, 'log')),
+            ),
+            MemoryHostList(
+                self.host_list,
+                MemoryNetwork(reachable=lambda: self.reaches(host, 'list')),
+            ),
+            self.peers.transport(host),
+            MemoryConnector(self, host),
+            self.wall_clock,
+        )
+        router = Router(options, edges, random.Random(self.rng.random()))
+        self.routers_by_host[host] = router
+        await router.start()
+        return router
+
+    async def kill_host(self, host: str) -> None:
+        """Ends an entry host without any word to the others."""
+        router = self.routers_by_host.pop(host)
+        self.peers.kill(host)
+        await router.stop()
+
+    def wall_clock(self) -> float:
+        """Returns the wall-clock time that goes with the loop's."""
+        return WALL_START_S + asyncio.get_running_loop().time()
+
+    async def publish_defaults(self, language: Profile, plain: Profile) -> None:
+        """Publishes a profile and a service choice for each service."""
+        layout = self.layout
+        await self.publish(
+            ConfigKey('profile', layout.language_service), language
+        )
+        await self.publish(ConfigKey('profile', layout.plain_service), plain)
+        for service, kind in (
+            (layout.language_service, ServiceKind.LANGUAGE),
+            (layout.plain_service, ServiceKind.PLAIN),
+        ):
+            digest = hashlib.sha256(token_of(service).encode()).hexdigest()
+            model = service if kind is ServiceKind.LANGUAGE else ''
+            choice = ServiceChoice(service, kind, model, (digest,))
+            await self.publish(ConfigKey('service', service), choice)
+
+    async def publish(
+        self, key: ConfigKey, content: Profile | ServiceChoice, base: int = 0
+    ) -> int:
+        """Appends a change to the configuration stream."""
+        self._change_number += 1
+        change = ConfigChange(
+            key,
+            base,
+            f'change-{self._change_number}',
+            'operator',
+            profile=content if isinstance(content, Profile) else None,
+            service=content if isinstance(content, ServiceChoice) else None,
+        )
+        offsets = await self.log.append(CONFIG_STREAM, [encode_record(change)])
+        return offsets[0]
+
+    async def stop(self) -> None:
+        """Stops all that runs."""
+        for host in list(self.routers_by_host):
+            await self.kill_host(host)
+        for engine in self.engines_by_id.values():
+            engine.close()
