--- /dev/null
+++ b/mustardscale/event_stream.py
@@ -0,0 +1,56 @@
+"""Decodes server-sent events; only their data is used."""
+
+from __future__ import annotations
+
+# Longest line accepted, in bytes.
+MAX_LINE_BYTES = 256 * 1024
+
+_DATA = b'data:'
+
+
+class EventStreamError(Exception):
+    """The stream cannot be decoded."""
+
+
+class EventStreamDecoder:
+    r"""Cuts a byte stream into the data of its events.
+
+    >>> decoder = EventStreamDecoder()
+    >>> decoder.feed(b'data: a\n\nda')
+    [b'a']
+    >>> decoder.feed(b'ta: b\n\n')
+    [b'b']
+    """
+
+    __slots__ = ('_max_line_bytes', '_rest')
+
+    def __init__(self, max_line_bytes: int = MAX_LINE_BYTES):
+        self._max_line_bytes = max_line_bytes
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Takes the next bytes and returns the data of whole lines.
+
+        Raises:
+            EventStreamError: a line is too long.
+        """
+        lines = (self._rest + chunk).split(b'\n')
+        self._rest = lines.pop()
+        if max(map(len, lines), default=0) > self._max_line_bytes:
+            raise EventStreamError('line too long')
+        if len(self._rest) > self._max_line_bytes:
+            raise EventStreamError('line too long')
+        return [
+            line[len(_DATA) :].strip()
+            for line in lines
+            if line.startswith(_DATA)
+        ]
+
+
+def encode_event(data: bytes) -> bytes:
+    r"""Returns the bytes of an event.
+
+    >>> encode_event(b'a')
+    b'data: a\n\n'
+    """
+    return b'data: ' + data + b'\n\n'
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -43,6 +43,7 @@
     EngineCounters,
     EngineFaults,
     EngineParameters,
+    EngineState,
 )
 from standins.event_faults import disturb
 from standins.expected_answers import output_length
@@ -242,6 +243,15 @@
             link_bytes_per_s=self._store.link_bytes_per_s,
         )
 
+    def state(self) -> EngineState:
+        """Returns counters and memory in use, for judging."""
+        return EngineState(
+            self.counters,
+            self.counters.prefill_tokens_wasted,
+            self.memory.total - self.memory.free,
+            self.start,
+        )
+
     def kill(self, down_s: float | None = None) -> None:
         """Crashes the engine: everything is lost, then it starts anew.
 
@@ -259,6 +269,7 @@
         self._store.discard(lambda tag: True, WASTED_LOST)
         self._decodes.fail_all(error)
         self._cache.clear()
+        self._reports.restart()
         self.on_crash(down_s)
 
     def freeze(self) -> None:
--- a/standins/engine_parameters.py
+++ b/standins/engine_parameters.py
@@ -132,3 +132,20 @@
         """Counts prefill tokens whose result was of no use."""
         earlier = self.wasted_tokens_by_cause.get(cause, 0)
         self.wasted_tokens_by_cause[cause] = earlier + tokens
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """Counters and memory at one moment.
+
+    Attributes:
+        counters: what was done.
+        prefill_tokens_wasted: sum of the wasted tokens over all causes.
+        pieces_used: memory pieces in use.
+        start: start number.
+    """
+
+    counters: EngineCounters
+    prefill_tokens_wasted: int
+    pieces_used: int
+    start: int
--- a/standins/load_reports.py
+++ b/standins/load_reports.py
@@ -16,7 +16,8 @@
 class LaggedReports:
     """Takes reports at fixed intervals and hands out an old one.
 
-    The age of the report handed out is from one to one and a half lags.
+    The age of the report handed out is from one to one and a half lags, but
+    for the time after a start, when the first one is handed out at once.
     """
 
     def __init__(self, lag_s: float, take: Callable[[], LoadReport]):
@@ -47,6 +48,12 @@
                 taken_at, report = older_at, older
         return dataclasses.replace(report, age_s=now - taken_at)
 
+    def restart(self) -> None:
+        """Forgets the reports of an earlier process and takes a first one."""
+        self.close()
+        self._reports.clear()
+        self._tick()
+
     def close(self) -> None:
         """Stops to take reports."""
         if self._timer is not None:
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 
 import pytest
 
@@ -18,6 +19,7 @@
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
+    EndpointRefusedError,
     EndpointUnreachableError,
 )
 from mustardscale.requests import prompt_from_text
@@ -373,3 +375,90 @@
         report = await pair.decode.report()
         assert report.active == 1
         assert report.age_s >= 0.5
+
+
+class TestBookkeeping:
+    """Memory and counts after random work and faults."""
+
+    @pytest.mark.parametrize('seed', range(40))
+    def test_everything_is_freed_in_the_end(self, seed):
+        @virtual_time
+        async def check(self):
+            chance = random.Random(seed)
+            pair = EnginePair(
+                length=300,
+                pieces_total=chance.choice((2, 4, 16)),
+                tokens_per_event=chance.choice((1, 8)),
+            )
+            requests = [
+                asyncio.create_task(_run_request(pair, str(number), chance))
+                for number in range(20)
+            ]
+            faults = asyncio.create_task(_switch_faults(pair, chance))
+            results = await asyncio.gather(*requests)
+            await faults
+            await asyncio.sleep(30)
+            assert pair.pieces_used() == 0
+            assert await pair.stage_by_request() == {}
+            for model in (pair.prefill_model, pair.decode_model):
+                assert model.memory.free == model.memory.total
+                assert model.counters.prefill_tokens_wasted >= 0
+            counters = pair.prefill_model.counters
+            wasted = counters.prefill_tokens_wasted
+            assert wasted <= counters.prefill_tokens_computed
+            begun = pair.decode_model.counters.executions_by_request
+            for name, result in enumerate(results):
+                if result == 300:
+                    assert begun[str(name)] == 1
+
+        check(self)
+
+
+async def _run_request(pair, name, chance) -> int:
+    """Runs a request, perhaps cancels it, and counts its tokens."""
+    await asyncio.sleep(chance.uniform(0, 3))
+    count = 0
+    leaves_at = chance.choice((0, 5, 10**6))
+    try:
+        call = await pair.compute(
+            name, tokens=chance.randrange(1, 4000), priority=chance.randrange(3)
+        )
+        events = pair.decode.decode(call)
+        async with contextlib.aclosing(events):
+            async for event in events:
+                count += len(event.texts)
+                if count > leaves_at:
+                    break
+    except (
+        EndpointFailedError,
+        EndpointRefusedError,
+        EndpointUnreachableError,
+    ):
+        pass
+    if leaves_at < 10**6:
+        pair.decode_model.faults.lose_cancel_answers = chance.random() < 0.2
+        for engine in (pair.prefill, pair.decode):
+            with contextlib.suppress(
+                EndpointFailedError, EndpointUnreachableError
+            ):
+                await engine.cancel(name, 1)
+    return count
+
+
+async def _switch_faults(pair, chance) -> None:
+    """Switches a few faults on and off again."""
+    for _ in range(6):
+        model = chance.choice((pair.prefill_model, pair.decode_model))
+        await asyncio.sleep(chance.uniform(0, 1))
+        fault = chance.choice(('kill', 'freeze', 'stall', 'slow'))
+        if fault == 'kill':
+            model.kill(chance.uniform(0, 1))
+        if fault == 'freeze':
+            model.freeze()
+        if fault == 'slow':
+            model.faults.slow_factor = 3.0
+        model.stall_transfers(fault == 'stall')
+        await asyncio.sleep(chance.uniform(0, 1))
+        model.thaw()
+        model.stall_transfers(False)
+        model.faults.slow_factor = 1.0
