--- /dev/null
+++ b/mustardscale/http_sessions.py
@@ -0,0 +1,91 @@
+"""HTTP client sessions that tell whether a request may have been sent."""
+
+from __future__ import annotations
+
+import types
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+
+# Seconds for which an idle connection is kept; less than servers commonly do,
+# so that a request seldom meets a connection that is being closed.
+KEEPALIVE_S = 5.0
+# Seconds until a connection attempt is given up.
+CONNECT_TIMEOUT_S = 1.0
+
+# Errors with which aiohttp ends a request that was not answered.
+REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+_SendRequest = Callable[
+    [aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]
+]
+
+
+class ConnectionLostError(Exception):
+    """A connection broke before its answer began."""
+
+
+class SendProgress:
+    """How far a request came.
+
+    Attributes:
+        connected: whether it was given a connection, so that bytes of it may
+            have left this host.
+    """
+
+    __slots__ = ('connected',)
+
+    def __init__(self) -> None:
+        self.connected = False
+
+
+async def _mark_connected(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: Any,
+) -> None:
+    progress = context.trace_request_ctx
+    if progress is not None:
+        progress.connected = True
+
+
+async def _forbid_resending(
+    request: aiohttp.ClientRequest, send: _SendRequest
+) -> aiohttp.ClientResponse:
+    """Keeps aiohttp from sending a request again.
+
+    aiohttp sends requests with an idempotent method again when their
+    connection breaks. It does so only for its own errors.
+    """
+    try:
+        return await send(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLostError(str(error)) from error
+
+
+def make_session(
+    max_header_bytes: int = 8190, **options: Any
+) -> aiohttp.ClientSession:
+    """Makes a session that sends each request at most once.
+
+    Requests are made with trace_request_ctx=SendProgress() and fail with one
+    of REQUEST_ERRORS or ConnectionLostError. Cookies, redirects by default,
+    proxies from the environment and decompression are off.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_mark_connected)
+    trace.on_connection_reuseconn.append(_mark_connected)
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[trace],
+        middlewares=(_forbid_resending,),
+        auto_decompress=False,
+        max_line_size=max_header_bytes,
+        max_field_size=max_header_bytes,
+        **options,
+    )
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,121 @@
+"""Conditions, errors and counters that the stand-ins share."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import random
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+
+# Seconds between two looks at whether a suspended stand-in goes on.
+SUSPENDED_POLL_S = 0.05
+
+
+class Outage(enum.StrEnum):
+    """How a stand-in that is out behaves."""
+
+    NONE = 'none'
+    REFUSE = 'refuse'
+    HANG = 'hang'
+
+
+class StandinRefusedError(Exception):
+    """The stand-in refused a call; nothing took effect.
+
+    Attributes:
+        retry_after_s: seconds after which a new call may succeed.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float):
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class AnswerLostError(Exception):
+    """The call took effect, but its answer is not delivered."""
+
+
+class Disruption(Protocol):
+    """The conditions that disturb calls to a stand-in.
+
+    Attributes:
+        outage: whether calls are refused or hang.
+        delay_s: seconds that each call takes in addition.
+    """
+
+    outage: Outage
+    delay_s: float
+
+
+class AnswerLoss(Protocol):
+    """The conditions under which answers are lost.
+
+    Attributes:
+        lose_next_answers: how many of the next answers are lost.
+        lose_answer_probability: share of the other answers that is lost.
+    """
+
+    lose_next_answers: int
+    lose_answer_probability: float
+
+
+T = TypeVar('T')
+
+
+async def pass_disruption(conditions: Disruption) -> None:
+    """Waits while calls hang or are slow.
+
+    A call that hung goes on after the outage, also when its caller has left.
+
+    Raises:
+        StandinRefusedError: an outage in which calls are refused.
+    """
+    if conditions.delay_s > 0:
+        await asyncio.sleep(conditions.delay_s)
+    await wait_while(lambda: conditions.outage is Outage.HANG)
+    if conditions.outage is Outage.REFUSE:
+        raise StandinRefusedError('outage', 1.0)
+
+
+async def wait_while(suspended: Callable[[], bool]) -> None:
+    """Waits until a condition no longer holds."""
+    # The conditions are plain fields, so no event marks their change.
+    while suspended():  # noqa: ASYNC110
+        await asyncio.sleep(SUSPENDED_POLL_S)
+
+
+def lose_answer(conditions: AnswerLoss, rng: random.Random) -> None:
+    """Decides whether the answer of a call is lost.
+
+    Raises:
+        AnswerLostError: it is lost.
+    """
+    if conditions.lose_next_answers > 0:
+        conditions.lose_next_answers -= 1
+        raise AnswerLostError()
+    probability = conditions.lose_answer_probability
+    if probability > 0 and rng.random() < probability:
+        raise AnswerLostError()
+
+
+def update_fields(target: Any, changes: dict[str, Any]) -> None:
+    """Sets fields of a dataclass from JSON values; all of them or none.
+
+    Args:
+        target: the dataclass instance.
+        changes: new values by field name.
+
+    Raises:
+        ValueError: a field is unknown or a value has the wrong type.
+    """
+    values = dataclasses.asdict(target)
+    unknown = changes.keys() - values.keys()
+    if unknown:
+        raise ValueError(f'unknown fields: {sorted(unknown)}')
+    updated = msgspec.convert(values | changes, type(target), strict=False)
+    for name in changes:
+        setattr(target, name, getattr(updated, name))
