--- /dev/null
+++ b/mustardscale/http_plain.py
@@ -0,0 +1,217 @@
+"""Client of a plain service's endpoint over HTTP."""
+
+from __future__ import annotations
+
+import dataclasses
+import http
+from collections.abc import Iterable
+
+import aiohttp
+import yarl
+
+from mustardscale.engines import REFUSED_LEAVING
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.http_sessions import (
+    CONNECT_TIMEOUT_S,
+    REQUEST_ERRORS,
+    ConnectionLostError,
+    SendProgress,
+    make_session,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.plain_endpoints import PlainAnswer, PlainCall, PlainEndpoint
+
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+# Header with which an endpoint says in a 503 why it did not take a call.
+REFUSED_REASON = 'X-Refused-Reason'
+
+# Headers that concern one connection, in lower case, and so are not passed on.
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+# Headers of a call that the client sets itself, in lower case.
+_REPLACED_HEADERS = frozenset(
+    {'content-length', 'expect', 'host', IDEMPOTENCY_KEY.lower()}
+)
+# Headers that aiohttp would add to a call that lacks them.
+_AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
+_READ_CHUNK_BYTES = 64 * 1024
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainLimits:
+    """Sizes that calls and answers may have.
+
+    Attributes:
+        header_bytes: names and values of all headers together.
+        body_bytes: the content.
+    """
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+
+
+def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Returns the headers that are passed on.
+
+    >>> end_to_end_headers(
+    ...     [('Connection', 'X-Hop'), ('X-Hop', '1'), ('Accept', '*/*')]
+    ... )
+    (('Accept', '*/*'),)
+    """
+    pairs = tuple(headers)
+    dropped = set(HOP_BY_HOP_HEADERS)
+    for name, value in pairs:
+        if name.lower() == 'connection':
+            dropped.update(token.strip().lower() for token in value.split(','))
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
+
+
+class HttpPlainEndpoint(PlainEndpoint):
+    """One endpoint of a plain service at one address."""
+
+    __slots__ = ('_address', '_limits', '_session')
+
+    def __init__(self, address: str, limits: PlainLimits | None = None):
+        """Opens a session; a loop must be running.
+
+        Args:
+            address: 'ip:port' of the endpoint.
+            limits: sizes that calls and answers may have.
+        """
+        self._address = address
+        self._limits = limits or PlainLimits()
+        self._session = make_session(
+            self._limits.header_bytes, skip_auto_headers=_AUTOMATIC_HEADERS
+        )
+
+    async def call(self, call: PlainCall) -> PlainAnswer:
+        """See the base class.
+
+        Raises:
+            OutcomeError: the call itself is malformed or too large; nothing
+                was sent.
+        """
+        headers = self._request_headers(call)
+        _check_target(call)
+        progress = SendProgress()
+        try:
+            answer = await self._exchange(call, headers, progress)
+        except (*REQUEST_ERRORS, ConnectionLostError) as error:
+            detail = str(error) or type(error).__name__
+            if not progress.connected:
+                raise EndpointUnreachableError(detail) from error
+            raise EndpointFailedError(detail, _is_closed(error)) from error
+        if _is_leaving(answer):
+            raise EndpointRefusedError(REFUSED_LEAVING)
+        return answer
+
+    async def close(self) -> None:
+        """Closes the session."""
+        await self._session.close()
+
+    def _request_headers(self, call: PlainCall) -> Headers:
+        headers = tuple(
+            pair
+            for pair in end_to_end_headers(call.headers)
+            if pair[0].lower() not in _REPLACED_HEADERS
+        )
+        headers += ((IDEMPOTENCY_KEY, call.request_id),)
+        for name, value in headers:
+            if not _is_sendable(name) or not _is_sendable(value):
+                raise OutcomeError(
+                    Outcome.MALFORMED_REQUEST, 'A header cannot be passed on.'
+                )
+        if (
+            _header_bytes(headers) > self._limits.header_bytes
+            or len(call.body) > self._limits.body_bytes
+        ):
+            raise OutcomeError(Outcome.REQUEST_TOO_LARGE)
+        return headers
+
+    async def _exchange(
+        self, call: PlainCall, headers: Headers, progress: SendProgress
+    ) -> PlainAnswer:
+        timeout = aiohttp.ClientTimeout(
+            total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        async with self._session.request(
+            call.method,
+            yarl.URL(f'http://{self._address}{call.path}', encoded=True),
+            headers=headers,
+            data=call.body or None,
+            timeout=timeout,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        ) as response:
+            return await self._read_answer(response)
+
+    async def _read_answer(
+        self, response: aiohttp.ClientResponse
+    ) -> PlainAnswer:
+        headers = end_to_end_headers(response.headers.items())
+        if _header_bytes(headers) > self._limits.header_bytes:
+            raise EndpointFailedError("the answer's headers are too large")
+        body = bytearray()
+        async for chunk in response.content.iter_chunked(_READ_CHUNK_BYTES):
+            body += chunk
+            if len(body) > self._limits.body_bytes:
+                raise EndpointFailedError("the answer's content is too large")
+        return PlainAnswer(response.status, headers, bytes(body))
+
+
+def _check_target(call: PlainCall) -> None:
+    method_ok = call.method.isascii() and call.method.isalpha()
+    path_ok = call.path.startswith('/') and call.path.isascii()
+    if not method_ok or not path_ok or not _is_visible(call.path):
+        raise OutcomeError(
+            Outcome.MALFORMED_REQUEST, 'The method or path cannot be passed on.'
+        )
+
+
+def _is_visible(text: str) -> bool:
+    return text.isprintable() and ' ' not in text
+
+
+def _is_sendable(text: str) -> bool:
+    """Whether a header's name or value can be written to a connection."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return not any(character in text for character in '\r\n\0')
+
+
+def _header_bytes(headers: Headers) -> int:
+    return sum(len(name) + len(value) for name, value in headers)
+
+
+def _is_leaving(answer: PlainAnswer) -> bool:
+    if answer.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return any(
+        name.lower() == REFUSED_REASON.lower() and value == REFUSED_LEAVING
+        for name, value in answer.headers
+    )
+
+
+def _is_closed(error: BaseException) -> bool:
+    """Whether the endpoint closed the connection before a whole answer."""
+    return isinstance(error, ConnectionLostError | aiohttp.ClientPayloadError)
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -48,8 +48,12 @@
     parser = serving.make_parser('Log stand-in.', conditions)
     arguments = parser.parse_args()
     serving.apply_fault_arguments(conditions, arguments.fault)
-    model = LogModel(random.Random(arguments.seed), conditions)
-    serving.run(make_log_application(model), arguments.listen)
+
+    def make_listener(host: str, port: int) -> serving.Listener:
+        model = LogModel(random.Random(arguments.seed), conditions)
+        return serving.Listener(make_log_application(model), host, port)
+
+    serving.run(make_listener, arguments.listen)
 
 
 if __name__ == '__main__':
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -190,7 +190,7 @@
 
 
 async def serve(listener: Listener) -> None:
-    """Serves until SIGTERM or SIGINT; prints the address as a JSON line."""
+    """Serves until SIGTERM or SIGINT; logs the port once it listens."""
     log = logging.getLogger('standins')
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
@@ -202,10 +202,19 @@
     await listener.close()
 
 
-def run(app: web.Application, listen: str) -> None:
-    """Serves an application on 'ip:port' with JSON-lines logging."""
+def run(make_listener: Callable[[str, int], Listener], listen: str) -> None:
+    """Serves on 'ip:port' with JSON-lines logging.
+
+    Args:
+        make_listener: called in the loop with the IP number and the port.
+        listen: 'ip:port'; port 0 takes any free port.
+    """
     handler = logging.StreamHandler()
     handler.setFormatter(JsonLineFormatter())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     host, _, port = listen.rpartition(':')
-    asyncio.run(serve(Listener(app, host, int(port))))
+
+    async def main() -> None:
+        await serve(make_listener(host, int(port)))
+
+    asyncio.run(main())
