--- a/mustardscale/http_log.py
+++ b/mustardscale/http_log.py
@@ -58,16 +58,22 @@
 
     __slots__ = ('_base_url', '_call_timeout_s', '_session')
 
-    def __init__(self, address: str, call_timeout_s: float = CALL_TIMEOUT_S):
+    def __init__(
+        self,
+        address: str,
+        host: str = '',
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ):
         """Opens a session; a loop must be running.
 
         Args:
             address: 'ip:port' of the log service.
+            host: id of this host, by which the service knows its callers.
             call_timeout_s: seconds until a call is given up.
         """
         self._base_url = f'http://{address}'
         self._call_timeout_s = call_timeout_s
-        self._session = make_session()
+        self._session = make_session(host)
 
     async def append(self, stream: str, payloads: list[bytes]) -> list[int]:
         """See the base class."""
--- a/mustardscale/http_plain.py
+++ b/mustardscale/http_plain.py
@@ -99,7 +99,8 @@
         self._address = address
         self._limits = limits or PlainLimits()
         self._session = make_session(
-            self._limits.header_bytes, skip_auto_headers=_AUTOMATIC_HEADERS
+            max_header_bytes=self._limits.header_bytes,
+            skip_auto_headers=_AUTOMATIC_HEADERS,
         )
 
     async def call(self, call: PlainCall) -> PlainAnswer:
--- a/mustardscale/http_sessions.py
+++ b/mustardscale/http_sessions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import types
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import aiohttp
@@ -11,9 +11,14 @@
 # Seconds for which an idle connection is kept; less than servers commonly do,
 # so that a request seldom meets a connection that is being closed.
 KEEPALIVE_S = 5.0
+# Bytes of a line of an answer's head at most.
+DEFAULT_HEADER_BYTES = 8190
 # Seconds until a connection attempt is given up.
 CONNECT_TIMEOUT_S = 1.0
 
+# Header that tells the platform's services which host calls.
+HOST_ID_HEADER = 'X-Host-Id'
+
 # Errors with which aiohttp ends a request that was not answered.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -67,13 +72,20 @@
 
 
 def make_session(
-    max_header_bytes: int = 8190, **options: Any
+    host: str = '',
+    max_header_bytes: int = DEFAULT_HEADER_BYTES,
+    skip_auto_headers: Iterable[str] = (),
 ) -> aiohttp.ClientSession:
     """Makes a session that sends each request at most once.
 
     Requests are made with trace_request_ctx=SendProgress() and fail with one
     of REQUEST_ERRORS or ConnectionLostError. Cookies, redirects by default,
     proxies from the environment and decompression are off.
+
+    Args:
+        host: id of this host, sent with each request unless empty.
+        max_header_bytes: length of a line of an answer's head at most.
+        skip_auto_headers: names of headers that aiohttp shall not add.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_mark_connected)
@@ -87,5 +99,6 @@
         auto_decompress=False,
         max_line_size=max_header_bytes,
         max_field_size=max_header_bytes,
-        **options,
+        skip_auto_headers=skip_auto_headers,
+        headers={HOST_ID_HEADER: host} if host else None,
     )
--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -29,6 +29,7 @@
         delay_s: seconds that each call takes in addition.
         lose_next_answers: how many of the next appends lose their answer.
         lose_answer_probability: share of the other appends that lose it.
+        cut_hosts: ids of hosts whose calls are refused by the server.
     """
 
     appends_per_s: float = 400.0
@@ -39,6 +40,7 @@
     delay_s: float = 0.0
     lose_next_answers: int = 0
     lose_answer_probability: float = 0.0
+    cut_hosts: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -22,12 +22,14 @@
     app = serving.make_application(model.conditions, model.counters)
 
     async def append(request: web.Request) -> web.Response:
+        serving.refuse_cut_host(request, model.conditions.cut_hosts)
         body = msgspec.json.decode(await request.read(), type=AppendBody)
         name = request.match_info['name']
         offsets = await model.append(name, body.records)
         return serving.json_response(AppendAnswer(offsets))
 
     async def read(request: web.Request) -> web.Response:
+        serving.refuse_cut_host(request, model.conditions.cut_hosts)
         query = request.query
         page = await model.read(
             request.match_info['name'],
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import dataclasses
+import http
 import json
 import logging
 import math
@@ -15,6 +16,7 @@
 import msgspec
 from aiohttp import web
 
+from mustardscale.http_sessions import HOST_ID_HEADER
 from standins.faults import (
     AnswerLostError,
     StandinRefusedError,
@@ -58,6 +60,23 @@
     )
 
 
+def refusal(error: StandinRefusedError, status: int) -> web.Response:
+    """Answers that a call was refused, and when to come back."""
+    answer = json_response({'reason': str(error)}, status)
+    answer.headers['Retry-After'] = str(math.ceil(error.retry_after_s))
+    return answer
+
+
+def refuse_cut_host(request: web.Request, cut_hosts: list[str]) -> None:
+    """Refuses calls of hosts that are cut from this stand-in.
+
+    Raises:
+        StandinRefusedError: the calling host is cut.
+    """
+    if request.headers.get(HOST_ID_HEADER, '') in cut_hosts:
+        raise StandinRefusedError('cut', 1.0)
+
+
 def drop_connection(request: web.Request) -> web.Response:
     """Closes a request's connection without an answer.
 
@@ -76,9 +95,7 @@
     try:
         return await handler(request)
     except StandinRefusedError as error:
-        refused = json_response({'reason': str(error)}, 503)
-        refused.headers['Retry-After'] = str(math.ceil(error.retry_after_s))
-        return refused
+        return refusal(error, http.HTTPStatus.SERVICE_UNAVAILABLE)
     except AnswerLostError:
         return drop_connection(request)
     except (msgspec.DecodeError, ValueError) as error:
