Limit platform answers and check the values of fault settings

Reading a limited answer stood twice and was missing in the log client; it is now one function, and a too long answer is one more way in which an answer is lost (an append's is uncertain, a plain call's failed). A plain answer no longer carries Content-Length, which its content gives, except for HEAD.

A rate of zero set over HTTP made a stand-in divide by zero. Condition fields now state their range, and POST /faults refuses values outside it with all fields left as they were.

--- a/mustardscale/http_host_list.py
+++ b/mustardscale/http_host_list.py
@@ -13,8 +13,9 @@
 from mustardscale.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
-    ConnectionLostError,
+    describe_error,
     make_session,
+    read_content,
 )
 
 # Seconds until a read is given up.
@@ -63,11 +64,11 @@
             return msgspec.json.decode(content, type=HostsAnswer).hosts
         except (
             *REQUEST_ERRORS,
-            ConnectionLostError,
             msgspec.DecodeError,
         ) as error:
-            detail = str(error) or type(error).__name__
-            raise PeerUnavailableError(f'host list: {detail}') from error
+            raise PeerUnavailableError(
+                f'host list: {describe_error(error)}'
+            ) from error
 
     async def close(self) -> None:
         """Closes the session."""
@@ -84,13 +85,4 @@
                 raise PeerUnavailableError(
                     f'host list: status {response.status}'
                 )
-            return await _read_limited(response.content)
-
-
-async def _read_limited(content: aiohttp.StreamReader) -> bytes:
-    data = bytearray()
-    async for chunk in content.iter_any():
-        data += chunk
-        if len(data) > MAX_LIST_BYTES:
-            raise PeerUnavailableError('host list: too large')
-    return bytes(data)
+            return await read_content(response, MAX_LIST_BYTES)
--- a/mustardscale/http_log.py
+++ b/mustardscale/http_log.py
@@ -13,15 +13,19 @@
 from mustardscale.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
-    ConnectionLostError,
     SendProgress,
+    describe_error,
     make_session,
+    read_content,
 )
 from mustardscale.log_client import LogClient, LogPage
 
 # Seconds until a call is given up, beyond the time for which a read waits.
 CALL_TIMEOUT_S = 2.0
 
+# Bytes of an answer that are read at most.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
 # Answers that say that the log did not take a call.
 _REFUSALS = frozenset(
     {
@@ -86,10 +90,10 @@
                 self._call_timeout_s,
                 progress,
             )
-        except (*REQUEST_ERRORS, ConnectionLostError) as error:
+        except REQUEST_ERRORS as error:
             if progress.connected:
-                raise LogUncertainError(_describe(error)) from error
-            raise LogUnavailableError(_describe(error)) from error
+                raise LogUncertainError(describe_error(error)) from error
+            raise LogUnavailableError(describe_error(error)) from error
         if status in _REFUSALS or 400 <= status < 500:
             raise LogUnavailableError(f'the log refused: status {status}')
         return _offsets(status, content, len(payloads))
@@ -107,8 +111,8 @@
                 self._call_timeout_s + wait_s,
                 SendProgress(),
             )
-        except (*REQUEST_ERRORS, ConnectionLostError) as error:
-            raise LogUnavailableError(_describe(error)) from error
+        except REQUEST_ERRORS as error:
+            raise LogUnavailableError(describe_error(error)) from error
         if status != http.HTTPStatus.OK:
             raise LogUnavailableError(f'the log refused: status {status}')
         try:
@@ -142,7 +146,8 @@
             allow_redirects=False,
             trace_request_ctx=progress,
         ) as response:
-            return response.status, await response.read()
+            content = await read_content(response, MAX_ANSWER_BYTES)
+            return response.status, content
 
 
 def _offsets(status: int, content: bytes, expected: int) -> list[int]:
@@ -155,7 +160,3 @@
     if len(offsets) != expected:
         raise LogUncertainError(f'{len(offsets)} offsets for {expected}')
     return offsets
-
-
-def _describe(error: BaseException) -> str:
-    return str(error) or type(error).__name__
--- a/mustardscale/http_plain.py
+++ b/mustardscale/http_plain.py
@@ -21,7 +21,9 @@
     REQUEST_ERRORS,
     ConnectionLostError,
     SendProgress,
+    describe_error,
     make_session,
+    read_content,
 )
 from mustardscale.outcomes import Outcome
 from mustardscale.plain_endpoints import PlainAnswer, PlainCall, PlainEndpoint
@@ -50,7 +52,6 @@
 )
 # Headers that aiohttp would add to a call that lacks them.
 _AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
-_READ_CHUNK_BYTES = 64 * 1024
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -115,8 +116,8 @@
         progress = SendProgress()
         try:
             answer = await self._exchange(call, headers, progress)
-        except (*REQUEST_ERRORS, ConnectionLostError) as error:
-            detail = str(error) or type(error).__name__
+        except REQUEST_ERRORS as error:
+            detail = describe_error(error)
             if not progress.connected:
                 raise EndpointUnreachableError(detail) from error
             raise EndpointFailedError(detail, _is_closed(error)) from error
@@ -167,15 +168,21 @@
     async def _read_answer(
         self, response: aiohttp.ClientResponse
     ) -> PlainAnswer:
-        headers = end_to_end_headers(response.headers.items())
+        headers = _answer_headers(response)
         if _header_bytes(headers) > self._limits.header_bytes:
             raise EndpointFailedError("the answer's headers are too large")
-        body = bytearray()
-        async for chunk in response.content.iter_chunked(_READ_CHUNK_BYTES):
-            body += chunk
-            if len(body) > self._limits.body_bytes:
-                raise EndpointFailedError("the answer's content is too large")
-        return PlainAnswer(response.status, headers, bytes(body))
+        body = await read_content(response, self._limits.body_bytes)
+        return PlainAnswer(response.status, headers, body)
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
+    headers = end_to_end_headers(response.headers.items())
+    if response.method == 'HEAD':
+        return headers
+    # The content is handed on whole, so that its length is known from it.
+    return tuple(
+        pair for pair in headers if pair[0].lower() != 'content-length'
+    )
 
 
 def _check_target(call: PlainCall) -> None:
--- a/mustardscale/http_sessions.py
+++ b/mustardscale/http_sessions.py
@@ -19,9 +19,6 @@
 # Header that tells the platform's services which host calls.
 HOST_ID_HEADER = 'X-Host-Id'
 
-# Errors with which aiohttp ends a request that was not answered.
-REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
-
 _SendRequest = Callable[
     [aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]
 ]
@@ -31,6 +28,20 @@
     """A connection broke before its answer began."""
 
 
+class AnswerTooLargeError(Exception):
+    """An answer's content is longer than is read."""
+
+
+# Errors with which a request that got no whole answer ends.
+REQUEST_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ConnectionLostError,
+    AnswerTooLargeError,
+)
+
+
 class SendProgress:
     """How far a request came.
 
@@ -79,7 +90,7 @@
     """Makes a session that sends each request at most once.
 
     Requests are made with trace_request_ctx=SendProgress() and fail with one
-    of REQUEST_ERRORS or ConnectionLostError. Cookies, redirects by default,
+    of REQUEST_ERRORS. Cookies, redirects by default,
     proxies from the environment and decompression are off.
 
     Args:
@@ -102,3 +113,24 @@
         skip_auto_headers=skip_auto_headers,
         headers={HOST_ID_HEADER: host} if host else None,
     )
+
+
+async def read_content(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Reads an answer's whole content.
+
+    Raises:
+        AnswerTooLargeError: it is longer than max_bytes.
+    """
+    content = bytearray()
+    async for chunk in response.content.iter_any():
+        content += chunk
+        if len(content) > max_bytes:
+            raise AnswerTooLargeError(f'answer above {max_bytes} bytes')
+    return bytes(content)
+
+
+def describe_error(error: BaseException) -> str:
+    """Returns an error's message, or its type's name if it has none."""
+    return str(error) or type(error).__name__
--- a/standins/host_list_model.py
+++ b/standins/host_list_model.py
@@ -8,7 +8,12 @@
 
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.host_list import HostList, ListedHost
-from standins.faults import Outage, StandinRefusedError, pass_disruption
+from standins.faults import (
+    NonNegative,
+    Outage,
+    StandinRefusedError,
+    pass_disruption,
+)
 from standins.memory_network import (
     ConnectionCutError,
     MemoryNetwork,
@@ -30,9 +35,9 @@
         cut_hosts: ids of hosts whose reads are refused by the server.
     """
 
-    lag_s: float = 0.0
+    lag_s: NonNegative = 0.0
     outage: Outage = Outage.NONE
-    delay_s: float = 0.0
+    delay_s: NonNegative = 0.0
     cut_hosts: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -9,7 +9,11 @@
 
 from mustardscale.log_client import LogPage, LogRecord
 from standins.faults import (
+    Count,
+    NonNegative,
     Outage,
+    Positive,
+    Probability,
     StandinRefusedError,
     lose_answer,
     pass_disruption,
@@ -32,14 +36,14 @@
         cut_hosts: ids of hosts whose calls are refused by the server.
     """
 
-    appends_per_s: float = 400.0
-    burst_s: float = 0.25
-    retention_s: float = 3600.0
-    retention_records: int = 1_000_000
+    appends_per_s: Positive = 400.0
+    burst_s: NonNegative = 0.25
+    retention_s: NonNegative = 3600.0
+    retention_records: Count = 1_000_000
     outage: Outage = Outage.NONE
-    delay_s: float = 0.0
-    lose_next_answers: int = 0
-    lose_answer_probability: float = 0.0
+    delay_s: NonNegative = 0.0
+    lose_next_answers: Count = 0
+    lose_answer_probability: Probability = 0.0
     cut_hosts: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/standins/plain_model.py
+++ b/standins/plain_model.py
@@ -8,7 +8,13 @@
 import random
 from collections.abc import Callable
 
-from standins.faults import lose_answer, wait_while
+from standins.faults import (
+    Count,
+    NonNegative,
+    Probability,
+    lose_answer,
+    wait_while,
+)
 
 # A call whose body contains this crashes the endpoint that runs it.
 CRASH_MARK = b'CRASH-ENDPOINT'
@@ -47,13 +53,13 @@
         lose_answer_probability: share of the other answers that is lost.
     """
 
-    latency_s: float = 0.01
+    latency_s: NonNegative = 0.01
     leaving: bool = False
     frozen: bool = False
     crash_point: CrashPoint = CrashPoint.BEFORE_EXECUTION
-    restart_s: float = 1.0
-    lose_next_answers: int = 0
-    lose_answer_probability: float = 0.0
+    restart_s: NonNegative = 1.0
+    lose_next_answers: Count = 0
+    lose_answer_probability: Probability = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -155,12 +155,15 @@
 
 
 def apply_fault_arguments(conditions: Any, arguments: list[str]) -> None:
-    """Sets the conditions given by --fault NAME=VALUE."""
+    """Sets the conditions given by --fault NAME=VALUE, or exits."""
     changes: dict[str, str] = {}
     for argument in arguments:
         name, _, value = argument.partition('=')
         changes[name] = value
-    update_fields(conditions, changes)
+    try:
+        update_fields(conditions, changes)
+    except ValueError as error:
+        raise SystemExit(f'--fault: {error}') from error
 
 
 class Listener:
--- a/standins/weight_store_model.py
+++ b/standins/weight_store_model.py
@@ -5,7 +5,14 @@
 import asyncio
 import dataclasses
 
-from standins.faults import Outage, StandinRefusedError, pass_disruption
+from standins.faults import (
+    Count,
+    NonNegative,
+    Outage,
+    Positive,
+    StandinRefusedError,
+    pass_disruption,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,11 +27,11 @@
         delay_s: seconds that each load takes in addition.
     """
 
-    bytes_per_s: float = 2e9
-    loads_at_once: int = 2
-    weight_bytes: int = 10_000_000_000
+    bytes_per_s: Positive = 2e9
+    loads_at_once: Count = 2
+    weight_bytes: Count = 10_000_000_000
     outage: Outage = Outage.NONE
-    delay_s: float = 0.0
+    delay_s: NonNegative = 0.0
 
 
 @dataclasses.dataclass(slots=True)
