Declare the daemon's settings once, as flags and variables

All wrong settings are raised together in an exception group, also when the command line itself cannot be read, since an operator should not have to start a host once for each typo.

Secrets have no flag, as command lines can be read by other users of a machine: they come from the variable or from a file named by a flag, errors do not quote them, and neither repr nor the dump shows them. A minimum length for secrets was weighed and left out, as the tokens are the operators' own choice.

--- /dev/null
+++ b/mustardscale/setting_options.py
@@ -0,0 +1,178 @@
+"""The types of settings, which check the values themselves."""
+
+from __future__ import annotations
+
+import abc
+import ipaddress
+import math
+import urllib.parse
+from typing import Any
+
+_PORT_LIMIT = 65535
+
+
+class Option(abc.ABC):
+    """The type of one setting.
+
+    Attributes:
+        kind: name of the type for people.
+        remedy: what to give in place of a wrong value.
+    """
+
+    kind: str
+    remedy: str
+
+    @abc.abstractmethod
+    def parse(self, text: str) -> Any:
+        """Converts the text of a flag or variable.
+
+        Raises:
+            ValueError: the text is no such value.
+        """
+
+
+class Text(Option):
+    """A text, by default not empty."""
+
+    kind = 'text'
+
+    def __init__(self, empty: bool = False):
+        self._empty = empty
+        self.remedy = 'give a text' if empty else 'give a text, not empty'
+
+    def parse(self, text: str) -> str:
+        """Returns the text without surrounding spaces."""
+        text = text.strip()
+        if not text and not self._empty:
+            raise ValueError('is empty')
+        return text
+
+
+class Seconds(Option):
+    """A time span above 0, in seconds."""
+
+    kind = 'seconds'
+    remedy = 'give a number of seconds above 0, such as 0.5'
+
+    def parse(self, text: str) -> float:
+        """Returns the seconds.
+
+        >>> Seconds().parse('0.5')
+        0.5
+        """
+        value = float(text)
+        if not math.isfinite(value) or value <= 0:
+            raise ValueError('is not above 0 and finite')
+        return value
+
+
+class Count(Option):
+    """A whole number of at least a minimum."""
+
+    kind = 'whole number'
+
+    def __init__(self, minimum: int = 1):
+        self._minimum = minimum
+        self.remedy = f'give a whole number of at least {minimum}'
+
+    def parse(self, text: str) -> int:
+        """Returns the number."""
+        value = int(text)
+        if value < self._minimum:
+            raise ValueError(f'is below {self._minimum}')
+        return value
+
+
+class Choice(Option):
+    """One of several words."""
+
+    kind = 'choice'
+
+    def __init__(self, *words: str):
+        self._words = words
+        self.remedy = 'give one of ' + ', '.join(words)
+
+    def parse(self, text: str) -> str:
+        """Returns the word."""
+        if text not in self._words:
+            raise ValueError('is not one of the choices')
+        return text
+
+
+class Address(Option):
+    """An IP number and a port.
+
+    Args:
+        listened_on: whether port 0 (any free port) is allowed.
+        empty: whether it may be left out.
+    """
+
+    kind = 'ip:port'
+    remedy = 'give an IP number and a port, such as 127.0.0.1:7400'
+
+    def __init__(self, listened_on: bool = True, empty: bool = False):
+        self._lowest_port = 0 if listened_on else 1
+        self._empty = empty
+
+    def parse(self, text: str) -> str:
+        """Returns the address.
+
+        >>> Address().parse('[::1]:80')
+        '[::1]:80'
+        """
+        if not text and self._empty:
+            return text
+        ip, colon, port = text.rpartition(':')
+        if not colon:
+            raise ValueError('has no port')
+        if ip.startswith('[') and ip.endswith(']'):
+            ipaddress.IPv6Address(ip[1:-1])
+        else:
+            ipaddress.IPv4Address(ip)
+        if not port.isascii() or not port.isdigit():
+            raise ValueError('has no numeric port')
+        if not self._lowest_port <= int(port) <= _PORT_LIMIT:
+            raise ValueError('has a port outside the range')
+        return text
+
+
+class Url(Option):
+    """An HTTP address of the platform's services."""
+
+    kind = 'url'
+    remedy = 'give an address such as http://127.0.0.1:8500'
+
+    def parse(self, text: str) -> str:
+        """Returns the address without a slash at the end."""
+        parts = urllib.parse.urlsplit(text)
+        if parts.scheme not in ('http', 'https') or not parts.hostname:
+            raise ValueError('is no http or https address')
+        if parts.username is not None or parts.password is not None:
+            raise ValueError('carries a user name or password')
+        return text.rstrip('/')
+
+
+class Secret(Option):
+    """A secret, given by variable or file and never by flag.
+
+    Args:
+        optional: whether it may be left out.
+    """
+
+    kind = 'secret'
+
+    def __init__(self, optional: bool = False):
+        self._optional = optional
+        self.remedy = (
+            'set the variable, or name a readable file with the secret, '
+            'which has no spaces'
+        )
+
+    def parse(self, text: str) -> str:
+        """Returns the secret; errors never quote it."""
+        text = text.strip()
+        if not text and not self._optional:
+            raise ValueError('is empty')
+        if any(character.isspace() for character in text):
+            raise ValueError('contains a space')
+        return text
--- /dev/null
+++ b/mustardscale/setting_sources.py
@@ -0,0 +1,173 @@
+"""Reads the settings from flags and environment variables."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Mapping, Sequence
+from typing import Any, NoReturn
+
+import configargparse
+
+from mustardscale.exceptions import SettingError
+from mustardscale.setting_options import Option, Secret
+from mustardscale.settings import (
+    Settings,
+    argument_name_of,
+    flag_of,
+    help_of,
+    option_of,
+    variable_of,
+)
+
+
+def load_settings(
+    arguments: Sequence[str], environment: Mapping[str, str]
+) -> Settings:
+    """Reads the settings; a flag goes before its variable.
+
+    Args:
+        arguments: the command line without the program's name.
+        environment: the environment variables.
+
+    Raises:
+        ExceptionGroup: of SettingError, one for each wrong setting.
+        SystemExit: --help was given.
+    """
+    errors: list[SettingError] = []
+    raw = _read_raw(arguments, environment, errors)
+    values: dict[str, Any] = {}
+    for field in dataclasses.fields(Settings):
+        try:
+            _put_value(field, raw, environment, values)
+        except SettingError as error:
+            errors.append(error)
+    _check_together(values, errors)
+    if errors:
+        raise ExceptionGroup('settings are wrong', errors)
+    return Settings(**values)
+
+
+class _Parser(configargparse.ArgumentParser):
+    """Raises errors in place of ending the process."""
+
+    def error(self, message: str) -> NoReturn:
+        """Raises a command line error."""
+        raise SettingError(f'command line: {message}; see --help')
+
+
+def _parser() -> _Parser:
+    parser = _Parser(
+        prog='mustardscaled',
+        description='Entry host of the router.',
+        allow_abbrev=False,
+        add_env_var_help=False,
+        default_config_files=[],
+    )
+    for field in dataclasses.fields(Settings):
+        name = argument_name_of(field)
+        option = option_of(field)
+        parser.add_argument(
+            flag_of(name),
+            env_var=variable_of(name),
+            metavar=_metavar(option),
+            help=f'{help_of(field)} [{variable_of(field.name)}]',
+        )
+    return parser
+
+
+def _read_raw(
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+    errors: list[SettingError],
+) -> dict[str, str | None]:
+    parser = _parser()
+    try:
+        namespace, unknown = parser.parse_known_args(
+            list(arguments), env_vars=dict(environment)
+        )
+    except SettingError as error:
+        errors.append(error)
+        namespace, unknown = parser.parse_known_args(
+            [], env_vars=dict(environment)
+        )
+    for argument in unknown:
+        name = argument.partition('=')[0]
+        errors.append(SettingError(f'{name}: unknown argument; see --help'))
+    return vars(namespace)
+
+
+def _put_value(
+    field: dataclasses.Field[Any],
+    raw: Mapping[str, str | None],
+    environment: Mapping[str, str],
+    values: dict[str, Any],
+) -> None:
+    if isinstance(option_of(field), Secret):
+        text = _secret_text(field, raw, environment)
+    else:
+        text = raw[field.name]
+    if text is not None:
+        values[field.name] = _parse(field, text)
+    elif field.default is not dataclasses.MISSING:
+        values[field.name] = field.default
+    else:
+        raise _error(field, 'is not set')
+
+
+def _secret_text(
+    field: dataclasses.Field[Any],
+    raw: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> str | None:
+    text = environment.get(variable_of(field.name)) or None
+    path = raw[argument_name_of(field)]
+    if path is None:
+        return text
+    if text is not None:
+        raise _error(field, 'is given both by variable and by file')
+    try:
+        return pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        raise _error(field, f'file {path!r} cannot be read: {error}') from error
+
+
+def _parse(field: dataclasses.Field[Any], text: str) -> Any:
+    option = option_of(field)
+    try:
+        return option.parse(text)
+    except ValueError as error:
+        if isinstance(option, Secret):
+            raise _error(field, str(error)) from None
+        raise _error(field, f'{text!r}: {error}') from error
+
+
+def _check_together(
+    values: Mapping[str, Any], errors: list[SettingError]
+) -> None:
+    heartbeat_s = values.get('heartbeat_s')
+    dead_after_s = values.get('dead_after_s')
+    if heartbeat_s is None or dead_after_s is None:
+        return
+    if dead_after_s < 2 * heartbeat_s:
+        name = 'dead_after_s'
+        errors.append(
+            SettingError(
+                f'{flag_of(name)} ({variable_of(name)}): {dead_after_s} is '
+                f'below two heartbeats; give at least {2 * heartbeat_s}'
+            )
+        )
+
+
+def _error(field: dataclasses.Field[Any], problem: str) -> SettingError:
+    flag = flag_of(argument_name_of(field))
+    variable = variable_of(field.name)
+    return SettingError(
+        f'{flag} ({variable}): {problem}; {option_of(field).remedy}'
+    )
+
+
+def _metavar(option: Option) -> str:
+    if isinstance(option, Secret):
+        return 'FILE'
+    return option.kind.upper().replace(' ', '-')
--- /dev/null
+++ b/mustardscale/settings.py
@@ -0,0 +1,181 @@
+"""The daemon's settings, each declared once."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from typing import Any
+
+import tabulate
+
+from mustardscale.setting_options import (
+    Address,
+    Choice,
+    Count,
+    Option,
+    Seconds,
+    Secret,
+    Text,
+    Url,
+)
+
+VARIABLE_PREFIX = 'MUSTARDSCALE_'
+
+_FILE_SUFFIX = '_file'
+_KEY_OPTION = 'option'
+_KEY_HELP = 'help'
+
+
+def _setting(
+    option: Option, text: str, default: Any = dataclasses.MISSING
+) -> Any:
+    return dataclasses.field(
+        default=default,
+        repr=not isinstance(option, Secret),
+        metadata={_KEY_OPTION: option, _KEY_HELP: text},
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """The daemon's settings; the help text of each says what it does."""
+
+    host_id: str = _setting(Text(), 'Id of this host on the host list.')
+    data_centre: str = _setting(Text(), 'Data centre of this host.')
+    region: str = _setting(Text(), 'Region of this host.')
+    callers_listen: str = _setting(
+        Address(), 'Address on which callers are served.', '127.0.0.1:8080'
+    )
+    peers_listen: str = _setting(
+        Address(), 'Address on which peers are served.', '127.0.0.1:7400'
+    )
+    operators_listen: str = _setting(
+        Address(),
+        'Address for operators: health, metrics, state dump.',
+        '127.0.0.1:9400',
+    )
+    peers_advertise: str = _setting(
+        Address(listened_on=False, empty=True),
+        'Address at which peers reach this host; empty for peers_listen.',
+        '',
+    )
+    log_url: str = _setting(Url(), "Address of the platform's log service.")
+    host_list_url: str = _setting(Url(), "Address of the platform's host list.")
+    heartbeat_s: float = _setting(
+        Seconds(), 'Interval of heartbeats between peers.', 0.5
+    )
+    dead_after_s: float = _setting(
+        Seconds(), 'Silence after which a peer counts as dead.', 2.5
+    )
+    host_list_interval_s: float = _setting(
+        Seconds(), 'Interval at which the host list is read.', 1.0
+    )
+    resume_grace_s: float = _setting(
+        Seconds(),
+        'Time for callers of a dead host to resume their streams.',
+        3.0,
+    )
+    policy: str = _setting(
+        Choice('mustardscale', 'round_robin', 'least_loaded'),
+        'How requests are admitted and placed.',
+        'mustardscale',
+    )
+    seed: int = _setting(
+        Count(minimum=0), 'Seed of the random number generator.', 0
+    )
+    max_header_bytes: int = _setting(
+        Count(), "Size limit of a caller's headers, in bytes.", 16_384
+    )
+    max_body_bytes: int = _setting(
+        Count(), "Size limit of a caller's body, in bytes.", 4_194_304
+    )
+    body_timeout_s: float = _setting(
+        Seconds(), 'Time in which a body must arrive.', 10.0
+    )
+    stream_write_timeout_s: float = _setting(
+        Seconds(),
+        'Time for which a caller may take no bytes of its answer.',
+        30.0,
+    )
+    drain_timeout_s: float = _setting(
+        Seconds(), 'Time for open requests to end at shutdown.', 300.0
+    )
+    record_file: str = _setting(
+        Text(empty=True), 'File to record a trace to; empty for none.', ''
+    )
+    log_level: str = _setting(
+        Choice('debug', 'info', 'warning', 'error'),
+        'Lowest level of log lines.',
+        'info',
+    )
+    operators_token: str = _setting(
+        Secret(), 'Bearer token that operators must present.'
+    )
+    peer_key: str = _setting(
+        Secret(optional=True),
+        'Key shared by all peers; empty for no authentication.',
+        '',
+    )
+
+
+def public_settings(settings: Settings) -> dict[str, Any]:
+    """Returns the settings without the secrets, for state dumps."""
+    return {
+        field.name: getattr(settings, field.name)
+        for field in dataclasses.fields(Settings)
+        if not isinstance(option_of(field), Secret)
+    }
+
+
+def settings_table() -> str:
+    """Renders the settings as a Markdown table."""
+    rows = [_table_row(field) for field in dataclasses.fields(Settings)]
+    headers = ['Flag', 'Variable', 'Value', 'Default', 'What it does']
+    return tabulate.tabulate(rows, headers, tablefmt='github')
+
+
+def flag_of(name: str) -> str:
+    """Returns the flag of a setting.
+
+    >>> flag_of('heartbeat_s')
+    '--heartbeat-s'
+    """
+    return '--' + name.replace('_', '-')
+
+
+def variable_of(name: str) -> str:
+    """Returns the environment variable of a setting.
+
+    >>> variable_of('heartbeat_s')
+    'MUSTARDSCALE_HEARTBEAT_S'
+    """
+    return VARIABLE_PREFIX + name.upper()
+
+
+def argument_name_of(field: dataclasses.Field[Any]) -> str:
+    """Returns the name that the flag is made from; secrets name a file."""
+    if isinstance(option_of(field), Secret):
+        return field.name + _FILE_SUFFIX
+    return field.name
+
+
+def option_of(field: dataclasses.Field[Any]) -> Option:
+    """Returns the type of a setting."""
+    return typing.cast(Option, field.metadata[_KEY_OPTION])
+
+
+def help_of(field: dataclasses.Field[Any]) -> str:
+    """Returns the help text of a setting."""
+    return typing.cast(str, field.metadata[_KEY_HELP])
+
+
+def _table_row(field: dataclasses.Field[Any]) -> list[str]:
+    option = option_of(field)
+    default = f'`{field.default}`' if field.default != '' else 'empty'
+    if field.default is dataclasses.MISSING:
+        default = 'required'
+    variable = f'`{variable_of(field.name)}`'
+    if isinstance(option, Secret):
+        variable += f' or `{variable_of(argument_name_of(field))}`'
+    flag = f'`{flag_of(argument_name_of(field))}`'
+    return [flag, variable, option.kind, default, help_of(field)]
