Log JSON lines without secrets and without callers' content

aiomisc's JSON formatter was weighed and ruled out: it writes every argument of a record as a field of its own, in full, so one log call with a request as argument would put a prompt into the log. The formatter here shows objects by class name only, hides the fields that carry content, replaces the known secrets, and cuts long text. A format that does not fit its arguments is named in the line; the logging package itself would print the arguments to standard error.

The prompt's text no longer shows in the representation of Prompt, which covers texts put together outside the formatter.

--- a/mustardscale/engines.py
+++ b/mustardscale/engines.py
@@ -53,7 +53,7 @@
     tokens: int
     block_hashes: tuple[int, ...]
     fingerprint: int
-    text: str = ''
+    text: str = dataclasses.field(default='', repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
--- /dev/null
+++ b/mustardscale/json_logging.py
@@ -0,0 +1,145 @@
+"""Logs as JSON lines, without secrets and without callers' content."""
+
+from __future__ import annotations
+
+import datetime
+import enum
+import logging
+import sys
+import traceback
+from collections.abc import Iterable
+from typing import Any, TextIO
+
+import msgspec
+
+# Longest message and longest text in another field, in characters.
+MAX_TEXT = 2_000
+# Longest stack trace, in characters; its end is kept.
+MAX_TRACE = 8_000
+REDACTED = '***'
+
+# Extra fields that would carry callers' content or credentials.
+CONTENT_FIELDS = frozenset(
+    {
+        'answer',
+        'authorization',
+        'body',
+        'emitted',
+        'headers',
+        'messages',
+        'payload',
+        'peer_key',
+        'prompt',
+        'text',
+        'token',
+    }
+)
+
+_STANDARD_FIELDS = frozenset(
+    vars(logging.makeLogRecord({})) | {'message': '', 'asctime': ''}
+)
+_PLAIN_TYPES = (str, int, float, bool, type(None))
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one line of JSON.
+
+    The fields are time, level, logger, message, code (0 if none), stack when
+    there is an exception, and those given as extra. Objects other than plain
+    values and exceptions are shown by class name only, since a request's
+    representation holds the caller's prompt.
+    """
+
+    def __init__(self, secrets: Iterable[str] = ()):
+        super().__init__()
+        self._secrets = tuple(secret for secret in secrets if secret)
+        self._encoder = msgspec.json.Encoder()
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line, without the line end."""
+        line: dict[str, Any] = {
+            'time': _time_text(record.created),
+            'level': record.levelname.lower(),
+            'logger': record.name,
+            'message': self._clean(_message(record)),
+            'code': int(getattr(record, 'code', 0)),
+        }
+        if record.exc_info and record.exc_info[1] is not None:
+            trace = ''.join(traceback.format_exception(record.exc_info[1]))
+            line['stack'] = self._redact(trace)[-MAX_TRACE:]
+        for name, value in vars(record).items():
+            if name in _STANDARD_FIELDS or name in line:
+                continue
+            hidden = name in CONTENT_FIELDS
+            line[name] = REDACTED if hidden else self._value(value)
+        return self._encoder.encode(line).decode()
+
+    def _value(self, value: Any) -> Any:
+        value = _plain(value)
+        return self._clean(value) if isinstance(value, str) else value
+
+    def _clean(self, text: str) -> str:
+        text = self._redact(text)
+        if len(text) > MAX_TEXT:
+            text = text[:MAX_TEXT] + '...'
+        return text
+
+    def _redact(self, text: str) -> str:
+        # Unpaired surrogates cannot be encoded.
+        text = text.encode(errors='backslashreplace').decode()
+        for secret in self._secrets:
+            text = text.replace(secret, REDACTED)
+        return text
+
+
+def configure_logging(
+    level: str, secrets: Iterable[str] = (), stream: TextIO | None = None
+) -> None:
+    """Sends all log records of the process to a stream as JSON lines.
+
+    Args:
+        level: lowest level, such as 'info'.
+        secrets: texts to be replaced wherever they appear.
+        stream: where to write; standard error if None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter(secrets))
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(level.upper())
+
+
+def _time_text(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec='milliseconds')
+
+
+def _message(record: logging.LogRecord) -> str:
+    try:
+        return _filled_in(record)
+    except (TypeError, ValueError, KeyError):
+        # The logging package would print the arguments themselves.
+        return f'{record.msg} (the arguments do not fit)'
+
+
+def _filled_in(record: logging.LogRecord) -> str:
+    if not record.args:
+        return str(_plain(record.msg))
+    if isinstance(record.args, tuple):
+        return str(record.msg) % tuple(_plain(arg) for arg in record.args)
+    return str(record.msg) % {
+        name: REDACTED if name in CONTENT_FIELDS else _plain(arg)
+        for name, arg in record.args.items()
+    }
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, _PLAIN_TYPES):
+        return value
+    if isinstance(value, enum.Enum):
+        return value.name
+    if isinstance(value, BaseException):
+        return f'{type(value).__name__}: {value}'
+    return f'<{type(value).__name__}>'
