--- a/mustardscale/http_engine.py
+++ b/mustardscale/http_engine.py
@@ -6,7 +6,7 @@
 import dataclasses
 import logging
 import urllib.parse
-from collections.abc import AsyncGenerator, AsyncIterator, Iterator
+from collections.abc import AsyncGenerator, Iterator
 from typing import Any, TypeVar
 
 import aiohttp
@@ -87,7 +87,7 @@
             'POST', '/v1/prefill', PrefillResult, body, _WORK_TIMEOUT
         )
 
-    async def decode(self, call: DecodeCall) -> AsyncIterator[TokenEvent]:
+    async def decode(self, call: DecodeCall) -> AsyncGenerator[TokenEvent, None]:
         """Imports a KV cache and yields tokens."""
         prompt = dataclasses.replace(call.prompt, text='')
         body = msgspec.json.encode(dataclasses.replace(call, prompt=prompt))
@@ -98,7 +98,7 @@
 
     async def resume(
         self, request_id: str, attempt: int, from_index: int
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Yields the tokens of a stream from an index on."""
         path = f'{_stream_path(request_id, attempt)}?from={from_index}'
         events = self._events('GET', path)
