--- /dev/null
+++ b/mustardscale/http_connector.py
@@ -0,0 +1,42 @@
+"""Makes the daemon's clients of endpoints, which speak HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from mustardscale.blackboard import EndpointEntry
+from mustardscale.endpoint_clients import EndpointConnector
+from mustardscale.engines import Engine
+from mustardscale.http_engine import HttpEngine
+from mustardscale.http_plain import HttpPlainEndpoint
+from mustardscale.plain_endpoints import PlainEndpoint
+
+# Connections to all engines at the same time; 0 is unlimited, since the
+# limits on requests in progress already bound them.
+_UNLIMITED = 0
+
+
+class HttpConnector(EndpointConnector):
+    """Clients that share one session for all engines."""
+
+    def __init__(self):
+        connector = aiohttp.TCPConnector(
+            limit=_UNLIMITED, limit_per_host=_UNLIMITED
+        )
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    def engine(self, endpoint: EndpointEntry) -> Engine:
+        """Makes the client of an engine."""
+        return HttpEngine(self._session, self.engine_url(endpoint))
+
+    def plain(self, endpoint: EndpointEntry) -> PlainEndpoint:
+        """Makes the client of a plain service's endpoint."""
+        return HttpPlainEndpoint(endpoint.address)
+
+    def engine_url(self, endpoint: EndpointEntry) -> str:
+        """Returns the address by which other engines reach an engine."""
+        return f'http://{endpoint.address}'
+
+    async def close(self) -> None:
+        """Closes the session."""
+        await self._session.close()
