Close peer connections that have not begun to be served

A connection accepted just before close() stayed open: its task was cancelled before its first step, so the code that closes the stream never ran. In the same way a call that was connecting during close() could leave a connection behind. Found by a test that closes both transports after 0 to 29 steps of the loop; it failed before this change. Closing the stream from the task's done callback was weighed; closing it in close() keeps the order plain.

Tests of callers that exceed the limit, repeat a call number or read nothing passed without a change.

--- a/mustardscale/peer_connections.py
+++ b/mustardscale/peer_connections.py
@@ -80,6 +80,8 @@
         """Closes the connection; calls in flight fail."""
         self._reading.cancel()
         await asyncio.gather(self._reading, return_exceptions=True)
+        # Again, for a reader that was cancelled before it began.
+        self._end('closed')
 
     async def _read(self) -> None:
         reason = 'closed'
@@ -95,9 +97,7 @@
         except CONNECTION_LOST as error:
             reason = repr(error)
         finally:
-            self.closed = True
-            self._stream.close()
-            self._fail_calls(reason)
+            self._end(reason)
 
     async def _dispatch(self) -> None:
         while True:
@@ -117,7 +117,9 @@
             if future is not None and not future.done():
                 future.set_result(frame)
 
-    def _fail_calls(self, reason: str) -> None:
+    def _end(self, reason: str) -> None:
+        self.closed = True
+        self._stream.close()
         for future in self._future_by_call.values():
             if not future.done():
                 future.set_exception(
@@ -145,6 +147,7 @@
         self._connecting = asyncio.Lock()
         self._failures = 0
         self._retry_at = 0.0
+        self._closing = False
 
     @property
     def connected(self) -> bool:
@@ -170,17 +173,25 @@
                 raise PeerUnavailableError(
                     f'{self._host} failed; next attempt in {wait_s:.3f} s'
                 )
-            self._connection = await self._attempt()
-            return self._connection
+            connection = await self._attempt()
+            if self._closing:
+                await connection.close()
+                raise PeerUnavailableError('this host is shutting down')
+            self._connection = connection
+            return connection
 
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; no other is opened."""
+        self._closing = True
+        await self._disconnect()
+
+    async def _disconnect(self) -> None:
         if self._connection is not None:
             await self._connection.close()
             self._connection = None
 
     async def _move(self, address: str) -> None:
-        await self.close()
+        await self._disconnect()
         self._address = address
         self._failures = 0
         self._retry_at = 0.0
--- a/mustardscale/peer_server.py
+++ b/mustardscale/peer_server.py
@@ -32,7 +32,8 @@
         self._handler = handler
         self._limits = limits
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+        self._stream_by_task: dict[asyncio.Task[None], FrameStream] = {}
 
     async def start(self, host: str, port: int) -> str:
         """Listens and returns the address as 'ip:port'."""
@@ -42,17 +43,24 @@
 
     async def close(self) -> None:
         """Closes all connections and cancels the handlers."""
+        self._closing = True
         if self._server is not None:
             self._server.close()
-        for task in self._tasks:
+        tasks = list(self._stream_by_task)
+        for task, stream in self._stream_by_task.items():
+            # A task that has not begun yet would not close its stream.
+            stream.close()
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer, self._limits)
-        if len(self._tasks) >= self._limits.connections:
+        if self._closing:
+            stream.close()
+            return
+        if len(self._stream_by_task) >= self._limits.connections:
             log.warning('connection limit reached')
             stream.close()
             return
@@ -60,8 +68,8 @@
             stream, self._identity, self._handler, self._limits
         )
         task = asyncio.create_task(connection.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._stream_by_task[task] = stream
+        task.add_done_callback(self._stream_by_task.pop)
 
 
 class _InboundConnection:
--- a/mustardscale/tcp_peers.py
+++ b/mustardscale/tcp_peers.py
@@ -37,6 +37,7 @@
         self._limits = limits or PeerLimits()
         self._server: PeerServer | None = None
         self._peer_by_host: dict[str, OutboundPeer] = {}
+        self._closing = False
 
     async def start(self, handler: PeerHandler) -> None:
         """Starts to serve; handler gets the peer's id and the request."""
@@ -47,6 +48,8 @@
         self, host: str, address: str, request: PeerRequest, timeout_s: float
     ) -> PeerReply:
         """Sends a request and returns the reply; see PeerTransport."""
+        if self._closing:
+            raise PeerUnavailableError('this host is shutting down')
         peer = self._peer(host)
         try:
             async with asyncio.timeout(timeout_s):
@@ -59,6 +62,7 @@
 
     async def close(self) -> None:
         """Closes all connections and stops serving."""
+        self._closing = True
         peers = list(self._peer_by_host.values())
         self._peer_by_host.clear()
         for peer in peers:
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -246,6 +246,70 @@
         run(scenario())
 
 
+class TestMisbehavingCaller:
+    """Callers that send more than they may or read nothing."""
+
+    def test_calls_above_the_limit_are_refused(self):
+        async def scenario():
+            async with Pair(limits=PeerLimits(calls=1)) as pair:
+                stream = await greeted()
+                for call_id in (1, 2):
+                    stream.send(request(call_id, StreamLookup('5')))
+                refusal = await stream.receive(1)
+                assert refusal.call_id == 2
+                assert refusal.message.outcome == Outcome.RATE_LIMITED
+                assert (await stream.receive(10)).message == REPLY
+                assert len(pair.handler.hosts) == 1
+
+        run(scenario())
+
+    def test_call_number_in_use_closes_the_connection(self):
+        async def scenario():
+            async with Pair() as pair:
+                stream = await greeted()
+                for _ in range(2):
+                    stream.send(request(1, StreamLookup('hang')))
+                with pytest.raises((ConnectionError, EOFError)):
+                    await stream.receive(10)
+                assert pair.handler.running == 0
+
+        run(scenario())
+
+    def test_caller_that_reads_nothing_is_cut_off(self):
+        async def scenario():
+            async with Pair() as pair:
+                stream = await greeted()
+                stream.send(request(1, StreamLookup('hang')))
+                for call_id in range(2, 20):
+                    stream.send(request(call_id, ConfigFetch(900_000)))
+                await asyncio.sleep(6)
+                assert len(pair.handler.hosts) == 19
+                assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
+                assert await pair.call('0') == REPLY
+
+        run(scenario())
+
+    def test_closing_ends_connections_at_any_moment(self):
+        async def scenario(steps):
+            pair = Pair()
+            await pair.b.start(pair.handler)
+            call = asyncio.create_task(pair.call('hang', 100))
+            stream = await connect()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            await pair.b.close()
+            await pair.a.close()
+            with pytest.raises((ConnectionError, EOFError)):
+                await stream.receive(1)
+            with pytest.raises(PeerUnavailableError):
+                await call
+            assert pair.handler.running == 0
+            assert asyncio.all_tasks() == {asyncio.current_task()}
+
+        for steps in range(30):
+            run(scenario(steps))
+
+
 class TestReconnecting:
     """Attempts after a failure."""
 
@@ -322,9 +386,9 @@
             async with Pair((b'k', b'k')) as pair:
                 stream = await connect()
                 hello = Frame(FrameKind.HELLO, 0, Hello('x', 1))
-                request = Frame(FrameKind.REQUEST, 1, StreamLookup('0'))
-                for frame in (hello, hello, request):
-                    stream.send(encode_frame(frame))
+                for _ in range(2):
+                    stream.send(encode_frame(hello))
+                stream.send(request(1, StreamLookup('0')))
                 await stream.receive(10)
                 with pytest.raises((ConnectionError, EOFError)):
                     await stream.receive(10)
@@ -339,6 +403,17 @@
     return FrameStream(reader, writer, PeerLimits())
 
 
+async def greeted():
+    """Connects to b as host x."""
+    stream = await connect()
+    await greet_server(stream, PeerIdentity('x', 1), 'b', 1)
+    return stream
+
+
+def request(call_id, message):
+    return encode_frame(Frame(FrameKind.REQUEST, call_id, message))
+
+
 class TestDamagedFrames:
     """Bytes that are no frame close one connection only."""
 
@@ -356,8 +431,7 @@
             async with Pair() as pair:
                 other = asyncio.create_task(pair.call('20', 60))
                 await asyncio.sleep(1)
-                stream = await connect()
-                await greet_server(stream, PeerIdentity('x', 1), 'b', 1)
+                stream = await greeted()
                 stream.send(data)
                 with pytest.raises((ConnectionError, EOFError)):
                     await stream.receive(10)
