Add token buckets and a retry budget

The retry budget is clocked by requests and not by time, so that when every attempt fails the endpoints see exactly 1 + share attempts for each request. Credit is kept in millionths: with floats, ten deposits of 0.1 fall short of one retry. Credit does not pile up in quiet times, as a later failure would then be amplified beyond the share.

--- /dev/null
+++ b/mustardscale/token_bucket.py
@@ -0,0 +1,87 @@
+"""Limits on the rate of requests and on retries."""
+
+from __future__ import annotations
+
+# Retry credit is counted in whole millionths, so that sums are exact.
+_MICRO = 1_000_000
+
+
+class TokenBucket:
+    """Permits bursts of requests and a sustained rate.
+
+    Attributes:
+        rate: requests a second; 0 is unlimited.
+        burst: requests that may come at once.
+    """
+
+    __slots__ = ('_level', '_updated', 'burst', 'rate')
+
+    def __init__(self, rate: float, burst: float):
+        self.rate = rate
+        self.burst = burst
+        self._level = burst
+        self._updated: float | None = None
+
+    def take(self, now: float) -> float:
+        """Takes a token if there is one.
+
+        Args:
+            now: loop time, seconds.
+
+        Returns:
+            0 if the request is permitted, else seconds until one would be.
+        """
+        if self.rate <= 0:
+            return 0.0
+        self._fill(now)
+        if self._level >= 1:
+            self._level -= 1
+            return 0.0
+        return (1 - self._level) / self.rate
+
+    def change(self, rate: float, burst: float, now: float) -> None:
+        """Takes over a changed profile and keeps what is used up."""
+        self._fill(now)
+        self.rate = rate
+        self.burst = burst
+        self._level = min(self._level, burst)
+
+    def _fill(self, now: float) -> None:
+        if self._updated is not None:
+            gained = max(0.0, now - self._updated) * self.rate
+            self._level = min(self.burst, self._level + gained)
+        self._updated = max(now, self._updated or now)
+
+
+class RetryBudget:
+    """Permits retries as a share of the requests.
+
+    In any run of n requests at most minimum + 1 + share * n retries are
+    permitted, and from the start at most minimum + share * n: with a minimum
+    of 0 and a share of 0.1 the endpoints see at most 1.1 attempts for each
+    request when all fail.
+    """
+
+    __slots__ = ('_capacity', '_credit', '_deposit')
+
+    def __init__(self, share: float, minimum: int = 0):
+        """Makes a budget.
+
+        Args:
+            share: retries earned by each request.
+            minimum: retries that are permitted before any are earned.
+        """
+        self._deposit = int(share * _MICRO + 0.5)
+        self._credit = minimum * _MICRO
+        self._capacity = max(minimum, 1) * _MICRO
+
+    def request(self) -> None:
+        """Counts a request's first attempt."""
+        self._credit = min(self._capacity, self._credit + self._deposit)
+
+    def retry(self) -> bool:
+        """Takes a retry if one is permitted."""
+        if self._credit < _MICRO:
+            return False
+        self._credit -= _MICRO
+        return True
