--- /dev/null
+++ b/mustardscale/link_schedule.py
@@ -0,0 +1,175 @@
+"""Predicted finish of KV transfers on links of limited rate."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+# Recent transfers from which a link's rate is learnt.
+RATE_SAMPLES = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """A booked transfer.
+
+    Attributes:
+        source: endpoint that sends.
+        destination: endpoint that receives.
+        size_bytes: size.
+        start: loop time at which both links are predicted to be free.
+        finish: predicted loop time of the end.
+        alone: whether no other transfer was booked on either link.
+    """
+
+    source: str
+    destination: str
+    size_bytes: int
+    start: float
+    finish: float
+    alone: bool
+
+
+class Link:
+    """One endpoint's link.
+
+    Attributes:
+        nominal_bytes_per_s: rate that the endpoint reports.
+        transfer_ids: transfers booked and not finished.
+    """
+
+    __slots__ = ('_observed', 'nominal_bytes_per_s', 'transfer_ids')
+
+    def __init__(self, nominal_bytes_per_s: float):
+        self.nominal_bytes_per_s = nominal_bytes_per_s
+        self.transfer_ids: set[str] = set()
+        self._observed: collections.deque[float] = collections.deque(
+            maxlen=RATE_SAMPLES
+        )
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Learnt rate.
+
+        The fastest of the recent transfers counts: a healthy link looks
+        slow only towards a slow partner.
+        """
+        if len(self._observed) < RATE_SAMPLES:
+            return self.nominal_bytes_per_s
+        return min(self.nominal_bytes_per_s, max(self._observed))
+
+    def observe(self, bytes_per_s: float) -> None:
+        """Takes in the rate of a transfer that had the link to itself."""
+        self._observed.append(bytes_per_s)
+
+
+class LinkSchedule:
+    """Transfers booked on the links of endpoints.
+
+    Transfers on a link are taken one after the other. Where they share the
+    link at the same time, the last one ends when it would have ended here,
+    so the prediction for a new transfer is an upper bound.
+    """
+
+    __slots__ = ('_default_bytes_per_s', '_link_by_endpoint', '_transfer_by_id')
+
+    def __init__(self, default_bytes_per_s: float):
+        self._default_bytes_per_s = default_bytes_per_s
+        self._link_by_endpoint: dict[str, Link] = {}
+        self._transfer_by_id: dict[str, Transfer] = {}
+
+    def set_rate(self, endpoint: str, bytes_per_s: float) -> None:
+        """Sets the rate that an endpoint reports for its link."""
+        self._link(endpoint).nominal_bytes_per_s = bytes_per_s
+
+    def predict(
+        self,
+        source: str,
+        destination: str,
+        size_bytes: int,
+        ready: float,
+        now: float,
+    ) -> float:
+        """Predicts when a transfer would finish.
+
+        Args:
+            source: endpoint that sends.
+            destination: endpoint that receives.
+            size_bytes: size.
+            ready: loop time at which the data will be there.
+            now: loop time.
+        """
+        start = self._start(source, destination, ready, now)
+        return start + size_bytes / self._rate(source, destination)
+
+    def book(
+        self,
+        transfer_id: str,
+        source: str,
+        destination: str,
+        size_bytes: int,
+        ready: float,
+        now: float,
+    ) -> float:
+        """Books a transfer and returns its predicted finish."""
+        self.drop(transfer_id)
+        start = self._start(source, destination, ready, now)
+        finish = start + size_bytes / self._rate(source, destination)
+        links = (self._link(source), self._link(destination))
+        alone = not any(link.transfer_ids for link in links)
+        self._transfer_by_id[transfer_id] = Transfer(
+            source, destination, size_bytes, start, finish, alone
+        )
+        for link in links:
+            for other in link.transfer_ids:
+                self._transfer_by_id[other].alone = False
+            link.transfer_ids.add(transfer_id)
+        return finish
+
+    def begin(self, transfer_id: str, now: float) -> None:
+        """Notes that a booked transfer has begun."""
+        transfer = self._transfer_by_id.get(transfer_id)
+        if transfer is None:
+            return
+        duration = transfer.finish - transfer.start
+        transfer.start = now
+        transfer.finish = now + duration
+
+    def finish(self, transfer_id: str, now: float) -> None:
+        """Frees the links of a finished transfer and learns their rate."""
+        transfer = self.drop(transfer_id)
+        if transfer is None or not transfer.alone or now <= transfer.start:
+            return
+        rate = transfer.size_bytes / (now - transfer.start)
+        self._link(transfer.source).observe(rate)
+        self._link(transfer.destination).observe(rate)
+
+    def drop(self, transfer_id: str) -> Transfer | None:
+        """Frees the links of a transfer that failed or was given up."""
+        transfer = self._transfer_by_id.pop(transfer_id, None)
+        if transfer is not None:
+            for endpoint in (transfer.source, transfer.destination):
+                self._link(endpoint).transfer_ids.discard(transfer_id)
+        return transfer
+
+    def _link(self, endpoint: str) -> Link:
+        link = self._link_by_endpoint.get(endpoint)
+        if link is None:
+            link = Link(self._default_bytes_per_s)
+            self._link_by_endpoint[endpoint] = link
+        return link
+
+    def _rate(self, source: str, destination: str) -> float:
+        return min(
+            self._link(source).bytes_per_s, self._link(destination).bytes_per_s
+        )
+
+    def _start(
+        self, source: str, destination: str, ready: float, now: float
+    ) -> float:
+        start = max(ready, now)
+        for endpoint in (source, destination):
+            for transfer_id in self._link(endpoint).transfer_ids:
+                # An overdue transfer still holds the link.
+                start = max(start, self._transfer_by_id[transfer_id].finish)
+        return start
