--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -157,7 +157,9 @@
             sys.stderr.write(f'mustardscaled: {error}\n')
         sys.exit(EXIT_SETTINGS)
     if check_only:
-        text = msgspec.json.format(msgspec.json.encode(public_settings(settings)))
+        text = msgspec.json.format(
+            msgspec.json.encode(public_settings(settings))
+        )
         sys.stdout.write(text.decode() + '\n')
         return
     run(settings)
--- a/mustardscale/http_engine.py
+++ b/mustardscale/http_engine.py
@@ -87,7 +87,9 @@
             'POST', '/v1/prefill', PrefillResult, body, _WORK_TIMEOUT
         )
 
-    async def decode(self, call: DecodeCall) -> AsyncGenerator[TokenEvent, None]:
+    async def decode(
+        self, call: DecodeCall
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Imports a KV cache and yields tokens."""
         prompt = dataclasses.replace(call.prompt, text='')
         body = msgspec.json.encode(dataclasses.replace(call, prompt=prompt))
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -32,10 +32,10 @@
     OutcomeError,
 )
 from mustardscale.limits import ServiceLimits
+from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers import AdmitReply, DirectoryEntry
 from mustardscale.quarantine import Suspicions
-from mustardscale.request_metrics import RequestMetrics
 from mustardscale.requests import LanguageRequest
 from mustardscale.resumption import Resumption
 from mustardscale.token_assembler import TokenAssembler
@@ -103,7 +103,7 @@
         canceller: Canceller,
         limits: ServiceLimits,
         suspicions: Suspicions,
-        metrics: RequestMetrics,
+        metrics: Metrics,
     ):
         self._blackboard = blackboard
         self._admission = admission
@@ -136,9 +136,9 @@
                 async for event in events:
                     if first_at is None:
                         first_at = clock()
-                        self._metrics.record_first_token(
-                            served.service, first_at - served.arrived_at
-                        )
+                        self._metrics.service(
+                            served.service
+                        ).first_token.record(first_at - served.arrived_at)
                     if event.finish_reason:
                         delivered = True
                         self._record_pace(served, clock() - first_at)
@@ -155,8 +155,8 @@
 
     def _record_pace(self, served: ServedRequest, seconds: float) -> None:
         if len(served.emitted) > 1:
-            self._metrics.record_per_token(
-                served.service, seconds / (len(served.emitted) - 1)
+            self._metrics.service(served.service).per_token.record(
+                seconds / (len(served.emitted) - 1)
             )
 
     async def _accept(
@@ -320,7 +320,9 @@
         served.decode = grant.decode
         if not progress.runs:
             now = asyncio.get_running_loop().time()
-            self._metrics.record_wait(served.service, now - served.arrived_at)
+            self._metrics.service(served.service).queue_wait.record(
+                now - served.arrived_at
+            )
         kv_id = await self._prefill(request, served, model, grant, progress)
         served.stage = StreamStage.TRANSFER
         self._admission.report_stage(served)
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -34,6 +34,7 @@
     HostListController,
     MembershipTimes,
 )
+from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import PeerTransport
@@ -43,7 +44,6 @@
 from mustardscale.pool_owner import PoolOwner
 from mustardscale.quarantine import Suspicions
 from mustardscale.reconcile import Reconciler
-from mustardscale.request_metrics import RequestMetrics
 from mustardscale.requests import LanguageRequest, PlainRequest
 from mustardscale.resumption import Resumption
 from mustardscale.service_api import RequestService
@@ -149,11 +149,12 @@
         clients = EndpointClients(board, edges.connector)
         suspicions = Suspicions(board)
         self.blackboard = board
-        self.metrics = RequestMetrics()
+        self.metrics = Metrics()
         self._edges = edges
         self._calls = calls
         self._clients = clients
         self._tasks: list[asyncio.Task[None]] = []
+        self._accepting = True
         self._active = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -230,11 +231,16 @@
             for controller in self._controllers
         ]
 
-    async def drain(self, timeout_s: float) -> bool:
+    async def drain(self, notice_s: float, timeout_s: float) -> bool:
         """Stops taking requests and waits for those in progress.
 
+        Peers take over this host's pools and directory entries at once.
+        Callers are still served for a while, until the balancer has seen that
+        the host is not ready.
+
         Args:
-            timeout_s: seconds to wait at most.
+            notice_s: seconds for which new requests are still taken.
+            timeout_s: seconds to wait for requests in progress at most.
 
         Returns:
             Whether all requests ended in time.
@@ -242,6 +248,8 @@
         self.blackboard.draining = True
         self.blackboard.membership_changed.notify()
         await self.heartbeats.announce()
+        await asyncio.sleep(notice_s)
+        self._accepting = False
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
@@ -330,13 +338,13 @@
         try:
             yield
         except OutcomeError as error:
-            self.metrics.count_outcome(service, error.outcome)
+            self.metrics.service(service).count_outcome(error.outcome)
             raise
         except (GeneratorExit, asyncio.CancelledError):
-            self.metrics.count_outcome(service, Outcome.CALLER_LEFT)
+            self.metrics.service(service).count_outcome(Outcome.CALLER_LEFT)
             raise
         else:
-            self.metrics.count_outcome(service, Outcome.COMPLETE)
+            self.metrics.service(service).count_outcome(Outcome.COMPLETE)
         finally:
             self._active -= 1
             if not self._active:
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import pytest
+
 from mustardscale.rendezvous import owner, rank
 
 NODES = [f'host-{number}' for number in range(7)]
@@ -27,4 +29,5 @@
     def test_owner_is_first_of_rank(self):
         for number in range(50):
             assert owner(str(number), NODES) == rank(str(number), NODES)[0]
-        assert owner('key', []) is None
+        with pytest.raises(ValueError):
+            owner('key', [])
