--- a/mustardscale/config_records.py
+++ b/mustardscale/config_records.py
@@ -167,15 +167,17 @@
 
 @dataclasses.dataclass(slots=True)
 class ConfigSnapshot:
-    """The current change of every key, appended before retention ends.
+    """The current change of each key, appended before retention ends.
 
     Attributes:
-        entries: the current change of each key.
+        entries: the current changes with a version above after.
         folded_offset: offset up to which the log is contained in it.
+        after: keys whose version is not above this are left out.
     """
 
     entries: tuple[VersionedChange, ...]
     folded_offset: int = 0
+    after: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/mustardscale/config_state.py
@@ -0,0 +1,308 @@
+"""Folds the configuration stream into the current profiles and services.
+
+The fold depends on nothing but the records, so every host that has folded
+the same records is in the same state. A change counts only if its base is
+the current version of its key; a version is the offset of its record.
+
+Where records are missing, a later change can't be judged: its base may have
+been replaced by a record that this host never saw. Such changes wait until a
+snapshot covers the missing records.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import dataclasses
+import enum
+
+import xxhash
+
+from mustardscale.config_records import (
+    ConfigChange,
+    ConfigKey,
+    ConfigSnapshot,
+    Profile,
+    RecordError,
+    ServiceChoice,
+    VersionedChange,
+    decode_record,
+    encode_record,
+)
+from mustardscale.peers import ConfigRecord
+
+PROFILE_KIND = 'profile'
+SERVICE_KIND = 'service'
+
+# Changes kept for the operators' history.
+HISTORY_LIMIT = 1_000
+# Records kept while earlier ones are missing.
+WAITING_LIMIT = 10_000
+
+
+class Fate(enum.StrEnum):
+    """What became of a record."""
+
+    ACCEPTED = 'accepted'
+    LOST = 'lost'
+    SUPERSEDED = 'superseded'
+    MERGED = 'merged'
+    REPEATED = 'repeated'
+    WAITING = 'waiting'
+    UNREADABLE = 'unreadable'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplyResult:
+    """What became of an applied record.
+
+    Attributes:
+        fate: the verdict.
+        changed: keys whose current version changed, by this record or by
+            waiting records that it settled.
+        version: current version of the record's key, 0 for other records.
+        detail: why a record is unreadable.
+    """
+
+    fate: Fate
+    changed: tuple[ConfigKey, ...] = ()
+    version: int = 0
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """A folded change and its fate.
+
+    Attributes:
+        offset: offset of its record.
+        change: the change.
+        fate: ACCEPTED, LOST or SUPERSEDED.
+        version: current version of the key after it was folded.
+    """
+
+    offset: int
+    change: ConfigChange
+    fate: Fate
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProfileEntry:
+    """The current profile of a name."""
+
+    version: int
+    profile: Profile
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceEntry:
+    """The current choice of a service."""
+
+    version: int
+    choice: ServiceChoice
+
+
+class ConfigState:
+    """The folded configuration.
+
+    Attributes:
+        by_key: the current change of each key.
+        profiles_by_name: the current profiles.
+        services_by_name: the current service choices.
+        history: the latest folded changes, the oldest first.
+        folded_offset: offset up to which every record is settled.
+    """
+
+    __slots__ = (
+        '_waiting',
+        '_waiting_offsets',
+        'by_key',
+        'folded_offset',
+        'history',
+        'profiles_by_name',
+        'services_by_name',
+    )
+
+    def __init__(self):
+        self.by_key: dict[ConfigKey, VersionedChange] = {}
+        self.profiles_by_name: dict[str, ProfileEntry] = {}
+        self.services_by_name: dict[str, ServiceEntry] = {}
+        self.history: collections.deque[HistoryEntry] = collections.deque(
+            maxlen=HISTORY_LIMIT
+        )
+        self.folded_offset = 0
+        self._waiting: dict[int, ConfigChange | None] = {}
+        self._waiting_offsets: list[int] = []
+
+    @property
+    def read_offset(self) -> int:
+        """Offset after which to read the stream on."""
+        if self._waiting_offsets:
+            return max(self.folded_offset, self._waiting_offsets[-1])
+        return self.folded_offset
+
+    @property
+    def settled(self) -> bool:
+        """Whether no record waits for missing ones."""
+        return not self._waiting_offsets
+
+    def current(self, key: ConfigKey) -> VersionedChange | None:
+        """Returns the current change of a key."""
+        return self.by_key.get(key)
+
+    def version(self, key: ConfigKey) -> int:
+        """Returns the current version of a key, 0 if there is none."""
+        entry = self.by_key.get(key)
+        return entry.version if entry is not None else 0
+
+    def apply(self, offset: int, payload: bytes) -> ApplyResult:
+        """Folds the record at an offset of the stream."""
+        try:
+            content = decode_record(payload)
+        except RecordError as error:
+            changed = self._take(offset, None)
+            return ApplyResult(Fate.UNREADABLE, changed, detail=str(error))
+        if isinstance(content, ConfigSnapshot):
+            return self._apply_snapshot(offset, content)
+        return self._apply_change(offset, content)
+
+    def merge(self, payload: bytes) -> ApplyResult:
+        """Merges a snapshot that a peer sent."""
+        try:
+            content = decode_record(payload)
+        except RecordError as error:
+            return ApplyResult(Fate.UNREADABLE, detail=str(error))
+        if not isinstance(content, ConfigSnapshot):
+            return ApplyResult(Fate.UNREADABLE, detail='not a snapshot')
+        return ApplyResult(Fate.MERGED, self._merge_snapshot(content))
+
+    def settle(self) -> ApplyResult:
+        """Folds the waiting records as if the missing ones held no change.
+
+        Only for when no peer and no snapshot has the missing records.
+        """
+        if not self._waiting_offsets:
+            return ApplyResult(Fate.REPEATED)
+        self.folded_offset = self._waiting_offsets[0] - 1
+        return ApplyResult(Fate.MERGED, self._fold_waiting())
+
+    def snapshot(self, after: int = 0) -> ConfigSnapshot:
+        """Returns the current changes with a version above after."""
+        entries = [
+            entry for entry in self.by_key.values() if entry.version > after
+        ]
+        entries.sort(key=lambda entry: entry.version)
+        return ConfigSnapshot(tuple(entries), self.folded_offset, after)
+
+    def records(self, after: int = 0) -> tuple[ConfigRecord, ...]:
+        """Returns the state as a peer merges it; empty while unsettled."""
+        if not self.settled or self.folded_offset <= after:
+            return ()
+        payload = encode_record(self.snapshot(after))
+        return (ConfigRecord(self.folded_offset, payload),)
+
+    def digest(self) -> int:
+        """Returns a 64-bit hash over the keys and their versions."""
+        digest = xxhash.xxh3_64()
+        for key in sorted(self.by_key):
+            digest.update(str(key).encode())
+            digest.update(f'={self.by_key[key].version};'.encode())
+        return digest.intdigest()
+
+    def _apply_change(self, offset: int, change: ConfigChange) -> ApplyResult:
+        """Folds a change, or keeps it until the missing records are known."""
+        if offset <= self.folded_offset or offset in self._waiting:
+            return ApplyResult(Fate.REPEATED, (), self.version(change.key))
+        changed = self._take(offset, change)
+        if offset > self.folded_offset:
+            return ApplyResult(Fate.WAITING, (), self.version(change.key))
+        folded = (e for e in reversed(self.history) if e.offset == offset)
+        return ApplyResult(next(folded).fate, changed, self.version(change.key))
+
+    def _apply_snapshot(
+        self, offset: int, snapshot: ConfigSnapshot
+    ) -> ApplyResult:
+        """Merges a snapshot of the stream, also one that was merged before."""
+        newest = max([e.version for e in snapshot.entries], default=0)
+        if max(newest, snapshot.folded_offset) >= offset:
+            changed = self._take(offset, None)
+            detail = 'the snapshot is newer than its own offset'
+            return ApplyResult(Fate.UNREADABLE, changed, detail=detail)
+        changed = self._take(offset, None)
+        changed += self._merge_snapshot(snapshot)
+        return ApplyResult(Fate.MERGED, tuple(dict.fromkeys(changed)))
+
+    def _take(
+        self, offset: int, content: ConfigChange | None
+    ) -> tuple[ConfigKey, ...]:
+        """Folds a new record, or keeps it while earlier ones are missing."""
+        if offset <= self.folded_offset or offset in self._waiting:
+            return ()
+        self._waiting[offset] = content
+        bisect.insort(self._waiting_offsets, offset)
+        if len(self._waiting_offsets) > WAITING_LIMIT:
+            del self._waiting[self._waiting_offsets.pop(0)]
+        return self._fold_waiting()
+
+    def _merge_snapshot(
+        self, snapshot: ConfigSnapshot
+    ) -> tuple[ConfigKey, ...]:
+        """Merges by maximum version; the state never goes back."""
+        changed = []
+        for entry in snapshot.entries:
+            if entry.version > self.version(entry.change.key):
+                self._set(entry)
+                changed.append(entry.change.key)
+        if snapshot.after <= self.folded_offset < snapshot.folded_offset:
+            self.folded_offset = snapshot.folded_offset
+        changed.extend(self._fold_waiting())
+        return tuple(changed)
+
+    def _fold_waiting(self) -> tuple[ConfigKey, ...]:
+        """Folds the waiting records that follow the settled ones."""
+        changed: list[ConfigKey] = []
+        folded = 0
+        for offset in self._waiting_offsets:
+            if offset > self.folded_offset + 1:
+                break
+            folded += 1
+            content = self._waiting.pop(offset)
+            if offset <= self.folded_offset:
+                continue
+            self.folded_offset = offset
+            if content is not None:
+                changed.extend(self._fold(offset, content))
+        del self._waiting_offsets[:folded]
+        return tuple(changed)
+
+    def _fold(self, offset: int, change: ConfigChange) -> tuple[ConfigKey, ...]:
+        """Decides on a change; returns its key if it is now current."""
+        changed: tuple[ConfigKey, ...] = ()
+        current = self.version(change.key)
+        if current == offset:
+            fate = Fate.ACCEPTED
+        elif current > offset:
+            fate = Fate.SUPERSEDED
+        elif change.base == current:
+            fate = Fate.ACCEPTED
+            self._set(VersionedChange(offset, change))
+            changed = (change.key,)
+        else:
+            fate = Fate.LOST
+        version = self.version(change.key)
+        self.history.append(HistoryEntry(offset, change, fate, version))
+        return changed
+
+    def _set(self, entry: VersionedChange) -> None:
+        """Makes a change the current one of its key."""
+        change = entry.change
+        self.by_key[change.key] = entry
+        if change.profile is not None:
+            self.profiles_by_name[change.key.name] = ProfileEntry(
+                entry.version, change.profile
+            )
+        if change.service is not None:
+            self.services_by_name[change.key.name] = ServiceEntry(
+                entry.version, change.service
+            )
--- /dev/null
+++ b/tests/test_config_state.py
@@ -0,0 +1,159 @@
+"""Tests of the fold of the configuration stream."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mustardscale.config_records import (
+    ConfigChange,
+    ConfigKey,
+    Profile,
+    encode_record,
+)
+from mustardscale.config_state import PROFILE_KIND, ConfigState, Fate
+
+KEY = ConfigKey(PROFILE_KIND, 'noon')
+OTHER = ConfigKey(PROFILE_KIND, 'night')
+PUBLISHERS = 40
+
+
+def change(base, change_id='c', key=KEY, weight=1.0):
+    profile = Profile(weight=weight)
+    return encode_record(ConfigChange(key, base, change_id, 'ann', profile))
+
+
+def fold(payloads, first=1):
+    state = ConfigState()
+    for offset, payload in enumerate(payloads, first):
+        state.apply(offset, payload)
+    return state
+
+
+def racing_log(seed, keys=(KEY, OTHER)):
+    """Lets publishers read at one time and append at another, at random.
+
+    Snapshots, some of them old, and damaged records stand in between.
+    """
+    rng = random.Random(seed)
+    payloads, pending = [], []
+    snapshots = [encode_record(ConfigState().snapshot())]
+    state = ConfigState()
+    left = [f'c{number}' for number in range(PUBLISHERS)]
+    while left or pending:
+        action = rng.random()
+        if left and action < 0.4:
+            key = rng.choice(keys)
+            pending.append(change(state.version(key), left.pop(), key))
+            snapshots.append(encode_record(state.snapshot()))
+            continue
+        if action < 0.5:
+            payloads.append(rng.choice([rng.choice(snapshots), b'{broken']))
+        elif pending:
+            payloads.append(pending.pop(rng.randrange(len(pending))))
+        else:
+            continue
+        state.apply(len(payloads), payloads[-1])
+    return payloads, snapshots
+
+
+class TestFold:
+    """Races of publishers on one stream."""
+
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=50, deadline=None)
+    def test_each_base_has_exactly_one_winner(self, seed):
+        payloads, _ = racing_log(seed)
+        state = fold(payloads)
+        assert len(state.history) == PUBLISHERS
+        tried = {(e.change.key, e.change.base) for e in state.history}
+        won = [
+            (e.change.key, e.change.base)
+            for e in state.history
+            if e.fate is Fate.ACCEPTED
+        ]
+        assert sorted(won) == sorted(tried)
+        assert fold(payloads).digest() == state.digest()
+
+    def test_the_loser_learns_the_version_it_lost_to(self):
+        state = fold([change(0, 'first')])
+        result = state.apply(2, change(0, 'second'))
+        assert (result.fate, result.version) == (Fate.LOST, 1)
+        assert state.apply(3, change(1)).fate is Fate.ACCEPTED
+
+    def test_repeated_records_change_nothing(self):
+        payloads, _ = racing_log(5)
+        state = fold(payloads)
+        before = state.digest()
+        for offset, payload in reversed(list(enumerate(payloads, 1))):
+            state.apply(offset, payload)
+        assert state.digest() == before
+        assert len(state.history) == PUBLISHERS
+
+    def test_unreadable_records_are_skipped(self):
+        state = fold([change(0)])
+        assert state.apply(2, b'\xff').fate is Fate.UNREADABLE
+        assert state.apply(3, change(1, weight=3)).fate is Fate.ACCEPTED
+        assert state.profiles_by_name['noon'].profile.weight == 3
+
+
+class TestSnapshots:
+    """Snapshots of the stream and of peers."""
+
+    @given(st.integers(0, 2**32), st.randoms(use_true_random=False))
+    @settings(max_examples=50, deadline=None)
+    def test_old_snapshots_never_revert(self, seed, rng):
+        payloads, snapshots = racing_log(seed)
+        state = ConfigState()
+        for offset, payload in enumerate(payloads, 1):
+            before = state.version(KEY)
+            state.apply(offset, payload)
+            state.merge(rng.choice(snapshots))
+            assert state.version(KEY) >= before
+        assert state.digest() == fold(payloads).digest()
+
+    @given(st.integers(0, 2**32), st.data())
+    @settings(max_examples=80, deadline=None)
+    def test_hosts_agree_after_records_were_lost(self, seed, data):
+        payloads, _ = racing_log(seed)
+        end = len(payloads)
+        lost_from = data.draw(st.integers(0, end - 1))
+        lost_to = data.draw(st.integers(lost_from, end))
+        copied_at = data.draw(st.integers(lost_to, end))
+        whole = fold(payloads)
+        state = fold(payloads[:lost_from])
+        for offset in range(lost_to + 1, end + 1):
+            state.apply(offset, payloads[offset - 1])
+            accepted = {
+                e.offset for e in whole.history if e.fate is Fate.ACCEPTED
+            }
+            versions = {entry.version for entry in state.by_key.values()}
+            assert versions <= accepted
+        peer = fold(payloads[:copied_at])
+        for record in peer.records(state.folded_offset):
+            state.merge(record.payload)
+        assert state.settled
+        assert state.read_offset == max(end, copied_at)
+        assert state.digest() == whole.digest()
+
+    def test_a_change_waits_while_its_base_may_be_replaced(self):
+        state = fold([change(0)])
+        assert state.apply(3, change(1, 'stale')).fate is Fate.WAITING
+        assert state.version(KEY) == 1
+        peer = fold([change(0), change(1, 'unseen')])
+        state.merge(peer.records()[0].payload)
+        assert state.version(KEY) == 2
+        assert state.history[-1].fate is Fate.LOST
+
+    def test_settling_without_the_lost_records(self):
+        state = fold([change(0, 'a'), change(1, 'b')], first=7)
+        assert state.records() == ()
+        assert state.settle().changed == (KEY,)
+        assert state.version(KEY) == 7
+
+    def test_a_snapshot_from_the_future_is_refused(self):
+        snapshot = fold([change(0), change(1)]).snapshot()
+        state = ConfigState()
+        result = state.apply(1, encode_record(snapshot))
+        assert result.fate is Fate.UNREADABLE
+        assert not state.by_key
