--- /dev/null
+++ b/mustardscale/caller_connections.py
@@ -0,0 +1,228 @@
+"""The HTTP server of callers' connections, with limits on slow callers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import http_exceptions, web
+
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome
+from mustardscale.problem_details import problem_response
+
+log = logging.getLogger(__name__)
+
+RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# Seconds for which the rest of a refused body is read and dropped.
+LINGERING_S = 2.0
+
+# How the HTTP library's message about the number of headers begins.
+_TOO_MANY_HEADERS = 'Too many headers'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What one caller may take up.
+
+    Attributes:
+        header_bytes: size of all headers, and of the request line.
+        body_bytes: size of a body.
+        header_timeout_s: seconds for a request's headers to arrive.
+        body_timeout_s: seconds for a request's body to arrive.
+        write_timeout_s: seconds for which a caller may read nothing.
+        keepalive_timeout_s: seconds for which a connection may be idle.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 2_097_152
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 15.0
+    write_timeout_s: float = 20.0
+    keepalive_timeout_s: float = 75.0
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection; answers unreadable and slow requests with a code."""
+
+    __slots__ = ('_header_timeout_s', '_header_timer')
+
+    def __init__(
+        self,
+        server: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        limits: CallerLimits,
+    ):
+        super().__init__(
+            server,
+            loop=loop,
+            keepalive_timeout=limits.keepalive_timeout_s,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            lingering_time=LINGERING_S,
+            auto_decompress=False,
+            access_log=None,  # type: ignore[arg-type]
+        )
+        self._header_timeout_s = limits.header_timeout_s
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Passes bytes to the parser and watches over partial headers."""
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count != count:
+            self._stop_header_timer()
+        elif self._header_timer is None and self._waiter is not None:
+            self._header_timer = self._loop.call_later(
+                self._header_timeout_s, self._refuse_slow_headers
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the request in progress."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that could not be parsed.
+
+        Raises:
+            ConnectionError: the caller left, or got part of an answer.
+        """
+        if isinstance(exc, ConnectionError) or request.writer.output_size > 0:
+            raise ConnectionResetError('connection lost') from exc
+        outcome = _outcome_of(exc)
+        if outcome is Outcome.INTERNAL_ERROR:
+            log.error('request failed', exc_info=exc)
+        response = problem_response(OutcomeError(outcome))
+        response.force_close()
+        return response
+
+    def _refuse_slow_headers(self) -> None:
+        """Cuts a connection whose headers did not arrive in time."""
+        self._header_timer = None
+        if self.transport is None or self._waiter is None:
+            return
+        self.transport.write(_slow_headers_answer())
+        self.force_close()
+
+    def _stop_header_timer(self) -> None:
+        """Stops to wait for headers."""
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+
+class CallerServer(web.Server):
+    """Makes a CallerConnection for each connection."""
+
+    def __init__(self, handler: RequestHandler, limits: CallerLimits):
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+
+    def __call__(self) -> CallerConnection:
+        """Returns the protocol of a new connection."""
+        return CallerConnection(self, self._loop, self._limits)
+
+
+def check_header_size(request: web.BaseRequest, limits: CallerLimits) -> None:
+    """Checks the size of all headers together.
+
+    Raises:
+        OutcomeError: REQUEST_TOO_LARGE.
+    """
+    size = sum(len(name) + len(value) for name, value in request.raw_headers)
+    if size > limits.header_bytes:
+        raise OutcomeError(
+            Outcome.REQUEST_TOO_LARGE,
+            f'headers of {size} bytes exceed {limits.header_bytes}',
+        )
+
+
+async def read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
+    """Reads a body within its size and time.
+
+    Raises:
+        OutcomeError: REQUEST_TOO_LARGE, REQUEST_TOO_SLOW, MALFORMED_REQUEST.
+    """
+    if (request.content_length or 0) > limits.body_bytes:
+        raise _body_too_large(limits)
+    try:
+        async with asyncio.timeout(limits.body_timeout_s):
+            return await _read_chunks(request, limits)
+    except TimeoutError as error:
+        raise OutcomeError(
+            Outcome.REQUEST_TOO_SLOW,
+            f'the body did not arrive within {limits.body_timeout_s} s',
+        ) from error
+    except (
+        web.RequestPayloadError,
+        http_exceptions.HttpProcessingError,
+    ) as error:
+        raise OutcomeError(Outcome.MALFORMED_REQUEST, str(error)) from error
+
+
+async def _read_chunks(request: web.BaseRequest, limits: CallerLimits) -> bytes:
+    """Reads a body within its size."""
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > limits.body_bytes:
+            raise _body_too_large(limits)
+    return bytes(body)
+
+
+async def write_in_time(
+    request: web.BaseRequest, writing: Awaitable[object], limits: CallerLimits
+) -> None:
+    """Awaits a write; cuts off a caller that does not read.
+
+    Raises:
+        ConnectionResetError: the caller was cut off.
+    """
+    try:
+        async with asyncio.timeout(limits.write_timeout_s):
+            await writing
+    except TimeoutError as error:
+        log.info('caller cut off: it does not read its answer')
+        if request.transport is not None:
+            request.transport.abort()
+        raise ConnectionResetError('the caller does not read') from error
+
+
+def _outcome_of(error: BaseException | None) -> Outcome:
+    """Returns the code for an error of the HTTP library."""
+    if isinstance(error, http_exceptions.LineTooLong):
+        return Outcome.REQUEST_TOO_LARGE
+    if isinstance(error, http_exceptions.HttpProcessingError):
+        if error.message.startswith(_TOO_MANY_HEADERS):
+            return Outcome.REQUEST_TOO_LARGE
+        return Outcome.MALFORMED_REQUEST
+    return Outcome.INTERNAL_ERROR
+
+
+def _body_too_large(limits: CallerLimits) -> OutcomeError:
+    """Returns the refusal of a large body."""
+    return OutcomeError(
+        Outcome.REQUEST_TOO_LARGE, f'the body exceeds {limits.body_bytes} bytes'
+    )
+
+
+def _slow_headers_answer() -> bytes:
+    """Returns an HTTP answer for a request that has not been parsed yet."""
+    response = problem_response(OutcomeError(Outcome.REQUEST_TOO_SLOW))
+    body = response.body
+    assert isinstance(body, bytes)
+    return (
+        b'HTTP/1.1 408 REQUEST_TOO_SLOW\r\nConnection: close\r\n'
+        b'Content-Type: application/problem+json\r\n'
+        b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+    )
