--- a/mustardscale/config_records.py
+++ b/mustardscale/config_records.py
@@ -171,7 +171,7 @@
 
     Attributes:
         entries: the current changes with a version above after.
-        folded_offset: offset up to which the writer had folded the stream.
+        folded_offset: offset up to which the log is contained in it.
         after: keys whose version is not above this are left out.
     """
 
--- a/mustardscale/service_api.py
+++ b/mustardscale/service_api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncIterator
 
 from mustardscale.config_records import ServiceChoice, ServiceKind
 from mustardscale.engines import TokenEvent
@@ -28,7 +28,7 @@
     @abc.abstractmethod
     def serve_language(
         self, request: LanguageRequest
-    ) -> AsyncGenerator[TokenEvent, None]:
+    ) -> AsyncIterator[TokenEvent]:
         """Yields the tokens of an answer; closing it means the caller left."""
 
     @abc.abstractmethod
