Write log lines from a thread, and drop them when it falls behind

A log line written straight to a pipe that nobody reads stops the event loop, and with it the heartbeats, so peers would count a healthy host as dead. aiomisc's ThreadedHandler was weighed: with a bounded queue it raises in the middle of the caller's code when the queue is full, and without a bound it can take all memory. The standard QueueHandler and QueueListener serve, with a bound of 10000 lines, a count of dropped lines and a limit of 2 s on the last lines at the end of the process.

--- a/mustardscale/json_logging.py
+++ b/mustardscale/json_logging.py
@@ -5,7 +5,10 @@
 import datetime
 import enum
 import logging
+import logging.handlers
+import queue
 import sys
+import threading
 import traceback
 from collections.abc import Iterable
 from typing import Any, TextIO
@@ -16,6 +19,10 @@
 MAX_TEXT = 2_000
 # Longest stack trace, in characters; its end is kept.
 MAX_TRACE = 8_000
+# Lines that may wait to be written.
+MAX_QUEUED_LINES = 10_000
+# Seconds for which the last lines may take to be written.
+CLOSE_S = 2.0
 REDACTED = '***'
 
 # Extra fields that would carry callers' content or credentials.
@@ -92,23 +99,72 @@
         return text
 
 
+class LogOutput(logging.handlers.QueueHandler):
+    """Hands lines to a thread that writes them to a stream.
+
+    A stream that takes no bytes thus does not stop the event loop. Lines that
+    find the queue full are dropped and counted.
+
+    Attributes:
+        dropped: lines dropped so far.
+    """
+
+    def __init__(self, formatter: JsonFormatter, stream: TextIO):
+        self._lines: queue.Queue[Any] = queue.Queue(MAX_QUEUED_LINES)
+        super().__init__(self._lines)
+        self.dropped = 0
+        self.setFormatter(formatter)
+        self._stopped = False
+        writer = logging.StreamHandler(stream)
+        self._listener = logging.handlers.QueueListener(self._lines, writer)
+        self._listener.start()
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Formats a record, here and not in the thread that writes it."""
+        return logging.makeLogRecord({'msg': self.format(record)})
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queues a line or drops it."""
+        try:
+            self._lines.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Writes the queued lines, for at most CLOSE_S seconds."""
+        if self._stopped:
+            return
+        self._stopped = True
+        stopping = threading.Thread(target=self._stop, daemon=True)
+        stopping.start()
+        stopping.join(CLOSE_S)
+        super().close()
+
+    def _stop(self) -> None:
+        self._lines.join()
+        self._listener.stop()
+
+
 def configure_logging(
     level: str, secrets: Iterable[str] = (), stream: TextIO | None = None
-) -> None:
+) -> LogOutput:
     """Sends all log records of the process to a stream as JSON lines.
 
     Args:
         level: lowest level, such as 'info'.
         secrets: texts to be replaced wherever they appear.
         stream: where to write; standard error if None.
+
+    Returns:
+        The handler; to be closed at the end of the process.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonFormatter(secrets))
+    output = LogOutput(JsonFormatter(secrets), stream or sys.stderr)
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
-    root.addHandler(handler)
+    root.addHandler(output)
     root.setLevel(level.upper())
+    return output
 
 
 def _time_text(seconds: float) -> str:
--- a/tests/test_json_logging.py
+++ b/tests/test_json_logging.py
@@ -4,13 +4,16 @@
 import json
 import logging
 import sys
+import threading
 
 import pytest
 
+from mustardscale import json_logging
 from mustardscale.exceptions import PeerFrameError
 from mustardscale.json_logging import (
     MAX_TEXT,
     JsonFormatter,
+    LogOutput,
     configure_logging,
 )
 from mustardscale.outcomes import Outcome
@@ -104,11 +107,28 @@
         before, level = list(root.handlers), root.level
         stream = io.StringIO()
         try:
-            configure_logging('info', [SECRET], stream)
+            output = configure_logging('info', [SECRET], stream)
             logging.getLogger('x').debug('hidden')
             logging.getLogger('x').info('shown %s', SECRET)
+            output.close()
+            output.close()
         finally:
             root.handlers[:] = before
             root.setLevel(level)
         (line,) = stream.getvalue().splitlines()
         assert json.loads(line)['message'] == 'shown ***'
+
+    def test_stalled_stream_drops_lines_and_does_not_block(self, monkeypatch):
+        monkeypatch.setattr(json_logging, 'MAX_QUEUED_LINES', 3)
+        ready = threading.Event()
+        stream = io.StringIO()
+        write = stream.write
+        stream.write = lambda text: ready.wait() and write(text)
+        output = LogOutput(JsonFormatter(), stream)
+        for number in range(20):
+            output.handle(logging.makeLogRecord({'msg': str(number)}))
+        ready.set()
+        output.close()
+        written = len(stream.getvalue().splitlines())
+        assert written + output.dropped == 20
+        assert written in (3, 4)
