Run the peers' tests on virtual time by a decorator

The tests and their checks are the same; the one that closes at any moment is now one test for each number of steps.

--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-import async_solipsism
 import pytest
+from virtual_time import virtual_time
 
 from mustardscale.exceptions import (
     OutcomeError,
@@ -67,14 +67,6 @@
         return REPLY
 
 
-def run(scenario):
-    loop = async_solipsism.EventLoop()
-    try:
-        loop.run_until_complete(scenario)
-    finally:
-        loop.close()
-
-
 def transport(host, port, key=b'', limits=None):
     return TcpPeerTransport(
         PeerIdentity(host, 1, key),
@@ -112,20 +104,18 @@
 class TestCalls:
     """Requests and replies."""
 
-    def test_replies_may_overtake_each_other(self):
-        async def scenario():
-            async with Pair() as pair:
-                ended = []
+    @virtual_time
+    async def test_replies_may_overtake_each_other(self):
+        async with Pair() as pair:
+            ended = []
 
-                async def call(wish):
-                    assert await pair.call(wish) == REPLY
-                    ended.append(wish)
+            async def call(wish):
+                assert await pair.call(wish) == REPLY
+                ended.append(wish)
 
-                await asyncio.gather(*map(call, ('3', '1', '2')))
-                assert ended == ['1', '2', '3']
-                assert pair.handler.hosts == ['a'] * 3
-
-        run(scenario())
+            await asyncio.gather(*map(call, ('3', '1', '2')))
+            assert ended == ['1', '2', '3']
+            assert pair.handler.hosts == ['a'] * 3
 
     @pytest.mark.parametrize(
         ('wish', 'code'),
@@ -134,219 +124,187 @@
             ('fail', Outcome.INTERNAL_ERROR),
         ],
     )
-    def test_failure_of_the_handler_carries_its_code(self, wish, code):
-        async def scenario():
-            async with Pair() as pair:
-                with pytest.raises(PeerCallError) as caught:
-                    await pair.call(wish)
-                assert caught.value.outcome is code
-                assert await pair.call('0') == REPLY
-
-        run(scenario())
-
-    def test_reply_of_another_type_is_an_error(self):
-        async def scenario():
-            async with Pair() as pair:
-                with pytest.raises(PeerUnavailableError, match='Acknowl'):
-                    await pair.call('mistype')
-
-        run(scenario())
-
-    def test_reply_above_the_size_limit_is_an_error(self):
-        async def scenario():
-            async with Pair() as pair:
-                with pytest.raises(PeerCallError) as caught:
-                    await pair.a.call(
-                        'b', '127.0.0.1:7002', ConfigFetch(2 << 20), 5
-                    )
-                assert caught.value.outcome is Outcome.PEER_FRAME_TOO_LARGE
-                assert await pair.call('0') == REPLY
-
-        run(scenario())
-
-    def test_large_replies_pass_through_small_buffers(self):
-        async def scenario():
-            async with Pair(limits=PeerLimits(drain_bytes=1000)) as pair:
-                fetch = ConfigFetch(900_000)
-                replies = await asyncio.gather(
-                    *[
-                        pair.a.call('b', '127.0.0.1:7002', fetch, 60)
-                        for _ in range(4)
-                    ]
+    @virtual_time
+    async def test_failure_of_the_handler_carries_its_code(self, wish, code):
+        async with Pair() as pair:
+            with pytest.raises(PeerCallError) as caught:
+                await pair.call(wish)
+            assert caught.value.outcome is code
+            assert await pair.call('0') == REPLY
+
+    @virtual_time
+    async def test_reply_of_another_type_is_an_error(self):
+        async with Pair() as pair:
+            with pytest.raises(PeerUnavailableError, match='Acknowl'):
+                await pair.call('mistype')
+
+    @virtual_time
+    async def test_reply_above_the_size_limit_is_an_error(self):
+        async with Pair() as pair:
+            with pytest.raises(PeerCallError) as caught:
+                await pair.a.call(
+                    'b', '127.0.0.1:7002', ConfigFetch(2 << 20), 5
                 )
-                sizes = [len(reply.records[0].payload) for reply in replies]
-                assert sizes == [900_000] * 4
-
-        run(scenario())
-
-    def test_calls_in_flight_are_limited(self):
-        async def scenario():
-            async with Pair(limits=PeerLimits(calls=1)) as pair:
-                first = asyncio.create_task(pair.call('1'))
-                await asyncio.sleep(0.5)
-                with pytest.raises(PeerUnavailableError, match='too many'):
-                    await pair.call('0')
-                assert await first == REPLY
-                assert await pair.call('0') == REPLY
-
-        run(scenario())
+            assert caught.value.outcome is Outcome.PEER_FRAME_TOO_LARGE
+            assert await pair.call('0') == REPLY
+
+    @virtual_time
+    async def test_large_replies_pass_through_small_buffers(self):
+        async with Pair(limits=PeerLimits(drain_bytes=1000)) as pair:
+            fetch = ConfigFetch(900_000)
+            replies = await asyncio.gather(
+                *[
+                    pair.a.call('b', '127.0.0.1:7002', fetch, 60)
+                    for _ in range(4)
+                ]
+            )
+            sizes = [len(reply.records[0].payload) for reply in replies]
+            assert sizes == [900_000] * 4
+
+    @virtual_time
+    async def test_calls_in_flight_are_limited(self):
+        async with Pair(limits=PeerLimits(calls=1)) as pair:
+            first = asyncio.create_task(pair.call('1'))
+            await asyncio.sleep(0.5)
+            with pytest.raises(PeerUnavailableError, match='too many'):
+                await pair.call('0')
+            assert await first == REPLY
+            assert await pair.call('0') == REPLY
 
 
 class TestGivingUp:
     """Calls whose caller no longer waits."""
 
-    def test_timeout_cancels_the_handler(self):
-        async def scenario():
-            async with Pair() as pair:
-                with pytest.raises(PeerUnavailableError, match='no reply'):
-                    await pair.call('hang', timeout_s=2)
-                await asyncio.sleep(1)
-                assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
-                assert await pair.call('0') == REPLY
+    @virtual_time
+    async def test_timeout_cancels_the_handler(self):
+        async with Pair() as pair:
+            with pytest.raises(PeerUnavailableError, match='no reply'):
+                await pair.call('hang', timeout_s=2)
+            await asyncio.sleep(1)
+            assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
+            assert await pair.call('0') == REPLY
+
+    @virtual_time
+    async def test_cancelling_the_call_cancels_only_its_handler(self):
+        async with Pair() as pair:
+            other = asyncio.create_task(pair.call('5'))
+            call = asyncio.create_task(pair.call('hang'))
+            await asyncio.sleep(1)
+            assert pair.handler.running == 2
+            call.cancel()
+            await asyncio.sleep(1)
+            assert (pair.handler.running, pair.handler.cancelled) == (1, 1)
+            assert await other == REPLY
+
+    @virtual_time
+    async def test_loss_of_the_connection_cancels_its_handlers(self):
+        async with Pair() as pair:
+            call = asyncio.create_task(pair.call('hang', 100))
+            await asyncio.sleep(1)
+            await pair.a.close()
+            with pytest.raises(PeerUnavailableError):
+                await call
+            await asyncio.sleep(1)
+            assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
 
-        run(scenario())
-
-    def test_cancelling_the_call_cancels_only_its_handler(self):
-        async def scenario():
-            async with Pair() as pair:
-                other = asyncio.create_task(pair.call('5'))
-                call = asyncio.create_task(pair.call('hang'))
-                await asyncio.sleep(1)
-                assert pair.handler.running == 2
-                call.cancel()
-                await asyncio.sleep(1)
-                assert (pair.handler.running, pair.handler.cancelled) == (1, 1)
-                assert await other == REPLY
-
-        run(scenario())
-
-    def test_loss_of_the_connection_cancels_its_handlers(self):
-        async def scenario():
-            async with Pair() as pair:
-                call = asyncio.create_task(pair.call('hang', 100))
-                await asyncio.sleep(1)
-                await pair.a.close()
-                with pytest.raises(PeerUnavailableError):
-                    await call
-                await asyncio.sleep(1)
-                assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
-
-        run(scenario())
-
-    def test_death_of_the_peer_fails_the_calls_at_once(self):
-        async def scenario():
-            async with Pair() as pair:
-                call = asyncio.create_task(pair.call('hang', 100))
-                await asyncio.sleep(1)
-                await pair.b.close()
-                done, _ = await asyncio.wait([call], timeout=1)
-                assert isinstance(call.exception(), PeerUnavailableError)
-                assert done
-
-        run(scenario())
+    @virtual_time
+    async def test_death_of_the_peer_fails_the_calls_at_once(self):
+        async with Pair() as pair:
+            call = asyncio.create_task(pair.call('hang', 100))
+            await asyncio.sleep(1)
+            await pair.b.close()
+            done, _ = await asyncio.wait([call], timeout=1)
+            assert isinstance(call.exception(), PeerUnavailableError)
+            assert done
 
 
 class TestMisbehavingCaller:
     """Callers that send more than they may or read nothing."""
 
-    def test_calls_above_the_limit_are_refused(self):
-        async def scenario():
-            async with Pair(limits=PeerLimits(calls=1)) as pair:
-                stream = await greeted()
-                for call_id in (1, 2):
-                    stream.send(request(call_id, StreamLookup('5')))
-                refusal = await stream.receive(1)
-                assert refusal.call_id == 2
-                assert refusal.message.outcome == Outcome.RATE_LIMITED
-                assert (await stream.receive(10)).message == REPLY
-                assert len(pair.handler.hosts) == 1
-
-        run(scenario())
-
-    def test_call_number_in_use_closes_the_connection(self):
-        async def scenario():
-            async with Pair() as pair:
-                stream = await greeted()
-                for _ in range(2):
-                    stream.send(request(1, StreamLookup('hang')))
-                with pytest.raises((ConnectionError, EOFError)):
-                    await stream.receive(10)
-                assert pair.handler.running == 0
-
-        run(scenario())
-
-    def test_caller_that_reads_nothing_is_cut_off(self):
-        async def scenario():
-            async with Pair() as pair:
-                stream = await greeted()
+    @virtual_time
+    async def test_calls_above_the_limit_are_refused(self):
+        async with Pair(limits=PeerLimits(calls=1)) as pair:
+            stream = await greeted()
+            for call_id in (1, 2):
+                stream.send(request(call_id, StreamLookup('5')))
+            refusal = await stream.receive(1)
+            assert refusal.call_id == 2
+            assert refusal.message.outcome == Outcome.RATE_LIMITED
+            assert (await stream.receive(10)).message == REPLY
+            assert len(pair.handler.hosts) == 1
+
+    @virtual_time
+    async def test_call_number_in_use_closes_the_connection(self):
+        async with Pair() as pair:
+            stream = await greeted()
+            for _ in range(2):
                 stream.send(request(1, StreamLookup('hang')))
-                for call_id in range(2, 20):
-                    stream.send(request(call_id, ConfigFetch(900_000)))
-                await asyncio.sleep(6)
-                assert len(pair.handler.hosts) == 19
-                assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
-                assert await pair.call('0') == REPLY
-
-        run(scenario())
-
-    def test_closing_ends_connections_at_any_moment(self):
-        async def scenario(steps):
-            pair = Pair()
-            await pair.b.start(pair.handler)
-            call = asyncio.create_task(pair.call('hang', 100))
-            stream = await connect()
-            for _ in range(steps):
-                await asyncio.sleep(0)
-            await pair.b.close()
-            await pair.a.close()
             with pytest.raises((ConnectionError, EOFError)):
-                await stream.receive(1)
-            with pytest.raises(PeerUnavailableError):
-                await call
+                await stream.receive(10)
             assert pair.handler.running == 0
-            assert asyncio.all_tasks() == {asyncio.current_task()}
 
-        for steps in range(30):
-            run(scenario(steps))
+    @virtual_time
+    async def test_caller_that_reads_nothing_is_cut_off(self):
+        async with Pair() as pair:
+            stream = await greeted()
+            stream.send(request(1, StreamLookup('hang')))
+            for call_id in range(2, 20):
+                stream.send(request(call_id, ConfigFetch(900_000)))
+            await asyncio.sleep(6)
+            assert len(pair.handler.hosts) == 19
+            assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
+            assert await pair.call('0') == REPLY
+
+    @pytest.mark.parametrize('steps', range(30))
+    @virtual_time
+    async def test_closing_ends_connections_at_any_moment(self, steps):
+        pair = Pair()
+        await pair.b.start(pair.handler)
+        call = asyncio.create_task(pair.call('hang', 100))
+        stream = await connect()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        await pair.b.close()
+        await pair.a.close()
+        with pytest.raises((ConnectionError, EOFError)):
+            await stream.receive(1)
+        with pytest.raises(PeerUnavailableError):
+            await call
+        assert pair.handler.running == 0
+        assert asyncio.all_tasks() == {asyncio.current_task()}
 
 
 class TestReconnecting:
     """Attempts after a failure."""
 
-    def test_waits_longer_after_each_failure_and_recovers(self):
-        async def scenario():
-            caller = transport('a', 7001)
-            refusals = 0
-            for _ in range(200):
-                with pytest.raises(PeerUnavailableError) as caught:
-                    await caller.call(
-                        'b', '127.0.0.1:7002', StreamLookup(''), 1
-                    )
-                refusals += 'next attempt' in str(caught.value)
-                await asyncio.sleep(0.02)
-            # In 4 s: attempts at growing intervals, at most 1 s apart.
-            assert 185 < refusals < 197
-            async with Pair() as pair:
-                await asyncio.sleep(1)
-                reply = await caller.call(
-                    'b', '127.0.0.1:7002', StreamLookup(''), 1
-                )
-                assert reply == REPLY
-                assert pair.handler.hosts == ['a']
-            await caller.close()
-
-        run(scenario())
-
-    def test_connects_again_after_the_idle_time(self):
-        async def scenario():
-            async with Pair(limits=PeerLimits(idle_s=5)) as pair:
-                assert await pair.call('0') == REPLY
-                assert pair.a._peer_by_host['b'].connected
-                await asyncio.sleep(6)
-                assert not pair.a._peer_by_host['b'].connected
-                assert await pair.call('7') == REPLY
-
-        run(scenario())
+    @virtual_time
+    async def test_waits_longer_after_each_failure_and_recovers(self):
+        caller = transport('a', 7001)
+        refusals = 0
+        for _ in range(200):
+            with pytest.raises(PeerUnavailableError) as caught:
+                await caller.call('b', '127.0.0.1:7002', StreamLookup(''), 1)
+            refusals += 'next attempt' in str(caught.value)
+            await asyncio.sleep(0.02)
+        # In 4 s: attempts at growing intervals, at most 1 s apart.
+        assert 185 < refusals < 197
+        async with Pair() as pair:
+            await asyncio.sleep(1)
+            reply = await caller.call(
+                'b', '127.0.0.1:7002', StreamLookup(''), 1
+            )
+            assert reply == REPLY
+            assert pair.handler.hosts == ['a']
+        await caller.close()
+
+    @virtual_time
+    async def test_connects_again_after_the_idle_time(self):
+        async with Pair(limits=PeerLimits(idle_s=5)) as pair:
+            assert await pair.call('0') == REPLY
+            assert pair.a._peer_by_host['b'].connected
+            await asyncio.sleep(6)
+            assert not pair.a._peer_by_host['b'].connected
+            assert await pair.call('7') == REPLY
 
 
 class TestGreeting:
@@ -361,40 +319,34 @@
             ((b'k', b''), False),
         ],
     )
-    def test_both_sides_must_hold_the_peer_key(self, keys, accepted):
-        async def scenario():
-            async with Pair(keys) as pair:
-                if accepted:
-                    assert await pair.call('0') == REPLY
-                    return
-                with pytest.raises(PeerUnavailableError):
-                    await pair.call('0')
-                assert pair.handler.hosts == []
-
-        run(scenario())
-
-    def test_another_host_at_the_address_is_refused(self):
-        async def scenario():
-            async with Pair() as pair:
-                with pytest.raises(PeerUnavailableError, match='in place of'):
-                    await pair.call('0', host='c')
-
-        run(scenario())
-
-    def test_caller_without_the_key_cannot_reach_the_handler(self):
-        async def scenario():
-            async with Pair((b'k', b'k')) as pair:
-                stream = await connect()
-                hello = Frame(FrameKind.HELLO, 0, Hello('x', 1))
-                for _ in range(2):
-                    stream.send(encode_frame(hello))
-                stream.send(request(1, StreamLookup('0')))
+    @virtual_time
+    async def test_both_sides_must_hold_the_peer_key(self, keys, accepted):
+        async with Pair(keys) as pair:
+            if accepted:
+                assert await pair.call('0') == REPLY
+                return
+            with pytest.raises(PeerUnavailableError):
+                await pair.call('0')
+            assert pair.handler.hosts == []
+
+    @virtual_time
+    async def test_another_host_at_the_address_is_refused(self):
+        async with Pair() as pair:
+            with pytest.raises(PeerUnavailableError, match='in place of'):
+                await pair.call('0', host='c')
+
+    @virtual_time
+    async def test_caller_without_the_key_cannot_reach_the_handler(self):
+        async with Pair((b'k', b'k')) as pair:
+            stream = await connect()
+            hello = Frame(FrameKind.HELLO, 0, Hello('x', 1))
+            for _ in range(2):
+                stream.send(encode_frame(hello))
+            stream.send(request(1, StreamLookup('0')))
+            await stream.receive(10)
+            with pytest.raises((ConnectionError, EOFError)):
                 await stream.receive(10)
-                with pytest.raises((ConnectionError, EOFError)):
-                    await stream.receive(10)
-                assert pair.handler.hosts == []
-
-        run(scenario())
+            assert pair.handler.hosts == []
 
 
 async def connect():
@@ -426,39 +378,33 @@
             (b'MSPF\x01\x02' + bytes(10) + b'\0\0\0\x08half', 5001),
         ],
     )
-    def test_only_that_connection_is_closed(self, data, code, caplog):
-        async def scenario():
-            async with Pair() as pair:
-                other = asyncio.create_task(pair.call('20', 60))
-                await asyncio.sleep(1)
-                stream = await greeted()
-                stream.send(data)
-                with pytest.raises((ConnectionError, EOFError)):
-                    await stream.receive(10)
-                assert await other == REPLY
-                assert pair.handler.cancelled == 0
-
-        run(scenario())
+    @virtual_time
+    async def test_only_that_connection_is_closed(self, data, code, caplog):
+        async with Pair() as pair:
+            other = asyncio.create_task(pair.call('20', 60))
+            await asyncio.sleep(1)
+            stream = await greeted()
+            stream.send(data)
+            with pytest.raises((ConnectionError, EOFError)):
+                await stream.receive(10)
+            assert await other == REPLY
+            assert pair.handler.cancelled == 0
         codes = [getattr(record, 'code', None) for record in caplog.records]
         assert codes == [code]
 
-    def test_silent_connection_is_closed(self):
-        async def scenario():
-            async with Pair() as pair:
-                stream = await connect()
-                with pytest.raises((ConnectionError, EOFError)):
-                    await stream.receive(10)
-                assert await pair.call('0') == REPLY
-
-        run(scenario())
-
-    def test_connections_are_limited(self):
-        async def scenario():
-            async with Pair(limits=PeerLimits(connections=1)) as pair:
-                assert await pair.call('0') == REPLY
-                stream = await connect()
-                with pytest.raises((ConnectionError, EOFError)):
-                    await stream.receive(10)
-                assert await pair.call('0') == REPLY
+    @virtual_time
+    async def test_silent_connection_is_closed(self):
+        async with Pair() as pair:
+            stream = await connect()
+            with pytest.raises((ConnectionError, EOFError)):
+                await stream.receive(10)
+            assert await pair.call('0') == REPLY
 
-        run(scenario())
+    @virtual_time
+    async def test_connections_are_limited(self):
+        async with Pair(limits=PeerLimits(connections=1)) as pair:
+            assert await pair.call('0') == REPLY
+            stream = await connect()
+            with pytest.raises((ConnectionError, EOFError)):
+                await stream.receive(10)
+            assert await pair.call('0') == REPLY
