--- /dev/null
+++ b/mustardscale/daemon.py
@@ -0,0 +1,170 @@
+"""The daemon mustardscaled: one entry host as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+import time
+
+import aiomisc
+import msgspec
+
+import mustardscale
+from mustardscale.caller_connections import CallerLimits
+from mustardscale.callers_http import CallersServer
+from mustardscale.exceptions import SettingError
+from mustardscale.http_connector import HttpConnector
+from mustardscale.http_host_list import HttpHostList
+from mustardscale.http_log import HttpLogClient
+from mustardscale.json_logging import configure_logging
+from mustardscale.membership import MembershipTimes
+from mustardscale.operators_http import OperatorsServer
+from mustardscale.peer_connections import split_address
+from mustardscale.peer_streams import PeerIdentity
+from mustardscale.prometheus_text import prometheus_text
+from mustardscale.router import Edges, Router, RouterOptions
+from mustardscale.setting_sources import load_settings
+from mustardscale.settings import Settings, public_settings
+from mustardscale.tcp_peers import TcpPeerTransport
+
+log = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+# Time for the servers to close after the drain, seconds.
+CLOSE_TIMEOUT_S = 5.0
+# Time for the balancer to see that the host is not ready, seconds.
+BALANCER_NOTICE_S = 1.0
+
+
+class EntryHost(aiomisc.Service):
+    """The router with its servers, as a service of the process."""
+
+    settings: Settings
+
+    async def start(self) -> None:
+        """Starts the router, then the servers."""
+        settings = self.settings
+        self._router = make_router(settings)
+        await self._router.start()
+        limits = CallerLimits(
+            header_bytes=settings.max_header_bytes,
+            body_bytes=settings.max_body_bytes,
+            body_timeout_s=settings.body_timeout_s,
+            write_timeout_s=settings.stream_write_timeout_s,
+        )
+        self._callers = CallersServer(self._router, limits, CLOSE_TIMEOUT_S)
+        self._operators = OperatorsServer(
+            self._router,
+            settings.operators_token,
+            lambda: prometheus_text(self._router.metrics),
+            lambda: os.kill(os.getpid(), signal.SIGTERM),
+        )
+        await self._callers.start(*split_address(settings.callers_listen))
+        await self._operators.start(*split_address(settings.operators_listen))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self._log_dump)
+        log.info(
+            'started',
+            extra={
+                'host': settings.host_id,
+                'version': mustardscale.__version__,
+            },
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drains, then stops."""
+        log.info('draining')
+        whole = await self._router.drain(
+            BALANCER_NOTICE_S, self.settings.drain_timeout_s
+        )
+        if not whole:
+            log.warning('drain timeout reached; requests are cut off')
+        await self._callers.stop()
+        await self._operators.stop()
+        await self._router.stop()
+        log.info('stopped')
+
+    def _log_dump(self) -> None:
+        log.info('state', extra={'state': self._router.dump()})
+
+
+def make_router(settings: Settings) -> Router:
+    """Makes a router whose edges are those of the real systems."""
+    rng = random.Random(f'{settings.seed}/{settings.host_id}')
+    incarnation = time.time_ns() // 1_000_000
+    identity = PeerIdentity(
+        settings.host_id, incarnation, settings.peer_key.encode()
+    )
+    edges = Edges(
+        HttpLogClient(_address_of(settings.log_url), settings.host_id),
+        HttpHostList(_address_of(settings.host_list_url), settings.host_id),
+        TcpPeerTransport(identity, settings.peers_listen, rng),
+        HttpConnector(),
+        time.time,
+    )
+    options = RouterOptions(
+        settings.host_id,
+        incarnation,
+        settings.data_centre,
+        settings.region,
+        settings.policy,
+        MembershipTimes(
+            settings.heartbeat_s,
+            settings.dead_after_s,
+            settings.host_list_interval_s,
+        ),
+        settings.resume_grace_s,
+    )
+    return Router(options, edges, rng)
+
+
+def _address_of(url: str) -> str:
+    """Returns the 'ip:port' of a URL.
+
+    >>> _address_of('http://127.0.0.1:9000/')
+    '127.0.0.1:9000'
+    """
+    return url.partition('://')[2].rstrip('/')
+
+
+def run(settings: Settings) -> None:
+    """Runs the daemon until a signal ends it."""
+    configure_logging(settings.log_level)
+    shutdown_timeout_s = settings.drain_timeout_s + 3 * CLOSE_TIMEOUT_S
+    with aiomisc.entrypoint(
+        EntryHost(settings=settings),
+        log_config=False,
+        shutdown_timeout=shutdown_timeout_s,
+    ) as loop:
+        loop.run_forever()
+
+
+def main() -> None:
+    """Reads the settings and runs the daemon."""
+    arguments = sys.argv[1:]
+    if '--version' in arguments:
+        sys.stdout.write(f'mustardscaled {mustardscale.__version__}\n')
+        return
+    check_only = '--check-settings' in arguments
+    arguments = [item for item in arguments if item != '--check-settings']
+    try:
+        settings = load_settings(arguments, os.environ)
+    except* SettingError as group:
+        for error in group.exceptions:
+            sys.stderr.write(f'mustardscaled: {error}\n')
+        sys.exit(EXIT_SETTINGS)
+    if check_only:
+        text = msgspec.json.format(
+            msgspec.json.encode(public_settings(settings))
+        )
+        sys.stdout.write(text.decode() + '\n')
+        return
+    run(settings)
+
+
+if __name__ == '__main__':
+    main()
