--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import http
+import logging
 import os
 import pathlib
 import signal
@@ -22,6 +24,8 @@
 from mustardscale.http_host_list import HostsAnswer
 from standins.memory_site import SiteLayout
 
+log = logging.getLogger(__name__)
+
 LOOPBACK = '127.0.0.1'
 OPERATORS_TOKEN = 'operators-of-the-stand-in-site'
 READY_TIMEOUT_S = 30.0
@@ -255,8 +259,7 @@
         async with asyncio.timeout(READY_TIMEOUT_S):
             for host in hosts:
                 url = self.entries_by_id[host].operators_url + path
-                while not await _answers(session, url):
-                    await asyncio.sleep(POLL_S)
+                await _poll_until_ok(session, url)
 
     def stop(self) -> None:
         """Ends all processes that were started."""
@@ -268,12 +271,16 @@
             process.wait(STOP_TIMEOUT_S)
 
 
-async def _answers(session: aiohttp.ClientSession, url: str) -> bool:
-    try:
-        async with session.get(url) as response:
-            return response.status == 200
-    except aiohttp.ClientError:
-        return False
+async def _poll_until_ok(session: aiohttp.ClientSession, url: str) -> None:
+    """Asks until a URL answers with status 200."""
+    while True:
+        try:
+            async with session.get(url) as response:
+                if response.status == http.HTTPStatus.OK:
+                    return
+        except aiohttp.ClientError as error:
+            log.debug('%s: %s', url, error)
+        await asyncio.sleep(POLL_S)
 
 
 @contextlib.contextmanager
