Show maps and lists in log lines

The state dump is logged as one field, which came out as a class name. Maps and lists are now followed, with the same rules inside: objects by class name, content fields hidden unless they are numbers (the count of emitted tokens is no content, their list is), secrets replaced. The test of it failed before.

Tests under virtual time now cancel the tasks that they leave behind, which were reported as destroyed while pending.

--- a/mustardscale/json_logging.py
+++ b/mustardscale/json_logging.py
@@ -45,7 +45,8 @@
 _STANDARD_FIELDS = frozenset(
     vars(logging.makeLogRecord({})) | {'message': '', 'asctime': ''}
 )
-_PLAIN_TYPES = (str, int, float, bool, type(None))
+_NUMBER_TYPES = (int, float, bool, type(None))
+_PLAIN_TYPES = (str, *_NUMBER_TYPES)
 
 
 class JsonFormatter(logging.Formatter):
@@ -53,8 +54,8 @@
 
     The fields are time, level, logger, message, code (0 if none), stack when
     there is an exception, and those given as extra. Objects other than plain
-    values and exceptions are shown by class name only, since a request's
-    representation holds the caller's prompt.
+    values, exceptions, and maps and lists of these are shown by class name
+    only, since a request's representation holds the caller's prompt.
     """
 
     def __init__(self, secrets: Iterable[str] = ()):
@@ -77,11 +78,22 @@
         for name, value in vars(record).items():
             if name in _STANDARD_FIELDS or name in line:
                 continue
-            hidden = name in CONTENT_FIELDS
-            line[name] = REDACTED if hidden else self._value(value)
+            line[name] = self._field(name, value)
         return self._encoder.encode(line).decode()
 
+    def _field(self, name: str, value: Any) -> Any:
+        if name in CONTENT_FIELDS and not isinstance(value, _NUMBER_TYPES):
+            return REDACTED
+        return self._value(value)
+
     def _value(self, value: Any) -> Any:
+        if isinstance(value, dict):
+            return {
+                self._clean(str(_plain(name))): self._field(name, item)
+                for name, item in value.items()
+            }
+        if isinstance(value, list | tuple):
+            return [self._value(item) for item in value]
         value = _plain(value)
         return self._clean(value) if isinstance(value, str) else value
 
--- a/tests/test_json_logging.py
+++ b/tests/test_json_logging.py
@@ -55,6 +55,14 @@
     def test_numbered_code_as_argument(self):
         assert line_of('%d', Outcome.DRAINING)['message'] == '1003'
 
+    def test_nested_values(self):
+        state = {'streams': [{'emitted': 3, 'code': Outcome.DRAINING}], 1: ()}
+        line = line_of('state', state=state)
+        assert line['state'] == {
+            'streams': [{'emitted': 3, 'code': 1003}],
+            '1': [],
+        }
+
     def test_exception(self):
         try:
             raise PeerFrameError(Outcome.PEER_FRAME_TOO_LARGE, 'x')
@@ -87,9 +95,14 @@
     def test_prompts(self):
         request = LanguageRequest('id', 's', prompt_from_text(PROMPT), 1)
         line = line_of(
-            'got %s', request, prompt=PROMPT, request=request, all=[request]
+            'got %s',
+            request,
+            prompt=PROMPT,
+            request=request,
+            state={'all': [request], 'emitted': [PROMPT], 'x': [SECRET]},
         )
         assert PROMPT not in json.dumps(line)
+        assert SECRET not in json.dumps(line)
         assert line['message'] == 'got <LanguageRequest>'
         assert PROMPT not in repr(request)
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,5 +1,6 @@
 """Runs tests on an event loop whose time is virtual."""
 
+import asyncio
 import functools
 
 import async_solipsism
@@ -10,10 +11,7 @@
 
     @functools.wraps(test)
     def run(*args, **kwargs):
-        loop = async_solipsism.EventLoop()
-        try:
-            loop.run_until_complete(test(*args, **kwargs))
-        finally:
-            loop.close()
+        with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+            runner.run(test(*args, **kwargs))
 
     return run
