--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -104,8 +104,11 @@
     def test_secret_from_a_file(self, tmp_path):
         path = tmp_path / 'key'
         path.write_text('peer-key-of-this-floor\n')
-        settings = load_settings([f'--peer-key-file={path}'], REQUIRED)
-        assert settings.peer_key == 'peer-key-of-this-floor'
+        by_flag = load_settings([f'--peer-key-file={path}'], REQUIRED)
+        variable = {'MUSTARDSCALE_PEER_KEY_FILE': str(path)}
+        by_variable = load_settings([], REQUIRED | variable)
+        assert by_flag.peer_key == 'peer-key-of-this-floor'
+        assert by_variable == by_flag
 
     def test_no_flag_takes_a_secret(self):
         (error,) = errors_of([f'--peer-key={TOKEN}'])
