Send integer enumerations to peers as integers

Cause: an admission reply carrying Outcome.COMPLETE could not be encoded, so requests at hosts other than the pool's owner ended with code 1009; messages with plain integers, as the codec's tests used, went through. Ruled out: the transport, which carried the same request type between two processes.

--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -133,7 +133,8 @@
 
 def run(settings: Settings) -> None:
     """Runs the daemon until a signal ends it."""
-    configure_logging(settings.log_level)
+    secrets = (settings.operators_token, settings.peer_key)
+    output = configure_logging(settings.log_level, secrets=secrets)
     shutdown_timeout_s = settings.drain_timeout_s + 3 * CLOSE_TIMEOUT_S
     with aiomisc.entrypoint(
         EntryHost(settings=settings),
@@ -141,6 +142,7 @@
         shutdown_timeout=shutdown_timeout_s,
     ) as loop:
         loop.run_forever()
+    output.close()
 
 
 def main() -> None:
--- a/mustardscale/struct_mapping.py
+++ b/mustardscale/struct_mapping.py
@@ -83,6 +83,12 @@
                 else:
                     target_items[index] = item
 
+    elif kind is int:
+
+        def write(builder: Any, value: Any) -> None:
+            # Integer enumerations are accepted where int is declared.
+            setattr(builder, target, int(getattr(value, name)))
+
     else:
 
         def write(builder: Any, value: Any) -> None:
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -87,6 +87,11 @@
         replies = set(peers.REPLY_BY_REQUEST.values())
         assert replies == set(TYPES_BY_KIND[FrameKind.REPLY])
 
+    def test_integer_enumerations_travel_as_integers(self):
+        reply = peers.AdmitReply(Outcome.POOL_SATURATED)
+        frame = Frame(FrameKind.REPLY, 1, reply)
+        assert decode_frame(encode_frame(frame)) == frame
+
     def test_null_character_in_text_is_kept(self):
         request = dataclasses.replace(ADMIT, pool='a\0b')
         frame = Frame(FrameKind.REQUEST, 1, request)
