Publish configuration changes and settle their fate from the log

A publisher must be told the truth about a change whose append was answered, refused, or answered with nothing. After the append the stream is read until the change's own id is folded; the verdict is the fold's, so it is the same as every host's.

Weighed: trusting the returned offset. Ruled out: an offset says that the record is there, not that its base was still current. Where the log can't be read, or has lost records before the change, the fate is unknown and the text says which change id to look for.

--- /dev/null
+++ b/mustardscale/publishing.py
@@ -0,0 +1,146 @@
+"""Publishes configuration changes on the log and settles their fate."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+
+from mustardscale.config_records import ConfigChange, encode_record
+from mustardscale.config_state import ConfigState, Fate
+from mustardscale.exceptions import LogUnavailableError, LogUncertainError
+from mustardscale.log_client import CONFIG_STREAM, LogClient
+
+# Records read at once.
+PAGE_RECORDS = 1_000
+# Seconds between reads at the end of the stream.
+POLL_INTERVAL_S = 0.05
+
+
+class PublishFate(enum.StrEnum):
+    """What became of a published change."""
+
+    ACCEPTED = 'accepted'
+    LOST = 'lost'
+    UNKNOWN = 'unknown'
+
+
+_FATE_BY_FOLD = {
+    Fate.ACCEPTED: PublishFate.ACCEPTED,
+    Fate.LOST: PublishFate.LOST,
+    Fate.SUPERSEDED: PublishFate.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishResult:
+    """What became of a published change.
+
+    Attributes:
+        fate: the verdict.
+        version: the version that it became, or that it lost to; 0 if unknown.
+        offset: offset of its record, 0 if unknown.
+        detail: why the fate is unknown, and how to find out.
+    """
+
+    fate: PublishFate
+    version: int = 0
+    offset: int = 0
+    detail: str = ''
+
+
+async def read_config(log: LogClient) -> ConfigState:
+    """Folds the configuration stream from its oldest record to its end.
+
+    Raises:
+        LogUnavailableError: the log could not be read.
+    """
+    state = ConfigState()
+    while not await _read_page(log, state):
+        pass
+    return state
+
+
+async def publish(
+    log: LogClient, state: ConfigState, change: ConfigChange, timeout_s: float
+) -> PublishResult:
+    """Appends a change and reads the stream until its fate is known.
+
+    Args:
+        log: the log.
+        state: the configuration as read before; it is folded on.
+        change: the change.
+        timeout_s: seconds until the fate is given up as unknown.
+
+    Raises:
+        LogUnavailableError: nothing was appended.
+    """
+    offset = 0
+    try:
+        offsets = await log.append(CONFIG_STREAM, [encode_record(change)])
+        offset = offsets[0]
+    except LogUncertainError:
+        pass
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _await_fate(log, state, change, offset)
+    except LogUnavailableError as error:
+        return _unknown(change, offset, f'the log cannot be read: {error}')
+    except TimeoutError:
+        cause = f'its record was not read within {timeout_s} s'
+        if not state.settled:
+            cause = 'the log has lost records before it that may decide on it'
+        return _unknown(change, offset, cause)
+
+
+async def _await_fate(
+    log: LogClient, state: ConfigState, change: ConfigChange, offset: int
+) -> PublishResult:
+    """Reads on until a change is folded."""
+    while True:
+        at_end = await _read_page(log, state)
+        result = _fate(state, change, offset)
+        if result is not None:
+            return result
+        if at_end:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _fate(
+    state: ConfigState, change: ConfigChange, offset: int
+) -> PublishResult | None:
+    """Returns what became of a change, None while it is not known."""
+    for entry in reversed(state.history):
+        if entry.change.change_id == change.change_id:
+            fate = _FATE_BY_FOLD[entry.fate]
+            return PublishResult(fate, entry.version, entry.offset)
+    if not offset or state.folded_offset < offset:
+        return None
+    # A snapshot that contains the record was read in its place.
+    version = state.version(change.key)
+    if version > offset:
+        cause = f'version {version} has replaced what followed from it'
+        return _unknown(change, offset, cause)
+    accepted = version == offset
+    fate = PublishFate.ACCEPTED if accepted else PublishFate.LOST
+    return PublishResult(fate, version, offset)
+
+
+async def _read_page(log: LogClient, state: ConfigState) -> bool:
+    """Folds the next records; returns whether the end is reached."""
+    page = await log.read(CONFIG_STREAM, state.read_offset, PAGE_RECORDS)
+    for record in page.records:
+        state.apply(record.offset, record.payload)
+    return not page.records or state.read_offset >= page.end_offset
+
+
+def _unknown(change: ConfigChange, offset: int, cause: str) -> PublishResult:
+    """Says how an operator finds out what became of a change."""
+    place = f'as offset {offset}' if offset else 'perhaps'
+    kind, name = change.key.kind, change.key.name
+    detail = (
+        f'The change was appended {place}, but {cause}. Look for change id'
+        f' {change.change_id} in "mustardscale {kind} history {name}" before'
+        ' publishing again.'
+    )
+    return PublishResult(PublishFate.UNKNOWN, 0, offset, detail)
