Add the command-line tool for operators

Operators work on the system only by publishing profiles and service choices; the tool says what became of a change in one line and in its exit code, and otherwise reads: current entries, history, differences, hosts and the state of one host. Secrets come by variable or file, never by flag.

--- /dev/null
+++ b/mustardscale/command_publish.py
@@ -0,0 +1,137 @@
+"""The commands that publish profiles and service choices."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import uuid_utils
+
+from mustardscale.command_context import CommandContext
+from mustardscale.config_edits import Edit, edit_content
+from mustardscale.config_records import ConfigChange, ConfigKey, Profile
+from mustardscale.config_rollout import Rollout, await_rollout, entry_hosts
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.exit_codes import ExitCode
+from mustardscale.publishing import (
+    PublishFate,
+    PublishResult,
+    publish,
+    read_config,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishOptions:
+    """How a change is published.
+
+    Attributes:
+        author: who publishes it.
+        base: version that it is made from; None for the current one.
+        timeout_s: seconds for its fate to be known, and again for it to be
+            in force on every host.
+    """
+
+    author: str
+    base: int | None
+    timeout_s: float
+
+
+async def publish_entry(
+    context: CommandContext, key: ConfigKey, edit: Edit, options: PublishOptions
+) -> ExitCode:
+    """Publishes a profile or a service choice and says what became of it.
+
+    Raises:
+        SettingError: the input is wrong; nothing was published.
+        LogUnavailableError: nothing was published.
+    """
+    state = await read_config(context.log)
+    content = edit_content(state, key, edit)
+    change = ConfigChange(
+        key=key,
+        base=state.version(key) if options.base is None else options.base,
+        change_id=str(uuid_utils.uuid7()),
+        author=options.author,
+        profile=content if isinstance(content, Profile) else None,
+        service=None if isinstance(content, Profile) else content,
+    )
+    result = await publish(context.log, state, change, options.timeout_s)
+    rollout = None
+    if result.fate is PublishFate.ACCEPTED:
+        rollout = await _rollout(context, key, result, options.timeout_s)
+    _show(context, change, result, rollout)
+    return _exit_code(result, rollout)
+
+
+async def _rollout(
+    context: CommandContext,
+    key: ConfigKey,
+    result: PublishResult,
+    timeout_s: float,
+) -> Rollout | None:
+    """Waits until a version is in force; None if the hosts aren't known."""
+    try:
+        hosts = await entry_hosts(context.host_list, leaving=False)
+    except PeerUnavailableError:
+        return None
+    return await await_rollout(
+        hosts, context.operators.status, key, result.version, timeout_s
+    )
+
+
+def _exit_code(result: PublishResult, rollout: Rollout | None) -> ExitCode:
+    """Returns the exit code for a change's fate."""
+    if result.fate is PublishFate.LOST:
+        return ExitCode.LOST
+    if result.fate is PublishFate.UNKNOWN:
+        return ExitCode.UNKNOWN
+    if rollout is None or not rollout.complete:
+        return ExitCode.NOT_EVERYWHERE
+    return ExitCode.DONE
+
+
+def _show(
+    context: CommandContext,
+    change: ConfigChange,
+    result: PublishResult,
+    rollout: Rollout | None,
+) -> None:
+    """Writes what became of a change."""
+    if context.as_json:
+        context.show_json(
+            {
+                'key': str(change.key),
+                'change_id': change.change_id,
+                'base': change.base,
+                'fate': result.fate,
+                'version': result.version,
+                'detail': result.detail,
+                'in_force': rollout.in_force if rollout else None,
+                'missing': rollout.missing if rollout else None,
+            }
+        )
+        return
+    context.show_text(f'{change.key}: {_sentence(change, result, rollout)}')
+
+
+def _sentence(
+    change: ConfigChange, result: PublishResult, rollout: Rollout | None
+) -> str:
+    """Says in a sentence what became of a change."""
+    if result.fate is PublishFate.LOST:
+        return (
+            f'lost to version {result.version}; it was made from version'
+            f' {change.base}. Look at the current one and publish again.'
+        )
+    if result.fate is PublishFate.UNKNOWN:
+        return f'unknown. {result.detail}'
+    accepted = f'accepted at version {result.version}'
+    if rollout is None:
+        return f'{accepted}; the host list is unavailable, see status'
+    total = len(rollout.in_force) + len(rollout.missing)
+    text = (
+        f'{accepted} and in force on {len(rollout.in_force)} of {total} hosts'
+    )
+    if rollout.missing:
+        text += f' (not on {", ".join(rollout.missing)})'
+    return text
--- /dev/null
+++ b/mustardscale/commands.py
@@ -0,0 +1,74 @@
+"""The commands of the command-line tool, one function for each."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Awaitable, Callable
+
+from mustardscale import command_config, command_hosts
+from mustardscale.command_context import CommandContext
+from mustardscale.command_publish import PublishOptions, publish_entry
+from mustardscale.command_replay import replay_trace
+from mustardscale.config_edits import Edit
+from mustardscale.config_records import ConfigKey
+from mustardscale.exit_codes import ExitCode
+
+Command = Callable[[CommandContext, argparse.Namespace], Awaitable[ExitCode]]
+
+
+async def publish(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Publishes a profile or a service choice."""
+    edit = Edit(options.file, options.set, options.caller_token_file)
+    publish_options = PublishOptions(
+        options.author, options.base, options.timeout
+    )
+    key = ConfigKey(options.kind, options.name)
+    return await publish_entry(context, key, edit, publish_options)
+
+
+async def show(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Shows the current profiles or service choices."""
+    return await command_config.show_entries(
+        context, options.kind, options.name
+    )
+
+
+async def history(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Shows the changes of profiles or service choices."""
+    return await command_config.show_history(
+        context, options.kind, options.name
+    )
+
+
+async def diff(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Shows in which fields two profiles or service choices differ."""
+    return await command_config.show_difference(
+        context, options.kind, options.left, options.right
+    )
+
+
+async def status(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Shows the entry hosts."""
+    return await command_hosts.show_status(context)
+
+
+async def dump(
+    context: CommandContext, options: argparse.Namespace
+) -> ExitCode:
+    """Shows the state of one host."""
+    return await command_hosts.show_dump(context, options.host)
+
+
+def replay(options: argparse.Namespace) -> ExitCode:
+    """Replays a trace; needs neither the platform nor a token."""
+    return replay_trace(options.trace, options.json)
--- /dev/null
+++ b/mustardscale/config_edits.py
@@ -0,0 +1,129 @@
+"""Makes new profiles and service choices from operators' input."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import pathlib
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from mustardscale.config_records import ConfigKey, Profile, ServiceChoice
+from mustardscale.config_state import PROFILE_KIND, ConfigState
+from mustardscale.exceptions import SettingError
+
+TYPE_BY_KIND: dict[str, type[Profile] | type[ServiceChoice]] = {
+    'profile': Profile,
+    'service': ServiceChoice,
+}
+_TOKENS_FIELD = 'token_sha256'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edit:
+    """How an operator changes a profile or a service choice.
+
+    Attributes:
+        file: JSON file with the whole content; None to begin with what is
+            current, or with the defaults.
+        assignments: 'field=value' each, applied afterwards.
+        caller_token_file: file with a bearer token to add to a service.
+    """
+
+    file: str | None = None
+    assignments: Sequence[str] = ()
+    caller_token_file: str | None = None
+
+
+def edit_content(
+    state: ConfigState, key: ConfigKey, edit: Edit
+) -> Profile | ServiceChoice:
+    """Returns the new content of an entry.
+
+    Raises:
+        SettingError: the input is wrong.
+    """
+    fields = _base_fields(state, key, edit)
+    for assignment in edit.assignments:
+        name, equals, value = assignment.partition('=')
+        if not equals:
+            raise SettingError(f'--set {assignment}: give field=value')
+        fields[name] = _value(value)
+    if edit.caller_token_file is not None:
+        tokens = [*fields.get(_TOKENS_FIELD, ())]
+        digest = _token_digest(edit.caller_token_file)
+        fields[_TOKENS_FIELD] = [*tokens, digest]
+    content = _content(key, fields)
+    if isinstance(content, ServiceChoice):
+        _check_profile(state, content)
+    return content
+
+
+def _base_fields(
+    state: ConfigState, key: ConfigKey, edit: Edit
+) -> dict[str, Any]:
+    """Returns the fields that assignments are applied to."""
+    if edit.file is not None:
+        return _read_file(edit.file)
+    current = state.current(key)
+    if current is None:
+        return {}
+    change = current.change
+    return msgspec.to_builtins(change.profile or change.service)
+
+
+def _read_file(path: str) -> dict[str, Any]:
+    """Reads a JSON object."""
+    try:
+        content = msgspec.json.decode(pathlib.Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise SettingError(f'--file {path}: {error}') from error
+    if not isinstance(content, dict):
+        raise SettingError(f'--file {path}: give a JSON object')
+    return content
+
+
+def _value(text: str) -> Any:
+    """Reads a value as JSON, or else as a text."""
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        return text
+
+
+def _token_digest(path: str) -> str:
+    """Returns the hash under which a bearer token is published."""
+    try:
+        token = pathlib.Path(path).read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingError(f'--caller-token-file {path}: {error}') from error
+    if not token:
+        raise SettingError(f'--caller-token-file {path}: the file is empty')
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _content(key: ConfigKey, fields: dict[str, Any]) -> Profile | ServiceChoice:
+    """Checks the fields and their values."""
+    content_type = TYPE_BY_KIND[key.kind]
+    known = {field.name for field in dataclasses.fields(content_type)}
+    unknown = sorted(set(fields) - known)
+    if unknown:
+        raise SettingError(
+            f'{key}: no field {", ".join(unknown)}; the fields are '
+            + ', '.join(sorted(known))
+        )
+    try:
+        return msgspec.convert(fields, content_type)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingError(f'{key}: {error}') from error
+
+
+def _check_profile(state: ConfigState, choice: ServiceChoice) -> None:
+    """Checks that the profile of a service is published."""
+    if choice.profile not in state.profiles_by_name:
+        raise SettingError(
+            f'no {PROFILE_KIND} {choice.profile!r} is published; publish it'
+            ' first'
+        )
