--- a/standins/local_callers.py
+++ b/standins/local_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import enum
 import time
@@ -86,11 +87,15 @@
         self._max_tokens = max_tokens
         self.request_id = str(uuid_utils.uuid7())
         self._read = _StreamRead()
+        self._progressed = asyncio.Condition()
+        self._ended = False
 
-    @property
-    def tokens_read(self) -> int:
-        """Returns the number of events read so far."""
-        return len(self._read.times)
+    async def wait_events(self, count: int) -> None:
+        """Waits until a number of events was read or the call has ended."""
+        async with self._progressed:
+            await self._progressed.wait_for(
+                lambda: self._ended or len(self._read.times) >= count
+            )
 
     async def call(self, urls: list[str]) -> CallResult:
         """Sends the request to the first host, and goes on at the next.
@@ -99,6 +104,16 @@
             urls: callers' addresses of entry hosts.
         """
         started = time.monotonic()
+        try:
+            resumed = await self._call_in_turn(urls)
+        finally:
+            self._ended = True
+            async with self._progressed:
+                self._progressed.notify_all()
+        return self._result(started, resumed)
+
+    async def _call_in_turn(self, urls: list[str]) -> bool:
+        """Returns whether the answer was resumed at another host."""
         resumed = False
         for number, url in enumerate(urls):
             try:
@@ -107,7 +122,7 @@
                 resumed = True
             if self._read.done or self._read.code or number == len(urls) - 1:
                 break
-        return self._result(started, resumed)
+        return resumed
 
     async def _stream(self, url: str) -> None:
         headers = {
@@ -134,6 +149,8 @@
                 return
             async for line in response.content:
                 self._take_line(line.strip())
+                async with self._progressed:
+                    self._progressed.notify_all()
 
     def _take_line(self, line: bytes) -> None:
         name, _, value = line.partition(b': ')
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -163,6 +163,17 @@
             )
         return listed
 
+    def engine_names(self) -> list[str]:
+        """Returns the ids of the engines."""
+        return list(self._engine_roles)
+
+    def plain_names(self) -> list[str]:
+        """Returns the ids of the plain service's endpoints."""
+        engines = self._engine_roles
+        return [
+            name for name in self.endpoint_address_by_id if name not in engines
+        ]
+
     def start(self) -> None:
         """Starts the stand-ins and the entry hosts."""
         hosts_file = self._directory / 'hosts.json'
@@ -181,6 +192,12 @@
         for host in self.entries_by_id:
             self.start_entry(host)
 
+    def write_file(self, name: str, content: bytes) -> str:
+        """Writes a file that lasts as long as the site; returns its path."""
+        path = self._directory / name
+        path.write_bytes(content)
+        return str(path)
+
     def start_endpoint(self, name: str) -> None:
         """Starts an engine or an endpoint of the plain service."""
         address = self.endpoint_address_by_id[name]
