Let calls that hang in an outage wait on one timer

Each hung call looked for itself, 20 times a second, whether the outage was over. Weighed: dropping hung calls when their caller gives up, which would hide appends that take effect late.

The in-process network waited inside a finally block, which fails when a loop is closed with the call pending; it now waits only after errors of the call.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -16,6 +16,8 @@
 Probability = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
+# Seconds after which a call refused in an outage may be sent again.
+OUTAGE_RETRY_AFTER_S = 1.0
 # Seconds between two looks at whether a suspended stand-in goes on.
 SUSPENDED_POLL_S = 0.05
 
@@ -68,26 +70,61 @@
     lose_answer_probability: float
 
 
-async def pass_disruption(conditions: Disruption) -> None:
+class Gate:
+    """Holds calls back while a condition lasts.
+
+    Conditions are plain fields, so no event marks their change; one timer
+    looks at them for all calls that wait.
+    """
+
+    __slots__ = ('_closed', '_opened')
+
+    def __init__(self, closed: Callable[[], bool]):
+        self._closed = closed
+        self._opened: asyncio.Event | None = None
+
+    async def wait(self) -> None:
+        """Waits until the gate is open."""
+        while self._closed():
+            if self._opened is None:
+                self._opened = asyncio.Event()
+                self._look_later()
+            await self._opened.wait()
+
+    def _look_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(SUSPENDED_POLL_S, self._look)
+
+    def _look(self) -> None:
+        if self._closed():
+            self._look_later()
+        elif self._opened is not None:
+            self._opened.set()
+            self._opened = None
+
+
+async def pass_disruption(conditions: Disruption, gate: Gate) -> None:
     """Waits while calls hang or are slow.
 
     A call that hung goes on after the outage, also when its caller has left.
 
+    Args:
+        conditions: what disturbs the call.
+        gate: closed while calls hang.
+
     Raises:
         StandinRefusedError: an outage in which calls are refused.
     """
     if conditions.delay_s > 0:
         await asyncio.sleep(conditions.delay_s)
-    await wait_while(lambda: conditions.outage is Outage.HANG)
+    await gate.wait()
     if conditions.outage is Outage.REFUSE:
-        raise StandinRefusedError('outage', 1.0)
+        raise StandinRefusedError('outage', OUTAGE_RETRY_AFTER_S)
 
 
-async def wait_while(suspended: Callable[[], bool]) -> None:
-    """Waits until a condition no longer holds."""
-    # The conditions are plain fields, so no event marks their change.
-    while suspended():  # noqa: ASYNC110
-        await asyncio.sleep(SUSPENDED_POLL_S)
+def outage_gate(conditions: Disruption) -> Gate:
+    """Makes a gate that is closed during an outage in which calls hang."""
+    return Gate(lambda: conditions.outage is Outage.HANG)
 
 
 def lose_answer(conditions: AnswerLoss, rng: random.Random) -> None:
--- a/standins/host_list_model.py
+++ b/standins/host_list_model.py
@@ -12,6 +12,7 @@
     NonNegative,
     Outage,
     StandinRefusedError,
+    outage_gate,
     pass_disruption,
 )
 from standins.memory_network import (
@@ -83,7 +84,7 @@
         counters: what it has done.
     """
 
-    __slots__ = ('_host_by_id', '_states', 'conditions', 'counters')
+    __slots__ = ('_gate', '_host_by_id', '_states', 'conditions', 'counters')
 
     def __init__(
         self,
@@ -93,6 +94,7 @@
         """Makes a list whose first hosts are served without a lag."""
         self.conditions = conditions or HostListConditions()
         self.counters = HostListCounters()
+        self._gate = outage_gate(self.conditions)
         self._host_by_id = {host.id: host for host in hosts}
         self._states: collections.deque[_State] = collections.deque(
             [_State(float('-inf'), tuple(hosts))], MAX_STATES
@@ -126,7 +128,7 @@
         Raises:
             StandinRefusedError: the list is out.
         """
-        await pass_disruption(self.conditions)
+        await pass_disruption(self.conditions, self._gate)
         shown_time = asyncio.get_running_loop().time() - self.conditions.lag_s
         shown = self._states[0]
         for state in self._states:
--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -16,6 +16,7 @@
     Probability,
     StandinRefusedError,
     lose_answer,
+    outage_gate,
     pass_disruption,
 )
 
@@ -132,6 +133,7 @@
 
     __slots__ = (
         '_calls_allowed',
+        '_gate',
         '_refilled_at',
         '_rng',
         '_stream_by_name',
@@ -144,6 +146,7 @@
     ):
         self.conditions = conditions or LogConditions()
         self.counters = LogCounters()
+        self._gate = outage_gate(self.conditions)
         self._rng = rng
         self._stream_by_name: collections.defaultdict[str, _Stream] = (
             collections.defaultdict(_Stream)
@@ -158,7 +161,7 @@
             StandinRefusedError: over the rate or out; nothing was appended.
             AnswerLostError: the records were appended.
         """
-        await pass_disruption(self.conditions)
+        await pass_disruption(self.conditions, self._gate)
         now = asyncio.get_running_loop().time()
         self._take_call(now)
         kept = self._stream_by_name[stream]
@@ -179,11 +182,11 @@
         Raises:
             StandinRefusedError: the log is out.
         """
-        await pass_disruption(self.conditions)
+        await pass_disruption(self.conditions, self._gate)
         page = self._page(stream, after, limit)
         if not page.records and wait_s > 0:
             await self._stream_by_name[stream].wait(wait_s)
-            await pass_disruption(self.conditions)
+            await pass_disruption(self.conditions, self._gate)
             page = self._page(stream, after, limit)
         self.counters.reads += 1
         self.counters.bytes_read += sum(len(r.payload) for r in page.records)
--- a/standins/memory_network.py
+++ b/standins/memory_network.py
@@ -80,11 +80,17 @@
             operation.close()
             await self._break()
         try:
-            return await operation
-        finally:
-            await asyncio.sleep(self.delay_s)
-            if not self.reachable():
-                await self._break()
+            result = await operation
+        except Exception:
+            await self._return_answer()
+            raise
+        await self._return_answer()
+        return result
+
+    async def _return_answer(self) -> None:
+        await asyncio.sleep(self.delay_s)
+        if not self.reachable():
+            await self._break()
 
     async def _break(self) -> None:
         await asyncio.sleep(self.connect_timeout_s)
--- a/standins/plain_model.py
+++ b/standins/plain_model.py
@@ -10,10 +10,10 @@
 
 from standins.faults import (
     Count,
+    Gate,
     NonNegative,
     Probability,
     lose_answer,
-    wait_while,
 )
 
 # A call whose body contains this crashes the endpoint that runs it.
@@ -112,6 +112,7 @@
 
     __slots__ = (
         '_crash',
+        '_gate',
         '_rng',
         '_slots',
         'conditions',
@@ -137,6 +138,7 @@
         self.counters = PlainCounters()
         self.down = False
         self.on_crash: Callable[[], None] | None = None
+        self._gate = Gate(lambda: self.conditions.frozen)
         self._rng = rng
         self._slots = asyncio.Semaphore(capacity)
         self._crash = asyncio.Event()
@@ -155,7 +157,7 @@
         if self.down:
             raise NotListeningError()
         crash = self._crash
-        await wait_while(lambda: self.conditions.frozen)
+        await self._gate.wait()
         if self.conditions.leaving and not crash.is_set():
             self.counters.refused_leaving += 1
             raise LeavingError()
@@ -165,7 +167,7 @@
             self._crash_if(body, CrashPoint.BEFORE_EXECUTION)
             execution = self._count(request_id)
             await self._execute(crash)
-        await wait_while(lambda: self.conditions.frozen)
+        await self._gate.wait()
         if crash.is_set():
             raise CrashedError()
         self._crash_if(body, CrashPoint.AFTER_EXECUTION)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -18,6 +18,7 @@
 
 from mustardscale.http_sessions import HOST_ID_HEADER
 from standins.faults import (
+    OUTAGE_RETRY_AFTER_S,
     AnswerLostError,
     StandinRefusedError,
     update_fields,
@@ -74,7 +75,7 @@
         StandinRefusedError: the calling host is cut.
     """
     if request.headers.get(HOST_ID_HEADER, '') in cut_hosts:
-        raise StandinRefusedError('cut', 1.0)
+        raise StandinRefusedError('cut', OUTAGE_RETRY_AFTER_S)
 
 
 def drop_connection(request: web.Request) -> web.Response:
--- a/standins/weight_store_model.py
+++ b/standins/weight_store_model.py
@@ -11,6 +11,7 @@
     Outage,
     Positive,
     StandinRefusedError,
+    outage_gate,
     pass_disruption,
 )
 
@@ -76,11 +77,12 @@
         counters: what it has done.
     """
 
-    __slots__ = ('_busy_until', 'conditions', 'counters')
+    __slots__ = ('_busy_until', '_gate', 'conditions', 'counters')
 
     def __init__(self, conditions: WeightStoreConditions | None = None):
         self.conditions = conditions or WeightStoreConditions()
         self.counters = WeightStoreCounters()
+        self._gate = outage_gate(self.conditions)
         self._busy_until = 0.0
 
     async def load(self, model: str, version: str) -> WeightLoad:
@@ -90,7 +92,7 @@
             StandinRefusedError: too many loads are under way, or the store is
                 out.
         """
-        await pass_disruption(self.conditions)
+        await pass_disruption(self.conditions, self._gate)
         now = asyncio.get_running_loop().time()
         self._begin(now)
         try:
--- a/tests/test_log_model.py
+++ b/tests/test_log_model.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from standins.faults import Outage, StandinRefusedError
+from standins.faults import SUSPENDED_POLL_S, Gate, Outage, StandinRefusedError
 from standins.log_model import LogConditions, LogModel
 from standins.memory_log import MemoryLogClient
 from standins.memory_network import MemoryNetwork
@@ -131,3 +131,25 @@
             assert [r.payload for r in page.records] == [b'z']
 
         run(scenario())
+
+
+class TestGate:
+    """Calls wait together, so that a long outage costs little."""
+
+    def test_looks_do_not_grow_with_the_calls(self):
+        async def scenario():
+            states = [True]
+            looks = []
+
+            def closed():
+                looks.append(states[-1])
+                return states[-1]
+
+            gate = Gate(closed)
+            waits = [asyncio.create_task(gate.wait()) for _ in range(100)]
+            await asyncio.sleep(10)
+            states.append(False)
+            await asyncio.gather(*waits)
+            assert len(looks) <= 100 + 10 / SUSPENDED_POLL_S + 1 + 100
+
+        run(scenario())
