Stop the operators' server within a second; run the tool on uvloop

A dump that an operator's client does not read held the stop of the daemon for the library's 60 seconds. The tool now runs on the same event loop as the daemon, as the house style asks.

--- a/mustardscale/__main__.py
+++ b/mustardscale/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import getpass
 import math
 import os
@@ -11,6 +10,7 @@
 from collections.abc import Sequence
 
 import configargparse
+import uvloop
 
 from mustardscale import __version__, commands
 from mustardscale.command_context import (
@@ -38,7 +38,7 @@
     try:
         if options.command is commands.replay:
             return commands.replay(options)
-        return asyncio.run(_run(options))
+        return uvloop.run(_run(options))
     except SettingError as error:
         return _fail(error, ExitCode.WRONG_USAGE)
     except LogUnavailableError as error:
--- a/mustardscale/operators_http.py
+++ b/mustardscale/operators_http.py
@@ -26,6 +26,9 @@
 
 METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
+# Seconds for which stop() waits for answers in progress.
+STOP_GRACE_S = 1.0
+
 _OPEN_PATHS = frozenset({LIVENESS_PATH, READINESS_PATH})
 _MAX_BODY_BYTES = 4_096
 _SCHEME = 'Bearer '
@@ -72,7 +75,9 @@
                 web.post(DRAIN_PATH, self._begin_drain),
             ]
         )
-        self._runner = web.AppRunner(application, access_log=None)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=STOP_GRACE_S
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
         return self._runner.addresses[0][1]
