--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import functools
 import logging
 import os
 import random
@@ -22,9 +24,10 @@
 from mustardscale.http_log import HttpLogClient
 from mustardscale.json_logging import configure_logging
 from mustardscale.membership import MembershipTimes
+from mustardscale.metrics import Metrics
 from mustardscale.operators_http import OperatorsServer
 from mustardscale.peer_connections import split_address
-from mustardscale.peer_streams import PeerIdentity
+from mustardscale.peer_streams import PeerIdentity, PeerTraffic
 from mustardscale.prometheus_text import prometheus_text
 from mustardscale.router import Edges, Router, RouterOptions
 from mustardscale.setting_sources import load_settings
@@ -99,10 +102,11 @@
     identity = PeerIdentity(
         settings.host_id, incarnation, settings.peer_key.encode()
     )
+    transport = TcpPeerTransport(identity, settings.peers_listen, rng)
     edges = Edges(
         HttpLogClient(_address_of(settings.log_url), settings.host_id),
         HttpHostList(_address_of(settings.host_list_url), settings.host_id),
-        TcpPeerTransport(identity, settings.peers_listen, rng),
+        transport,
         HttpConnector(),
         time.time,
     )
@@ -119,7 +123,18 @@
         ),
         settings.resume_grace_s,
     )
-    return Router(options, edges, rng)
+    router = Router(options, edges, rng)
+    add_traffic_gauges(router.metrics, transport.traffic)
+    return router
+
+
+def add_traffic_gauges(metrics: Metrics, traffic: PeerTraffic) -> None:
+    """Shows the traffic with peers among the metrics."""
+    for field in dataclasses.fields(traffic):
+        metrics.add_gauge(
+            f'peer_{field.name}',
+            functools.partial(getattr, traffic, field.name),
+        )
 
 
 def _address_of(url: str) -> str:
--- a/mustardscale/peer_connections.py
+++ b/mustardscale/peer_connections.py
@@ -21,6 +21,7 @@
     GreetingError,
     PeerIdentity,
     PeerLimits,
+    PeerTraffic,
     greet_server,
 )
 from mustardscale.peers import REPLY_BY_REQUEST, PeerReply, PeerRequest
@@ -136,7 +137,9 @@
         identity: PeerIdentity,
         limits: PeerLimits,
         rng: random.Random,
+        traffic: PeerTraffic,
     ):
+        self._traffic = traffic
         self.used_at = 0.0
         self._host = host
         self._identity = identity
@@ -212,7 +215,7 @@
     async def _open(self) -> PeerConnection:
         ip, port = split_address(self._address)
         reader, writer = await asyncio.open_connection(ip, port)
-        stream = FrameStream(reader, writer, self._limits)
+        stream = FrameStream(reader, writer, self._limits, self._traffic)
         try:
             await greet_server(
                 stream, self._identity, self._host, self._limits.connect_s
--- a/mustardscale/peer_server.py
+++ b/mustardscale/peer_server.py
@@ -15,6 +15,7 @@
     GreetingError,
     PeerIdentity,
     PeerLimits,
+    PeerTraffic,
     greet_caller,
 )
 from mustardscale.peers import PeerHandler, PeerReply, PeerRequest
@@ -26,11 +27,16 @@
     """Accepts connections and runs the handler for each call."""
 
     def __init__(
-        self, identity: PeerIdentity, handler: PeerHandler, limits: PeerLimits
+        self,
+        identity: PeerIdentity,
+        handler: PeerHandler,
+        limits: PeerLimits,
+        traffic: PeerTraffic,
     ):
         self._identity = identity
         self._handler = handler
         self._limits = limits
+        self._traffic = traffic
         self._server: asyncio.Server | None = None
         self._closing = False
         self._stream_by_task: dict[asyncio.Task[None], FrameStream] = {}
@@ -56,7 +62,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = FrameStream(reader, writer, self._limits)
+        stream = FrameStream(reader, writer, self._limits, self._traffic)
         if self._closing:
             stream.close()
             return
--- a/mustardscale/peer_streams.py
+++ b/mustardscale/peer_streams.py
@@ -73,20 +73,39 @@
     key: bytes = dataclasses.field(default=b'', repr=False)
 
 
+@dataclasses.dataclass(slots=True)
+class PeerTraffic:
+    """What a process has exchanged with its peers since its start.
+
+    Attributes:
+        frames_sent: frames sent.
+        bytes_sent: their bytes.
+        frames_received: frames received whole.
+        bytes_received: their bytes.
+    """
+
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    frames_received: int = 0
+    bytes_received: int = 0
+
+
 class FrameStream:
     """Sends and receives frames on one connection."""
 
-    __slots__ = ('_limits', '_reader', '_writer')
+    __slots__ = ('_limits', '_reader', '_traffic', '_writer')
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         limits: PeerLimits,
+        traffic: PeerTraffic,
     ):
         self._reader = reader
         self._writer = writer
         self._limits = limits
+        self._traffic = traffic
         writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
 
     async def receive(self, idle_s: float) -> Frame:
@@ -110,6 +129,8 @@
             raise PeerFrameError(
                 Outcome.PEER_FRAME_MALFORMED, 'payload not received in time'
             ) from None
+        self._traffic.frames_received += 1
+        self._traffic.bytes_received += HEADER_BYTES + header.length
         return decode_payload(header, payload)
 
     def send(self, data: bytes) -> None:
@@ -117,6 +138,8 @@
         if self._writer.transport.is_closing():
             return
         self._writer.write(data)
+        self._traffic.frames_sent += 1
+        self._traffic.bytes_sent += len(data)
         unsent = self._writer.transport.get_write_buffer_size()
         if unsent > self._limits.abort_bytes:
             self.close()
--- a/mustardscale/tcp_peers.py
+++ b/mustardscale/tcp_peers.py
@@ -8,7 +8,7 @@
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.peer_connections import OutboundPeer, split_address
 from mustardscale.peer_server import PeerServer
-from mustardscale.peer_streams import PeerIdentity, PeerLimits
+from mustardscale.peer_streams import PeerIdentity, PeerLimits, PeerTraffic
 from mustardscale.peers import (
     PeerHandler,
     PeerReply,
@@ -22,6 +22,7 @@
 
     Attributes:
         address: 'ip:port' listened on, once started.
+        traffic: what was exchanged with peers.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         limits: PeerLimits | None = None,
     ):
         self.address = listen
+        self.traffic = PeerTraffic()
         self._identity = identity
         self._rng = rng
         self._limits = limits or PeerLimits()
@@ -41,7 +43,9 @@
 
     async def start(self, handler: PeerHandler) -> None:
         """Starts to serve; handler gets the peer's id and the request."""
-        self._server = PeerServer(self._identity, handler, self._limits)
+        self._server = PeerServer(
+            self._identity, handler, self._limits, self.traffic
+        )
         self.address = await self._server.start(*split_address(self.address))
 
     async def call(
@@ -74,7 +78,9 @@
         peer = self._peer_by_host.get(host)
         if peer is None:
             self._forget_unused()
-            peer = OutboundPeer(host, self._identity, self._limits, self._rng)
+            peer = OutboundPeer(
+                host, self._identity, self._limits, self._rng, self.traffic
+            )
             self._peer_by_host[host] = peer
         return peer
 
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -17,6 +17,7 @@
     FrameStream,
     PeerIdentity,
     PeerLimits,
+    PeerTraffic,
     greet_server,
 )
 from mustardscale.peers import (
@@ -352,7 +353,7 @@
 async def connect():
     """Connects to b without a greeting."""
     reader, writer = await asyncio.open_connection('127.0.0.1', 7002)
-    return FrameStream(reader, writer, PeerLimits())
+    return FrameStream(reader, writer, PeerLimits(), PeerTraffic())
 
 
 async def greeted():
