--- a/mustardscale/exit_codes.py
+++ b/mustardscale/exit_codes.py
@@ -4,6 +4,8 @@
 
 import enum
 
+import tabulate
+
 
 class ExitCode(enum.IntEnum):
     """What a command's exit code says."""
@@ -26,3 +28,9 @@
     ExitCode.LOG_UNAVAILABLE: 'the log is unavailable; nothing was published',
     ExitCode.HOST_UNAVAILABLE: 'a host or the host list did not answer',
 }
+
+
+def exit_code_table() -> str:
+    """Renders the exit codes as a Markdown table."""
+    rows = [[int(code), text] for code, text in TEXT_BY_EXIT_CODE.items()]
+    return tabulate.tabulate(rows, ['Exit code', 'Meaning'], tablefmt='github')
--- a/mustardscale/outcomes.py
+++ b/mustardscale/outcomes.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import tabulate
+
 
 class Outcome(enum.IntEnum):
     """A result code.
@@ -268,3 +270,13 @@
         500, 'An error inside the router.', _LOGGED
     ),
 }
+
+
+def outcome_table() -> str:
+    """Renders the outcome codes as a Markdown table."""
+    rows = [
+        [int(outcome), outcome.name, text.http_status, text.cause, text.remedy]
+        for outcome, text in TEXT_BY_OUTCOME.items()
+    ]
+    headers = ['Code', 'Name', 'HTTP', 'Cause', 'What to do']
+    return tabulate.tabulate(rows, headers, tablefmt='github')
--- a/mustardscale/setting_options.py
+++ b/mustardscale/setting_options.py
@@ -100,28 +100,17 @@
 
 
 class Address(Option):
-    """An IP number and a port.
-
-    Args:
-        listened_on: whether port 0 (any free port) is allowed.
-        empty: whether it may be left out.
-    """
+    """An IP number and a port to listen on; port 0 takes any free one."""
 
     kind = 'ip:port'
     remedy = 'give an IP number and a port, such as 127.0.0.1:7400'
 
-    def __init__(self, listened_on: bool = True, empty: bool = False):
-        self._lowest_port = 0 if listened_on else 1
-        self._empty = empty
-
     def parse(self, text: str) -> str:
         """Returns the address.
 
         >>> Address().parse('[::1]:80')
         '[::1]:80'
         """
-        if not text and self._empty:
-            return text
         ip, colon, port = text.rpartition(':')
         if not colon:
             raise ValueError('has no port')
@@ -131,7 +120,7 @@
             ipaddress.IPv4Address(ip)
         if not port.isascii() or not port.isdigit():
             raise ValueError('has no numeric port')
-        if not self._lowest_port <= int(port) <= _PORT_LIMIT:
+        if int(port) > _PORT_LIMIT:
             raise ValueError('has a port outside the range')
         return text
 
--- a/mustardscale/settings.py
+++ b/mustardscale/settings.py
@@ -54,11 +54,6 @@
         'Address for operators: health, metrics, state dump.',
         '127.0.0.1:9400',
     )
-    peers_advertise: str = _setting(
-        Address(listened_on=False, empty=True),
-        'Address at which peers reach this host; empty for peers_listen.',
-        '',
-    )
     log_url: str = _setting(Url(), "Address of the platform's log service.")
     host_list_url: str = _setting(Url(), "Address of the platform's host list.")
     heartbeat_s: float = _setting(
