--- a/tests/engine_pair.py
+++ b/tests/engine_pair.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-from collections.abc import Callable, Coroutine
-
-import async_solipsism
 import pytest
 
 from mustardscale.engines import (
@@ -28,23 +24,6 @@
 DECODE = 'http://decode'
 
 
-def virtual_time(
-    test: Callable[..., Coroutine[None, None, None]],
-) -> Callable[..., None]:
-    """Runs a test on a loop whose clock jumps to the next timer."""
-
-    def run(self) -> None:
-        loop = async_solipsism.EventLoop()
-        try:
-            loop.run_until_complete(test(self))
-            loop.run_until_complete(loop.shutdown_asyncgens())
-        finally:
-            loop.close()
-
-    functools.update_wrapper(run, test)
-    return run
-
-
 class EnginePair:
     """A prefill and a decode engine that answer with a fixed length."""
 
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -31,8 +31,8 @@
     EnginePair,
     read_all,
     refusal,
-    virtual_time,
 )
+from tests.virtual_time import virtual_time
 
 
 class TestAnswers:
