Let the engine stand-in crash while it is down and load weights

Cause of the failure: a second crash before the first had closed the listening socket cancelled that task and forgot the site, so the port stayed bound and the engine never came back. test_second_crash_while_down failed on the earlier server and passes now. The server now uses the stand-ins' common listener, which owns the socket, in place of its own copy of that logic; ruled out: waiting for the first restart to end, which would stretch the second one's time. Orders load models through the weight store (--weight-store) and wait as long as it asks. --id names the engine in its log, now JSON lines.

--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -217,6 +217,10 @@
         await self._answering()
         self._orders.accept(order)
 
+    async def orders_settled(self) -> None:
+        """Waits until the order accepted last is carried out."""
+        await self._orders.settled()
+
     async def export_kv(
         self, kv_id: str, importer_bytes_per_s: float
     ) -> PrefillResult:
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -66,6 +66,11 @@
         self.close()
         self._task = asyncio.create_task(self._carry_out(order))
 
+    async def settled(self) -> None:
+        """Waits until the order accepted last is carried out."""
+        if self._task is not None:
+            await asyncio.shield(self._task)
+
     def close(self) -> None:
         """Gives up the order that is being carried out."""
         if self._task is not None:
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -5,16 +5,15 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import dataclasses
 import logging
-import signal
 import sys
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import TypeVar
 
 import aiohttp
-import configargparse
 import msgspec
 from aiohttp import web
 
@@ -31,17 +30,17 @@
     EndpointUnreachableError,
 )
 from mustardscale.http_engine import Refusal
+from standins import serving
 from standins.engine_faults import FaultChange, apply_faults
 from standins.engine_model import EngineModel
-from standins.engine_orders import ModelLoader
 from standins.engine_parameters import EngineParameters
+from standins.faults import StandinRefusedError
 from standins.http_kv_source import HttpKvSource
+from standins.weight_store_server import load_weights
 
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Time for open connections to end when the server stops, seconds.
-SHUTDOWN_S = 0.2
 # Time between the answer to a kill and the crash, seconds.
 KILL_DELAY_S = 0.02
 
@@ -65,7 +64,7 @@
         parameters: EngineParameters,
         host: str,
         port: int,
-        load_model: ModelLoader | None = None,
+        weight_store: str = '',
     ):
         """Binds nothing yet.
 
@@ -73,20 +72,25 @@
             parameters: size and speed of the engine.
             host: address to listen on.
             port: port to listen on; 0 takes a free one.
-            load_model: reads a model and version from the weight store.
+            weight_store: 'ip:port' of the weight store; '' loads at once.
         """
         self._parameters = parameters
         self._host = host
-        self._port = port
-        self._load_model = load_model
-        self._site: web.TCPSite | None = None
+        self._weight_store = weight_store
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._errors]
+        )
+        app.add_routes(self._routes())
+        self._listener = serving.Listener(
+            app, host, port, cancels_handlers=True
+        )
         self.serving = asyncio.Event()
         self._restart: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> str:
         """URL of the engine."""
-        return f'http://{self._host}:{self._port}'
+        return f'http://{self._host}:{self._listener.port}'
 
     async def start(self) -> None:
         """Creates the engine and serves."""
@@ -96,21 +100,11 @@
         self.model = EngineModel(
             self._parameters,
             HttpKvSource(self._session),
-            load_model=self._load_model,
+            load_model=self._load_weights if self._weight_store else None,
         )
         self.model.on_crash = self._crash
-        app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self._errors]
-        )
-        app.add_routes(self._routes())
-        self._runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_S,
-        )
-        await self._runner.setup()
-        await self._listen()
+        await self._listener.open()
+        self.serving.set()
 
     async def stop(self) -> None:
         """Stops serving and drops all work."""
@@ -118,7 +112,7 @@
             self._restart.cancel()
         self.model.on_crash = lambda down_s: None
         self.model.close()
-        await self._runner.cleanup()
+        await self._listener.close()
         await self._session.close()
 
     def _routes(self) -> list[web.RouteDef]:
@@ -138,32 +132,30 @@
             web.get('/counters', self._counters),
         ]
 
-    async def _listen(self) -> None:
-        self._site = web.TCPSite(
-            self._runner, self._host, self._port, reuse_address=True
-        )
-        await self._site.start()
-        self.serving.set()
-        if self._port == 0:
-            self._port = self._runner.addresses[0][1]
+    async def _load_weights(self, model: str, version: str) -> None:
+        """Loads weights; waits as often as the store asks for it."""
+        while True:
+            try:
+                await load_weights(
+                    self._session, self._weight_store, model, version
+                )
+                return
+            except StandinRefusedError as error:
+                log.info('weight store refused: %s', error)
+                await asyncio.sleep(error.retry_after_s)
 
     def _crash(self, down_s: float) -> None:
         """Cuts all connections and refuses new ones for a time."""
-        site, self._site = self._site, None
         self.serving.clear()
-        server = self._runner.server
-        for connection in server.connections if server is not None else ():
-            if connection.transport is not None:
-                connection.transport.abort()
         if self._restart is not None:
             self._restart.cancel()
-        self._restart = asyncio.create_task(self._come_back(site, down_s))
+        self._restart = asyncio.create_task(self._come_back(down_s))
 
-    async def _come_back(self, site: web.TCPSite | None, down_s: float) -> None:
-        if site is not None:
-            await site.stop()
+    async def _come_back(self, down_s: float) -> None:
+        await self._listener.close_socket()
         await asyncio.sleep(down_s)
-        await self._listen()
+        await self._listener.open()
+        self.serving.set()
 
     @web.middleware
     async def _errors(
@@ -172,19 +164,19 @@
         try:
             return await handler(request)
         except EndpointRefusedError as error:
-            return _json(Refusal(error.reason), _STATUS_REFUSED)
+            return serving.json_response(Refusal(error.reason), _STATUS_REFUSED)
         except EndpointUnreachableError as error:
             return web.Response(status=_STATUS_UNAVAILABLE, text=str(error))
         except EndpointFailedError as error:
             if not error.crashed:
                 await asyncio.Event().wait()
-            return _cut(request)
+            return serving.drop_connection(request)
         except (msgspec.MsgspecError, ValueError) as error:
             return web.Response(status=_STATUS_MALFORMED, text=str(error))
 
     async def _prefill(self, request: web.Request) -> web.StreamResponse:
         call = await _read(request, PrefillCall)
-        return _json(await self.model.prefill(call))
+        return serving.json_response(await self.model.prefill(call))
 
     async def _decode(self, request: web.Request) -> web.StreamResponse:
         call = await _read(request, DecodeCall)
@@ -198,35 +190,35 @@
 
     async def _cancel(self, request: web.Request) -> web.StreamResponse:
         await self.model.cancel(*_stream_key(request))
-        return _json(None)
+        return serving.json_response(None)
 
     async def _streams(self, request: web.Request) -> web.StreamResponse:
-        return _json(await self.model.streams())
+        return serving.json_response(await self.model.streams())
 
     async def _load(self, request: web.Request) -> web.StreamResponse:
-        return _json(await self.model.report())
+        return serving.json_response(await self.model.report())
 
     async def _cache_events(self, request: web.Request) -> web.StreamResponse:
         after = int(request.query.get('after', '0'))
-        return _json(await self.model.cache_events(after))
+        return serving.json_response(await self.model.cache_events(after))
 
     async def _order(self, request: web.Request) -> web.StreamResponse:
         await self.model.order(await _read(request, EngineOrder))
-        return _json(None)
+        return serving.json_response(None)
 
     async def _export(self, request: web.Request) -> web.StreamResponse:
         rate = float(request.query['rate'])
-        return _json(
+        return serving.json_response(
             await self.model.export_kv(request.match_info['kv_id'], rate)
         )
 
     async def _get_faults(self, request: web.Request) -> web.StreamResponse:
-        return _json(self.model.faults)
+        return serving.json_response(self.model.faults)
 
     async def _set_faults(self, request: web.Request) -> web.StreamResponse:
         change = await _read(request, FaultChange)
         apply_faults(self.model, dataclasses.replace(change, kill=False))
-        response = _json(self.model.faults)
+        response = serving.json_response(self.model.faults)
         if change.kill:
             # The answer leaves before the crash cuts this connection too.
             response.force_close()
@@ -235,15 +227,7 @@
         return response
 
     async def _counters(self, request: web.Request) -> web.StreamResponse:
-        return _json(self.model.state())
-
-
-def _json(content: object, status: int = 200) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(content),
-        status=status,
-        content_type='application/json',
-    )
+        return serving.json_response(self.model.state())
 
 
 async def _read(request: web.Request, content_type: type[T]) -> T:
@@ -265,7 +249,7 @@
                 await response.prepare(request)
             await response.write(encode_event(msgspec.json.encode(event)))
     except EndpointFailedError:
-        _cut(request)
+        serving.drop_connection(request)
     finally:
         await events.aclose()
     if not response.prepared:
@@ -273,48 +257,42 @@
     return response
 
 
-def _cut(request: web.Request) -> web.Response:
-    """Cuts the connection; the answer returned is never sent."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response(status=_STATUS_UNAVAILABLE)
-
-
 def _is_true(text: str) -> bool:
     return text.lower() in ('1', 'true', 'yes')
 
 
-def _parse(arguments: list[str]) -> tuple[EngineParameters, str, int]:
-    parser = configargparse.ArgParser(
-        description='A stand-in for a model engine.',
-        auto_env_var_prefix='ENGINE_',
+def _parse(arguments: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        description='A stand-in for a model engine.'
     )
-    parser.add_argument('--listen', default='127.0.0.1:9000')
+    parser.add_argument('--listen', default='127.0.0.1:0', metavar='IP:PORT')
+    parser.add_argument('--id', default='engine', help='name in the log')
+    parser.add_argument('--weight-store', default='', metavar='IP:PORT')
     defaults = EngineParameters()
     for field in dataclasses.fields(EngineParameters):
         default = getattr(defaults, field.name)
         flag = '--' + field.name.replace('_', '-')
         kind = _is_true if isinstance(default, bool) else type(default)
         parser.add_argument(flag, type=kind, default=default)
-    options = vars(parser.parse_args(arguments))
-    host, port = options.pop('listen').rsplit(':', 1)
-    return EngineParameters(**options), host, int(port)
+    return parser.parse_args(arguments)
 
 
 async def serve(arguments: list[str]) -> None:
     """Serves until SIGTERM or SIGINT."""
-    parameters, host, port = _parse(arguments)
-    server = EngineServer(parameters, host, port)
+    options = _parse(arguments)
+    names = [field.name for field in dataclasses.fields(EngineParameters)]
+    settings = {name: getattr(options, name) for name in names}
+    host, _, port = options.listen.rpartition(':')
+    server = EngineServer(
+        EngineParameters(**settings), host, int(port), options.weight_store
+    )
+    stopped = serving.stop_signal()
     await server.start()
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    log.info('engine at %s', server.address)
+    log.info('engine %s listens at %s', options.id, server.address)
     await stopped.wait()
     await server.stop()
 
 
 if __name__ == '__main__':
-    logging.basicConfig(level=logging.INFO)
+    serving.log_json_lines()
     asyncio.run(serve(sys.argv[1:]))
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -176,11 +176,28 @@
 
     __slots__ = ('_app', '_host', '_runner', '_site', 'port')
 
-    def __init__(self, app: web.Application, host: str, port: int):
+    def __init__(
+        self,
+        app: web.Application,
+        host: str,
+        port: int,
+        cancels_handlers: bool = False,
+    ):
+        """Binds nothing yet.
+
+        Args:
+            app: what is served.
+            host: IP number to listen on.
+            port: port to listen on; 0 takes any free port.
+            cancels_handlers: whether a handler ends when its caller leaves.
+        """
         self._app = app
         self._host = host
         self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            handler_cancellation=cancels_handlers,
         )
         self._site: web.TCPSite | None = None
         self.port = port
@@ -213,16 +230,29 @@
 async def serve(listener: Listener) -> None:
     """Serves until SIGTERM or SIGINT; logs the port once it listens."""
     log = logging.getLogger('standins')
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = stop_signal()
     await listener.open()
     log.info('listening', extra={'fields': {'port': listener.port}})
     await stopped.wait()
     await listener.close()
 
 
+def stop_signal() -> asyncio.Event:
+    """Returns an event that SIGTERM and SIGINT set."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    return stopped
+
+
+def log_json_lines() -> None:
+    """Writes the process's log as JSON lines to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(JsonLineFormatter())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
 def run(make_listener: Callable[[str, int], Listener], listen: str) -> None:
     """Serves on 'ip:port' with JSON-lines logging.
 
@@ -230,9 +260,7 @@
         make_listener: called in the loop with the IP number and the port.
         listen: 'ip:port'; port 0 takes any free port.
     """
-    handler = logging.StreamHandler()
-    handler.setFormatter(JsonLineFormatter())
-    logging.basicConfig(level=logging.INFO, handlers=[handler])
+    log_json_lines()
     host, _, port = listen.rpartition(':')
 
     async def main() -> None:
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -26,13 +26,17 @@
 )
 from mustardscale.http_engine import HttpEngine
 from mustardscale.requests import prompt_from_text
+from standins import serving
 from standins.engine_parameters import EngineParameters
 from standins.engine_server import EngineServer
 from standins.expected_answers import expected_tokens, output_length
+from standins.weight_store_model import WeightStoreConditions, WeightStoreModel
+from standins.weight_store_server import make_weight_store_application
 
 PROMPT = prompt_from_text('Which lots carry a warrant? ' * 100)
 LENGTH = output_length(PROMPT.fingerprint, 5000)
-
+# Time after which a test that hangs is given up, seconds.
+HANG_S = 10.0
 FAST = {
     'prefill_tokens_per_s': 1e6,
     'step_base_s': 0.001,
@@ -167,6 +171,42 @@
 
         asyncio.run(check())
 
+    def test_second_crash_while_down(self):
+        async def check():
+            async with running_engines() as engine:
+                server = engine.decode_server
+                server.model.kill(60.0)
+                server.model.kill(0.0)
+                await asyncio.wait_for(server.serving.wait(), HANG_S)
+                assert (await engine.decode.report()).start == 3
+
+        asyncio.run(check())
+
+    def test_model_is_loaded_from_the_weight_store(self):
+        async def check():
+            store = WeightStoreModel(WeightStoreConditions(weight_bytes=1))
+            listener = serving.Listener(
+                make_weight_store_application(store), '127.0.0.1', 0
+            )
+            await listener.open()
+            address = f'127.0.0.1:{listener.port}'
+            server = EngineServer(
+                EngineParameters(order_s=0.0, report_lag_s=0.01),
+                '127.0.0.1',
+                0,
+                address,
+            )
+            await server.start()
+            order = EngineOrder(1, EngineRole.DECODE, 'other', '2')
+            await server.model.order(order)
+            await server.model.orders_settled()
+            assert server.model.current_report().model == 'other'
+            assert store.counters.loads == 1
+            await server.stop()
+            await listener.close()
+
+        asyncio.run(check())
+
     def test_marked_prompt_crashes_the_engine(self):
         async def check():
             async with running_engines() as engine:
