--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -5,7 +5,6 @@
 
 import aiohttp
 import pytest
-from fake_service import FakeService
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -15,6 +14,7 @@
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.plain_endpoints import PlainAnswer
+from tests.fake_service import FakeService
 
 BOOKING_ID = '01890a5d-ac96-774b-bcce-b302099a8057'
 CHAT = {'model': 'model-a', 'messages': [{'role': 'user', 'content': 'hi'}]}
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,8 +7,6 @@
 
 import aiohttp
 import pytest
-from fake_service import FakeService
-from virtual_time import virtual_time
 
 from mustardscale.__main__ import build_parser, main
 from mustardscale.command_context import CommandContext
@@ -21,6 +19,8 @@
 from standins.host_list_model import HostListModel, MemoryHostList
 from standins.log_model import LogModel
 from standins.memory_log import MemoryLogClient
+from tests.fake_service import FakeService
+from tests.virtual_time import virtual_time
 
 FIRST = ('profile', 'publish', 'noon', '--set', 'weight=2')
 
--- a/tests/test_memory_peers.py
+++ b/tests/test_memory_peers.py
@@ -4,11 +4,11 @@
 import random
 
 import pytest
-from virtual_time import virtual_time
 
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.peers import StreamLookup, StreamLookupReply
 from standins.memory_peers import MemoryPeerNetwork
+from tests.virtual_time import virtual_time
 
 REPLY = StreamLookupReply(())
 
--- a/tests/test_operators_http.py
+++ b/tests/test_operators_http.py
@@ -4,9 +4,9 @@
 
 import aiohttp
 import pytest
-from fake_service import FakeService
 
 from mustardscale.operators_http import OperatorsServer
+from tests.fake_service import FakeService
 
 TOKEN = 'operators'
 
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -4,7 +4,6 @@
 import random
 
 import pytest
-from virtual_time import virtual_time
 
 from mustardscale.config_records import (
     ConfigChange,
@@ -18,6 +17,7 @@
 from standins.faults import Outage
 from standins.log_model import LogModel
 from standins.memory_log import MemoryLogClient
+from tests.virtual_time import virtual_time
 
 KEY = ConfigKey('profile', 'noon')
 TIMEOUT_S = 6.0
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -4,7 +4,6 @@
 import random
 
 import pytest
-from virtual_time import virtual_time
 
 from mustardscale.exceptions import (
     OutcomeError,
@@ -29,6 +28,7 @@
     StreamLookupReply,
 )
 from mustardscale.tcp_peers import TcpPeerTransport
+from tests.virtual_time import virtual_time
 
 REPLY = StreamLookupReply(())
 
