Drop directory entries that their host no longer serves

Cause: a registration whose reply was lost left an entry at the home that its host never ended, so the id was refused with 4009 for as long as that host lived; and two sends of an id to one host passed each other while the first waited for its home, so both were answered. Ruled out: the home's own expiry, which only looked at ended entries. The host now ends what it may have registered, renews what it serves every 10 s, and notes a request before its first await; a home drops entries not renewed for 35 s.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -172,10 +172,12 @@
 
     Attributes:
         entry: the entry.
+        renewed_at: loop time at which its holder last registered it.
         ended_at: loop time at which it ended, or None while it is served.
     """
 
     entry: DirectoryEntry
+    renewed_at: float
     ended_at: float | None = None
 
 
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -29,6 +29,10 @@
 
 log = logging.getLogger(__name__)
 
+# Interval at which a host registers again what it still serves, seconds.
+RENEWAL_S = 10.0
+# Seconds for which a home keeps an entry that is not registered again.
+UNRENEWED_MEMORY_S = 35.0
 # Seconds for which a home remembers entries that have ended.
 ENDED_MEMORY_S = 120.0
 CALL_TIMEOUT_S = 1.5
@@ -96,7 +100,7 @@
         found = (row.entry,) if row is not None else ()
         accepted = row is None or self._may_replace(row, request)
         if accepted:
-            rows[request_id] = DirectoryRow(request.entry)
+            rows[request_id] = DirectoryRow(request.entry, now)
         return DirectoryReply(accepted, known_s, found)
 
     def _may_answer(self, request_id: str) -> bool:
@@ -163,30 +167,46 @@
                 row.entry.incarnation,
                 max(row.entry.attempt, request.attempt),
                 row.entry.decode,
-                request.done,
+                row.entry.done or request.done,
             )
         return Acknowledgement()
 
     def _expire(self) -> None:
-        horizon = asyncio.get_running_loop().time() - ENDED_MEMORY_S
+        now = asyncio.get_running_loop().time()
         rows = self._blackboard.directory_by_request_id
-        ended = [
-            request_id
-            for request_id, row in rows.items()
-            if row.ended_at is not None and row.ended_at < horizon
+        expired = [
+            request_id for request_id, row in rows.items() if _expired(row, now)
         ]
-        for request_id in ended:
+        for request_id in expired:
             del rows[request_id]
 
 
-class DirectoryClient:
+def _expired(row: DirectoryRow, now: float) -> bool:
+    """Returns whether a row may be forgotten."""
+    if row.ended_at is not None:
+        return now - row.ended_at > ENDED_MEMORY_S
+    return now - row.renewed_at > UNRENEWED_MEMORY_S
+
+
+class DirectoryClient(Controller):
     """Registers the requests that this host serves with their homes."""
 
-    def __init__(self, blackboard: Blackboard, calls: PeerCalls):
+    def __init__(
+        self, blackboard: Blackboard, calls: PeerCalls, rng: random.Random
+    ):
         self._blackboard = blackboard
         self._calls = calls
+        self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
 
+    async def run(self) -> None:
+        """Registers again, at a fixed interval, what is still served."""
+        while True:
+            await pause(RENEWAL_S, self._rng)
+            for served in list(self._blackboard.served_by_id.values()):
+                if served.home and not served.taken_over:
+                    self._start(self._rebuild(served))
+
     async def register(
         self, served: ServedRequest, takeover: bool = False
     ) -> DirectoryReply:
@@ -196,20 +216,25 @@
             OutcomeError: DIRECTORY_UNAVAILABLE, when the home gave no answer.
         """
         home = owner(served.id, self._blackboard.serving_hosts())
+        # The home may act although its reply is lost; remove() needs to know.
+        served.home = home
         request = DirectoryRegister(self._entry(served), takeover)
         try:
             reply = await self._calls.call(
                 home, request, DirectoryReply, CALL_TIMEOUT_S * 2
             )
         except PeerUnavailableError as error:
+            self.remove(served, done=False)
             raise OutcomeError(
                 Outcome.DIRECTORY_UNAVAILABLE, str(error), RETRY_AFTER_S
             ) from error
+        except asyncio.CancelledError:
+            self.remove(served, done=False)
+            raise
         if not reply.accepted and not reply.found:
             raise OutcomeError(
                 Outcome.DIRECTORY_UNAVAILABLE, retry_after_s=RETRY_AFTER_S
             )
-        served.home = home
         return reply
 
     def update(self, served: ServedRequest) -> None:
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -176,16 +176,18 @@
             max_tokens=min(request.max_tokens, profile.max_output_tokens),
         )
         self._limits.enter(request.service, profile)
+        # Set before the first await, so that a second send sees it.
+        self._blackboard.served_by_id[request.id] = served
         try:
             takeover = request.resume_after is not None
             reply = await self._directory.register(served, takeover)
             check_reply(reply, served)
         except BaseException:
             self._limits.leave(request.service)
+            self._blackboard.served_by_id.pop(request.id, None)
             raise
         if reply.found:
             self._follow(request, served, reply.found[0])
-        self._blackboard.served_by_id[request.id] = served
         return served
 
     def _check(self, request: LanguageRequest, profile: Profile) -> None:
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -167,7 +167,7 @@
         config_peers = ConfigPeerController(board, calls, rng)
         snapshots = SnapshotController(board, self.config_log, edges.log, rng)
         home = DirectoryHome(board, calls, options.times.dead_after_s, rng)
-        directory = DirectoryClient(board, calls)
+        directory = DirectoryClient(board, calls, rng)
         admission = AdmissionClient(board, calls, rng)
         self.pool_owner = PoolOwner(
             board, calls, suspicions, POLICY_BY_NAME[options.policy], rng
@@ -214,6 +214,7 @@
             config_peers,
             snapshots,
             home,
+            directory,
             admission,
             self.pool_owner,
             watch,
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,94 @@
+"""The request directory under lost messages."""
+
+import asyncio
+
+from mustardscale.blackboard import DirectoryRow
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import DirectoryEntry
+from mustardscale.rendezvous import owner
+from tests.test_memory_site import answer, language, run, whole
+
+
+def number_with_home(site, home):
+    """Returns the number of a request whose home is a host."""
+    hosts = list(site.routers_by_host)
+    return next(
+        number
+        for number in range(100)
+        if owner(f'request-{number}', hosts) == home
+    )
+
+
+class TestLostReply:
+    """A registration whose reply is lost."""
+
+    def test_the_id_can_be_sent_again(self):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            site.peers.lose_replies('entry-1', 'entry-3', 1.0)
+            site.peers.lose_replies('entry-3', 'entry-1', 1.0)
+            try:
+                await answer(site.routers_by_host['entry-1'], language(number))
+            except OutcomeError as error:
+                assert error.outcome is Outcome.DIRECTORY_UNAVAILABLE
+            site.peers.lose_replies('entry-1', 'entry-3', 0.0)
+            site.peers.lose_replies('entry-3', 'entry-1', 0.0)
+            await asyncio.sleep(3)
+            request = language(number)
+            again = await answer(site.routers_by_host['entry-2'], request)
+            assert again == whole(request)
+
+        run(scenario)
+
+
+class TestRenewal:
+    """Entries of live hosts that no longer serve them."""
+
+    def test_unrenewed_entries_are_dropped(self):
+        async def scenario(site):
+            home = site.routers_by_host['entry-3'].blackboard
+            holder = site.routers_by_host['entry-1'].blackboard
+            entry = DirectoryEntry('gone', 1, 'entry-1', holder.incarnation)
+            now = asyncio.get_running_loop().time()
+            home.directory_by_request_id['gone'] = DirectoryRow(entry, now)
+            await asyncio.sleep(60)
+            assert 'gone' not in home.directory_by_request_id
+
+        run(scenario)
+
+    def test_entries_of_long_requests_stay(self):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            host = site.routers_by_host['entry-1']
+            request = language(number, 4000)
+            for engine in site.engines_by_id.values():
+                engine.faults.slow_factor = 100.0
+            task = asyncio.create_task(answer(host, request))
+            await asyncio.sleep(60)
+            home = site.routers_by_host['entry-3'].blackboard
+            assert not task.done()
+            assert request.id in home.directory_by_request_id
+            task.cancel()
+
+        run(scenario)
+
+
+class TestSecondSend:
+    """The same id sent twice to one host."""
+
+    def test_only_one_is_served(self):
+        async def scenario(site):
+            host = site.routers_by_host['entry-1']
+            results = await asyncio.gather(
+                answer(host, language(1)),
+                answer(host, language(1)),
+                return_exceptions=True,
+            )
+            refused = [r for r in results if isinstance(r, OutcomeError)]
+            assert whole(language(1)) in results
+            assert [error.outcome for error in refused] == [
+                Outcome.ALREADY_IN_PROGRESS
+            ]
+
+        run(scenario)
