--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,10 +36,11 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from bench.deployments import Deployment, EngineParameters
+from bench.deployments import Deployment
 from bench.workloads import Arrival, record_arrivals
 from mustardscale.config_records import ServiceKind
 from mustardscale.engines import BLOCK_TOKENS
+from standins.engine_parameters import EngineParameters
 
 RESOURCES = (
     'prefill',
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -6,38 +6,14 @@
 
 from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
 from mustardscale.engines import EngineRole
+from standins.engine_parameters import EngineParameters
 
 # Time of a message between two data centres, seconds one way.
 DATA_CENTRE_DELAY_S = 0.0015
 # Time of a message between a caller and an entry host, seconds one way.
 CALLER_DELAY_S = 0.003
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineParameters:
-    """How fast and how large every engine of a deployment is.
-
-    Attributes:
-        prefill_tokens_per_s: rate of a prefill; prefills run one by one.
-        prefill_base_s: fixed time of a prefill, seconds.
-        step_base_s: fixed time of a decode step, seconds.
-        step_per_stream_s: time that a stream adds to a step, seconds.
-        pieces_total: decode memory in pieces.
-        piece_tokens: tokens in a piece.
-        keep_s: seconds for which a prefill's result is kept.
-        kv_bytes_per_token: size of the KV cache.
-        link_bytes_per_s: rate of each engine's link.
-    """
-
-    prefill_tokens_per_s: float = 16_000.0
-    prefill_base_s: float = 0.02
-    step_base_s: float = 0.012
-    step_per_stream_s: float = 0.0006
-    pieces_total: int = 64
-    piece_tokens: int = 2_000
-    keep_s: float = 0.8
-    kv_bytes_per_token: int = 100_000
-    link_bytes_per_s: float = 2e9
+# Tokens that the engines gather into one event.
+TOKENS_PER_EVENT = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +121,11 @@
     choice_by_service: dict[str, ServiceChoice]
     language: tuple[LanguageMix, ...]
     plain: tuple[PlainMix, ...]
-    parameters: EngineParameters = EngineParameters()
+    parameters: EngineParameters = dataclasses.field(
+        default_factory=lambda: EngineParameters(
+            tokens_per_event=TOKENS_PER_EVENT
+        )
+    )
 
     def engines(self) -> list[EngineSpec]:
         """Returns the engines, spread over the data centres in turn."""
--- a/standins/expected_answers.py
+++ b/standins/expected_answers.py
@@ -8,7 +8,8 @@
 
 _CONSONANTS = 'bdfghjklmnprstvz'
 _VOWELS = 'aeio'
-_SYLLABLES = 2
+_SYLLABLES = tuple(c + v for v in _VOWELS for c in _CONSONANTS)
+_TOKENS = tuple(a + b + ' ' for b in _SYLLABLES for a in _SYLLABLES)
 # Logarithms of the median and of the spread of output lengths in tokens.
 _LENGTH_MU = 4.8
 _LENGTH_SIGMA = 0.8
@@ -23,12 +24,7 @@
     5
     """
     bits = xxhash.xxh3_64_intdigest(index.to_bytes(8, 'big'), seed=fingerprint)
-    letters = []
-    for _ in range(_SYLLABLES):
-        bits, consonant = divmod(bits, len(_CONSONANTS))
-        bits, vowel = divmod(bits, len(_VOWELS))
-        letters.append(_CONSONANTS[consonant] + _VOWELS[vowel])
-    return ''.join(letters) + ' '
+    return _TOKENS[bits % len(_TOKENS)]
 
 
 def expected_tokens(fingerprint: int, start: int, stop: int) -> tuple[str, ...]:
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -33,6 +33,7 @@
 from standins.expected_answers import output_length
 from standins.host_list_model import HostListModel, MemoryHostList
 from standins.kv_source import InProcessKvSource
+from standins.kv_store import PickupLedger
 from standins.log_model import LogModel
 from standins.memory_log import MemoryLogClient
 from standins.memory_network import MemoryNetwork
@@ -58,6 +59,7 @@
         decode_engines: engines of the decode role.
         plain_service: name of the plain service.
         plain_endpoints: its endpoints.
+        other_plain_services: plain services that the same endpoints serve.
     """
 
     region: str = 'dk-east'
@@ -68,6 +70,7 @@
     decode_engines: int = 3
     plain_service: str = 'katode-ledger'
     plain_endpoints: int = 4
+    other_plain_services: tuple[str, ...] = ()
 
 
 def token_of(service: str) -> str:
@@ -139,15 +142,20 @@
         self.plains_by_id: dict[str, PlainModel] = {}
         self.routers_by_host: dict[str, Router] = {}
         self.cut_pairs: set[tuple[str, str]] = set()
+        self._ledger = PickupLedger()
         self._kv_source = InProcessKvSource(self.engines_by_id)
         self._make_engines(parameters or EngineParameters())
-        for number in range(layout.plain_endpoints):
-            name = f'{layout.plain_service}-{number + 1}'
-            self.plains_by_id[name] = PlainModel(
-                random.Random(self.rng.random())
-            )
+        self._make_plains()
         self.host_list = HostListModel(self._listed())
 
+    def _make_plains(self) -> None:
+        """Makes the endpoints; each is listed once for each service."""
+        layout = self.layout
+        for number in range(layout.plain_endpoints):
+            model = PlainModel(random.Random(self.rng.random()))
+            for service in (layout.plain_service, *layout.other_plain_services):
+                self.plains_by_id[f'{service}-{number + 1}'] = model
+
     def _make_engines(self, parameters: EngineParameters) -> None:
         layout = self.layout
         roles = [EngineRole.PREFILL] * layout.prefill_engines
@@ -163,6 +171,7 @@
                 ),
                 self._kv_source,
                 self._length_of,
+                ledger=self._ledger,
             )
 
     def _listed(self) -> list[ListedHost]:
@@ -185,7 +194,8 @@
                     role=engine.parameters.role,
                 )
             )
-        for number, name in enumerate(self.plains_by_id):
+        for name in self.plains_by_id:
+            number = int(name.rpartition('-')[2]) - 1
             listed.append(
                 ListedHost(
                     name,
@@ -193,7 +203,7 @@
                     name,
                     places[number % len(places)],
                     layout.region,
-                    service=layout.plain_service,
+                    service=name.rpartition('-')[0],
                 )
             )
         return listed
