Start a prefill only when its links and decode memory will be there

The thin policy granted a prefill when its engine was free and memory was booked by the mean.

Order is by least slack; who comes too late and wants no late answer is refused at once. Long prefills leave one prefill engine and its link to services with a strict first-token target; as their own time runs out they may take it, until the goodput that the hurried services are expected to lose outweighs theirs.

Ruled out: never letting a long prefill take the last free engine.

--- a/mustardscale/link_schedule.py
+++ b/mustardscale/link_schedule.py
@@ -20,6 +20,7 @@
         start: loop time at which both links are predicted to be free.
         finish: predicted loop time of the end.
         alone: whether no other transfer was booked on either link.
+        ready: loop time at which the data will be there.
     """
 
     source: str
@@ -28,6 +29,7 @@
     start: float
     finish: float
     alone: bool
+    ready: float = 0.0
 
 
 class Link:
@@ -100,7 +102,7 @@
             now: loop time.
         """
         start = self._start(source, destination, ready, now)
-        return start + size_bytes / self._rate(source, destination)
+        return start + size_bytes / self.rate(source, destination)
 
     def book(
         self,
@@ -114,11 +116,11 @@
         """Books a transfer and returns its predicted finish."""
         self.drop(transfer_id)
         start = self._start(source, destination, ready, now)
-        finish = start + size_bytes / self._rate(source, destination)
+        finish = start + size_bytes / self.rate(source, destination)
         links = (self._link(source), self._link(destination))
         alone = not any(link.transfer_ids for link in links)
         self._transfer_by_id[transfer_id] = Transfer(
-            source, destination, size_bytes, start, finish, alone
+            source, destination, size_bytes, start, finish, alone, ready
         )
         for link in links:
             for other in link.transfer_ids:
@@ -135,6 +137,42 @@
         transfer.start = now
         transfer.finish = now + duration
 
+    def ready(self, transfer_id: str, now: float) -> None:
+        """Notes that a transfer's data is there and plans all anew.
+
+        Transfers are taken in the order in which their data is there.
+        """
+        transfer = self._transfer_by_id.get(transfer_id)
+        if transfer is None:
+            return
+        transfer.ready = now
+        free_at_by_endpoint: dict[str, float] = {}
+        for other in sorted(
+            self._transfer_by_id.values(), key=lambda item: item.ready
+        ):
+            ends = (other.source, other.destination)
+            start = max(
+                other.ready, *(free_at_by_endpoint.get(end, 0) for end in ends)
+            )
+            other.start = start
+            other.finish = start + other.size_bytes / self.rate(*ends)
+            for end in ends:
+                free_at_by_endpoint[end] = other.finish
+
+    def free_at(self, endpoint: str, now: float) -> float:
+        """Predicts when a link has done all that is booked on it."""
+        finishes = [
+            self._transfer_by_id[transfer_id].finish
+            for transfer_id in self._link(endpoint).transfer_ids
+        ]
+        return max([now, *finishes])
+
+    def rate(self, source: str, destination: str) -> float:
+        """Returns the rate between two endpoints, bytes a second."""
+        return min(
+            self._link(source).bytes_per_s, self._link(destination).bytes_per_s
+        )
+
     def finish(self, transfer_id: str, now: float) -> None:
         """Frees the links of a finished transfer and learns their rate."""
         transfer = self.drop(transfer_id)
@@ -159,11 +197,6 @@
             self._link_by_endpoint[endpoint] = link
         return link
 
-    def _rate(self, source: str, destination: str) -> float:
-        return min(
-            self._link(source).bytes_per_s, self._link(destination).bytes_per_s
-        )
-
     def _start(
         self, source: str, destination: str, ready: float, now: float
     ) -> float:
--- /dev/null
+++ b/mustardscale/policy/decode_room.py
@@ -0,0 +1,187 @@
+"""Room for further streams on the decode engines of a pool."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from mustardscale.engines import EngineRole, LoadReport
+from mustardscale.load_estimate import LineFit
+from mustardscale.memory_booking import (
+    ChernoffBooking,
+    DecodeMemory,
+    StreamNeed,
+    pieces_for,
+    present_pieces,
+)
+from mustardscale.output_lengths import OutputLengths
+from mustardscale.peers import HeldStream
+from mustardscale.policy.base import PoolState
+
+PIECE_TOKENS = 2_000
+DEFAULT_PIECES = 64
+# Prior of a decode step: base, and part of each stream, seconds.
+STEP_BASE_S = 0.012
+STEP_PER_STREAM_S = 0.0006
+TYPICAL_STREAMS = 15.0
+# Memory states kept to compare late reports with.
+HISTORY_LENGTH = 40
+# Pieces by which a report and our own count differ without cause.
+COUNT_TOLERANCE = 2
+
+
+def need_of(stream: HeldStream) -> StreamNeed:
+    """Returns what a stream needs of its decode engine."""
+    return StreamNeed(
+        stream.service,
+        stream.prompt_tokens,
+        stream.emitted,
+        max(stream.max_tokens, stream.emitted + 1),
+    )
+
+
+class ForeignMemory:
+    """Memory of one engine that no reservation accounts for.
+
+    Attributes:
+        pieces: pieces held for streams that are not known here.
+    """
+
+    __slots__ = ('_history', 'pieces')
+
+    def __init__(self):
+        self.pieces = 0
+        self._history: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=HISTORY_LENGTH
+        )
+
+    def observe(self, report: LoadReport, own: int, now: float) -> None:
+        """Compares a late report with what was known at its time.
+
+        Args:
+            report: the report.
+            own: pieces of the reservations at present.
+            now: loop time.
+        """
+        self._history.append((now, own))
+        moment = now - report.age_s
+        then = self._history[0][1]
+        for noted_at, pieces in self._history:
+            if noted_at <= moment:
+                then = pieces
+        used = report.pieces_total - report.pieces_free
+        excess = used - max(then, own) - COUNT_TOLERANCE
+        self.pieces = max(0, excess)
+
+
+@dataclasses.dataclass(slots=True)
+class EngineRoom:
+    """One decode engine in a round of decisions.
+
+    Attributes:
+        id: its name.
+        memory: its memory, without what others hold.
+        needs: its streams.
+        held_pieces: pieces for the streams' next tokens.
+        closed: whether its room is kept for a large request.
+        failed_pieces: least pieces of a request that did not fit.
+    """
+
+    id: str
+    memory: DecodeMemory
+    needs: list[StreamNeed]
+    held_pieces: int
+    closed: bool = False
+    failed_pieces: int = 1 << 30
+
+
+class DecodeRooms:
+    """What is learnt of decode engines, and their room in a round."""
+
+    def __init__(self):
+        self.lengths = OutputLengths()
+        self._foreign_by_id: dict[str, ForeignMemory] = {}
+        self._step_fit = LineFit(
+            STEP_BASE_S, STEP_PER_STREAM_S, TYPICAL_STREAMS
+        )
+        self._booking_by_epsilon: dict[float, ChernoffBooking] = {}
+
+    def observe_report(
+        self, pool: PoolState, engine_id: str, report: LoadReport, now: float
+    ) -> None:
+        """Takes in a load report of a decode engine."""
+        needs = [
+            need_of(held.stream)
+            for held in pool.reservations_by_request_id.values()
+            if held.stream.decode == engine_id
+        ]
+        memory = DecodeMemory(report.pieces_total, PIECE_TOKENS)
+        foreign = self._foreign_by_id.setdefault(engine_id, ForeignMemory())
+        foreign.observe(report, present_pieces(memory, needs), now)
+        if report.active > 0 and report.step_s > 0:
+            self._step_fit.observe(report.active, report.step_s)
+
+    def rooms(self, pool: PoolState) -> dict[str, EngineRoom]:
+        """Returns the usable decode engines by id."""
+        rooms: dict[str, EngineRoom] = {}
+        for engine in pool.engines(EngineRole.DECODE):
+            total = DEFAULT_PIECES
+            if engine.report is not None:
+                total = engine.report.pieces_total
+            foreign = self._foreign_by_id.get(engine.id)
+            if foreign is not None:
+                total -= foreign.pieces
+            memory = DecodeMemory(total, PIECE_TOKENS)
+            rooms[engine.id] = EngineRoom(engine.id, memory, [], 0)
+        for held in pool.reservations_by_request_id.values():
+            room = rooms.get(held.stream.decode)
+            if room is not None:
+                _place(room, need_of(held.stream))
+        return rooms
+
+    def step_s(self, streams: int) -> float:
+        """Returns the expected time of a decode step."""
+        return self._step_fit.value(streams)
+
+    def may_fit(self, room: EngineRoom, pieces: int, step_s: float) -> bool:
+        """Returns whether a stream may fit, by a cheap test.
+
+        A request that is not smaller than one that did not fit in this round
+        is taken not to fit either.
+
+        Args:
+            room: the engine.
+            pieces: pieces for the prompt and the first token.
+            step_s: longest decode step that the stream accepts, seconds.
+        """
+        return (
+            pieces < room.failed_pieces
+            and room.held_pieces + pieces <= room.memory.pieces_total
+            and self.step_s(len(room.needs) + 1) <= step_s
+        )
+
+    def fits(self, room: EngineRoom, need: StreamNeed, epsilon: float) -> bool:
+        """Returns whether a stream that may fit does so until its end."""
+        booking = self._booking_by_epsilon.get(epsilon)
+        if booking is None:
+            booking = ChernoffBooking(self.lengths, epsilon)
+            self._booking_by_epsilon[epsilon] = booking
+        fits = booking.fits_later(room.memory, [*room.needs, need])
+        if not fits:
+            room.failed_pieces = needed_pieces(need)
+        return fits
+
+    def place(self, room: EngineRoom, need: StreamNeed) -> None:
+        """Adds a stream that was granted in this round."""
+        _place(room, need)
+
+
+def _place(room: EngineRoom, need: StreamNeed) -> None:
+    room.needs.append(need)
+    room.held_pieces += needed_pieces(need)
+
+
+def needed_pieces(need: StreamNeed) -> int:
+    """Returns the pieces that a stream needs for its next token."""
+    tokens = need.prompt_tokens + min(need.emitted + 1, need.max_tokens)
+    return pieces_for(tokens, PIECE_TOKENS)
--- /dev/null
+++ b/mustardscale/policy/hurried_demand.py
@@ -0,0 +1,109 @@
+"""How often requests with a strict first-token target come."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+
+from mustardscale.config_records import Profile
+from mustardscale.policy.base import WaitingRequest
+
+# Seconds after which an arrival's weight has fallen to 1/e.
+RATE_MEMORY_S = 20.0
+# Share of a first-token target that may pass before the prefill begins.
+EXPRESS_SHARE = 0.4
+# A service is hurried if its target is within this factor of the strictest.
+HURRIED_FACTOR = 1.5
+# Services with fewer requests a second are not in use.
+LEAST_RATE_PER_S = 0.02
+# Requests remembered, to count each once.
+MOST_KNOWN = 4_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Express:
+    """What the hurried services need of the prefill engines.
+
+    Attributes:
+        wait_s: seconds for which all engines may be busy.
+        target_s: their strictest first-token target, seconds.
+        weight_per_s: their requests a second, by weight of goodput.
+    """
+
+    wait_s: float
+    target_s: float
+    weight_per_s: float
+
+    def busy_s(self, profile: Profile, left_s: float) -> float:
+        """Returns the seconds for which a grant may keep all engines busy.
+
+        While a request has time it leaves an engine to the hurried ones. As
+        its time runs out it may keep them waiting until the goodput they are
+        expected to lose outweighs its own.
+
+        Args:
+            profile: the request's profile.
+            left_s: seconds to its first-token target.
+        """
+        passed = 1 - left_s / profile.first_token_s
+        passed = min(1.0, max(0.0, passed))
+        weight_per_s = max(self.weight_per_s, LEAST_RATE_PER_S)
+        return self.wait_s + passed * profile.goodput_weight / weight_per_s
+
+
+class HurriedDemand:
+    """Counts arrivals by service, old ones forgotten."""
+
+    __slots__ = ('_counted_at', '_known_ids', '_weight_by_service')
+
+    def __init__(self):
+        self._weight_by_service: dict[str, float] = {}
+        self._known_ids: set[str] = set()
+        self._counted_at = 0.0
+
+    def observe(self, waiting: Iterable[WaitingRequest], now: float) -> None:
+        """Counts the requests that are new."""
+        if len(self._known_ids) > MOST_KNOWN:
+            self._known_ids.clear()
+        for item in waiting:
+            request_id = item.request.tag.request_id
+            if request_id in self._known_ids:
+                continue
+            self._known_ids.add(request_id)
+            self._forget(now)
+            service = item.request.service
+            weight = self._weight_by_service.get(service, 0.0)
+            self._weight_by_service[service] = weight + 1.0
+
+    def rate_per_s(self, service: str, now: float) -> float:
+        """Returns a service's requests a second."""
+        weight = self._weight_by_service.get(service, 0.0)
+        aged = math.exp((self._counted_at - now) / RATE_MEMORY_S)
+        return weight * aged / RATE_MEMORY_S
+
+    def express(
+        self, profile_by_service: Mapping[str, Profile], now: float
+    ) -> Express:
+        """Returns what the hurried services in use need."""
+        in_use = {
+            service: profile
+            for service, profile in profile_by_service.items()
+            if self.rate_per_s(service, now) >= LEAST_RATE_PER_S
+        }
+        target_s = min(
+            (profile.first_token_s for profile in in_use.values()),
+            default=math.inf,
+        )
+        weight_per_s = sum(
+            self.rate_per_s(service, now) * profile.goodput_weight
+            for service, profile in in_use.items()
+            if profile.first_token_s <= HURRIED_FACTOR * target_s
+        )
+        return Express(EXPRESS_SHARE * target_s, target_s, weight_per_s)
+
+    def _forget(self, now: float) -> None:
+        aged = math.exp((self._counted_at - now) / RATE_MEMORY_S)
+        for service in self._weight_by_service:
+            self._weight_by_service[service] *= aged
+        self._counted_at = now
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import random
+from collections.abc import Iterable
 
-from mustardscale.engines import EngineRole, LoadReport, StreamStage
+from mustardscale.config_records import Profile
+from mustardscale.engines import (
+    BLOCK_TOKENS,
+    CacheEvent,
+    EngineRole,
+    LoadReport,
+    StreamStage,
+)
+from mustardscale.link_schedule import LinkSchedule
+from mustardscale.memory_booking import StreamNeed
 from mustardscale.outcomes import Outcome
 from mustardscale.peers import AdmitRequest, Release
 from mustardscale.policy.base import (
@@ -18,111 +27,353 @@
     Refusal,
     Reservation,
     WaitingRequest,
-    candidate_engines,
 )
+from mustardscale.policy.decode_room import (
+    DecodeRooms,
+    EngineRoom,
+    needed_pieces,
+)
+from mustardscale.policy.hurried_demand import Express, HurriedDemand
+from mustardscale.policy.prefill_timeline import SEND_S, PrefillTimeline
+from mustardscale.prefix_index import PrefixIndex
 
-PIECE_TOKENS = 2000
-DEFAULT_PIECES = 64
 DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
-# A prefill is started when the engine is free within this time, seconds.
-PREFILL_LEAD_S = 0.05
+PREFILL_BASE_S = 0.02
+DEFAULT_LINK_BYTES_PER_S = 2e9
+KV_BYTES_PER_TOKEN = 100_000
+# A prefill is granted when its engine is free within this time, seconds.
+PREFILL_LEAD_S = 0.04
+# Longest time for which a result may wait for its transfer, seconds.
+PICKUP_WAIT_S = 0.35
+# Seconds between the end of a prefill and the start of its transfer.
+HANDOVER_S = 0.004
+# Share of the time per token target that a decode step may take.
+STEP_SHARE = 0.97
+LONGEST_RETRY_AFTER_S = 30.0
+SHORTEST_RETRY_AFTER_S = 0.5
+URGENT_PRIORITY = 0
+PATIENT_PRIORITY = 1
+INTERACTIVE_S = 1.0
+# Seconds for which a look-up of cached blocks is used again.
+CACHE_LOOKUP_S = 0.25
+# Look-ups kept at most.
+MOST_LOOKUPS = 4_000
+DEFAULT_PROFILE = Profile()
+
+
+@dataclasses.dataclass(slots=True)
+class PrefillRoom:
+    """One prefill engine in a round of decisions.
+
+    Attributes:
+        id: its name.
+        free_at: loop time at which it has done its work.
+        tokens_per_s: its rate.
+    """
+
+    id: str
+    free_at: float
+    tokens_per_s: float
 
 
 @dataclasses.dataclass(slots=True)
-class _Plan:
-    """What has been decided in this round, on top of the pool's state."""
+class Round:
+    """What has been decided in a round, on top of the pool's state.
+
+    Attributes:
+        now: loop time.
+        prefills: the prefill engines.
+        decodes_by_id: the decode engines.
+        express: what hurried requests need.
+        free_at_by_link: loop time at which each link is free, by engine.
+    """
 
-    prefill_free_at_by_id: dict[str, float]
-    pieces_by_id: dict[str, float]
+    now: float
+    prefills: list[PrefillRoom]
+    decodes_by_id: dict[str, EngineRoom]
+    express: Express
+    free_at_by_link: dict[str, float]
+
+
+@dataclasses.dataclass(slots=True)
+class Pairing:
+    """A prefill and a decode engine for a request.
+
+    Attributes:
+        prefill: the prefill engine.
+        decode: the decode engine.
+        prefill_done_at: loop time at which the prefill will be done.
+        transfer_done_at: loop time at which decoding can begin.
+    """
+
+    prefill: PrefillRoom
+    decode: EngineRoom
+    prefill_done_at: float
+    transfer_done_at: float
 
 
 class ReservingPolicy(PlacementPolicy):
-    """Reserves decode memory before prefill, by least slack."""
+    """Reserves decode memory and links before a prefill, by least slack."""
 
     def __init__(self, rng: random.Random):
         super().__init__(rng)
-        self._prefill_free_at_by_id: dict[str, float] = {}
-        self._mean_output_by_service: dict[str, float] = {}
+        self._rooms = DecodeRooms()
+        self._links = LinkSchedule(DEFAULT_LINK_BYTES_PER_S)
+        self._prefixes = PrefixIndex()
+        self._timeline_by_id: dict[str, PrefillTimeline] = {}
+        self._rate_by_id: dict[str, float] = {}
+        self._demand = HurriedDemand()
+        self._round_at = 0.0
+        # Loop time of a look-up and the tokens cached, by request and engine.
+        self._cached_by_request: dict[tuple[str, str], tuple[float, float]] = {}
 
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Grants by least slack while engines have room."""
-        plan = self._plan(pool, now)
-        waiting = sorted(
-            pool.waiting_by_request_id.values(),
-            key=lambda item: item.first_token_at,
-        )
-        decisions = []
+        current = self._round(pool, now)
+        waiting = list(pool.waiting_by_request_id.values())
+        decisions: list[Decision] = []
+        kept: list[tuple[tuple[int, float], WaitingRequest, Profile]] = []
         for item in waiting:
-            decision = self._decide_one(pool, item, plan, now)
-            if decision is not None:
-                decisions.append(decision)
+            profile = pool.profile_by_service.get(
+                item.request.service, DEFAULT_PROFILE
+            )
+            estimate = self._least_s(current, item.request)
+            refusal = self._refusal(item, profile, estimate, current, waiting)
+            if refusal is not None:
+                decisions.append(refusal)
+            else:
+                key = _urgency(item, profile, estimate, now)
+                kept.append((key, item, profile))
+        kept.sort(key=lambda entry: entry[0])
+        for _, item, profile in kept:
+            if all(
+                engine.free_at > now + PREFILL_LEAD_S
+                for engine in current.prefills
+            ):
+                break
+            grant = self._grant(current, item, profile)
+            if grant is not None:
+                decisions.append(grant)
         return decisions
 
-    def _plan(self, pool: PoolState, now: float) -> _Plan:
-        free_at = {
-            engine.id: max(now, self._prefill_free_at_by_id.get(engine.id, now))
+    def _round(self, pool: PoolState, now: float) -> Round:
+        self._round_at = now
+        if len(self._cached_by_request) > MOST_LOOKUPS:
+            self._cached_by_request.clear()
+        self._demand.observe(pool.waiting_by_request_id.values(), now)
+        prefills = [
+            PrefillRoom(
+                engine.id,
+                self._timeline(engine.id).free_at(now),
+                self._rate(engine.id),
+            )
             for engine in pool.engines(EngineRole.PREFILL)
+        ]
+        express = self._demand.express(pool.profile_by_service, now)
+        rooms = self._rooms.rooms(pool)
+        engine_ids = [engine.id for engine in prefills] + list(rooms)
+        free_at_by_link = {
+            engine_id: self._links.free_at(engine_id, now)
+            for engine_id in engine_ids
         }
-        pieces = {engine.id: 0.0 for engine in pool.engines(EngineRole.DECODE)}
-        for held in pool.reservations_by_request_id.values():
-            stream = held.stream
-            if stream.decode in pieces:
-                pieces[stream.decode] += self._need(
-                    stream.service,
-                    stream.prompt_tokens,
-                    stream.emitted,
-                    stream.max_tokens,
-                )
-        return _Plan(free_at, pieces)
-
-    def _need(
-        self, service: str, prompt_tokens: int, emitted: int, max_tokens: int
-    ) -> float:
-        mean = self._mean_output_by_service.get(service, 400.0)
-        output = min(max_tokens, max(mean, emitted + mean / 2))
-        return math.ceil((prompt_tokens + output) / PIECE_TOKENS)
+        return Round(
+            now,
+            prefills,
+            rooms,
+            express,
+            free_at_by_link,
+        )
+
+    def _least_s(self, current: Round, request: AdmitRequest) -> float:
+        """Returns the least seconds until the first token, if memory is free.
+
+        The engines that are free first are assumed.
+        """
+        best = float('inf')
+        for engine in current.prefills:
+            if engine.id in request.excluded:
+                continue
+            begin = max(engine.free_at, current.now + SEND_S)
+            seconds = begin - current.now + self._prefill_s(engine, request)
+            best = min(best, seconds)
+        transfer_s = (
+            request.prompt_tokens * KV_BYTES_PER_TOKEN
+        ) / DEFAULT_LINK_BYTES_PER_S
+        return best + transfer_s + HANDOVER_S + self._rooms.step_s(1)
 
-    def _decide_one(
-        self, pool: PoolState, item: WaitingRequest, plan: _Plan, now: float
-    ) -> Decision | None:
+    def _prefill_s(self, engine: PrefillRoom, request: AdmitRequest) -> float:
+        key = (request.tag.request_id, engine.id)
+        known = self._cached_by_request.get(key)
+        if known is None or self._round_at - known[0] > CACHE_LOOKUP_S:
+            cached = self._prefixes.expected_cached_tokens(
+                engine.id, request.block_hashes
+            )
+            known = self._cached_by_request[key] = (self._round_at, cached)
+        tokens = max(1.0, request.prompt_tokens - known[1])
+        return PREFILL_BASE_S + tokens / engine.tokens_per_s
+
+    def _refusal(
+        self,
+        item: WaitingRequest,
+        profile: Profile,
+        estimate_s: float,
+        current: Round,
+        waiting: list[WaitingRequest],
+    ) -> Refusal | None:
         request = item.request
         request_id = request.tag.request_id
-        prefills = candidate_engines(pool, EngineRole.PREFILL, request)
-        decodes = candidate_engines(pool, EngineRole.DECODE, request)
-        if not prefills or not decodes:
+        usable = set(current.decodes_by_id) - set(request.excluded)
+        if estimate_s == float('inf') or not usable:
             return Refusal(request_id, Outcome.NO_ENDPOINT, 1.0)
-        profile = pool.profile_by_service.get(request.service)
-        patience_s = profile.patience_s if profile else 1.0
-        if now - item.arrived_at + request.waited_s > patience_s:
-            return Refusal(request_id, Outcome.POOL_SATURATED, 1.0)
-        prefill = min(
-            prefills, key=lambda engine: plan.prefill_free_at_by_id[engine.id]
-        )
-        decode = min(decodes, key=lambda engine: plan.pieces_by_id[engine.id])
-        free_at = plan.prefill_free_at_by_id[prefill.id]
-        need = self._need(
+        if request.tag.attempt > 1:
+            return None
+        waited_s = request.waited_s + current.now - item.arrived_at
+        late = current.now + estimate_s > item.first_token_at
+        wants_late = profile.patience_s > profile.first_token_s
+        if waited_s > profile.patience_s or (late and not wants_late):
+            return Refusal(
+                request_id,
+                Outcome.POOL_SATURATED,
+                self._retry_after_s(current, waiting),
+            )
+        return None
+
+    def _retry_after_s(
+        self, current: Round, waiting: Iterable[WaitingRequest]
+    ) -> float:
+        """Returns the seconds until the present backlog is worked off."""
+        engines = len(current.prefills)
+        tokens = sum(item.request.prompt_tokens for item in waiting)
+        rate = sum(engine.tokens_per_s for engine in current.prefills)
+        busy = sum(engine.free_at - current.now for engine in current.prefills)
+        seconds = tokens / rate + busy / engines
+        return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, seconds))
+
+    def _grant(
+        self, current: Round, item: WaitingRequest, profile: Profile
+    ) -> Grant | None:
+        request = item.request
+        need = StreamNeed(
             request.service, request.prompt_tokens, 0, request.max_tokens
         )
-        total = _pieces_total(decode)
-        if free_at > now + PREFILL_LEAD_S:
-            return None
-        if plan.pieces_by_id[decode.id] + need > total:
+        busy_s = current.express.busy_s(
+            profile, item.first_token_at - current.now
+        )
+        pairing = self._pair(current, request, profile, need, busy_s)
+        if pairing is None:
             return None
-        plan.prefill_free_at_by_id[prefill.id] = free_at + _prefill_s(
-            request, prefill
+        prefill, decode = pairing.prefill, pairing.decode
+        prefill.free_at = pairing.prefill_done_at
+        self._rooms.place(decode, need)
+        for link in (prefill.id, decode.id):
+            current.free_at_by_link[link] = pairing.transfer_done_at
+        interactive = profile.first_token_s <= INTERACTIVE_S
+        urgent = interactive or request.tag.attempt > 1
+        return Grant(
+            request.tag.request_id,
+            prefill.id,
+            decode.id,
+            URGENT_PRIORITY if urgent else PATIENT_PRIORITY,
         )
-        plan.pieces_by_id[decode.id] += need
-        return Grant(request_id, prefill.id, decode.id)
+
+    def _pair(
+        self,
+        current: Round,
+        request: AdmitRequest,
+        profile: Profile,
+        need: StreamNeed,
+        busy_s: float,
+    ) -> Pairing | None:
+        """Returns the pairing with the first token soonest, if there is one."""
+        pieces = needed_pieces(need)
+        step_s = STEP_SHARE * profile.per_token_s
+        decodes = [
+            room
+            for room in current.decodes_by_id.values()
+            if room.id not in request.excluded
+            and self._rooms.may_fit(room, pieces, step_s)
+        ]
+        if not decodes:
+            return None
+        pairings = [
+            pairing
+            for engine in current.prefills
+            if engine.id not in request.excluded
+            and engine.free_at <= current.now + PREFILL_LEAD_S
+            for pairing in self._pairings(current, engine, decodes, request)
+            if _busy_until(current, pairing) <= current.now + busy_s
+        ]
+        pairings.sort(key=lambda item: item.transfer_done_at)
+        unfit: set[str] = set()
+        for pairing in pairings:
+            decode = pairing.decode
+            if decode.id in unfit:
+                continue
+            if self._rooms.fits(decode, need, profile.overbook_probability):
+                return pairing
+            unfit.add(decode.id)
+        return None
+
+    def _pairings(
+        self,
+        current: Round,
+        engine: PrefillRoom,
+        decodes: list[EngineRoom],
+        request: AdmitRequest,
+    ) -> Iterable[Pairing]:
+        """Yields the decode engines that can fetch the result in time."""
+        begin = max(engine.free_at, current.now + SEND_S)
+        done = begin + self._prefill_s(engine, request)
+        ready = done + HANDOVER_S
+        size = request.prompt_tokens * KV_BYTES_PER_TOKEN
+        free_at = current.free_at_by_link
+        out_free_at = free_at[engine.id]
+        if out_free_at - ready > PICKUP_WAIT_S:
+            return
+        for decode in decodes:
+            start = max(ready, out_free_at, free_at[decode.id])
+            if start - ready > PICKUP_WAIT_S:
+                continue
+            finish = start + size / self._links.rate(engine.id, decode.id)
+            yield Pairing(engine, decode, done, finish)
+
+    def _timeline(self, engine_id: str) -> PrefillTimeline:
+        timeline = self._timeline_by_id.get(engine_id)
+        if timeline is None:
+            timeline = self._timeline_by_id[engine_id] = PrefillTimeline()
+        return timeline
+
+    def _rate(self, engine_id: str) -> float:
+        return self._rate_by_id.get(engine_id, DEFAULT_PREFILL_TOKENS_PER_S)
 
     def observe_grant(
         self, pool: PoolState, reservation: Reservation, now: float
     ) -> None:
-        """Books the prefill engine."""
+        """Books the prefill engine and the links."""
         stream = reservation.stream
-        engine = pool.engines_by_id[stream.prefill]
-        free_at = max(now, self._prefill_free_at_by_id.get(engine.id, now))
-        seconds = stream.prompt_tokens / _prefill_rate(engine.report)
-        self._prefill_free_at_by_id[engine.id] = free_at + seconds
+        request_id = reservation.request_id
+        if stream.stage is StreamStage.DECODE:
+            return
+        ready = now
+        if stream.stage is not StreamStage.TRANSFER:
+            hashes = reservation.block_hashes
+            cached = self._prefixes.expected_cached_tokens(
+                stream.prefill, hashes
+            )
+            tokens = max(1.0, stream.prompt_tokens - cached)
+            seconds = PREFILL_BASE_S + tokens / self._rate(stream.prefill)
+            timeline = self._timeline(stream.prefill)
+            timeline.add(request_id, seconds, now)
+            ready = timeline.free_at(now) + HANDOVER_S
+            self._prefixes.endpoint(stream.prefill).sent(hashes, now)
+        self._links.book(
+            request_id,
+            stream.prefill,
+            stream.decode,
+            stream.prompt_tokens * KV_BYTES_PER_TOKEN,
+            ready,
+            now,
+        )
 
     def observe_stage(
         self,
@@ -131,20 +382,32 @@
         stage: StreamStage,
         now: float,
     ) -> None:
-        """Corrects the prefill engine's booking when a prefill is done."""
+        """Notes the end of a prefill or of a transfer."""
+        stream = reservation.stream
+        request_id = reservation.request_id
+        if stage is StreamStage.TRANSFER:
+            self._note_prefill(reservation, now)
+            self._links.ready(request_id, now)
+        elif stage is StreamStage.DECODE:
+            self._timeline(stream.prefill).done(request_id, now)
+            self._links.finish(request_id, now)
+
+    def _note_prefill(self, reservation: Reservation, now: float) -> None:
+        """Corrects the trust in the prefix index by a prefill's duration."""
         stream = reservation.stream
-        if stage is not StreamStage.TRANSFER:
+        seconds = self._timeline(stream.prefill).done(
+            reservation.request_id, now
+        )
+        hashes = reservation.block_hashes
+        if seconds is None or not hashes:
             return
-        others = [
-            held
-            for held in pool.reservations_by_request_id.values()
-            if held.stream.prefill == stream.prefill
-            and held.stream.stage in (StreamStage.QUEUED, StreamStage.PREFILL)
-        ]
-        engine = pool.engines_by_id.get(stream.prefill)
-        rate = _prefill_rate(engine.report if engine else None)
-        left = sum(held.stream.prompt_tokens for held in others) / rate
-        self._prefill_free_at_by_id[stream.prefill] = now + left
+        rate = self._rate(stream.prefill)
+        computed = max(0.0, seconds - PREFILL_BASE_S) * rate
+        cached = max(0, int(stream.prompt_tokens - computed))
+        blocks = min(len(hashes), round(cached / BLOCK_TOKENS))
+        self._prefixes.endpoint(stream.prefill).observe(
+            len(hashes), blocks * BLOCK_TOKENS
+        )
 
     def observe_release(
         self,
@@ -153,25 +416,65 @@
         release: Release,
         now: float,
     ) -> None:
-        """Learns the mean output length."""
+        """Frees the engines and learns the output length."""
+        stream = reservation.stream
+        self._timeline(stream.prefill).done(reservation.request_id, now)
+        self._links.drop(reservation.request_id)
         if release.finished:
-            service = reservation.stream.service
-            mean = self._mean_output_by_service.get(service, release.emitted)
-            mean += 0.05 * (release.emitted - mean)
-            self._mean_output_by_service[service] = mean
+            self._rooms.lengths.record(stream.service, release.emitted)
+
+    def observe_report(
+        self,
+        pool: PoolState,
+        engine: EngineState,
+        report: LoadReport,
+        now: float,
+    ) -> None:
+        """Takes in speeds and the memory in use."""
+        self._links.set_rate(engine.id, report.link_bytes_per_s)
+        if engine.role is EngineRole.PREFILL:
+            self._rate_by_id[engine.id] = report.prefill_tokens_per_s
+        else:
+            self._rooms.observe_report(pool, engine.id, report, now)
+
+    def observe_cache(
+        self,
+        pool: PoolState,
+        engine: EngineState,
+        events: list[CacheEvent],
+        now: float,
+    ) -> None:
+        """Follows a prefill engine's prefix cache."""
+        self._prefixes.endpoint(engine.id).apply(events, now)
 
 
-def _prefill_rate(report: LoadReport | None) -> float:
-    if report is None or report.prefill_tokens_per_s <= 0:
-        return DEFAULT_PREFILL_TOKENS_PER_S
-    return report.prefill_tokens_per_s
+def _busy_until(current: Round, pairing: Pairing) -> float:
+    """Returns when some prefill engine can begin other work."""
+    others = [
+        _begins_at(current, engine, engine.free_at)
+        for engine in current.prefills
+        if engine is not pairing.prefill
+    ]
+    if not others:
+        return current.now
+    after = max(
+        pairing.prefill_done_at, pairing.transfer_done_at - PICKUP_WAIT_S
+    )
+    return min(after, *others)
 
 
-def _prefill_s(request: AdmitRequest, engine: EngineState) -> float:
-    return request.prompt_tokens / _prefill_rate(engine.report)
+def _begins_at(current: Round, engine: PrefillRoom, free_at: float) -> float:
+    """Returns when an engine can begin a prefill whose result it can send."""
+    return max(free_at, current.free_at_by_link[engine.id] - PICKUP_WAIT_S)
 
 
-def _pieces_total(engine: EngineState) -> int:
-    if engine.report is None:
-        return DEFAULT_PIECES
-    return engine.report.pieces_total
+def _urgency(
+    item: WaitingRequest, profile: Profile, estimate_s: float, now: float
+) -> tuple[int, float]:
+    """Returns the sort key of a request; the smallest is decided first."""
+    if item.request.tag.attempt > 1:
+        return (0, item.first_token_at)
+    slack_s = item.first_token_at - now - estimate_s
+    if slack_s < 0:
+        return (2, item.arrived_at)
+    return (1, slack_s / profile.weight)
