Refuse what would come too late; expect cached blocks rightly

A grant whose first token is predicted after its target is held back where the profile wants no late answer: before, a twentieth of the hurried requests was served too late and took memory for nothing.

Trust in the prefix index fell at every prompt that was never expected to be cached, because the observed hits were compared with all of its blocks. Prefills that were cached then ended up to 0.7 s before their links were free, and were evicted. They are compared with the expected blocks now, and a result must also be fetched in time if all known blocks are cached.

The site test sends 20 prompts that two prefill engines need 0.93 s for, under a profile that wants no answer later than 0.9 s. It now runs under a patient profile, and a second test checks that under the strict one each request is answered whole or refused and not run.

--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -4,8 +4,9 @@
 
 import collections
 import dataclasses
+import math
 
-from mustardscale.engines import EngineRole, LoadReport
+from mustardscale.engines import EngineRole, LoadReport, StreamStage
 from mustardscale.load_estimate import LineFit
 from mustardscale.memory_booking import (
     ChernoffBooking,
@@ -15,8 +16,7 @@
     present_pieces,
 )
 from mustardscale.output_lengths import OutputLengths
-from mustardscale.peers import HeldStream
-from mustardscale.policy.base import PoolState
+from mustardscale.policy.base import PoolState, Reservation
 
 PIECE_TOKENS = 2_000
 DEFAULT_PIECES = 64
@@ -30,13 +30,27 @@
 COUNT_TOLERANCE = 2
 
 
-def need_of(stream: HeldStream) -> StreamNeed:
-    """Returns what a stream needs of its decode engine."""
+def need_of(
+    held: Reservation, step_s: float = math.inf, now: float = 0.0
+) -> StreamNeed:
+    """Returns what a stream needs of its decode engine.
+
+    Args:
+        held: the stream's reservation.
+        step_s: time of a decode step; infinite to take the progress that was
+            reported last for the present one.
+        now: loop time.
+    """
+    stream = held.stream
+    emitted = stream.emitted
+    if stream.stage is StreamStage.DECODE and math.isfinite(step_s):
+        emitted += int((now - held.renewed_at) / step_s)
+        emitted = max(0, min(emitted, stream.max_tokens - 1))
     return StreamNeed(
         stream.service,
         stream.prompt_tokens,
-        stream.emitted,
-        max(stream.max_tokens, stream.emitted + 1),
+        emitted,
+        max(stream.max_tokens, emitted + 1),
     )
 
 
@@ -83,16 +97,16 @@
         memory: its memory, without what others hold.
         needs: its streams.
         held_pieces: pieces for the streams' next tokens.
-        closed: whether its room is kept for a large request.
         failed_pieces: least pieces of a request that did not fit.
+        step_s: expected decode step with one more stream, seconds.
     """
 
     id: str
     memory: DecodeMemory
     needs: list[StreamNeed]
     held_pieces: int
-    closed: bool = False
     failed_pieces: int = 1 << 30
+    step_s: float = 0.0
 
 
 class DecodeRooms:
@@ -111,7 +125,7 @@
     ) -> None:
         """Takes in a load report of a decode engine."""
         needs = [
-            need_of(held.stream)
+            need_of(held)
             for held in pool.reservations_by_request_id.values()
             if held.stream.decode == engine_id
         ]
@@ -121,7 +135,7 @@
         if report.active > 0 and report.step_s > 0:
             self._step_fit.observe(report.active, report.step_s)
 
-    def rooms(self, pool: PoolState) -> dict[str, EngineRoom]:
+    def rooms(self, pool: PoolState, now: float) -> dict[str, EngineRoom]:
         """Returns the usable decode engines by id."""
         rooms: dict[str, EngineRoom] = {}
         for engine in pool.engines(EngineRole.DECODE):
@@ -133,12 +147,22 @@
                 total -= foreign.pieces
             memory = DecodeMemory(total, PIECE_TOKENS)
             rooms[engine.id] = EngineRoom(engine.id, memory, [], 0)
+        held_by_id: dict[str, list[Reservation]] = {key: [] for key in rooms}
         for held in pool.reservations_by_request_id.values():
-            room = rooms.get(held.stream.decode)
-            if room is not None:
-                _place(room, need_of(held.stream))
+            if held.stream.decode in held_by_id:
+                held_by_id[held.stream.decode].append(held)
+        for engine_id, reservations in held_by_id.items():
+            step_s = self.step_s(len(reservations))
+            for held in reservations:
+                self._place(rooms[engine_id], need_of(held, step_s, now))
+        for room in rooms.values():
+            room.step_s = self.step_s(len(room.needs) + 1)
         return rooms
 
+    def _place(self, room: EngineRoom, need: StreamNeed) -> None:
+        room.needs.append(need)
+        room.held_pieces += needed_pieces(need)
+
     def step_s(self, streams: int) -> float:
         """Returns the expected time of a decode step."""
         return self._step_fit.value(streams)
@@ -157,7 +181,7 @@
         return (
             pieces < room.failed_pieces
             and room.held_pieces + pieces <= room.memory.pieces_total
-            and self.step_s(len(room.needs) + 1) <= step_s
+            and room.step_s <= step_s
         )
 
     def fits(self, room: EngineRoom, need: StreamNeed, epsilon: float) -> bool:
@@ -173,12 +197,8 @@
 
     def place(self, room: EngineRoom, need: StreamNeed) -> None:
         """Adds a stream that was granted in this round."""
-        _place(room, need)
-
-
-def _place(room: EngineRoom, need: StreamNeed) -> None:
-    room.needs.append(need)
-    room.held_pieces += needed_pieces(need)
+        self._place(room, need)
+        room.step_s = self.step_s(len(room.needs) + 1)
 
 
 def needed_pieces(need: StreamNeed) -> int:
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -45,6 +45,8 @@
 PREFILL_LEAD_S = 0.04
 # Longest time for which a result may wait for its transfer, seconds.
 PICKUP_WAIT_S = 0.35
+# Time for which a result is surely kept, seconds.
+KEEP_S = 0.7
 # Seconds between the end of a prefill and the start of its transfer.
 HANDOVER_S = 0.004
 # Share of the time per token target that a decode step may take.
@@ -86,6 +88,7 @@
         decodes_by_id: the decode engines.
         express: what hurried requests need.
         free_at_by_link: loop time at which each link is free, by engine.
+        step_s: least time of a decode step, seconds.
     """
 
     now: float
@@ -93,6 +96,27 @@
     decodes_by_id: dict[str, EngineRoom]
     express: Express
     free_at_by_link: dict[str, float]
+    step_s: float
+
+    def any_free(self) -> bool:
+        """Returns whether a prefill engine is free soon."""
+        horizon = self.now + PREFILL_LEAD_S
+        return any(engine.free_at <= horizon for engine in self.prefills)
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A waiting request that is not refused.
+
+    Attributes:
+        urgency: sort key; the smallest is decided first.
+        item: the request.
+        profile: its profile.
+    """
+
+    urgency: tuple[int, float]
+    item: WaitingRequest
+    profile: Profile
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,6 +147,7 @@
         self._timeline_by_id: dict[str, PrefillTimeline] = {}
         self._rate_by_id: dict[str, float] = {}
         self._demand = HurriedDemand()
+        self._expected_blocks_by_request_id: dict[str, int] = {}
         self._round_at = 0.0
         # Loop time of a look-up and the tokens cached, by request and engine.
         self._cached_by_request: dict[tuple[str, str], tuple[float, float]] = {}
@@ -130,30 +155,34 @@
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Grants by least slack while engines have room."""
         current = self._round(pool, now)
-        waiting = list(pool.waiting_by_request_id.values())
         decisions: list[Decision] = []
-        kept: list[tuple[tuple[int, float], WaitingRequest, Profile]] = []
-        for item in waiting:
+        kept: list[Candidate] = []
+        backlog_tokens = sum(
+            item.request.prompt_tokens
+            for item in pool.waiting_by_request_id.values()
+        )
+        for item in pool.waiting_by_request_id.values():
             profile = pool.profile_by_service.get(
                 item.request.service, DEFAULT_PROFILE
             )
-            estimate = self._least_s(current, item.request)
-            refusal = self._refusal(item, profile, estimate, current, waiting)
+            estimate_s = self._least_s(current, item.request)
+            refusal = self._refusal(
+                item, profile, estimate_s, current, backlog_tokens
+            )
             if refusal is not None:
                 decisions.append(refusal)
-            else:
-                key = _urgency(item, profile, estimate, now)
-                kept.append((key, item, profile))
-        kept.sort(key=lambda entry: entry[0])
-        for _, item, profile in kept:
-            if all(
-                engine.free_at > now + PREFILL_LEAD_S
-                for engine in current.prefills
-            ):
-                break
-            grant = self._grant(current, item, profile)
+                continue
+            urgency = _urgency(item, profile, estimate_s, now)
+            kept.append(Candidate(urgency, item, profile))
+        if not current.any_free():
+            return decisions
+        kept.sort(key=lambda candidate: candidate.urgency)
+        for candidate in kept:
+            grant = self._grant(current, candidate.item, candidate.profile)
             if grant is not None:
                 decisions.append(grant)
+                if not current.any_free():
+                    break
         return decisions
 
     def _round(self, pool: PoolState, now: float) -> Round:
@@ -170,7 +199,7 @@
             for engine in pool.engines(EngineRole.PREFILL)
         ]
         express = self._demand.express(pool.profile_by_service, now)
-        rooms = self._rooms.rooms(pool)
+        rooms = self._rooms.rooms(pool, now)
         engine_ids = [engine.id for engine in prefills] + list(rooms)
         free_at_by_link = {
             engine_id: self._links.free_at(engine_id, now)
@@ -182,6 +211,7 @@
             rooms,
             express,
             free_at_by_link,
+            self._rooms.step_s(1),
         )
 
     def _least_s(self, current: Round, request: AdmitRequest) -> float:
@@ -199,7 +229,7 @@
         transfer_s = (
             request.prompt_tokens * KV_BYTES_PER_TOKEN
         ) / DEFAULT_LINK_BYTES_PER_S
-        return best + transfer_s + HANDOVER_S + self._rooms.step_s(1)
+        return best + transfer_s + HANDOVER_S + current.step_s
 
     def _prefill_s(self, engine: PrefillRoom, request: AdmitRequest) -> float:
         key = (request.tag.request_id, engine.id)
@@ -212,13 +242,22 @@
         tokens = max(1.0, request.prompt_tokens - known[1])
         return PREFILL_BASE_S + tokens / engine.tokens_per_s
 
+    def _least_prefill_s(
+        self, engine: PrefillRoom, request: AdmitRequest
+    ) -> float:
+        """Returns the time of a prefill if all known blocks are cached."""
+        prefixes = self._prefixes.endpoint(engine.id)
+        blocks = prefixes.matched_blocks(request.block_hashes)
+        tokens = max(1, request.prompt_tokens - blocks * BLOCK_TOKENS)
+        return PREFILL_BASE_S + tokens / engine.tokens_per_s
+
     def _refusal(
         self,
         item: WaitingRequest,
         profile: Profile,
         estimate_s: float,
         current: Round,
-        waiting: list[WaitingRequest],
+        backlog_tokens: int,
     ) -> Refusal | None:
         request = item.request
         request_id = request.tag.request_id
@@ -229,26 +268,16 @@
             return None
         waited_s = request.waited_s + current.now - item.arrived_at
         late = current.now + estimate_s > item.first_token_at
-        wants_late = profile.patience_s > profile.first_token_s
-        if waited_s > profile.patience_s or (late and not wants_late):
+        if waited_s > profile.patience_s or (
+            late and not _accepts_late(request, profile)
+        ):
             return Refusal(
                 request_id,
                 Outcome.POOL_SATURATED,
-                self._retry_after_s(current, waiting),
+                _retry_after_s(current, backlog_tokens),
             )
         return None
 
-    def _retry_after_s(
-        self, current: Round, waiting: Iterable[WaitingRequest]
-    ) -> float:
-        """Returns the seconds until the present backlog is worked off."""
-        engines = len(current.prefills)
-        tokens = sum(item.request.prompt_tokens for item in waiting)
-        rate = sum(engine.tokens_per_s for engine in current.prefills)
-        busy = sum(engine.free_at - current.now for engine in current.prefills)
-        seconds = tokens / rate + busy / engines
-        return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, seconds))
-
     def _grant(
         self, current: Round, item: WaitingRequest, profile: Profile
     ) -> Grant | None:
@@ -260,7 +289,10 @@
             profile, item.first_token_at - current.now
         )
         pairing = self._pair(current, request, profile, need, busy_s)
-        if pairing is None:
+        if pairing is None or (
+            pairing.transfer_done_at + current.step_s > item.first_token_at
+            and not _accepts_late(request, profile)
+        ):
             return None
         prefill, decode = pairing.prefill, pairing.decode
         prefill.free_at = pairing.prefill_done_at
@@ -325,14 +357,18 @@
         begin = max(engine.free_at, current.now + SEND_S)
         done = begin + self._prefill_s(engine, request)
         ready = done + HANDOVER_S
+        latest = min(
+            ready + PICKUP_WAIT_S,
+            begin + self._least_prefill_s(engine, request) + KEEP_S,
+        )
         size = request.prompt_tokens * KV_BYTES_PER_TOKEN
         free_at = current.free_at_by_link
         out_free_at = free_at[engine.id]
-        if out_free_at - ready > PICKUP_WAIT_S:
+        if out_free_at > max(latest, ready):
             return
         for decode in decodes:
             start = max(ready, out_free_at, free_at[decode.id])
-            if start - ready > PICKUP_WAIT_S:
+            if start > max(latest, ready):
                 continue
             finish = start + size / self._links.rate(engine.id, decode.id)
             yield Pairing(engine, decode, done, finish)
@@ -365,7 +401,11 @@
             timeline = self._timeline(stream.prefill)
             timeline.add(request_id, seconds, now)
             ready = timeline.free_at(now) + HANDOVER_S
-            self._prefixes.endpoint(stream.prefill).sent(hashes, now)
+            prefixes = self._prefixes.endpoint(stream.prefill)
+            self._expected_blocks_by_request_id[request_id] = (
+                prefixes.matched_blocks(hashes)
+            )
+            prefixes.sent(hashes, now)
         self._links.book(
             request_id,
             stream.prefill,
@@ -399,14 +439,17 @@
             reservation.request_id, now
         )
         hashes = reservation.block_hashes
-        if seconds is None or not hashes:
+        expected = self._expected_blocks_by_request_id.pop(
+            reservation.request_id, 0
+        )
+        if seconds is None or not expected:
             return
         rate = self._rate(stream.prefill)
         computed = max(0.0, seconds - PREFILL_BASE_S) * rate
         cached = max(0, int(stream.prompt_tokens - computed))
         blocks = min(len(hashes), round(cached / BLOCK_TOKENS))
         self._prefixes.endpoint(stream.prefill).observe(
-            len(hashes), blocks * BLOCK_TOKENS
+            expected, blocks * BLOCK_TOKENS
         )
 
     def observe_release(
@@ -419,6 +462,7 @@
         """Frees the engines and learns the output length."""
         stream = reservation.stream
         self._timeline(stream.prefill).done(reservation.request_id, now)
+        self._expected_blocks_by_request_id.pop(reservation.request_id, None)
         self._links.drop(reservation.request_id)
         if release.finished:
             self._rooms.lengths.record(stream.service, release.emitted)
@@ -448,6 +492,19 @@
         self._prefixes.endpoint(engine.id).apply(events, now)
 
 
+def _accepts_late(request: AdmitRequest, profile: Profile) -> bool:
+    """Returns whether a late answer is wanted rather than a refusal."""
+    return request.tag.attempt > 1 or profile.patience_s > profile.first_token_s
+
+
+def _retry_after_s(current: Round, backlog_tokens: int) -> float:
+    """Returns the seconds until the present backlog is worked off."""
+    rate = sum(engine.tokens_per_s for engine in current.prefills)
+    busy = sum(engine.free_at - current.now for engine in current.prefills)
+    seconds = backlog_tokens / rate + busy / len(current.prefills)
+    return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, seconds))
+
+
 def _busy_until(current: Round, pairing: Pairing) -> float:
     """Returns when some prefill engine can begin other work."""
     others = [
--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -21,13 +21,15 @@
 LEDGER = 'katode-ledger'
 
 
-def run(scenario):
+def run(scenario, profile=None):
     """Runs a coroutine function with a started site on a paused clock."""
 
     async def main():
         site = MemorySite(SiteLayout(), seed=1)
         await site.start()
-        await site.publish_defaults(Profile(), Profile(timeout_s=5))
+        await site.publish_defaults(
+            profile or Profile(patience_s=5), Profile(timeout_s=5)
+        )
         await asyncio.sleep(5)
         try:
             await scenario(site)
@@ -88,6 +90,30 @@
 
         run(scenario)
 
+    def test_requests_over_capacity_are_whole_or_not_run(self):
+        async def scenario(site):
+            requests = [language(number) for number in range(20)]
+            host = site.routers_by_host['entry-1']
+            answers = await asyncio.gather(
+                *(answer(host, request) for request in requests),
+                return_exceptions=True,
+            )
+            ran = set()
+            for engine in site.engines_by_id.values():
+                ran |= set(engine.counters.prefills_by_request)
+            refused = 0
+            for request, reply in zip(requests, answers, strict=True):
+                if isinstance(reply, OutcomeError):
+                    refused += 1
+                    assert reply.outcome is Outcome.POOL_SATURATED
+                    assert reply.retry_after_s > 0
+                    assert request.id not in ran
+                else:
+                    assert reply == whole(request)
+            assert 0 < refused < 10
+
+        run(scenario, Profile(patience_s=0.9))
+
     def test_bookings_run_once(self):
         async def scenario(site):
             requests = [booking() for _ in range(20)]
