Let waiting for a new home end at any rest of time

Cause: with a rest below the clock's resolution the wait slept for nothing and began again; on a paused clock, which does not advance by such a rest, the loop never ended. Ruled out: the stand-ins' timers.

--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -36,6 +36,7 @@
 # Seconds for which a home remembers entries that have ended.
 ENDED_MEMORY_S = 120.0
 CALL_TIMEOUT_S = 1.5
+SHORTEST_WAIT_S = 0.001
 RETRY_AFTER_S = 2.0
 # A home answers only if a majority of the listed hosts answered a heartbeat
 # sent within this time, seconds.
@@ -116,7 +117,8 @@
         loop = asyncio.get_running_loop()
         settled_at = self._in_charge_since(request_id) + self._settle_s
         while (wait_s := settled_at - loop.time()) > 0:
-            await asyncio.sleep(wait_s)
+            # A rest below the clock's resolution would be slept for ever.
+            await asyncio.sleep(max(wait_s, SHORTEST_WAIT_S))
             settled_at = self._in_charge_since(request_id) + self._settle_s
 
     def _may_replace(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,11 +1,15 @@
 """The request directory under lost messages."""
 
 import asyncio
+import random
+import unittest.mock
 
-from mustardscale.blackboard import DirectoryRow
+from mustardscale.blackboard import Blackboard, DirectoryRow
+from mustardscale.directory import DirectoryHome
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import DirectoryEntry
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import DirectoryEntry, DirectoryRegister
 from mustardscale.rendezvous import owner
 from tests.test_memory_site import answer, language, run, whole
 
@@ -92,3 +96,26 @@
             ]
 
         run(scenario)
+
+
+class TestSettling:
+    """Registrations with a home that has just taken over."""
+
+    def test_a_rest_below_the_clock_resolution_ends(self):
+        async def scenario(site):
+            transport = site.peers.transport('other')
+            blackboard = Blackboard('other', 1, 'dc1', 'dk-east')
+            calls = PeerCalls(blackboard, transport)
+            home = DirectoryHome(blackboard, calls, 1e-9, random.Random(1))
+            entry = DirectoryEntry('new', 1, 'other', 1)
+            with unittest.mock.patch.object(
+                home, '_in_charge_since', wraps=home._in_charge_since
+            ) as looked:
+                request = DirectoryRegister(entry)
+                task = asyncio.create_task(calls.dispatch('other', request))
+                for _ in range(100):
+                    await asyncio.sleep(0)
+            assert looked.call_count < 10
+            task.cancel()
+
+        run(scenario)
