Keep the digest and the tokens of services in step with the fold

The digest is now the exclusive or of one hash for each entry, changed with the entry, so that it also is the key under which the floor limit and the profiles by service are kept. Where services share a token the first by name has it, on every host; before, it was the first that the host had folded. Weighed: a counter of changes in place of the digest as the key; the digest is there already and says more.

--- a/mustardscale/config_state.py
+++ b/mustardscale/config_state.py
@@ -115,6 +115,8 @@
     """
 
     __slots__ = (
+        '_digest',
+        '_service_by_token',
         '_waiting',
         '_waiting_offsets',
         'by_key',
@@ -132,6 +134,8 @@
             maxlen=HISTORY_LIMIT
         )
         self.folded_offset = 0
+        self._digest = 0
+        self._service_by_token: dict[str, str] = {}
         self._waiting: dict[int, ConfigChange | None] = {}
         self._waiting_offsets: list[int] = []
 
@@ -204,11 +208,15 @@
 
     def digest(self) -> int:
         """Returns a 64-bit hash over the keys and their versions."""
-        digest = xxhash.xxh3_64()
-        for key in sorted(self.by_key):
-            digest.update(str(key).encode())
-            digest.update(f'={self.by_key[key].version};'.encode())
-        return digest.intdigest()
+        return self._digest
+
+    def service_of_token(self, token_sha256: str) -> str | None:
+        """Returns the service that a token's hash belongs to.
+
+        Args:
+            token_sha256: hexadecimal hash of the token.
+        """
+        return self._service_by_token.get(token_sha256)
 
     def _apply_change(self, offset: int, change: ConfigChange) -> ApplyResult:
         """Folds a change, or keeps it until the missing records are known."""
@@ -297,12 +305,46 @@
     def _set(self, entry: VersionedChange) -> None:
         """Makes a change the current one of its key."""
         change = entry.change
+        replaced = self.by_key.get(change.key)
+        if replaced is not None:
+            self._digest ^= _entry_hash(replaced)
+        self._digest ^= _entry_hash(entry)
         self.by_key[change.key] = entry
         if change.profile is not None:
             self.profiles_by_name[change.key.name] = ProfileEntry(
                 entry.version, change.profile
             )
         if change.service is not None:
-            self.services_by_name[change.key.name] = ServiceEntry(
-                entry.version, change.service
-            )
+            self._set_service(change.key.name, entry.version, change.service)
+
+    def _set_service(
+        self, name: str, version: int, choice: ServiceChoice
+    ) -> None:
+        replaced = self.services_by_name.get(name)
+        self.services_by_name[name] = ServiceEntry(version, choice)
+        if replaced is not None:
+            self._forget_tokens(name, replaced.choice)
+        for token in choice.token_sha256:
+            # Of services that share a token, the first in order has it.
+            holder = self._service_by_token.get(token, name)
+            self._service_by_token[token] = min(holder, name)
+
+    def _forget_tokens(self, name: str, choice: ServiceChoice) -> None:
+        """Takes a service's tokens away; another that shares one gets it."""
+        for token in choice.token_sha256:
+            if self._service_by_token.get(token) != name:
+                continue
+            del self._service_by_token[token]
+            sharing = [
+                other
+                for other, entry in self.services_by_name.items()
+                if token in entry.choice.token_sha256
+            ]
+            if sharing:
+                self._service_by_token[token] = min(sharing)
+
+
+def _entry_hash(entry: VersionedChange) -> int:
+    """Returns the part of the digest that one entry makes up."""
+    text = f'{entry.change.key}={entry.version}'
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/mustardscale/limits.py
+++ b/mustardscale/limits.py
@@ -26,6 +26,8 @@
             str, tuple[float | None, RetryBudget]
         ] = {}
         self.active_by_service: collections.Counter[str] = collections.Counter()
+        self._active = 0
+        self._floor = (0, 0)
 
     def enter(self, service: str, profile: Profile) -> None:
         """Counts a request in.
@@ -37,11 +39,15 @@
         hosts = len(self._blackboard.serving_hosts())
         self._check_concurrency(service, profile, hosts)
         self.active_by_service[service] += 1
+        self._active += 1
         self._retries(service, profile).request()
 
     def leave(self, service: str) -> None:
         """Counts a request out."""
         self.active_by_service[service] -= 1
+        self._active -= 1
+        if not self.active_by_service[service]:
+            del self.active_by_service[service]
 
     def take_retry(self, service: str, profile: Profile) -> bool:
         """Takes one retry from the service's budget, if there is one."""
@@ -72,25 +78,27 @@
         if limit and active >= limit:
             raise OutcomeError(Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S)
         floor_limit = _share(self._floor_limit(), hosts)
-        if floor_limit and self.active_by_service.total() >= floor_limit:
+        if floor_limit and self._active >= floor_limit:
             raise OutcomeError(Outcome.HEAT_LIMIT, retry_after_s=RETRY_AFTER_S)
 
     def _floor_limit(self) -> int:
         """Returns the smallest floor limit of the profiles in use."""
+        digest = self._blackboard.config.digest()
+        known_digest, limit = self._floor
+        if known_digest != digest:
+            limit = self._read_floor_limit()
+            self._floor = (digest, limit)
+        return limit
+
+    def _read_floor_limit(self) -> int:
         config = self._blackboard.config
+        names = {e.choice.profile for e in config.services_by_name.values()}
         limits = [
-            config.profiles_by_name[entry.choice.profile].profile
-            for entry in config.services_by_name.values()
-            if entry.choice.profile in config.profiles_by_name
+            entry.profile.floor_max_concurrent
+            for name, entry in config.profiles_by_name.items()
+            if name in names and entry.profile.floor_max_concurrent
         ]
-        return min(
-            (
-                profile.floor_max_concurrent
-                for profile in limits
-                if profile.floor_max_concurrent
-            ),
-            default=0,
-        )
+        return min(limits, default=0)
 
     def _retries(self, service: str, profile: Profile) -> RetryBudget:
         share = profile.retry_share
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -9,7 +9,7 @@
 import random
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.config_records import ServiceKind
+from mustardscale.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
 from mustardscale.engines import EngineRole, StreamStage
 from mustardscale.outcomes import Outcome
@@ -106,6 +106,8 @@
         self._policy_type = policy_type
         self._rng = rng
         self.owned_by_id: dict[str, OwnedPool] = {}
+        self._profiles_digest = 0
+        self._profile_by_service: dict[str, Profile] = {}
         calls.handle(AdmitRequest, self._on_admit)
         calls.handle(Progress, self._on_progress)
         calls.handle(Release, self._on_release)
@@ -187,15 +189,23 @@
 
     def refresh(self) -> None:
         """Brings the pools up to date with new reports and profiles."""
-        config = self._blackboard.config
+        profiles = self._language_profiles()
         for pool in self.owned_by_id.values():
             self._refresh_engines(pool)
-            pool.state.profile_by_service = {
+            pool.state.profile_by_service = profiles
+
+    def _language_profiles(self) -> dict[str, Profile]:
+        """Returns the profiles of the language services by service."""
+        config = self._blackboard.config
+        if self._profiles_digest != config.digest():
+            self._profiles_digest = config.digest()
+            self._profile_by_service = {
                 name: config.profiles_by_name[entry.choice.profile].profile
                 for name, entry in config.services_by_name.items()
                 if entry.choice.kind is ServiceKind.LANGUAGE
                 and entry.choice.profile in config.profiles_by_name
             }
+        return self._profile_by_service
 
     async def _on_admit(self, sender: str, request: AdmitRequest) -> AdmitReply:
         pool = self.owned_by_id.get(request.pool)
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -277,16 +277,16 @@
 
     def authenticate(self, bearer_token: str) -> str:
         """Returns the service that a bearer token belongs to."""
-        services = self.blackboard.config.services_by_name
-        if not services:
+        config = self.blackboard.config
+        if not config.services_by_name:
             raise OutcomeError(
                 Outcome.CONFIG_UNAVAILABLE, retry_after_s=DRAINING_RETRY_AFTER_S
             )
         digest = hashlib.sha256(bearer_token.encode()).hexdigest()
-        for name, entry in services.items():
-            if digest in entry.choice.token_sha256:
-                return name
-        raise OutcomeError(Outcome.UNAUTHENTICATED)
+        service = config.service_of_token(digest)
+        if service is None:
+            raise OutcomeError(Outcome.UNAUTHENTICATED)
+        return service
 
     def service_choice(self, service: str) -> ServiceChoice:
         """Returns the published choice of a service."""
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -9,6 +9,7 @@
     ConfigChange,
     ConfigKey,
     Profile,
+    ServiceChoice,
     encode_record,
 )
 from mustardscale.config_state import PROFILE_KIND, ConfigState, Fate
@@ -157,3 +158,34 @@
         result = state.apply(1, encode_record(snapshot))
         assert result.fate is Fate.UNREADABLE
         assert not state.by_key
+
+
+class TestServices:
+    """What is kept in step with the services' choices."""
+
+    def publish(self, state, offset, name, token, base=0):
+        choice = ServiceChoice('noon', token_sha256=(token,))
+        key = ConfigKey('service', name)
+        record = ConfigChange(key, base, f'c{offset}', 'ann', service=choice)
+        state.apply(offset, encode_record(record))
+
+    def test_a_token_belongs_to_the_service_that_has_it_now(self):
+        state = ConfigState()
+        self.publish(state, 1, 'b', 'shared')
+        self.publish(state, 2, 'a', 'shared')
+        assert state.service_of_token('shared') == 'a'
+        self.publish(state, 3, 'a', 'own', base=2)
+        assert state.service_of_token('shared') == 'b'
+        assert state.service_of_token('own') == 'a'
+        self.publish(state, 4, 'b', 'other', base=1)
+        assert state.service_of_token('shared') is None
+
+    def test_the_digest_follows_versions_and_not_the_way_there(self):
+        state, merged = ConfigState(), ConfigState()
+        self.publish(state, 1, 'a', 'x')
+        digests = {ConfigState().digest(), state.digest()}
+        self.publish(state, 2, 'a', 'y', base=1)
+        digests.add(state.digest())
+        assert len(digests) == 3
+        merged.merge(encode_record(state.snapshot()))
+        assert merged.digest() == state.digest()
