Work on membership and configuration only when they change

Profiles of idle hosts (cProfile in the daemon, six hosts) showed work at fixed intervals that found nothing to do, and the readings of a long host list: each second the whole list was sent and decoded, and the engines were divided into pools eight times a second.

- The pool owner decides every 20 ms only while requests wait, and looks for expired reservations every 250 ms.
- Membership is followed at its changes and every 2 s, not every 250 ms; all that it depends on notifies the signal.
- A peer is asked for configuration only when its heartbeat said that it is further on, and then it is the one asked; before, a random peer was asked twice a second and after each change.
- The host list is read with If-None-Match, and a list that has not changed is neither decoded nor merged again.
A service that sends no ETag still saves the decoding.

Weighed: a watch of the host list in place of readings; the platform's interface names none.

--- a/bench/load_micro.py
+++ b/bench/load_micro.py
@@ -258,13 +258,19 @@
     def read() -> None:
         controller.apply(msgspec.json.decode(content, type=HostsAnswer).hosts)
 
+    def read_again() -> None:
+        controller.apply(again)
+
     read()
+    again = msgspec.json.decode(content, type=HostsAnswer).hosts
+    controller.apply(again)
     repeats = max(3, 10 * REPEATS // count)
     endpoints = board.endpoints_by_id.values()
     return {
         'listed': count,
         'bytes': len(content),
         'read_us': _cost_us(read, repeats),
+        'read_again_us': _cost_us(read_again, repeats),
         'divide_us': _cost_us(
             lambda: divide_pools(endpoints, 'region'), repeats
         ),
--- a/mustardscale/config_sync.py
+++ b/mustardscale/config_sync.py
@@ -112,14 +112,23 @@
         calls.handle(ConfigFetch, self._on_fetch)
 
     async def run(self) -> None:
-        """Asks one random peer at a time."""
+        """Asks one random peer of those that are further on at a time."""
         while True:
             await self._blackboard.config_changed.wait(RETRY_S)
-            hosts = self._blackboard.live_hosts()
-            peers = [host for host in hosts if host != self._blackboard.host]
+            peers = self.hosts_ahead()
             if peers:
                 await self._fetch(self._rng.choice(peers))
 
+    def hosts_ahead(self) -> list[str]:
+        """Returns the live hosts whose heartbeats told of a later offset."""
+        board = self._blackboard
+        return sorted(
+            host.id
+            for host in board.hosts_by_id.values()
+            if not host.silent
+            and host.config_offset > board.config.folded_offset
+        )
+
     async def _fetch(self, host: str) -> None:
         state = self._blackboard.config
         request = ConfigFetch(state.folded_offset)
--- a/mustardscale/host_list.py
+++ b/mustardscale/host_list.py
@@ -53,7 +53,9 @@
 
     @abc.abstractmethod
     async def fetch(self) -> list[ListedHost]:
-        """Reads the list.
+        """Reads the list; one that has not changed may be the same object.
+
+        The caller must not change it.
 
         Raises:
             PeerUnavailableError: the list could not be read.
--- a/mustardscale/http_host_list.py
+++ b/mustardscale/http_host_list.py
@@ -38,7 +38,14 @@
 class HttpHostList(HostList):
     """The host list at one address."""
 
-    __slots__ = ('_fetch_timeout_s', '_session', '_url')
+    __slots__ = (
+        '_content',
+        '_etag',
+        '_fetch_timeout_s',
+        '_hosts',
+        '_session',
+        '_url',
+    )
 
     def __init__(
         self,
@@ -56,16 +63,15 @@
         self._url = f'http://{address}/hosts'
         self._fetch_timeout_s = fetch_timeout_s
         self._session = make_session(host)
+        self._etag = ''
+        self._content = b''
+        self._hosts: list[ListedHost] = []
 
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
         try:
-            content = await self._read()
-            return msgspec.json.decode(content, type=HostsAnswer).hosts
-        except (
-            *REQUEST_ERRORS,
-            msgspec.DecodeError,
-        ) as error:
+            return await self._read()
+        except (*REQUEST_ERRORS, msgspec.DecodeError) as error:
             raise PeerUnavailableError(
                 f'host list: {describe_error(error)}'
             ) from error
@@ -74,15 +80,28 @@
         """Closes the session."""
         await self._session.close()
 
-    async def _read(self) -> bytes:
+    async def _read(self) -> list[ListedHost]:
+        """Reads the list, or only learns that it has not changed."""
         timeout = aiohttp.ClientTimeout(
             total=self._fetch_timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
+        headers = {'If-None-Match': self._etag} if self._etag else None
         async with self._session.get(
-            self._url, timeout=timeout, allow_redirects=False
+            self._url, headers=headers, timeout=timeout, allow_redirects=False
         ) as response:
+            if response.status == http.HTTPStatus.NOT_MODIFIED and self._etag:
+                return self._hosts
             if response.status != http.HTTPStatus.OK:
                 raise PeerUnavailableError(
                     f'host list: status {response.status}'
                 )
-            return await read_content(response, MAX_LIST_BYTES)
+            content = await read_content(response, MAX_LIST_BYTES)
+            self._take(content, response.headers.get('ETag', ''))
+            return self._hosts
+
+    def _take(self, content: bytes, etag: str) -> None:
+        """Decodes a list, unless it is the last one still."""
+        if content != self._content:
+            self._hosts = msgspec.json.decode(content, type=HostsAnswer).hosts
+            self._content = content
+        self._etag = etag
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -58,6 +58,7 @@
         self._times = times
         self._rng = rng
         self.fetched_at: float | None = None
+        self._applied: list[ListedHost] | None = None
 
     async def run(self) -> None:
         """Reads the list at a fixed interval."""
@@ -75,7 +76,9 @@
         """Merges one reading of the list."""
         now = asyncio.get_running_loop().time()
         changed = self._apply_hosts(listed, now)
-        changed = self._apply_endpoints(listed) or changed
+        if listed is not self._applied:
+            changed = self._apply_endpoints(listed) or changed
+            self._applied = listed
         if changed:
             self._blackboard.membership_changed.notify()
 
@@ -241,6 +244,7 @@
             or host.draining != beat.draining
         )
         host.heard_at = now
+        host.config_offset = beat.config_offset
         host.silent = False
         host.incarnation = beat.incarnation
         host.draining = beat.draining
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -8,7 +8,7 @@
 import math
 import random
 
-from mustardscale.blackboard import Blackboard
+from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
 from mustardscale.engines import EngineRole, StreamStage
@@ -42,6 +42,8 @@
 
 # Interval at which waiting requests are decided again, seconds.
 DECISION_INTERVAL_S = 0.02
+# Interval at which expired reservations are looked for, seconds.
+EXPIRY_INTERVAL_S = 0.25
 # A grant not named by its host for this long is dropped, seconds.
 RESERVATION_LEASE_S = 2.0
 # Time for which a new owner collects registrations before it grants, seconds.
@@ -106,6 +108,7 @@
         self._policy_type = policy_type
         self._rng = rng
         self.owned_by_id: dict[str, OwnedPool] = {}
+        self._admission_waits = Signal()
         self._profiles_digest = 0
         self._profile_by_service: dict[str, Profile] = {}
         calls.handle(AdmitRequest, self._on_admit)
@@ -114,12 +117,24 @@
         calls.handle(StreamLookup, self._on_lookup)
 
     async def run(self) -> None:
-        """Decides at a fixed interval and drops expired reservations."""
+        """Decides while requests wait and drops expired reservations."""
+        loop = asyncio.get_running_loop()
+        expiry_at = loop.time()
         while True:
             for pool in list(self.owned_by_id.values()):
-                self._drop_expired(pool)
+                if loop.time() >= expiry_at:
+                    self._drop_expired(pool)
                 self.decide(pool)
-            await asyncio.sleep(DECISION_INTERVAL_S)
+            if loop.time() >= expiry_at:
+                expiry_at = loop.time() + EXPIRY_INTERVAL_S
+            if self._any_waiting():
+                await asyncio.sleep(DECISION_INTERVAL_S)
+            else:
+                await self._admission_waits.wait(EXPIRY_INTERVAL_S)
+
+    def _any_waiting(self) -> bool:
+        pools = self.owned_by_id.values()
+        return any(pool.waiting_by_request_id for pool in pools)
 
     def follow_membership(self) -> None:
         """Takes and gives up pools as hosts and endpoints come and go."""
@@ -227,6 +242,8 @@
         )
         pool.waiting_by_request_id[request_id] = item
         self.decide(pool)
+        if not reply.done():
+            self._admission_waits.notify()
         try:
             return await reply
         finally:
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -49,7 +49,8 @@
 from mustardscale.service_api import RequestService
 from mustardscale.state_dump import dump_state, summarize_state
 
-MEMBERSHIP_POLL_S = 0.25
+# Interval at which membership is looked at without a change, seconds.
+MEMBERSHIP_POLL_S = 2.0
 SUSPICION_EXPIRY_S = 30.0
 DRAINING_RETRY_AFTER_S = 1.0
 
--- a/standins/host_list_server.py
+++ b/standins/host_list_server.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import http
 import pathlib
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from mustardscale.http_host_list import HostsAnswer
@@ -25,7 +27,17 @@
 
     async def read(request: web.Request) -> web.Response:
         serving.refuse_cut_host(request, model.conditions.cut_hosts)
-        return serving.json_response(HostsAnswer(await model.fetch()))
+        content = msgspec.json.encode(HostsAnswer(await model.fetch()))
+        etag = f'"{xxhash.xxh3_64_hexdigest(content)}"'
+        if request.headers.get('If-None-Match') == etag:
+            return web.Response(
+                status=http.HTTPStatus.NOT_MODIFIED, headers={'ETag': etag}
+            )
+        return web.Response(
+            body=content,
+            content_type='application/json',
+            headers={'ETag': etag},
+        )
 
     async def change(request: web.Request) -> web.Response:
         content = await request.read()
--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -94,6 +94,7 @@
                     assert answer.status == 200
                 expected = [make_host('a'), make_host('b')]
                 assert await client.fetch() == expected
+                assert await client.fetch() is await client.fetch()
                 for fault in (
                     {'cut_hosts': ['entry-1']},
                     {'outage': 'refuse'},
@@ -115,6 +116,8 @@
                     async with session.post('/faults', json=wrong) as answer:
                         assert answer.status == 400
             assert model.conditions.lag_s == 0
+            model.change(HostChange(remove=['a']))
+            assert await client.fetch() == [make_host('b')]
             await listener.close()
             with pytest.raises(PeerUnavailableError):
                 await client.fetch()
