--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import random
 from collections.abc import Coroutine
@@ -25,7 +26,7 @@
     DirectoryRemove,
     DirectoryReply,
 )
-from mustardscale.rendezvous import owner
+from mustardscale.rendezvous import owner, rank
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +58,9 @@
         self._blackboard = blackboard
         self._settle_s = settle_s
         self._rng = rng
+        self._calls = calls
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._processes: dict[str, int] = {}
         self._hosts: list[str] = []
         self._previous_hosts: list[str] = []
         self._changed_at = asyncio.get_running_loop().time()
@@ -73,12 +77,51 @@
     def follow_membership(self) -> None:
         """Notes a change of the serving hosts."""
         hosts = self._blackboard.serving_hosts()
+        self._hand_over_ended(hosts)
         if hosts == self._hosts:
             return
         self._previous_hosts = self._hosts
         self._hosts = hosts
         self._changed_at = asyncio.get_running_loop().time()
 
+    def _hand_over_ended(self, hosts: list[str]) -> None:
+        """Tells processes that are new as homes which ids were answered."""
+        board = self._blackboard
+        processes = {
+            host.id: host.incarnation
+            for host in board.hosts_by_id.values()
+            if host.id in hosts
+        }
+        known = self._processes
+        self._processes = processes
+        if processes == known and hosts == self._hosts:
+            return
+        before = [*known, board.host]
+        entries_by_home: dict[str, list[DirectoryEntry]] = {}
+        for row in board.directory_by_request_id.values():
+            home = owner(row.entry.request_id, hosts)
+            is_new = processes.get(home) != known.get(home)
+            moved = owner(row.entry.request_id, before) != home
+            if row.entry.done and home != board.host and (is_new or moved):
+                entries_by_home.setdefault(home, []).append(row.entry)
+        for home, entries in entries_by_home.items():
+            task = asyncio.create_task(self._tell_ended(home, entries))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _tell_ended(
+        self, home: str, entries: list[DirectoryEntry]
+    ) -> None:
+        for entry in entries:
+            request = DirectoryRegister(entry, rebuild=True)
+            try:
+                await self._calls.call(
+                    home, request, DirectoryReply, CALL_TIMEOUT_S
+                )
+            except PeerUnavailableError as error:
+                log.debug('ended ids not handed to %s: %s', home, error)
+                return
+
     def _in_charge_since(self, request_id: str) -> float:
         """Returns the loop time since when this host is the id's home."""
         was_home = bool(self._previous_hosts) and (
@@ -101,7 +144,8 @@
         found = (row.entry,) if row is not None else ()
         accepted = row is None or self._may_replace(row, request)
         if accepted:
-            rows[request_id] = DirectoryRow(request.entry, now)
+            ended_at = now if request.entry.done else None
+            rows[request_id] = DirectoryRow(request.entry, now, ended_at)
         return DirectoryReply(accepted, known_s, found)
 
     def _may_answer(self, request_id: str) -> bool:
@@ -244,9 +288,29 @@
         self._start(self._rebuild(served))
 
     def remove(self, served: ServedRequest, done: bool) -> None:
-        """Ends a registration, without waiting."""
-        if served.home:
-            self._start(self._remove(served, done))
+        """Ends a registration, without waiting.
+
+        That an id was answered must outlive its home: this host and the one
+        that would be the next home remember it too.
+        """
+        if not served.home:
+            return
+        self._start(self._remove(served, done))
+        if done:
+            ranked = rank(served.id, self._blackboard.serving_hosts())
+            hosts = {*ranked[:2], self._blackboard.host} - {served.home}
+            for host in sorted(hosts):
+                self._start(self._copy(served, host))
+
+    async def _copy(self, served: ServedRequest, host: str) -> None:
+        entry = dataclasses.replace(self._entry(served), done=True)
+        request = DirectoryRegister(entry, rebuild=True)
+        try:
+            await self._calls.call(
+                host, request, DirectoryReply, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('end of %s not copied to %s: %s', served.id, host, error)
 
     def follow_membership(self) -> None:
         """Registers requests again whose home has changed."""
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -182,14 +182,20 @@
             takeover = request.resume_after is not None
             reply = await self._directory.register(served, takeover)
             check_reply(reply, served)
+            if served.taken_over:
+                raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
         except BaseException:
             self._limits.leave(request.service)
-            self._blackboard.served_by_id.pop(request.id, None)
+            self._forget(served)
             raise
         if reply.found:
             self._follow(request, served, reply.found[0])
         return served
 
+    def _forget(self, served: ServedRequest) -> None:
+        if self._blackboard.served_by_id.get(served.id) is served:
+            del self._blackboard.served_by_id[served.id]
+
     def _check(self, request: LanguageRequest, profile: Profile) -> None:
         prompt = request.prompt
         if prompt.tokens > profile.max_prompt_tokens:
@@ -509,8 +515,7 @@
     def _end(self, served: ServedRequest, delivered: bool) -> None:
         """Lets go of a request, however it ended."""
         self._limits.leave(served.service)
-        if self._blackboard.served_by_id.get(served.id) is served:
-            del self._blackboard.served_by_id[served.id]
+        self._forget(served)
         if served.taken_over:
             return
         if served.tag is not None and served.prefill:
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -189,6 +189,15 @@
     async def streams(self) -> list[StreamInfo]:
         """Lists what is held, at all stages."""
         await self._answering()
+        return self.held_streams()
+
+    @property
+    def frozen(self) -> bool:
+        """Whether the engine is halted."""
+        return not self._thawed.is_set()
+
+    def held_streams(self) -> list[StreamInfo]:
+        """Lists what is held, also while the engine does not answer."""
         infos = [
             StreamInfo(
                 work.call.tag, work.stage, work.pieces, len(work.call.emitted)
--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -192,6 +192,11 @@
         self.counters.bytes_read += sum(len(r.payload) for r in page.records)
         return page
 
+    def peek(self, stream: str, after: int) -> LogPage:
+        """Returns the records after an offset, for judging, without faults."""
+        kept = self._stream_by_name[stream]
+        return kept.page(after, len(kept.kept))
+
     def _page(self, stream: str, after: int, limit: int) -> LogPage:
         kept = self._stream_by_name[stream]
         kept.drop_expired(self.conditions, asyncio.get_running_loop().time())
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -63,6 +63,10 @@
         """Ends a cut in both directions."""
         self._cut_pairs -= {(one, other), (other, one)}
 
+    def passes(self, one: str, other: str) -> bool:
+        """Returns whether messages pass between two hosts, both ways."""
+        return not self._cut_pairs & {(one, other), (other, one)}
+
     def lose_replies(self, source: str, target: str, share: float) -> None:
         """Loses this share of the replies that source sends to target."""
         self._loss_by_pair[source, target] = share
@@ -181,6 +185,7 @@
     def __init__(self, network: MemoryPeerNetwork, host: str):
         self._network = network
         self._host = host
+        self._closed = False
 
     async def start(self, handler: PeerHandler) -> None:
         """Starts to serve; handler gets the peer's id and the request."""
@@ -190,6 +195,8 @@
         self, host: str, address: str, request: PeerRequest, timeout_s: float
     ) -> PeerReply:
         """Sends a request and returns the reply; see PeerTransport."""
+        if self._closed:
+            raise PeerUnavailableError('this process has stopped')
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._network.exchange(self._host, host, request)
@@ -200,6 +207,7 @@
 
     async def close(self) -> None:
         """Closes all connections and stops serving."""
+        self._closed = True
         self._network.kill(self._host)
 
 
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -81,9 +81,13 @@
 class MemoryConnector(EndpointConnector):
     """Makes in-process clients on behalf of one entry host."""
 
-    def __init__(self, site: MemorySite, host: str):
+    def __init__(self, site: MemorySite, host: str, incarnation: int):
         self._site = site
         self._host = host
+        self._incarnation = incarnation
+
+    def _reaches(self, target: str) -> bool:
+        return self._site.reaches(self._host, target, self._incarnation)
 
     def engine(self, endpoint: EndpointEntry) -> Engine:
         """Makes the client of an engine."""
@@ -91,7 +95,7 @@
         return InProcessEngine(
             model,
             CLIENT_DELAY_S,
-            lambda: self._site.reaches(self._host, endpoint.id),
+            lambda: self._reaches(endpoint.id),
         )
 
     def plain(self, endpoint: EndpointEntry) -> PlainEndpoint:
@@ -99,7 +103,7 @@
         model = self._site.plains_by_id[endpoint.id]
         network = MemoryNetwork(
             CLIENT_DELAY_S,
-            reachable=lambda: self._site.reaches(self._host, endpoint.id),
+            reachable=lambda: self._reaches(endpoint.id),
         )
         return MemoryPlainEndpoint(model, network)
 
@@ -174,6 +178,10 @@
                 ledger=self._ledger,
             )
 
+    def listed_by_id(self) -> dict[str, ListedHost]:
+        """Returns the host list's entries as they are without faults."""
+        return {listed.id: listed for listed in self._listed()}
+
     def _listed(self) -> list[ListedHost]:
         layout = self.layout
         places = layout.data_centres
@@ -219,10 +227,16 @@
             self.layout.region,
         )
 
-    def reaches(self, host: str, target: str) -> bool:
-        """Returns whether a host is up and not cut from a target."""
-        up = host in self.routers_by_host
-        return up and (host, target) not in self.cut_pairs
+    def reaches(self, host: str, target: str, incarnation: int) -> bool:
+        """Returns whether a process is up and not cut from a target.
+
+        What is left of a killed process reaches nothing, also when its host
+        was started again.
+        """
+        router = self.routers_by_host.get(host)
+        if router is None or router.blackboard.incarnation != incarnation:
+            return False
+        return (host, target) not in self.cut_pairs
 
     async def start(self) -> None:
         """Starts all entry hosts."""
@@ -232,10 +246,11 @@
     async def start_host(self, host: str) -> Router:
         """Starts an entry host with a new incarnation."""
         self._incarnation += 1
+        number = self._incarnation
         listed = self._listed_entry(host)
         options = RouterOptions(
             host,
-            self._incarnation,
+            number,
             listed.data_centre,
             listed.region,
             self._policy,
@@ -243,14 +258,18 @@
         edges = Edges(
             MemoryLogClient(
                 self.log,
-                MemoryNetwork(reachable=lambda: self.reaches(host, 'log')),
+                MemoryNetwork(
+                    reachable=lambda: self.reaches(host, 'log', number)
+                ),
             ),
             MemoryHostList(
                 self.host_list,
-                MemoryNetwork(reachable=lambda: self.reaches(host, 'list')),
+                MemoryNetwork(
+                    reachable=lambda: self.reaches(host, 'list', number)
+                ),
             ),
             self.peers.transport(host),
-            MemoryConnector(self, host),
+            MemoryConnector(self, host, number),
             self.wall_clock,
         )
         router = Router(options, edges, random.Random(self.rng.random()))
