--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -16,6 +16,7 @@
 from mustardscale.config_records import (
     ConfigChange,
     ConfigKey,
+    ConfigSnapshot,
     Profile,
     ServiceChoice,
     ServiceKind,
@@ -319,6 +320,10 @@
         offsets = await self.log.append(CONFIG_STREAM, [encode_record(change)])
         return offsets[0]
 
+    async def append_snapshot(self, snapshot: ConfigSnapshot) -> None:
+        """Appends a snapshot to the configuration stream."""
+        await self.log.append(CONFIG_STREAM, [encode_record(snapshot)])
+
     async def stop(self) -> None:
         """Stops all that runs."""
         for host in list(self.routers_by_host):
