--- a/standins/fault_callers.py
+++ b/standins/fault_callers.py
@@ -7,11 +7,10 @@
 import dataclasses
 import enum
 import random
+import uuid
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import uuid_utils
-
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.requests import (
@@ -113,9 +112,8 @@
         return self._plain('GET', idempotent=True)
 
     def _plain(self, method: str, idempotent: bool) -> PlainRequest:
-        now_ns = int(self._site.wall_clock() * 10**9)
         return PlainRequest(
-            str(uuid_utils.uuid7(nanoseconds=now_ns)),
+            _uuid7(self._site.wall_clock(), self._rng),
             self._site.layout.plain_service,
             method,
             '/lots',
@@ -332,3 +330,11 @@
                     record.answers += 1
                     if index != length:
                         record.problems.append(f'{index} of {length} tokens')
+
+
+def _uuid7(now_s: float, rng: random.Random) -> str:
+    """Returns a UUIDv7 whose random bits come from a seed."""
+    time_bits = int(now_s * 1000) << 80
+    version_bits = 7 << 76 | rng.getrandbits(12) << 64
+    variant_bits = 2 << 62 | rng.getrandbits(62)
+    return str(uuid.UUID(int=time_bits | version_bits | variant_bits))
