Never tell a resuming caller that its request has not run

A refused resumption gets the code for requests that ended after their start. The test failed first with DIRECTORY_UNAVAILABLE.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -115,11 +115,16 @@
             router = self._site.routers_by_host[host]
             try:
                 await self._with_host(host, send(router, record, number))
-                return
             except HostLostError:
                 await asyncio.sleep(NOTICE_S)
             except OutcomeError as error:
                 record.outcome = error.outcome
+                if not number or not error.retry_after_s:
+                    return
+                # Who lost an answer under way asks again.
+                await asyncio.sleep(error.retry_after_s)
+            else:
+                record.outcome = None
                 return
 
     async def _with_host(
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -125,7 +125,11 @@
         Raises:
             OutcomeError: the request ended without a whole answer.
         """
-        served = await self._accept(request, profile)
+        resumed = request.resume_after is not None
+        try:
+            served = await self._accept(request, profile)
+        except OutcomeError as error:
+            raise _after_start(error, resumed) from error
         delivered = False
         first_at: float | None = None
         clock = asyncio.get_running_loop().time
@@ -149,7 +153,8 @@
                 outcome = Outcome.DEADLINE_EXCEEDED
             raise OutcomeError(outcome) from error
         except OutcomeError as error:
-            raise _after_start(error, served) from error
+            started = served.started or resumed
+            raise _after_start(error, started) from error
         finally:
             self._end(served, delivered)
 
@@ -533,10 +538,15 @@
     return served.tag
 
 
-def _after_start(error: OutcomeError, served: ServedRequest) -> OutcomeError:
-    """Returns the truthful outcome of a request that had already begun."""
+def _after_start(error: OutcomeError, started: bool) -> OutcomeError:
+    """Returns the truthful outcome of a request.
+
+    Args:
+        error: what ended it.
+        started: whether it may have begun, here or at an earlier host.
+    """
     not_run = outcome_class(error.outcome) is OutcomeClass.NOT_RUN
-    if not (served.started and not_run):
+    if not (started and not_run):
         return error
     return OutcomeError(
         Outcome.ATTEMPTS_EXHAUSTED, error.detail, error.retry_after_s
--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -8,7 +8,7 @@
 
 from mustardscale.config_records import Profile
 from mustardscale.exceptions import OutcomeError
-from mustardscale.outcomes import Outcome
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.requests import (
     LanguageRequest,
     PlainRequest,
@@ -182,3 +182,23 @@
             )
 
         run(scenario)
+
+    def test_a_refused_resumption_is_not_said_not_to_have_run(self):
+        async def scenario(site):
+            request = language(3, 4000)
+            first = site.routers_by_host['entry-1']
+            events = first.serve_language(request)
+            received = await anext(events)
+            await site.kill_host('entry-1')
+            for number in range(3, 7):
+                site.peers.cut('entry-2', f'entry-{number}')
+            again = language(3, 4000, resume_after=len(received.texts) - 1)
+            second = site.routers_by_host['entry-2']
+            with pytest.raises(OutcomeError) as refused:
+                await answer(second, again)
+            assert outcome_class(refused.value.outcome) is not (
+                OutcomeClass.NOT_RUN
+            )
+            await events.aclose()
+
+        run(scenario)
