Order by slack and cost, and overbook by the profile's weights

A request gives up 0.5 s of slack for each thousand prompt tokens, all prefill engines may be busy for 30% (was 40%) of the strictest target, and the bound on running out of memory is the profile's probability times three times goodput weight over waste weight.

--- a/mustardscale/policy/hurried_demand.py
+++ b/mustardscale/policy/hurried_demand.py
@@ -12,7 +12,7 @@
 # Seconds after which an arrival's weight has fallen to 1/e.
 RATE_MEMORY_S = 20.0
 # Share of a first-token target that may pass before the prefill begins.
-EXPRESS_SHARE = 0.4
+EXPRESS_SHARE = 0.3
 # A service is hurried if its target is within this factor of the strictest.
 HURRIED_FACTOR = 1.5
 # Services with fewer requests a second are not in use.
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -45,6 +45,11 @@
 PREFILL_LEAD_S = 0.04
 # Longest time for which a result may wait for its transfer, seconds.
 PICKUP_WAIT_S = 0.35
+# Seconds of slack that a request with a prompt of one token more gives up.
+SLACK_PER_TOKEN_S = 0.5e-3
+# Factor by which the bound on running out of memory exceeds what is seen.
+BOUND_SLACK = 3.0
+LEAST_WEIGHT = 1e-3
 # Time for which a result is surely kept, seconds.
 KEEP_S = 0.7
 # Seconds between the end of a prefill and the start of its transfer.
@@ -341,7 +346,7 @@
             decode = pairing.decode
             if decode.id in unfit:
                 continue
-            if self._rooms.fits(decode, need, profile.overbook_probability):
+            if self._rooms.fits(decode, need, _overbooking(profile)):
                 return pairing
             unfit.add(decode.id)
         return None
@@ -492,6 +497,12 @@
         self._prefixes.endpoint(engine.id).apply(events, now)
 
 
+def _overbooking(profile: Profile) -> float:
+    """Returns the bound on running out of memory that a grant may reach."""
+    weight = profile.goodput_weight / max(profile.waste_weight, LEAST_WEIGHT)
+    return min(1.0, BOUND_SLACK * weight * profile.overbook_probability)
+
+
 def _accepts_late(request: AdmitRequest, profile: Profile) -> bool:
     """Returns whether a late answer is wanted rather than a refusal."""
     return request.tag.attempt > 1 or profile.patience_s > profile.first_token_s
@@ -534,4 +545,5 @@
     slack_s = item.first_token_at - now - estimate_s
     if slack_s < 0:
         return (2, item.arrived_at)
-    return (1, slack_s / profile.weight)
+    cost_s = SLACK_PER_TOKEN_S * item.request.prompt_tokens
+    return (1, (slack_s + cost_s) / profile.weight)
