Split the reserving policy into books, pairing and urgency

A look-up of cached blocks is made once for each request and quarter second in place of once for each engine.

Tests of the policy: memory, foreign memory, links, the engine left to hurried requests, prefix affinity, order, and each refusal.

--- /dev/null
+++ b/mustardscale/policy/engine_books.py
@@ -0,0 +1,193 @@
+"""What an owner knows of its engines' prefills, links, caches and memory."""
+
+from __future__ import annotations
+
+from mustardscale.engines import (
+    BLOCK_TOKENS,
+    CacheEvent,
+    EngineRole,
+    LoadReport,
+    StreamStage,
+)
+from mustardscale.link_schedule import LinkSchedule
+from mustardscale.peers import AdmitRequest, Release
+from mustardscale.policy.base import EngineState, PoolState, Reservation
+from mustardscale.policy.decode_room import DecodeRooms
+from mustardscale.policy.prefill_timeline import PrefillTimeline
+from mustardscale.prefix_index import PrefixIndex
+
+DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
+PREFILL_BASE_S = 0.02
+DEFAULT_LINK_BYTES_PER_S = 2e9
+KV_BYTES_PER_TOKEN = 100_000
+# Seconds between the end of a prefill and the start of its transfer.
+HANDOVER_S = 0.004
+# Seconds for which a look-up of cached blocks is used again.
+CACHE_LOOKUP_S = 0.25
+# Look-ups kept at most.
+MOST_LOOKUPS = 4_000
+
+
+class EngineBooks:
+    """The work that engines of a pool were granted, and their learnt state.
+
+    Attributes:
+        rooms: the decode engines' memory.
+        links: the engines' links.
+    """
+
+    def __init__(self):
+        self.rooms = DecodeRooms()
+        self.links = LinkSchedule(DEFAULT_LINK_BYTES_PER_S)
+        self._prefixes = PrefixIndex()
+        self._timeline_by_id: dict[str, PrefillTimeline] = {}
+        self._rate_by_id: dict[str, float] = {}
+        self._expected_blocks_by_request_id: dict[str, int] = {}
+        # Loop time of a look-up and the seconds on each engine.
+        self._lookup_by_request_id: dict[
+            str, tuple[float, dict[str, float]]
+        ] = {}
+
+    def prefill_s_by_id(
+        self, engine_ids: frozenset[str], request: AdmitRequest, now: float
+    ) -> dict[str, float]:
+        """Returns the expected time of a prefill on each engine."""
+        request_id = request.tag.request_id
+        known = self._lookup_by_request_id.get(request_id)
+        if (
+            known is not None
+            and now - known[0] <= CACHE_LOOKUP_S
+            and known[1].keys() == engine_ids
+        ):
+            return known[1]
+        if len(self._lookup_by_request_id) > MOST_LOOKUPS:
+            self._lookup_by_request_id.clear()
+        seconds_by_id = {
+            engine_id: self._prefill_s(engine_id, request)
+            for engine_id in engine_ids
+        }
+        self._lookup_by_request_id[request_id] = (now, seconds_by_id)
+        return seconds_by_id
+
+    def _prefill_s(self, engine_id: str, request: AdmitRequest) -> float:
+        cached = self._prefixes.expected_cached_tokens(
+            engine_id, request.block_hashes
+        )
+        tokens = max(1.0, request.prompt_tokens - cached)
+        return PREFILL_BASE_S + tokens / self.rate(engine_id)
+
+    def least_prefill_s(self, engine_id: str, request: AdmitRequest) -> float:
+        """Returns the time of a prefill if all known blocks are cached."""
+        prefixes = self._prefixes.endpoint(engine_id)
+        blocks = prefixes.matched_blocks(request.block_hashes)
+        tokens = max(1, request.prompt_tokens - blocks * BLOCK_TOKENS)
+        return PREFILL_BASE_S + tokens / self.rate(engine_id)
+
+    def free_at(self, engine_id: str, now: float) -> float:
+        """Returns when a prefill engine will have done its work."""
+        return self._timeline(engine_id).free_at(now)
+
+    def rate(self, engine_id: str) -> float:
+        """Returns a prefill engine's rate, tokens a second."""
+        return self._rate_by_id.get(engine_id, DEFAULT_PREFILL_TOKENS_PER_S)
+
+    def _timeline(self, engine_id: str) -> PrefillTimeline:
+        timeline = self._timeline_by_id.get(engine_id)
+        if timeline is None:
+            timeline = self._timeline_by_id[engine_id] = PrefillTimeline()
+        return timeline
+
+    def observe_grant(self, reservation: Reservation, now: float) -> None:
+        """Books the prefill engine and the links."""
+        stream = reservation.stream
+        request_id = reservation.request_id
+        if stream.stage is StreamStage.DECODE:
+            return
+        ready = now
+        if stream.stage is not StreamStage.TRANSFER:
+            hashes = reservation.block_hashes
+            cached = self._prefixes.expected_cached_tokens(
+                stream.prefill, hashes
+            )
+            tokens = max(1.0, stream.prompt_tokens - cached)
+            seconds = PREFILL_BASE_S + tokens / self.rate(stream.prefill)
+            timeline = self._timeline(stream.prefill)
+            timeline.add(request_id, seconds, now)
+            ready = timeline.free_at(now) + HANDOVER_S
+            prefixes = self._prefixes.endpoint(stream.prefill)
+            self._expected_blocks_by_request_id[request_id] = (
+                prefixes.matched_blocks(hashes)
+            )
+            prefixes.sent(hashes, now)
+        self.links.book(
+            request_id,
+            stream.prefill,
+            stream.decode,
+            stream.prompt_tokens * KV_BYTES_PER_TOKEN,
+            ready,
+            now,
+        )
+
+    def observe_stage(
+        self, reservation: Reservation, stage: StreamStage, now: float
+    ) -> None:
+        """Notes the end of a prefill or of a transfer."""
+        stream = reservation.stream
+        request_id = reservation.request_id
+        if stage is StreamStage.TRANSFER:
+            self._note_prefill(reservation, now)
+            self.links.ready(request_id, now)
+        elif stage is StreamStage.DECODE:
+            self._timeline(stream.prefill).done(request_id, now)
+            self.links.finish(request_id, now)
+
+    def _note_prefill(self, reservation: Reservation, now: float) -> None:
+        """Corrects the trust in the prefix index by a prefill's duration."""
+        stream = reservation.stream
+        seconds = self._timeline(stream.prefill).done(
+            reservation.request_id, now
+        )
+        hashes = reservation.block_hashes
+        expected = self._expected_blocks_by_request_id.pop(
+            reservation.request_id, 0
+        )
+        if seconds is None or not expected:
+            return
+        rate = self.rate(stream.prefill)
+        computed = max(0.0, seconds - PREFILL_BASE_S) * rate
+        cached = max(0, int(stream.prompt_tokens - computed))
+        blocks = min(len(hashes), round(cached / BLOCK_TOKENS))
+        self._prefixes.endpoint(stream.prefill).observe(
+            expected, blocks * BLOCK_TOKENS
+        )
+
+    def observe_release(
+        self, reservation: Reservation, release: Release, now: float
+    ) -> None:
+        """Frees the engines and learns the output length."""
+        stream = reservation.stream
+        self._timeline(stream.prefill).done(reservation.request_id, now)
+        self._expected_blocks_by_request_id.pop(reservation.request_id, None)
+        self.links.drop(reservation.request_id)
+        if release.finished:
+            self.rooms.lengths.record(stream.service, release.emitted)
+
+    def observe_report(
+        self,
+        pool: PoolState,
+        engine: EngineState,
+        report: LoadReport,
+        now: float,
+    ) -> None:
+        """Takes in speeds and the memory in use."""
+        self.links.set_rate(engine.id, report.link_bytes_per_s)
+        if engine.role is EngineRole.PREFILL:
+            self._rate_by_id[engine.id] = report.prefill_tokens_per_s
+        else:
+            self.rooms.observe_report(pool, engine.id, report, now)
+
+    def observe_cache(
+        self, engine: EngineState, events: list[CacheEvent], now: float
+    ) -> None:
+        """Follows a prefill engine's prefix cache."""
+        self._prefixes.endpoint(engine.id).apply(events, now)
--- /dev/null
+++ b/mustardscale/policy/pairing.py
@@ -0,0 +1,239 @@
+"""Pairs a prefill and a decode engine for a request."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from mustardscale.config_records import Profile
+from mustardscale.engines import EngineRole
+from mustardscale.memory_booking import StreamNeed
+from mustardscale.peers import AdmitRequest
+from mustardscale.policy.base import PoolState
+from mustardscale.policy.decode_room import EngineRoom, needed_pieces
+from mustardscale.policy.engine_books import (
+    DEFAULT_LINK_BYTES_PER_S,
+    HANDOVER_S,
+    KV_BYTES_PER_TOKEN,
+    EngineBooks,
+)
+from mustardscale.policy.hurried_demand import Express
+from mustardscale.policy.prefill_timeline import SEND_S
+
+# A prefill is granted when its engine is free within this time, seconds.
+PREFILL_LEAD_S = 0.04
+# Longest time for which a result may wait for its transfer, seconds.
+PICKUP_WAIT_S = 0.35
+# Time for which a result is surely kept, seconds.
+KEEP_S = 0.7
+# Share of the time per token target that a decode step may take.
+STEP_SHARE = 0.97
+# Factor by which the bound on running out of memory exceeds what is seen.
+BOUND_SLACK = 3.0
+LEAST_WEIGHT = 1e-3
+
+
+@dataclasses.dataclass(slots=True)
+class PrefillRoom:
+    """One prefill engine in a round of decisions.
+
+    Attributes:
+        id: its name.
+        free_at: loop time at which it has done its work.
+        tokens_per_s: its rate.
+    """
+
+    id: str
+    free_at: float
+    tokens_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Round:
+    """What has been decided in a round, on top of the pool's state.
+
+    Attributes:
+        now: loop time.
+        prefills: the prefill engines.
+        prefill_ids: their names.
+        decodes_by_id: the decode engines.
+        express: what hurried requests need.
+        free_at_by_link: loop time at which each link is free, by engine.
+        step_s: least time of a decode step, seconds.
+    """
+
+    now: float
+    prefills: list[PrefillRoom]
+    prefill_ids: frozenset[str]
+    decodes_by_id: dict[str, EngineRoom]
+    express: Express
+    free_at_by_link: dict[str, float]
+    step_s: float
+
+    def any_free(self) -> bool:
+        """Returns whether a prefill engine is free soon."""
+        horizon = self.now + PREFILL_LEAD_S
+        return any(engine.free_at <= horizon for engine in self.prefills)
+
+
+@dataclasses.dataclass(slots=True)
+class Pairing:
+    """A prefill and a decode engine for a request.
+
+    Attributes:
+        prefill: the prefill engine.
+        decode: the decode engine.
+        prefill_done_at: loop time at which the prefill will be done.
+        transfer_done_at: loop time at which decoding can begin.
+    """
+
+    prefill: PrefillRoom
+    decode: EngineRoom
+    prefill_done_at: float
+    transfer_done_at: float
+
+
+def begin_round(
+    books: EngineBooks, pool: PoolState, express: Express, now: float
+) -> Round:
+    """Reads the engines' state at the beginning of a round."""
+    prefills = [
+        PrefillRoom(
+            engine.id, books.free_at(engine.id, now), books.rate(engine.id)
+        )
+        for engine in pool.engines(EngineRole.PREFILL)
+    ]
+    rooms = books.rooms.rooms(pool, now)
+    engine_ids = [engine.id for engine in prefills] + list(rooms)
+    free_at_by_link = {
+        engine_id: books.links.free_at(engine_id, now)
+        for engine_id in engine_ids
+    }
+    return Round(
+        now,
+        prefills,
+        frozenset(engine.id for engine in prefills),
+        rooms,
+        express,
+        free_at_by_link,
+        books.rooms.step_s(1),
+    )
+
+
+def least_first_token_s(
+    books: EngineBooks, current: Round, request: AdmitRequest
+) -> float:
+    """Returns the least seconds until the first token, if memory is free.
+
+    The engines that are free first are assumed.
+    """
+    seconds_by_id = books.prefill_s_by_id(
+        current.prefill_ids, request, current.now
+    )
+    best = math.inf
+    for engine in current.prefills:
+        if engine.id in request.excluded:
+            continue
+        begin = max(engine.free_at, current.now + SEND_S)
+        best = min(best, begin - current.now + seconds_by_id[engine.id])
+    transfer_s = (
+        request.prompt_tokens * KV_BYTES_PER_TOKEN
+    ) / DEFAULT_LINK_BYTES_PER_S
+    return best + transfer_s + HANDOVER_S + current.step_s
+
+
+def find_pairing(
+    books: EngineBooks,
+    current: Round,
+    request: AdmitRequest,
+    profile: Profile,
+    need: StreamNeed,
+    busy_s: float,
+) -> Pairing | None:
+    """Returns the pairing with the first token soonest, if there is one."""
+    pieces = needed_pieces(need)
+    step_s = STEP_SHARE * profile.per_token_s
+    decodes = [
+        room
+        for room in current.decodes_by_id.values()
+        if room.id not in request.excluded
+        and books.rooms.may_fit(room, pieces, step_s)
+    ]
+    if not decodes:
+        return None
+    pairings = [
+        pairing
+        for engine in current.prefills
+        if engine.id not in request.excluded
+        and engine.free_at <= current.now + PREFILL_LEAD_S
+        for pairing in _pairings(books, current, engine, decodes, request)
+        if _busy_until(current, pairing) <= current.now + busy_s
+    ]
+    pairings.sort(key=lambda item: item.transfer_done_at)
+    unfit: set[str] = set()
+    for pairing in pairings:
+        decode = pairing.decode
+        if decode.id in unfit:
+            continue
+        if books.rooms.fits(decode, need, _overbooking(profile)):
+            return pairing
+        unfit.add(decode.id)
+    return None
+
+
+def _pairings(
+    books: EngineBooks,
+    current: Round,
+    engine: PrefillRoom,
+    decodes: list[EngineRoom],
+    request: AdmitRequest,
+) -> Iterable[Pairing]:
+    """Yields the decode engines that can fetch the result in time."""
+    begin = max(engine.free_at, current.now + SEND_S)
+    seconds_by_id = books.prefill_s_by_id(
+        current.prefill_ids, request, current.now
+    )
+    done = begin + seconds_by_id[engine.id]
+    ready = done + HANDOVER_S
+    latest = min(
+        ready + PICKUP_WAIT_S,
+        begin + books.least_prefill_s(engine.id, request) + KEEP_S,
+    )
+    size = request.prompt_tokens * KV_BYTES_PER_TOKEN
+    free_at = current.free_at_by_link
+    out_free_at = free_at[engine.id]
+    if out_free_at > max(latest, ready):
+        return
+    for decode in decodes:
+        start = max(ready, out_free_at, free_at[decode.id])
+        if start > max(latest, ready):
+            continue
+        finish = start + size / books.links.rate(engine.id, decode.id)
+        yield Pairing(engine, decode, done, finish)
+
+
+def _overbooking(profile: Profile) -> float:
+    """Returns the bound on running out of memory that a grant may reach."""
+    weight = profile.goodput_weight / max(profile.waste_weight, LEAST_WEIGHT)
+    return min(1.0, BOUND_SLACK * weight * profile.overbook_probability)
+
+
+def _busy_until(current: Round, pairing: Pairing) -> float:
+    """Returns when some prefill engine can begin other work."""
+    others = [
+        _begins_at(current, engine, engine.free_at)
+        for engine in current.prefills
+        if engine is not pairing.prefill
+    ]
+    if not others:
+        return current.now
+    after = max(
+        pairing.prefill_done_at, pairing.transfer_done_at - PICKUP_WAIT_S
+    )
+    return min(after, *others)
+
+
+def _begins_at(current: Round, engine: PrefillRoom, free_at: float) -> float:
+    """Returns when an engine can begin a prefill whose result it can send."""
+    return max(free_at, current.free_at_by_link[engine.id] - PICKUP_WAIT_S)
--- /dev/null
+++ b/mustardscale/policy/urgency.py
@@ -0,0 +1,90 @@
+"""Which waiting requests come first and which are refused."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from mustardscale.config_records import Profile
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import AdmitRequest
+from mustardscale.policy.base import Refusal, WaitingRequest
+from mustardscale.policy.pairing import Round
+
+# Seconds of slack that a request with a prompt of one token more gives up.
+SLACK_PER_TOKEN_S = 0.5e-3
+LONGEST_RETRY_AFTER_S = 30.0
+SHORTEST_RETRY_AFTER_S = 0.5
+# The same when no engine may be used.
+NO_ENDPOINT_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A waiting request that is not refused.
+
+    Attributes:
+        urgency: sort key; the smallest is decided first.
+        item: the request.
+        profile: its profile.
+    """
+
+    urgency: tuple[int, float]
+    item: WaitingRequest
+    profile: Profile
+
+
+def refusal_of(
+    item: WaitingRequest,
+    profile: Profile,
+    estimate_s: float,
+    current: Round,
+    backlog_tokens: int,
+) -> Refusal | None:
+    """Returns a refusal of what cannot be served as its profile wants."""
+    request = item.request
+    request_id = request.tag.request_id
+    usable = set(current.decodes_by_id) - set(request.excluded)
+    if estimate_s == math.inf or not usable:
+        return Refusal(
+            request_id, Outcome.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER_S
+        )
+    if request.tag.attempt > 1:
+        return None
+    waited_s = request.waited_s + current.now - item.arrived_at
+    late = current.now + estimate_s > item.first_token_at
+    if waited_s > profile.patience_s or (
+        late and not accepts_late(request, profile)
+    ):
+        return Refusal(
+            request_id,
+            Outcome.POOL_SATURATED,
+            _retry_after_s(current, backlog_tokens),
+        )
+    return None
+
+
+def accepts_late(request: AdmitRequest, profile: Profile) -> bool:
+    """Returns whether a late answer is wanted rather than a refusal."""
+    return request.tag.attempt > 1 or profile.patience_s > profile.first_token_s
+
+
+def urgency_of(
+    item: WaitingRequest, profile: Profile, estimate_s: float, now: float
+) -> tuple[int, float]:
+    """Returns the sort key of a request; the smallest is decided first."""
+    if item.request.tag.attempt > 1:
+        return (0, item.first_token_at)
+    slack_s = item.first_token_at - now - estimate_s
+    if slack_s < 0:
+        return (2, item.arrived_at)
+    cost_s = SLACK_PER_TOKEN_S * item.request.prompt_tokens
+    return (1, (slack_s + cost_s) / profile.weight)
+
+
+def _retry_after_s(current: Round, backlog_tokens: int) -> float:
+    """Returns the seconds until the present backlog is worked off."""
+    rate = sum(engine.tokens_per_s for engine in current.prefills)
+    busy = sum(engine.free_at - current.now for engine in current.prefills)
+    seconds = backlog_tokens / rate + busy / len(current.prefills)
+    return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, seconds))
--- /dev/null
+++ b/tests/test_reserving.py
@@ -0,0 +1,232 @@
+"""Tests of the reserving placement policy."""
+
+import random
+
+import pytest
+
+from mustardscale.config_records import Profile
+from mustardscale.engines import (
+    BLOCK_TOKENS,
+    EngineRole,
+    LoadReport,
+    StreamStage,
+    StreamTag,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import AdmitRequest, HeldStream, Release
+from mustardscale.policy.base import (
+    EngineState,
+    Grant,
+    PoolState,
+    Refusal,
+    Reservation,
+    WaitingRequest,
+)
+from mustardscale.policy.reserving import ReservingPolicy
+
+HURRIED = Profile(first_token_s=0.9, patience_s=0.9)
+PATIENT = Profile(first_token_s=8.0, patience_s=20.0)
+
+
+def report(role, pieces_free=64, queued_tokens=0, link=2e9):
+    return LoadReport(
+        role=role,
+        model='m',
+        model_version='1',
+        pieces_total=64,
+        pieces_free=pieces_free,
+        active=0,
+        queued_tokens=queued_tokens,
+        prefill_tokens_per_s=16_000.0,
+        step_s=0.0,
+        age_s=0.0,
+        leaving=False,
+        start=1,
+        order_term=0,
+        link_bytes_per_s=link,
+    )
+
+
+class Scene:
+    """A pool with a policy that is told what its grants do."""
+
+    def __init__(self, prefills=2, decodes=2):
+        self.policy = ReservingPolicy(random.Random(1))
+        self.pool = PoolState('pool')
+        self.pool.profile_by_service = {'hurried': HURRIED, 'patient': PATIENT}
+        names = [(f'p{n}', EngineRole.PREFILL) for n in range(prefills)]
+        names += [(f'd{n}', EngineRole.DECODE) for n in range(decodes)]
+        for name, role in names:
+            engine = EngineState(name, role, 'dc1', report=report(role))
+            self.pool.engines_by_id[name] = engine
+            self.policy.observe_report(self.pool, engine, engine.report, 0.0)
+
+    def ask(self, name, service='patient', tokens=1000, now=0.0, **fields):
+        profile = self.pool.profile_by_service[service]
+        first_token_s = fields.pop('first_token_s', profile.first_token_s)
+        fields.setdefault('max_tokens', 500)
+        request = AdmitRequest(
+            pool='pool',
+            tag=StreamTag(name, fields.pop('attempt', 1), 'host', 1),
+            service=service,
+            prompt_tokens=tokens,
+            block_hashes=fields.pop('block_hashes', ()),
+            fingerprint=1,
+            first_token_s=first_token_s,
+            deadline_s=60.0,
+            **fields,
+        )
+        self.pool.waiting_by_request_id[name] = WaitingRequest(
+            request, now, now + first_token_s, now + 60.0
+        )
+
+    def decide(self, now=0.0):
+        """Carries the decisions out and returns them by request."""
+        decisions = self.policy.decide(self.pool, now)
+        for decision in decisions:
+            item = self.pool.waiting_by_request_id.pop(decision.request_id)
+            if isinstance(decision, Grant):
+                self.reserve(item.request, decision, now)
+        return {decision.request_id: decision for decision in decisions}
+
+    def reserve(self, request, grant, now):
+        stream = HeldStream(
+            request.tag,
+            request.service,
+            grant.prefill,
+            grant.decode,
+            StreamStage.QUEUED,
+            request.prompt_tokens,
+            0,
+            request.max_tokens,
+        )
+        held = Reservation(
+            stream, 1, now, now, block_hashes=request.block_hashes
+        )
+        name = request.tag.request_id
+        self.pool.reservations_by_request_id[name] = held
+        self.policy.observe_grant(self.pool, held, now)
+
+    def advance(self, name, stage, now):
+        held = self.pool.reservations_by_request_id[name]
+        stream = held.stream
+        held.stream = HeldStream(
+            stream.tag,
+            stream.service,
+            stream.prefill,
+            stream.decode,
+            stage,
+            stream.prompt_tokens,
+            0,
+            stream.max_tokens,
+        )
+        held.renewed_at = now
+        self.policy.observe_stage(self.pool, held, stage, now)
+
+    def end(self, name, now):
+        held = self.pool.reservations_by_request_id.pop(name)
+        release = Release('pool', held.stream.tag, 0, 0, 100, True)
+        self.policy.observe_release(self.pool, held, release, now)
+
+
+class TestGrants:
+    """When a prefill is started."""
+
+    def test_no_prefill_without_decode_memory(self):
+        scene = Scene(decodes=1)
+        scene.ask('a', tokens=70_000, max_tokens=4000)
+        assert isinstance(scene.decide()['a'], Grant)
+        scene.advance('a', StreamStage.TRANSFER, 3.8)
+        scene.advance('a', StreamStage.DECODE, 6.8)
+        scene.ask('b', tokens=70_000, max_tokens=4000, now=7.0)
+        assert scene.decide(7.0) == {}
+        scene.end('a', 7.5)
+        assert isinstance(scene.decide(7.5)['b'], Grant)
+
+    def test_memory_that_others_hold_is_not_granted(self):
+        scene = Scene(decodes=1)
+        engine = scene.pool.engines_by_id['d0']
+        full = report(EngineRole.DECODE, pieces_free=4)
+        scene.policy.observe_report(scene.pool, engine, full, 1.0)
+        scene.ask('a', tokens=20_000, now=1.0)
+        assert scene.decide(1.0) == {}
+
+    def test_no_result_that_would_wait_for_its_link(self):
+        scene = Scene(prefills=1, decodes=2)
+        scene.ask('long', tokens=40_000)
+        assert isinstance(scene.decide()['long'], Grant)
+        # Its transfer takes until 4.5 s.
+        scene.advance('long', StreamStage.TRANSFER, 2.5)
+        scene.ask('short', tokens=200, now=2.5)
+        assert scene.decide(2.5) == {}
+        assert isinstance(scene.decide(4.2)['short'], Grant)
+
+    def test_a_long_prompt_leaves_an_engine_to_hurried_ones(self):
+        scene = Scene()
+        scene.ask('first', tokens=30_000)
+        scene.ask('h1', 'hurried', tokens=500)
+        scene.decide()
+        scene.ask('second', tokens=30_000, now=0.3)
+        assert scene.decide(0.3) == {}
+        scene.ask('h2', 'hurried', tokens=500, now=0.4)
+        grants = scene.decide(0.4)
+        assert isinstance(grants['h2'], Grant)
+        assert 'second' not in grants
+
+    def test_cached_prefixes_attract(self):
+        scene = Scene()
+        hashes = tuple(range(8))
+        tokens = 8 * BLOCK_TOKENS + 10
+        scene.ask('a', tokens=tokens, block_hashes=hashes)
+        engine = scene.decide()['a'].prefill
+        scene.advance('a', StreamStage.TRANSFER, 0.3)
+        scene.advance('a', StreamStage.DECODE, 0.6)
+        scene.ask('b', tokens=tokens, block_hashes=hashes, now=1.0)
+        assert scene.decide(1.0)['b'].prefill == engine
+
+    def test_a_long_prompt_goes_behind_short_ones_but_not_for_ever(self):
+        scene = Scene(prefills=1)
+        scene.ask('long', tokens=12_000)
+        scene.ask('short', tokens=400)
+        assert list(scene.decide()) == ['short']
+        scene.advance('short', StreamStage.TRANSFER, 0.05)
+        scene.ask('late', tokens=400, now=6.0)
+        assert list(scene.decide(6.0)) == ['long']
+
+
+class TestRefusals:
+    """When a request is refused."""
+
+    def test_too_late_is_refused_at_once_if_late_is_not_wanted(self):
+        scene = Scene(prefills=1)
+        scene.ask('busy', tokens=30_000)
+        scene.decide()
+        scene.ask('hurried', 'hurried', now=0.1)
+        scene.ask('patient', 'patient', now=0.1)
+        decisions = scene.decide(0.1)
+        assert list(decisions) == ['hurried']
+        refusal = decisions['hurried']
+        assert isinstance(refusal, Refusal)
+        assert refusal.outcome is Outcome.POOL_SATURATED
+        # The engine is busy for 1.8 s.
+        assert 1.5 < refusal.retry_after_s < 3.0
+
+    def test_patience_ends(self):
+        scene = Scene(prefills=1)
+        scene.ask('busy', tokens=30_000)
+        scene.decide()
+        scene.ask('patient', waited_s=19.0)
+        assert scene.decide(0.9) == {}
+        refusal = scene.decide(1.1)['patient']
+        assert refusal.outcome is Outcome.POOL_SATURATED
+
+    @pytest.mark.parametrize('excluded', [('p0', 'p1'), ('d0', 'd1')])
+    def test_no_endpoint_is_left(self, excluded):
+        scene = Scene()
+        scene.ask('a', excluded=excluded)
+        assert scene.decide()['a'].outcome is Outcome.NO_ENDPOINT
+
+    def test_a_repeated_attempt_is_never_refused_for_lateness(self):
+        scene = Scene()
+        scene.ask('a', 'hurried', attempt=2, first_token_s=-3.0)
+        assert isinstance(scene.decide()['a'], Grant)
