Let a stand-in engine not deny a prefill that ended as it crashed

The engine's queue begins the next prefill before the caller of the last one is woken; if that one crashes the engine, the caller was told that the engine cannot be reached, which means that nothing was sent. It is told now that the connection was lost. The test failed first with EndpointUnreachableError.

Ruled out: the entry host's own bookkeeping, which follows the error.

--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -150,8 +150,11 @@
         for kept in self._store.kept_by_id.values():
             if kept.tag == call.tag:
                 return kept.result
+        start = self.start
         result = await asyncio.shield(self._prefills.submit(call))
-        await self._answering()
+        await self._thawed.wait()
+        if self.start != start:
+            raise EndpointFailedError('the engine crashed', crashed=True)
         return result
 
     async def decode(
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -14,6 +14,7 @@
     EngineOrder,
     EngineRole,
     PrefillCall,
+    Prompt,
     StreamStage,
     StreamTag,
 )
@@ -281,6 +282,22 @@
 class TestFaults:
     """The faults that can be switched."""
 
+    @virtual_time
+    async def test_a_prefill_done_just_before_a_crash_is_said_to_have_run(self):
+        pair = EnginePair()
+        marked = Prompt(10, (), 99)
+        pair.prefill_model.faults.crash_fingerprints.add(marked.fingerprint)
+        first, second = await asyncio.gather(
+            pair.compute('a'),
+            pair.prefill.prefill(
+                PrefillCall(StreamTag('b', 1, 'h', 1), 'model', marked)
+            ),
+            return_exceptions=True,
+        )
+        for error in (first, second):
+            assert isinstance(error, EndpointFailedError)
+            assert error.crashed
+
     @virtual_time
     async def test_marked_prompt_crashes_all_streams(self):
         pair = EnginePair(length=1000)
