Write the frames of one event loop step to a peer at once

Profiled at one-token requests over two hosts: of the daemon's time 9% went to the writes of peer frames, 200 us each with the machine busy, since uvloop writes at once when it can. Frames queued within a step now share a write; above the drain limit they do not wait, and closing still tries to write.

Ruled out: a pause to gather more frames. It would save more, but each request waits for four calls one after the other.

--- a/mustardscale/peer_streams.py
+++ b/mustardscale/peer_streams.py
@@ -93,7 +93,14 @@
 class FrameStream:
     """Sends and receives frames on one connection."""
 
-    __slots__ = ('_limits', '_reader', '_traffic', '_writer')
+    __slots__ = (
+        '_limits',
+        '_queued',
+        '_queued_bytes',
+        '_reader',
+        '_traffic',
+        '_writer',
+    )
 
     def __init__(
         self,
@@ -106,6 +113,8 @@
         self._writer = writer
         self._limits = limits
         self._traffic = traffic
+        self._queued: list[bytes] = []
+        self._queued_bytes = 0
         writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
 
     async def receive(self, idle_s: float) -> Frame:
@@ -134,12 +143,30 @@
         return decode_payload(header, payload)
 
     def send(self, data: bytes) -> None:
-        """Queues an encoded frame; aborts a connection that takes nothing."""
+        """Queues an encoded frame; aborts a connection that takes nothing.
+
+        Frames queued in one step of the event loop are written at once: a
+        write may cost as much as all else that is done for a call.
+        """
         if self._writer.transport.is_closing():
             return
-        self._writer.write(data)
+        if not self._queued:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._queued.append(data)
+        self._queued_bytes += len(data)
+        if self._queued_bytes >= self._limits.drain_bytes:
+            self._flush()
         self._traffic.frames_sent += 1
         self._traffic.bytes_sent += len(data)
+
+    def _flush(self) -> None:
+        """Writes the queued frames."""
+        data = b''.join(self._queued)
+        self._queued.clear()
+        self._queued_bytes = 0
+        if not data or self._writer.transport.is_closing():
+            return
+        self._writer.write(data)
         unsent = self._writer.transport.get_write_buffer_size()
         if unsent > self._limits.abort_bytes:
             self.close()
@@ -153,7 +180,8 @@
         await self._writer.drain()
 
     def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once, after a try to write the queue."""
+        self._flush()
         self._writer.transport.abort()
 
 
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -409,3 +409,64 @@
             with pytest.raises((ConnectionError, EOFError)):
                 await stream.receive(10)
             assert await pair.call('0') == REPLY
+
+
+class WriterStub:
+    """Remembers what is written."""
+
+    def __init__(self):
+        self.written = []
+        self.transport = self
+
+    def write(self, data):
+        self.written.append(data)
+
+    def set_write_buffer_limits(self, high):
+        self.high = high
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return False
+
+    def abort(self):
+        self.written.append('abort')
+
+
+class TestFrameStream:
+    """When queued frames are written."""
+
+    def make(self):
+        writer = WriterStub()
+        limits = PeerLimits(drain_bytes=10)
+        stream = FrameStream(
+            asyncio.StreamReader(), writer, limits, PeerTraffic()
+        )
+        return stream, writer.written
+
+    @virtual_time
+    async def test_frames_of_one_step_are_written_at_once(self):
+        stream, written = self.make()
+        stream.send(b'one')
+        stream.send(b'two')
+        assert not written
+        await asyncio.sleep(0)
+        assert written == [b'onetwo']
+
+    @virtual_time
+    async def test_many_bytes_do_not_wait_for_the_step_to_end(self):
+        stream, written = self.make()
+        stream.send(b'12345')
+        stream.send(b'67890')
+        stream.send(b'rest')
+        assert written == [b'1234567890']
+        await asyncio.sleep(0)
+        assert written == [b'1234567890', b'rest']
+
+    @virtual_time
+    async def test_closing_writes_what_is_queued(self):
+        stream, written = self.make()
+        stream.send(b'last')
+        stream.close()
+        assert written == [b'last', 'abort']
