Prove with processes that engines let go of lost work

A fixture for each module keeps one site of 14 processes; every test begins by mending what the one before broke. Weighed: a site for each test, which would cost 4 s each.

--- a/standins/local_callers.py
+++ b/standins/local_callers.py
@@ -90,6 +90,12 @@
         self._progressed = asyncio.Condition()
         self._ended = False
 
+    def resume_from(self, other: LanguageCaller) -> None:
+        """Goes on from what another caller of the request has read so far."""
+        self.request_id = other.request_id
+        self._read.text = other._read.text
+        self._read.last_event_id = other._read.last_event_id
+
     async def wait_events(self, count: int) -> None:
         """Waits until a number of events was read or the call has ended."""
         async with self._progressed:
@@ -201,6 +207,7 @@
     method: str,
     path: str,
     request_id: str = '',
+    body: bytes = b'',
 ) -> CallResult:
     """Calls a plain service and checks that the answer is the call's own."""
     request_id = request_id or str(uuid_utils.uuid7())
@@ -213,6 +220,7 @@
         async with session.request(
             method,
             f'{url}/services/{service}{path}',
+            data=body,
             headers=headers,
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
         ) as response:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,23 @@
-"""Marks the tests of KNOWN-RED.txt, which must fail until they are mended."""
+"""What all tests share.
 
+The tests of KNOWN-RED.txt are marked: they must fail until they are mended.
+The tests of a module share a site of real processes.
+"""
+
+import asyncio
 import pathlib
 
 import pytest
 
+from standins.local_site import local_site
+from standins.memory_site import SiteLayout
 from tests.known_red import read_known_red
+from tests.process_site import ProcessSite
 
 pytest_plugins = ['pytester']
 
 ROOT = pathlib.Path(__file__).parents[1]
+LAYOUT = SiteLayout(prefill_engines=1, decode_engines=2, plain_endpoints=3)
 
 
 def pytest_collection_modifyitems(items):
@@ -20,3 +29,18 @@
         if item is not None:
             reason = f'issue {entry.issue}, seed {entry.seed}: {entry.seen}'
             item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
+@pytest.fixture(scope='module')
+def site(request):
+    """A site with its profiles published; a module may set LAYOUT."""
+    with local_site(getattr(request.module, 'LAYOUT', LAYOUT)) as local:
+        site = ProcessSite(local)
+        asyncio.run(_publish(site))
+        yield site
+
+
+async def _publish(site):
+    async with site.open():
+        await site.local.wait_ready(site.session, '/livez', site.hosts)
+        await site.publish_all()
