Let a host that was frozen for a moment not answer a resumed stream

Cause: a caller that resumed while its host was stopped for 1 s was answered by both hosts. The release that the new host sends was given up after 1 s, and with it was cancelled at the frozen host; its heartbeats went on before the lease of 2 s ran out, so it never asked the directory. Now the holder is asked until it answers, is gone, or has been silent for longer than its lease. A holder asks the directory once after each gap in its heartbeats, also where the next token comes after they went on; a home waits for registrations after such a gap; and with equal attempts a host's own later word no longer takes an entry back from the host that took it over.

Also mended, shown by the same tests: a resume was refused with 1007 while the home of its id had died unnoticed (it now waits for the next home), a stream whose pool owner and home died with its host was not found (engines are asked last), and several resumes at once made each other let go (each now releases only the one before it, in the order of the directory).

Ruled out: buffered tokens, which are stopped at the next event; a longer time limit of the release, which any longer pause defeats. Weighed: to wait for the silence of every host that gives no answer; a host whose port refuses connections has ended, so a stream goes on at once after a kill.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -133,6 +133,9 @@
         started: whether an endpoint may have begun work on it.
         taken_over: whether its caller resumed it at another host.
         home: host that holds its directory entry.
+        previous_holder: host that served it before, '' if not known.
+        confirmed_at: loop time at which its home last confirmed that this
+            host holds it.
     """
 
     id: str
@@ -151,6 +154,8 @@
     started: bool = False
     taken_over: bool = False
     home: str = ''
+    previous_holder: str = ''
+    confirmed_at: float = -math.inf
 
     def held_stream(self) -> HeldStream | None:
         """Returns what is registered with the pool's owner, if granted."""
@@ -217,6 +222,8 @@
         config_changed: notified when the configuration moves on.
         quorum_at: send time of the newest heartbeat round that a majority of
             the listed hosts answered.
+        quorum_gap_at: loop time at which heartbeats were last found to have
+            been without such an answer for longer than a lease.
     """
 
     __slots__ = (
@@ -231,6 +238,7 @@
         'incarnation',
         'membership_changed',
         'quorum_at',
+        'quorum_gap_at',
         'region',
         'served_by_id',
         'suspicions_by_key',
@@ -253,6 +261,7 @@
         self.membership_changed = Signal()
         self.config_changed = Signal()
         self.quorum_at = -math.inf
+        self.quorum_gap_at = -math.inf
 
     def live_hosts(self) -> list[str]:
         """Returns the ids of hosts that are heard, this one included."""
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -17,6 +17,7 @@
 from mustardscale.blackboard import Blackboard, DirectoryRow, ServedRequest
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import (
@@ -39,9 +40,10 @@
 CALL_TIMEOUT_S = 1.5
 SHORTEST_WAIT_S = 0.001
 RETRY_AFTER_S = 2.0
-# A home answers only if a majority of the listed hosts answered a heartbeat
-# sent within this time, seconds.
-QUORUM_LEASE_S = 2.0
+# Time for which a caller that resumes waits for the death of its id's home to
+# be noticed and for the next home to settle, seconds.
+TAKEOVER_PATIENCE_S = 7.0
+TAKEOVER_RETRY_S = 0.2
 EXPIRY_INTERVAL_S = 5.0
 
 
@@ -127,7 +129,9 @@
         was_home = bool(self._previous_hosts) and (
             owner(request_id, self._previous_hosts) == self._blackboard.host
         )
-        return self._started_at if was_home else self._changed_at
+        since = self._started_at if was_home else self._changed_at
+        # While this host was silent another one was the home.
+        return max(since, self._blackboard.quorum_gap_at)
 
     async def _on_register(
         self, sender: str, request: DirectoryRegister
@@ -177,7 +181,7 @@
         if same_holder:
             return not old.done
         if request.rebuild:
-            return row.ended_at is None and new.attempt >= old.attempt
+            return row.ended_at is None and self._may_rebuild(row, new)
         if old.fingerprint != new.fingerprint:
             return False
         if old.done:
@@ -188,6 +192,18 @@
             or not self._holder_is_live(old)
         )
 
+    def _may_rebuild(self, row: DirectoryRow, new: DirectoryEntry) -> bool:
+        """Returns whether a holder's own word outweighs another's.
+
+        With equal attempts the first stands: a host whose stream was taken
+        over while it was frozen may still claim it.
+        """
+        return (
+            new.attempt > row.entry.attempt
+            or not self._holder_is_live(row.entry)
+            or row.renewed_at < self._blackboard.quorum_gap_at
+        )
+
     def _holder_is_live(self, entry: DirectoryEntry) -> bool:
         if entry.host == self._blackboard.host:
             return entry.incarnation == self._blackboard.incarnation
@@ -253,6 +269,25 @@
                 if served.home and not served.taken_over:
                     self._start(self._rebuild(served))
 
+    async def take_over(self, served: ServedRequest) -> DirectoryReply:
+        """Registers a request that another host may hold.
+
+        The host that died may also have been the home, so this waits for the
+        next one.
+
+        Raises:
+            OutcomeError: DIRECTORY_UNAVAILABLE, when no home gave an answer.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + TAKEOVER_PATIENCE_S
+        while True:
+            try:
+                return await self.register(served, takeover=True)
+            except OutcomeError:
+                if loop.time() >= give_up_at:
+                    raise
+            await asyncio.sleep(TAKEOVER_RETRY_S)
+
     async def register(
         self, served: ServedRequest, takeover: bool = False
     ) -> DirectoryReply:
--- a/mustardscale/exceptions.py
+++ b/mustardscale/exceptions.py
@@ -74,6 +74,10 @@
     """A peer could not be reached or did not answer in time."""
 
 
+class PeerGoneError(PeerUnavailableError):
+    """Nothing listens at the peer's address: its process has ended."""
+
+
 class PeerCallError(PeerUnavailableError):
     """The peer answered that it could not serve the call.
 
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -32,6 +32,7 @@
     OutcomeError,
 )
 from mustardscale.limits import ServiceLimits
+from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers import AdmitReply, DirectoryEntry
@@ -49,9 +50,6 @@
 REFUSAL_PAUSE_S = 0.02
 # Distance to an attempt number that an engine has not seen cancelled.
 ATTEMPT_SKIP = 16
-# Seconds without an answer to a majority of heartbeats after which this host
-# asks the directory before it sends more to a caller.
-LEASE_S = 2.0
 LEAVING_MEMORY_S = 30.0
 
 
@@ -184,8 +182,11 @@
         # Set before the first await, so that a second send sees it.
         self._blackboard.served_by_id[request.id] = served
         try:
-            takeover = request.resume_after is not None
-            reply = await self._directory.register(served, takeover)
+            if request.resume_after is None:
+                reply = await self._directory.register(served)
+            else:
+                reply = await self._directory.take_over(served)
+            served.confirmed_at = asyncio.get_running_loop().time()
             check_reply(reply, served)
             if served.taken_over:
                 raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
@@ -221,6 +222,7 @@
             self._blackboard.host,
             self._blackboard.incarnation,
         )
+        served.previous_holder = found.host
         if request.resume_after is not None:
             served.decode = found.decode
 
@@ -306,12 +308,15 @@
         """
         if served.taken_over:
             raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
+        board = self._blackboard
         now = asyncio.get_running_loop().time()
-        if now - self._blackboard.quorum_at <= LEASE_S:
+        is_fresh = now - board.quorum_at <= QUORUM_LEASE_S
+        if is_fresh and served.confirmed_at >= board.quorum_gap_at:
             return
         if not await self._directory.confirm(served):
             served.taken_over = True
             raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
+        served.confirmed_at = now
 
     async def _attempt(
         self,
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 
 from mustardscale.blackboard import (
@@ -24,6 +25,10 @@
 # Seconds for which a peer's or an endpoint's own word that it is leaving
 # outweighs a host list that does not say so yet.
 LEAVING_MEMORY_S = 30.0
+# A host answers for others' sake, as a home or as the holder of a stream, only
+# if a majority of the listed hosts answered a heartbeat that it sent within
+# this time, seconds. Less than the silence after which it counts as dead.
+QUORUM_LEASE_S = 2.0
 # Hosts unlisted and silent for this long are forgotten, seconds.
 FORGET_AFTER_S = 60.0
 
@@ -301,7 +306,11 @@
         needed = (len(listed) + 1) // 2
         newest_first = sorted(answered, reverse=True)
         quorum_at = newest_first[needed - 1] if needed else now
-        self._blackboard.quorum_at = max(self._blackboard.quorum_at, quorum_at)
+        board = self._blackboard
+        had_quorum = math.isfinite(board.quorum_at)
+        if had_quorum and quorum_at - board.quorum_at > QUORUM_LEASE_S:
+            board.quorum_gap_at = now
+        board.quorum_at = max(board.quorum_at, quorum_at)
 
 
 def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
--- a/mustardscale/peer_connections.py
+++ b/mustardscale/peer_connections.py
@@ -11,6 +11,7 @@
 from mustardscale.exceptions import (
     PeerCallError,
     PeerFrameError,
+    PeerGoneError,
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
@@ -150,6 +151,7 @@
         self._connecting = asyncio.Lock()
         self._failures = 0
         self._retry_at = 0.0
+        self._error_type = PeerUnavailableError
         self._closing = False
 
     @property
@@ -162,7 +164,7 @@
 
         Raises:
             PeerUnavailableError: the attempt failed, or the last one failed
-                a short time ago.
+                a short time ago; a PeerGoneError if it was refused.
         """
         now = asyncio.get_running_loop().time()
         self.used_at = now
@@ -173,7 +175,7 @@
                 return self._connection
             wait_s = self._retry_at - asyncio.get_running_loop().time()
             if wait_s > 0:
-                raise PeerUnavailableError(
+                raise self._error_type(
                     f'{self._host} failed; next attempt in {wait_s:.3f} s'
                 )
             connection = await self._attempt()
@@ -205,8 +207,12 @@
                 connection = await self._open()
         except (PeerFrameError, GreetingError, *CONNECTION_LOST) as error:
             self._back_off()
+            refused = isinstance(error, ConnectionRefusedError)
+            self._error_type = (
+                PeerGoneError if refused else PeerUnavailableError
+            )
             log.info('no connection to %s: %r', self._host, error)
-            raise PeerUnavailableError(
+            raise self._error_type(
                 f'no connection to {self._host}: {error!r}'
             ) from error
         self._failures = 0
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+from collections.abc import Iterator
 
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.engines import StreamTag
-from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.engines import StreamStage, StreamTag
+from mustardscale.exceptions import (
+    MustardscaleError,
+    OutcomeError,
+    PeerGoneError,
+    PeerUnavailableError,
+)
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import (
@@ -21,14 +29,22 @@
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.0
+RELEASE_RETRY_S = 0.1
 
 
 class Resumption:
     """Finds and takes over streams that other hosts served."""
 
-    def __init__(self, blackboard: Blackboard, calls: PeerCalls):
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        clients: EndpointClients,
+    ):
         self._blackboard = blackboard
         self._calls = calls
+        self._clients = clients
+        self._located_by_request_id: dict[str, asyncio.Event] = {}
         calls.handle(StreamRelease, self._on_release)
 
     async def locate(self, served: ServedRequest, model: str) -> None:
@@ -42,19 +58,39 @@
             for host in self._blackboard.live_hosts()
             if host != self._blackboard.host
         ]
-        released = await asyncio.gather(
-            *(self._release_at(host, served.id) for host in hosts)
-        )
+        # Those that resume the same stream at once let go in the order of the
+        # directory, each of the one before it.
+        holders = hosts
+        if served.previous_holder:
+            holders = [host for host in hosts if host == served.previous_holder]
+        with self._locating(served.id):
+            released = await asyncio.gather(
+                *(self._release_at(host, served.id) for host in holders)
+            )
         for reply in released:
             if reply is not None and reply.released and reply.decode:
                 self._adopt(served, reply.attempt, reply.prefill, reply.decode)
         if not served.decode:
             await self._look_up(served, hosts)
+        if not served.decode:
+            await self._ask_engines(served, model)
         if not served.decode or served.tag is None:
             raise OutcomeError(Outcome.NOTHING_TO_RESUME)
         if not served.prefill:
             served.prefill = served.decode
 
+    @contextlib.contextmanager
+    def _locating(self, request_id: str) -> Iterator[None]:
+        """Keeps a host that resumes the same stream next waiting."""
+        located = asyncio.Event()
+        self._located_by_request_id[request_id] = located
+        try:
+            yield
+        finally:
+            located.set()
+            if self._located_by_request_id.get(request_id) is located:
+                del self._located_by_request_id[request_id]
+
     def let_go(self, request_id: str) -> ServedRequest | None:
         """Stops serving a request here because its caller is elsewhere."""
         served = self._blackboard.served_by_id.pop(request_id, None)
@@ -79,16 +115,27 @@
     async def _release_at(
         self, host: str, request_id: str
     ) -> StreamReleaseReply | None:
-        try:
-            return await self._calls.call(
-                host,
-                StreamRelease(request_id),
-                StreamReleaseReply,
-                CALL_TIMEOUT_S,
-            )
-        except PeerUnavailableError as error:
-            log.debug('host %s not asked for %s: %s', host, request_id, error)
-            return None
+        """Asks a host to let go of a request.
+
+        The holder may be frozen and go on later with what it has received. So
+        it is asked until it answers, is gone, or has been silent for so long
+        that it will ask the directory before it sends more to its caller.
+        """
+        while True:
+            try:
+                return await self._calls.call(
+                    host,
+                    StreamRelease(request_id),
+                    StreamReleaseReply,
+                    CALL_TIMEOUT_S,
+                )
+            except PeerGoneError:
+                return None
+            except PeerUnavailableError as error:
+                log.debug('host %s keeps %s: %s', host, request_id, error)
+            if host not in self._blackboard.live_hosts():
+                return None
+            await asyncio.sleep(RELEASE_RETRY_S)
 
     async def _look_up(self, served: ServedRequest, hosts: list[str]) -> None:
         """Asks the pool owners, which remember reservations."""
@@ -110,9 +157,48 @@
                 served, stream.tag.attempt, stream.prefill, stream.decode
             )
 
+    async def _ask_engines(self, served: ServedRequest, model: str) -> None:
+        """Asks the engines themselves, for when those who knew have died."""
+        engine_ids = [
+            endpoint.id
+            for endpoint in self._blackboard.endpoints_by_id.values()
+            if endpoint.model == model
+        ]
+        found = await asyncio.gather(
+            *(
+                self._attempt_at(engine_id, served.id)
+                for engine_id in engine_ids
+            )
+        )
+        for engine_id, attempt in zip(engine_ids, found, strict=True):
+            if attempt is not None:
+                self._adopt(served, attempt, '', engine_id)
+
+    async def _attempt_at(self, engine_id: str, request_id: str) -> int | None:
+        """Returns which attempt at a request an engine decodes, if any."""
+        engine = self._clients.engine(engine_id)
+        if engine is None:
+            return None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                streams = await engine.streams()
+        except (MustardscaleError, TimeoutError) as error:
+            log.debug('streams of %s not read: %s', engine_id, error)
+            return None
+        attempts = [
+            info.tag.attempt
+            for info in streams
+            if info.tag.request_id == request_id
+            and info.stage in (StreamStage.DECODE, StreamStage.FINISHED)
+        ]
+        return max(attempts, default=None)
+
     async def _on_release(
         self, sender: str, request: StreamRelease
     ) -> StreamReleaseReply:
+        located = self._located_by_request_id.get(request.request_id)
+        if located is not None:
+            await located.wait()
         served = self.let_go(request.request_id)
         if served is None or served.tag is None:
             return StreamReleaseReply(released=served is not None)
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -189,7 +189,7 @@
             board,
             admission,
             directory,
-            Resumption(board, calls),
+            Resumption(board, calls, clients),
             clients,
             self._canceller,
             limits,
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -28,6 +28,7 @@
 LANGUAGE_PROFILE = Profile(first_token_s=2.0, patience_s=20.0)
 PLAIN_PROFILE = Profile(first_token_s=1.0, timeout_s=10.0)
 MAX_TOKENS = 800
+FEW_TOKENS = 20
 
 
 def on_site(test):
@@ -51,11 +52,11 @@
 
 
 def long_text(number, tokens, repeats=40):
-    """Returns a text whose answer has at least so many tokens."""
+    """Returns a text whose answer has at least so many tokens, a few more."""
     while True:
         text = f'question {number} of a caller ' * repeats
         fingerprint = prompt_from_text(f'user: {text}\n').fingerprint
-        if output_length(fingerprint, MAX_TOKENS) >= tokens:
+        if 0 <= output_length(fingerprint, MAX_TOKENS) - tokens <= FEW_TOKENS:
             return text
         number += 1000
 
