--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -226,8 +226,17 @@
                 changes = changes | {'lag_s': 0.0}
                 del changes['lose_next_answers']
         url = f'http://{address}/faults'
-        async with self.session.post(url, json=changes) as answer:
-            assert answer.status == 200, await answer.text()
+
+        async def ended():
+            try:
+                async with self.session.post(url, json=changes) as answer:
+                    assert answer.status == 200, await answer.text()
+            except aiohttp.ClientError:
+                return False
+            return True
+
+        # An endpoint that crashed comes back after a time.
+        await self.until(ended, HEALTHY_S)
 
     async def _is_whole(self):
         """Returns whether every host is ready and hears every other."""
