Take requests until the balancer has seen that a host leaves

Cause: a host refused requests with 1003 from the moment its stop began, although it waits a second for the balancer; and the home of an id that is leaving answers nothing, which the asking host passed on as 1007. Ruled out: late readiness of the new host, since no refusal came from one. Now requests are taken during the notice, and the next home is asked for up to a second.

--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -43,7 +43,9 @@
 # Time for which a caller that resumes waits for the death of its id's home to
 # be noticed and for the next home to settle, seconds.
 TAKEOVER_PATIENCE_S = 7.0
-TAKEOVER_RETRY_S = 0.2
+# The same for any other request, and for a home that is leaving.
+HANDOVER_PATIENCE_S = 1.0
+REGISTER_RETRY_S = 0.1
 EXPIRY_INTERVAL_S = 5.0
 
 
@@ -269,33 +271,40 @@
                 if served.home and not served.taken_over:
                     self._start(self._rebuild(served))
 
-    async def take_over(self, served: ServedRequest) -> DirectoryReply:
-        """Registers a request that another host may hold.
+    async def register(
+        self, served: ServedRequest, takeover: bool = False
+    ) -> DirectoryReply:
+        """Registers a request before anything is done for it.
+
+        The home may be leaving, so the next one is asked too. A caller that
+        resumes waits longer: with the host of its stream the home may have
+        died.
 
-        The host that died may also have been the home, so this waits for the
-        next one.
+        Args:
+            served: the request.
+            takeover: whether its caller resumes what another host may hold.
 
         Raises:
             OutcomeError: DIRECTORY_UNAVAILABLE, when no home gave an answer.
         """
         loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + TAKEOVER_PATIENCE_S
-        while True:
-            try:
-                return await self.register(served, takeover=True)
-            except OutcomeError:
-                if loop.time() >= give_up_at:
-                    raise
-            await asyncio.sleep(TAKEOVER_RETRY_S)
+        patience_s = TAKEOVER_PATIENCE_S if takeover else HANDOVER_PATIENCE_S
+        give_up_at = loop.time() + patience_s
+        try:
+            while True:
+                try:
+                    return await self._ask_home(served, takeover)
+                except OutcomeError:
+                    if loop.time() >= give_up_at:
+                        raise
+                await asyncio.sleep(REGISTER_RETRY_S)
+        except BaseException:
+            self.remove(served, done=False)
+            raise
 
-    async def register(
-        self, served: ServedRequest, takeover: bool = False
+    async def _ask_home(
+        self, served: ServedRequest, takeover: bool
     ) -> DirectoryReply:
-        """Registers a request before anything is done for it.
-
-        Raises:
-            OutcomeError: DIRECTORY_UNAVAILABLE, when the home gave no answer.
-        """
         home = owner(served.id, self._blackboard.serving_hosts())
         # The home may act although its reply is lost; remove() needs to know.
         served.home = home
@@ -305,13 +314,9 @@
                 home, request, DirectoryReply, CALL_TIMEOUT_S * 2
             )
         except PeerUnavailableError as error:
-            self.remove(served, done=False)
             raise OutcomeError(
                 Outcome.DIRECTORY_UNAVAILABLE, str(error), RETRY_AFTER_S
             ) from error
-        except asyncio.CancelledError:
-            self.remove(served, done=False)
-            raise
         if not reply.accepted and not reply.found:
             raise OutcomeError(
                 Outcome.DIRECTORY_UNAVAILABLE, retry_after_s=RETRY_AFTER_S
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -182,10 +182,8 @@
         # Set before the first await, so that a second send sees it.
         self._blackboard.served_by_id[request.id] = served
         try:
-            if request.resume_after is None:
-                reply = await self._directory.register(served)
-            else:
-                reply = await self._directory.take_over(served)
+            takeover = request.resume_after is not None
+            reply = await self._directory.register(served, takeover)
             served.confirmed_at = asyncio.get_running_loop().time()
             check_reply(reply, served)
             if served.taken_over:
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -331,7 +331,7 @@
     @contextlib.contextmanager
     def _counting(self, service: str) -> Iterator[None]:
         """Counts a request as active and records its outcome."""
-        if self.blackboard.draining:
+        if not self._accepting:
             raise OutcomeError(
                 Outcome.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
             )
