Ask all hosts to let go where the directory names only this one

Cause: a takeover is registered again when its reply is lost; the home then names the asking host itself as the holder, and the host that really held the stream was not asked to let go.

--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -220,7 +220,10 @@
             self._blackboard.host,
             self._blackboard.incarnation,
         )
-        served.previous_holder = found.host
+        # An entry of this host may be from a registration whose reply was
+        # lost; then it does not say who held the request before.
+        if found.host != self._blackboard.host:
+            served.previous_holder = found.host
         if request.resume_after is not None:
             served.decode = found.decode
 
