Keep as many earned retries as an engine's crash costs

Cause: a host kept three earned retries at most, so when an engine died with a dozen streams of one host in flight, those behind the third ended as 2001. Weighed: more retries from the start, which would let a general failure exceed 1.1 attempts for each request. The retries from the start stay at three; up to 25 earned ones are now kept.

Before: an innocent request in the batch of a poison request ended as 2001.

--- a/mustardscale/limits.py
+++ b/mustardscale/limits.py
@@ -14,6 +14,8 @@
 RETRY_AFTER_S = 1.0
 # Retries permitted to a service with little traffic, for each minute.
 RETRY_MINIMUM = 3
+# Earned retries kept: an engine that dies takes about this many streams along.
+RETRY_CAPACITY = 25
 
 
 class ServiceLimits:
@@ -103,14 +105,18 @@
     def _retries(self, service: str, profile: Profile) -> RetryBudget:
         share = profile.retry_share
         known_share, budget = self._retries_by_service.get(
-            service, (None, RetryBudget(share, RETRY_MINIMUM))
+            service, (None, _budget(share))
         )
         if known_share != share:
-            budget = RetryBudget(share, RETRY_MINIMUM)
+            budget = _budget(share)
             self._retries_by_service[service] = (share, budget)
         return budget
 
 
+def _budget(share: float) -> RetryBudget:
+    return RetryBudget(share, RETRY_MINIMUM, RETRY_CAPACITY)
+
+
 def _share(limit: int, hosts: int) -> int:
     """Returns one host's share of a limit, at least 1 if there is a limit.
 
--- a/mustardscale/token_bucket.py
+++ b/mustardscale/token_bucket.py
@@ -56,7 +56,7 @@
 class RetryBudget:
     """Permits retries as a share of the requests.
 
-    In any run of n requests at most minimum + 1 + share * n retries are
+    In any run of n requests at most capacity + share * n retries are
     permitted, and from the start at most minimum + share * n: with a minimum
     of 0 and a share of 0.1 the endpoints see at most 1.1 attempts for each
     request when all fail.
@@ -64,16 +64,17 @@
 
     __slots__ = ('_capacity', '_credit', '_deposit')
 
-    def __init__(self, share: float, minimum: int = 0):
+    def __init__(self, share: float, minimum: int = 0, capacity: int = 1):
         """Makes a budget.
 
         Args:
             share: retries earned by each request.
             minimum: retries that are permitted before any are earned.
+            capacity: earned retries that are kept at most, if above minimum.
         """
         self._deposit = int(share * _MICRO + 0.5)
         self._credit = minimum * _MICRO
-        self._capacity = max(minimum, 1) * _MICRO
+        self._capacity = max(minimum, capacity) * _MICRO
 
     def request(self) -> None:
         """Counts a request's first attempt."""
--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -21,11 +21,11 @@
 LEDGER = 'katode-ledger'
 
 
-def run(scenario, profile=None):
+def run(scenario, profile=None, layout=None):
     """Runs a coroutine function with a started site on a paused clock."""
 
     async def main():
-        site = MemorySite(SiteLayout(), seed=1)
+        site = MemorySite(layout or SiteLayout(), seed=1)
         await site.start()
         await site.publish_defaults(
             profile or Profile(patience_s=5), Profile(timeout_s=5)
