Forget slow decode steps while a pool is idle

Cause: the fit of the decode step's time learns only from steps. Ruled out: the learnt rate of links, which was back at its nominal value, and memory, which was free. An idle pool now forgets 5% at each report.

--- a/mustardscale/load_estimate.py
+++ b/mustardscale/load_estimate.py
@@ -44,12 +44,21 @@
 
     def observe(self, x: float, y: float) -> None:
         """Takes in an observation."""
-        keep = 1 - 1 / FIT_MEMORY
-        self._n = self._n * keep + 1
-        self._sx = self._sx * keep + x
-        self._sy = self._sy * keep + y
-        self._sxx = self._sxx * keep + x * x
-        self._sxy = self._sxy * keep + x * y
+        self.fade(1 / FIT_MEMORY)
+        self._n += 1
+        self._sx += x
+        self._sy += y
+        self._sxx += x * x
+        self._sxy += x * y
+
+    def fade(self, share: float) -> None:
+        """Forgets a share; without observations the prior returns."""
+        keep = 1 - share
+        self._n *= keep
+        self._sx *= keep
+        self._sy *= keep
+        self._sxx *= keep
+        self._sxy *= keep
 
     def line(self) -> tuple[float, float]:
         """Returns the intercept and the slope."""
--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -20,6 +20,8 @@
 
 PIECE_TOKENS = 2_000
 DEFAULT_PIECES = 64
+# Share of the learnt step time forgotten at each report of an idle pool.
+IDLE_FADE = 0.05
 # Prior of a decode step: base, and part of each stream, seconds.
 STEP_BASE_S = 0.012
 STEP_PER_STREAM_S = 0.0006
@@ -134,6 +136,9 @@
         foreign.observe(report, present_pieces(memory, needs), now)
         if report.active > 0 and report.step_s > 0:
             self._step_fit.observe(report.active, report.step_s)
+        elif not pool.reservations_by_request_id:
+            # Steps that were slow once must not keep all work away for ever.
+            self._step_fit.fade(IDLE_FADE)
 
     def rooms(self, pool: PoolState, now: float) -> dict[str, EngineRoom]:
         """Returns the usable decode engines by id."""
