--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -213,6 +213,7 @@
         region: this host's region.
         draining: whether this host is shutting down.
         config: the folded configuration.
+        host_list_read: whether the host list was ever read.
         hosts_by_id: the other entry hosts.
         endpoints_by_id: all endpoints.
         served_by_id: requests whose callers are connected here.
@@ -234,6 +235,7 @@
         'draining',
         'endpoints_by_id',
         'host',
+        'host_list_read',
         'hosts_by_id',
         'incarnation',
         'membership_changed',
@@ -253,6 +255,7 @@
         self.region = region
         self.draining = False
         self.config = ConfigState()
+        self.host_list_read = False
         self.hosts_by_id: dict[str, HostEntry] = {}
         self.endpoints_by_id: dict[str, EndpointEntry] = {}
         self.served_by_id: dict[str, ServedRequest] = {}
--- /dev/null
+++ b/mustardscale/directory_client.py
@@ -0,0 +1,231 @@
+"""Registers this host's requests with the homes of their ids."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from mustardscale.blackboard import Blackboard, ServedRequest
+from mustardscale.controller import Controller, pause
+from mustardscale.directory import (
+    CALL_TIMEOUT_S,
+    REBUILD_PAUSE_S,
+    REBUILD_TIMEOUT_S,
+    REBUILD_TRIES,
+)
+from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import (
+    Acknowledgement,
+    DirectoryEntry,
+    DirectoryRegister,
+    DirectoryRemove,
+    DirectoryReply,
+)
+from mustardscale.rendezvous import owner, rank
+
+log = logging.getLogger(__name__)
+
+# Interval at which a host registers again what it still serves, seconds.
+RENEWAL_S = 10.0
+RETRY_AFTER_S = 2.0
+# Time for which a caller that resumes waits for the death of its id's home to
+# be noticed and for the next home to settle, seconds.
+TAKEOVER_PATIENCE_S = 7.0
+# The same for any other request, and for a home that is leaving.
+HANDOVER_PATIENCE_S = 1.0
+REGISTER_RETRY_S = 0.1
+
+
+class DirectoryClient(Controller):
+    """Registers the requests that this host serves with their homes."""
+
+    def __init__(
+        self, blackboard: Blackboard, calls: PeerCalls, rng: random.Random
+    ):
+        self._blackboard = blackboard
+        self._calls = calls
+        self._rng = rng
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Registers again, at a fixed interval, what is still served."""
+        while True:
+            await pause(RENEWAL_S, self._rng)
+            for served in list(self._blackboard.served_by_id.values()):
+                if served.home and not served.taken_over:
+                    self._start(self._rebuild(served))
+
+    async def register(
+        self, served: ServedRequest, takeover: bool = False
+    ) -> DirectoryReply:
+        """Registers a request before anything is done for it.
+
+        The home may be leaving, so the next one is asked too. A caller that
+        resumes waits longer: with the host of its stream the home may have
+        died.
+
+        Args:
+            served: the request.
+            takeover: whether its caller resumes what another host may hold.
+
+        Raises:
+            OutcomeError: DIRECTORY_UNAVAILABLE, when no home gave an answer.
+        """
+        loop = asyncio.get_running_loop()
+        patience_s = TAKEOVER_PATIENCE_S if takeover else HANDOVER_PATIENCE_S
+        give_up_at = loop.time() + patience_s
+        try:
+            while True:
+                try:
+                    return await self._ask_home(served, takeover)
+                except OutcomeError:
+                    if loop.time() >= give_up_at:
+                        raise
+                await asyncio.sleep(REGISTER_RETRY_S)
+        except BaseException:
+            self.remove(served, done=False)
+            raise
+
+    async def _ask_home(
+        self, served: ServedRequest, takeover: bool
+    ) -> DirectoryReply:
+        home = owner(served.id, self._blackboard.serving_hosts())
+        # The home may act although its reply is lost; remove() needs to know.
+        served.home = home
+        request = DirectoryRegister(self._entry(served), takeover)
+        try:
+            reply = await self._calls.call(
+                home, request, DirectoryReply, CALL_TIMEOUT_S * 2
+            )
+        except PeerUnavailableError as error:
+            raise OutcomeError(
+                Outcome.DIRECTORY_UNAVAILABLE, str(error), RETRY_AFTER_S
+            ) from error
+        if not reply.accepted and not reply.found:
+            raise OutcomeError(
+                Outcome.DIRECTORY_UNAVAILABLE, retry_after_s=RETRY_AFTER_S
+            )
+        return reply
+
+    def update(self, served: ServedRequest) -> None:
+        """Tells the home of a new attempt or endpoint, without waiting."""
+        self._start(self._rebuild(served))
+
+    def remove(self, served: ServedRequest, done: bool) -> None:
+        """Ends a registration, without waiting.
+
+        That an id was answered must outlive its home: this host and the one
+        that would be the next home remember it too.
+        """
+        if not served.home:
+            return
+        self._start(self._remove(served, done))
+        if done:
+            ranked = rank(served.id, self._blackboard.serving_hosts())
+            hosts = {*ranked[:2], self._blackboard.host} - {served.home}
+            for host in sorted(hosts):
+                self._start(self._copy(served, host))
+
+    async def _copy(self, served: ServedRequest, host: str) -> None:
+        entry = dataclasses.replace(self._entry(served), done=True)
+        request = DirectoryRegister(entry, rebuild=True)
+        try:
+            await self._calls.call(
+                host, request, DirectoryReply, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('end of %s not copied to %s: %s', served.id, host, error)
+
+    def follow_membership(self) -> None:
+        """Registers requests again whose home has changed."""
+        hosts = self._blackboard.serving_hosts()
+        for served in list(self._blackboard.served_by_id.values()):
+            home = owner(served.id, hosts)
+            if served.home and served.home != home and not served.taken_over:
+                served.home = home
+                self._start(self._rebuild(served))
+
+    async def confirm(self, served: ServedRequest) -> bool:
+        """Asks the home whether this host still holds a request.
+
+        Used after a pause of this process, before more is sent to the caller.
+        """
+        request = DirectoryRegister(self._entry(served))
+        try:
+            home = owner(served.id, self._blackboard.serving_hosts())
+            reply = await self._calls.call(
+                home, request, DirectoryReply, CALL_TIMEOUT_S * 2
+            )
+        except PeerUnavailableError:
+            return False
+        return reply.accepted
+
+    def _entry(self, served: ServedRequest) -> DirectoryEntry:
+        return DirectoryEntry(
+            request_id=served.id,
+            fingerprint=served.fingerprint,
+            host=self._blackboard.host,
+            incarnation=self._blackboard.incarnation,
+            attempt=served.tag.attempt if served.tag else 0,
+            decode=served.decode,
+        )
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _rebuild(self, served: ServedRequest) -> None:
+        """Registers with the present home, before it answers for the id."""
+        home = served.home
+        for _ in range(REBUILD_TRIES):
+            held = self._blackboard.served_by_id.get(served.id) is served
+            if not held or served.home != home:
+                return
+            request = DirectoryRegister(self._entry(served), rebuild=True)
+            try:
+                await self._calls.call(
+                    home, request, DirectoryReply, REBUILD_TIMEOUT_S
+                )
+            except PeerUnavailableError as error:
+                log.debug('request %s not registered: %s', served.id, error)
+                await pause(REBUILD_PAUSE_S, self._rng)
+            else:
+                return
+
+    async def _remove(self, served: ServedRequest, done: bool) -> None:
+        request = DirectoryRemove(
+            served.id,
+            self._blackboard.host,
+            self._blackboard.incarnation,
+            served.tag.attempt if served.tag else 0,
+            done,
+        )
+        try:
+            await self._calls.call(
+                served.home, request, Acknowledgement, CALL_TIMEOUT_S
+            )
+        except PeerUnavailableError as error:
+            log.debug('request %s not removed: %s', served.id, error)
+
+
+def check_reply(reply: DirectoryReply, served: ServedRequest) -> None:
+    """Turns a directory's refusal into the caller's outcome.
+
+    Raises:
+        OutcomeError: another send of the id is or was served.
+    """
+    if reply.accepted:
+        return
+    found = reply.found[0]
+    if found.fingerprint != served.fingerprint:
+        raise OutcomeError(Outcome.REQUEST_ID_REUSED)
+    if found.done:
+        raise OutcomeError(Outcome.ALREADY_COMPLETED)
+    raise OutcomeError(Outcome.ALREADY_IN_PROGRESS)
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -13,7 +13,7 @@
 from mustardscale.cancellation import Canceller
 from mustardscale.config_records import Profile
 from mustardscale.deadline import until
-from mustardscale.directory import DirectoryClient, check_reply
+from mustardscale.directory_client import DirectoryClient, check_reply
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.engines import (
     REFUSED_LEAVING,
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -39,11 +39,14 @@
 
     Attributes:
         heartbeat_s: between heartbeats to a peer.
+        answer_s: wait for an answer, after which the next one is sent; so a
+            lost message does not let a peer look dead.
         dead_after_s: silence after which a peer counts as dead.
         host_list_s: between reads of the host list.
     """
 
     heartbeat_s: float = 0.5
+    answer_s: float = 0.75
     dead_after_s: float = 2.5
     host_list_s: float = 1.0
 
@@ -79,6 +82,7 @@
 
     def apply(self, listed: list[ListedHost]) -> None:
         """Merges one reading of the list."""
+        self._blackboard.host_list_read = True
         now = asyncio.get_running_loop().time()
         changed = self._apply_hosts(listed, now)
         if listed is not self._applied:
@@ -223,7 +227,7 @@
         sent_at = asyncio.get_running_loop().time()
         try:
             reply = await self._calls.call(
-                host, self.heartbeat(), Heartbeat, self._times.dead_after_s
+                host, self.heartbeat(), Heartbeat, self._times.answer_s
             )
         except PeerUnavailableError as error:
             log.debug('no heartbeat from %s: %s', host, error)
@@ -292,7 +296,13 @@
             self._blackboard.membership_changed.notify()
 
     def _update_quorum(self) -> None:
-        """Finds the newest send time that a majority has answered."""
+        """Finds the newest send time that a majority has answered.
+
+        A host that has not read the list yet does not know its peers, and so
+        has no majority, also when it hears nobody.
+        """
+        if not self._blackboard.host_list_read:
+            return
         now = asyncio.get_running_loop().time()
         listed = [
             host.id
--- a/mustardscale/plain_calls.py
+++ b/mustardscale/plain_calls.py
@@ -12,11 +12,8 @@
 from mustardscale.claim_state import ClaimRecord
 from mustardscale.claims import Claims
 from mustardscale.config_records import Profile
-from mustardscale.directory import (
-    ENDED_MEMORY_S,
-    DirectoryClient,
-    check_reply,
-)
+from mustardscale.directory import ENDED_MEMORY_S
+from mustardscale.directory_client import DirectoryClient, check_reply
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.exceptions import (
     EndpointFailedError,
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -20,7 +20,8 @@
     SnapshotController,
 )
 from mustardscale.controller import Controller, keep_running
-from mustardscale.directory import DirectoryClient, DirectoryHome
+from mustardscale.directory import DirectoryHome
+from mustardscale.directory_client import DirectoryClient
 from mustardscale.endpoint_clients import EndpointClients, EndpointConnector
 from mustardscale.engine_watch import EngineWatch
 from mustardscale.engines import TokenEvent
@@ -274,7 +275,8 @@
     def is_ready(self) -> bool:
         """Returns whether new requests are taken."""
         board = self.blackboard
-        return not board.draining and bool(board.config.services_by_name)
+        known = board.host_list_read and bool(board.config.services_by_name)
+        return known and not board.draining
 
     def authenticate(self, bearer_token: str) -> str:
         """Returns the service that a bearer token belongs to."""
--- a/standins/fault_callers.py
+++ b/standins/fault_callers.py
@@ -293,6 +293,8 @@
     def _check_refusal(self, record: CallerRecord, send: Send) -> None:
         """Notes a refusal as not run of a booking that has run."""
         request_id = record.request.id
+        if getattr(record.request, 'idempotent', True):
+            return
         runs = sum(
             plain.counters.executions_by_id.get(request_id, 0)
             for plain in self._site.plains_by_id.values()
--- a/standins/fault_runs.py
+++ b/standins/fault_runs.py
@@ -32,8 +32,6 @@
     unknown_share,
 )
 
-log = logging.getLogger(__name__)
-
 WARM_UP_S = 5.0
 # The system must serve again this long after the last fault, seconds.
 RECOVERY_S = 15.0
@@ -90,6 +88,29 @@
             faulthandler.cancel_dump_traceback_later()
 
 
+class ControllerFailures(logging.Handler):
+    """Collects the unexpected errors of controllers."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self._texts: list[str] = []
+        self._logger = logging.getLogger('mustardscale.controller')
+        self._level = self._logger.level
+        self._logger.setLevel(logging.ERROR)
+        self._logger.addHandler(self)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Notes the error of one log entry."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._texts.append(f'{record.getMessage()}: {error!r}')
+
+    def end(self) -> list[str]:
+        """Stops collecting and returns the errors."""
+        self._logger.removeHandler(self)
+        self._logger.setLevel(self._level)
+        return self._texts
+
+
 async def _run(seed: int, faults: list[Fault] | None) -> RunReport:
     rng = random.Random(seed)
     drawn = draw_faults(rng)
@@ -104,6 +125,7 @@
     checks = PromiseChecks(site, actions, callers)
     operators = FaultOperators(site, random.Random(rng.random()))
     sampling = asyncio.create_task(checks.run())
+    failures = ControllerFailures()
     async with asyncio.TaskGroup() as group:
         for fault in faults:
             group.create_task(actions.carry_out(fault))
@@ -114,6 +136,8 @@
     checks.judge()
     for text in operators.judge():
         checks.report_config(text)
+    for text in failures.end():
+        checks.require_recovery('controller', text)
     sampling.cancel()
     report = _report(seed, faults, callers, checks)
     await site.stop()
@@ -241,5 +265,6 @@
 
 if __name__ == '__main__':
     _fix_hash_seed()
-    logging.disable(logging.CRITICAL)
+    logging.getLogger('mustardscale').setLevel(logging.CRITICAL)
+    logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     sys.exit(main(sys.argv[1:]))
--- a/tests/test_promises_answers.py
+++ b/tests/test_promises_answers.py
@@ -94,6 +94,29 @@
 
         run(scenario)
 
+    def test_registration_with_the_new_home_is_lost(self):
+        async def scenario(site):
+            request = with_homes(site, 'entry-3', 'entry-5')
+            request.max_tokens = 4000
+            for engine in site.engines_by_id.values():
+                engine.faults.slow_factor = 100.0
+            host = site.routers_by_host['entry-1']
+            first = asyncio.create_task(answer(host, request))
+            await asyncio.sleep(1)
+            await site.kill_host('entry-3')
+            await asyncio.sleep(2)
+            site.peers.cut('entry-1', 'entry-5')
+            await asyncio.sleep(1.5)
+            site.peers.restore('entry-1', 'entry-5')
+            other = site.routers_by_host['entry-2']
+            second = asyncio.create_task(outcome_of(answer(other, request)))
+            done, _ = await asyncio.wait([second], timeout=10)
+            assert done
+            assert second.result() is Outcome.ALREADY_IN_PROGRESS
+            first.cancel()
+
+        run(scenario)
+
     def test_a_late_first_attempt_is_refused(self):
         async def scenario(site):
             request = language(4)
