Agree on who is live while two hosts are cut from each other

Ruled out: the home's own rules, which held on each side. Heartbeats now tell whom the sender hears and since when; a host that others hear counts as live. A release goes through the other peers when the direct way is cut.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -48,6 +48,7 @@
         listed: whether the host list names it.
         draining: whether it takes no new requests.
         heard_at: loop time of the last heartbeat.
+        told_at: loop time of the last heartbeat that a peer tells of.
         config_offset: configuration offset that it had folded then.
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
@@ -61,6 +62,7 @@
     listed: bool = True
     draining: bool = False
     heard_at: float = -math.inf
+    told_at: float = -math.inf
     config_offset: int = 0
     silent: bool = True
     silent_since: float = -math.inf
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import random
+from collections.abc import Iterator
 
 from mustardscale.blackboard import (
     Blackboard,
@@ -18,7 +19,7 @@
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.host_list import HostList, ListedHost, ListedKind
 from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import Heartbeat, Quarantine
+from mustardscale.peers import HeardHost, Heartbeat, Quarantine
 
 log = logging.getLogger(__name__)
 
@@ -221,8 +222,16 @@
             config_digest=board.config.digest(),
             leaving=tuple(leaving),
             quarantined=tuple(quarantined),
+            heard=tuple(self._heard_hosts(now)),
         )
 
+    def _heard_hosts(self, now: float) -> Iterator[HeardHost]:
+        """Yields the hosts that this host hears itself."""
+        for host in self._blackboard.hosts_by_id.values():
+            age_s = now - host.heard_at
+            if age_s <= self._times.dead_after_s:
+                yield HeardHost(host.id, host.incarnation, host.draining, age_s)
+
     async def _exchange(self, host: str) -> None:
         sent_at = asyncio.get_running_loop().time()
         try:
@@ -259,6 +268,8 @@
         host.draining = beat.draining
         self._merge_leaving(beat, now)
         self._merge_quarantine(beat, now)
+        for heard in beat.heard:
+            self._take_word(heard, now)
         config = self._blackboard.config
         if beat.config_offset > config.folded_offset:
             self._blackboard.config_changed.notify()
@@ -268,6 +279,31 @@
             )
             self._blackboard.membership_changed.notify()
 
+    def _take_word(self, heard: HeardHost, now: float) -> None:
+        """Takes a peer's word that a host is live.
+
+        Two hosts that are cut from each other must not choose different
+        owners and homes while others hear both.
+        """
+        host = self._blackboard.hosts_by_id.get(heard.host)
+        if host is None or heard.incarnation < host.incarnation:
+            return
+        told_at = now - heard.age_s
+        if told_at <= max(host.heard_at, host.told_at):
+            return
+        host.told_at = told_at
+        changed = (
+            host.silent
+            or host.incarnation != heard.incarnation
+            or host.draining != heard.draining
+        )
+        host.incarnation = heard.incarnation
+        host.draining = heard.draining
+        if changed and now - told_at <= self._times.dead_after_s:
+            host.silent = False
+            log.info('host %s is live by the word of a peer', host.id)
+            self._blackboard.membership_changed.notify()
+
     def _merge_leaving(self, beat: Heartbeat, now: float) -> None:
         for endpoint_id in beat.leaving:
             endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
@@ -286,7 +322,8 @@
         now = asyncio.get_running_loop().time()
         changed = False
         for host in self._blackboard.hosts_by_id.values():
-            overdue = now - host.heard_at > self._times.dead_after_s
+            live_at = max(host.heard_at, host.told_at)
+            overdue = now - live_at > self._times.dead_after_s
             if overdue and not host.silent:
                 log.warning('host %s is silent', host.id)
                 host.silent = True
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -73,6 +73,14 @@
   configDigest @5 :UInt64;
   leaving @6 :List(Text);
   quarantined @7 :List(Quarantine);
+  heard @8 :List(HeardHost);
+}
+
+struct HeardHost {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  draining @2 :Bool;
+  ageS @3 :Float64;
 }
 
 struct AdmitRequest {
@@ -166,6 +174,7 @@
 
 struct StreamRelease {
   requestId @0 :Text;
+  holder @1 :Text;
 }
 
 struct StreamReleaseReply {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -42,6 +42,23 @@
     alone: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardHost:
+    """A host that the sender of a heartbeat hears itself.
+
+    Attributes:
+        host: its id.
+        incarnation: start number of its process.
+        draining: whether it takes no new requests.
+        age_s: seconds since the sender heard it.
+    """
+
+    host: str
+    incarnation: int
+    draining: bool
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Sent to each peer at a fixed interval; the reply is the peer's own.
@@ -55,6 +72,7 @@
         config_digest: hash over the folded state, to find differences.
         leaving: ids of endpoints known to be leaving.
         quarantined: requests to keep off endpoints.
+        heard: the hosts that the sender hears itself.
     """
 
     host: str
@@ -65,6 +83,7 @@
     config_digest: int
     leaving: tuple[str, ...] = ()
     quarantined: tuple[Quarantine, ...] = ()
+    heard: tuple[HeardHost, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,9 +295,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamRelease:
-    """Asks a host to stop serving a request that its caller took elsewhere."""
+    """Asks a host to stop serving a request that its caller took elsewhere.
+
+    Attributes:
+        request_id: the request's id.
+        holder: host to which the receiver passes this on, '' for itself.
+    """
 
     request_id: str
+    holder: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -123,20 +123,47 @@
         """
         while True:
             try:
-                return await self._calls.call(
-                    host,
-                    StreamRelease(request_id),
-                    StreamReleaseReply,
-                    CALL_TIMEOUT_S,
-                )
+                return await self._call_release(host, StreamRelease(request_id))
             except PeerGoneError:
                 return None
             except PeerUnavailableError as error:
                 log.debug('host %s keeps %s: %s', host, request_id, error)
+            reply = await self._release_through_peers(host, request_id)
+            if reply is not None:
+                return reply
             if host not in self._blackboard.live_hosts():
                 return None
             await asyncio.sleep(RELEASE_RETRY_S)
 
+    async def _call_release(
+        self, host: str, request: StreamRelease
+    ) -> StreamReleaseReply:
+        return await self._calls.call(
+            host, request, StreamReleaseReply, CALL_TIMEOUT_S
+        )
+
+    async def _release_through_peers(
+        self, holder: str, request_id: str
+    ) -> StreamReleaseReply | None:
+        """Reaches a holder from which only this host is cut."""
+        request = StreamRelease(request_id, holder)
+        others = set(self._blackboard.live_hosts())
+        others -= {holder, self._blackboard.host}
+        calls = [
+            asyncio.ensure_future(self._call_release(peer, request))
+            for peer in sorted(others)
+        ]
+        try:
+            for call in asyncio.as_completed(calls):
+                try:
+                    return await call
+                except PeerUnavailableError as error:
+                    log.debug('no way to %s: %s', holder, error)
+        finally:
+            for pending in calls:
+                pending.cancel()
+        return None
+
     async def _look_up(self, served: ServedRequest, hosts: list[str]) -> None:
         """Asks the pool owners, which remember reservations."""
         found: list[HeldStream] = []
@@ -196,6 +223,9 @@
     async def _on_release(
         self, sender: str, request: StreamRelease
     ) -> StreamReleaseReply:
+        if request.holder not in ('', self._blackboard.host):
+            direct = StreamRelease(request.request_id)
+            return await self._call_release(request.holder, direct)
         located = self._located_by_request_id.get(request.request_id)
         if located is not None:
             await located.wait()
