Split the serving of language requests into three modules

It keeps acceptance, retries and the lease; one attempt (admission, prefill, decode, resumption of a stream) moved to language_attempts.py, the selection of tokens to token_events.py. No behaviour changed; the site, directory and answer tests pass.

--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -4,42 +4,35 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import logging
 from collections.abc import AsyncGenerator
 
 from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.cancellation import Canceller
 from mustardscale.config_records import Profile
 from mustardscale.deadline import until
 from mustardscale.directory_client import DirectoryClient, check_reply
-from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.engines import (
-    REFUSED_LEAVING,
-    REFUSED_STALE_ATTEMPT,
-    DecodeCall,
-    Engine,
-    PrefillCall,
-    StreamStage,
     StreamTag,
     TokenEvent,
 )
 from mustardscale.exceptions import (
-    EndpointFailedError,
-    EndpointRefusedError,
-    EndpointUnreachableError,
     OutcomeError,
 )
+from mustardscale.language_attempts import (
+    AttemptFailedError,
+    AttemptProgress,
+    AttemptRunner,
+)
 from mustardscale.limits import ServiceLimits
 from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.peers import AdmitReply, DirectoryEntry
+from mustardscale.peers import DirectoryEntry
 from mustardscale.quarantine import Suspicions
 from mustardscale.requests import LanguageRequest
 from mustardscale.resumption import Resumption
-from mustardscale.token_assembler import TokenAssembler
+from mustardscale.token_events import from_index
 
 log = logging.getLogger(__name__)
 
@@ -48,44 +41,6 @@
 # Attempts that the endpoints refused without running anything.
 MAX_REFUSALS = 30
 REFUSAL_PAUSE_S = 0.02
-# Distance to an attempt number that an engine has not seen cancelled.
-ATTEMPT_SKIP = 16
-LEAVING_MEMORY_S = 30.0
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How the attempts at one request have gone.
-
-    Attributes:
-        attempt: number of the last attempt.
-        runs: attempts at which an endpoint may have begun work.
-        refusals: attempts that were refused before any work.
-        excluded: endpoints that failed an attempt.
-        computed_tokens: prompt tokens computed by the present attempt.
-    """
-
-    attempt: int = 0
-    runs: int = 0
-    refusals: int = 0
-    excluded: list[str] = dataclasses.field(default_factory=list)
-    computed_tokens: int = 0
-
-
-class AttemptFailedError(Exception):
-    """An attempt ended early; another may follow.
-
-    Attributes:
-        outcome: how it ended.
-        endpoint: the endpoint that failed, '' if none is to blame.
-        ran: whether the endpoint may have begun work.
-    """
-
-    def __init__(self, outcome: Outcome, endpoint: str, ran: bool):
-        super().__init__(outcome.name)
-        self.outcome = outcome
-        self.endpoint = endpoint
-        self.ran = ran
 
 
 class LanguageService:
@@ -97,8 +52,7 @@
         admission: AdmissionClient,
         directory: DirectoryClient,
         resumption: Resumption,
-        clients: EndpointClients,
-        canceller: Canceller,
+        runner: AttemptRunner,
         limits: ServiceLimits,
         suspicions: Suspicions,
         metrics: Metrics,
@@ -107,8 +61,7 @@
         self._admission = admission
         self._directory = directory
         self._resumption = resumption
-        self._clients = clients
-        self._canceller = canceller
+        self._runner = runner
         self._limits = limits
         self._suspicions = suspicions
         self._metrics = metrics
@@ -237,7 +190,7 @@
         """Makes attempts until the answer is whole."""
         timeout_s = request.timeout_s or profile.timeout_s
         deadline_at = served.arrived_at + timeout_s
-        progress = _Progress(attempt=served.tag.attempt if served.tag else 0)
+        progress = AttemptProgress(_last_attempt(served))
         first_index = 0
         resuming = request.resume_after is not None
         if request.resume_after is not None:
@@ -245,18 +198,18 @@
         async with asyncio.timeout_at(deadline_at):
             if resuming:
                 await self._resumption.locate(served, model)
-                progress.attempt = served.tag.attempt if served.tag else 0
+                progress.attempt = _last_attempt(served)
         while True:
             try:
                 if resuming:
-                    events = self._resume(served)
+                    events = self._runner.resume(served)
                 else:
-                    events = self._attempt(
+                    events = self._runner.run(
                         request, served, profile, model, progress, deadline_at
                     )
                 async with contextlib.aclosing(events):
                     async for event in until(events, deadline_at):
-                        visible = _from_index(event, first_index)
+                        visible = from_index(event, first_index)
                         if visible is not None:
                             await self._check_lease(served)
                             yield visible
@@ -275,12 +228,12 @@
     async def _prepare_retry(
         self,
         served: ServedRequest,
-        progress: _Progress,
+        progress: AttemptProgress,
         failure: AttemptFailedError,
         profile: Profile,
     ) -> None:
         """Frees an attempt and decides whether another may follow."""
-        self._free_attempt(served, progress, failure.outcome)
+        self._runner.free(served, progress, failure.outcome)
         if failure.endpoint:
             progress.excluded.append(failure.endpoint)
         if served.taken_over:
@@ -319,210 +272,6 @@
             raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
         served.confirmed_at = now
 
-    async def _attempt(
-        self,
-        request: LanguageRequest,
-        served: ServedRequest,
-        profile: Profile,
-        model: str,
-        progress: _Progress,
-        deadline_at: float,
-    ) -> AsyncGenerator[TokenEvent, None]:
-        """Admits, prefills and decodes once."""
-        progress.attempt += 1
-        progress.computed_tokens = 0
-        self._begin_attempt(request, served, progress.attempt)
-        grant = await self._admission.admit(
-            request, served, profile, model, progress.excluded, deadline_at
-        )
-        served.prefill = grant.prefill
-        served.decode = grant.decode
-        if not progress.runs:
-            now = asyncio.get_running_loop().time()
-            self._metrics.service(served.service).queue_wait.record(
-                now - served.arrived_at
-            )
-        kv_id = await self._prefill(request, served, model, grant, progress)
-        served.stage = StreamStage.TRANSFER
-        self._admission.report_stage(served)
-        self._directory.update(served)
-        engine = self._engine(grant.decode)
-        call = DecodeCall(
-            tag=_tag_of(served),
-            model=model,
-            kv_id=kv_id,
-            source=self._clients.engine_url(grant.prefill),
-            prompt=dataclasses.replace(request.prompt, text=''),
-            first_index=len(served.emitted),
-            max_tokens=served.max_tokens,
-            priority=grant.priority,
-        )
-        async with contextlib.aclosing(
-            self._read(served, engine.decode(call))
-        ) as events:
-            async for event in events:
-                yield event
-
-    def _begin_attempt(
-        self, request: LanguageRequest, served: ServedRequest, attempt: int
-    ) -> None:
-        board = self._blackboard
-        served.tag = StreamTag(
-            served.id, attempt, board.host, board.incarnation
-        )
-        served.prefill = ''
-        served.decode = ''
-        served.stage = StreamStage.QUEUED
-        served.attempt_base = len(served.emitted)
-        served.prompt_tokens = request.prompt.tokens + len(served.emitted)
-
-    def _engine(self, endpoint_id: str) -> Engine:
-        engine = self._clients.engine(endpoint_id)
-        if engine is None:
-            raise AttemptFailedError(Outcome.NO_ENDPOINT, endpoint_id, False)
-        return engine
-
-    async def _prefill(
-        self,
-        request: LanguageRequest,
-        served: ServedRequest,
-        model: str,
-        grant: AdmitReply,
-        progress: _Progress,
-    ) -> str:
-        engine = self._engine(grant.prefill)
-        call = PrefillCall(
-            tag=_tag_of(served),
-            model=model,
-            prompt=request.prompt,
-            emitted=tuple(served.emitted),
-            priority=grant.priority,
-        )
-        served.stage = StreamStage.PREFILL
-        started_before = served.started
-        served.started = True
-        try:
-            result = await engine.prefill(call)
-        except (EndpointRefusedError, EndpointUnreachableError) as error:
-            served.started = started_before
-            raise self._refused(grant.prefill, error, progress) from error
-        except EndpointFailedError as error:
-            raise AttemptFailedError(
-                Outcome.ENDPOINT_FAILED, grant.prefill, True
-            ) from error
-        progress.computed_tokens = result.prompt_tokens - result.cached_tokens
-        return result.kv_id
-
-    def _refused(
-        self,
-        endpoint_id: str,
-        error: EndpointRefusedError | EndpointUnreachableError,
-        progress: _Progress,
-    ) -> AttemptFailedError:
-        """Notes why an endpoint did not take the work."""
-        entry = self._blackboard.endpoints_by_id.get(endpoint_id)
-        now = asyncio.get_running_loop().time()
-        if isinstance(error, EndpointUnreachableError):
-            if entry is not None and entry.unreachable_since is None:
-                entry.unreachable_since = now
-            return AttemptFailedError(
-                Outcome.ENDPOINT_UNREACHABLE, endpoint_id, False
-            )
-        if error.reason == REFUSED_LEAVING and entry is not None:
-            entry.leaving_until = now + LEAVING_MEMORY_S
-        if error.reason == REFUSED_STALE_ATTEMPT:
-            progress.attempt += ATTEMPT_SKIP
-            return AttemptFailedError(Outcome.NO_ENDPOINT, '', False)
-        blamed = endpoint_id if error.reason == REFUSED_LEAVING else ''
-        return AttemptFailedError(Outcome.NO_ENDPOINT, blamed, False)
-
-    async def _resume(
-        self, served: ServedRequest
-    ) -> AsyncGenerator[TokenEvent, None]:
-        """Attaches to a stream that another host left."""
-        engine = self._engine(served.decode)
-        tag = _tag_of(served)
-        events = engine.resume(tag.request_id, tag.attempt, 0)
-        served.started = True
-        async with contextlib.aclosing(self._read(served, events)) as read:
-            async for event in read:
-                yield event
-
-    async def _read(
-        self, served: ServedRequest, events: AsyncGenerator[TokenEvent, None]
-    ) -> AsyncGenerator[TokenEvent, None]:
-        """Yields a stream's tokens in order, attaching again if it breaks."""
-        engine = self._engine(served.decode)
-        tag = _tag_of(served)
-        assembler = TokenAssembler(
-            tag.request_id, tag.attempt, len(served.emitted)
-        )
-        attached_at = -1
-        while True:
-            try:
-                async for event in events:
-                    ready = _next_tokens(assembler, event)
-                    if ready is not None:
-                        self._note_tokens(served, ready)
-                        yield ready
-                    if assembler.finish_reason:
-                        return
-                raise EndpointFailedError('stream ended without a finish')
-            except EndpointUnreachableError as error:
-                raise AttemptFailedError(
-                    Outcome.ENDPOINT_FAILED, served.decode, True
-                ) from error
-            except EndpointRefusedError as error:
-                raise self._refused_decode(served, error) from error
-            except EndpointFailedError as error:
-                if attached_at == assembler.next_index:
-                    raise AttemptFailedError(
-                        Outcome.ENDPOINT_FAILED, served.decode, True
-                    ) from error
-                attached_at = assembler.next_index
-                events = engine.resume(
-                    tag.request_id, tag.attempt, assembler.next_index
-                )
-
-    def _refused_decode(
-        self, served: ServedRequest, error: EndpointRefusedError
-    ) -> AttemptFailedError:
-        """Notes why a decode engine did not take or no longer has a stream."""
-        entry = self._blackboard.endpoints_by_id.get(served.decode)
-        if error.reason != REFUSED_LEAVING or entry is None:
-            return AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
-        now = asyncio.get_running_loop().time()
-        entry.leaving_until = now + LEAVING_MEMORY_S
-        return AttemptFailedError(
-            Outcome.ATTEMPTS_EXHAUSTED, served.decode, True
-        )
-
-    def _note_tokens(self, served: ServedRequest, event: TokenEvent) -> None:
-        if event.finish_reason in ('cancelled', 'preempted'):
-            raise AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
-        if served.stage is not StreamStage.DECODE:
-            served.stage = StreamStage.DECODE
-            self._admission.report_stage(served)
-        served.emitted.extend(event.texts)
-
-    def _free_attempt(
-        self, served: ServedRequest, progress: _Progress, outcome: Outcome
-    ) -> None:
-        """Frees what the present attempt holds and tells the pool's owner."""
-        if served.tag is None:
-            return
-        self._cancel_on_engines(served)
-        self._admission.release(
-            served, outcome, progress.computed_tokens, finished=False
-        )
-        served.prefill = ''
-        served.decode = ''
-
-    def _cancel_on_engines(self, served: ServedRequest) -> None:
-        tag = _tag_of(served)
-        for endpoint_id in (served.prefill, served.decode):
-            self._canceller.cancel(endpoint_id, tag.request_id, tag.attempt)
-
     def _end(self, served: ServedRequest, delivered: bool) -> None:
         """Lets go of a request, however it ended."""
         self._limits.leave(served.service)
@@ -531,17 +280,15 @@
             return
         if served.tag is not None and served.prefill:
             if not delivered:
-                self._cancel_on_engines(served)
+                self._runner.cancel(served)
             outcome = Outcome.COMPLETE if delivered else Outcome.CALLER_LEFT
             self._admission.release(served, outcome, 0, finished=delivered)
         self._directory.remove(served, delivered)
 
 
-def _tag_of(served: ServedRequest) -> StreamTag:
-    """Returns the tag of the present attempt."""
-    if served.tag is None:
-        raise OutcomeError(Outcome.INTERNAL_ERROR, 'no attempt has begun')
-    return served.tag
+def _last_attempt(served: ServedRequest) -> int:
+    """Returns the number of the last attempt, 0 if there was none."""
+    return served.tag.attempt if served.tag else 0
 
 
 def _after_start(error: OutcomeError, started: bool) -> OutcomeError:
@@ -557,29 +304,3 @@
     return OutcomeError(
         Outcome.ATTEMPTS_EXHAUSTED, error.detail, error.retry_after_s
     )
-
-
-def _next_tokens(
-    assembler: TokenAssembler, event: TokenEvent
-) -> TokenEvent | None:
-    """Returns the tokens that an event brings in order, None if none."""
-    index = assembler.next_index
-    texts = assembler.add(event)
-    if not texts and not assembler.finish_reason:
-        return None
-    return TokenEvent(
-        event.request_id, event.attempt, index, texts, assembler.finish_reason
-    )
-
-
-def _from_index(event: TokenEvent, first_index: int) -> TokenEvent | None:
-    """Returns the part of an event from an index on, None if there is none."""
-    skip = first_index - event.index
-    if skip <= 0:
-        return event
-    texts = event.texts[skip:]
-    if not texts and not event.finish_reason:
-        return None
-    return dataclasses.replace(
-        event, index=max(event.index, first_index), texts=texts
-    )
--- /dev/null
+++ b/mustardscale/language_attempts.py
@@ -0,0 +1,308 @@
+"""One attempt at a language request: admission, prefill and decode."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncGenerator
+
+from mustardscale.admission import AdmissionClient
+from mustardscale.blackboard import Blackboard, ServedRequest
+from mustardscale.cancellation import Canceller
+from mustardscale.config_records import Profile
+from mustardscale.directory_client import DirectoryClient
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.engines import (
+    REFUSED_LEAVING,
+    REFUSED_STALE_ATTEMPT,
+    DecodeCall,
+    Engine,
+    PrefillCall,
+    StreamStage,
+    StreamTag,
+    TokenEvent,
+)
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.membership import LEAVING_MEMORY_S
+from mustardscale.metrics import Metrics
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import AdmitReply
+from mustardscale.requests import LanguageRequest
+from mustardscale.token_assembler import TokenAssembler
+from mustardscale.token_events import next_tokens
+
+# Distance to an attempt number that an engine has not seen cancelled.
+ATTEMPT_SKIP = 16
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptProgress:
+    """How the attempts at one request have gone.
+
+    Attributes:
+        attempt: number of the last attempt.
+        runs: attempts at which an endpoint may have begun work.
+        refusals: attempts that were refused before any work.
+        excluded: endpoints that failed an attempt.
+        computed_tokens: prompt tokens computed by the present attempt.
+    """
+
+    attempt: int = 0
+    runs: int = 0
+    refusals: int = 0
+    excluded: list[str] = dataclasses.field(default_factory=list)
+    computed_tokens: int = 0
+
+
+class AttemptFailedError(Exception):
+    """An attempt ended early; another may follow.
+
+    Attributes:
+        outcome: how it ended.
+        endpoint: the endpoint that failed, '' if none is to blame.
+        ran: whether the endpoint may have begun work.
+    """
+
+    def __init__(self, outcome: Outcome, endpoint: str, ran: bool):
+        super().__init__(outcome.name)
+        self.outcome = outcome
+        self.endpoint = endpoint
+        self.ran = ran
+
+
+class AttemptRunner:
+    """Runs attempts at the requests whose callers are connected here."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        admission: AdmissionClient,
+        directory: DirectoryClient,
+        clients: EndpointClients,
+        canceller: Canceller,
+        metrics: Metrics,
+    ):
+        self._blackboard = blackboard
+        self._admission = admission
+        self._directory = directory
+        self._clients = clients
+        self._canceller = canceller
+        self._metrics = metrics
+
+    async def run(
+        self,
+        request: LanguageRequest,
+        served: ServedRequest,
+        profile: Profile,
+        model: str,
+        progress: AttemptProgress,
+        deadline_at: float,
+    ) -> AsyncGenerator[TokenEvent, None]:
+        """Admits, prefills and decodes once."""
+        progress.attempt += 1
+        progress.computed_tokens = 0
+        self._begin_attempt(request, served, progress.attempt)
+        grant = await self._admission.admit(
+            request, served, profile, model, progress.excluded, deadline_at
+        )
+        served.prefill = grant.prefill
+        served.decode = grant.decode
+        if not progress.runs:
+            now = asyncio.get_running_loop().time()
+            self._metrics.service(served.service).queue_wait.record(
+                now - served.arrived_at
+            )
+        kv_id = await self._prefill(request, served, model, grant, progress)
+        served.stage = StreamStage.TRANSFER
+        self._admission.report_stage(served)
+        self._directory.update(served)
+        engine = self._engine(grant.decode)
+        call = DecodeCall(
+            tag=_tag_of(served),
+            model=model,
+            kv_id=kv_id,
+            source=self._clients.engine_url(grant.prefill),
+            prompt=dataclasses.replace(request.prompt, text=''),
+            first_index=len(served.emitted),
+            max_tokens=served.max_tokens,
+            priority=grant.priority,
+        )
+        async with contextlib.aclosing(
+            self._read(served, engine.decode(call))
+        ) as events:
+            async for event in events:
+                yield event
+
+    def _begin_attempt(
+        self, request: LanguageRequest, served: ServedRequest, attempt: int
+    ) -> None:
+        board = self._blackboard
+        served.tag = StreamTag(
+            served.id, attempt, board.host, board.incarnation
+        )
+        served.prefill = ''
+        served.decode = ''
+        served.stage = StreamStage.QUEUED
+        served.attempt_base = len(served.emitted)
+        served.prompt_tokens = request.prompt.tokens + len(served.emitted)
+
+    def _engine(self, endpoint_id: str) -> Engine:
+        engine = self._clients.engine(endpoint_id)
+        if engine is None:
+            raise AttemptFailedError(Outcome.NO_ENDPOINT, endpoint_id, False)
+        return engine
+
+    async def _prefill(
+        self,
+        request: LanguageRequest,
+        served: ServedRequest,
+        model: str,
+        grant: AdmitReply,
+        progress: AttemptProgress,
+    ) -> str:
+        engine = self._engine(grant.prefill)
+        call = PrefillCall(
+            tag=_tag_of(served),
+            model=model,
+            prompt=request.prompt,
+            emitted=tuple(served.emitted),
+            priority=grant.priority,
+        )
+        served.stage = StreamStage.PREFILL
+        started_before = served.started
+        served.started = True
+        try:
+            result = await engine.prefill(call)
+        except (EndpointRefusedError, EndpointUnreachableError) as error:
+            served.started = started_before
+            raise self._refused(grant.prefill, error, progress) from error
+        except EndpointFailedError as error:
+            raise AttemptFailedError(
+                Outcome.ENDPOINT_FAILED, grant.prefill, True
+            ) from error
+        progress.computed_tokens = result.prompt_tokens - result.cached_tokens
+        return result.kv_id
+
+    def _refused(
+        self,
+        endpoint_id: str,
+        error: EndpointRefusedError | EndpointUnreachableError,
+        progress: AttemptProgress,
+    ) -> AttemptFailedError:
+        """Notes why an endpoint did not take the work."""
+        entry = self._blackboard.endpoints_by_id.get(endpoint_id)
+        now = asyncio.get_running_loop().time()
+        if isinstance(error, EndpointUnreachableError):
+            if entry is not None and entry.unreachable_since is None:
+                entry.unreachable_since = now
+            return AttemptFailedError(
+                Outcome.ENDPOINT_UNREACHABLE, endpoint_id, False
+            )
+        if error.reason == REFUSED_LEAVING and entry is not None:
+            entry.leaving_until = now + LEAVING_MEMORY_S
+        if error.reason == REFUSED_STALE_ATTEMPT:
+            progress.attempt += ATTEMPT_SKIP
+            return AttemptFailedError(Outcome.NO_ENDPOINT, '', False)
+        blamed = endpoint_id if error.reason == REFUSED_LEAVING else ''
+        return AttemptFailedError(Outcome.NO_ENDPOINT, blamed, False)
+
+    async def resume(
+        self, served: ServedRequest
+    ) -> AsyncGenerator[TokenEvent, None]:
+        """Attaches to a stream that another host left."""
+        engine = self._engine(served.decode)
+        tag = _tag_of(served)
+        events = engine.resume(tag.request_id, tag.attempt, 0)
+        served.started = True
+        async with contextlib.aclosing(self._read(served, events)) as read:
+            async for event in read:
+                yield event
+
+    async def _read(
+        self, served: ServedRequest, events: AsyncGenerator[TokenEvent, None]
+    ) -> AsyncGenerator[TokenEvent, None]:
+        """Yields a stream's tokens in order, attaching again if it breaks."""
+        engine = self._engine(served.decode)
+        tag = _tag_of(served)
+        assembler = TokenAssembler(
+            tag.request_id, tag.attempt, len(served.emitted)
+        )
+        attached_at = -1
+        while True:
+            try:
+                async for event in events:
+                    ready = next_tokens(assembler, event)
+                    if ready is not None:
+                        self._note_tokens(served, ready)
+                        yield ready
+                    if assembler.finish_reason:
+                        return
+                raise EndpointFailedError('stream ended without a finish')
+            except EndpointUnreachableError as error:
+                raise AttemptFailedError(
+                    Outcome.ENDPOINT_FAILED, served.decode, True
+                ) from error
+            except EndpointRefusedError as error:
+                raise self._refused_decode(served, error) from error
+            except EndpointFailedError as error:
+                if attached_at == assembler.next_index:
+                    raise AttemptFailedError(
+                        Outcome.ENDPOINT_FAILED, served.decode, True
+                    ) from error
+                attached_at = assembler.next_index
+                events = engine.resume(
+                    tag.request_id, tag.attempt, assembler.next_index
+                )
+
+    def _refused_decode(
+        self, served: ServedRequest, error: EndpointRefusedError
+    ) -> AttemptFailedError:
+        """Notes why a decode engine did not take or no longer has a stream."""
+        entry = self._blackboard.endpoints_by_id.get(served.decode)
+        if error.reason != REFUSED_LEAVING or entry is None:
+            return AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
+        now = asyncio.get_running_loop().time()
+        entry.leaving_until = now + LEAVING_MEMORY_S
+        return AttemptFailedError(
+            Outcome.ATTEMPTS_EXHAUSTED, served.decode, True
+        )
+
+    def _note_tokens(self, served: ServedRequest, event: TokenEvent) -> None:
+        if event.finish_reason in ('cancelled', 'preempted'):
+            raise AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
+        if served.stage is not StreamStage.DECODE:
+            served.stage = StreamStage.DECODE
+            self._admission.report_stage(served)
+        served.emitted.extend(event.texts)
+
+    def free(
+        self, served: ServedRequest, progress: AttemptProgress, outcome: Outcome
+    ) -> None:
+        """Frees what the present attempt holds and tells the pool's owner."""
+        if served.tag is None:
+            return
+        self.cancel(served)
+        self._admission.release(
+            served, outcome, progress.computed_tokens, finished=False
+        )
+        served.prefill = ''
+        served.decode = ''
+
+    def cancel(self, served: ServedRequest) -> None:
+        """Frees what the present attempt holds on engines."""
+        tag = _tag_of(served)
+        for endpoint_id in (served.prefill, served.decode):
+            self._canceller.cancel(endpoint_id, tag.request_id, tag.attempt)
+
+
+def _tag_of(served: ServedRequest) -> StreamTag:
+    """Returns the tag of the present attempt."""
+    if served.tag is None:
+        raise OutcomeError(Outcome.INTERNAL_ERROR, 'no attempt has begun')
+    return served.tag
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -28,6 +28,7 @@
 from mustardscale.exceptions import OutcomeError
 from mustardscale.host_list import HostList
 from mustardscale.language import LanguageService
+from mustardscale.language_attempts import AttemptRunner
 from mustardscale.limits import ServiceLimits
 from mustardscale.log_client import LogClient
 from mustardscale.membership import (
@@ -186,13 +187,15 @@
         )
         limits = ServiceLimits(board)
         self.claims = Claims(board, edges.log, edges.wall_clock, rng)
+        runner = AttemptRunner(
+            board, admission, directory, clients, self._canceller, self.metrics
+        )
         self._language = LanguageService(
             board,
             admission,
             directory,
             Resumption(board, calls, clients),
-            clients,
-            self._canceller,
+            runner,
             limits,
             suspicions,
             self.metrics,
