Record what a host does with each request, and replay it

It reads what was recorded and does not run decisions again, which would need every reading of the blackboard in the trace.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -5,11 +5,13 @@
 import asyncio
 import dataclasses
 import math
+from typing import Any
 
 from mustardscale.config_state import ConfigState
 from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
 from mustardscale.host_list import ListedKind
 from mustardscale.peers import DirectoryEntry, HeldStream
+from mustardscale.trace import NoTrace, TraceEvent, TraceKind, TraceSink
 
 
 class Signal:
@@ -223,6 +225,7 @@
         suspicions_by_key: requests that endpoints crashed on.
         membership_changed: notified when a host or endpoint comes or goes.
         config_changed: notified when the configuration moves on.
+        trace: where events of requests are recorded.
         quorum_at: send time of the newest heartbeat round that a majority of
             the listed hosts answered.
         quorum_gap_at: loop time at which heartbeats were last found to have
@@ -246,6 +249,7 @@
         'region',
         'served_by_id',
         'suspicions_by_key',
+        'trace',
     )
 
     def __init__(
@@ -263,11 +267,21 @@
         self.served_by_id: dict[str, ServedRequest] = {}
         self.directory_by_request_id: dict[str, DirectoryRow] = {}
         self.suspicions_by_key: dict[str, Suspicion] = {}
+        self.trace: TraceSink = NoTrace()
         self.membership_changed = Signal()
         self.config_changed = Signal()
         self.quorum_at = -math.inf
         self.quorum_gap_at = -math.inf
 
+    def record(self, kind: TraceKind, request_id: str, **fields: Any) -> None:
+        """Records an event of a request; fields are those of TraceEvent."""
+        now = asyncio.get_running_loop().time()
+        self.trace.record(
+            TraceEvent(
+                now, self.host, self.incarnation, kind, request_id, **fields
+            )
+        )
+
     def live_hosts(self) -> list[str]:
         """Returns the ids of hosts that are heard, this one included."""
         heard = [
--- a/mustardscale/cancellation.py
+++ b/mustardscale/cancellation.py
@@ -8,6 +8,7 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.exceptions import MustardscaleError
+from mustardscale.trace import TraceKind
 
 log = logging.getLogger(__name__)
 
@@ -74,4 +75,10 @@
                 await asyncio.sleep(retry_s)
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
             else:
+                self._blackboard.record(
+                    TraceKind.CANCELLED,
+                    request_id,
+                    endpoint=endpoint_id,
+                    attempt=attempt,
+                )
                 return
--- a/mustardscale/commands.py
+++ b/mustardscale/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import sys
 from collections.abc import Awaitable, Callable
 
 from mustardscale import command_config, command_hosts
@@ -71,4 +72,4 @@
 
 def replay(options: argparse.Namespace) -> ExitCode:
     """Replays a trace; needs neither the platform nor a token."""
-    return replay_trace(options.trace, options.json)
+    return replay_trace(options.trace, options.json, sys.stdout)
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -7,6 +7,7 @@
 import functools
 import logging
 import os
+import pathlib
 import random
 import signal
 import sys
@@ -33,6 +34,7 @@
 from mustardscale.setting_sources import load_settings
 from mustardscale.settings import Settings, public_settings
 from mustardscale.tcp_peers import TcpPeerTransport
+from mustardscale.trace import FileTrace, NoTrace, TraceSink
 
 log = logging.getLogger(__name__)
 
@@ -109,6 +111,7 @@
         transport,
         HttpConnector(),
         time.time,
+        _trace_to(settings.record_file),
     )
     options = RouterOptions(
         settings.host_id,
@@ -128,6 +131,13 @@
     return router
 
 
+def _trace_to(record_file: str) -> TraceSink:
+    """Returns where events of requests are recorded."""
+    if not record_file:
+        return NoTrace()
+    return FileTrace(pathlib.Path(record_file))
+
+
 def add_traffic_gauges(metrics: Metrics, traffic: PeerTraffic) -> None:
     """Shows the traffic with peers among the metrics."""
     for field in dataclasses.fields(traffic):
--- a/mustardscale/exit_codes.py
+++ b/mustardscale/exit_codes.py
@@ -17,6 +17,7 @@
     UNKNOWN = 5
     LOG_UNAVAILABLE = 6
     HOST_UNAVAILABLE = 7
+    PROMISE_BROKEN = 8
 
 
 TEXT_BY_EXIT_CODE = {
@@ -27,6 +28,7 @@
     ExitCode.UNKNOWN: 'it is not known what became of the change',
     ExitCode.LOG_UNAVAILABLE: 'the log is unavailable; nothing was published',
     ExitCode.HOST_UNAVAILABLE: 'a host or the host list did not answer',
+    ExitCode.PROMISE_BROKEN: 'a replayed trace shows a promise broken',
 }
 
 
--- a/mustardscale/language_attempts.py
+++ b/mustardscale/language_attempts.py
@@ -36,6 +36,7 @@
 from mustardscale.requests import LanguageRequest
 from mustardscale.token_assembler import TokenAssembler
 from mustardscale.token_events import next_tokens
+from mustardscale.trace import TraceKind
 
 # Distance to an attempt number that an engine has not seen cancelled.
 ATTEMPT_SKIP = 16
@@ -113,6 +114,7 @@
         )
         served.prefill = grant.prefill
         served.decode = grant.decode
+        self._record(TraceKind.GRANTED, served, grant.prefill)
         if not progress.runs:
             now = asyncio.get_running_loop().time()
             self._metrics.service(served.service).queue_wait.record(
@@ -123,6 +125,7 @@
         self._admission.report_stage(served)
         self._directory.update(served)
         engine = self._engine(grant.decode)
+        self._record(TraceKind.SENT, served, grant.decode)
         call = DecodeCall(
             tag=_tag_of(served),
             model=model,
@@ -139,6 +142,16 @@
             async for event in events:
                 yield event
 
+    def _record(
+        self, kind: TraceKind, served: ServedRequest, endpoint_id: str
+    ) -> None:
+        self._blackboard.record(
+            kind,
+            served.id,
+            endpoint=endpoint_id,
+            attempt=_tag_of(served).attempt,
+        )
+
     def _begin_attempt(
         self, request: LanguageRequest, served: ServedRequest, attempt: int
     ) -> None:
@@ -177,10 +190,12 @@
         served.stage = StreamStage.PREFILL
         started_before = served.started
         served.started = True
+        self._record(TraceKind.SENT, served, grant.prefill)
         try:
             result = await engine.prefill(call)
         except (EndpointRefusedError, EndpointUnreachableError) as error:
             served.started = started_before
+            self._record(TraceKind.UNSENT, served, grant.prefill)
             raise self._refused(grant.prefill, error, progress) from error
         except EndpointFailedError as error:
             raise AttemptFailedError(
@@ -220,6 +235,7 @@
         tag = _tag_of(served)
         events = engine.resume(tag.request_id, tag.attempt, 0)
         served.started = True
+        self._record(TraceKind.SENT, served, served.decode)
         async with contextlib.aclosing(self._read(served, events)) as read:
             async for event in read:
                 yield event
--- a/mustardscale/plain_calls.py
+++ b/mustardscale/plain_calls.py
@@ -27,6 +27,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.plain_endpoints import PlainAnswer, PlainCall
 from mustardscale.requests import PlainRequest
+from mustardscale.trace import TraceKind
 
 log = logging.getLogger(__name__)
 
@@ -67,7 +68,7 @@
             request.timeout_s or profile.timeout_s
         )
         if not request.idempotent:
-            self._claims.check_known(request.id, _fingerprint(request))
+            self._claims.check_known(request.id, content_fingerprint(request))
         self._limits.enter(request.service, profile)
         try:
             if request.idempotent:
@@ -106,7 +107,7 @@
         served = ServedRequest(
             id=request.id,
             service=request.service,
-            fingerprint=_fingerprint(request),
+            fingerprint=content_fingerprint(request),
             arrived_at=asyncio.get_running_loop().time(),
         )
         self._blackboard.served_by_id[request.id] = served
@@ -152,10 +153,12 @@
                 self._claims.abandon(claim)
                 raise
             tried.add(endpoint.id)
+            self._record(TraceKind.SENT, request, endpoint)
             try:
                 answer = await self._send(request, endpoint, deadline_at)
             except (EndpointUnreachableError, EndpointRefusedError) as error:
                 log.debug('endpoint %s: %s', endpoint.id, error)
+                self._record(TraceKind.UNSENT, request, endpoint)
             except (EndpointFailedError, TimeoutError) as error:
                 self._claims.finish(claim, answered=False)
                 raise OutcomeError(Outcome.ANSWER_LOST) from error
@@ -166,6 +169,11 @@
                 self._claims.finish(claim, answered=True)
                 return answer
 
+    def _record(
+        self, kind: TraceKind, request: PlainRequest, endpoint: EndpointEntry
+    ) -> None:
+        self._blackboard.record(kind, request.id, endpoint=endpoint.id)
+
     def _choose(
         self, service: str, tried: set[str], deadline_at: float, sent: bool
     ) -> EndpointEntry:
@@ -229,7 +237,7 @@
         return answer
 
 
-def _fingerprint(request: PlainRequest) -> int:
+def content_fingerprint(request: PlainRequest) -> int:
     """Returns a hash of a request's content."""
     head = f'{request.service} {request.method} {request.path}\n'.encode()
     return xxhash.xxh3_64_intdigest(head + request.body)
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -40,7 +40,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import PeerTransport
-from mustardscale.plain_calls import PlainService
+from mustardscale.plain_calls import PlainService, content_fingerprint
 from mustardscale.plain_endpoints import PlainAnswer
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.pool_owner import PoolOwner
@@ -50,6 +50,7 @@
 from mustardscale.resumption import Resumption
 from mustardscale.service_api import RequestService
 from mustardscale.state_dump import dump_state, summarize_state
+from mustardscale.trace import NoTrace, TraceKind, TraceSink
 
 # Interval at which membership is looked at without a change, seconds.
 MEMBERSHIP_POLL_S = 2.0
@@ -90,6 +91,7 @@
         transport: carries messages to peers.
         connector: makes clients of endpoints.
         wall_clock: returns the wall-clock time, seconds.
+        trace: where events of requests are recorded.
     """
 
     log: LogClient
@@ -97,6 +99,19 @@
     transport: PeerTransport
     connector: EndpointConnector
     wall_clock: Callable[[], float]
+    trace: TraceSink = dataclasses.field(default_factory=NoTrace)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrival:
+    """What is recorded of a request when it arrives."""
+
+    request_id: str
+    service: str
+    fingerprint: int
+    size: int
+    once: bool = False
+    resumed: bool = False
 
 
 class MembershipFollower(Controller):
@@ -154,6 +169,7 @@
         self.blackboard = board
         self.metrics = Metrics()
         self._edges = edges
+        board.trace = edges.trace
         self._calls = calls
         self._clients = clients
         self._tasks: list[asyncio.Task[None]] = []
@@ -274,6 +290,7 @@
         await self._clients.close()
         await self._edges.log.close()
         await self._edges.host_list.close()
+        self._edges.trace.close()
 
     def is_ready(self) -> bool:
         """Returns whether new requests are taken."""
@@ -318,7 +335,14 @@
         self, request: LanguageRequest
     ) -> AsyncGenerator[TokenEvent, None]:
         """Yields the tokens of an answer; closing it means the caller left."""
-        with self._counting(request.service):
+        arrival = _Arrival(
+            request.id,
+            request.service,
+            request.prompt.fingerprint,
+            request.prompt.tokens,
+            resumed=request.resume_after is not None,
+        )
+        with self._counting(arrival):
             choice = self.service_choice(request.service)
             profile = self._profile(choice)
             async with contextlib.aclosing(
@@ -329,30 +353,51 @@
 
     async def serve_plain(self, request: PlainRequest) -> PlainAnswer:
         """Returns a plain service's answer; cancelled if the caller leaves."""
-        with self._counting(request.service):
+        arrival = _Arrival(
+            request.id,
+            request.service,
+            content_fingerprint(request),
+            len(request.body),
+            once=not request.idempotent,
+        )
+        with self._counting(arrival):
             profile = self._profile(self.service_choice(request.service))
             return await self._plain.serve(request, profile)
 
     @contextlib.contextmanager
-    def _counting(self, service: str) -> Iterator[None]:
-        """Counts a request as active and records its outcome."""
+    def _counting(self, arrival: _Arrival) -> Iterator[None]:
+        """Counts a request as active and records its arrival and outcome."""
         if not self._accepting:
             raise OutcomeError(
                 Outcome.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
             )
         self._active += 1
         self._idle.clear()
+        self.blackboard.record(
+            TraceKind.ARRIVED,
+            arrival.request_id,
+            service=arrival.service,
+            fingerprint=arrival.fingerprint,
+            size=arrival.size,
+            once=arrival.once,
+            resumed=arrival.resumed,
+        )
+        outcome = Outcome.INTERNAL_ERROR
         try:
             yield
         except OutcomeError as error:
-            self.metrics.service(service).count_outcome(error.outcome)
+            outcome = error.outcome
             raise
         except (GeneratorExit, asyncio.CancelledError):
-            self.metrics.service(service).count_outcome(Outcome.CALLER_LEFT)
+            outcome = Outcome.CALLER_LEFT
             raise
         else:
-            self.metrics.service(service).count_outcome(Outcome.COMPLETE)
+            outcome = Outcome.COMPLETE
         finally:
+            self.metrics.service(arrival.service).count_outcome(outcome)
+            self.blackboard.record(
+                TraceKind.ENDED, arrival.request_id, code=outcome
+            )
             self._active -= 1
             if not self._active:
                 self._idle.set()
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -28,6 +28,7 @@
 from mustardscale.log_client import CONFIG_STREAM
 from mustardscale.plain_endpoints import PlainEndpoint
 from mustardscale.router import Edges, Router, RouterOptions
+from mustardscale.trace import NoTrace, TraceSink
 from standins.engine_inprocess import InProcessEngine
 from standins.engine_model import EngineModel
 from standins.engine_parameters import EngineParameters
@@ -123,6 +124,7 @@
         peers: the network between entry hosts.
         engines_by_id: the engines.
         plains_by_id: the endpoints of the plain service.
+        trace: where hosts started from now on record events.
         routers_by_host: the entry hosts that are up.
         cut_pairs: (host, endpoint or platform service) that are cut.
     """
@@ -141,6 +143,7 @@
         self._length_of = length_of
         self._incarnation = 0
         self._change_number = 0
+        self.trace: TraceSink = NoTrace()
         self.log = LogModel(random.Random(self.rng.random()))
         self.peers = MemoryPeerNetwork(random.Random(self.rng.random()))
         self.engines_by_id: dict[str, EngineModel] = {}
@@ -272,6 +275,7 @@
             self.peers.transport(host),
             MemoryConnector(self, host, number),
             self.wall_clock,
+            self.trace,
         )
         router = Router(options, edges, random.Random(self.rng.random()))
         self.routers_by_host[host] = router
