Do not complete an answer again that its first host has delivered

Cause: a host that delivered the last token while another waited for it to let go answered that it held nothing, and the other delivered the rest too. The new test failed first: the resumption was not refused.

--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -276,6 +276,8 @@
         """Lets go of a request, however it ended."""
         self._limits.leave(served.service)
         self._forget(served)
+        if delivered:
+            self._resumption.note_delivered(served.id)
         if served.taken_over:
             return
         if served.tag is not None and served.prefill:
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -183,6 +183,7 @@
   attempt @2 :Int64;
   prefill @3 :Text;
   decode @4 :Text;
+  done @5 :Bool;
 }
 
 struct ConfigFetch {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -316,6 +316,7 @@
         attempt: number of the attempt.
         prefill: id of the prefill endpoint.
         decode: id of the decode endpoint.
+        done: whether it delivered the whole answer.
     """
 
     released: bool
@@ -323,6 +324,7 @@
     attempt: int = 0
     prefill: str = ''
     decode: str = ''
+    done: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -28,6 +28,8 @@
 
 log = logging.getLogger(__name__)
 
+# Seconds for which a host remembers which answers it has delivered.
+DELIVERED_MEMORY_S = 60.0
 CALL_TIMEOUT_S = 1.0
 RELEASE_RETRY_S = 0.1
 
@@ -45,13 +47,15 @@
         self._calls = calls
         self._clients = clients
         self._located_by_request_id: dict[str, asyncio.Event] = {}
+        self._delivered_at_by_id: dict[str, float] = {}
         calls.handle(StreamRelease, self._on_release)
 
     async def locate(self, served: ServedRequest, model: str) -> None:
         """Fills in where a request's stream runs, and takes it over.
 
         Raises:
-            OutcomeError: NOTHING_TO_RESUME.
+            OutcomeError: NOTHING_TO_RESUME, or ALREADY_COMPLETED when the
+                holder delivered the rest in the meantime.
         """
         hosts = [
             host
@@ -67,6 +71,8 @@
             released = await asyncio.gather(
                 *(self._release_at(host, served.id) for host in holders)
             )
+        if any(reply is not None and reply.done for reply in released):
+            raise OutcomeError(Outcome.ALREADY_COMPLETED)
         for reply in released:
             if reply is not None and reply.released and reply.decode:
                 self._adopt(served, reply.attempt, reply.prefill, reply.decode)
@@ -220,6 +226,15 @@
         ]
         return max(attempts, default=None)
 
+    def note_delivered(self, request_id: str) -> None:
+        """Remembers for a while that this host delivered a whole answer."""
+        now = asyncio.get_running_loop().time()
+        self._delivered_at_by_id[request_id] = now
+        for known, delivered_at in list(self._delivered_at_by_id.items()):
+            if now - delivered_at <= DELIVERED_MEMORY_S:
+                break
+            del self._delivered_at_by_id[known]
+
     async def _on_release(
         self, sender: str, request: StreamRelease
     ) -> StreamReleaseReply:
@@ -230,6 +245,8 @@
         if located is not None:
             await located.wait()
         served = self.let_go(request.request_id)
+        if served is None and request.request_id in self._delivered_at_by_id:
+            return StreamReleaseReply(released=False, done=True)
         if served is None or served.tag is None:
             return StreamReleaseReply(released=served is not None)
         return StreamReleaseReply(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,6 +4,8 @@
 import random
 import unittest.mock
 
+import pytest
+
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.directory import DirectoryHome
 from mustardscale.exceptions import OutcomeError
@@ -119,3 +121,31 @@
             task.cancel()
 
         run(scenario)
+
+
+class TestResumption:
+    """A resumption that races with the end of the first stream."""
+
+    def test_a_delivered_answer_is_not_completed_again(self):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            first = site.routers_by_host['entry-1']
+            second = site.routers_by_host['entry-2']
+            events = first.serve_language(language(number, 60))
+            read = [await anext(events) for _ in range(5)]
+            site.peers.freeze('entry-1')
+            again = language(number, 60, resume_after=len(read) - 1)
+            resumed = asyncio.create_task(tail(second, again))
+            read += [event async for event in events]
+            assert read[-1].finish_reason
+            site.peers.thaw('entry-1')
+            with pytest.raises(OutcomeError) as refused:
+                await resumed
+            assert refused.value.outcome is Outcome.ALREADY_COMPLETED
+
+        run(scenario)
+
+
+async def tail(router, request):
+    """Reads what is left of an answer."""
+    return [event async for event in router.serve_language(request)]
