--- a/mustardscale/engine_watch.py
+++ b/mustardscale/engine_watch.py
@@ -11,7 +11,8 @@
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.engines import EngineRole
 from mustardscale.exceptions import MustardscaleError
-from mustardscale.pool_owner import OwnedPool, PoolOwner
+from mustardscale.owned_pool import OwnedPool
+from mustardscale.pool_owner import PoolOwner
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from mustardscale.blackboard import (
     Blackboard,
@@ -30,6 +30,8 @@
 # if a majority of the listed hosts answered a heartbeat that it sent within
 # this time, seconds. Less than the silence after which it counts as dead.
 QUORUM_LEASE_S = 2.0
+# Interval at which membership is looked at without a change, seconds.
+FOLLOW_INTERVAL_S = 2.0
 # Hosts unlisted and silent for this long are forgotten, seconds.
 FORGET_AFTER_S = 60.0
 
@@ -360,6 +362,23 @@
         board.quorum_at = max(board.quorum_at, quorum_at)
 
 
+class MembershipFollower(Controller):
+    """Tells the parts that depend on it when membership changes."""
+
+    def __init__(
+        self, blackboard: Blackboard, followers: list[Callable[[], None]]
+    ):
+        self._blackboard = blackboard
+        self._followers = followers
+
+    async def run(self) -> None:
+        """Runs the followers at each change, and now and then without one."""
+        while True:
+            for follow in self._followers:
+                follow()
+            await self._blackboard.membership_changed.wait(FOLLOW_INTERVAL_S)
+
+
 def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
     """Makes the blackboard's entry of a quarantine told by a peer."""
     return Suspicion(item.crashes, now - item.age_s, quarantined=True)
--- /dev/null
+++ b/mustardscale/owned_pool.py
@@ -0,0 +1,115 @@
+"""A pool at its owner: what waits, what runs, and what the policy may see."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from mustardscale.engines import EngineRole, StreamStage
+from mustardscale.peers import AdmitReply, HeldStream
+from mustardscale.policy.base import (
+    Grant,
+    PlacementPolicy,
+    PoolState,
+    Reservation,
+    WaitingRequest,
+    candidate_engines,
+)
+from mustardscale.pools import PoolMembers
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedPool:
+    """A pool that this host owns.
+
+    Attributes:
+        members: the pool's engines by the host list.
+        state: what the policy sees.
+        policy: the policy that decides.
+        owned_since: loop time at which this host became the owner.
+        reply_by_request_id: where the decisions are delivered.
+        waiting_by_request_id: admissions not decided yet, also those that the
+            policy does not see because a suspect must run apart.
+        start_by_engine_id: last start number seen of each engine.
+        crash_noted_at_by_engine_id: loop time of the last crash noted.
+    """
+
+    members: PoolMembers
+    state: PoolState
+    policy: PlacementPolicy
+    owned_since: float
+    reply_by_request_id: dict[str, asyncio.Future[AdmitReply]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    waiting_by_request_id: dict[str, WaitingRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    start_by_engine_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    crash_noted_at_by_engine_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def working_engine(held: Reservation) -> str:
+    """Returns the engine that works on a stream in its present stage."""
+    stream = held.stream
+    if stream.stage in (StreamStage.QUEUED, StreamStage.PREFILL):
+        return stream.prefill
+    return stream.decode
+
+
+def visible_waiting(pool: OwnedPool) -> dict[str, WaitingRequest]:
+    """Returns what the policy may decide: at most one suspect, run apart.
+
+    A suspect is kept off engines that hold another one, so that a crash
+    names its cause.
+    """
+    visible: dict[str, WaitingRequest] = {}
+    suspect_engines = {
+        engine_id
+        for held in pool.state.reservations_by_request_id.values()
+        if held.suspect
+        for engine_id in (held.stream.prefill, held.stream.decode)
+    }
+    suspect_shown = False
+    for request_id, item in pool.waiting_by_request_id.items():
+        if not item.suspect:
+            visible[request_id] = item
+            continue
+        if suspect_shown:
+            continue
+        apart = dataclasses.replace(
+            item.request,
+            excluded=(*item.request.excluded, *sorted(suspect_engines)),
+        )
+        if all(
+            candidate_engines(pool.state, role, apart) for role in EngineRole
+        ):
+            visible[request_id] = dataclasses.replace(item, request=apart)
+            suspect_shown = True
+    return visible
+
+
+def reservation_of(
+    item: WaitingRequest, grant: Grant, now: float
+) -> Reservation:
+    """Returns the reservation that a grant begins."""
+    request = item.request
+    stream = HeldStream(
+        tag=request.tag,
+        service=request.service,
+        prefill=grant.prefill,
+        decode=grant.decode,
+        stage=StreamStage.QUEUED,
+        prompt_tokens=request.prompt_tokens,
+        emitted=0,
+        max_tokens=request.max_tokens,
+    )
+    return Reservation(
+        stream,
+        request.fingerprint,
+        granted_at=now,
+        renewed_at=now,
+        suspect=item.suspect,
+        block_hashes=request.block_hashes,
+    )
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 import math
 import random
@@ -13,6 +12,12 @@
 from mustardscale.controller import Controller
 from mustardscale.engines import EngineRole, StreamStage
 from mustardscale.outcomes import Outcome
+from mustardscale.owned_pool import (
+    OwnedPool,
+    reservation_of,
+    visible_waiting,
+    working_engine,
+)
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import (
     Acknowledgement,
@@ -32,7 +37,6 @@
     PoolState,
     Reservation,
     WaitingRequest,
-    candidate_engines,
 )
 from mustardscale.pools import PoolMembers, divide_pools
 from mustardscale.quarantine import Suspicions
@@ -56,38 +60,6 @@
 _STAGE_ORDER = {stage: number for number, stage in enumerate(StreamStage)}
 
 
-@dataclasses.dataclass(slots=True)
-class OwnedPool:
-    """A pool that this host owns.
-
-    Attributes:
-        members: the pool's engines by the host list.
-        state: what the policy sees.
-        policy: the policy that decides.
-        owned_since: loop time at which this host became the owner.
-        reply_by_request_id: where the decisions are delivered.
-        waiting_by_request_id: admissions not decided yet, also those that the
-            policy does not see because a suspect must run apart.
-        start_by_engine_id: last start number seen of each engine.
-        crash_noted_at_by_engine_id: loop time of the last crash noted.
-    """
-
-    members: PoolMembers
-    state: PoolState
-    policy: PlacementPolicy
-    owned_since: float
-    reply_by_request_id: dict[str, asyncio.Future[AdmitReply]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    waiting_by_request_id: dict[str, WaitingRequest] = dataclasses.field(
-        default_factory=dict
-    )
-    start_by_engine_id: dict[str, int] = dataclasses.field(default_factory=dict)
-    crash_noted_at_by_engine_id: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 class PoolOwner(Controller):
     """Decides admissions for the pools whose owner is this host.
 
@@ -258,7 +230,7 @@
             return
         if now - pool.owned_since < SETTLE_S:
             return
-        pool.state.waiting_by_request_id = _visible_waiting(pool)
+        pool.state.waiting_by_request_id = visible_waiting(pool)
         for decision in pool.policy.decide(pool.state, now):
             self._carry_out(pool, decision, now)
 
@@ -271,7 +243,7 @@
         if item is None or reply is None or reply.done():
             return
         if isinstance(decision, Grant):
-            reservation = _reservation_of(item, decision, now)
+            reservation = reservation_of(item, decision, now)
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
             reply.set_result(
@@ -407,67 +379,3 @@
             request.tag.request_id, request.fingerprint
         )
         return crashes > 0
-
-
-def working_engine(held: Reservation) -> str:
-    """Returns the engine that works on a stream in its present stage."""
-    stream = held.stream
-    if stream.stage in (StreamStage.QUEUED, StreamStage.PREFILL):
-        return stream.prefill
-    return stream.decode
-
-
-def _visible_waiting(pool: OwnedPool) -> dict[str, WaitingRequest]:
-    """Returns what the policy may decide: at most one suspect, run apart.
-
-    A suspect is kept off engines that hold another one, so that a crash
-    names its cause.
-    """
-    visible: dict[str, WaitingRequest] = {}
-    suspect_engines = {
-        engine_id
-        for held in pool.state.reservations_by_request_id.values()
-        if held.suspect
-        for engine_id in (held.stream.prefill, held.stream.decode)
-    }
-    suspect_shown = False
-    for request_id, item in pool.waiting_by_request_id.items():
-        if not item.suspect:
-            visible[request_id] = item
-            continue
-        if suspect_shown:
-            continue
-        apart = dataclasses.replace(
-            item.request,
-            excluded=(*item.request.excluded, *sorted(suspect_engines)),
-        )
-        if all(
-            candidate_engines(pool.state, role, apart) for role in EngineRole
-        ):
-            visible[request_id] = dataclasses.replace(item, request=apart)
-            suspect_shown = True
-    return visible
-
-
-def _reservation_of(
-    item: WaitingRequest, grant: Grant, now: float
-) -> Reservation:
-    request = item.request
-    stream = HeldStream(
-        tag=request.tag,
-        service=request.service,
-        prefill=grant.prefill,
-        decode=grant.decode,
-        stage=StreamStage.QUEUED,
-        prompt_tokens=request.prompt_tokens,
-        emitted=0,
-        max_tokens=request.max_tokens,
-    )
-    return Reservation(
-        stream,
-        request.fingerprint,
-        granted_at=now,
-        renewed_at=now,
-        suspect=item.suspect,
-        block_hashes=request.block_hashes,
-    )
--- a/mustardscale/quarantine.py
+++ b/mustardscale/quarantine.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 
 from mustardscale.blackboard import Blackboard, Suspicion
+from mustardscale.controller import Controller
 from mustardscale.outcomes import Outcome
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 QUARANTINE_CRASHES = 2
 # Suspicions and quarantines are forgotten after this time, seconds.
 SUSPICION_MEMORY_S = 600.0
+EXPIRY_INTERVAL_S = 30.0
 # Bound on the number of remembered keys.
 MAX_KEYS = 10_000
 
@@ -116,3 +118,16 @@
                 crashes,
                 extra={'code': Outcome.QUARANTINED},
             )
+
+
+class SuspicionExpiry(Controller):
+    """Forgets old suspicions."""
+
+    def __init__(self, suspicions: Suspicions):
+        self._suspicions = suspicions
+
+    async def run(self) -> None:
+        """Expires at a fixed interval."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self._suspicions.expire()
--- a/mustardscale/reconcile.py
+++ b/mustardscale/reconcile.py
@@ -13,8 +13,9 @@
 from mustardscale.engines import StreamInfo, StreamStage
 from mustardscale.exceptions import MustardscaleError
 from mustardscale.outcomes import Outcome
+from mustardscale.owned_pool import OwnedPool
 from mustardscale.policy.base import Reservation, tag_key
-from mustardscale.pool_owner import OwnedPool, PoolOwner
+from mustardscale.pool_owner import PoolOwner
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -34,6 +34,7 @@
 from mustardscale.membership import (
     HeartbeatController,
     HostListController,
+    MembershipFollower,
     MembershipTimes,
 )
 from mustardscale.metrics import Metrics
@@ -44,7 +45,7 @@
 from mustardscale.plain_endpoints import PlainAnswer
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.pool_owner import PoolOwner
-from mustardscale.quarantine import Suspicions
+from mustardscale.quarantine import SuspicionExpiry, Suspicions
 from mustardscale.reconcile import Reconciler
 from mustardscale.requests import LanguageRequest, PlainRequest
 from mustardscale.resumption import Resumption
@@ -52,9 +53,6 @@
 from mustardscale.state_dump import dump_state, summarize_state
 from mustardscale.trace import NoTrace, TraceKind, TraceSink
 
-# Interval at which membership is looked at without a change, seconds.
-MEMBERSHIP_POLL_S = 2.0
-SUSPICION_EXPIRY_S = 30.0
 DRAINING_RETRY_AFTER_S = 1.0
 
 
@@ -114,36 +112,6 @@
     resumed: bool = False
 
 
-class MembershipFollower(Controller):
-    """Tells the parts that depend on it when membership changes."""
-
-    def __init__(
-        self, blackboard: Blackboard, followers: list[Callable[[], None]]
-    ):
-        self._blackboard = blackboard
-        self._followers = followers
-
-    async def run(self) -> None:
-        """Runs the followers at each change, and now and then without one."""
-        while True:
-            for follow in self._followers:
-                follow()
-            await self._blackboard.membership_changed.wait(MEMBERSHIP_POLL_S)
-
-
-class SuspicionExpiry(Controller):
-    """Forgets old suspicions."""
-
-    def __init__(self, suspicions: Suspicions):
-        self._suspicions = suspicions
-
-    async def run(self) -> None:
-        """Expires at a fixed interval."""
-        while True:
-            await asyncio.sleep(SUSPICION_EXPIRY_S)
-            self._suspicions.expire()
-
-
 class Router(RequestService):
     """One entry host: serves callers and takes part in the peers' work.
 
--- a/mustardscale/setting_sources.py
+++ b/mustardscale/setting_sources.py
@@ -60,6 +60,10 @@
     parser = _Parser(
         prog='mustardscaled',
         description='Entry host of the router.',
+        epilog=(
+            '--check-settings shows the settings and exits; --version shows '
+            'the version. A wrong setting ends the process with code 2.'
+        ),
         allow_abbrev=False,
         add_env_var_help=False,
         default_config_files=[],
--- a/mustardscale/state_dump.py
+++ b/mustardscale/state_dump.py
@@ -9,7 +9,8 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.engines import EngineRole
-from mustardscale.pool_owner import OwnedPool, PoolOwner
+from mustardscale.owned_pool import OwnedPool
+from mustardscale.pool_owner import PoolOwner
 
 
 def summarize_state(
