Permit the rate when the burst is below one, follow a changed share

A profile may state a burst below 1. The bucket then never held a whole token: every request was refused with a Retry-After that was never true. Refusing such profiles was weighed: a profile already on the log would then be skipped by every host.

The retry budget follows a changed retry share, as profiles change while the process runs.

--- a/mustardscale/limits.py
+++ b/mustardscale/limits.py
@@ -24,9 +24,7 @@
     def __init__(self, blackboard: Blackboard):
         self._blackboard = blackboard
         self._bucket_by_service: dict[str, TokenBucket] = {}
-        self._retries_by_service: dict[
-            str, tuple[float | None, RetryBudget]
-        ] = {}
+        self._retries_by_service: dict[str, RetryBudget] = {}
         self.active_by_service: collections.Counter[str] = collections.Counter()
         self._active = 0
         self._floor = (0, 0)
@@ -104,19 +102,14 @@
 
     def _retries(self, service: str, profile: Profile) -> RetryBudget:
         share = profile.retry_share
-        known_share, budget = self._retries_by_service.get(
-            service, (None, _budget(share))
-        )
-        if known_share != share:
-            budget = _budget(share)
-            self._retries_by_service[service] = (share, budget)
+        budget = self._retries_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(share, RETRY_MINIMUM, RETRY_CAPACITY)
+            self._retries_by_service[service] = budget
+        budget.change(share)
         return budget
 
 
-def _budget(share: float) -> RetryBudget:
-    return RetryBudget(share, RETRY_MINIMUM, RETRY_CAPACITY)
-
-
 def _share(limit: int, hosts: int) -> int:
     """Returns one host's share of a limit, at least 1 if there is a limit.
 
--- a/mustardscale/token_bucket.py
+++ b/mustardscale/token_bucket.py
@@ -11,15 +11,16 @@
 
     Attributes:
         rate: requests a second; 0 is unlimited.
-        burst: requests that may come at once.
+        burst: requests that may come at once; at least 1.
     """
 
     __slots__ = ('_level', '_updated', 'burst', 'rate')
 
     def __init__(self, rate: float, burst: float):
         self.rate = rate
-        self.burst = burst
-        self._level = burst
+        # With less than one token's room no request would ever pass.
+        self.burst = max(1.0, burst)
+        self._level = self.burst
         self._updated: float | None = None
 
     def take(self, now: float) -> float:
@@ -43,14 +44,15 @@
         """Takes over a changed profile and keeps what is used up."""
         self._fill(now)
         self.rate = rate
-        self.burst = burst
-        self._level = min(self._level, burst)
+        self.burst = max(1.0, burst)
+        self._level = min(self._level, self.burst)
 
     def _fill(self, now: float) -> None:
-        if self._updated is not None:
-            gained = max(0.0, now - self._updated) * self.rate
-            self._level = min(self.burst, self._level + gained)
-        self._updated = max(now, self._updated or now)
+        if self._updated is None:
+            self._updated = now
+        elapsed = max(0.0, now - self._updated)
+        self._level = min(self.burst, self._level + elapsed * self.rate)
+        self._updated += elapsed
 
 
 class RetryBudget:
@@ -72,10 +74,14 @@
             minimum: retries that are permitted before any are earned.
             capacity: earned retries that are kept at most, if above minimum.
         """
-        self._deposit = int(share * _MICRO + 0.5)
+        self._deposit = round(share * _MICRO)
         self._credit = minimum * _MICRO
         self._capacity = max(minimum, capacity) * _MICRO
 
+    def change(self, share: float) -> None:
+        """Takes over a changed share; credit earned so far stays."""
+        self._deposit = round(share * _MICRO)
+
     def request(self) -> None:
         """Counts a request's first attempt."""
         self._credit = min(self._capacity, self._credit + self._deposit)
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -36,6 +36,12 @@
         assert bucket.take(0.1 + wait - 0.01) > 0
         assert bucket.take(0.1 + wait + 1e-9) == 0
 
+    def test_burst_below_one_still_permits_the_rate(self):
+        bucket = TokenBucket(2.0, 0.5)
+        assert bucket.take(0.0) == 0
+        wait = bucket.take(0.0)
+        assert bucket.take(wait + 1e-9) == 0
+
     def test_zero_rate_is_unlimited(self):
         bucket = TokenBucket(0.0, 1)
         assert all(bucket.take(5.0) == 0 for _ in range(100))
@@ -61,6 +67,14 @@
                 attempts += 1
         assert attempts == requests + requests // 10
 
+    def test_changed_share_counts_from_then_on(self):
+        budget = RetryBudget(0.0)
+        budget.change(0.5)
+        for _ in range(2):
+            budget.request()
+        assert budget.retry()
+        assert not budget.retry()
+
     def test_quiet_time_earns_no_burst(self):
         budget = RetryBudget(0.1, minimum=2)
         for _ in range(10_000):
