Ask the holder of a stream to let go even if it is not heard yet

Cause: a resumption asked only hosts that it counted as live. A holder that had just been started, and was frozen before this host heard its new process, was not asked, went on after the freeze and answered the whole stream as well. Ruled out: the relays and the lease, which hold where the holder is known. The holder is now asked until it answers, is known to be gone, or has had time to lose its lease. The new test in virtual time failed first.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -138,6 +138,7 @@
         taken_over: whether its caller resumed it at another host.
         home: host that holds its directory entry.
         previous_holder: host that served it before, '' if not known.
+        previous_incarnation: start number of that host's process.
         confirmed_at: loop time at which its home last confirmed that this
             host holds it.
     """
@@ -159,6 +160,7 @@
     taken_over: bool = False
     home: str = ''
     previous_holder: str = ''
+    previous_incarnation: int = 0
     confirmed_at: float = -math.inf
 
     def held_stream(self) -> HeldStream | None:
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -177,6 +177,7 @@
         # lost; then it does not say who held the request before.
         if found.host != self._blackboard.host:
             served.previous_holder = found.host
+            served.previous_incarnation = found.incarnation
         if request.resume_after is not None:
             served.decode = found.decode
 
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -32,6 +32,8 @@
 DELIVERED_MEMORY_S = 60.0
 CALL_TIMEOUT_S = 1.0
 RELEASE_RETRY_S = 0.1
+# Time after which a holder that was never heard has lost its lease, seconds.
+UNHEARD_PATIENCE_S = 2.5
 
 
 class Resumption:
@@ -64,12 +66,18 @@
         ]
         # Those that resume the same stream at once let go in the order of the
         # directory, each of the one before it.
-        holders = hosts
+        incarnation_by_holder = dict.fromkeys(hosts, 0)
         if served.previous_holder:
-            holders = [host for host in hosts if host == served.previous_holder]
+            # It is asked even if this host does not hear it, or not yet.
+            incarnation_by_holder = {
+                served.previous_holder: served.previous_incarnation
+            }
         with self._locating(served.id):
             released = await asyncio.gather(
-                *(self._release_at(host, served.id) for host in holders)
+                *(
+                    self._release_at(host, incarnation, served.id)
+                    for host, incarnation in incarnation_by_holder.items()
+                )
             )
         if any(reply is not None and reply.done for reply in released):
             raise OutcomeError(Outcome.ALREADY_COMPLETED)
@@ -119,7 +127,7 @@
         served.decode = decode
 
     async def _release_at(
-        self, host: str, request_id: str
+        self, host: str, incarnation: int, request_id: str
     ) -> StreamReleaseReply | None:
         """Asks a host to let go of a request.
 
@@ -127,6 +135,8 @@
         it is asked until it answers, is gone, or has been silent for so long
         that it will ask the directory before it sends more to its caller.
         """
+        clock = asyncio.get_running_loop().time
+        give_up_at = clock() + UNHEARD_PATIENCE_S
         while True:
             try:
                 return await self._call_release(host, StreamRelease(request_id))
@@ -137,10 +147,26 @@
             reply = await self._release_through_peers(host, request_id)
             if reply is not None:
                 return reply
-            if host not in self._blackboard.live_hosts():
+            if self._is_lost(host, incarnation, clock() >= give_up_at):
                 return None
             await asyncio.sleep(RELEASE_RETRY_S)
 
+    def _is_lost(
+        self, host: str, incarnation: int, patience_is_over: bool
+    ) -> bool:
+        """Returns whether a process of a host sends no more to its callers.
+
+        Args:
+            host: the host.
+            incarnation: start number of the process.
+            patience_is_over: whether the process, if it is there and nobody
+                heard of it, has lost its lease meanwhile.
+        """
+        entry = self._blackboard.hosts_by_id.get(host)
+        if entry is None or entry.incarnation < incarnation:
+            return patience_is_over
+        return entry.silent or entry.incarnation > incarnation > 0
+
     async def _call_release(
         self, host: str, request: StreamRelease
     ) -> StreamReleaseReply:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -145,6 +145,28 @@
 
         run(scenario)
 
+    def test_a_holder_that_is_not_heard_yet_lets_go(self):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            first = site.routers_by_host['entry-1']
+            second = site.routers_by_host['entry-2']
+            events = first.serve_language(language(number, 300))
+            read = [await anext(events) for _ in range(5)]
+            site.peers.freeze('entry-1')
+            holder = second.blackboard.hosts_by_id['entry-1']
+            holder.silent = True
+            holder.incarnation = 0
+            again = language(number, 300, resume_after=len(read) - 1)
+            resumed = asyncio.create_task(tail(second, again))
+            await asyncio.sleep(1.3)
+            site.peers.thaw('entry-1')
+            with pytest.raises(OutcomeError) as refused:
+                read += [event async for event in events]
+            assert refused.value.outcome is Outcome.STREAM_TAKEN_OVER
+            assert (await resumed)[-1].finish_reason
+
+        run(scenario)
+
 
 async def tail(router, request):
     """Reads what is left of an answer."""
