Take a registration for a sign that its host is live

Ruled out: the settling of homes and the rebuilt registrations, which came in order. For as long as a home settles, the registration itself now counts.

--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -187,7 +187,7 @@
         return (
             row.ended_at is not None
             or request.takeover
-            or not self._holder_is_live(old)
+            or not self._holder_is_live(row)
         )
 
     def _may_rebuild(self, row: DirectoryRow, new: DirectoryEntry) -> bool:
@@ -198,17 +198,24 @@
         """
         return (
             new.attempt > row.entry.attempt
-            or not self._holder_is_live(row.entry)
+            or not self._holder_is_live(row)
             or row.renewed_at < self._blackboard.quorum_gap_at
         )
 
-    def _holder_is_live(self, entry: DirectoryEntry) -> bool:
+    def _holder_is_live(self, row: DirectoryRow) -> bool:
+        """Returns whether the process that holds an entry is there.
+
+        A registration is a sign of life too: the home may not have heard a
+        process yet that has just started.
+        """
+        entry = row.entry
         if entry.host == self._blackboard.host:
             return entry.incarnation == self._blackboard.incarnation
         host = self._blackboard.hosts_by_id.get(entry.host)
-        if host is None or host.silent:
-            return False
-        return host.incarnation == entry.incarnation
+        if host is None or host.incarnation < entry.incarnation:
+            now = asyncio.get_running_loop().time()
+            return now - row.renewed_at <= self._settle_s
+        return not host.silent and host.incarnation == entry.incarnation
 
     async def _on_remove(
         self, sender: str, request: DirectoryRemove
