Publish wanted states of engines and limits of weight stores

Cause: orders to engines need a stated goal, and operators drive the system only by publishing. Two additive kinds of configuration entries carry it: "engine" (role, model, version, adapters, whether the engine checks fencing) for one engine or for all that are listed for a model, and "weights" for the loads that a region's weight store bears.

Checked before publishing, with code 5304: the entry names a listed engine, and no model that a service uses loses its last engine of a role.

Ruled out: a field of the service choice. A role belongs to one engine, and a service's operators would then race the operators of engines on one entry.

Engines' load reports gain the adapters as a last field, None where an engine does not tell.

--- a/mustardscale/__main__.py
+++ b/mustardscale/__main__.py
@@ -65,6 +65,8 @@
     for kind, help_text in (
         ('profile', 'publish and show profiles'),
         ('service', 'publish and show which profile a service runs under'),
+        ('engine', 'publish and show what engines shall serve'),
+        ('weights', 'publish and show what a weight store bears'),
     ):
         subject = subjects.add_parser(kind, help=help_text)
         subject.set_defaults(kind=kind)
@@ -93,7 +95,7 @@
 def _add_config_commands(
     subject: argparse.ArgumentParser, common: argparse.ArgumentParser
 ) -> None:
-    """Adds the commands of profiles or of service choices."""
+    """Adds the commands of one kind of configuration entries."""
     actions = subject.add_subparsers(required=True, metavar='COMMAND')
 
     publish = actions.add_parser('publish', parents=[common])
--- a/mustardscale/command_config.py
+++ b/mustardscale/command_config.py
@@ -1,4 +1,4 @@
-"""The commands that show profiles and service choices."""
+"""The commands that show configuration entries."""
 
 from __future__ import annotations
 
@@ -123,7 +123,7 @@
 
 def _fields(change: ConfigChange) -> dict[str, Any]:
     """Returns the fields of a change's content."""
-    fields = msgspec.to_builtins(change.profile or change.service)
+    fields = msgspec.to_builtins(change.content)
     return {
         name: ' '.join(value) if isinstance(value, list | tuple) else value
         for name, value in fields.items()
--- a/mustardscale/command_publish.py
+++ b/mustardscale/command_publish.py
@@ -1,4 +1,4 @@
-"""The commands that publish profiles and service choices."""
+"""The command that publishes configuration entries."""
 
 from __future__ import annotations
 
@@ -8,16 +8,24 @@
 
 from mustardscale.command_context import CommandContext
 from mustardscale.config_edits import Edit, edit_content
-from mustardscale.config_records import ConfigChange, ConfigKey, Profile
+from mustardscale.config_records import ConfigChange, ConfigKey, make_change
 from mustardscale.config_rollout import Rollout, await_rollout, entry_hosts
-from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.config_state import ConfigState
+from mustardscale.exceptions import PeerUnavailableError, SettingError
 from mustardscale.exit_codes import ExitCode
+from mustardscale.host_list import ListedKind
+from mustardscale.outcomes import Outcome
 from mustardscale.publishing import (
     PublishFate,
     PublishResult,
     publish,
     read_config,
 )
+from mustardscale.wanted_state import (
+    ListedEngine,
+    WantedEngine,
+    check_wanted,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,21 +47,24 @@
 async def publish_entry(
     context: CommandContext, key: ConfigKey, edit: Edit, options: PublishOptions
 ) -> ExitCode:
-    """Publishes a profile or a service choice and says what became of it.
+    """Publishes a configuration entry and says what became of it.
 
     Raises:
         SettingError: the input is wrong; nothing was published.
         LogUnavailableError: nothing was published.
+        PeerUnavailableError: the host list, which a wanted state is checked
+            against, could not be read; nothing was published.
     """
     state = await read_config(context.log)
     content = edit_content(state, key, edit)
-    change = ConfigChange(
-        key=key,
-        base=state.version(key) if options.base is None else options.base,
-        change_id=str(uuid_utils.uuid7()),
-        author=options.author,
-        profile=content if isinstance(content, Profile) else None,
-        service=None if isinstance(content, Profile) else content,
+    if isinstance(content, WantedEngine):
+        await _check_engine(context, state, key, content)
+    change = make_change(
+        key,
+        state.version(key) if options.base is None else options.base,
+        str(uuid_utils.uuid7()),
+        options.author,
+        content,
     )
     result = await publish(context.log, state, change, options.timeout_s)
     rollout = None
@@ -63,6 +74,27 @@
     return _exit_code(result, rollout)
 
 
+async def _check_engine(
+    context: CommandContext,
+    state: ConfigState,
+    key: ConfigKey,
+    content: WantedEngine,
+) -> None:
+    """Checks a wanted state against the host list and the other ones."""
+    engines = [
+        ListedEngine(host.id, host.model, host.role, host.fencing)
+        for host in await context.host_list.fetch()
+        if host.kind is ListedKind.ENGINE
+    ]
+    wanted = state.wanted_by_name | {key.name: content}
+    models = {e.choice.model for e in state.services_by_name.values()}
+    try:
+        check_wanted(key.name, engines, wanted, models)
+    except ValueError as error:
+        code = Outcome.WANTED_STATE_REFUSED
+        raise SettingError(f'{key}: {code} {code.name}: {error}') from error
+
+
 async def _rollout(
     context: CommandContext,
     key: ConfigKey,
--- a/mustardscale/commands.py
+++ b/mustardscale/commands.py
@@ -20,7 +20,7 @@
 async def publish(
     context: CommandContext, options: argparse.Namespace
 ) -> ExitCode:
-    """Publishes a profile or a service choice."""
+    """Publishes a configuration entry."""
     edit = Edit(options.file, options.set, options.caller_token_file)
     publish_options = PublishOptions(
         options.author, options.base, options.timeout
@@ -32,7 +32,7 @@
 async def show(
     context: CommandContext, options: argparse.Namespace
 ) -> ExitCode:
-    """Shows the current profiles or service choices."""
+    """Shows the current entries of a kind."""
     return await command_config.show_entries(
         context, options.kind, options.name
     )
@@ -41,7 +41,7 @@
 async def history(
     context: CommandContext, options: argparse.Namespace
 ) -> ExitCode:
-    """Shows the changes of profiles or service choices."""
+    """Shows the changes of the entries of a kind."""
     return await command_config.show_history(
         context, options.kind, options.name
     )
@@ -50,7 +50,7 @@
 async def diff(
     context: CommandContext, options: argparse.Namespace
 ) -> ExitCode:
-    """Shows in which fields two profiles or service choices differ."""
+    """Shows in which fields two entries of a kind differ."""
     return await command_config.show_difference(
         context, options.kind, options.left, options.right
     )
--- a/mustardscale/config_edits.py
+++ b/mustardscale/config_edits.py
@@ -10,14 +10,15 @@
 
 import msgspec
 
-from mustardscale.config_records import ConfigKey, Profile, ServiceChoice
+from mustardscale.config_records import (
+    TYPE_BY_KIND,
+    ConfigContent,
+    ConfigKey,
+    ServiceChoice,
+)
 from mustardscale.config_state import PROFILE_KIND, ConfigState
 from mustardscale.exceptions import SettingError
 
-TYPE_BY_KIND: dict[str, type[Profile] | type[ServiceChoice]] = {
-    'profile': Profile,
-    'service': ServiceChoice,
-}
 _TOKENS_FIELD = 'token_sha256'
 
 
@@ -39,7 +40,7 @@
 
 def edit_content(
     state: ConfigState, key: ConfigKey, edit: Edit
-) -> Profile | ServiceChoice:
+) -> ConfigContent:
     """Returns the new content of an entry.
 
     Raises:
@@ -70,8 +71,8 @@
     current = state.current(key)
     if current is None:
         return {}
-    change = current.change
-    return msgspec.to_builtins(change.profile or change.service)
+    fields: dict[str, Any] = msgspec.to_builtins(current.change.content)
+    return fields
 
 
 def _read_file(path: str) -> dict[str, Any]:
@@ -104,7 +105,7 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
-def _content(key: ConfigKey, fields: dict[str, Any]) -> Profile | ServiceChoice:
+def _content(key: ConfigKey, fields: dict[str, Any]) -> ConfigContent:
     """Checks the fields and their values."""
     content_type = TYPE_BY_KIND[key.kind]
     known = {field.name for field in dataclasses.fields(content_type)}
--- a/mustardscale/config_records.py
+++ b/mustardscale/config_records.py
@@ -4,11 +4,13 @@
 
 import dataclasses
 import enum
+from typing import Any
 
 import msgspec
 import xxhash
 
 from mustardscale.exceptions import MustardscaleError
+from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
 
 SCHEMA_VERSION = 1
 
@@ -116,7 +118,7 @@
     """Names one configuration entry.
 
     Attributes:
-        kind: 'profile' or 'service'.
+        kind: 'profile', 'service', 'engine' or 'weights'.
         name: its name.
     """
 
@@ -128,6 +130,9 @@
         return f'{self.kind}/{self.name}'
 
 
+ConfigContent = Profile | ServiceChoice | WantedEngine | WeightStoreLimits
+
+
 @dataclasses.dataclass(slots=True)
 class ConfigChange:
     """A published change of one entry.
@@ -139,6 +144,8 @@
         author: who published it.
         profile: the new profile, when the key names one.
         service: the new choice, when the key names a service.
+        engine: the new wanted state, when the key names engines.
+        weights: the new limits, when the key names a weight store.
     """
 
     key: ConfigKey
@@ -147,15 +154,41 @@
     author: str
     profile: Profile | None = None
     service: ServiceChoice | None = None
+    engine: WantedEngine | None = None
+    weights: WeightStoreLimits | None = None
 
     def __post_init__(self):
         """Checks that the content fits the key."""
-        content = {'profile': self.profile, 'service': self.service}
-        if self.key.kind not in content or content[self.key.kind] is None:
+        kinds = [
+            kind for kind in TYPE_BY_KIND if getattr(self, kind) is not None
+        ]
+        if self.key.kind not in kinds:
             raise ValueError(f'{self.key} carries no matching content')
-        if sum(value is not None for value in content.values()) != 1:
+        if len(kinds) != 1:
             raise ValueError(f'{self.key} carries more than one content')
 
+    @property
+    def content(self) -> ConfigContent:
+        """The new content, of whichever kind."""
+        content: ConfigContent = getattr(self, self.key.kind)
+        return content
+
+
+# A change has a field of the same name for each kind.
+TYPE_BY_KIND: dict[str, type[ConfigContent]] = {
+    'profile': Profile,
+    'service': ServiceChoice,
+    'engine': WantedEngine,
+    'weights': WeightStoreLimits,
+}
+
+
+def make_change(
+    key: ConfigKey, base: int, change_id: str, author: str, content: Any
+) -> ConfigChange:
+    """Returns the change that sets an entry to a content of its kind."""
+    return ConfigChange(key, base, change_id, author, **{key.kind: content})
+
 
 @dataclasses.dataclass(slots=True)
 class VersionedChange:
--- a/mustardscale/config_state.py
+++ b/mustardscale/config_state.py
@@ -30,9 +30,12 @@
     encode_record,
 )
 from mustardscale.peers import ConfigRecord
+from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
 
 PROFILE_KIND = 'profile'
 SERVICE_KIND = 'service'
+ENGINE_KIND = 'engine'
+WEIGHTS_KIND = 'weights'
 
 # Changes kept for the operators' history.
 HISTORY_LIMIT = 1_000
@@ -110,6 +113,7 @@
         by_key: the current change of each key.
         profiles_by_name: the current profiles.
         services_by_name: the current service choices.
+        wanted_by_name: the current wanted states of engines.
         history: the latest folded changes, the oldest first.
         folded_offset: offset up to which every record is settled.
     """
@@ -124,12 +128,14 @@
         'history',
         'profiles_by_name',
         'services_by_name',
+        'wanted_by_name',
     )
 
     def __init__(self):
         self.by_key: dict[ConfigKey, VersionedChange] = {}
         self.profiles_by_name: dict[str, ProfileEntry] = {}
         self.services_by_name: dict[str, ServiceEntry] = {}
+        self.wanted_by_name: dict[str, WantedEngine] = {}
         self.history: collections.deque[HistoryEntry] = collections.deque(
             maxlen=HISTORY_LIMIT
         )
@@ -206,6 +212,12 @@
         payload = encode_record(self.snapshot(after))
         return (ConfigRecord(self.folded_offset, payload),)
 
+    def weight_limits(self, region: str) -> WeightStoreLimits:
+        """Returns the current limits of a region's weight store."""
+        entry = self.by_key.get(ConfigKey(WEIGHTS_KIND, region))
+        limits = entry.change.weights if entry is not None else None
+        return limits or WeightStoreLimits()
+
     def digest(self) -> int:
         """Returns a 64-bit hash over the keys and their versions."""
         return self._digest
@@ -314,6 +326,8 @@
             self.profiles_by_name[change.key.name] = ProfileEntry(
                 entry.version, change.profile
             )
+        if change.engine is not None:
+            self.wanted_by_name[change.key.name] = change.engine
         if change.service is not None:
             self._set_service(change.key.name, entry.version, change.service)
 
--- a/mustardscale/engines.py
+++ b/mustardscale/engines.py
@@ -192,6 +192,7 @@
         start: start number of the engine process; a change means a crash.
         order_term: fencing number of the last order carried out.
         link_bytes_per_s: rate of the link for KV transfers.
+        adapters: adapters loaded, None if the engine does not tell.
     """
 
     role: EngineRole
@@ -208,6 +209,7 @@
     start: int
     order_term: int
     link_bytes_per_s: float
+    adapters: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/outcomes.py
+++ b/mustardscale/outcomes.py
@@ -69,6 +69,9 @@
     ENDPOINT_CRASH_SUSPECTED = 5202
     ORPHAN_STREAM_CANCELLED = 5203
     ORDER_FENCED_OFF = 5301
+    ORDER_FAILED = 5302
+    ORDER_HELD_BACK = 5303
+    WANTED_STATE_REFUSED = 5304
     INTERNAL_ERROR = 5900
 
 
@@ -266,6 +269,19 @@
     Outcome.ORDER_FENCED_OFF: OutcomeText(
         500, 'An endpoint refused an order with an old term.', _LOGGED
     ),
+    Outcome.ORDER_FAILED: OutcomeText(
+        500, 'An order was not accepted or not carried out in time.', _LOGGED
+    ),
+    Outcome.ORDER_HELD_BACK: OutcomeText(
+        500,
+        'An order would take the last engine of a role out of service.',
+        'Add an engine, or publish the wanted state with allow_outage.',
+    ),
+    Outcome.WANTED_STATE_REFUSED: OutcomeText(
+        422,
+        'A wanted state fits no engine or leaves a model without a role.',
+        'Correct the wanted state; nothing was published.',
+    ),
     Outcome.INTERNAL_ERROR: OutcomeText(
         500, 'An error inside the router.', _LOGGED
     ),
--- /dev/null
+++ b/mustardscale/wanted_state.py
@@ -0,0 +1,177 @@
+"""What operators want of engines, and how fast weights may be loaded."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from mustardscale.engines import EngineRole, LoadReport
+
+# Name of an entry for all engines that the host list names for a model.
+MODEL_PREFIX = 'model/'
+
+
+@dataclasses.dataclass(slots=True)
+class WantedEngine:
+    """The whole wanted state of one engine or of a model's engines.
+
+    Attributes:
+        model: model that it shall serve.
+        model_version: version of that model.
+        role: role that it shall have, None for the one on the host list.
+        adapters: adapters that it shall have loaded, no others.
+        fencing: whether it refuses orders with an old term, None for what the
+            host list says.
+        allow_outage: whether the last engine of a role may be taken out of
+            service for a change.
+    """
+
+    model: str
+    model_version: str
+    role: EngineRole | None = None
+    adapters: tuple[str, ...] = ()
+    fencing: bool | None = None
+    allow_outage: bool = False
+
+    def __post_init__(self):
+        """Checks that the state is whole."""
+        for name in ('model', 'model_version'):
+            if not getattr(self, name):
+                raise ValueError(f'{name} must not be empty')
+        if '' in self.adapters or len(set(self.adapters)) < len(self.adapters):
+            raise ValueError('adapters must be named, each once')
+
+
+@dataclasses.dataclass(slots=True)
+class WeightStoreLimits:
+    """What the weight store of a region bears.
+
+    Attributes:
+        loads_at_once: loads that may be under way.
+        bytes_per_s: rate that all loads share; 0 for no limit.
+        weight_bytes: size of the largest load; with bytes_per_s it gives the
+            least time from one load to the next.
+    """
+
+    loads_at_once: int = 1
+    bytes_per_s: float = 0.0
+    weight_bytes: float = 0.0
+
+    def __post_init__(self):
+        """Checks the ranges."""
+        if self.loads_at_once < 1:
+            raise ValueError('loads_at_once must be at least 1')
+        if self.bytes_per_s < 0 or self.weight_bytes < 0:
+            raise ValueError('rates and sizes must not be negative')
+
+    @property
+    def load_s(self) -> float:
+        """Least time from the begin of one load to the next, seconds."""
+        if not self.bytes_per_s:
+            return 0.0
+        return self.weight_bytes / self.bytes_per_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineTarget:
+    """The state that one engine shall reach.
+
+    Attributes:
+        role: its role.
+        model: its model.
+        model_version: version of that model.
+        adapters: its adapters, in order of name.
+    """
+
+    role: EngineRole
+    model: str
+    model_version: str
+    adapters: tuple[str, ...] = ()
+
+    def reached(self, report: LoadReport) -> bool:
+        """Returns whether a report shows this state.
+
+        An engine that does not tell its adapters is taken at its word on the
+        rest.
+        """
+        told = (report.role, report.model, report.model_version)
+        if told != (self.role, self.model, self.model_version):
+            return False
+        if report.adapters is None:
+            return True
+        return tuple(sorted(report.adapters)) == self.adapters
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedEngine:
+    """An engine as the host list names it.
+
+    Attributes:
+        id: its name.
+        model: model that it is listed for.
+        role: role that it is listed for, or None.
+        fencing: whether it is listed as refusing orders with an old term.
+    """
+
+    id: str
+    model: str
+    role: EngineRole | None
+    fencing: bool
+
+
+def wanted_of(
+    engine: ListedEngine, wanted_by_name: Mapping[str, WantedEngine]
+) -> WantedEngine | None:
+    """Returns the entry that holds for an engine; its own goes first."""
+    own = wanted_by_name.get(engine.id)
+    return own or wanted_by_name.get(MODEL_PREFIX + engine.model)
+
+
+def target_of(engine: ListedEngine, wanted: WantedEngine) -> EngineTarget:
+    """Returns the state that an engine shall reach."""
+    role = wanted.role or engine.role or EngineRole.DECODE
+    adapters = tuple(sorted(wanted.adapters))
+    return EngineTarget(role, wanted.model, wanted.model_version, adapters)
+
+
+def checks_fencing(engine: ListedEngine, wanted: WantedEngine) -> bool:
+    """Returns whether an engine refuses orders with an old term."""
+    return engine.fencing if wanted.fencing is None else wanted.fencing
+
+
+def check_wanted(
+    name: str,
+    engines: Iterable[ListedEngine],
+    wanted_by_name: Mapping[str, WantedEngine],
+    served_models: Iterable[str],
+) -> None:
+    """Checks an entry against the host list before it is published.
+
+    Args:
+        name: name of the entry, which is in wanted_by_name already.
+        engines: the engines on the host list.
+        wanted_by_name: all entries, with the new one.
+        served_models: models that language services use.
+
+    Raises:
+        ValueError: it names no engine, or leaves a model that a service uses
+            without an engine of a role.
+    """
+    engines = list(engines)
+    names = {engine.id for engine in engines}
+    names |= {MODEL_PREFIX + engine.model for engine in engines}
+    if name not in names:
+        raise ValueError(f'the host list names no engine {name!r}')
+    before = {(engine.model, engine.role) for engine in engines}
+    after = set()
+    for engine in engines:
+        wanted = wanted_of(engine, wanted_by_name)
+        if wanted is None:
+            after.add((engine.model, engine.role))
+        else:
+            target = target_of(engine, wanted)
+            after.add((target.model, target.role))
+    for model in sorted(set(served_models)):
+        for role in EngineRole:
+            if (model, role) in before - after:
+                raise ValueError(f'no {role} engine would serve {model!r}')
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -257,6 +257,7 @@
             start=self.start,
             order_term=self._orders.term,
             link_bytes_per_s=self._store.link_bytes_per_s,
+            adapters=self._orders.adapters,
         )
 
     def state(self) -> EngineState:
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -14,13 +14,14 @@
 
 from mustardscale.blackboard import EndpointEntry
 from mustardscale.config_records import (
-    ConfigChange,
+    ConfigContent,
     ConfigKey,
     ConfigSnapshot,
     Profile,
     ServiceChoice,
     ServiceKind,
     encode_record,
+    make_change,
 )
 from mustardscale.endpoint_clients import EndpointConnector
 from mustardscale.engines import Engine, EngineRole
@@ -309,18 +310,12 @@
             await self.publish(ConfigKey('service', service), choice)
 
     async def publish(
-        self, key: ConfigKey, content: Profile | ServiceChoice, base: int = 0
+        self, key: ConfigKey, content: ConfigContent, base: int = 0
     ) -> int:
         """Appends a change to the configuration stream."""
         self._change_number += 1
-        change = ConfigChange(
-            key,
-            base,
-            f'change-{self._change_number}',
-            'operator',
-            profile=content if isinstance(content, Profile) else None,
-            service=content if isinstance(content, ServiceChoice) else None,
-        )
+        change_id = f'change-{self._change_number}'
+        change = make_change(key, base, change_id, 'operator', content)
         offsets = await self.log.append(CONFIG_STREAM, [encode_record(change)])
         return offsets[0]
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -10,6 +10,7 @@
 
 from mustardscale.__main__ import build_parser, main
 from mustardscale.command_context import CommandContext
+from mustardscale.engines import EngineRole
 from mustardscale.exceptions import PeerUnavailableError, SettingError
 from mustardscale.exit_codes import ExitCode
 from mustardscale.host_list import ListedHost, ListedKind
@@ -61,6 +62,13 @@
                 ('e3', True, {'operators_address': 'o3'}),
             ]
         ]
+        roles = {'p1': EngineRole.PREFILL, 'd1': EngineRole.DECODE}
+        hosts += [
+            ListedHost(
+                name, ListedKind.ENGINE, '', 'a', 'r', model='m', role=role
+            )
+            for name, role in roles.items()
+        ]
         self._host_list = MemoryHostList(HostListModel(hosts))
 
     async def run(self, *arguments, as_json=False):
@@ -106,6 +114,23 @@
         _, shown = await tool.run('profile', 'show', 'noon', as_json=True)
         assert (shown['weight'], shown['burst']) == (2, 7)
 
+    @virtual_time
+    async def test_a_wanted_state_is_checked_against_the_host_list(self):
+        tool = Tool()
+        await tool.run('profile', 'publish', 'noon', '--set', 'weight=2')
+        service = ('--set', 'profile=noon', '--set', 'model=m')
+        await tool.run('service', 'publish', 's', *service)
+        version = ('--set', 'model=m', '--set', 'model_version="2"')
+        publish = ('engine', 'publish')
+        with pytest.raises(SettingError, match=r'5304.*no engine'):
+            await tool.run(*publish, 'd9', *version)
+        with pytest.raises(SettingError, match=r'5304.*no decode'):
+            await tool.run(*publish, 'd1', *version, '--set', 'role=prefill')
+        code, _ = await tool.run(*publish, 'model/m', *version)
+        assert code == ExitCode.DONE
+        _, shown = await tool.run('engine', 'show', 'model/m', as_json=True)
+        assert shown['model_version'] == '2'
+
     @virtual_time
     async def test_a_service_and_its_token(self, tmp_path):
         tool = Tool()
--- /dev/null
+++ b/tests/test_wanted_state.py
@@ -0,0 +1,86 @@
+"""Tests of the wanted states of engines."""
+
+import pytest
+
+from mustardscale.config_records import ConfigKey, encode_record, make_change
+from mustardscale.config_state import ConfigState
+from mustardscale.engines import EngineRole
+from mustardscale.wanted_state import (
+    ListedEngine,
+    WantedEngine,
+    WeightStoreLimits,
+    check_wanted,
+    target_of,
+    wanted_of,
+)
+
+ENGINES = [
+    ListedEngine('p1', 'm', EngineRole.PREFILL, True),
+    ListedEngine('d1', 'm', EngineRole.DECODE, True),
+    ListedEngine('d2', 'm', EngineRole.DECODE, False),
+]
+ALL = WantedEngine('m', '2')
+
+
+class TestEntries:
+    """What may be published, and for which engine it holds."""
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'model': '', 'model_version': '1'},
+            {'model': 'm', 'model_version': ''},
+            {'model': 'm', 'model_version': '1', 'adapters': ('a', 'a')},
+        ],
+    )
+    def test_a_state_that_is_not_whole_is_refused(self, fields):
+        with pytest.raises(ValueError):
+            WantedEngine(**fields)
+
+    def test_limits_have_ranges(self):
+        with pytest.raises(ValueError):
+            WeightStoreLimits(loads_at_once=0)
+        assert WeightStoreLimits(1, 50.0, 100.0).load_s == 2.0
+        assert WeightStoreLimits().load_s == 0.0
+
+    def test_an_engine_s_own_entry_goes_first(self):
+        own = WantedEngine('m', '3', EngineRole.PREFILL)
+        wanted = {'model/m': ALL, 'd1': own}
+        found = [wanted_of(engine, wanted) for engine in ENGINES]
+        assert found == [ALL, own, ALL]
+        assert target_of(ENGINES[2], ALL).role is EngineRole.DECODE
+
+    @pytest.mark.parametrize(
+        ('name', 'wanted', 'message'),
+        [
+            ('d9', ALL, 'names no engine'),
+            ('model/x', ALL, 'names no engine'),
+            ('p1', WantedEngine('m', '2', EngineRole.DECODE), 'no prefill'),
+            ('p1', WantedEngine('x', '1'), 'no prefill'),
+            ('model/m', WantedEngine('m', '2', EngineRole.PREFILL), 'decode'),
+        ],
+    )
+    def test_an_entry_that_fits_no_engine_or_empties_a_role(
+        self, name, wanted, message
+    ):
+        with pytest.raises(ValueError, match=message):
+            check_wanted(name, ENGINES, {name: wanted}, ['m'])
+        check_wanted('d1', ENGINES, {'d1': wanted}, ['m'])
+
+    def test_folded_and_carried_by_snapshots(self):
+        state, copy = ConfigState(), ConfigState()
+        limits = WeightStoreLimits(3)
+        for offset, (key, content) in enumerate(
+            [
+                (ConfigKey('engine', 'd1'), ALL),
+                (ConfigKey('weights', 'north'), limits),
+            ],
+            1,
+        ):
+            change = make_change(key, 0, str(offset), 'ann', content)
+            state.apply(offset, encode_record(change))
+        copy.merge(encode_record(state.snapshot()))
+        for folded in (state, copy):
+            assert folded.wanted_by_name == {'d1': ALL}
+            assert folded.weight_limits('north') == limits
+            assert folded.weight_limits('south') == WeightStoreLimits()
