Begin a stand-in's work only when the call arrives

Cause: callers of MemoryNetwork.call made the coroutine of the stand-in's work first; a site that ended within the delay of a message cancelled the delivery before it awaited that coroutine, and Python warned that HostListModel.fetch or LogModel.read was never awaited. Ruled out: tasks of the router (all are cancelled and gathered) and the engines' client, which awaits the model itself after its delay.

The network now takes a function and calls it on delivery.

--- a/standins/host_list_model.py
+++ b/standins/host_list_model.py
@@ -158,7 +158,7 @@
         """See the base class."""
         try:
             await self.network.connect()
-            return await self.network.call(self._model.fetch())
+            return await self.network.call(self._model.fetch)
         except (
             NotConnectedError,
             ConnectionCutError,
--- a/standins/memory_log.py
+++ b/standins/memory_log.py
@@ -30,7 +30,9 @@
         """See the base class."""
         try:
             await self.network.connect()
-            return await self.network.call(self._model.append(stream, payloads))
+            return await self.network.call(
+                lambda: self._model.append(stream, payloads)
+            )
         except (NotConnectedError, StandinRefusedError) as error:
             raise LogUnavailableError(str(error)) from error
         except (ConnectionCutError, AnswerLostError) as error:
@@ -44,7 +46,8 @@
         try:
             await self.network.connect()
             return await self.network.call(
-                self._model.read(stream, after, limit, wait_s), timeout_s
+                lambda: self._model.read(stream, after, limit, wait_s),
+                timeout_s,
             )
         except (
             NotConnectedError,
--- a/standins/memory_network.py
+++ b/standins/memory_network.py
@@ -50,7 +50,7 @@
 
     async def call(
         self,
-        operation: Coroutine[Any, Any, T],
+        operation: Callable[[], Coroutine[Any, Any, T]],
         timeout_s: float | None = None,
     ) -> T:
         """Sends a call and returns its answer.
@@ -58,7 +58,7 @@
         The operation goes on at the stand-in when the caller gives up.
 
         Args:
-            operation: what the stand-in does.
+            operation: begins what the stand-in does, once the call arrives.
             timeout_s: seconds until the call is given up, None for the
                 network's own.
 
@@ -74,13 +74,14 @@
         except TimeoutError as error:
             raise ConnectionCutError('timeout') from error
 
-    async def _deliver(self, operation: Coroutine[Any, Any, T]) -> T:
+    async def _deliver(
+        self, operation: Callable[[], Coroutine[Any, Any, T]]
+    ) -> T:
         await asyncio.sleep(self.delay_s)
         if not self.reachable():
-            operation.close()
             await self._break()
         try:
-            result = await operation
+            result = await operation()
         except Exception:
             await self._return_answer()
             raise
--- a/standins/plain_inprocess.py
+++ b/standins/plain_inprocess.py
@@ -42,10 +42,12 @@
         """See the base class."""
         try:
             await self.network.connect()
-            operation = self._model.run(
-                call.request_id, call.method, call.path, call.body
+            result = await self.network.call(
+                lambda: self._model.run(
+                    call.request_id, call.method, call.path, call.body
+                ),
+                call.timeout_s,
             )
-            result = await self.network.call(operation, call.timeout_s)
         except (NotConnectedError, NotListeningError) as error:
             raise EndpointUnreachableError(str(error)) from error
         except LeavingError as error:
--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -1,6 +1,8 @@
 """A whole site under a paused clock."""
 
 import asyncio
+import gc
+import warnings
 
 import async_solipsism
 import pytest
@@ -73,6 +75,27 @@
     return list(expected_tokens(fingerprint, 0, length))
 
 
+class TestShutdown:
+    """The end of a site."""
+
+    @pytest.mark.parametrize('after_s', [0.0, 0.0005, 0.001, 0.3])
+    def test_no_call_is_left_unawaited(self, after_s):
+        async def main():
+            site = MemorySite(SiteLayout(), seed=1)
+            await site.start()
+            await asyncio.sleep(after_s)
+            await site.stop()
+
+        with (
+            warnings.catch_warnings(record=True) as caught,
+            asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner,
+        ):
+            warnings.simplefilter('always')
+            runner.run(main())
+            gc.collect()
+        assert [str(warning.message) for warning in caught] == []
+
+
 class TestServing:
     """Requests without faults."""
 
