Record the inputs of decisions and let a replay decide again

Cause: a trace held what was done with requests, not what the decisions were made from, so a replay could not say whether today's code decides alike.

A recorded policy is called through a wrapper that notes each call, what changed in the pool since the call before and the decisions. The replay calls today's policy alike. Pages of claims, registrations of known ids and judged orphans are recorded and decided again too; the directory's rule and the orphans' became pure functions for that. Only hashes and lengths of prompts are in it. Ruled out: recording the policy's learnt state at each decision (its books would fix the form of the policy), and a ring of lines (a policy can only be repeated from its beginning); so recording stops at a size.

Changes of the code, one of each kind of decision, are named by kind; a trace with gaps compares nothing behind them.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -11,7 +11,13 @@
 from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
 from mustardscale.host_list import ListedKind
 from mustardscale.peers import DirectoryEntry, HeldStream
-from mustardscale.trace import NoTrace, TraceEvent, TraceKind, TraceSink
+from mustardscale.trace import (
+    NoTrace,
+    TraceEvent,
+    TraceKind,
+    TraceLine,
+    TraceSink,
+)
 
 
 class Signal:
@@ -277,11 +283,29 @@
 
     def record(self, kind: TraceKind, request_id: str, **fields: Any) -> None:
         """Records an event of a request; fields are those of TraceEvent."""
-        now = asyncio.get_running_loop().time()
+        self.record_line(TraceEvent, kind, request_id=request_id, **fields)
+
+    def record_line(
+        self,
+        line_type: type[TraceLine],
+        kind: str,
+        at: float | None = None,
+        **fields: Any,
+    ) -> None:
+        """Records a line, if a trace is wanted.
+
+        Args:
+            line_type: type of the line.
+            kind: its kind.
+            at: loop time, None for the present.
+            **fields: the other fields of the type.
+        """
+        if not self.trace.takes_lines:
+            return
+        if at is None:
+            at = asyncio.get_running_loop().time()
         self.trace.record(
-            TraceEvent(
-                now, self.host, self.incarnation, kind, request_id, **fields
-            )
+            line_type(at, self.host, self.incarnation, kind, **fields)
         )
 
     def live_hosts(self) -> list[str]:
--- a/mustardscale/claim_state.py
+++ b/mustardscale/claim_state.py
@@ -95,7 +95,8 @@
             wall_now: wall-clock time, seconds.
         """
         records = [
-            (record.offset, _decode(record.payload)) for record in page.records
+            (record.offset, decode_claim(record.payload))
+            for record in page.records
         ]
         if page.first_offset > self.folded_offset + 1:
             self.covered_from = _first_written_at(records, wall_now)
@@ -132,7 +133,7 @@
     return msgspec.json.encode(record)
 
 
-def _decode(payload: bytes) -> ClaimRecord | None:
+def decode_claim(payload: bytes) -> ClaimRecord | None:
     """Decodes a record; None when it can't be read, alike on every host."""
     try:
         return msgspec.json.decode(payload, type=ClaimRecord)
--- a/mustardscale/claim_stream.py
+++ b/mustardscale/claim_stream.py
@@ -9,10 +9,21 @@
 import random
 from collections.abc import Callable
 
-from mustardscale.claim_state import ClaimRecord, ClaimState, encode_claim
+from mustardscale.blackboard import Blackboard
+from mustardscale.claim_state import (
+    ClaimRecord,
+    ClaimState,
+    decode_claim,
+    encode_claim,
+)
 from mustardscale.controller import Controller, pause
+from mustardscale.decision_lines import (
+    ClaimsLine,
+    DecisionKind,
+    folded_claims,
+)
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log_client import LogClient
+from mustardscale.log_client import LogClient, LogPage
 
 log = logging.getLogger(__name__)
 
@@ -44,11 +55,13 @@
     def __init__(
         self,
         name: str,
+        blackboard: Blackboard,
         client: LogClient,
         wall_clock: Callable[[], float],
         rng: random.Random,
     ):
         self._name = name
+        self._blackboard = blackboard
         self._client = client
         self._wall_clock = wall_clock
         self._rng = rng
@@ -105,11 +118,31 @@
                 await pause(READ_RETRY_S, self._rng)
                 continue
             self.read_at = loop.time()
-            self.state.apply_page(page, self.read_at, self._wall_clock())
-            self.state.expire(self.read_at - MEMORY_S)
+            self._fold(page)
             async with self._folded:
                 self._folded.notify_all()
 
+    def _fold(self, page: LogPage) -> None:
+        state = self.state
+        wall_now = self._wall_clock()
+        before = (state.folded_offset, len(state.held_by_id))
+        state.apply_page(page, self.read_at, wall_now)
+        state.expire(self.read_at - MEMORY_S)
+        if before != (state.folded_offset, len(state.held_by_id)):
+            self._blackboard.record_line(
+                ClaimsLine,
+                DecisionKind.CLAIMS_FOLDED,
+                self.read_at,
+                stream=self._name,
+                wall_now=wall_now,
+                first_offset=page.first_offset,
+                records=tuple(
+                    (record.offset, decode_claim(record.payload))
+                    for record in page.records
+                ),
+                folded=folded_claims(state, page),
+            )
+
     async def _append(self) -> None:
         while True:
             await self._queued.wait()
--- a/mustardscale/claims.py
+++ b/mustardscale/claims.py
@@ -58,7 +58,8 @@
         self._running: set[tuple[str, int, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.streams = [
-            ClaimStream(name, client, wall_clock, rng) for name in STREAMS
+            ClaimStream(name, blackboard, client, wall_clock, rng)
+            for name in STREAMS
         ]
 
     def stream_of(self, request_id: str) -> ClaimStream:
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -111,7 +111,7 @@
         transport,
         HttpConnector(),
         time.time,
-        _trace_to(settings.record_file),
+        _trace_to(settings),
     )
     options = RouterOptions(
         settings.host_id,
@@ -131,11 +131,11 @@
     return router
 
 
-def _trace_to(record_file: str) -> TraceSink:
-    """Returns where events of requests are recorded."""
-    if not record_file:
+def _trace_to(settings: Settings) -> TraceSink:
+    """Returns where requests and decisions are recorded."""
+    if not settings.record_file:
         return NoTrace()
-    return FileTrace(pathlib.Path(record_file))
+    return FileTrace(pathlib.Path(settings.record_file), settings.record_bytes)
 
 
 def add_traffic_gauges(metrics: Metrics, traffic: PeerTraffic) -> None:
--- /dev/null
+++ b/mustardscale/decision_lines.py
@@ -0,0 +1,230 @@
+"""Lines of a trace that carry the inputs of decisions and what was decided.
+
+A replay decides again from the inputs; see docs/design/traces.md.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from mustardscale.claim_state import (
+    ClaimKind,
+    ClaimRecord,
+    ClaimState,
+    decode_claim,
+)
+from mustardscale.config_records import Profile
+from mustardscale.directory_rules import Registration
+from mustardscale.engines import CacheEvent, StreamStage
+from mustardscale.log_client import LogPage
+from mustardscale.peers import Release
+from mustardscale.policy.base import (
+    Decision,
+    EngineState,
+    Grant,
+    Reservation,
+    WaitingRequest,
+)
+from mustardscale.trace import TraceLine
+
+
+class DecisionKind(enum.StrEnum):
+    """What was decided, or told to a policy that learns from it."""
+
+    POLICY_BEGUN = 'policy_begun'
+    POLICY_DECIDED = 'policy_decided'
+    POLICY_GRANT = 'policy_grant'
+    POLICY_STAGE = 'policy_stage'
+    POLICY_RELEASE = 'policy_release'
+    POLICY_REPORT = 'policy_report'
+    POLICY_CACHE = 'policy_cache'
+    CLAIMS_FOLDED = 'claims_folded'
+    DIRECTORY_DECIDED = 'directory_decided'
+    ORPHAN_JUDGED = 'orphan_judged'
+
+
+class Renewal(NamedTuple):
+    """What changes in a reservation while its stream goes on."""
+
+    request_id: str
+    stage: StreamStage
+    emitted: int
+    renewed_at: float
+    decoding_since: float | None
+    suspect: bool
+
+
+class Decided(NamedTuple):
+    """A decision of a policy; code is 0 for a grant."""
+
+    request_id: str
+    code: int
+    prefill: str
+    decode: str
+    priority: int
+    retry_after_s: float
+
+
+def decided(decision: Decision) -> Decided:
+    """Returns the recorded form of a decision."""
+    if isinstance(decision, Grant):
+        return Decided(
+            decision.request_id,
+            0,
+            decision.prefill,
+            decision.decode,
+            decision.priority,
+            0.0,
+        )
+    return Decided(
+        decision.request_id,
+        int(decision.outcome),
+        '',
+        '',
+        0,
+        decision.retry_after_s,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolChange:
+    """What changed in a pool's state since the line before.
+
+    Reservations come without the hashes of their prompts' blocks, which the
+    waiting request has carried.
+
+    Attributes:
+        engines: engines that are new or changed.
+        engines_gone: ids of engines that left.
+        waiting: requests that are new or changed.
+        waiting_gone: ids of requests that wait no longer.
+        waiting_order: ids in order, if it is not the order of arrival.
+        held: reservations that are new or changed.
+        renewed: reservations of which only the progress changed.
+        held_gone: ids of reservations that ended.
+        held_order: ids in order, if it is not the order of grants.
+        profile_by_service: the profiles, if one changed.
+    """
+
+    engines: tuple[EngineState, ...] = ()
+    engines_gone: tuple[str, ...] = ()
+    waiting: tuple[WaitingRequest, ...] = ()
+    waiting_gone: tuple[str, ...] = ()
+    waiting_order: tuple[str, ...] = ()
+    held: tuple[Reservation, ...] = ()
+    renewed: tuple[Renewal, ...] = ()
+    held_gone: tuple[str, ...] = ()
+    held_order: tuple[str, ...] = ()
+    profile_by_service: dict[str, Profile] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyLine(TraceLine):
+    """A call of a pool's policy; times in it are loop times.
+
+    Attributes:
+        kind: what was called.
+        pool: id of the pool.
+        policy: name of the policy, in POLICY_BEGUN.
+        number: number of the call since POLICY_BEGUN.
+        change: what changed in the pool before the call.
+        subject: id of the request or engine that the call is about.
+        reservation: the stream, in POLICY_STAGE and POLICY_RELEASE.
+        stage: its stage, in POLICY_STAGE.
+        release: how it ended, in POLICY_RELEASE.
+        events: cache events, in POLICY_CACHE.
+        decisions: what was decided, in POLICY_DECIDED.
+    """
+
+    kind: DecisionKind
+    pool: str
+    policy: str = ''
+    number: int = 0
+    change: PoolChange | None = None
+    subject: str = ''
+    reservation: Reservation | None = None
+    stage: StreamStage | None = None
+    release: Release | None = None
+    events: tuple[CacheEvent, ...] = ()
+    decisions: tuple[Decided, ...] = ()
+
+
+class FoldedClaim(NamedTuple):
+    """What a page left of an id: offset of its claim, 0 if none holds it."""
+
+    request_id: str
+    offset: int
+    result: ClaimKind | None
+
+
+def folded_claims(state: ClaimState, page: LogPage) -> tuple[FoldedClaim, ...]:
+    """Returns what a page that was just folded left of the ids on it."""
+    claims = [decode_claim(record.payload) for record in page.records]
+    request_ids = dict.fromkeys(c.request_id for c in claims if c is not None)
+    return tuple(
+        FoldedClaim(request_id, held.offset, held.result)
+        if (held := state.held_by_id.get(request_id)) is not None
+        else FoldedClaim(request_id, 0, None)
+        for request_id in request_ids
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsLine(TraceLine):
+    """A page of claims that a host has folded.
+
+    Attributes:
+        kind: CLAIMS_FOLDED.
+        stream: name of the stream.
+        wall_now: wall-clock time, seconds.
+        first_offset: offset of the oldest record retained.
+        records: offset and claim, None for a record that cannot be read.
+        folded: what came of the ids on the page.
+    """
+
+    kind: DecisionKind
+    stream: str
+    wall_now: float
+    first_offset: int = 0
+    records: tuple[tuple[int, ClaimRecord | None], ...] = ()
+    folded: tuple[FoldedClaim, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryLine(TraceLine):
+    """A home's decision on the registration of an id that it knows.
+
+    Attributes:
+        kind: DIRECTORY_DECIDED.
+        registration: what it decided on.
+        accepted: what was decided.
+    """
+
+    kind: DecisionKind
+    registration: Registration
+    accepted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrphanLine(TraceLine):
+    """An owner's decision to cancel a stream that no host names.
+
+    Attributes:
+        kind: ORPHAN_JUDGED.
+        request_id: the request's id.
+        attempt: number of the attempt.
+        endpoint: the engine that holds the stream.
+        unnamed_s: seconds for which no host named it.
+        host_live: whether the process that asked for it is there.
+        resume_grace_s: seconds for which a dead host's streams are kept.
+    """
+
+    kind: DecisionKind
+    request_id: str
+    attempt: int
+    endpoint: str
+    unnamed_s: float
+    host_live: bool
+    resume_grace_s: float
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -13,6 +13,8 @@
 
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.controller import Controller, pause
+from mustardscale.decision_lines import DecisionKind, DirectoryLine
+from mustardscale.directory_rules import Registration, may_replace
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.peer_calls import PeerCalls
@@ -170,37 +172,23 @@
     def _may_replace(
         self, row: DirectoryRow, request: DirectoryRegister
     ) -> bool:
-        old = row.entry
-        new = request.entry
-        same_holder = (old.host, old.incarnation) == (
-            new.host,
-            new.incarnation,
+        claim = Registration(
+            row.entry,
+            request.entry,
+            takeover=request.takeover,
+            rebuild=request.rebuild,
+            ended=row.ended_at is not None,
+            holder_live=self._holder_is_live(row),
+            before_gap=row.renewed_at < self._blackboard.quorum_gap_at,
         )
-        if same_holder:
-            return not old.done
-        if request.rebuild:
-            return row.ended_at is None and self._may_rebuild(row, new)
-        if old.fingerprint != new.fingerprint:
-            return False
-        if old.done:
-            return False
-        return (
-            row.ended_at is not None
-            or request.takeover
-            or not self._holder_is_live(row)
-        )
-
-    def _may_rebuild(self, row: DirectoryRow, new: DirectoryEntry) -> bool:
-        """Returns whether a holder's own word outweighs another's.
-
-        With equal attempts the first stands: a host whose stream was taken
-        over while it was frozen may still claim it.
-        """
-        return (
-            new.attempt > row.entry.attempt
-            or not self._holder_is_live(row)
-            or row.renewed_at < self._blackboard.quorum_gap_at
+        accepted = may_replace(claim)
+        self._blackboard.record_line(
+            DirectoryLine,
+            DecisionKind.DIRECTORY_DECIDED,
+            registration=claim,
+            accepted=accepted,
         )
+        return accepted
 
     def _holder_is_live(self, row: DirectoryRow) -> bool:
         """Returns whether the process that holds an entry is there.
--- /dev/null
+++ b/mustardscale/directory_rules.py
@@ -0,0 +1,57 @@
+"""The rule by which a home lets another host take an id over."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from mustardscale.peers import DirectoryEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registration:
+    """A registration of an id that its home knows already.
+
+    Attributes:
+        known: the entry that the home has.
+        new: the entry that is to take its place.
+        takeover: whether the caller resumes.
+        rebuild: whether a holder registers with a new home.
+        ended: whether the known entry has ended.
+        holder_live: whether the process of the known entry is there.
+        before_gap: whether the known entry is from before the home was cut
+            off from the other hosts.
+    """
+
+    known: DirectoryEntry
+    new: DirectoryEntry
+    takeover: bool = False
+    rebuild: bool = False
+    ended: bool = False
+    holder_live: bool = False
+    before_gap: bool = False
+
+
+def may_replace(claim: Registration) -> bool:
+    """Returns whether the new entry may take the known one's place."""
+    old = claim.known
+    new = claim.new
+    if (old.host, old.incarnation) == (new.host, new.incarnation):
+        return not old.done
+    if claim.rebuild:
+        return not claim.ended and _may_rebuild(claim)
+    if old.fingerprint != new.fingerprint or old.done:
+        return False
+    return claim.ended or claim.takeover or not claim.holder_live
+
+
+def _may_rebuild(claim: Registration) -> bool:
+    """Returns whether a holder's own word outweighs another's.
+
+    With equal attempts the first stands: a host whose stream was taken
+    over while it was frozen may still claim it.
+    """
+    return (
+        claim.new.attempt > claim.known.attempt
+        or not claim.holder_live
+        or claim.before_gap
+    )
--- a/mustardscale/exit_codes.py
+++ b/mustardscale/exit_codes.py
@@ -18,6 +18,7 @@
     LOG_UNAVAILABLE = 6
     HOST_UNAVAILABLE = 7
     PROMISE_BROKEN = 8
+    DECIDED_ANEW = 9
 
 
 TEXT_BY_EXIT_CODE = {
@@ -29,6 +30,7 @@
     ExitCode.LOG_UNAVAILABLE: 'the log is unavailable; nothing was published',
     ExitCode.HOST_UNAVAILABLE: 'a host or the host list did not answer',
     ExitCode.PROMISE_BROKEN: 'a replayed trace shows a promise broken',
+    ExitCode.DECIDED_ANEW: 'decisions of a replayed trace differ today',
 }
 
 
--- a/mustardscale/outcomes.py
+++ b/mustardscale/outcomes.py
@@ -72,6 +72,8 @@
     ORDER_FAILED = 5302
     ORDER_HELD_BACK = 5303
     WANTED_STATE_REFUSED = 5304
+    TRACE_LINE_UNREADABLE = 5401
+    TRACE_FULL = 5402
     INTERNAL_ERROR = 5900
 
 
@@ -282,6 +284,12 @@
         'A wanted state fits no engine or leaves a model without a role.',
         'Correct the wanted state; nothing was published.',
     ),
+    Outcome.TRACE_LINE_UNREADABLE: OutcomeText(
+        500, 'A line of a trace was skipped: it cannot be read.', _LOGGED
+    ),
+    Outcome.TRACE_FULL: OutcomeText(
+        500, 'The trace has reached its size; recording stopped.', _LOGGED
+    ),
     Outcome.INTERNAL_ERROR: OutcomeText(
         500, 'An error inside the router.', _LOGGED
     ),
--- /dev/null
+++ b/mustardscale/pool_changes.py
@@ -0,0 +1,200 @@
+"""Follows a pool's state by its changes, for recording and for replay."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TypeVar
+
+from mustardscale.config_records import Profile
+from mustardscale.decision_lines import PoolChange, Renewal
+from mustardscale.policy.base import (
+    EngineState,
+    PoolState,
+    Reservation,
+    WaitingRequest,
+)
+
+Entry = TypeVar('Entry', EngineState, WaitingRequest, Reservation)
+
+
+class PoolChanges:
+    """Notes what changes in a pool between two calls of its policy."""
+
+    __slots__ = ('_engines', '_held', '_profiles', '_waiting')
+
+    def __init__(self):
+        self._engines: dict[str, EngineState] = {}
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._held: dict[str, Reservation] = {}
+        self._profiles: dict[str, Profile] = {}
+
+    def next(self, pool: PoolState) -> PoolChange | None:
+        """Returns what changed since the last call, None if nothing did."""
+        engines = _changed(self._engines, pool.engines_by_id)
+        waiting = _changed(self._waiting, pool.waiting_by_request_id)
+        renewed = _renewed(self._held, pool.reservations_by_request_id)
+        held = _changed(self._held, pool.reservations_by_request_id)
+        engines_gone = _gone(self._engines, pool.engines_by_id)
+        waiting_gone = _gone(self._waiting, pool.waiting_by_request_id)
+        held_gone = _gone(self._held, pool.reservations_by_request_id)
+        waiting_order = _order(self._waiting, pool.waiting_by_request_id)
+        held_order = _order(self._held, pool.reservations_by_request_id)
+        profiles = None
+        if self._profiles != pool.profile_by_service:
+            self._profiles = profiles = dict(pool.profile_by_service)
+        change = PoolChange(
+            tuple(map(_plain_engine, engines)),
+            engines_gone,
+            tuple(waiting),
+            waiting_gone,
+            waiting_order,
+            tuple(map(without_hashes, held)),
+            renewed,
+            held_gone,
+            held_order,
+            profiles,
+        )
+        return None if change == _NO_CHANGE else change
+
+
+_NO_CHANGE = PoolChange()
+
+
+def _changed(known: dict[str, Entry], now: dict[str, Entry]) -> list[Entry]:
+    """Returns what is new or changed, and takes a copy of it."""
+    changed = [entry for key, entry in now.items() if known.get(key) != entry]
+    for key, entry in now.items():
+        if known.get(key) != entry:
+            known[key] = dataclasses.replace(entry)
+    return changed
+
+
+def _gone(known: dict[str, Entry], now: dict[str, Entry]) -> tuple[str, ...]:
+    gone = tuple(key for key in known if key not in now)
+    for key in gone:
+        del known[key]
+    return gone
+
+
+def _order(known: dict[str, Entry], now: dict[str, Entry]) -> tuple[str, ...]:
+    """Returns the order of the keys if a follower would get it wrong."""
+    order = tuple(now)
+    if tuple(known) == order:
+        return ()
+    for key in order:
+        known[key] = known.pop(key)
+    return order
+
+
+def _renewed(
+    known: dict[str, Reservation], now: dict[str, Reservation]
+) -> tuple[Renewal, ...]:
+    """Returns the reservations of which only the progress changed."""
+    renewed = []
+    for key, held in now.items():
+        old = known.get(key)
+        if old is None or old == held:
+            continue
+        renewal = Renewal(
+            key,
+            held.stream.stage,
+            held.stream.emitted,
+            held.renewed_at,
+            held.decoding_since,
+            held.suspect,
+        )
+        if renew(old, renewal) == held:
+            known[key] = dataclasses.replace(held)
+            renewed.append(renewal)
+    return tuple(renewed)
+
+
+def renew(held: Reservation, renewal: Renewal) -> Reservation:
+    """Returns a reservation after some progress."""
+    return dataclasses.replace(
+        held,
+        stream=dataclasses.replace(
+            held.stream, stage=renewal.stage, emitted=renewal.emitted
+        ),
+        renewed_at=renewal.renewed_at,
+        decoding_since=renewal.decoding_since,
+        suspect=renewal.suspect,
+    )
+
+
+def without_hashes(held: Reservation) -> Reservation:
+    """Returns a reservation as it is recorded."""
+    return dataclasses.replace(held, block_hashes=())
+
+
+def _plain_engine(engine: EngineState) -> EngineState:
+    """Returns an engine as JSON can carry it: it was read at a finite time."""
+    if math.isfinite(engine.reported_at):
+        return engine
+    return dataclasses.replace(engine, reported_at=0.0)
+
+
+class FollowedPool:
+    """A pool's state, followed by its recorded changes.
+
+    Attributes:
+        state: the state after the changes applied so far.
+    """
+
+    __slots__ = ('_hashes_by_request_id', 'state')
+
+    def __init__(self, pool_id: str):
+        self.state = PoolState(pool_id)
+        # By request id and attempt.
+        self._hashes_by_request_id: dict[str, dict[int, tuple[int, ...]]] = {}
+
+    def apply(self, change: PoolChange) -> None:
+        """Applies a change."""
+        state = self.state
+        for engine in change.engines:
+            state.engines_by_id[engine.id] = engine
+        for item in change.waiting:
+            tag = item.request.tag
+            state.waiting_by_request_id[tag.request_id] = item
+            by_attempt = self._hashes_by_request_id.setdefault(
+                tag.request_id, {}
+            )
+            by_attempt[tag.attempt] = item.request.block_hashes
+        held_by_id = state.reservations_by_request_id
+        for renewal in change.renewed:
+            known = held_by_id[renewal.request_id]
+            held_by_id[renewal.request_id] = renew(known, renewal)
+        for held in change.held:
+            held_by_id[held.request_id] = self.with_hashes(held)
+        _drop(state.engines_by_id, change.engines_gone)
+        _drop(state.waiting_by_request_id, change.waiting_gone)
+        _drop(held_by_id, change.held_gone)
+        _sort(state.waiting_by_request_id, change.waiting_order)
+        _sort(held_by_id, change.held_order)
+        if change.profile_by_service is not None:
+            state.profile_by_service = change.profile_by_service
+        for request_id in (*change.waiting_gone, *change.held_gone):
+            self._forget(request_id)
+
+    def with_hashes(self, held: Reservation) -> Reservation:
+        """Returns a recorded reservation with its prompt's hashes."""
+        by_attempt = self._hashes_by_request_id.get(held.request_id, {})
+        hashes = by_attempt.get(held.stream.tag.attempt, ())
+        return dataclasses.replace(held, block_hashes=hashes)
+
+    def _forget(self, request_id: str) -> None:
+        state = self.state
+        known = (state.waiting_by_request_id, state.reservations_by_request_id)
+        if not any(request_id in entries for entries in known):
+            self._hashes_by_request_id.pop(request_id, None)
+
+
+def _drop(entries: dict[str, Entry], gone: tuple[str, ...]) -> None:
+    for key in gone:
+        entries.pop(key, None)
+
+
+def _sort(entries: dict[str, Entry], order: tuple[str, ...]) -> None:
+    for key in order:
+        entries[key] = entries.pop(key)
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -40,6 +40,7 @@
 )
 from mustardscale.pools import PoolMembers, divide_pools
 from mustardscale.quarantine import Suspicions
+from mustardscale.recorded_policy import RecordedPolicy
 from mustardscale.rendezvous import owner
 
 log = logging.getLogger(__name__)
@@ -127,7 +128,7 @@
             pool = OwnedPool(
                 members,
                 PoolState(members.id),
-                self._policy_type(self._rng),
+                self._new_policy(members.id),
                 asyncio.get_running_loop().time(),
             )
             self.owned_by_id[members.id] = pool
@@ -135,6 +136,12 @@
         pool.members = members
         self._refresh_engines(pool)
 
+    def _new_policy(self, pool_id: str) -> PlacementPolicy:
+        policy = self._policy_type(self._rng)
+        if not self._blackboard.trace.takes_lines:
+            return policy
+        return RecordedPolicy(policy, pool_id, self._blackboard)
+
     def _give_up(self, pool_id: str) -> None:
         pool = self.owned_by_id.pop(pool_id, None)
         if pool is None:
--- a/mustardscale/reconcile.py
+++ b/mustardscale/reconcile.py
@@ -9,6 +9,7 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.cancellation import Canceller
 from mustardscale.controller import Controller, pause
+from mustardscale.decision_lines import DecisionKind, OrphanLine
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.engines import StreamInfo, StreamStage
 from mustardscale.exceptions import MustardscaleError
@@ -88,11 +89,20 @@
         now = asyncio.get_running_loop().time()
         key = (engine_id, *tag_key(info.tag))
         since = self._unnamed_since.setdefault(key, now)
-        grace_s = UNNAMED_GRACE_S
-        if not self._host_is_live(info):
-            grace_s = self._resume_grace_s
-        if now - since < grace_s:
+        unnamed_s = now - since
+        host_live = self._host_is_live(info)
+        if not is_orphan(unnamed_s, host_live, self._resume_grace_s):
             return
+        self._blackboard.record_line(
+            OrphanLine,
+            DecisionKind.ORPHAN_JUDGED,
+            request_id=info.tag.request_id,
+            attempt=info.tag.attempt,
+            endpoint=engine_id,
+            unnamed_s=unnamed_s,
+            host_live=host_live,
+            resume_grace_s=self._resume_grace_s,
+        )
         log.warning(
             'stream %s attempt %d at %s has no holder; cancelling it',
             info.tag.request_id,
@@ -111,6 +121,17 @@
         return host.incarnation == info.tag.incarnation
 
 
+def is_orphan(unnamed_s: float, host_live: bool, resume_grace_s: float) -> bool:
+    """Returns whether a stream that no host names is to be cancelled.
+
+    Args:
+        unnamed_s: seconds for which no host has named it.
+        host_live: whether the process that asked for it is there.
+        resume_grace_s: seconds for which a dead host's streams are kept.
+    """
+    return unnamed_s >= (UNNAMED_GRACE_S if host_live else resume_grace_s)
+
+
 def _is_named(info: StreamInfo, held: Reservation | None) -> bool:
     """Returns whether the holder of a reservation still wants a stream."""
     return held is not None and held.stream.tag.attempt <= info.tag.attempt
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -110,6 +110,7 @@
     size: int
     once: bool = False
     resumed: bool = False
+    repeatable: bool = False
 
 
 class Router(RequestService):
@@ -327,6 +328,7 @@
             content_fingerprint(request),
             len(request.body),
             once=not request.idempotent,
+            repeatable=request.idempotent,
         )
         with self._counting(arrival):
             profile = self._profile(self.service_choice(request.service))
@@ -349,6 +351,7 @@
             size=arrival.size,
             once=arrival.once,
             resumed=arrival.resumed,
+            repeatable=arrival.repeatable,
         )
         outcome = Outcome.INTERNAL_ERROR
         try:
--- a/mustardscale/settings.py
+++ b/mustardscale/settings.py
@@ -98,6 +98,9 @@
     record_file: str = _setting(
         Text(empty=True), 'File to record a trace to; empty for none.', ''
     )
+    record_bytes: int = _setting(
+        Count(), 'Size of the trace at which recording stops.', 268_435_456
+    )
     log_level: str = _setting(
         Choice('debug', 'info', 'warning', 'error'),
         'Lowest level of log lines.',
--- a/mustardscale/trace_checks.py
+++ b/mustardscale/trace_checks.py
@@ -100,7 +100,11 @@
     sends: list[TracedSend], trace_end: float
 ) -> Iterator[tuple[int, str]]:
     whole = [send for send in sends if send.outcome is Outcome.COMPLETE]
-    first_sends = [send for send in whole if not send.arrived.resumed]
+    first_sends = [
+        send
+        for send in whole
+        if not send.arrived.resumed and not send.arrived.repeatable
+    ]
     if len(first_sends) > 1:
         yield 2, f'answered whole {len(first_sends)} times'
     for send in sends:
