Take only a refusal of now for the sign that a peer is gone

Cause: within a second of a refused connection every call to that peer failed as gone without an attempt. A host that had started meanwhile and served a stream was then taken for dead by the one that took the stream over, and both answered whole (seen once in 12 runs of test_frozen_hosts_do_not_go_on after hosts had been killed and started again, code 0 in place of 2005). Ruled out: a lease that is too long (the freeze was 1.3 s, the lease 2.0 s) and lost releases (they are asked for until answered). Before: the new test got a PeerGoneError from the time between attempts; after: a PeerUnavailableError, and the holder is asked again.

--- a/mustardscale/peer_connections.py
+++ b/mustardscale/peer_connections.py
@@ -151,7 +151,6 @@
         self._connecting = asyncio.Lock()
         self._failures = 0
         self._retry_at = 0.0
-        self._error_type = PeerUnavailableError
         self._closing = False
 
     @property
@@ -164,7 +163,9 @@
 
         Raises:
             PeerUnavailableError: the attempt failed, or the last one failed
-                a short time ago; a PeerGoneError if it was refused.
+                a short time ago.
+            PeerGoneError: this attempt was refused. An earlier refusal says
+                nothing of a process that may have started since.
         """
         now = asyncio.get_running_loop().time()
         self.used_at = now
@@ -175,7 +176,7 @@
                 return self._connection
             wait_s = self._retry_at - asyncio.get_running_loop().time()
             if wait_s > 0:
-                raise self._error_type(
+                raise PeerUnavailableError(
                     f'{self._host} failed; next attempt in {wait_s:.3f} s'
                 )
             connection = await self._attempt()
@@ -207,14 +208,11 @@
                 connection = await self._open()
         except (PeerFrameError, GreetingError, *CONNECTION_LOST) as error:
             self._back_off()
-            refused = isinstance(error, ConnectionRefusedError)
-            self._error_type = (
-                PeerGoneError if refused else PeerUnavailableError
-            )
             log.info('no connection to %s: %r', self._host, error)
-            raise self._error_type(
-                f'no connection to {self._host}: {error!r}'
-            ) from error
+            detail = f'no connection to {self._host}: {error!r}'
+            if isinstance(error, ConnectionRefusedError):
+                raise PeerGoneError(detail) from error
+            raise PeerUnavailableError(detail) from error
         self._failures = 0
         return connection
 
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -8,6 +8,7 @@
 from mustardscale.exceptions import (
     OutcomeError,
     PeerCallError,
+    PeerGoneError,
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
@@ -298,6 +299,19 @@
             assert pair.handler.hosts == ['a']
         await caller.close()
 
+    @virtual_time
+    async def test_only_a_refusal_of_now_shows_that_the_peer_is_gone(self):
+        """A process that has started since must not be taken for gone."""
+        caller = transport('a', 7001)
+        call = ('b', '127.0.0.1:7002', StreamLookup(''), 1)
+        with pytest.raises(PeerGoneError):
+            await caller.call(*call)
+        async with Pair():
+            with pytest.raises(PeerUnavailableError) as caught:
+                await caller.call(*call)
+            assert not isinstance(caught.value, PeerGoneError)
+        await caller.close()
+
     @virtual_time
     async def test_connects_again_after_the_idle_time(self):
         async with Pair(limits=PeerLimits(idle_s=5)) as pair:
