Let nobody take over an answer whose last token is handed over

Cause: from the yield of the last event until its caller had closed the iterator a release still counted the stream as one to be taken over, so that a resumption at that moment was answered whole beside the first. Found by reading, for the answer that was given twice; ruled out: a delivered answer (remembered for 60 s).

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -142,6 +142,8 @@
         attempt_base: tokens received before the present attempt.
         started: whether an endpoint may have begun work on it.
         taken_over: whether its caller resumed it at another host.
+        delivered: whether the last of its answer is being handed to the
+            caller; nobody may take it over then.
         home: host that holds its directory entry.
         previous_holder: host that served it before, '' if not known.
         previous_incarnation: start number of that host's process.
@@ -164,6 +166,7 @@
     attempt_base: int = 0
     started: bool = False
     taken_over: bool = False
+    delivered: bool = False
     home: str = ''
     previous_holder: str = ''
     previous_incarnation: int = 0
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -81,7 +81,6 @@
             served = await self._accept(request, profile)
         except OutcomeError as error:
             raise _after_start(error, resumed) from error
-        delivered = False
         first_at: float | None = None
         clock = asyncio.get_running_loop().time
         try:
@@ -95,7 +94,7 @@
                             served.service
                         ).first_token.record(first_at - served.arrived_at)
                     if event.finish_reason:
-                        delivered = True
+                        served.delivered = True
                         self._record_pace(served, clock() - first_at)
                     yield event
         except TimeoutError as error:
@@ -107,7 +106,7 @@
             started = served.started or resumed
             raise _after_start(error, started) from error
         finally:
-            self._end(served, delivered)
+            self._end(served)
 
     def _record_pace(self, served: ServedRequest, seconds: float) -> None:
         if len(served.emitted) > 1:
@@ -120,9 +119,12 @@
     ) -> ServedRequest:
         """Checks a request and registers it before anything is run."""
         self._check(request, profile)
-        if request.id in self._blackboard.served_by_id:
+        earlier = self._blackboard.served_by_id.get(request.id)
+        if earlier is not None:
             if request.resume_after is None:
                 raise OutcomeError(Outcome.ALREADY_IN_PROGRESS)
+            if earlier.delivered:
+                raise OutcomeError(Outcome.ALREADY_COMPLETED)
             self._resumption.let_go(request.id)
         served = ServedRequest(
             id=request.id,
@@ -273,8 +275,9 @@
             raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
         served.confirmed_at = now
 
-    def _end(self, served: ServedRequest, delivered: bool) -> None:
+    def _end(self, served: ServedRequest) -> None:
         """Lets go of a request, however it ended."""
+        delivered = served.delivered
         self._limits.leave(served.service)
         self._forget(served)
         if delivered:
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -261,6 +261,13 @@
                 break
             del self._delivered_at_by_id[known]
 
+    def _is_delivered(self, request_id: str) -> bool:
+        """Returns whether this host has given a caller the whole answer."""
+        served = self._blackboard.served_by_id.get(request_id)
+        if served is not None:
+            return served.delivered
+        return request_id in self._delivered_at_by_id
+
     async def _on_release(
         self, sender: str, request: StreamRelease
     ) -> StreamReleaseReply:
@@ -270,9 +277,9 @@
         located = self._located_by_request_id.get(request.request_id)
         if located is not None:
             await located.wait()
-        served = self.let_go(request.request_id)
-        if served is None and request.request_id in self._delivered_at_by_id:
+        if self._is_delivered(request.request_id):
             return StreamReleaseReply(released=False, done=True)
+        served = self.let_go(request.request_id)
         if served is None or served.tag is None:
             return StreamReleaseReply(released=served is not None)
         return StreamReleaseReply(
