Wait for the directory as long as the profile is patient

Ruled out: lost replies, and the lease of the home. The wait now follows the profile's patience, at most 7 s, and never passes the deadline.

--- a/mustardscale/directory_client.py
+++ b/mustardscale/directory_client.py
@@ -34,10 +34,11 @@
 # Interval at which a host registers again what it still serves, seconds.
 RENEWAL_S = 10.0
 RETRY_AFTER_S = 2.0
-# Time for which a caller that resumes waits for the death of its id's home to
-# be noticed and for the next home to settle, seconds.
-TAKEOVER_PATIENCE_S = 7.0
-# The same for any other request, and for a home that is leaving.
+# Time for which a caller that resumes, or whose profile is patient, waits for
+# the death of its id's home to be noticed and for the next home to settle,
+# seconds.
+LONGEST_PATIENCE_S = 7.0
+# Time for which any request waits when its home is leaving, seconds.
 HANDOVER_PATIENCE_S = 1.0
 REGISTER_RETRY_S = 0.1
 
@@ -62,7 +63,10 @@
                     self._start(self._rebuild(served))
 
     async def register(
-        self, served: ServedRequest, takeover: bool = False
+        self,
+        served: ServedRequest,
+        patience_s: float = HANDOVER_PATIENCE_S,
+        takeover: bool = False,
     ) -> DirectoryReply:
         """Registers a request before anything is done for it.
 
@@ -72,14 +76,18 @@
 
         Args:
             served: the request.
+            patience_s: seconds for which its caller prefers waiting to a
+                refusal.
             takeover: whether its caller resumes what another host may hold.
 
         Raises:
             OutcomeError: DIRECTORY_UNAVAILABLE, when no home gave an answer.
         """
         loop = asyncio.get_running_loop()
-        patience_s = TAKEOVER_PATIENCE_S if takeover else HANDOVER_PATIENCE_S
-        give_up_at = loop.time() + patience_s
+        if takeover:
+            patience_s = LONGEST_PATIENCE_S
+        patience_s = min(patience_s, LONGEST_PATIENCE_S)
+        give_up_at = loop.time() + max(patience_s, HANDOVER_PATIENCE_S)
         try:
             while True:
                 try:
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -28,7 +28,7 @@
 from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.peers import DirectoryEntry
+from mustardscale.peers import DirectoryEntry, DirectoryReply
 from mustardscale.quarantine import Suspicions
 from mustardscale.requests import LanguageRequest
 from mustardscale.resumption import Resumption
@@ -137,12 +137,7 @@
         # Set before the first await, so that a second send sees it.
         self._blackboard.served_by_id[request.id] = served
         try:
-            takeover = request.resume_after is not None
-            reply = await self._directory.register(served, takeover)
-            served.confirmed_at = asyncio.get_running_loop().time()
-            check_reply(reply, served)
-            if served.taken_over:
-                raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
+            reply = await self._register(request, served, profile)
         except BaseException:
             self._limits.leave(request.service)
             self._forget(served)
@@ -151,6 +146,29 @@
             self._follow(request, served, reply.found[0])
         return served
 
+    async def _register(
+        self, request: LanguageRequest, served: ServedRequest, profile: Profile
+    ) -> DirectoryReply:
+        """Makes this host the holder of a request."""
+        deadline_at = served.arrived_at + _timeout_s(request, profile)
+        takeover = request.resume_after is not None
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                reply = await self._directory.register(
+                    served, profile.patience_s, takeover
+                )
+        except TimeoutError as error:
+            raise OutcomeError(
+                Outcome.DEADLINE_EXCEEDED
+                if takeover
+                else Outcome.DEADLINE_IN_QUEUE
+            ) from error
+        served.confirmed_at = asyncio.get_running_loop().time()
+        check_reply(reply, served)
+        if served.taken_over:
+            raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
+        return reply
+
     def _forget(self, served: ServedRequest) -> None:
         if self._blackboard.served_by_id.get(served.id) is served:
             del self._blackboard.served_by_id[served.id]
@@ -191,8 +209,7 @@
         model: str,
     ) -> AsyncGenerator[TokenEvent, None]:
         """Makes attempts until the answer is whole."""
-        timeout_s = request.timeout_s or profile.timeout_s
-        deadline_at = served.arrived_at + timeout_s
+        deadline_at = served.arrived_at + _timeout_s(request, profile)
         progress = AttemptProgress(_last_attempt(served))
         first_index = 0
         resuming = request.resume_after is not None
@@ -292,6 +309,11 @@
         self._directory.remove(served, delivered)
 
 
+def _timeout_s(request: LanguageRequest, profile: Profile) -> float:
+    """Returns the seconds from a request's arrival to its deadline."""
+    return request.timeout_s or profile.timeout_s
+
+
 def _last_attempt(served: ServedRequest) -> int:
     """Returns the number of the last attempt, 0 if there was none."""
     return served.tag.attempt if served.tag else 0
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mustardscale.blackboard import Blackboard, DirectoryRow
+from mustardscale.config_records import Profile
 from mustardscale.directory import DirectoryHome
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -48,6 +49,43 @@
         run(scenario)
 
 
+class TestFrozenHome:
+    """A home that is frozen for less time than its peers need to notice."""
+
+    @pytest.mark.parametrize('patience_s', [8.0, 0.9])
+    def test_a_patient_request_waits_for_it(self, patience_s):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            site.peers.freeze('entry-3')
+            request = language(number)
+            host = site.routers_by_host['entry-1']
+            task = asyncio.create_task(answer(host, request))
+            await asyncio.sleep(2.3)
+            site.peers.thaw('entry-3')
+            if patience_s > 1:
+                assert await task == whole(request)
+                return
+            with pytest.raises(OutcomeError) as refused:
+                await task
+            assert refused.value.outcome is Outcome.DIRECTORY_UNAVAILABLE
+
+        run(scenario, Profile(patience_s=patience_s))
+
+    def test_a_deadline_ends_the_wait(self):
+        async def scenario(site):
+            number = number_with_home(site, 'entry-3')
+            site.peers.freeze('entry-3')
+            started_at = asyncio.get_running_loop().time()
+            request = language(number, timeout_s=1.5)
+            with pytest.raises(OutcomeError) as refused:
+                await answer(site.routers_by_host['entry-1'], request)
+            assert refused.value.outcome is Outcome.DEADLINE_IN_QUEUE
+            waited_s = asyncio.get_running_loop().time() - started_at
+            assert waited_s == pytest.approx(1.5)
+
+        run(scenario)
+
+
 class TestRenewal:
     """Entries of live hosts that no longer serve them."""
 
@@ -145,6 +183,22 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize('host', ['entry-1', 'entry-2'])
+    def test_an_answer_handed_over_whole_is_completed(self, host):
+        async def scenario(site):
+            first = site.routers_by_host['entry-1']
+            events = first.serve_language(language(1, 60))
+            read = [await anext(events)]
+            while not read[-1].finish_reason:
+                read.append(await anext(events))
+            again = language(1, 60, resume_after=5)
+            with pytest.raises(OutcomeError) as refused:
+                await tail(site.routers_by_host[host], again)
+            assert refused.value.outcome is Outcome.ALREADY_COMPLETED
+            await events.aclose()
+
+        run(scenario)
+
     def test_a_holder_that_is_not_heard_yet_lets_go(self):
         async def scenario(site):
             number = number_with_home(site, 'entry-3')
