--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -86,6 +86,8 @@
             await asyncio.sleep(after_s)
             await site.stop()
 
+        # What other tests left is not this site's.
+        gc.collect()
         with (
             warnings.catch_warnings(record=True) as caught,
             asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner,
