Copy a peer's configuration in parts that fit a frame

Above about 2,300 entries it is larger than a frame (1 MB) and refused, so that a host which starts while it cannot read the log never gets a configuration.

Parts are cut by rising version and merged together once all are there. Ruled out: merging each part at once, since a change read from the log meanwhile would be judged lost while the version it was made from is still to come; and letting a part move the folded offset, for the same reason. A part that is lost is asked for again up to three times; a peer that has started again ends the copy.

The network of the stand-ins refuses a configuration that is larger than a frame, as the real one does.

--- a/mustardscale/config_state.py
+++ b/mustardscale/config_state.py
@@ -27,9 +27,7 @@
     ServiceChoice,
     VersionedChange,
     decode_record,
-    encode_record,
 )
-from mustardscale.peers import ConfigRecord
 from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
 
 PROFILE_KIND = 'profile'
@@ -177,15 +175,9 @@
             return self._apply_snapshot(offset, content)
         return self._apply_change(offset, content)
 
-    def merge(self, payload: bytes) -> ApplyResult:
+    def merge(self, snapshot: ConfigSnapshot) -> ApplyResult:
         """Merges a snapshot that a peer sent."""
-        try:
-            content = decode_record(payload)
-        except RecordError as error:
-            return ApplyResult(Fate.UNREADABLE, detail=str(error))
-        if not isinstance(content, ConfigSnapshot):
-            return ApplyResult(Fate.UNREADABLE, detail='not a snapshot')
-        return ApplyResult(Fate.MERGED, self._merge_snapshot(content))
+        return ApplyResult(Fate.MERGED, self._merge_snapshot(snapshot))
 
     def settle(self) -> ApplyResult:
         """Folds the waiting records as if the missing ones held no change.
@@ -197,20 +189,17 @@
         self.folded_offset = self._waiting_offsets[0] - 1
         return ApplyResult(Fate.MERGED, self._fold_waiting())
 
-    def snapshot(self, after: int = 0) -> ConfigSnapshot:
-        """Returns the current changes with a version above after."""
+    def snapshot(self) -> ConfigSnapshot:
+        """Returns the current changes."""
+        return ConfigSnapshot(tuple(self.entries_after(0)), self.folded_offset)
+
+    def entries_after(self, version: int) -> list[VersionedChange]:
+        """Returns the current changes above a version, by rising version."""
         entries = [
-            entry for entry in self.by_key.values() if entry.version > after
+            entry for entry in self.by_key.values() if entry.version > version
         ]
         entries.sort(key=lambda entry: entry.version)
-        return ConfigSnapshot(tuple(entries), self.folded_offset, after)
-
-    def records(self, after: int = 0) -> tuple[ConfigRecord, ...]:
-        """Returns the state as a peer merges it; empty while unsettled."""
-        if not self.settled or self.folded_offset <= after:
-            return ()
-        payload = encode_record(self.snapshot(after))
-        return (ConfigRecord(self.folded_offset, payload),)
+        return entries
 
     def weight_limits(self, region: str) -> WeightStoreLimits:
         """Returns the current limits of a region's weight store."""
--- a/mustardscale/config_sync.py
+++ b/mustardscale/config_sync.py
@@ -8,6 +8,7 @@
 import random
 
 from mustardscale.blackboard import Blackboard
+from mustardscale.config_copy import ConfigCopy, part_of
 from mustardscale.config_records import ConfigSnapshot, encode_record
 from mustardscale.config_state import Fate
 from mustardscale.controller import Controller, pause
@@ -27,6 +28,8 @@
 LONG_POLL_S = 5.0
 RETRY_S = 0.5
 PEER_TIMEOUT_S = 1.0
+# Times that each part of a peer's configuration is asked for at most.
+PART_TRIES = 3
 # A snapshot is appended when this many records follow the last one.
 SNAPSHOT_AFTER_RECORDS = 200
 SNAPSHOT_CHECK_S = 10.0
@@ -130,18 +133,15 @@
         )
 
     async def _fetch(self, host: str) -> None:
+        """Copies a peer part by part, and merges once all are there."""
         state = self._blackboard.config
-        request = ConfigFetch(state.folded_offset)
-        try:
-            reply = await self._calls.call(
-                host, request, ConfigFetchReply, PEER_TIMEOUT_S
-            )
-        except PeerUnavailableError as error:
-            log.debug('no configuration from %s: %s', host, error)
-            return
+        copy = ConfigCopy(state.folded_offset)
+        while not copy.whole:
+            reply = await self._fetch_part(host, copy.next_request())
+            if reply is None or not copy.take(reply):
+                return
         before = state.folded_offset
-        for record in reply.records:
-            state.merge(record.payload)
+        state.merge(copy.snapshot())
         if state.folded_offset > before:
             log.info(
                 'configuration up to offset %d copied from %s',
@@ -150,10 +150,22 @@
             )
             self._blackboard.config_changed.notify()
 
+    async def _fetch_part(
+        self, host: str, request: ConfigFetch
+    ) -> ConfigFetchReply | None:
+        for _ in range(PART_TRIES):
+            try:
+                return await self._calls.call(
+                    host, request, ConfigFetchReply, PEER_TIMEOUT_S
+                )
+            except PeerUnavailableError as error:
+                log.debug('no configuration from %s: %s', host, error)
+        return None
+
     async def _on_fetch(
         self, sender: str, request: ConfigFetch
     ) -> ConfigFetchReply:
-        return ConfigFetchReply(self._blackboard.config.records(request.after))
+        return part_of(self._blackboard.config, request)
 
 
 class SnapshotController(Controller):
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -188,10 +188,12 @@
 
 struct ConfigFetch {
   after @0 :Int64;
+  position @1 :Int64;
 }
 
 struct ConfigFetchReply {
   records @0 :List(ConfigRecord);
+  position @1 :Int64;
 }
 
 struct Acknowledgement {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -329,24 +329,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetch:
-    """Asks for the records of a peer's folded configuration.
+    """Asks for the next part of a peer's folded configuration.
 
     Attributes:
-        after: only records with an offset above this; 0 for all.
+        after: only entries with a version above this; 0 for all.
+        position: where the part before ended; 0 for the first one.
     """
 
     after: int
+    position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetchReply:
-    """The folded configuration as one snapshot record, or nothing.
+    """A part of the folded configuration as a snapshot record, or nothing.
 
     Attributes:
         records: a snapshot record; its offset is the offset folded up to.
+        position: version at which the next part begins; 0 for the last part.
     """
 
     records: tuple[ConfigRecord, ...]
+    position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -10,10 +10,13 @@
 from mustardscale.exceptions import (
     OutcomeError,
     PeerCallError,
+    PeerFrameError,
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
+from mustardscale.peer_codec import Frame, FrameKind, encode_frame
 from mustardscale.peers import (
+    ConfigFetchReply,
     PeerHandler,
     PeerReply,
     PeerRequest,
@@ -215,7 +218,13 @@
     handler: PeerHandler, source: str, request: PeerRequest
 ) -> PeerReply | PeerUnavailableError:
     try:
-        return await handler(source, request)
+        reply = await handler(source, request)
+        if isinstance(reply, ConfigFetchReply):
+            # Others stay far from the limit; encoding all would be slow.
+            encode_frame(Frame(FrameKind.REPLY, 1, reply))
+        return reply
+    except PeerFrameError as error:
+        return PeerCallError(error.outcome, str(error))
     except OutcomeError as error:
         return PeerCallError(error.outcome, error.detail)
     except Exception as error:
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -5,14 +5,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mustardscale.config_copy import ConfigCopy, part_of
 from mustardscale.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
     ServiceChoice,
+    decode_record,
     encode_record,
 )
 from mustardscale.config_state import PROFILE_KIND, ConfigState, Fate
+from mustardscale.peers import ConfigFetch, ConfigFetchReply
 
 KEY = ConfigKey(PROFILE_KIND, 'noon')
 OTHER = ConfigKey(PROFILE_KIND, 'night')
@@ -31,6 +34,18 @@
     return state
 
 
+def copy_state(peer, state, before_part=lambda: None):
+    """Copies a peer's state, one entry a part; returns the parts."""
+    copy = ConfigCopy(state.folded_offset)
+    parts = 0
+    while not copy.whole and copy.take(part_of(peer, copy.next_request(), 1)):
+        parts += 1
+        before_part()
+    if copy.whole:
+        state.merge(copy.snapshot())
+    return parts
+
+
 def racing_log(seed, keys=(KEY, OTHER)):
     """Lets publishers read at one time and append at another, at random.
 
@@ -109,7 +124,7 @@
         for offset, payload in enumerate(payloads, 1):
             before = state.version(KEY)
             state.apply(offset, payload)
-            state.merge(rng.choice(snapshots))
+            state.merge(decode_record(rng.choice(snapshots)))
             assert state.version(KEY) >= before
         assert state.digest() == fold(payloads).digest()
 
@@ -131,24 +146,49 @@
             versions = {entry.version for entry in state.by_key.values()}
             assert versions <= accepted
         peer = fold(payloads[:copied_at])
-        for record in peer.records(state.folded_offset):
-            state.merge(record.payload)
+        copy_state(peer, state)
         assert state.settled
         assert state.read_offset == max(end, copied_at)
         assert state.digest() == whole.digest()
 
+    @given(st.integers(0, 2**32), st.data())
+    @settings(max_examples=60, deadline=None)
+    def test_a_peer_that_folds_on_is_copied_whole(self, seed, data):
+        payloads, _ = racing_log(seed)
+        first = data.draw(st.integers(1, len(payloads)))
+        peer, state = fold(payloads[:first]), ConfigState()
+        left = list(enumerate(payloads[first:], first + 1))
+
+        def fold_on():
+            for _ in range(data.draw(st.integers(0, 3))):
+                if left:
+                    peer.apply(*left.pop(0))
+
+        copy_state(peer, state, fold_on)
+        for offset in range(state.folded_offset + 1, len(payloads) + 1):
+            state.apply(offset, payloads[offset - 1])
+        assert state.digest() == fold(payloads).digest()
+
+    def test_a_peer_that_started_again_is_not_copied_on(self):
+        state = fold([change(0), change(0, key=OTHER), change(1)])
+        again = fold([change(0)])
+        copy = ConfigCopy(0)
+        assert copy.take(part_of(state, copy.next_request(), 1))
+        assert not copy.whole
+        assert not copy.take(part_of(again, copy.next_request(), 1))
+
     def test_a_change_waits_while_its_base_may_be_replaced(self):
         state = fold([change(0)])
         assert state.apply(3, change(1, 'stale')).fate is Fate.WAITING
         assert state.version(KEY) == 1
         peer = fold([change(0), change(1, 'unseen')])
-        state.merge(peer.records()[0].payload)
+        copy_state(peer, state)
         assert state.version(KEY) == 2
         assert state.history[-1].fate is Fate.LOST
 
     def test_settling_without_the_lost_records(self):
         state = fold([change(0, 'a'), change(1, 'b')], first=7)
-        assert state.records() == ()
+        assert part_of(state, ConfigFetch(0)) == ConfigFetchReply(())
         assert state.settle().changed == (KEY,)
         assert state.version(KEY) == 7
 
@@ -187,5 +227,5 @@
         self.publish(state, 2, 'a', 'y', base=1)
         digests.add(state.digest())
         assert len(digests) == 3
-        merged.merge(encode_record(state.snapshot()))
+        merged.merge(state.snapshot())
         assert merged.digest() == state.digest()
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -1,13 +1,39 @@
 """Tests of how configuration reaches a host from its peers."""
 
+import asyncio
 import random
 
+import pytest
+
 from mustardscale.blackboard import Blackboard, HostEntry
+from mustardscale.config_records import (
+    ConfigChange,
+    ConfigKey,
+    Profile,
+    ServiceChoice,
+    encode_record,
+)
 from mustardscale.config_sync import ConfigPeerController
+from mustardscale.log_client import CONFIG_STREAM
 from mustardscale.peer_calls import PeerCalls
 from standins.memory_peers import MemoryPeerNetwork
+from standins.memory_site import MemorySite, SiteLayout
 from tests.virtual_time import virtual_time
 
+# The size that is designed for, with a profile and a choice for each customer.
+CUSTOMERS = 20_000
+PROFILE_KEY = ConfigKey('profile', 'wide')
+
+
+def service_change(number, base=0):
+    choice = ServiceChoice('wide', model='model', token_sha256=('0' * 64,))
+    key = ConfigKey('service', f'customer-{number}')
+    return ConfigChange(key, base, f'change-{number}', 'op', service=choice)
+
+
+def profile_change(base=0):
+    return ConfigChange(PROFILE_KEY, base, 'profile', 'op', profile=Profile())
+
 
 class TestHostsAhead:
     """Which peers are asked."""
@@ -29,3 +55,26 @@
                 name, name, 'dc', config_offset=offset, silent=silent
             )
         assert controller.hosts_ahead() == ['ahead']
+
+
+class TestStartInAnOutage:
+    """A host starts that cannot read the log."""
+
+    @pytest.mark.parametrize('loss', [0.0, 0.2])
+    @virtual_time
+    async def test_it_copies_as_many_entries_as_are_designed_for(self, loss):
+        site = MemorySite(SiteLayout(entry_hosts=2))
+        changes = [profile_change(), *map(service_change, range(CUSTOMERS))]
+        records = [encode_record(change) for change in changes]
+        await site.log.append(CONFIG_STREAM, records)
+        old = await site.start_host('entry-1')
+        await asyncio.sleep(10)
+        assert len(old.blackboard.config.by_key) == len(records)
+        site.cut_pairs.add(('entry-2', 'log'))
+        site.peers.lose_replies('entry-1', 'entry-2', loss)
+        new = await site.start_host('entry-2')
+        await asyncio.sleep(10)
+        known, copied = old.blackboard.config, new.blackboard.config
+        assert copied.folded_offset == known.folded_offset
+        assert copied.digest() == known.digest() != 0
+        await site.stop()
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -108,7 +108,7 @@
         for winner, base in (('mine', 0), ('other', 0)):
             payload = encode_record(change(winner, base))
             other.apply(other.read_offset + 1, payload)
-        state.merge(other.records()[0].payload)
+        state.merge(other.snapshot())
         assert (await publish_at(model, state, 1)).fate is PublishFate.ACCEPTED
         assert (await publish_at(model, state, 2)).fate is PublishFate.LOST
 
--- a/tests/test_wanted_state.py
+++ b/tests/test_wanted_state.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from mustardscale.config_records import ConfigKey, encode_record, make_change
+from mustardscale.config_records import (
+    ConfigKey,
+    decode_record,
+    encode_record,
+    make_change,
+)
 from mustardscale.config_state import ConfigState
 from mustardscale.engines import EngineRole
 from mustardscale.wanted_state import (
@@ -79,7 +84,7 @@
         ):
             change = make_change(key, 0, str(offset), 'ann', content)
             state.apply(offset, encode_record(change))
-        copy.merge(encode_record(state.snapshot()))
+        copy.merge(decode_record(encode_record(state.snapshot())))
         for folded in (state, copy):
             assert folded.wanted_by_name == {'d1': ALL}
             assert folded.weight_limits('north') == limits
