Tell peers only of the hosts that they do not hear

Cause: each heartbeat named every host that its sender heard, about 44 bytes each, so that a host's bytes grew with the square of the hosts: 12.1 kB/s at 8 hosts and 27.5 kB/s at 12, against 14 kB/s for all control. The names are read only by a host that does not hear the named one itself.

A heartbeat now names the hosts that its sender has not heard for 1.5 intervals (both exchanges with them have failed then), and tells of just those that the receiver named last. Ruled out: longer intervals between the lists, which would make word of a host come too late; a bit set, which still grows.

--- a/bench/load_micro.py
+++ b/bench/load_micro.py
@@ -30,9 +30,10 @@
 from mustardscale.directory import DirectoryHome
 from mustardscale.engines import EngineRole, StreamStage, StreamTag
 from mustardscale.host_list import ListedHost, ListedKind
+from mustardscale.host_list_controller import HostListController
 from mustardscale.http_host_list import HostsAnswer
 from mustardscale.log_client import LogPage, LogRecord
-from mustardscale.membership import HostListController, MembershipTimes
+from mustardscale.membership import MembershipTimes
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peer_codec import Frame, FrameKind, decode_frame, encode_frame
 from mustardscale.peers import (
--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -57,6 +57,7 @@
         draining: whether it takes no new requests.
         heard_at: loop time of the last heartbeat.
         told_at: loop time of the last heartbeat that a peer tells of.
+        unheard: the hosts that it does not hear, by its last heartbeat.
         config_offset: configuration offset that it had folded then.
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
@@ -71,6 +72,7 @@
     draining: bool = False
     heard_at: float = -math.inf
     told_at: float = -math.inf
+    unheard: tuple[str, ...] = ()
     config_offset: int = 0
     silent: bool = True
     silent_since: float = -math.inf
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -1,4 +1,4 @@
-"""Which hosts and endpoints are there, from the host list and heartbeats."""
+"""Which hosts are live, from heartbeats."""
 
 from __future__ import annotations
 
@@ -11,13 +11,10 @@
 
 from mustardscale.blackboard import (
     Blackboard,
-    EndpointEntry,
-    HostEntry,
     Suspicion,
 )
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import HostList, ListedHost, ListedKind
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import HeardHost, Heartbeat, Quarantine
 
@@ -30,10 +27,12 @@
 # if a majority of the listed hosts answered a heartbeat that it sent within
 # this time, seconds. Less than the silence after which it counts as dead.
 QUORUM_LEASE_S = 2.0
+# Heartbeat intervals of silence after which peers are asked for their word of a
+# host; two exchanges with each have failed then, and the silence after which a
+# host counts as dead leaves time for several answers.
+ASK_AFTER_BEATS = 1.5
 # Interval at which membership is looked at without a change, seconds.
 FOLLOW_INTERVAL_S = 2.0
-# Hosts unlisted and silent for this long are forgotten, seconds.
-FORGET_AFTER_S = 60.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,111 +53,6 @@
     host_list_s: float = 1.0
 
 
-class HostListController(Controller):
-    """Reads the host list into the blackboard."""
-
-    def __init__(
-        self,
-        blackboard: Blackboard,
-        host_list: HostList,
-        times: MembershipTimes,
-        rng: random.Random,
-    ):
-        self._blackboard = blackboard
-        self._host_list = host_list
-        self._times = times
-        self._rng = rng
-        self.fetched_at: float | None = None
-        self._applied: list[ListedHost] | None = None
-
-    async def run(self) -> None:
-        """Reads the list at a fixed interval."""
-        while True:
-            try:
-                listed = await self._host_list.fetch()
-            except PeerUnavailableError as error:
-                log.warning('host list not read, keeping the last: %s', error)
-            else:
-                self.fetched_at = asyncio.get_running_loop().time()
-                self.apply(listed)
-            await pause(self._times.host_list_s, self._rng)
-
-    def apply(self, listed: list[ListedHost]) -> None:
-        """Merges one reading of the list."""
-        self._blackboard.host_list_read = True
-        now = asyncio.get_running_loop().time()
-        changed = self._apply_hosts(listed, now)
-        if listed is not self._applied:
-            changed = self._apply_endpoints(listed) or changed
-            self._applied = listed
-        if changed:
-            self._blackboard.membership_changed.notify()
-
-    def _apply_hosts(self, listed: list[ListedHost], now: float) -> bool:
-        hosts_by_id = self._blackboard.hosts_by_id
-        entries = [
-            host
-            for host in listed
-            if host.kind is ListedKind.ENTRY
-            and host.id != self._blackboard.host
-        ]
-        changed = False
-        for host in entries:
-            known = hosts_by_id.get(host.id)
-            if known is None or known.address != host.address:
-                hosts_by_id[host.id] = HostEntry(
-                    host.id,
-                    host.address,
-                    host.data_centre,
-                    host.operators_address,
-                    silent_since=now,
-                )
-                changed = True
-        listed_ids = {host.id for host in entries}
-        for known in list(hosts_by_id.values()):
-            known.listed = known.id in listed_ids
-            gone = known.silent and now - known.silent_since > FORGET_AFTER_S
-            if not known.listed and gone:
-                del hosts_by_id[known.id]
-                changed = True
-        return changed
-
-    def _apply_endpoints(self, listed: list[ListedHost]) -> bool:
-        endpoints_by_id = self._blackboard.endpoints_by_id
-        entries = [host for host in listed if host.kind is not ListedKind.ENTRY]
-        changed = False
-        for host in entries:
-            known = endpoints_by_id.get(host.id)
-            if known is None or known.address != host.address:
-                known = endpoints_by_id[host.id] = _endpoint_of(host)
-                changed = True
-            if known.listed_leaving != host.leaving or not known.listed:
-                known.listed_leaving = host.leaving
-                known.listed = True
-                changed = True
-        listed_ids = {host.id for host in entries}
-        for known in list(endpoints_by_id.values()):
-            if known.id not in listed_ids:
-                del endpoints_by_id[known.id]
-                changed = True
-        return changed
-
-
-def _endpoint_of(host: ListedHost) -> EndpointEntry:
-    """Makes the blackboard's entry of a listed endpoint."""
-    return EndpointEntry(
-        id=host.id,
-        kind=host.kind,
-        address=host.address,
-        data_centre=host.data_centre,
-        region=host.region,
-        service=host.service,
-        model=host.model,
-        role=host.role,
-        fencing=host.fencing,
-    )
-
-
 class HeartbeatController(Controller):
     """Exchanges heartbeats with the peers and decides who is live."""
 
@@ -201,8 +95,8 @@
         ]
         await asyncio.gather(*(self._exchange(host) for host in hosts))
 
-    def heartbeat(self) -> Heartbeat:
-        """Returns what this host tells its peers."""
+    def heartbeat(self, peer: str) -> Heartbeat:
+        """Returns what this host tells a peer."""
         now = asyncio.get_running_loop().time()
         board = self._blackboard
         leaving = [
@@ -224,12 +118,24 @@
             config_digest=board.config.digest(),
             leaving=tuple(leaving),
             quarantined=tuple(quarantined),
-            heard=tuple(self._heard_hosts(now)),
+            heard=tuple(self._word_for(peer, now)),
+            unheard=tuple(self._unheard_hosts(now)),
         )
 
-    def _heard_hosts(self, now: float) -> Iterator[HeardHost]:
-        """Yields the hosts that this host hears itself."""
+    def _unheard_hosts(self, now: float) -> Iterator[str]:
+        """Yields the hosts of which this host wants to hear from others."""
         for host in self._blackboard.hosts_by_id.values():
+            if now - host.heard_at > ASK_AFTER_BEATS * self._times.heartbeat_s:
+                yield host.id
+
+    def _word_for(self, peer: str, now: float) -> Iterator[HeardHost]:
+        """Yields the hosts heard here that a peer does not hear."""
+        hosts_by_id = self._blackboard.hosts_by_id
+        asking = hosts_by_id.get(peer)
+        for name in asking.unheard if asking is not None else ():
+            host = hosts_by_id.get(name)
+            if host is None:
+                continue
             age_s = now - host.heard_at
             if age_s <= self._times.dead_after_s:
                 yield HeardHost(host.id, host.incarnation, host.draining, age_s)
@@ -238,7 +144,7 @@
         sent_at = asyncio.get_running_loop().time()
         try:
             reply = await self._calls.call(
-                host, self.heartbeat(), Heartbeat, self._times.answer_s
+                host, self.heartbeat(host), Heartbeat, self._times.answer_s
             )
         except PeerUnavailableError as error:
             log.debug('no heartbeat from %s: %s', host, error)
@@ -251,7 +157,7 @@
     async def _on_heartbeat(self, sender: str, beat: Heartbeat) -> Heartbeat:
         if sender == beat.host:
             self._hear(beat)
-        return self.heartbeat()
+        return self.heartbeat(sender)
 
     def _hear(self, beat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
@@ -265,6 +171,7 @@
         )
         host.heard_at = now
         host.config_offset = beat.config_offset
+        host.unheard = beat.unheard
         host.silent = False
         host.incarnation = beat.incarnation
         host.draining = beat.draining
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -74,6 +74,7 @@
   leaving @6 :List(Text);
   quarantined @7 :List(Quarantine);
   heard @8 :List(HeardHost);
+  unheard @9 :List(Text);
 }
 
 struct HeardHost {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -72,7 +72,9 @@
         config_digest: hash over the folded state, to find differences.
         leaving: ids of endpoints known to be leaving.
         quarantined: requests to keep off endpoints.
-        heard: the hosts that the sender hears itself.
+        heard: of the hosts that the receiver does not hear, those that the
+            sender hears itself.
+        unheard: the hosts that the sender does not hear.
     """
 
     host: str
@@ -84,6 +86,7 @@
     leaving: tuple[str, ...] = ()
     quarantined: tuple[Quarantine, ...] = ()
     heard: tuple[HeardHost, ...] = ()
+    unheard: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -27,13 +27,13 @@
 from mustardscale.engines import TokenEvent
 from mustardscale.exceptions import OutcomeError
 from mustardscale.host_list import HostList
+from mustardscale.host_list_controller import HostListController
 from mustardscale.language import LanguageService
 from mustardscale.language_attempts import AttemptRunner
 from mustardscale.limits import ServiceLimits
 from mustardscale.log_client import LogClient
 from mustardscale.membership import (
     HeartbeatController,
-    HostListController,
     MembershipFollower,
     MembershipTimes,
 )
