--- a/standins/promise_checks.py
+++ b/standins/promise_checks.py
@@ -24,8 +24,6 @@
 FREE_AFTER_HOST_LOSS_S = 10.0
 # A leaving endpoint must get no new work this long after it is known.
 LEAVING_S = 3.0
-# Time in which a resumption takes a stream over, seconds.
-TAKEOVER_S = 0.1
 
 
 class Promise(enum.IntEnum):
@@ -230,8 +228,8 @@
 def _answered_twice(record: CallerRecord) -> bool:
     """Returns whether two connections went on to the end of an answer.
 
-    A resumption takes the stream over. The rest asked for may come on both
-    connections only when the first one ends while it is being taken over.
+    A resumption takes the stream over, so the first connection must not go on
+    to the end once the rest is asked for, if the rest comes too.
     """
     if _is_idempotent(record):
         return False
@@ -240,8 +238,7 @@
     if len(finished) - len(resumed) > 1:
         return True
     return any(
-        other.ended_at is not None
-        and other.ended_at > send.started_at + TAKEOVER_S
+        other.ended_at is not None and other.ended_at > send.started_at
         for send in resumed
         for other in finished
         if other is not send and other.started_at < send.started_at
