Look for leaving endpoints once for all heartbeats

They are gone through at most four times a second, whatever the peers. Ruled out: a set kept by those who mark endpoints, since a mark ends by time.

Word of a leaving endpoint may go out 0.25 s later, of the 3 s that it has; TestLeaving holds.

--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -27,6 +27,9 @@
 # if a majority of the listed hosts answered a heartbeat that it sent within
 # this time, seconds. Less than the silence after which it counts as dead.
 QUORUM_LEASE_S = 2.0
+# Interval at which all endpoints are gone through for those that are leaving,
+# seconds; a small part of the 3 s after which these get no new work.
+LEAVING_INTERVAL_S = 0.25
 # Heartbeat intervals of silence after which peers are asked for their word of a
 # host; two exchanges with each have failed then, and the silence after which a
 # host counts as dead leaves time for several answers.
@@ -69,6 +72,8 @@
         self._rng = rng
         self._in_flight: dict[str, asyncio.Task[None]] = {}
         self._answered_sent_at_by_host: dict[str, float] = {}
+        self._leaving: tuple[str, ...] = ()
+        self._leaving_at = -math.inf
         calls.handle(Heartbeat, self._on_heartbeat)
 
     async def run(self) -> None:
@@ -99,11 +104,6 @@
         """Returns what this host tells a peer."""
         now = asyncio.get_running_loop().time()
         board = self._blackboard
-        leaving = [
-            endpoint.id
-            for endpoint in board.endpoints_by_id.values()
-            if endpoint.leaving(now)
-        ]
         quarantined = [
             Quarantine(key, suspicion.crashes, now - suspicion.last_at, 1)
             for key, suspicion in board.suspicions_by_key.items()
@@ -116,12 +116,26 @@
             draining=board.draining,
             config_offset=board.config.folded_offset,
             config_digest=board.config.digest(),
-            leaving=tuple(leaving),
+            leaving=self._leaving_endpoints(now),
             quarantined=tuple(quarantined),
             heard=tuple(self._word_for(peer, now)),
             unheard=tuple(self._unheard_hosts(now)),
         )
 
+    def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
+        """Returns the endpoints that are leaving, looked for now and then.
+
+        Heartbeats go to and from each peer, and endpoints are many.
+        """
+        if now - self._leaving_at >= LEAVING_INTERVAL_S:
+            self._leaving_at = now
+            self._leaving = tuple(
+                endpoint.id
+                for endpoint in self._blackboard.endpoints_by_id.values()
+                if endpoint.leaving(now)
+            )
+        return self._leaving
+
     def _unheard_hosts(self, now: float) -> Iterator[str]:
         """Yields the hosts of which this host wants to hear from others."""
         for host in self._blackboard.hosts_by_id.values():
