Give the baseline policies one base class

Cause: round_robin.py and least_loaded.py had the same decide() and the same refusal; only the choice of the two engines differs. Weighed: a function that takes the choice as an argument, which leaves the turn of the round robin without a home. The base class grants at once and asks choose() for the pair.

--- /dev/null
+++ b/mustardscale/policy/unreserved.py
@@ -0,0 +1,46 @@
+"""What the baseline policies share: every request is granted at once."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Sequence
+
+from mustardscale.engines import EngineRole
+from mustardscale.outcomes import Outcome
+from mustardscale.policy.base import (
+    Decision,
+    EngineState,
+    Grant,
+    PlacementPolicy,
+    PoolState,
+    Refusal,
+    WaitingRequest,
+    candidate_engines,
+)
+
+RETRY_AFTER_S = 1.0
+
+
+class UnreservedPolicy(PlacementPolicy):
+    """Grants each request at once and reserves nothing."""
+
+    def decide(self, pool: PoolState, now: float) -> list[Decision]:
+        """Grants all that wait."""
+        waiting = list(pool.waiting_by_request_id.values())
+        return [self._decide_one(pool, item) for item in waiting]
+
+    def _decide_one(self, pool: PoolState, item: WaitingRequest) -> Decision:
+        request = item.request
+        request_id = request.tag.request_id
+        prefills = candidate_engines(pool, EngineRole.PREFILL, request)
+        decodes = candidate_engines(pool, EngineRole.DECODE, request)
+        if not prefills or not decodes:
+            return Refusal(request_id, Outcome.NO_ENDPOINT, RETRY_AFTER_S)
+        prefill, decode = self.choose(prefills, decodes)
+        return Grant(request_id, prefill.id, decode.id)
+
+    @abc.abstractmethod
+    def choose(
+        self, prefills: Sequence[EngineState], decodes: Sequence[EngineState]
+    ) -> tuple[EngineState, EngineState]:
+        """Returns a prefill and a decode engine of those that may be used."""
