Let late requests give way again and leave memory to hurried ones

A prompt that was late could keep both prefill engines from hurried ones as if its goodput could still be had: 11,000 and 20,000 tokens that were late held both links for 2 s. And where a prefill engine and its link were free, two of three decode engines had no piece left, and the third was receiving a long prompt: six in a row were refused in this way at 56 s.

A late request now gives way anew until its patience runs out; two pieces of a decode engine are left to hurried requests; a repeated attempt has the full privilege from its start. Ruled out: the pace of decode steps (no refusal had it as its reason) and the wait for the link.

--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -225,7 +225,13 @@
         """Returns the expected time of a decode step."""
         return self._step_fit.value(streams)
 
-    def may_fit(self, room: EngineRoom, pieces: int, step_s: float) -> bool:
+    def may_fit(
+        self,
+        room: EngineRoom,
+        pieces: int,
+        step_s: float,
+        left_pieces: int = 0,
+    ) -> bool:
         """Returns whether a stream may fit, by a cheap test.
 
         A request that is not smaller than one that did not fit in this round
@@ -235,11 +241,12 @@
             room: the engine.
             pieces: pieces for the prompt and the first token.
             step_s: longest decode step that the stream accepts, seconds.
+            left_pieces: pieces that the stream must leave free.
         """
         return (
             pieces < room.failed_pieces
             and room.step_s <= step_s
-            and room.holds_now(pieces)
+            and room.holds_now(pieces + left_pieces)
         )
 
     def fits(self, room: EngineRoom, need: StreamNeed, epsilon: float) -> bool:
--- a/mustardscale/policy/hurried_demand.py
+++ b/mustardscale/policy/hurried_demand.py
@@ -35,18 +35,26 @@
     target_s: float
     weight_per_s: float
 
+    def is_hurried(self, profile: Profile) -> bool:
+        """Returns whether a profile's target is near the strictest."""
+        return profile.first_token_s <= HURRIED_FACTOR * self.target_s
+
     def busy_s(self, profile: Profile, left_s: float) -> float:
         """Returns the seconds for which a grant may keep all engines busy.
 
         While a request has time it leaves an engine to the hurried ones. As
         its time runs out it may keep them waiting until the goodput they are
-        expected to lose outweighs its own.
+        expected to lose outweighs its own. Once it is late its own goodput is
+        lost, and the same begins anew with the rest of its patience.
 
         Args:
             profile: the request's profile.
-            left_s: seconds to its first-token target.
+            left_s: seconds to its first-token target, negative when late.
         """
         passed = 1 - left_s / profile.first_token_s
+        rest_s = profile.patience_s - profile.first_token_s
+        if left_s < 0 < rest_s:
+            passed = -left_s / rest_s
         passed = min(1.0, max(0.0, passed))
         weight_per_s = max(self.weight_per_s, LEAST_RATE_PER_S)
         return self.wait_s + passed * profile.goodput_weight / weight_per_s
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -29,6 +29,8 @@
 KEEP_S = 0.7
 # Share of the time per token target that a decode step may take.
 STEP_SHARE = 0.97
+# Pieces of a decode engine that are left to hurried requests.
+HURRIED_PIECES = 2
 # Factor by which the bound on running out of memory exceeds what is seen.
 BOUND_SLACK = 3.0
 LEAST_WEIGHT = 1e-3
@@ -153,12 +155,15 @@
 ) -> Pairing | None:
     """Returns the pairing with the first token soonest, if there is one."""
     pieces = needed_pieces(need)
+    left_pieces = 0
+    if request.tag.attempt == 1 and not current.express.is_hurried(profile):
+        left_pieces = HURRIED_PIECES
     step_s = STEP_SHARE * profile.per_token_s
     decodes = [
         room
         for room in current.decodes_by_id.values()
         if room.id not in request.excluded
-        and books.rooms.may_fit(room, pieces, step_s)
+        and books.rooms.may_fit(room, pieces, step_s, left_pieces)
     ]
     if not decodes:
         return None
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -89,9 +89,10 @@
         need = StreamNeed(
             request.service, request.prompt_tokens, 0, request.max_tokens
         )
-        busy_s = current.express.busy_s(
-            profile, item.first_token_at - current.now
-        )
+        left_s = item.first_token_at - current.now
+        if request.tag.attempt > 1:
+            left_s = 0.0
+        busy_s = current.express.busy_s(profile, left_s)
         pairing = find_pairing(
             self._books, current, request, profile, need, busy_s
         )
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -173,6 +173,28 @@
         assert isinstance(grants['h2'], Grant)
         assert 'second' not in grants
 
+    def test_a_late_prompt_leaves_an_engine_until_its_patience_ends(self):
+        scene = Scene()
+        scene.ask('first', tokens=30_000)
+        scene.ask('h1', 'hurried', tokens=500)
+        scene.decide()
+        late = {'tokens': 30_000, 'now': 0.3}
+        scene.ask('late', first_token_s=-0.1, **late)
+        assert scene.decide(0.3) == {}
+        scene.ask('last', first_token_s=-11.8, waited_s=19.8, **late)
+        assert list(scene.decide(0.3)) == ['last']
+
+    def test_memory_is_left_to_hurried_ones(self):
+        scene = Scene(decodes=1)
+        scene.ask('large', tokens=122_000)
+        scene.decide()
+        scene.advance('large', StreamStage.TRANSFER, 7.6)
+        scene.advance('large', StreamStage.DECODE, 13.8)
+        # Two pieces are free.
+        scene.ask('patient', tokens=1_000, max_tokens=100, now=14.0)
+        scene.ask('hurried', 'hurried', tokens=1_000, max_tokens=100, now=14.0)
+        assert list(scene.decide(14.0)) == ['hurried']
+
     def test_cached_prefixes_attract(self):
         scene = Scene()
         hashes = tuple(range(8))
