Keep fair shares between the services of a pool

Cause: the order by slack knows no services. One that sends four times its requests fills the queue with earlier deadlines, and a late request comes after everything in time for as long as that keeps coming: in the new tests a request waited for 60 of another service, and a late one was never served.

Grants are charged by start-time fair queueing with an allowance of 120,000 prompt tokens within which slack decides. Services that are ahead come last and lose the privilege of keeping hurried requests from the last engine.

--- a/mustardscale/policy/hurried_demand.py
+++ b/mustardscale/policy/hurried_demand.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from mustardscale.config_records import Profile
 from mustardscale.policy.base import WaitingRequest
@@ -91,13 +91,24 @@
         return weight * aged / RATE_MEMORY_S
 
     def express(
-        self, profile_by_service: Mapping[str, Profile], now: float
+        self,
+        profile_by_service: Mapping[str, Profile],
+        now: float,
+        ahead: Collection[str] = (),
     ) -> Express:
-        """Returns what the hurried services in use need."""
+        """Returns what the hurried services in use need.
+
+        Args:
+            profile_by_service: the profile of each language service.
+            now: loop time.
+            ahead: services that have had more than their share; no engine is
+                left free for them.
+        """
         in_use = {
             service: profile
             for service, profile in profile_by_service.items()
             if self.rate_per_s(service, now) >= LEAST_RATE_PER_S
+            and service not in ahead
         }
         target_s = min(
             (profile.first_token_s for profile in in_use.values()),
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -18,6 +18,7 @@
     WaitingRequest,
 )
 from mustardscale.policy.engine_books import EngineBooks
+from mustardscale.policy.fair_shares import FairShares
 from mustardscale.policy.hurried_demand import HurriedDemand
 from mustardscale.policy.pairing import (
     Round,
@@ -26,6 +27,7 @@
     least_first_token_s,
 )
 from mustardscale.policy.urgency import (
+    AHEAD,
     Candidate,
     accepts_late,
     refusal_of,
@@ -46,11 +48,16 @@
         super().__init__(rng)
         self._books = EngineBooks()
         self._demand = HurriedDemand()
+        self._shares = FairShares()
 
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Grants by least slack while engines have room."""
         self._demand.observe(pool.waiting_by_request_id.values(), now)
-        express = self._demand.express(pool.profile_by_service, now)
+        self._shares.observe_waiting(
+            item.request.service for item in pool.waiting_by_request_id.values()
+        )
+        ahead = self._shares.ahead()
+        express = self._demand.express(pool.profile_by_service, now, ahead)
         current = begin_round(self._books, pool, express, now)
         decisions: list[Decision] = []
         kept: list[Candidate] = []
@@ -69,30 +76,28 @@
             if refusal is not None:
                 decisions.append(refusal)
                 continue
-            urgency = urgency_of(item, profile, estimate_s, now)
+            urgency = urgency_of(
+                item, profile, estimate_s, now, item.request.service in ahead
+            )
             kept.append(Candidate(urgency, item, profile))
         if not current.any_free():
             return decisions
         kept.sort(key=lambda candidate: candidate.urgency)
         for candidate in kept:
-            grant = self._grant(current, candidate.item, candidate.profile)
+            grant = self._grant(current, candidate)
             if grant is not None:
                 decisions.append(grant)
                 if not current.any_free():
                     break
         return decisions
 
-    def _grant(
-        self, current: Round, item: WaitingRequest, profile: Profile
-    ) -> Grant | None:
+    def _grant(self, current: Round, candidate: Candidate) -> Grant | None:
+        item, profile = candidate.item, candidate.profile
         request = item.request
         need = StreamNeed(
             request.service, request.prompt_tokens, 0, request.max_tokens
         )
-        left_s = item.first_token_at - current.now
-        if request.tag.attempt > 1:
-            left_s = 0.0
-        busy_s = current.express.busy_s(profile, left_s)
+        busy_s = _busy_s(current, candidate)
         pairing = find_pairing(
             self._books, current, request, profile, need, busy_s
         )
@@ -121,8 +126,16 @@
         reservation: Reservation,
         now: float,
     ) -> None:
-        """Books the prefill engine and the links."""
+        """Books the prefill engine and the links, and charges the service."""
         self._books.observe_grant(reservation, now)
+        stream = reservation.stream
+        if stream.stage is StreamStage.QUEUED:
+            profile = pool.profile_by_service.get(
+                stream.service, DEFAULT_PROFILE
+            )
+            self._shares.charge(
+                stream.service, profile.weight, stream.prompt_tokens
+            )
 
     def observe_stage(
         self,
@@ -163,3 +176,13 @@
     ) -> None:
         """Follows a prefill engine's prefix cache."""
         self._books.observe_cache(engine, events, now)
+
+
+def _busy_s(current: Round, candidate: Candidate) -> float:
+    """Returns the seconds for which a grant may keep all engines busy."""
+    if candidate.urgency[0] >= AHEAD:
+        return current.express.wait_s
+    left_s = candidate.item.first_token_at - current.now
+    if candidate.item.request.tag.attempt > 1:
+        left_s = 0.0
+    return current.express.busy_s(candidate.profile, left_s)
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -13,6 +13,13 @@
 
 # Seconds of slack that a request with a prompt of one token more gives up.
 SLACK_PER_TOKEN_S = 0.5e-3
+# Ranks of waiting requests; those of services that have had more than their
+# share come last, so that a late request is not put off for ever.
+REPEATED = 0
+IN_TIME = 1
+LATE = 2
+AHEAD = 3
+AHEAD_LATE = 4
 LONGEST_RETRY_AFTER_S = 30.0
 SHORTEST_RETRY_AFTER_S = 0.5
 # The same when no engine may be used.
@@ -70,16 +77,31 @@
 
 
 def urgency_of(
-    item: WaitingRequest, profile: Profile, estimate_s: float, now: float
+    item: WaitingRequest,
+    profile: Profile,
+    estimate_s: float,
+    now: float,
+    is_ahead: bool = False,
 ) -> tuple[int, float]:
-    """Returns the sort key of a request; the smallest is decided first."""
+    """Returns the sort key of a request; the smallest is decided first.
+
+    Args:
+        item: the request.
+        profile: its profile.
+        estimate_s: least seconds until its first token.
+        now: loop time.
+        is_ahead: whether its service has had more than its share.
+    """
     if item.request.tag.attempt > 1:
-        return (0, item.first_token_at)
+        return (REPEATED, item.first_token_at)
     slack_s = item.first_token_at - now - estimate_s
     if slack_s < 0:
-        return (2, item.arrived_at)
+        return (AHEAD_LATE if is_ahead else LATE, item.arrived_at)
     cost_s = SLACK_PER_TOKEN_S * item.request.prompt_tokens
-    return (1, (slack_s + cost_s) / profile.weight)
+    return (
+        AHEAD if is_ahead else IN_TIME,
+        (slack_s + cost_s) / profile.weight,
+    )
 
 
 def _retry_after_s(current: Round, backlog_tokens: int) -> float:
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -22,10 +22,12 @@
     Reservation,
     WaitingRequest,
 )
+from mustardscale.policy.fair_shares import ALLOWANCE_TOKENS
 from mustardscale.policy.reserving import ReservingPolicy
 
 HURRIED = Profile(first_token_s=0.9, patience_s=0.9)
 PATIENT = Profile(first_token_s=8.0, patience_s=20.0)
+SLOW = Profile(first_token_s=40.0, patience_s=60.0)
 
 
 def report(role, pieces_free=64, queued_tokens=0, link=2e9):
@@ -216,6 +218,69 @@
         assert list(scene.decide(6.0)) == ['long']
 
 
+class TestFairShares:
+    """What a service that sends too much takes from the others."""
+
+    def serve(self, scene, now, until):
+        """Serves what waits one after the other; returns ids in order."""
+        served = []
+        while now < until and scene.pool.waiting_by_request_id:
+            for name, decision in scene.decide(now).items():
+                if not isinstance(decision, Grant):
+                    continue
+                held = scene.pool.reservations_by_request_id[name]
+                now += 0.03 + held.stream.prompt_tokens / 16_000
+                scene.advance(name, StreamStage.TRANSFER, now)
+                scene.advance(name, StreamStage.DECODE, now)
+                scene.end(name, now)
+                served.append(name)
+            now += 0.01
+        return served
+
+    def test_a_flood_does_not_make_the_others_wait_for_it(self):
+        scene = Scene(prefills=1)
+        scene.pool.profile_by_service = {'flood': SLOW, 'other': SLOW}
+        for number in range(60):
+            scene.ask(f'flood-{number}', 'flood', tokens=8_000)
+        scene.ask('other', 'other', tokens=8_000, now=0.1)
+        served = self.serve(scene, 0.1, 40.0)
+        assert served.index('other') <= ALLOWANCE_TOKENS / 8_000 + 1
+
+    def test_a_late_request_is_not_put_off_by_a_flood_in_time(self):
+        scene = Scene(prefills=1)
+        scene.pool.profile_by_service['flood'] = SLOW
+        for number in range(60):
+            scene.ask(f'flood-{number}', 'flood', tokens=8_000)
+        scene.ask('late', tokens=8_000, first_token_s=-1.0, waited_s=9.0)
+        served = self.serve(scene, 0.0, 10.0)
+        assert served.index('late') <= ALLOWANCE_TOKENS / 8_000 + 1
+
+    def test_a_service_alone_has_the_whole_pool_and_no_debt_later(self):
+        scene = Scene(prefills=1)
+        scene.pool.profile_by_service = {'busy': SLOW, 'other': SLOW}
+        for number in range(40):
+            scene.ask(f'busy-{number}', 'busy', tokens=8_000)
+        assert len(self.serve(scene, 0.0, 30.0)) == 40
+        scene.ask('busy-last', 'busy', tokens=8_000, now=30.0)
+        scene.ask('other', 'other', tokens=8_000, now=30.1)
+        assert self.serve(scene, 30.1, 32.0)[0] == 'busy-last'
+
+    def test_a_flood_leaves_an_engine_to_hurried_ones_until_the_end(self):
+        scene = Scene()
+        scene.pool.profile_by_service |= {'flood': PATIENT, 'other': SLOW}
+        # Fits no engine, so that its service stays behind.
+        scene.ask('large', 'other', tokens=140_000)
+        for number in range(20):
+            scene.ask(f'flood-{number}', 'flood', tokens=8_000)
+        self.serve(scene, 0.0, 12.0)
+        scene.ask('h1', 'hurried', tokens=500, now=13.0)
+        scene.ask('first', 'flood', tokens=30_000, now=13.0)
+        assert len(scene.decide(13.0)) == 2
+        late = {'first_token_s': -11.8, 'waited_s': 19.8}
+        scene.ask('last', 'flood', tokens=30_000, now=13.3, **late)
+        assert scene.decide(13.3) == {}
+
+
 class TestRefusals:
     """When a request is refused."""
 
