Exchange heartbeats once for each pair and interval

Cause: both hosts of a pair asked each other twice a second, four frames a second and host, although each answer carries the same as a request. Heartbeats were the largest standing cost of a host without a pool.

The host whose id is first begins each exchange; the other one does when it has heard nothing for 1.5 intervals. What only an answer gave the other one, the proof that its heartbeat arrived, now comes by an echo: each heartbeat carries its sender's time and the time and incarnation of the last one that came from the receiver. An echo counts only for the process that sent it and only if it is not ahead of its clock. Ruled out: longer intervals, which would take longer to find a dead host; frames without answers, which the calls do not know.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -43,6 +43,22 @@
         return True
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class BeatTime:
+    """When a process sent a heartbeat.
+
+    Attributes:
+        incarnation: start number of the process.
+        sent_at: loop time there.
+    """
+
+    incarnation: int
+    sent_at: float
+
+
+NO_BEAT = BeatTime(0, 0.0)
+
+
 @dataclasses.dataclass(slots=True)
 class HostEntry:
     """An entry host as this process knows it.
@@ -58,6 +74,7 @@
         heard_at: loop time of the last heartbeat.
         told_at: loop time of the last heartbeat that a peer tells of.
         unheard: the hosts that it does not hear, by its last heartbeat.
+        last_beat: when it sent the last heartbeat that came here.
         config_offset: configuration offset that it had folded then.
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
@@ -73,6 +90,7 @@
     heard_at: float = -math.inf
     told_at: float = -math.inf
     unheard: tuple[str, ...] = ()
+    last_beat: BeatTime = NO_BEAT
     config_offset: int = 0
     silent: bool = True
     silent_since: float = -math.inf
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -10,7 +10,10 @@
 from collections.abc import Callable, Iterator
 
 from mustardscale.blackboard import (
+    NO_BEAT,
+    BeatTime,
     Blackboard,
+    HostEntry,
     Suspicion,
 )
 from mustardscale.controller import Controller, pause
@@ -77,13 +80,13 @@
         calls.handle(Heartbeat, self._on_heartbeat)
 
     async def run(self) -> None:
-        """Sends a heartbeat to each peer at a fixed interval."""
+        """Exchanges heartbeats with each peer at a fixed interval."""
         try:
             while True:
-                for host in list(self._blackboard.hosts_by_id):
-                    if host not in self._in_flight:
-                        task = asyncio.create_task(self._exchange(host))
-                        self._in_flight[host] = task
+                for host in list(self._blackboard.hosts_by_id.values()):
+                    if host.id not in self._in_flight and self._begins(host):
+                        task = asyncio.create_task(self._exchange(host.id))
+                        self._in_flight[host.id] = task
                 self._mark_silent()
                 self._update_quorum()
                 await pause(self._times.heartbeat_s, self._rng)
@@ -91,6 +94,19 @@
             for task in self._in_flight.values():
                 task.cancel()
 
+    def _begins(self, host: HostEntry) -> bool:
+        """Returns whether this host begins the exchange of a pair.
+
+        The one whose id is first does; the other one too, when it hears
+        nothing.
+        """
+        return self._blackboard.host < host.id or self._is_unheard(host)
+
+    def _is_unheard(self, host: HostEntry) -> bool:
+        now = asyncio.get_running_loop().time()
+        silent_s = now - host.heard_at
+        return silent_s > ASK_AFTER_BEATS * self._times.heartbeat_s
+
     async def announce(self) -> None:
         """Sends a heartbeat to every live peer at once."""
         hosts = [
@@ -104,6 +120,8 @@
         """Returns what this host tells a peer."""
         now = asyncio.get_running_loop().time()
         board = self._blackboard
+        known = board.hosts_by_id.get(peer)
+        echo = known.last_beat if known is not None else NO_BEAT
         quarantined = [
             Quarantine(key, suspicion.crashes, now - suspicion.last_at, 1)
             for key, suspicion in board.suspicions_by_key.items()
@@ -119,7 +137,14 @@
             leaving=self._leaving_endpoints(now),
             quarantined=tuple(quarantined),
             heard=tuple(self._word_for(peer, now)),
-            unheard=tuple(self._unheard_hosts(now)),
+            unheard=tuple(
+                host.id
+                for host in board.hosts_by_id.values()
+                if self._is_unheard(host)
+            ),
+            sent_at=now,
+            echo_at=echo.sent_at,
+            echo_incarnation=echo.incarnation,
         )
 
     def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
@@ -136,12 +161,6 @@
             )
         return self._leaving
 
-    def _unheard_hosts(self, now: float) -> Iterator[str]:
-        """Yields the hosts of which this host wants to hear from others."""
-        for host in self._blackboard.hosts_by_id.values():
-            if now - host.heard_at > ASK_AFTER_BEATS * self._times.heartbeat_s:
-                yield host.id
-
     def _word_for(self, peer: str, now: float) -> Iterator[HeardHost]:
         """Yields the hosts heard here that a peer does not hear."""
         hosts_by_id = self._blackboard.hosts_by_id
@@ -163,7 +182,8 @@
         except PeerUnavailableError as error:
             log.debug('no heartbeat from %s: %s', host, error)
         else:
-            self._answered_sent_at_by_host[host] = sent_at
+            answered_at = self._answered_sent_at_by_host.get(host, sent_at)
+            self._answered_sent_at_by_host[host] = max(answered_at, sent_at)
             self._hear(reply)
         finally:
             self._in_flight.pop(host, None)
@@ -178,6 +198,9 @@
         host = self._blackboard.hosts_by_id.get(beat.host)
         if host is None or beat.incarnation < host.incarnation:
             return
+        self._take_echo(beat, now)
+        last_beat = BeatTime(beat.incarnation, beat.sent_at)
+        host.last_beat = max(host.last_beat, last_beat)
         changed = (
             host.silent
             or host.incarnation != beat.incarnation
@@ -202,6 +225,18 @@
             )
             self._blackboard.membership_changed.notify()
 
+    def _take_echo(self, beat: Heartbeat, now: float) -> None:
+        """Takes note that a peer has heard a heartbeat of this process.
+
+        Just as good as an answer to it: the peer does not take this host for
+        dead before the usual silence after it.
+        """
+        if beat.echo_incarnation != self._blackboard.incarnation:
+            return
+        answered_at = self._answered_sent_at_by_host.get(beat.host, -math.inf)
+        if answered_at < beat.echo_at <= now:
+            self._answered_sent_at_by_host[beat.host] = beat.echo_at
+
     def _take_word(self, heard: HeardHost, now: float) -> None:
         """Takes a peer's word that a host is live.
 
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -77,6 +77,9 @@
   quarantined @7 :List(Quarantine);
   heard @8 :List(HeardHost);
   unheard @9 :List(Text);
+  sentAt @10 :Float64;
+  echoAt @11 :Float64;
+  echoIncarnation @12 :UInt64;
 }
 
 struct HeardHost {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -61,7 +61,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sent to each peer at a fixed interval; the reply is the peer's own.
+    """Sent to a peer at a fixed interval; the reply is the peer's own.
+
+    One host of a pair begins the exchange; the other one learns by the next
+    request whether its reply arrived.
 
     Attributes:
         host: id of the sender.
@@ -75,6 +78,11 @@
         heard: of the hosts that the receiver does not hear, those that the
             sender hears itself.
         unheard: the hosts that the sender does not hear.
+        sent_at: the sender's loop time.
+        echo_at: sent_at of the last heartbeat that the sender has of the
+            receiver.
+        echo_incarnation: start number of the process that sent that one, 0 if
+            there is none.
     """
 
     host: str
@@ -87,6 +95,9 @@
     quarantined: tuple[Quarantine, ...] = ()
     heard: tuple[HeardHost, ...] = ()
     unheard: tuple[str, ...] = ()
+    sent_at: float = 0.0
+    echo_at: float = 0.0
+    echo_incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,10 +1,14 @@
 """Tests of what hosts tell each other of other hosts."""
 
 import asyncio
+import collections
 
 import pytest
 
+from mustardscale.controller import JITTER_SHARE
+from mustardscale.membership import QUORUM_LEASE_S, MembershipTimes
 from mustardscale.peer_codec import Frame, FrameKind, encode_frame
+from mustardscale.peers import Heartbeat
 from standins.memory_site import MemorySite, SiteLayout
 from tests.virtual_time import virtual_time
 
@@ -20,6 +24,13 @@
     return len(encode_frame(Frame(FrameKind.REQUEST, 1, beat)))
 
 
+def lose_replies(site, loss):
+    names = list(site.routers_by_host)
+    for source in names:
+        for target in names:
+            site.peers.lose_replies(source, target, loss)
+
+
 async def started_site(hosts):
     site = MemorySite(SiteLayout(entry_hosts=hosts), seed=1)
     await site.start()
@@ -27,6 +38,23 @@
     return site
 
 
+def count_requests(site):
+    """Counts the heartbeats that are sent, without those in reply."""
+    counts = collections.Counter()
+    for name, router in site.routers_by_host.items():
+        site.peers.attach(name, counting(router._calls.dispatch, counts))
+    return counts
+
+
+def counting(dispatch, counts):
+    async def counted(sender, request):
+        if isinstance(request, Heartbeat):
+            counts[sender] += 1
+        return await dispatch(sender, request)
+
+    return counted
+
+
 class TestHeartbeats:
     """What heartbeats cost, and what they are for."""
 
@@ -39,14 +67,64 @@
             await site.stop()
         assert len(set(sizes)) == 1
 
+    @virtual_time
+    async def test_one_host_of_a_pair_begins_each_exchange(self):
+        site = await started_site(6)
+        pairs = 6 * 5 / 2
+        counts = count_requests(site)
+        await asyncio.sleep(CUT_S)
+        exchanges = pairs * CUT_S / MembershipTimes().heartbeat_s
+        assert sum(counts.values()) <= exchanges * (1 + JITTER_SHARE)
+        await site.stop()
+
+    @pytest.mark.parametrize('loss', [0.0, 0.1])
+    @virtual_time
+    async def test_all_keep_their_quorum(self, loss):
+        site = await started_site(5)
+        lose_replies(site, loss)
+        boards = [router.blackboard for router in site.routers_by_host.values()]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + CUT_S
+        while loop.time() < end:
+            await asyncio.sleep(LOOK_S)
+            for board in boards:
+                assert loop.time() - board.quorum_at < QUORUM_LEASE_S
+                assert board.quorum_at <= loop.time()
+                others = board.hosts_by_id.values()
+                assert not any(host.silent for host in others)
+        await site.stop()
+
+    @pytest.mark.parametrize('cut', [('entry-1', 'entry-2'), ()])
+    @virtual_time
+    async def test_one_that_is_not_heard_gives_no_quorum(self, cut):
+        site = await started_site(2)
+        board = site.routers_by_host['entry-2'].blackboard
+        cut_at = asyncio.get_running_loop().time()
+        if cut:
+            # What the other sends still arrives, so it is heard.
+            site.peers.cut('entry-2', 'entry-1', one_way=True)
+        await asyncio.sleep(CUT_S)
+        assert (board.quorum_at <= cut_at) == bool(cut)
+        await site.stop()
+
+    @virtual_time
+    async def test_word_to_an_earlier_process_is_not_taken(self):
+        site = await started_site(2)
+        await site.kill_host('entry-2')
+        router = await site.start_host('entry-2')
+        # The peer echoes what the killed process sent last.
+        peer = site.routers_by_host['entry-1'].heartbeats
+        beat = peer.heartbeat('entry-2')
+        assert 0 < beat.echo_incarnation < router.blackboard.incarnation
+        await router.heartbeats._on_heartbeat('entry-1', beat)
+        assert not router.heartbeats._answered_sent_at_by_host
+        await site.stop()
+
     @pytest.mark.parametrize('loss', [0.0, 0.1])
     @virtual_time
     async def test_hosts_cut_from_each_other_stay_live_by_word(self, loss):
         site = await started_site(4)
-        names = list(site.routers_by_host)
-        for source in names:
-            for target in names:
-                site.peers.lose_replies(source, target, loss)
+        lose_replies(site, loss)
         site.peers.cut('entry-1', 'entry-2')
         boards = {
             name: router.blackboard
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -26,6 +26,7 @@
     'incarnation',
     'config_digest',
     'digest',
+    'echo_incarnation',
     'fingerprint',
     'block_hashes',
 }
