Wait for a repeated attempt as long as its deadline

Cause: an entry host gave up asking the pool's owner when the profile's patience and 2 s had passed, also for a request whose answer had begun. The owner keeps a repeated attempt until there is memory, so when an engine died, streams of impatient services ended 3 s later with 'the owner could not be reached', their answers cut off.

The answers are completed now, many of them too slow for the goodput, and take memory that others had: a whole answer goes before a fast one.

--- a/mustardscale/admission.py
+++ b/mustardscale/admission.py
@@ -160,11 +160,16 @@
     async def _ask_owner(
         self, ask: AdmitRequest, deadline_at: float, profile: Profile
     ) -> AdmitReply:
-        """Asks until an owner has decided; owners may change meanwhile."""
+        """Asks until an owner has decided; owners may change meanwhile.
+
+        A repeated attempt, whose answer has begun, is asked for until its
+        deadline.
+        """
         loop = asyncio.get_running_loop()
-        give_up_at = min(
-            deadline_at, loop.time() + profile.patience_s + ANSWER_MARGIN_S
-        )
+        give_up_at = deadline_at
+        if ask.tag.attempt == 1:
+            patience_s = profile.patience_s + ANSWER_MARGIN_S
+            give_up_at = min(deadline_at, loop.time() + patience_s)
         while True:
             left_s = give_up_at - loop.time()
             if left_s <= 0:
