Show what breaks without each mechanism, and keep the traces

Cause: the proofs showed that promises hold, not that the judge would say so if a mechanism failed. Switching mechanisms off found three faults of the stand-ins: - The judge of promise 7 looked at drains that end late only; a drain that waited for nothing passed. It now also names sends that end with the process of a host whose drain said that all had ended. - A killed host of the memory site still recorded how its tasks ended, as if its callers had left.

Ruled out: switches in the product; tests replace the mechanism.

--- a/standins/fault_actions.py
+++ b/standins/fault_actions.py
@@ -48,7 +48,7 @@
         leaving: endpoints that were leaving.
         leaving_since: endpoints that are leaving, with the time of the mark.
         cut_short: hosts whose drain did not end in time.
-        drained: processes that were drained.
+        drained_at_by_host: loop times at which a drain ended in time.
     """
 
     def __init__(self, site: MemorySite):
@@ -59,7 +59,7 @@
         self.leaving: list[Leaving] = []
         self.leaving_since: dict[str, float] = {}
         self.cut_short: list[str] = []
-        self.drained: set[tuple[str, int]] = set()
+        self.drained_at_by_host: dict[str, list[float]] = {}
 
     def process(self, host: str) -> tuple[str, int]:
         """Returns what identifies the process that runs on a host."""
@@ -147,11 +147,13 @@
         """Stops a host gracefully and starts a new process in its place."""
         router = self._site.routers_by_host[host]
         process = self.process(host)
-        self.drained.add(process)
         whole = await router.drain(DRAIN_NOTICE_S, DRAIN_TIMEOUT_S)
         if self.lost(process).is_set():
             return
-        if not whole:
+        if whole:
+            now = asyncio.get_running_loop().time()
+            self.drained_at_by_host.setdefault(host, []).append(now)
+        else:
             self.cut_short.append(host)
         await self.kill(host)
         await self._site.start_host(host)
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -286,6 +286,8 @@
     async def kill_host(self, host: str) -> None:
         """Ends an entry host without any word to the others."""
         router = self.routers_by_host.pop(host)
+        # The end of its tasks is no word of a process that is killed.
+        router.blackboard.trace = NoTrace()
         self.peers.kill(host)
         await router.stop()
 
--- a/standins/promise_checks.py
+++ b/standins/promise_checks.py
@@ -10,7 +10,7 @@
 from mustardscale.engines import StreamInfo, StreamStage
 from mustardscale.outcomes import OutcomeClass, outcome_class
 from mustardscale.requests import PlainRequest
-from standins.caller_records import CallerRecord
+from standins.caller_records import CallerRecord, Send
 from standins.config_checks import ConfigChecks
 from standins.fault_actions import FaultActions
 from standins.fault_callers import FaultCallers
@@ -24,6 +24,8 @@
 FREE_AFTER_HOST_LOSS_S = 10.0
 # A leaving endpoint must get no new work this long after it is known.
 LEAVING_S = 3.0
+# Time in which callers notice that their host's process has ended, seconds.
+CUT_OFF_S = 0.1
 
 
 class Promise(enum.IntEnum):
@@ -176,6 +178,9 @@
         for host in self._actions.cut_short:
             text = f'the drain of {host} did not end in time'
             self._report(Promise.DRAIN_CUTS_NOTHING, text)
+        for record in self._callers.records:
+            for send in record.sends:
+                self._judge_drain(send)
         for text in self._config.judge():
             self._report(Promise.PROFILES_IN_FORCE, text)
 
@@ -200,6 +205,16 @@
         for problem in record.problems:
             self._report(Promise.WHOLE_ANSWER, f'{request_id}: {problem}')
 
+    def _judge_drain(self, send: Send) -> None:
+        """Looks for a send that ended with the drain of its host."""
+        ended_at = send.ended_at
+        if not send.lost or ended_at is None:
+            return
+        for at in self._actions.drained_at_by_host.get(send.host, ()):
+            if send.started_at <= at <= ended_at <= at + CUT_OFF_S:
+                text = f'the drain of {send.host} cut off {send}'
+                self._report(Promise.DRAIN_CUTS_NOTHING, text)
+
     def _judge_runs(self, record: CallerRecord, executions: int) -> None:
         request = record.request
         if all(send.not_run for send in record.sends) and executions:
--- a/tests/test_trace_replay.py
+++ b/tests/test_trace_replay.py
@@ -16,6 +16,7 @@
 from mustardscale.trace_reader import read_trace
 from mustardscale.trace_replay import DecisionReplay
 from standins.fault_runs import run_seed
+from tests import violating_traces
 
 # A run in which hosts, engines and the log fail.
 SEED = 2
@@ -99,6 +100,30 @@
         assert content['differences'] == []
 
 
+class TestStoredRuns:
+    """Runs that broke a promise without its mechanism, and with it."""
+
+    @pytest.mark.parametrize('name', violating_traces.NAMES)
+    def test_without_the_mechanism(self, name):
+        path = violating_traces.TRACES / f'without_{name}.jsonl'
+        stated = violating_traces.state(path)
+        assert stated == json.loads(
+            path.with_suffix('.stated.json').read_text()
+        )
+        promises = {int(text.split(' ')[0]) for text in stated['broken']}
+        assert promises == {violating_traces.CASES[name].promise}
+
+    @pytest.mark.parametrize('name', violating_traces.NAMES)
+    def test_with_the_mechanism(self, name):
+        path = violating_traces.TRACES / f'with_{name}.jsonl'
+        stated = violating_traces.state(path)
+        assert stated == json.loads(
+            path.with_suffix('.stated.json').read_text()
+        )
+        assert stated['exit_code'] == ExitCode.DONE
+        assert stated['outcomes']
+
+
 class TestLines:
     """Reading and writing of lines."""
 
