Keep the ends of delivered answers for callers that lost them

Cause: an answer counts as delivered once its end is written to the caller's connection. When that connection broke with a part unread, a resumption got 4010 and the rest was lost though nothing had crashed.

The id stays answered at its home: a registration to resume replaces the holder, never the mark. It did lose that mark before when the first end's removal came after a resumption that was refused; an ended id could then be run again.

Ruled out: serving the rest when the first stream went on to its end after the resumption was asked for.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -164,6 +164,7 @@
         taken_over: whether its caller resumed it at another host.
         delivered: whether the last of its answer is being handed to the
             caller; nobody may take it over then.
+        answered: whether its whole answer was delivered before.
         home: host that holds its directory entry.
         previous_holder: host that served it before, '' if not known.
         previous_incarnation: start number of that host's process.
@@ -187,6 +188,7 @@
     started: bool = False
     taken_over: bool = False
     delivered: bool = False
+    answered: bool = False
     home: str = ''
     previous_holder: str = ''
     previous_incarnation: int = 0
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -125,6 +125,8 @@
             settings.host_list_interval_s,
         ),
         settings.resume_grace_s,
+        settings.kept_answers_s,
+        settings.kept_answers_bytes,
     )
     router = Router(options, edges, rng)
     add_traffic_gauges(router.metrics, transport.traffic)
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import random
 
@@ -148,8 +149,11 @@
         found = (row.entry,) if row is not None else ()
         accepted = row is None or self._may_replace(row, request)
         if accepted:
-            ended_at = now if request.entry.done else None
-            rows[request_id] = DirectoryRow(request.entry, now, ended_at)
+            entry = request.entry
+            if row is not None and row.entry.done:
+                entry = dataclasses.replace(entry, done=True)
+            ended_at = now if entry.done else None
+            rows[request_id] = DirectoryRow(entry, now, ended_at)
         return DirectoryReply(accepted, known_s, found)
 
     def _may_answer(self, request_id: str) -> bool:
--- a/mustardscale/directory_client.py
+++ b/mustardscale/directory_client.py
@@ -182,6 +182,7 @@
             incarnation=self._blackboard.incarnation,
             attempt=served.tag.attempt if served.tag else 0,
             decode=served.decode,
+            done=served.answered,
         )
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/mustardscale/directory_rules.py
+++ b/mustardscale/directory_rules.py
@@ -35,11 +35,17 @@
     """Returns whether the new entry may take the known one's place."""
     old = claim.known
     new = claim.new
-    if (old.host, old.incarnation) == (new.host, new.incarnation):
-        return not old.done
+    same_holder = (old.host, old.incarnation) == (new.host, new.incarnation)
+    if old.done:
+        # The rest of an answer is handed out; the id stays answered.
+        return old.fingerprint == new.fingerprint and (
+            claim.takeover or (same_holder and new.done)
+        )
+    if same_holder:
+        return True
     if claim.rebuild:
         return not claim.ended and _may_rebuild(claim)
-    if old.fingerprint != new.fingerprint or old.done:
+    if old.fingerprint != new.fingerprint:
         return False
     return claim.ended or claim.takeover or not claim.holder_live
 
--- /dev/null
+++ b/mustardscale/kept_answers.py
@@ -0,0 +1,104 @@
+"""Keeps the ends of delivered answers for callers that did not get them.
+
+An answer counts as delivered once it is written to the caller's connection,
+which may break before the caller has read it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import sys
+
+# Tokens kept of one answer at most.
+LONGEST_TAIL_TOKENS = 16_384
+# Bytes of a reference to a token's text.
+_REFERENCE_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """The last tokens of a delivered answer.
+
+    Attributes:
+        first_index: index of the first token kept.
+        texts: the tokens' texts.
+        finish_reason: why the answer ended.
+        delivered_at: loop time at which its end was last handed out.
+    """
+
+    first_index: int
+    texts: tuple[str, ...]
+    finish_reason: str
+    delivered_at: float
+
+    def rest_from(self, index: int) -> tuple[str, ...]:
+        """Returns the tokens from an index on, none if some are missing.
+
+        >>> KeptAnswer(3, ('a', 'b'), 'stop', 0.0).rest_from(4)
+        ('b',)
+        >>> KeptAnswer(3, ('a', 'b'), 'stop', 0.0).rest_from(2)
+        ()
+        """
+        if index < self.first_index:
+            return ()
+        return self.texts[index - self.first_index :]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    """A kept answer with its size in bytes."""
+
+    answer: KeptAnswer
+    size: int
+
+
+class KeptAnswers:
+    """The answers that this host delivered last, within a time and a size.
+
+    Attributes:
+        size: bytes that the answers take.
+    """
+
+    __slots__ = ('_entry_by_request_id', '_keep_s', '_max_bytes', 'size')
+
+    def __init__(self, keep_s: float, max_bytes: int):
+        self._keep_s = keep_s
+        self._max_bytes = max_bytes
+        self._entry_by_request_id: dict[str, _Entry] = {}
+        self.size = 0
+
+    def add(self, request_id: str, answer: KeptAnswer) -> None:
+        """Keeps an answer and forgets the oldest ones beyond the bounds."""
+        self._remove(request_id)
+        texts = answer.texts[-LONGEST_TAIL_TOKENS:]
+        first_index = answer.first_index + len(answer.texts) - len(texts)
+        tail = dataclasses.replace(answer, first_index=first_index, texts=texts)
+        size = sum(sys.getsizeof(text) + _REFERENCE_BYTES for text in texts)
+        self._entry_by_request_id[request_id] = _Entry(tail, size)
+        self.size += size
+        self.expire()
+
+    def find(self, request_id: str) -> KeptAnswer | None:
+        """Returns what is kept of an answer."""
+        self.expire()
+        entry = self._entry_by_request_id.get(request_id)
+        if entry is None or self._is_old(entry):
+            return None
+        return entry.answer
+
+    def expire(self) -> None:
+        """Forgets the oldest answers beyond the bounds."""
+        for request_id, entry in list(self._entry_by_request_id.items()):
+            if not self._is_old(entry) and self.size <= self._max_bytes:
+                return
+            self._remove(request_id)
+
+    def _is_old(self, entry: _Entry) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - entry.answer.delivered_at > self._keep_s
+
+    def _remove(self, request_id: str) -> None:
+        entry = self._entry_by_request_id.pop(request_id, None)
+        if entry is not None:
+            self.size -= entry.size
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -19,6 +19,7 @@
 from mustardscale.exceptions import (
     OutcomeError,
 )
+from mustardscale.kept_answers import KeptAnswer
 from mustardscale.language_attempts import (
     AttemptFailedError,
     AttemptProgress,
@@ -95,6 +96,7 @@
                         ).first_token.record(first_at - served.arrived_at)
                     if event.finish_reason:
                         served.delivered = True
+                        self._resumption.keep(served, event.finish_reason)
                         self._record_pace(served, clock() - first_at)
                     yield event
         except TimeoutError as error:
@@ -198,6 +200,7 @@
         if found.host != self._blackboard.host:
             served.previous_holder = found.host
             served.previous_incarnation = found.incarnation
+        served.answered = found.done
         if request.resume_after is not None:
             served.decode = found.decode
 
@@ -216,9 +219,13 @@
         if request.resume_after is not None:
             first_index = request.resume_after + 1
         async with asyncio.timeout_at(deadline_at):
+            kept = None
             if resuming:
-                await self._resumption.locate(served, model)
+                kept = await self._resumption.locate(served, model)
                 progress.attempt = _last_attempt(served)
+        if kept is not None:
+            yield _rest_of(kept, served, first_index)
+            return
         while True:
             try:
                 if resuming:
@@ -297,7 +304,8 @@
         delivered = served.delivered
         self._limits.leave(served.service)
         self._forget(served)
-        if delivered:
+        answered = delivered or served.answered
+        if answered:
             self._resumption.note_delivered(served.id)
         if served.taken_over:
             return
@@ -306,7 +314,29 @@
                 self._runner.cancel(served)
             outcome = Outcome.COMPLETE if delivered else Outcome.CALLER_LEFT
             self._admission.release(served, outcome, 0, finished=delivered)
-        self._directory.remove(served, delivered)
+        self._directory.remove(served, answered)
+
+
+def _rest_of(
+    kept: KeptAnswer, served: ServedRequest, first_index: int
+) -> TokenEvent:
+    """Returns the rest of an answer that was delivered before.
+
+    Raises:
+        OutcomeError: ALREADY_COMPLETED, nothing is left or it is not kept.
+    """
+    texts = kept.rest_from(first_index)
+    if not texts:
+        raise OutcomeError(Outcome.ALREADY_COMPLETED)
+    if served.taken_over:
+        raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
+    return TokenEvent(
+        served.id,
+        _last_attempt(served),
+        first_index,
+        texts,
+        kept.finish_reason,
+    )
 
 
 def _timeout_s(request: LanguageRequest, profile: Profile) -> float:
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -208,6 +208,9 @@
   prefill @3 :Text;
   decode @4 :Text;
   done @5 :Bool;
+  firstIndex @6 :Int64;
+  finishReason @7 :Text;
+  ageS @8 :Float64;
 }
 
 struct ConfigFetch {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -374,6 +374,9 @@
         prefill: id of the prefill endpoint.
         decode: id of the decode endpoint.
         done: whether it delivered the whole answer.
+        first_index: index of the first token in emitted.
+        finish_reason: why the whole answer ended; '' if it is not kept.
+        age_s: seconds since the end of the whole answer was handed out.
     """
 
     released: bool
@@ -382,6 +385,9 @@
     prefill: str = ''
     decode: str = ''
     done: bool = False
+    first_index: int = 0
+    finish_reason: str = ''
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.endpoint_clients import EndpointClients
@@ -16,6 +17,7 @@
     PeerGoneError,
     PeerUnavailableError,
 )
+from mustardscale.kept_answers import KeptAnswer, KeptAnswers
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import (
@@ -30,6 +32,9 @@
 
 # Seconds for which a host remembers which answers it has delivered.
 DELIVERED_MEMORY_S = 60.0
+# Seconds and bytes within which it keeps the answers themselves.
+KEPT_ANSWERS_S = 30.0
+KEPT_ANSWERS_BYTES = 16 * 1024 * 1024
 CALL_TIMEOUT_S = 1.0
 RELEASE_RETRY_S = 0.1
 # Time after which a holder that was never heard has lost its lease, seconds.
@@ -44,20 +49,27 @@
         blackboard: Blackboard,
         calls: PeerCalls,
         clients: EndpointClients,
+        kept: KeptAnswers,
     ):
         self._blackboard = blackboard
         self._calls = calls
         self._clients = clients
         self._located_by_request_id: dict[str, asyncio.Event] = {}
         self._delivered_at_by_id: dict[str, float] = {}
+        self._kept = kept
         calls.handle(StreamRelease, self._on_release)
 
-    async def locate(self, served: ServedRequest, model: str) -> None:
+    async def locate(
+        self, served: ServedRequest, model: str
+    ) -> KeptAnswer | None:
         """Fills in where a request's stream runs, and takes it over.
 
+        Returns:
+            The answer, if it was delivered whole before.
+
         Raises:
-            OutcomeError: NOTHING_TO_RESUME, or ALREADY_COMPLETED when the
-                holder delivered the rest in the meantime.
+            OutcomeError: NOTHING_TO_RESUME, or ALREADY_COMPLETED when it was
+                delivered and is no longer kept.
         """
         hosts = [
             host
@@ -79,8 +91,9 @@
                     for host, incarnation in incarnation_by_holder.items()
                 )
             )
-        if any(reply is not None and reply.done for reply in released):
-            raise OutcomeError(Outcome.ALREADY_COMPLETED)
+        kept = await self._find_answer(served, released, hosts)
+        if kept is not None:
+            return kept
         for reply in released:
             if reply is not None and reply.released and reply.decode:
                 self._adopt(served, reply.attempt, reply.prefill, reply.decode)
@@ -92,6 +105,56 @@
             raise OutcomeError(Outcome.NOTHING_TO_RESUME)
         if not served.prefill:
             served.prefill = served.decode
+        return None
+
+    async def _find_answer(
+        self,
+        served: ServedRequest,
+        released: Sequence[StreamReleaseReply | None],
+        hosts: list[str],
+    ) -> KeptAnswer | None:
+        """Returns the answer if it was delivered whole before.
+
+        Raises:
+            OutcomeError: ALREADY_COMPLETED, when it is no longer kept, or its
+                end was handed out after this resumption was asked for.
+        """
+        kept = _kept_in(released)
+        done = any(reply is not None and reply.done for reply in released)
+        served.answered = served.answered or done
+        if kept is None and not done:
+            # Nothing was said by a holder that was asked.
+            kept = await self._find_kept(served, hosts)
+        if kept is None:
+            if served.answered:
+                raise OutcomeError(Outcome.ALREADY_COMPLETED)
+            return None
+        served.answered = True
+        self._kept.add(served.id, kept)
+        if kept.delivered_at > served.arrived_at:
+            # Only one of the two streams may go on to the end.
+            raise OutcomeError(Outcome.ALREADY_COMPLETED)
+        return kept
+
+    async def _find_kept(
+        self, served: ServedRequest, hosts: list[str]
+    ) -> KeptAnswer | None:
+        """Looks for a delivered answer here, and if need be at all hosts."""
+        kept = None
+        if served.answered or not served.previous_holder:
+            kept = self._kept.find(served.id)
+        if kept is not None or not served.answered:
+            return kept
+        calls = [self._release_if_live(host, served.id) for host in hosts]
+        return _kept_in(await asyncio.gather(*calls))
+
+    async def _release_if_live(
+        self, host: str, request_id: str
+    ) -> StreamReleaseReply | None:
+        try:
+            return await self._call_release(host, StreamRelease(request_id))
+        except PeerUnavailableError:
+            return None
 
     @contextlib.contextmanager
     def _locating(self, request_id: str) -> Iterator[None]:
@@ -252,22 +315,26 @@
         ]
         return max(attempts, default=None)
 
+    def keep(self, served: ServedRequest, finish_reason: str) -> None:
+        """Keeps an answer whose end is handed out now."""
+        now = asyncio.get_running_loop().time()
+        answer = self._kept.find(served.id)
+        if served.answered and answer is not None:
+            answer = dataclasses.replace(answer, delivered_at=now)
+        else:
+            answer = KeptAnswer(0, tuple(served.emitted), finish_reason, now)
+        self._kept.add(served.id, answer)
+
     def note_delivered(self, request_id: str) -> None:
         """Remembers for a while that this host delivered a whole answer."""
         now = asyncio.get_running_loop().time()
+        self._delivered_at_by_id.pop(request_id, None)
         self._delivered_at_by_id[request_id] = now
         for known, delivered_at in list(self._delivered_at_by_id.items()):
             if now - delivered_at <= DELIVERED_MEMORY_S:
                 break
             del self._delivered_at_by_id[known]
 
-    def _is_delivered(self, request_id: str) -> bool:
-        """Returns whether this host has given a caller the whole answer."""
-        served = self._blackboard.served_by_id.get(request_id)
-        if served is not None:
-            return served.delivered
-        return request_id in self._delivered_at_by_id
-
     async def _on_release(
         self, sender: str, request: StreamRelease
     ) -> StreamReleaseReply:
@@ -277,9 +344,15 @@
         located = self._located_by_request_id.get(request.request_id)
         if located is not None:
             await located.wait()
-        if self._is_delivered(request.request_id):
+        open_here = self._blackboard.served_by_id.get(request.request_id)
+        if open_here is not None and open_here.delivered:
             return StreamReleaseReply(released=False, done=True)
         served = self.let_go(request.request_id)
+        kept = self._kept.find(request.request_id)
+        if kept is not None:
+            return _reply_with(kept, served is not None)
+        if served is None and request.request_id in self._delivered_at_by_id:
+            return StreamReleaseReply(released=False, done=True)
         if served is None or served.tag is None:
             return StreamReleaseReply(released=served is not None)
         return StreamReleaseReply(
@@ -289,3 +362,31 @@
             served.prefill,
             served.decode,
         )
+
+
+def _reply_with(kept: KeptAnswer, released: bool) -> StreamReleaseReply:
+    """Returns the reply that carries a kept answer."""
+    return StreamReleaseReply(
+        released,
+        kept.texts,
+        done=True,
+        first_index=kept.first_index,
+        finish_reason=kept.finish_reason,
+        age_s=asyncio.get_running_loop().time() - kept.delivered_at,
+    )
+
+
+def _kept_in(
+    replies: Sequence[StreamReleaseReply | None],
+) -> KeptAnswer | None:
+    """Returns the answer that one of the hosts has kept, if any."""
+    for reply in replies:
+        if reply is not None and reply.done and reply.finish_reason:
+            now = asyncio.get_running_loop().time()
+            return KeptAnswer(
+                reply.first_index,
+                reply.emitted,
+                reply.finish_reason,
+                now - reply.age_s,
+            )
+    return None
--- a/mustardscale/settings.py
+++ b/mustardscale/settings.py
@@ -70,6 +70,16 @@
         'Time for callers of a dead host to resume their streams.',
         3.0,
     )
+    kept_answers_s: float = _setting(
+        Seconds(),
+        'Time for which the ends of delivered answers can be resumed.',
+        30.0,
+    )
+    kept_answers_bytes: int = _setting(
+        Count(minimum=0),
+        'Memory for the ends of delivered answers, in bytes.',
+        16_777_216,
+    )
     policy: str = _setting(
         Choice('mustardscale', 'round_robin', 'least_loaded'),
         'How requests are admitted and placed.',
--- a/standins/local_callers.py
+++ b/standins/local_callers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import time
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
@@ -130,7 +132,36 @@
                 break
         return resumed
 
+    async def drop_rest(
+        self, url: str, count: int, delivered: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Reads some events and loses the rest of a delivered answer.
+
+        Args:
+            url: callers' address of an entry host.
+            count: events that are read.
+            delivered: returns when the host has sent the whole answer.
+        """
+        async with self._open(url) as response:
+            while len(self._read.times) < count:
+                self._take_line((await response.content.readline()).strip())
+            await delivered()
+            response.close()
+
     async def _stream(self, url: str) -> None:
+        async with self._open(url) as response:
+            if response.status != 200:
+                problem = msgspec.json.decode(await response.read())
+                self._read.code = problem['code']
+                return
+            async for line in response.content:
+                self._take_line(line.strip())
+                async with self._progressed:
+                    self._progressed.notify_all()
+
+    def _open(
+        self, url: str
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
         headers = {
             'Authorization': f'Bearer {token_of(self._service)}',
             'Idempotency-Key': self.request_id,
@@ -143,20 +174,12 @@
             'max_tokens': self._max_tokens,
             'stream': True,
         }
-        async with self._session.post(
+        return self._session.post(
             f'{url}/v1/chat/completions',
             json=body,
             headers=headers,
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
-        ) as response:
-            if response.status != 200:
-                problem = msgspec.json.decode(await response.read())
-                self._read.code = problem['code']
-                return
-            async for line in response.content:
-                self._take_line(line.strip())
-                async with self._progressed:
-                    self._progressed.notify_all()
+        )
 
     def _take_line(self, line: bytes) -> None:
         name, _, value = line.partition(b': ')
--- a/tests/test_process_streams.py
+++ b/tests/test_process_streams.py
@@ -11,6 +11,7 @@
 # Longer than a call to a peer may take, shorter than a silence.
 SHORT_FREEZE_S = 1.3
 EVENTS_BEFORE_FAULT = 5
+DELIVERED_S = 30.0
 
 
 def same_caller(site, caller, text):
@@ -26,6 +27,11 @@
     return len(whole), [r.code for r in results if r not in whole]
 
 
+async def serves_nothing(site, host):
+    """Returns whether a host has sent all its answers."""
+    return not (await site.operators(host, '/status'))['requests']
+
+
 async def kill_and_resume(site, killed):
     """Kills hosts in mid-stream; the first has the streams."""
     rest = [site.url(host) for host in site.hosts if host not in killed]
@@ -109,6 +115,26 @@
         assert fates(results) == (STREAMS, [])
         assert all(result.resumed for result in results)
 
+    @on_site
+    async def test_rest_of_a_delivered_answer(self, site):
+        text = long_text(4, 100)
+        holder, other, third = site.hosts[:3]
+        first = LanguageCaller(site.session, site.language, text, MAX_TOKENS)
+
+        async def delivered():
+            await site.until(site.memory_is_free, DELIVERED_S)
+            await site.until(lambda: serves_nothing(site, holder), DELIVERED_S)
+
+        await first.drop_rest(site.url(holder), EVENTS_BEFORE_FAULT, delivered)
+        for host in (other, third, holder):
+            resumed = same_caller(site, first, text)
+            resumed.resume_from(first)
+            result = await resumed.call([site.url(host)])
+            assert result.fate is AnswerFate.WHOLE, result
+        again = same_caller(site, first, text)
+        result = await again.call([site.url(other)])
+        assert result.code == Outcome.ALREADY_COMPLETED
+
     @on_site
     async def test_frozen_hosts_do_not_go_on(self, site):
         """One goes on before its peers count it as silent, one after."""
