Bound callers' connections and the memory of their bodies

Cause: a host took any number of connections, and each might hold a body of 4 MB, so that callers decided on the memory of a host.

Beyond 64 of them connections are cut off at once.

Ruled out: leaving it to the process's limit of open files (accept fails without an answer and is tried again for ever); an answer before the request was read (the reset that follows may lose it).

The tests need the new limits, so they could not run before; with the refusal switched off the first one is served and fails.

--- a/mustardscale/caller_connections.py
+++ b/mustardscale/caller_connections.py
@@ -9,6 +9,7 @@
 
 from aiohttp import http_exceptions, web
 
+from mustardscale.caller_memory import BodyMemory
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.problem_details import problem_response
@@ -20,6 +21,12 @@
 # Seconds for which the rest of a refused body is read and dropped.
 LINGERING_S = 2.0
 
+# Connections beyond the limit that are answered with a refusal; further ones
+# are cut off.
+REFUSED_CONNECTIONS = 64
+# Seconds in which a refused connection must have sent its request.
+REFUSED_HEADER_TIMEOUT_S = 2.0
+
 # Bytes that a connection with nothing to send takes without waiting.
 _SMALL_CHUNK_BYTES = 16_384
 
@@ -29,9 +36,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What one caller may take up.
+    """What callers may take up.
 
     Attributes:
+        connections: connections of all callers together.
+        all_bodies_bytes: size of the bodies of all requests in progress.
         header_bytes: size of all headers, and of the request line.
         body_bytes: size of a body.
         header_timeout_s: seconds for a request's headers to arrive.
@@ -40,6 +49,8 @@
         keepalive_timeout_s: seconds for which a connection may be idle.
     """
 
+    connections: int = 2_000
+    all_bodies_bytes: int = 268_435_456
     header_bytes: int = 16_384
     body_bytes: int = 2_097_152
     header_timeout_s: float = 10.0
@@ -49,13 +60,22 @@
 
 
 class CallerConnection(web.RequestHandler):
-    """One connection; answers unreadable and slow requests with a code."""
+    """One connection; answers unreadable and slow requests with a code.
 
-    __slots__ = ('_header_timeout_s', '_header_timer')
+    Attributes:
+        refused: whether it is one too many, so that no request is served.
+    """
+
+    __slots__ = (
+        '_caller_server',
+        '_header_timeout_s',
+        '_header_timer',
+        'refused',
+    )
 
     def __init__(
         self,
-        server: web.Server,
+        server: CallerServer,
         loop: asyncio.AbstractEventLoop,
         limits: CallerLimits,
     ):
@@ -69,9 +89,24 @@
             auto_decompress=False,
             access_log=None,  # type: ignore[arg-type]
         )
+        self._caller_server = server
+        self.refused = False
         self._header_timeout_s = limits.header_timeout_s
         self._header_timer: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the connection, and refuses it if it is one too many."""
+        super().connection_made(transport)
+        surplus = self._caller_server.count_opened()
+        self.refused = surplus > 0
+        if surplus > REFUSED_CONNECTIONS:
+            assert isinstance(transport, asyncio.WriteTransport)
+            transport.abort()
+        elif self.refused:
+            self._header_timer = self._loop.call_later(
+                REFUSED_HEADER_TIMEOUT_S, self._refuse_slow_headers
+            )
+
     def data_received(self, data: bytes) -> None:
         """Passes bytes to the parser and watches over partial headers."""
         count = self._request_count
@@ -85,6 +120,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the request in progress."""
+        self._caller_server.count_closed()
         self._stop_header_timer()
         super().connection_lost(exc)
 
@@ -125,11 +161,25 @@
 
 
 class CallerServer(web.Server):
-    """Makes a CallerConnection for each connection."""
+    """Makes a CallerConnection for each connection.
+
+    Attributes:
+        open_connections: connections that are open.
+    """
 
     def __init__(self, handler: RequestHandler, limits: CallerLimits):
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self.open_connections = 0
+
+    def count_opened(self) -> int:
+        """Counts a connection; returns how many there are beyond the limit."""
+        self.open_connections += 1
+        return max(0, self.open_connections - self._limits.connections)
+
+    def count_closed(self) -> None:
+        """Counts the end of a connection."""
+        self.open_connections -= 1
 
     def __call__(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
@@ -150,17 +200,25 @@
         )
 
 
-async def read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
+async def read_body(
+    request: web.BaseRequest, limits: CallerLimits, memory: BodyMemory
+) -> bytes:
     """Reads a body within its size and time.
 
+    Args:
+        request: the HTTP request.
+        limits: what callers may take up.
+        memory: where the body is counted until the request has ended.
+
     Raises:
-        OutcomeError: REQUEST_TOO_LARGE, REQUEST_TOO_SLOW, MALFORMED_REQUEST.
+        OutcomeError: REQUEST_TOO_LARGE, REQUEST_TOO_SLOW, MALFORMED_REQUEST,
+            HOST_OVERLOADED.
     """
     if (request.content_length or 0) > limits.body_bytes:
         raise _body_too_large(limits)
     try:
         async with asyncio.timeout(limits.body_timeout_s):
-            return await _read_chunks(request, limits)
+            return await _read_chunks(request, limits, memory)
     except TimeoutError as error:
         raise OutcomeError(
             Outcome.REQUEST_TOO_SLOW,
@@ -173,10 +231,13 @@
         raise OutcomeError(Outcome.MALFORMED_REQUEST, str(error)) from error
 
 
-async def _read_chunks(request: web.BaseRequest, limits: CallerLimits) -> bytes:
+async def _read_chunks(
+    request: web.BaseRequest, limits: CallerLimits, memory: BodyMemory
+) -> bytes:
     """Reads a body within its size."""
     body = bytearray()
     async for chunk in request.content.iter_any():
+        memory.reserve(request, len(chunk))
         body += chunk
         if len(body) > limits.body_bytes:
             raise _body_too_large(limits)
--- a/mustardscale/callers_http.py
+++ b/mustardscale/callers_http.py
@@ -8,11 +8,13 @@
 
 from mustardscale import caller_headers
 from mustardscale.caller_connections import (
+    CallerConnection,
     CallerLimits,
     CallerServer,
     check_header_size,
     write_in_time,
 )
+from mustardscale.caller_memory import BodyMemory, host_overloaded
 from mustardscale.chat_handler import ChatHandler
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -44,8 +46,9 @@
         self._service = service
         self._limits = limits
         self._grace_s = grace_s
-        self._chat = ChatHandler(service, limits)
-        self._plain = PlainHandler(service, limits)
+        self._memory = BodyMemory(limits.all_bodies_bytes)
+        self._chat = ChatHandler(service, limits, self._memory)
+        self._plain = PlainHandler(service, limits, self._memory)
         self._runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -63,6 +66,13 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers a request and frees the memory of its body."""
+        try:
+            return await self._answer(request)
+        finally:
+            self._memory.release(request)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers a request, also where it fails."""
         try:
             response = await self._dispatch(request)
@@ -82,6 +92,8 @@
 
     async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
         """Finds out who calls and what is called."""
+        if _is_refused(request):
+            raise host_overloaded('it has too many connections')
         check_header_size(request, self._limits)
         token = caller_headers.bearer_token(request.headers)
         service = self._service.authenticate(token)
@@ -99,7 +111,11 @@
         self, request: web.BaseRequest, response: web.StreamResponse
     ) -> None:
         """Sends a whole answer, unless the caller does not read it."""
-        if not request.content.is_eof() or not self._service.is_ready():
+        if (
+            not request.content.is_eof()
+            or not self._service.is_ready()
+            or _is_refused(request)
+        ):
             response.force_close()
 
         async def send() -> None:
@@ -107,3 +123,9 @@
             await response.write_eof()
 
         await write_in_time(request, send(), self._limits)
+
+
+def _is_refused(request: web.BaseRequest) -> bool:
+    """Returns whether a request came on a connection that is one too many."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.refused
--- a/mustardscale/chat_handler.py
+++ b/mustardscale/chat_handler.py
@@ -15,6 +15,7 @@
     write_in_time,
 )
 from mustardscale.caller_headers import LastEvent
+from mustardscale.caller_memory import BodyMemory
 from mustardscale.chat_completions import (
     ChatRequest,
     ChunkEncoder,
@@ -46,9 +47,15 @@
 class ChatHandler:
     """Serves the chat completions of language services."""
 
-    def __init__(self, service: RequestService, limits: CallerLimits):
+    def __init__(
+        self,
+        service: RequestService,
+        limits: CallerLimits,
+        memory: BodyMemory,
+    ):
         self._service = service
         self._limits = limits
+        self._memory = memory
 
     async def handle(
         self, request: web.BaseRequest, service: str
@@ -68,7 +75,9 @@
         request_id = _request_id(request, last_event)
         request[REQUEST_ID_KEY] = request_id
         timeout_s = caller_headers.timeout_s(request.headers)
-        chat = parse_chat_request(await read_body(request, self._limits))
+        chat = parse_chat_request(
+            await read_body(request, self._limits, self._memory)
+        )
         _check(chat, choice, last_event)
         language_request = LanguageRequest(
             id=request_id,
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -56,6 +56,8 @@
         self._router = make_router(settings)
         await self._router.start()
         limits = CallerLimits(
+            connections=settings.max_connections,
+            all_bodies_bytes=settings.max_all_bodies_bytes,
             header_bytes=settings.max_header_bytes,
             body_bytes=settings.max_body_bytes,
             body_timeout_s=settings.body_timeout_s,
--- a/mustardscale/outcomes.py
+++ b/mustardscale/outcomes.py
@@ -32,6 +32,7 @@
     HEAT_LIMIT = 1012
     CALLER_LEFT_BEFORE_START = 1013
     DEADLINE_IN_QUEUE = 1014
+    HOST_OVERLOADED = 1015
 
     ENDPOINT_FAILED = 2001
     DEADLINE_EXCEEDED = 2002
@@ -162,6 +163,9 @@
     Outcome.DEADLINE_IN_QUEUE: OutcomeText(
         504, 'The deadline passed while the request was queued.', _RESEND
     ),
+    Outcome.HOST_OVERLOADED: OutcomeText(
+        503, 'This entry host serves as many callers as it may.', _RETRY
+    ),
     Outcome.ENDPOINT_FAILED: OutcomeText(
         502, 'The endpoint failed while it ran the request.', _RESEND
     ),
--- a/mustardscale/plain_handler.py
+++ b/mustardscale/plain_handler.py
@@ -9,6 +9,7 @@
 
 from mustardscale import caller_headers
 from mustardscale.caller_connections import CallerLimits, read_body
+from mustardscale.caller_memory import BodyMemory
 from mustardscale.config_records import ServiceKind
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -26,9 +27,15 @@
 class PlainHandler:
     """Serves the requests below the prefix of plain services."""
 
-    def __init__(self, service: RequestService, limits: CallerLimits):
+    def __init__(
+        self,
+        service: RequestService,
+        limits: CallerLimits,
+        memory: BodyMemory,
+    ):
         self._service = service
         self._limits = limits
+        self._memory = memory
 
     async def handle(
         self, request: web.BaseRequest, caller: str
@@ -61,7 +68,7 @@
             method=request.method,
             path=path,
             headers=caller_headers.end_to_end_headers(request.headers.items()),
-            body=await read_body(request, self._limits),
+            body=await read_body(request, self._limits, self._memory),
             idempotent=idempotent,
             timeout_s=caller_headers.timeout_s(request.headers),
         )
--- a/mustardscale/setting_sources.py
+++ b/mustardscale/setting_sources.py
@@ -149,16 +149,33 @@
 def _check_together(
     values: Mapping[str, Any], errors: list[SettingError]
 ) -> None:
+    """Notes values that do not fit each other."""
     heartbeat_s = values.get('heartbeat_s')
-    dead_after_s = values.get('dead_after_s')
-    if heartbeat_s is None or dead_after_s is None:
-        return
-    if dead_after_s < 2 * heartbeat_s:
-        name = 'dead_after_s'
+    body_bytes = values.get('max_body_bytes')
+    if heartbeat_s is not None:
+        _check_least(
+            values, 'dead_after_s', 2 * heartbeat_s, 'two heartbeats', errors
+        )
+    if body_bytes is not None:
+        _check_least(
+            values, 'max_all_bodies_bytes', body_bytes, 'one body', errors
+        )
+
+
+def _check_least(
+    values: Mapping[str, Any],
+    name: str,
+    least: float,
+    what: str,
+    errors: list[SettingError],
+) -> None:
+    """Notes a value that is below what another setting asks for."""
+    value = values.get(name)
+    if value is not None and value < least:
         errors.append(
             SettingError(
-                f'{flag_of(name)} ({variable_of(name)}): {dead_after_s} is '
-                f'below two heartbeats; give at least {2 * heartbeat_s}'
+                f'{flag_of(name)} ({variable_of(name)}): {value} is '
+                f'below {what}; give at least {least}'
             )
         )
 
--- a/mustardscale/settings.py
+++ b/mustardscale/settings.py
@@ -88,6 +88,14 @@
     seed: int = _setting(
         Count(minimum=0), 'Seed of the random number generator.', 0
     )
+    max_connections: int = _setting(
+        Count(), "Limit of callers' connections.", 2_000
+    )
+    max_all_bodies_bytes: int = _setting(
+        Count(),
+        'Memory for the bodies of all requests in progress, in bytes.',
+        268_435_456,
+    )
     max_header_bytes: int = _setting(
         Count(), "Size limit of a caller's headers, in bytes.", 16_384
     )
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -1,10 +1,14 @@
 """Tests of the limits on callers, over loopback sockets."""
 
 import asyncio
+import contextlib
 
 import pytest
 
-from mustardscale.caller_connections import CallerLimits
+from mustardscale.caller_connections import (
+    REFUSED_CONNECTIONS,
+    CallerLimits,
+)
 from mustardscale.callers_http import CallersServer
 from mustardscale.outcomes import Outcome
 from tests.callers_client import (
@@ -100,3 +104,74 @@
             await stopping
 
         asyncio.run(run())
+
+
+class TestConnections:
+    """More callers than a host may have."""
+
+    def test_one_too_many_is_refused_until_another_has_left(self):
+        async def test(client):
+            client.service.script = [asyncio.Event()]
+            _, writer = await client.raw_chat()
+            await client.service.started.wait()
+            status, headers, body = await client.chat()
+            assert (status, code(body)) == (503, Outcome.HOST_OVERLOADED)
+            assert headers['Connection'] == 'close'
+            assert int(headers['Retry-After']) > 0
+            assert len(client.service.language_requests) == 1
+            writer.close()
+            await client.service.closed.wait()
+            client.service.script = ['stop']
+            status, _, _ = await client.chat()
+            assert status == 200
+
+        served(test, CallerLimits(connections=1))
+
+    def test_beyond_the_refused_ones_they_are_cut_off(self):
+        async def test(client):
+            open_ones = [
+                await client.raw(b'') for _ in range(1 + REFUSED_CONNECTIONS)
+            ]
+            reader, _ = await client.raw(b'')
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b''
+            # The first stays, the refused ones are cut off in the end.
+            for reader, _ in open_ones[1:]:
+                assert b'"code":4005' in await reader.read()
+            _, writer = open_ones[0]
+            assert not writer.is_closing()
+
+        served(test, CallerLimits(connections=1))
+
+
+class TestBodies:
+    """The memory that bodies take."""
+
+    def test_bodies_are_counted_until_their_requests_end(self):
+        async def test(client):
+            gate = asyncio.Event()
+            client.service.script = [gate, 'stop']
+            first = asyncio.ensure_future(client.chat(stream=True))
+            await client.service.started.wait()
+            _, _, body = await client.chat()
+            assert code(body) == Outcome.HOST_OVERLOADED
+            gate.set()
+            status, _, _ = await first
+            assert status == 200
+            status, _, _ = await client.chat()
+            assert status == 200
+
+        served(test, CallerLimits(all_bodies_bytes=150))
+
+    def test_refused_and_broken_bodies_are_counted_no_longer(self):
+        async def test(client):
+            for _ in range(5):
+                _, _, body = await client.chat('{' + ' ' * 100)
+                assert code(body) == Outcome.MALFORMED_REQUEST
+                _, writer = await client.raw(chat_head(100) + b' ' * 90)
+                writer.close()
+            # A caller's loss is noticed soon; served() bounds the wait.
+            while (await client.chat())[0] != 200:
+                pass
+
+        served(test, CallerLimits(all_bodies_bytes=150))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -61,6 +61,7 @@
             ('--heartbeat-s', 'nan'),
             ('--heartbeat-s', '0'),
             ('--seed', '-1'),
+            ('--max-connections', '0'),
             ('--seed', '1.5'),
             ('--policy', 'random'),
             ('--callers-listen', 'localhost:80'),
@@ -96,6 +97,10 @@
         (error,) = errors_of(['--heartbeat-s=2'])
         assert error.startswith('--dead-after-s')
 
+    def test_all_bodies_below_one_body(self):
+        (error,) = errors_of(['--max-all-bodies-bytes=4194303'])
+        assert error.startswith('--max-all-bodies-bytes')
+
 
 class TestSecrets:
     """Secrets come by variable or file and are not shown."""
