Start background work through one class

Cause: admission, cancellation, claims, directory, directory_client and the fault runs' callers each kept their own set of tasks with the same three lines.

--- a/mustardscale/admission.py
+++ b/mustardscale/admission.py
@@ -6,9 +6,9 @@
 import logging
 import math
 import random
-from collections.abc import Coroutine, Iterator, Sequence
-from typing import Any
+from collections.abc import Iterator, Sequence
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.config_records import Profile
 from mustardscale.controller import Controller, pause
@@ -56,7 +56,7 @@
         self._blackboard = blackboard
         self._calls = calls
         self._rng = rng
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
         self._pools_by_id: dict[str, PoolMembers] = {}
         self._owner_by_pool: dict[str, str] = {}
         # Loop time of the last list of all streams, and the owner it went to.
@@ -80,7 +80,7 @@
         }
         if owner_by_pool != self._owner_by_pool:
             self._owner_by_pool = owner_by_pool
-            self._start(self.report_all())
+            self._background.start(self.report_all())
 
     def pools_for(self, model: str, prompt_key: str) -> list[PoolMembers]:
         """Returns a model's pools, the preferred one first.
@@ -241,7 +241,7 @@
         """Names all streams held here to the owners of their pools."""
         pools = {served.pool for served in self._held()}
         for pool_id in pools:
-            self._start(self._name(pool_id))
+            self._background.start(self._name(pool_id))
         for pool_id in set(self._listed_at_by_pool) - pools:
             del self._listed_at_by_pool[pool_id]
 
@@ -311,7 +311,7 @@
         """Sends a report to a pool's owner without waiting."""
         host = self._owner_by_pool.get(pool_id)
         if host is not None:
-            self._start(self._deliver(host, request))
+            self._background.start(self._deliver(host, request))
 
     async def _deliver(self, host: str, request: PeerRequest) -> None:
         try:
@@ -320,8 +320,3 @@
             )
         except PeerUnavailableError as error:
             log.debug('report to owner %s failed: %s', host, error)
-
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/mustardscale/cancellation.py
+++ b/mustardscale/cancellation.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
 from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.exceptions import MustardscaleError
@@ -25,32 +26,26 @@
     def __init__(self, blackboard: Blackboard, clients: EndpointClients):
         self._blackboard = blackboard
         self._clients = clients
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
 
     def cancel(self, endpoint_id: str, request_id: str, attempt: int) -> None:
         """Frees what attempts up to this one hold on an endpoint."""
         if not endpoint_id:
             return
-        task = asyncio.create_task(
-            self._cancel(endpoint_id, request_id, attempt)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.start(self._cancel(endpoint_id, request_id, attempt))
 
     @property
     def pending(self) -> int:
         """Returns the number of cancels not confirmed yet."""
-        return len(self._tasks)
+        return len(self._background)
 
     async def wait_idle(self) -> None:
         """Waits until every cancel is confirmed or given up."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._background.wait_idle()
 
     def stop(self) -> None:
         """Gives up all cancels."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
 
     async def _cancel(
         self, endpoint_id: str, request_id: str, attempt: int
--- a/mustardscale/claims.py
+++ b/mustardscale/claims.py
@@ -10,6 +10,7 @@
 
 import uuid_utils
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
 from mustardscale.claim_state import ClaimKind, ClaimRecord
 from mustardscale.claim_stream import ClaimStream
@@ -56,7 +57,7 @@
         self._rng = rng
         self._serial = 0
         self._running: set[tuple[str, int, int]] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
         self.streams = [
             ClaimStream(name, blackboard, client, wall_clock, rng)
             for name in STREAMS
@@ -205,9 +206,7 @@
         note = dataclasses.replace(
             record, kind=kind, written_at=self._wall_clock()
         )
-        task = asyncio.create_task(self._append_note(note))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.start(self._append_note(note))
 
     async def _append_note(self, note: ClaimRecord) -> None:
         """Appends what became of a claim, once the claim itself is read.
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -12,6 +12,7 @@
 import logging
 import random
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.controller import Controller, pause
 from mustardscale.decision_lines import DecisionKind, DirectoryLine
@@ -58,7 +59,7 @@
         self._settle_s = settle_s
         self._rng = rng
         self._calls = calls
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
         self._processes: dict[str, int] = {}
         self._hosts: list[str] = []
         self._previous_hosts: list[str] = []
@@ -104,9 +105,7 @@
             if row.entry.done and home != board.host and (is_new or moved):
                 entries_by_home.setdefault(home, []).append(row.entry)
         for home, entries in entries_by_home.items():
-            task = asyncio.create_task(self._tell_ended(home, entries))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.start(self._tell_ended(home, entries))
 
     async def _tell_ended(
         self, home: str, entries: list[DirectoryEntry]
--- a/mustardscale/directory_client.py
+++ b/mustardscale/directory_client.py
@@ -6,9 +6,8 @@
 import dataclasses
 import logging
 import random
-from collections.abc import Coroutine
-from typing import Any
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.controller import Controller, pause
 from mustardscale.directory import (
@@ -52,7 +51,7 @@
         self._blackboard = blackboard
         self._calls = calls
         self._rng = rng
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
 
     async def run(self) -> None:
         """Registers again, at a fixed interval, what is still served."""
@@ -60,7 +59,7 @@
             await pause(RENEWAL_S, self._rng)
             for served in list(self._blackboard.served_by_id.values()):
                 if served.home and not served.taken_over:
-                    self._start(self._rebuild(served))
+                    self._background.start(self._rebuild(served))
 
     async def register(
         self,
@@ -123,7 +122,7 @@
 
     def update(self, served: ServedRequest) -> None:
         """Tells the home of a new attempt or endpoint, without waiting."""
-        self._start(self._rebuild(served))
+        self._background.start(self._rebuild(served))
 
     def remove(self, served: ServedRequest, done: bool) -> None:
         """Ends a registration, without waiting.
@@ -133,12 +132,12 @@
         """
         if not served.home:
             return
-        self._start(self._remove(served, done))
+        self._background.start(self._remove(served, done))
         if done:
             ranked = rank(served.id, self._blackboard.serving_hosts())
             hosts = {*ranked[:2], self._blackboard.host} - {served.home}
             for host in sorted(hosts):
-                self._start(self._copy(served, host))
+                self._background.start(self._copy(served, host))
 
     async def _copy(self, served: ServedRequest, host: str) -> None:
         entry = dataclasses.replace(self._entry(served), done=True)
@@ -157,7 +156,7 @@
             home = owner(served.id, hosts)
             if served.home and served.home != home and not served.taken_over:
                 served.home = home
-                self._start(self._rebuild(served))
+                self._background.start(self._rebuild(served))
 
     async def confirm(self, served: ServedRequest) -> bool:
         """Asks the home whether this host still holds a request.
@@ -185,11 +184,6 @@
             done=served.answered,
         )
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _rebuild(self, served: ServedRequest) -> None:
         """Registers with the present home, before it answers for the id."""
         home = served.home
--- a/standins/fault_callers.py
+++ b/standins/fault_callers.py
@@ -8,9 +8,9 @@
 import enum
 import random
 import uuid
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.requests import (
@@ -60,7 +60,7 @@
         self._actions = actions
         self._rng = rng
         self._number = 0
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._background = BackgroundTasks()
         self._open: set[asyncio.Task[float]] = set()
         self.records: list[CallerRecord] = []
 
@@ -73,8 +73,7 @@
                 (self.read, READ_INTERVAL_S),
             ):
                 group.create_task(self._arrive(make, interval_s, until))
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._background.wait_idle()
 
     async def _arrive(
         self, make: Callable[[], Request], interval_s: float, until: float
@@ -83,12 +82,7 @@
         while loop.time() < until:
             await asyncio.sleep(self._rng.expovariate(1 / interval_s))
             behaviour = self._rng.choices(list(Behaviour), (6, 3, 2))[0]
-            self._start(self.serve(make(), behaviour))
-
-    def _start(self, coroutine: Coroutine[Any, Any, object]) -> None:
-        task: asyncio.Task[object] = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self._background.start(self.serve(make(), behaviour))
 
     def language(self) -> LanguageRequest:
         """Makes a request to the language service."""
@@ -219,7 +213,7 @@
             send.ended_at = loop.time()
             if not answer.done():
                 send.left = True
-                self._start(self._close(record, send.host, answer))
+                self._background.start(self._close(record, send.host, answer))
         if not answer.done() or answer.cancelled():
             return send, 0.0
         return send, answer.result()
