Pass sampling options on to engines and refuse those that can't be kept

Cause: temperature, top_p, top_k, penalties, stop and seed of chat requests were dropped without a word, as were logprobs, tools, response_format and others that change the answer; n above 1 was called malformed.

PrefillCall and DecodeCall carry SamplingOptions as their last field, in every attempt. Options outside their range get 4000, those that no engine interface keeps 4013, unless their value asks for nothing.

Ruled out: refusing every unknown member (clients add members of their own that change nothing); counting options into the content that an id stands for (a resumption from an earlier host version would be refused).

Stand-in engines record the options and give the same answers. Before: n=2 gave 4000 and engines were told nothing.

--- a/mustardscale/chat_completions.py
+++ b/mustardscale/chat_completions.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from mustardscale.engines import TokenEvent
+from mustardscale.chat_options import OptionMembers, sampling_of
+from mustardscale.engines import SamplingOptions, TokenEvent
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 
@@ -44,8 +45,8 @@
     include_usage: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Body:
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Body(OptionMembers):
     """The members of a request that are read; others are ignored."""
 
     model: str
@@ -54,7 +55,6 @@
     max_completion_tokens: _MaxTokens | None = None
     stream: bool = False
     stream_options: _StreamOptions | None = None
-    n: Annotated[int, msgspec.Meta(ge=1, le=1)] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +67,7 @@
         max_tokens: tokens wanted at most, MAX_TOKENS_LIMIT if not given.
         stream: whether the answer is streamed.
         include_usage: whether a streamed answer ends with the token counts.
+        sampling: how engines choose tokens.
     """
 
     model: str
@@ -74,6 +75,7 @@
     max_tokens: int
     stream: bool
     include_usage: bool
+    sampling: SamplingOptions
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,7 +104,7 @@
     'user: hi\n'
 
     Raises:
-        OutcomeError: MALFORMED_REQUEST.
+        OutcomeError: MALFORMED_REQUEST, UNSUPPORTED_OPTION.
     """
     try:
         content = _decoder.decode(body)
@@ -117,6 +119,7 @@
         max_tokens=min(given, default=MAX_TOKENS_LIMIT),
         stream=content.stream,
         include_usage=options.include_usage,
+        sampling=sampling_of(content),
     )
 
 
--- a/mustardscale/chat_handler.py
+++ b/mustardscale/chat_handler.py
@@ -86,6 +86,7 @@
             max_tokens=chat.max_tokens,
             timeout_s=timeout_s,
             resume_after=last_event.index if last_event else None,
+            sampling=chat.sampling,
         )
         if chat.stream:
             return await self._stream(request, chat, language_request)
--- a/mustardscale/engines.py
+++ b/mustardscale/engines.py
@@ -73,6 +73,29 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SamplingOptions:
+    """How an engine chooses tokens; None leaves it to the engine.
+
+    Attributes:
+        temperature: from 0, the likeliest token, to 2.
+        top_p: share of probability to choose from, above 0 up to 1.
+        top_k: number of tokens to choose from.
+        frequency_penalty: against tokens by their count so far, -2 to 2.
+        presence_penalty: against tokens that have occurred, -2 to 2.
+        stop: texts before which the answer ends.
+        seed: seed of the choice.
+    """
+
+    temperature: float | None = None
+    top_p: float | None = None
+    top_k: int | None = None
+    frequency_penalty: float | None = None
+    presence_penalty: float | None = None
+    stop: tuple[str, ...] = ()
+    seed: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefillCall:
     """Order to compute a prompt's KV cache.
@@ -83,6 +106,7 @@
         prompt: the prompt.
         emitted: tokens already delivered, computed after the prompt.
         priority: a lower number goes first in the engine's queue.
+        sampling: how the first token is chosen.
     """
 
     tag: StreamTag
@@ -90,6 +114,7 @@
     prompt: Prompt
     emitted: tuple[str, ...] = ()
     priority: int = 0
+    sampling: SamplingOptions = SamplingOptions()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,6 +149,7 @@
         first_index: index of the first token to emit.
         max_tokens: index at which the stream ends at the latest.
         priority: a lower number is preempted last.
+        sampling: how tokens are chosen.
     """
 
     tag: StreamTag
@@ -134,6 +160,7 @@
     first_index: int
     max_tokens: int
     priority: int = 0
+    sampling: SamplingOptions = SamplingOptions()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/language_attempts.py
+++ b/mustardscale/language_attempts.py
@@ -135,6 +135,7 @@
             first_index=len(served.emitted),
             max_tokens=served.max_tokens,
             priority=grant.priority,
+            sampling=request.sampling,
         )
         async with contextlib.aclosing(
             self._read(served, engine.decode(call))
@@ -186,6 +187,7 @@
             prompt=request.prompt,
             emitted=tuple(served.emitted),
             priority=grant.priority,
+            sampling=request.sampling,
         )
         served.stage = StreamStage.PREFILL
         started_before = served.started
--- a/mustardscale/outcomes.py
+++ b/mustardscale/outcomes.py
@@ -59,6 +59,7 @@
     ALREADY_COMPLETED = 4010
     NOTHING_TO_RESUME = 4011
     PROMPT_TOO_LONG = 4012
+    UNSUPPORTED_OPTION = 4013
 
     PEER_FRAME_MALFORMED = 5001
     PEER_FRAME_TOO_LARGE = 5002
@@ -241,6 +242,9 @@
     Outcome.PROMPT_TOO_LONG: OutcomeText(
         413, "The prompt exceeds the profile's limit.", _FIX
     ),
+    Outcome.UNSUPPORTED_OPTION: OutcomeText(
+        422, 'The request asks for an option that is not supported.', _FIX
+    ),
     Outcome.PEER_FRAME_MALFORMED: OutcomeText(
         500, 'A peer sent a frame that cannot be decoded.', _LOGGED
     ),
--- a/mustardscale/requests.py
+++ b/mustardscale/requests.py
@@ -6,7 +6,12 @@
 
 import xxhash
 
-from mustardscale.engines import BLOCK_TOKENS, BYTES_PER_TOKEN, Prompt
+from mustardscale.engines import (
+    BLOCK_TOKENS,
+    BYTES_PER_TOKEN,
+    Prompt,
+    SamplingOptions,
+)
 
 _BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
 
@@ -24,6 +29,7 @@
         resume_after: index of the last token received, when the caller
             resumes a broken stream; -1 when it received none; None for a
             first send.
+        sampling: how engines choose tokens.
     """
 
     id: str
@@ -32,6 +38,9 @@
     max_tokens: int
     timeout_s: float | None = None
     resume_after: int | None = None
+    sampling: SamplingOptions = dataclasses.field(
+        default_factory=SamplingOptions
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -147,6 +147,7 @@
         if tokens > self.parameters.pieces_total * self.parameters.piece_tokens:
             raise EndpointRefusedError(REFUSED_MEMORY)
         self._replace_lower_attempts(call.tag)
+        self.counters.note_sampling(call.tag.request_id, call.sampling)
         for kept in self._store.kept_by_id.values():
             if kept.tag == call.tag:
                 return kept.result
@@ -164,6 +165,7 @@
         await self._answering()
         self._check_new_work(EngineRole.DECODE, call.model)
         self._replace_lower_attempts(call.tag)
+        self.counters.note_sampling(call.tag.request_id, call.sampling)
         stream = self._decodes.start(call)
         events = self._follow(stream, call.first_index)
         async with contextlib.aclosing(events):
--- a/standins/engine_parameters.py
+++ b/standins/engine_parameters.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from mustardscale.engines import EngineOrder, EngineRole
+from mustardscale.engines import EngineOrder, EngineRole, SamplingOptions
 
 WASTED_EVICTED = 'evicted'
 WASTED_CANCELLED = 'cancelled'
@@ -104,6 +104,8 @@
         executions_by_request: decodes begun for each request id.
         tokens_emitted: output tokens generated.
         preempted: streams ended because memory ran out.
+        sampling_by_request: options of each request's last prefill or decode,
+            where it has any.
         crashes: crashes and kills.
         orders_done: orders carried out.
     """
@@ -118,6 +120,9 @@
     executions_by_request: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    sampling_by_request: dict[str, SamplingOptions] = dataclasses.field(
+        default_factory=dict
+    )
     tokens_emitted: int = 0
     preempted: int = 0
     crashes: int = 0
@@ -128,6 +133,11 @@
         """Sum of the wasted tokens over all causes."""
         return sum(self.wasted_tokens_by_cause.values())
 
+    def note_sampling(self, request_id: str, options: SamplingOptions) -> None:
+        """Remembers options; they change no answer."""
+        if options != SamplingOptions():
+            self.sampling_by_request[request_id] = options
+
     def add_waste(self, cause: str, tokens: int) -> None:
         """Counts prefill tokens whose result was of no use."""
         earlier = self.wasted_tokens_by_cause.get(cause, 0)
