--- a/mustardscale/peer_calls.py
+++ b/mustardscale/peer_calls.py
@@ -8,7 +8,8 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.exceptions import MustardscaleError, PeerUnavailableError
-from mustardscale.peers import PeerReply, PeerRequest, PeerTransport
+from mustardscale.peer_transport import PeerTransport
+from mustardscale.peers import PeerReply, PeerRequest
 
 Reply = TypeVar('Reply')
 RequestHandler = Callable[[str, Any], Awaitable[PeerReply]]
--- a/mustardscale/peer_server.py
+++ b/mustardscale/peer_server.py
@@ -18,7 +18,8 @@
     PeerTraffic,
     greet_caller,
 )
-from mustardscale.peers import PeerHandler, PeerReply, PeerRequest
+from mustardscale.peer_transport import PeerHandler
+from mustardscale.peers import PeerReply, PeerRequest
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -1,13 +1,11 @@
-"""The messages between entry hosts and the interface that carries them.
+"""The messages between entry hosts.
 
 Each request message is answered by the reply type named in REPLY_BY_REQUEST.
 """
 
 from __future__ import annotations
 
-import abc
 import dataclasses
-from collections.abc import Awaitable, Callable
 
 from mustardscale.engines import StreamStage, StreamTag
 
@@ -458,35 +456,3 @@
     ConfigFetch: ConfigFetchReply,
     SuspicionNotice: Acknowledgement,
 }
-
-PeerHandler = Callable[[str, PeerRequest], Awaitable[PeerReply]]
-
-
-class PeerTransport(abc.ABC):
-    """Carries requests between entry hosts."""
-
-    @abc.abstractmethod
-    async def start(self, handler: PeerHandler) -> None:
-        """Starts to serve; handler gets the peer's id and the request."""
-
-    @abc.abstractmethod
-    async def call(
-        self, host: str, address: str, request: PeerRequest, timeout_s: float
-    ) -> PeerReply:
-        """Sends a request and returns the reply.
-
-        Cancelling the call cancels the handler at the peer.
-
-        Args:
-            host: id of the peer.
-            address: 'ip:port' of the peer.
-            request: the message.
-            timeout_s: seconds until the call is given up.
-
-        Raises:
-            PeerUnavailableError: no reply came; the peer may have acted.
-        """
-
-    @abc.abstractmethod
-    async def close(self) -> None:
-        """Closes all connections and stops serving."""
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -41,7 +41,7 @@
 from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import PeerTransport
+from mustardscale.peer_transport import PeerTransport
 from mustardscale.plain_calls import PlainService, content_fingerprint
 from mustardscale.plain_endpoints import PlainAnswer
 from mustardscale.policy import POLICY_BY_NAME
--- a/mustardscale/tcp_peers.py
+++ b/mustardscale/tcp_peers.py
@@ -9,12 +9,8 @@
 from mustardscale.peer_connections import OutboundPeer, split_address
 from mustardscale.peer_server import PeerServer
 from mustardscale.peer_streams import PeerIdentity, PeerLimits, PeerTraffic
-from mustardscale.peers import (
-    PeerHandler,
-    PeerReply,
-    PeerRequest,
-    PeerTransport,
-)
+from mustardscale.peer_transport import PeerHandler, PeerTransport
+from mustardscale.peers import PeerReply, PeerRequest
 
 
 class TcpPeerTransport(PeerTransport):
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -15,13 +15,8 @@
 )
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_codec import Frame, FrameKind, encode_frame
-from mustardscale.peers import (
-    ConfigFetchReply,
-    PeerHandler,
-    PeerReply,
-    PeerRequest,
-    PeerTransport,
-)
+from mustardscale.peer_transport import PeerHandler, PeerTransport
+from mustardscale.peers import ConfigFetchReply, PeerReply, PeerRequest
 
 
 @dataclasses.dataclass(eq=False, slots=True)
