--- a/bench/load_micro.py
+++ b/bench/load_micro.py
@@ -28,6 +28,12 @@
 from mustardscale.config_records import ConfigChange, ConfigKey, encode_record
 from mustardscale.config_state import ConfigState
 from mustardscale.directory import DirectoryHome
+from mustardscale.directory_messages import (
+    DirectoryEntry,
+    DirectoryRegister,
+    DirectoryRemove,
+    DirectoryReply,
+)
 from mustardscale.engines import EngineRole, StreamStage, StreamTag
 from mustardscale.host_list import ListedHost, ListedKind
 from mustardscale.host_list_controller import HostListController
@@ -39,10 +45,6 @@
 from mustardscale.peers import (
     AdmitReply,
     AdmitRequest,
-    DirectoryEntry,
-    DirectoryRegister,
-    DirectoryRemove,
-    DirectoryReply,
     Heartbeat,
     HeldStream,
     PeerReply,
--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from mustardscale.config_state import ConfigState
+from mustardscale.directory_messages import DirectoryEntry
 from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
 from mustardscale.host_list import ListedKind
-from mustardscale.peers import DirectoryEntry, HeldStream
+from mustardscale.peers import HeldStream
 from mustardscale.trace import (
     NoTrace,
     TraceEvent,
--- a/mustardscale/directory.py
+++ b/mustardscale/directory.py
@@ -16,17 +16,17 @@
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.controller import Controller, pause
 from mustardscale.decision_lines import DecisionKind, DirectoryLine
-from mustardscale.directory_rules import Registration, may_replace
-from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.membership import QUORUM_LEASE_S
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import (
-    Acknowledgement,
+from mustardscale.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
+from mustardscale.directory_rules import Registration, may_replace
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.membership import QUORUM_LEASE_S
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import Acknowledgement
 from mustardscale.rendezvous import owner
 
 log = logging.getLogger(__name__)
--- a/mustardscale/directory_client.py
+++ b/mustardscale/directory_client.py
@@ -16,16 +16,16 @@
     REBUILD_TIMEOUT_S,
     REBUILD_TRIES,
 )
-from mustardscale.exceptions import OutcomeError, PeerUnavailableError
-from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import (
-    Acknowledgement,
+from mustardscale.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
+from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.outcomes import Outcome
+from mustardscale.peer_calls import PeerCalls
+from mustardscale.peers import Acknowledgement
 from mustardscale.rendezvous import owner, rank
 
 log = logging.getLogger(__name__)
--- a/mustardscale/directory_rules.py
+++ b/mustardscale/directory_rules.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from mustardscale.peers import DirectoryEntry
+from mustardscale.directory_messages import DirectoryEntry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/language.py
+++ b/mustardscale/language.py
@@ -12,6 +12,7 @@
 from mustardscale.config_records import Profile
 from mustardscale.deadline import until
 from mustardscale.directory_client import DirectoryClient, check_reply
+from mustardscale.directory_messages import DirectoryEntry, DirectoryReply
 from mustardscale.engines import (
     StreamTag,
     TokenEvent,
@@ -29,7 +30,6 @@
 from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.metrics import Metrics
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.peers import DirectoryEntry, DirectoryReply
 from mustardscale.quarantine import Suspicions
 from mustardscale.requests import LanguageRequest
 from mustardscale.resumption import Resumption
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,10 +9,13 @@
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.config_records import Profile
 from mustardscale.directory import DirectoryHome
+from mustardscale.directory_messages import (
+    DirectoryEntry,
+    DirectoryRegister,
+)
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import DirectoryEntry, DirectoryRegister
 from mustardscale.rendezvous import owner
 from tests.test_memory_site import answer, language, run, whole
 
