--- a/mustardscale/caller_connections.py
+++ b/mustardscale/caller_connections.py
@@ -9,7 +9,6 @@
 
 from aiohttp import http_exceptions, web
 
-from mustardscale.caller_memory import BodyMemory
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.problem_details import problem_response
@@ -200,50 +199,6 @@
         )
 
 
-async def read_body(
-    request: web.BaseRequest, limits: CallerLimits, memory: BodyMemory
-) -> bytes:
-    """Reads a body within its size and time.
-
-    Args:
-        request: the HTTP request.
-        limits: what callers may take up.
-        memory: where the body is counted until the request has ended.
-
-    Raises:
-        OutcomeError: REQUEST_TOO_LARGE, REQUEST_TOO_SLOW, MALFORMED_REQUEST,
-            HOST_OVERLOADED.
-    """
-    if (request.content_length or 0) > limits.body_bytes:
-        raise _body_too_large(limits)
-    try:
-        async with asyncio.timeout(limits.body_timeout_s):
-            return await _read_chunks(request, limits, memory)
-    except TimeoutError as error:
-        raise OutcomeError(
-            Outcome.REQUEST_TOO_SLOW,
-            f'the body did not arrive within {limits.body_timeout_s} s',
-        ) from error
-    except (
-        web.RequestPayloadError,
-        http_exceptions.HttpProcessingError,
-    ) as error:
-        raise OutcomeError(Outcome.MALFORMED_REQUEST, str(error)) from error
-
-
-async def _read_chunks(
-    request: web.BaseRequest, limits: CallerLimits, memory: BodyMemory
-) -> bytes:
-    """Reads a body within its size."""
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        memory.reserve(request, len(chunk))
-        body += chunk
-        if len(body) > limits.body_bytes:
-            raise _body_too_large(limits)
-    return bytes(body)
-
-
 async def write_chunk(
     request: web.BaseRequest,
     response: web.StreamResponse,
@@ -296,13 +251,6 @@
     return Outcome.INTERNAL_ERROR
 
 
-def _body_too_large(limits: CallerLimits) -> OutcomeError:
-    """Returns the refusal of a large body."""
-    return OutcomeError(
-        Outcome.REQUEST_TOO_LARGE, f'the body exceeds {limits.body_bytes} bytes'
-    )
-
-
 def _slow_headers_answer() -> bytes:
     """Returns an HTTP answer for a request that has not been parsed yet."""
     response = problem_response(OutcomeError(Outcome.REQUEST_TOO_SLOW))
--- a/mustardscale/callers_http.py
+++ b/mustardscale/callers_http.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from mustardscale import caller_headers
+from mustardscale.caller_bodies import BodyReader, host_overloaded
 from mustardscale.caller_connections import (
     CallerConnection,
     CallerLimits,
@@ -14,7 +15,6 @@
     check_header_size,
     write_in_time,
 )
-from mustardscale.caller_memory import BodyMemory, host_overloaded
 from mustardscale.chat_handler import ChatHandler
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -46,9 +46,9 @@
         self._service = service
         self._limits = limits
         self._grace_s = grace_s
-        self._memory = BodyMemory(limits.all_bodies_bytes)
-        self._chat = ChatHandler(service, limits, self._memory)
-        self._plain = PlainHandler(service, limits, self._memory)
+        self._bodies = BodyReader(limits)
+        self._chat = ChatHandler(service, limits, self._bodies)
+        self._plain = PlainHandler(service, self._bodies)
         self._runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -70,7 +70,7 @@
         try:
             return await self._answer(request)
         finally:
-            self._memory.release(request)
+            self._bodies.release(request)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers a request, also where it fails."""
--- a/mustardscale/chat_handler.py
+++ b/mustardscale/chat_handler.py
@@ -8,14 +8,13 @@
 from aiohttp import web
 
 from mustardscale import caller_headers
+from mustardscale.caller_bodies import BodyReader
 from mustardscale.caller_connections import (
     CallerLimits,
-    read_body,
     write_chunk,
     write_in_time,
 )
 from mustardscale.caller_headers import LastEvent
-from mustardscale.caller_memory import BodyMemory
 from mustardscale.chat_completions import (
     ChatRequest,
     ChunkEncoder,
@@ -51,11 +50,11 @@
         self,
         service: RequestService,
         limits: CallerLimits,
-        memory: BodyMemory,
+        bodies: BodyReader,
     ):
         self._service = service
         self._limits = limits
-        self._memory = memory
+        self._bodies = bodies
 
     async def handle(
         self, request: web.BaseRequest, service: str
@@ -75,9 +74,7 @@
         request_id = _request_id(request, last_event)
         request[REQUEST_ID_KEY] = request_id
         timeout_s = caller_headers.timeout_s(request.headers)
-        chat = parse_chat_request(
-            await read_body(request, self._limits, self._memory)
-        )
+        chat = parse_chat_request(await self._bodies.read(request))
         _check(chat, choice, last_event)
         language_request = LanguageRequest(
             id=request_id,
--- a/mustardscale/plain_handler.py
+++ b/mustardscale/plain_handler.py
@@ -8,8 +8,7 @@
 from multidict import CIMultiDict
 
 from mustardscale import caller_headers
-from mustardscale.caller_connections import CallerLimits, read_body
-from mustardscale.caller_memory import BodyMemory
+from mustardscale.caller_bodies import BodyReader
 from mustardscale.config_records import ServiceKind
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -30,12 +29,10 @@
     def __init__(
         self,
         service: RequestService,
-        limits: CallerLimits,
-        memory: BodyMemory,
+        bodies: BodyReader,
     ):
         self._service = service
-        self._limits = limits
-        self._memory = memory
+        self._bodies = bodies
 
     async def handle(
         self, request: web.BaseRequest, caller: str
@@ -68,7 +65,7 @@
             method=request.method,
             path=path,
             headers=caller_headers.end_to_end_headers(request.headers.items()),
-            body=await read_body(request, self._limits, self._memory),
+            body=await self._bodies.read(request),
             idempotent=idempotent,
             timeout_s=caller_headers.timeout_s(request.headers),
         )
