--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -24,6 +24,7 @@
 from mustardscale.http_host_list import HttpHostList
 from mustardscale.http_log import HttpLogClient
 from mustardscale.json_logging import configure_logging
+from mustardscale.kept_answers import KeptAnswerLimits
 from mustardscale.membership import MembershipTimes
 from mustardscale.metrics import Metrics
 from mustardscale.operators_http import OperatorsServer
@@ -127,8 +128,7 @@
             settings.host_list_interval_s,
         ),
         settings.resume_grace_s,
-        settings.kept_answers_s,
-        settings.kept_answers_bytes,
+        KeptAnswerLimits(settings.kept_answers_s, settings.kept_answers_bytes),
     )
     router = Router(options, edges, rng)
     add_traffic_gauges(router.metrics, transport.traffic)
--- a/mustardscale/kept_answers.py
+++ b/mustardscale/kept_answers.py
@@ -16,6 +16,19 @@
 _REFERENCE_BYTES = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswerLimits:
+    """For how long and in how much memory answers are kept.
+
+    Attributes:
+        keep_s: seconds for which an answer is kept.
+        max_bytes: bytes that all may take.
+    """
+
+    keep_s: float = 30.0
+    max_bytes: int = 16 * 1024 * 1024
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """The last tokens of a delivered answer.
@@ -60,11 +73,10 @@
         size: bytes that the answers take.
     """
 
-    __slots__ = ('_entry_by_request_id', '_keep_s', '_max_bytes', 'size')
+    __slots__ = ('_entry_by_request_id', '_limits', 'size')
 
-    def __init__(self, keep_s: float, max_bytes: int):
-        self._keep_s = keep_s
-        self._max_bytes = max_bytes
+    def __init__(self, limits: KeptAnswerLimits):
+        self._limits = limits
         self._entry_by_request_id: dict[str, _Entry] = {}
         self.size = 0
 
@@ -90,13 +102,13 @@
     def expire(self) -> None:
         """Forgets the oldest answers beyond the bounds."""
         for request_id, entry in list(self._entry_by_request_id.items()):
-            if not self._is_old(entry) and self.size <= self._max_bytes:
+            if not self._is_old(entry) and self.size <= self._limits.max_bytes:
                 return
             self._remove(request_id)
 
     def _is_old(self, entry: _Entry) -> bool:
         now = asyncio.get_running_loop().time()
-        return now - entry.answer.delivered_at > self._keep_s
+        return now - entry.answer.delivered_at > self._limits.keep_s
 
     def _remove(self, request_id: str) -> None:
         entry = self._entry_by_request_id.pop(request_id, None)
--- a/mustardscale/owned_pool.py
+++ b/mustardscale/owned_pool.py
@@ -198,3 +198,8 @@
         suspect=item.suspect,
         block_hashes=request.block_hashes,
     )
+
+
+def rebuilt_reservation(stream: HeldStream, now: float) -> Reservation:
+    """Returns the reservation of a stream that an earlier owner granted."""
+    return Reservation(stream, stream.fingerprint, now, now)
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -14,6 +14,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.owned_pool import (
     OwnedPool,
+    rebuilt_reservation,
     release_of_expired,
     renew_named,
     reservation_of,
@@ -40,7 +41,6 @@
     Grant,
     PlacementPolicy,
     PoolState,
-    Reservation,
     WaitingRequest,
 )
 from mustardscale.pools import PoolMembers, divide_pools
@@ -305,13 +305,8 @@
         request_id = stream.tag.request_id
         known = pool.state.reservations_by_request_id.get(request_id)
         if known is None:
-            known = Reservation(
-                stream,
-                stream.fingerprint,
-                now,
-                now,
-                suspect=self._is_suspect(request_id, stream.fingerprint),
-            )
+            known = rebuilt_reservation(stream, now)
+            known.suspect = self._is_suspect(request_id, stream.fingerprint)
             pool.state.reservations_by_request_id[request_id] = known
             pool.policy.observe_grant(pool.state, known, now)
             return
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -32,9 +32,6 @@
 
 # Seconds for which a host remembers which answers it has delivered.
 DELIVERED_MEMORY_S = 60.0
-# Seconds and bytes within which it keeps the answers themselves.
-KEPT_ANSWERS_S = 30.0
-KEPT_ANSWERS_BYTES = 16 * 1024 * 1024
 CALL_TIMEOUT_S = 1.0
 RELEASE_RETRY_S = 0.1
 # Time after which a holder that was never heard has lost its lease, seconds.
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -28,7 +28,7 @@
 from mustardscale.exceptions import OutcomeError
 from mustardscale.host_list import HostList
 from mustardscale.host_list_controller import HostListController
-from mustardscale.kept_answers import KeptAnswers
+from mustardscale.kept_answers import KeptAnswerLimits, KeptAnswers
 from mustardscale.language import LanguageService
 from mustardscale.language_attempts import AttemptRunner
 from mustardscale.limits import ServiceLimits
@@ -49,11 +49,7 @@
 from mustardscale.quarantine import SuspicionExpiry, Suspicions
 from mustardscale.reconcile import Reconciler
 from mustardscale.requests import LanguageRequest, PlainRequest
-from mustardscale.resumption import (
-    KEPT_ANSWERS_BYTES,
-    KEPT_ANSWERS_S,
-    Resumption,
-)
+from mustardscale.resumption import Resumption
 from mustardscale.service_api import RequestService
 from mustardscale.state_dump import dump_state, summarize_state
 from mustardscale.suspicion_sharing import SuspicionSharing
@@ -74,8 +70,7 @@
         policy: name of the placement policy.
         times: intervals of membership.
         resume_grace_s: seconds for which a dead host's streams are kept.
-        kept_answers_s: seconds for which delivered answers are kept.
-        kept_answers_bytes: bytes that they may take.
+        kept_answers: how long delivered answers are kept.
     """
 
     host: str
@@ -85,8 +80,9 @@
     policy: str = 'mustardscale'
     times: MembershipTimes = dataclasses.field(default_factory=MembershipTimes)
     resume_grace_s: float = 3.0
-    kept_answers_s: float = KEPT_ANSWERS_S
-    kept_answers_bytes: int = KEPT_ANSWERS_BYTES
+    kept_answers: KeptAnswerLimits = dataclasses.field(
+        default_factory=KeptAnswerLimits
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -191,10 +187,7 @@
             admission,
             directory,
             Resumption(
-                board,
-                calls,
-                clients,
-                KeptAnswers(options.kept_answers_s, options.kept_answers_bytes),
+                board, calls, clients, KeptAnswers(options.kept_answers)
             ),
             runner,
             limits,
--- a/tests/test_kept_answers.py
+++ b/tests/test_kept_answers.py
@@ -8,6 +8,7 @@
 from mustardscale.kept_answers import (
     LONGEST_TAIL_TOKENS,
     KeptAnswer,
+    KeptAnswerLimits,
     KeptAnswers,
 )
 from mustardscale.outcomes import Outcome
@@ -140,7 +141,7 @@
 
     @virtual_time
     async def test_the_oldest_go_first(self):
-        kept = KeptAnswers(KEEP_S, 10_000)
+        kept = KeptAnswers(KeptAnswerLimits(KEEP_S, 10_000))
         for number in range(20):
             kept.add(str(number), kept_answer(['token'] * 20))
             assert kept.size <= 10_000
@@ -152,7 +153,7 @@
 
     @virtual_time
     async def test_of_a_long_answer_the_end_is_kept(self):
-        kept = KeptAnswers(KEEP_S, 10_000_000)
+        kept = KeptAnswers(KeptAnswerLimits(KEEP_S, 10_000_000))
         texts = [str(n) for n in range(LONGEST_TAIL_TOKENS + 7)]
         kept.add('long', kept_answer(texts, first_index=3))
         found = kept.find('long')
