Tell new processes of suspicions at a change of membership

Cause: the sharing of suspicions looked for new processes four times a second, also with nothing to tell; an idle process spends most on its loop's wakes (CAPACITY.md). It now wakes at a change, at a change of membership, and each 0.25 s only while a notice is not confirmed.

test_suspicions.py requires a started host to know within 1 s in place of 2 and passes, as does test_promises_load.py.

--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -197,6 +197,7 @@
         self._plain = PlainService(
             board, directory, self.claims, clients, limits, rng
         )
+        sharing = SuspicionSharing(board, calls, suspicions)
         follower = MembershipFollower(
             board,
             [
@@ -204,6 +205,7 @@
                 self.pool_owner.follow_membership,
                 admission.follow_membership,
                 directory.follow_membership,
+                sharing.follow_membership,
             ],
         )
         self._controllers: list[Controller] = [
@@ -220,7 +222,7 @@
             reconciler,
             follower,
             SuspicionExpiry(suspicions),
-            SuspicionSharing(board, calls, suspicions),
+            sharing,
             *self.claims.streams,
         ]
 
--- a/mustardscale/suspicion_sharing.py
+++ b/mustardscale/suspicion_sharing.py
@@ -21,6 +21,8 @@
 
 # Interval at which notices without an answer are repeated, seconds.
 RETRY_INTERVAL_S = 0.25
+# Interval at which peers are looked at without a change, seconds.
+IDLE_INTERVAL_S = 5.0
 CALL_TIMEOUT_S = 0.75
 # Suspicions in one notice at most, so that it stays well below a frame.
 NOTICE_ITEMS = 500
@@ -44,11 +46,18 @@
         try:
             while True:
                 self._send_to_peers()
-                await self._suspicions.changed.wait(RETRY_INTERVAL_S)
+                interval_s = IDLE_INTERVAL_S
+                if self._sending:
+                    interval_s = RETRY_INTERVAL_S
+                await self._suspicions.changed.wait(interval_s)
         finally:
             for task in self._sending.values():
                 task.cancel()
 
+    def follow_membership(self) -> None:
+        """Tells a process that is new."""
+        self._suspicions.changed.notify()
+
     def _send_to_peers(self) -> None:
         processes = {
             (host.id, host.incarnation)
@@ -75,7 +84,7 @@
             del self._sending[process[0]]
 
     async def _send_changes(self, process: tuple[str, int]) -> None:
-        confirmed = self._confirmed_by_process[process]
+        confirmed = self._confirmed_by_process.get(process, 0)
         while confirmed < self._suspicions.changes:
             items, last_change = self._suspicions.changed_after(
                 confirmed, NOTICE_ITEMS
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -88,7 +88,7 @@
             assert second.crashes(*ITEM) == 1
             await site.kill_host('entry-1')
             started = await site.start_host('entry-1')
-            await asyncio.sleep(2)
+            await asyncio.sleep(1)
             assert started.suspicions.crashes(*ITEM) == 1
 
         run(scenario, layout=SiteLayout(entry_hosts=3))
