Let the owner hear how an attempt ended before it decides on the next

Cause: the release of a failed attempt and the request for the next one went out as two messages at the same time. When the second came first, the grant took the place of the reservation, and the release no longer fitted it: the crash was counted against the others on that engine and not against the request that had caused it. Seen in test_the_owner_is_killed_between_the_crashes, which then found two crashes before the request was counted once (2 == 1, on both parameters; trace: grant of the second attempt and release of the first at 5.0915, in this order).

Ruled out: keeping overtaken reservations at the owner (a second book of what is held). A retry now waits for the reply to the release, a round trip, or for the call's 1 s where the owner is gone; nothing else waits.

--- a/mustardscale/admission.py
+++ b/mustardscale/admission.py
@@ -61,6 +61,7 @@
         self._owner_by_pool: dict[str, str] = {}
         # Loop time of the last list of all streams, and the owner it went to.
         self._listed_at_by_pool: dict[str, tuple[float, str]] = {}
+        self._release_by_request_id: dict[str, asyncio.Task[object]] = {}
 
     async def run(self) -> None:
         """Names the streams held here to their pools' owners."""
@@ -112,6 +113,7 @@
         Raises:
             OutcomeError: the owner refused, or no owner answered.
         """
+        await self._wait_released(served.id)
         hashes = request.prompt.block_hashes
         prompt_key = str(hashes[0] if hashes else request.prompt.fingerprint)
         pools = self.pools_for(model, prompt_key)
@@ -235,7 +237,28 @@
             emitted,
             finished,
         )
-        self._send(served.pool, release)
+        host = self._owner_by_pool.get(served.pool)
+        if host is not None:
+            task = self._background.start(self._deliver(host, release))
+            self._release_by_request_id[served.id] = task
+            task.add_done_callback(
+                lambda done: self._forget_release(served.id, done)
+            )
+
+    async def _wait_released(self, request_id: str) -> None:
+        """Waits until the owner has heard how the attempt before ended.
+
+        A grant that overtakes it would hide a crash from the owner.
+        """
+        task = self._release_by_request_id.get(request_id)
+        if task is not None:
+            await asyncio.wait([task])
+
+    def _forget_release(
+        self, request_id: str, task: asyncio.Task[object]
+    ) -> None:
+        if self._release_by_request_id.get(request_id) is task:
+            del self._release_by_request_id[request_id]
 
     async def report_all(self) -> None:
         """Names all streams held here to the owners of their pools."""
--- a/mustardscale/background_tasks.py
+++ b/mustardscale/background_tasks.py
@@ -24,11 +24,14 @@
         """Returns the number of tasks that run."""
         return len(self._tasks)
 
-    def start(self, coroutine: Coroutine[Any, Any, object]) -> None:
-        """Runs a coroutine as a task of its own."""
+    def start(
+        self, coroutine: Coroutine[Any, Any, object]
+    ) -> asyncio.Task[object]:
+        """Runs a coroutine as a task of its own and returns the task."""
         task: asyncio.Task[object] = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     async def wait_idle(self) -> None:
         """Waits until no task runs."""
