Refuse the rest of an answer where the resumption may have waited

Cause: a resumption that waited unread at a paused host was taken for one that came after the end of the first stream, which had gone on meanwhile; both connections were whole.

Asked again later, the rest is served.

Pauses below the lease are not seen: promises.md says so.

--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import logging
+import math
 from collections.abc import Iterator, Sequence
 
 from mustardscale.blackboard import Blackboard, ServedRequest
@@ -18,6 +19,7 @@
     PeerUnavailableError,
 )
 from mustardscale.kept_answers import KeptAnswer, KeptAnswers
+from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peers import (
@@ -128,11 +130,24 @@
             return None
         served.answered = True
         self._kept.add(served.id, kept)
-        if kept.delivered_at > served.arrived_at:
+        if kept.delivered_at > self._asked_at(served):
             # Only one of the two streams may go on to the end.
             raise OutcomeError(Outcome.ALREADY_COMPLETED)
         return kept
 
+    def _asked_at(self, served: ServedRequest) -> float:
+        """Returns the earliest loop time at which a caller may have asked.
+
+        A request may have waited unread while this host was paused or cut
+        off.
+        """
+        board = self._blackboard
+        now = asyncio.get_running_loop().time()
+        if now - board.quorum_at > QUORUM_LEASE_S:
+            return board.quorum_at
+        is_after_gap = board.quorum_gap_at >= served.arrived_at - QUORUM_LEASE_S
+        return -math.inf if is_after_gap else served.arrived_at
+
     async def _find_kept(
         self, served: ServedRequest, hosts: list[str]
     ) -> KeptAnswer | None:
--- a/tests/test_kept_answers.py
+++ b/tests/test_kept_answers.py
@@ -11,7 +11,9 @@
     KeptAnswerLimits,
     KeptAnswers,
 )
+from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
+from standins.fault_actions import FaultActions
 from tests.test_memory_site import answer, language, run, whole
 from tests.test_promises_answers import outcome_of
 from tests.virtual_time import virtual_time
@@ -111,6 +113,20 @@
 
         run(scenario)
 
+    def test_a_resumption_that_waited_at_a_paused_host(self):
+        async def scenario(site):
+            end = FaultActions(site).freeze('entry-2')
+            await asyncio.sleep(4)
+            request = await deliver(site, 'entry-1')
+            await end()
+            # It was asked for before the first stream had ended, perhaps.
+            refused = await outcome_of(rest(site, 'entry-2'))
+            assert refused is Outcome.ALREADY_COMPLETED
+            await asyncio.sleep(QUORUM_LEASE_S + 2)
+            assert await rest(site, 'entry-2') == whole(request)[RECEIVED:]
+
+        run(scenario)
+
     def test_nothing_is_left(self):
         async def scenario(site):
             request = await deliver(site, 'entry-1')
