--- a/mustardscale/kept_answers.py
+++ b/mustardscale/kept_answers.py
@@ -9,6 +9,9 @@
 import asyncio
 import dataclasses
 import sys
+from collections.abc import Sequence
+
+from mustardscale.peers import StreamReleaseReply
 
 # Tokens kept of one answer at most.
 LONGEST_TAIL_TOKENS = 16_384
@@ -114,3 +117,31 @@
         entry = self._entry_by_request_id.pop(request_id, None)
         if entry is not None:
             self.size -= entry.size
+
+
+def reply_with(kept: KeptAnswer, released: bool) -> StreamReleaseReply:
+    """Returns the reply that carries a kept answer."""
+    return StreamReleaseReply(
+        released,
+        kept.texts,
+        done=True,
+        first_index=kept.first_index,
+        finish_reason=kept.finish_reason,
+        age_s=asyncio.get_running_loop().time() - kept.delivered_at,
+    )
+
+
+def kept_in(
+    replies: Sequence[StreamReleaseReply | None],
+) -> KeptAnswer | None:
+    """Returns the answer that one of the hosts has kept, if any."""
+    for reply in replies:
+        if reply is not None and reply.done and reply.finish_reason:
+            now = asyncio.get_running_loop().time()
+            return KeptAnswer(
+                reply.first_index,
+                reply.emitted,
+                reply.finish_reason,
+                now - reply.age_s,
+            )
+    return None
--- a/mustardscale/owned_pool.py
+++ b/mustardscale/owned_pool.py
@@ -21,6 +21,7 @@
     candidate_engines,
 )
 from mustardscale.pools import PoolMembers
+from mustardscale.quarantine import Suspicions
 
 # Time without any work after which a pool's engines are read less often,
 # seconds. It is longer than work takes to be found and freed after a failure,
@@ -200,6 +201,15 @@
     )
 
 
+def mark_suspects(pool: OwnedPool, suspicions: Suspicions) -> None:
+    """Marks what is suspected by now, also by the word of a peer."""
+    for request_id, waiting in pool.waiting_by_request_id.items():
+        fingerprint = waiting.request.fingerprint
+        waiting.suspect = suspicions.is_suspect(request_id, fingerprint)
+    for held in pool.state.reservations_by_request_id.values():
+        held.suspect = suspicions.is_suspect(held.request_id, held.fingerprint)
+
+
 def rebuilt_reservation(stream: HeldStream, now: float) -> Reservation:
     """Returns the reservation of a stream that an earlier owner granted."""
     return Reservation(stream, stream.fingerprint, now, now)
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -14,6 +14,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.owned_pool import (
     OwnedPool,
+    mark_suspects,
     rebuilt_reservation,
     release_of_expired,
     renew_named,
@@ -202,7 +203,7 @@
             self._refresh_engines(pool)
             pool.state.profile_by_service = profiles
             if self._suspicions.changes != self._suspicions_seen:
-                self._mark_suspects(pool)
+                mark_suspects(pool, self._suspicions)
         self._suspicions_seen = self._suspicions.changes
 
     def _language_profiles(self) -> dict[str, Profile]:
@@ -234,7 +235,9 @@
             arrived_at=now,
             first_token_at=now + request.first_token_s,
             deadline_at=now + request.deadline_s,
-            suspect=self._is_suspect(request_id, request.fingerprint),
+            suspect=self._suspicions.is_suspect(
+                request_id, request.fingerprint
+            ),
         )
         pool.waiting_by_request_id[request_id] = item
         self.decide(pool)
@@ -306,7 +309,9 @@
         known = pool.state.reservations_by_request_id.get(request_id)
         if known is None:
             known = rebuilt_reservation(stream, now)
-            known.suspect = self._is_suspect(request_id, stream.fingerprint)
+            known.suspect = self._suspicions.is_suspect(
+                request_id, stream.fingerprint
+            )
             pool.state.reservations_by_request_id[request_id] = known
             pool.policy.observe_grant(pool.state, known, now)
             return
@@ -389,18 +394,6 @@
             engine_id,
             [(held.request_id, held.fingerprint) for held in in_flight],
         )
-        self._mark_suspects(pool)
+        mark_suspects(pool, self._suspicions)
         for held in in_flight:
             held.suspect = True
-
-    def _mark_suspects(self, pool: OwnedPool) -> None:
-        """Marks what is suspected by now, also by the word of a peer."""
-        for request_id, waiting in pool.waiting_by_request_id.items():
-            waiting.suspect = self._is_suspect(
-                request_id, waiting.request.fingerprint
-            )
-        for held in pool.state.reservations_by_request_id.values():
-            held.suspect = self._is_suspect(held.request_id, held.fingerprint)
-
-    def _is_suspect(self, request_id: str, fingerprint: int) -> bool:
-        return self._suspicions.crashes(request_id, fingerprint) > 0
--- a/mustardscale/quarantine.py
+++ b/mustardscale/quarantine.py
@@ -67,6 +67,10 @@
             default=0,
         )
 
+    def is_suspect(self, request_id: str, fingerprint: int) -> bool:
+        """Returns whether a crash counts against a request."""
+        return self.crashes(request_id, fingerprint) > 0
+
     def is_quarantined(self, request_id: str, fingerprint: int) -> bool:
         """Returns whether a request must be kept off endpoints."""
         return any(
--- a/mustardscale/resumption.py
+++ b/mustardscale/resumption.py
@@ -18,7 +18,12 @@
     PeerGoneError,
     PeerUnavailableError,
 )
-from mustardscale.kept_answers import KeptAnswer, KeptAnswers
+from mustardscale.kept_answers import (
+    KeptAnswer,
+    KeptAnswers,
+    kept_in,
+    reply_with,
+)
 from mustardscale.membership import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
@@ -118,7 +123,7 @@
             OutcomeError: ALREADY_COMPLETED, when it is no longer kept, or its
                 end was handed out after this resumption was asked for.
         """
-        kept = _kept_in(released)
+        kept = kept_in(released)
         done = any(reply is not None and reply.done for reply in released)
         served.answered = served.answered or done
         if kept is None and not done:
@@ -158,7 +163,7 @@
         if kept is not None or not served.answered:
             return kept
         calls = [self._release_if_live(host, served.id) for host in hosts]
-        return _kept_in(await asyncio.gather(*calls))
+        return kept_in(await asyncio.gather(*calls))
 
     async def _release_if_live(
         self, host: str, request_id: str
@@ -362,7 +367,7 @@
         served = self.let_go(request.request_id)
         kept = self._kept.find(request.request_id)
         if kept is not None:
-            return _reply_with(kept, served is not None)
+            return reply_with(kept, served is not None)
         if served is None and request.request_id in self._delivered_at_by_id:
             return StreamReleaseReply(released=False, done=True)
         if served is None or served.tag is None:
@@ -374,31 +379,3 @@
             served.prefill,
             served.decode,
         )
-
-
-def _reply_with(kept: KeptAnswer, released: bool) -> StreamReleaseReply:
-    """Returns the reply that carries a kept answer."""
-    return StreamReleaseReply(
-        released,
-        kept.texts,
-        done=True,
-        first_index=kept.first_index,
-        finish_reason=kept.finish_reason,
-        age_s=asyncio.get_running_loop().time() - kept.delivered_at,
-    )
-
-
-def _kept_in(
-    replies: Sequence[StreamReleaseReply | None],
-) -> KeptAnswer | None:
-    """Returns the answer that one of the hosts has kept, if any."""
-    for reply in replies:
-        if reply is not None and reply.done and reply.finish_reason:
-            now = asyncio.get_running_loop().time()
-            return KeptAnswer(
-                reply.first_index,
-                reply.emitted,
-                reply.finish_reason,
-                now - reply.age_s,
-            )
-    return None
