--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -11,6 +11,7 @@
 from mustardscale.directory_messages import DirectoryEntry
 from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
 from mustardscale.host_list import ListedKind
+from mustardscale.order_state import OrderState
 from mustardscale.peers import HeldStream
 from mustardscale.trace import (
     NoTrace,
@@ -108,8 +109,8 @@
         data_centre: its data centre.
         region: its region.
         service: plain service that it serves.
-        model: model that the engine serves.
-        role: role of the engine.
+        model: model that the engine serves, by the orders or the host list.
+        role: role of the engine, by the orders or the host list.
         fencing: whether it refuses orders with an old term.
         listed: whether the host list names it.
         listed_leaving: whether the host list says that it is leaving.
@@ -119,6 +120,8 @@
         reported_at: loop time of that report.
         unreachable_since: loop time since when it did not answer, or None.
         in_flight: calls that this host has in progress there.
+        listed_model: model that the host list names.
+        listed_role: role that the host list names.
     """
 
     id: str
@@ -137,6 +140,8 @@
     reported_at: float = -math.inf
     unreachable_since: float | None = None
     in_flight: int = 0
+    listed_model: str = ''
+    listed_role: EngineRole | None = None
 
     def leaving(self, now: float) -> bool:
         """Returns whether the endpoint takes no new work."""
@@ -255,6 +260,7 @@
         region: this host's region.
         draining: whether this host is shutting down.
         config: the folded configuration.
+        orders: the folded orders stream.
         host_list_read: whether the host list was ever read.
         hosts_by_id: the other entry hosts.
         endpoints_by_id: all endpoints.
@@ -282,6 +288,7 @@
         'hosts_by_id',
         'incarnation',
         'membership_changed',
+        'orders',
         'quorum_at',
         'quorum_gap_at',
         'region',
@@ -299,6 +306,7 @@
         self.region = region
         self.draining = False
         self.config = ConfigState()
+        self.orders = OrderState()
         self.host_list_read = False
         self.hosts_by_id: dict[str, HostEntry] = {}
         self.endpoints_by_id: dict[str, EndpointEntry] = {}
@@ -338,6 +346,20 @@
             line_type(at, self.host, self.incarnation, kind, **fields)
         )
 
+    def is_withdrawn(self, endpoint: EndpointEntry) -> bool:
+        """Returns whether a change keeps an engine from new work.
+
+        It may serve again as soon as its report shows that the order was
+        carried out, also while the log cannot record that.
+        """
+        change = self.orders.change_by_engine.get(endpoint.id)
+        if change is None:
+            return False
+        report = endpoint.report
+        if report is None or report.order_term < change.number:
+            return True
+        return not change.target.reached(report)
+
     def live_hosts(self) -> list[str]:
         """Returns the ids of hosts that are heard, this one included."""
         heard = [
--- a/mustardscale/command_hosts.py
+++ b/mustardscale/command_hosts.py
@@ -22,6 +22,7 @@
     'sees',
 )
 _POOL_HEADERS = ('pool', 'owner', 'waiting', 'running', 'pieces used')
+_CHANGE_HEADERS = ('engine', 'role', 'model', 'version', 'number', 'given by')
 _VERSION_HEADERS = ('entry', 'version', 'hosts')
 
 
@@ -39,7 +40,7 @@
 
 
 async def show_status(context: CommandContext) -> ExitCode:
-    """Shows which host has which version, whom it sees, and pool fill.
+    """Shows versions, whom hosts see, pool fill and changes of engines.
 
     Raises:
         PeerUnavailableError: the host list could not be read.
@@ -55,6 +56,8 @@
         context.show_table(_VERSION_HEADERS, _version_rows(statuses))
         context.show_text('')
         context.show_table(_POOL_HEADERS, _pool_rows(statuses))
+        context.show_text('')
+        context.show_table(_CHANGE_HEADERS, _change_rows(statuses))
     if all(item.status is not None for item in statuses):
         return ExitCode.DONE
     return ExitCode.HOST_UNAVAILABLE
@@ -127,6 +130,25 @@
     return rows
 
 
+def _change_rows(statuses: list[HostStatus]) -> list[list[Any]]:
+    """Returns the changes of engines that the most advanced host knows."""
+    known = [_members(item.status or {}, 'orders') for item in statuses]
+    newest = max(known, key=lambda orders: orders.get('version', 0), default={})
+    rows: list[list[Any]] = []
+    for engine, change in sorted(_members(newest, 'change_by_engine').items()):
+        target = _members(change, 'target')
+        names = ('role', 'model', 'model_version')
+        rows.append(
+            [
+                engine,
+                *(target.get(name) for name in names),
+                change.get('number'),
+                change.get('host'),
+            ]
+        )
+    return rows
+
+
 def _members(status: dict[str, Any], name: str) -> dict[str, Any]:
     """Returns an object in a summary, empty if it is missing."""
     value = status.get(name)
--- a/mustardscale/host_list_controller.py
+++ b/mustardscale/host_list_controller.py
@@ -10,6 +10,7 @@
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.host_list import HostList, ListedHost, ListedKind
+from mustardscale.order_log import place
 from mustardscale.membership import MembershipTimes
 
 log = logging.getLogger(__name__)
@@ -95,6 +96,7 @@
             known = endpoints_by_id.get(host.id)
             if known is None or known.address != host.address:
                 known = endpoints_by_id[host.id] = _endpoint_of(host)
+                place(known, self._blackboard)
                 changed = True
             if known.listed_leaving != host.leaving or not known.listed:
                 known.listed_leaving = host.leaving
@@ -120,4 +122,6 @@
         model=host.model,
         role=host.role,
         fencing=host.fencing,
+        listed_model=host.model,
+        listed_role=host.role,
     )
--- /dev/null
+++ b/mustardscale/order_log.py
@@ -0,0 +1,128 @@
+"""Reads the orders stream, appends to it and places engines by it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import LogUnavailableError, LogUncertainError
+from mustardscale.log_client import LogClient, LogPage
+from mustardscale.order_state import (
+    OrderRecord,
+    encode_order_record,
+    orders_stream,
+)
+
+log = logging.getLogger(__name__)
+
+# Time for which a read waits for a record, seconds.
+LONG_POLL_S = 5.0
+# The same for the host that gives orders, which must know the stream's tail.
+HOLDER_POLL_S = 1.0
+READ_RETRY_S = 0.5
+APPEND_TIMEOUT_S = 2.0
+
+
+class OrderLog(Controller):
+    """Keeps the folded orders in step with the log.
+
+    Attributes:
+        read_at: loop time at which the tail of the stream was known last.
+        unsettled_since: loop time since when records are missing, or None.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, client: LogClient, rng: random.Random
+    ):
+        self._blackboard = blackboard
+        self._client = client
+        self._rng = rng
+        self._stream = orders_stream(blackboard.region)
+        self._folded = asyncio.Condition()
+        self.read_at = -math.inf
+        self.unsettled_since: float | None = None
+        self._holding = False
+        self._reading: asyncio.Task[LogPage] | None = None
+
+    async def run(self) -> None:
+        """Reads new records as they come."""
+        try:
+            while True:
+                try:
+                    await self._read()
+                except LogUnavailableError as error:
+                    log.warning('orders not read from the log: %s', error)
+                    await pause(READ_RETRY_S, self._rng)
+        finally:
+            if self._reading is not None:
+                self._reading.cancel()
+
+    def hold(self, holding: bool) -> None:
+        """Sets whether this host gives orders; if so it reads often."""
+        if holding and not self._holding and self._reading is not None:
+            self._reading.cancel()
+        self._holding = holding
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        state = self._blackboard.orders
+        asked_at = loop.time()
+        wait_s = HOLDER_POLL_S if self._holding else LONG_POLL_S
+        self._reading = asyncio.create_task(
+            self._client.read(self._stream, state.folded_offset, wait_s=wait_s)
+        )
+        await asyncio.wait([self._reading])
+        if self._reading.cancelled():
+            return
+        page = self._reading.result()
+        changed = state.apply_page(page)
+        if state.settled:
+            self.unsettled_since = None
+        elif self.unsettled_since is None:
+            self.unsettled_since = loop.time()
+        if state.folded_offset >= page.end_offset:
+            self.read_at = asked_at
+        if changed:
+            self._place_all()
+        async with self._folded:
+            self._folded.notify_all()
+
+    def _place_all(self) -> None:
+        board = self._blackboard
+        for endpoint in board.endpoints_by_id.values():
+            place(endpoint, board)
+        board.membership_changed.notify()
+
+    async def append(self, record: OrderRecord) -> None:
+        """Appends a record and waits until the fold has passed it.
+
+        Whether it counts, and also whether it was appended when the answer
+        was lost, is seen from the fold.
+        """
+        payload = encode_order_record(record)
+        try:
+            async with asyncio.timeout(APPEND_TIMEOUT_S):
+                offsets = await self._client.append(self._stream, [payload])
+                await self._wait_folded(offsets[0])
+        except (
+            LogUnavailableError,
+            LogUncertainError,
+            TimeoutError,
+        ) as error:
+            log.warning('order record not known to be on the log: %s', error)
+
+    async def _wait_folded(self, offset: int) -> None:
+        state = self._blackboard.orders
+        async with self._folded:
+            await self._folded.wait_for(lambda: state.folded_offset >= offset)
+
+
+def place(endpoint: EndpointEntry, board: Blackboard) -> None:
+    """Sets what an endpoint serves by the orders, else by the host list."""
+    placed = board.orders.placed_by_engine.get(endpoint.id)
+    endpoint.model = placed.model if placed else endpoint.listed_model
+    endpoint.role = placed.role if placed else endpoint.listed_role
--- /dev/null
+++ b/mustardscale/order_reports.py
@@ -0,0 +1,112 @@
+"""Reads the engines' load reports for the host that gives orders."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.engine_drain import EngineDrains, holds_nothing
+from mustardscale.engines import LoadReport
+from mustardscale.exceptions import MustardscaleError
+from mustardscale.host_list import ListedKind
+from mustardscale.order_views import OrderMemory
+from mustardscale.pools import divide_pools
+
+# Interval of reports from an engine, seconds.
+IDLE_INTERVAL_S = 5.0
+# The same while the engine is being changed.
+CHANGE_INTERVAL_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+
+
+class OrderReports:
+    """The last reports of a region's engines.
+
+    Attributes:
+        report_by_engine: the reports.
+        true_at_by_engine: loop times at which they were true.
+        pool_by_engine: ids of the pools in which the engines are.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clients: EndpointClients,
+        drains: EngineDrains,
+    ):
+        self._blackboard = blackboard
+        self._clients = clients
+        self._drains = drains
+        self._asked_at_by_engine: dict[str, float] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self.report_by_engine: dict[str, LoadReport] = {}
+        self.true_at_by_engine: dict[str, float] = {}
+        self.pool_by_engine: dict[str, str] = {}
+
+    def poll(self, memory: OrderMemory) -> None:
+        """Begins to read the reports that are due."""
+        board = self._blackboard
+        pools = divide_pools(board.endpoints_by_id.values(), board.region)
+        self.pool_by_engine = {
+            engine: pool.id
+            for pool in pools.values()
+            for engine in pool.engine_ids
+        }
+        now = asyncio.get_running_loop().time()
+        for endpoint in region_engines(board):
+            engine = endpoint.id
+            changing = engine in board.orders.change_by_engine
+            interval_s = CHANGE_INTERVAL_S if changing else IDLE_INTERVAL_S
+            asked_at = self._asked_at_by_engine.get(engine, -math.inf)
+            if engine in self._tasks or now - asked_at < interval_s:
+                continue
+            self._asked_at_by_engine[engine] = now
+            task = asyncio.create_task(self._read(engine, memory))
+            self._tasks[engine] = task
+
+    def stop(self) -> None:
+        """Gives up the reads in progress."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _read(self, engine: str, memory: OrderMemory) -> None:
+        try:
+            client = self._clients.engine(engine)
+            if client is None:
+                return
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                report = await client.report()
+            now = asyncio.get_running_loop().time()
+            self.report_by_engine[engine] = report
+            self.true_at_by_engine[engine] = now - report.age_s
+            await self._check_drained(engine, report, memory)
+        except (MustardscaleError, TimeoutError):
+            return
+        finally:
+            self._tasks.pop(engine, None)
+
+    async def _check_drained(
+        self, engine: str, report: LoadReport, memory: OrderMemory
+    ) -> None:
+        change = self._blackboard.orders.change_by_engine.get(engine)
+        if change is None or not holds_nothing(report):
+            return
+        progress = memory.progress(engine, change.number)
+        if progress is None or progress.drained:
+            return
+        pool = self.pool_by_engine.get(engine, '')
+        progress.drained = await self._drains.is_drained(
+            pool, engine, change.number
+        )
+
+
+def region_engines(board: Blackboard) -> list[EndpointEntry]:
+    """Returns the engines of this host's region."""
+    return [
+        endpoint
+        for endpoint in board.endpoints_by_id.values()
+        if endpoint.kind is ListedKind.ENGINE
+        and endpoint.region == board.region
+    ]
--- /dev/null
+++ b/mustardscale/order_state.py
@@ -0,0 +1,189 @@
+"""Folds the orders stream: which engines are being changed, and by whom.
+
+Every record carries the whole state and the version (offset) that it was made
+from. It counts only if that is the current version, so hosts that race change
+nothing twice, and whoever resumes after a pause writes in vain.
+
+Where earlier records are no longer on the log, the fold begins at the first
+record that a later one was made from: its writer had folded it as current.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from mustardscale.engines import EngineRole
+from mustardscale.log_client import LogPage
+from mustardscale.wanted_state import EngineTarget
+
+SCHEMA_VERSION = 1
+
+
+def orders_stream(region: str) -> str:
+    """Returns the name of a region's orders stream."""
+    return f'orders-{region}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineChange:
+    """A change of one engine that is under way.
+
+    Attributes:
+        engine: id of the engine.
+        target: the state that it shall reach.
+        host: entry host that gives the order.
+        incarnation: start number of that host's process.
+        loads: whether weights are loaded for it.
+        number: fencing number: the offset of the record that states the
+            change first, 0 within that record.
+    """
+
+    engine: str
+    target: EngineTarget
+    host: str
+    incarnation: int
+    loads: bool
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedEngine:
+    """What an engine serves after a change, in place of the host list.
+
+    Attributes:
+        engine: id of the engine.
+        model: its model.
+        role: its role.
+    """
+
+    engine: str
+    model: str
+    role: EngineRole
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRecord:
+    """A record of the orders stream: the whole state.
+
+    Attributes:
+        base: version that it was made from.
+        host: entry host that wrote it.
+        incarnation: start number of that host's process.
+        changes: the changes that are under way.
+        placed: engines that serve something else than listed.
+        restart: whether it counts although its base is not known any more;
+            only directly after the record at base.
+        schema: schema version.
+    """
+
+    base: int
+    host: str
+    incarnation: int
+    changes: tuple[EngineChange, ...] = ()
+    placed: tuple[PlacedEngine, ...] = ()
+    restart: bool = False
+    schema: int = SCHEMA_VERSION
+
+
+class OrderState:
+    """The orders stream up to an offset.
+
+    Attributes:
+        version: offset of the record that counts, 0 if there is none.
+        folded_offset: offset of the last record folded.
+        settled: whether no record is missing that could decide on others.
+        host: entry host that wrote the record that counts.
+        incarnation: start number of that host's process.
+        change_by_engine: the changes that are under way.
+        placed_by_engine: engines that serve something else than listed.
+    """
+
+    __slots__ = (
+        '_candidates',
+        'change_by_engine',
+        'folded_offset',
+        'host',
+        'incarnation',
+        'placed_by_engine',
+        'settled',
+        'version',
+    )
+
+    def __init__(self):
+        self.version = 0
+        self.folded_offset = 0
+        self.settled = True
+        self.host = ''
+        self.incarnation = 0
+        self.change_by_engine: dict[str, EngineChange] = {}
+        self.placed_by_engine: dict[str, PlacedEngine] = {}
+        self._candidates: dict[int, OrderRecord] = {}
+
+    def apply_page(self, page: LogPage) -> bool:
+        """Folds what was read after folded_offset.
+
+        Returns:
+            Whether another record counts now.
+        """
+        before = self.version
+        if page.first_offset > self.folded_offset + 1:
+            self.settled = False
+            self._candidates.clear()
+            self.folded_offset = page.first_offset - 1
+        for record in page.records:
+            if record.offset > self.folded_offset:
+                self.folded_offset = record.offset
+                content = _decode(record.payload)
+                if content is not None:
+                    self._apply(record.offset, content)
+        return self.version != before
+
+    def _apply(self, offset: int, record: OrderRecord) -> None:
+        if record.restart:
+            if record.base == offset - 1:
+                self._set(offset, record)
+        elif self.settled:
+            if record.base == self.version:
+                self._set(offset, record)
+        else:
+            self._candidates[offset] = record
+            if record.base in self._candidates:
+                self._settle(record.base)
+
+    def _settle(self, offset: int) -> None:
+        """Begins at a record that is known to count and follows its chain."""
+        candidates = sorted(self._candidates.items())
+        self._set(offset, self._candidates[offset])
+        for later, record in candidates:
+            if later > offset and record.base == self.version:
+                self._set(later, record)
+
+    def _set(self, offset: int, record: OrderRecord) -> None:
+        self.version = offset
+        self.settled = True
+        self._candidates = {}
+        self.host = record.host
+        self.incarnation = record.incarnation
+        self.change_by_engine = {
+            change.engine: change
+            if change.number
+            else dataclasses.replace(change, number=offset)
+            for change in record.changes
+        }
+        self.placed_by_engine = {item.engine: item for item in record.placed}
+
+
+def encode_order_record(record: OrderRecord) -> bytes:
+    """Encodes a record for the log."""
+    return msgspec.json.encode(record)
+
+
+def _decode(payload: bytes) -> OrderRecord | None:
+    """Decodes a record; None when it can't be read, alike on every host."""
+    try:
+        record = msgspec.json.decode(payload, type=OrderRecord)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    return record if record.schema == SCHEMA_VERSION else None
--- /dev/null
+++ b/mustardscale/order_views.py
@@ -0,0 +1,136 @@
+"""Puts together what decisions on orders depend on."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import Protocol
+
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.config_records import ServiceKind
+from mustardscale.engines import LoadReport
+from mustardscale.host_list import ListedKind
+from mustardscale.order_decisions import (
+    ChangeProgress,
+    EngineView,
+    Situation,
+)
+from mustardscale.wanted_state import ListedEngine, wanted_of
+
+
+@dataclasses.dataclass(slots=True)
+class OrderMemory:
+    """What the host that gives orders remembers between two decisions.
+
+    Attributes:
+        held_since: loop time since when this host's records count, or None.
+        last_load_at: loop time at which the last load was ordered.
+        progress_by_engine: progress of the changes under way.
+        held_back: engines whose change would empty a pool's role.
+    """
+
+    held_since: float | None = None
+    last_load_at: float = -math.inf
+    progress_by_engine: dict[str, ChangeProgress] = dataclasses.field(
+        default_factory=dict
+    )
+    held_back: set[str] = dataclasses.field(default_factory=set)
+
+    def follow(self, board: Blackboard, now: float) -> None:
+        """Brings the memory in step with the folded orders."""
+        orders = board.orders
+        if (orders.host, orders.incarnation) != (board.host, board.incarnation):
+            self.held_since = None
+            # An earlier host may have ordered a load just now.
+            self.last_load_at = now
+        elif self.held_since is None:
+            self.held_since = now
+        changes = orders.change_by_engine
+        for engine, change in changes.items():
+            if self.progress(engine, change.number) is None:
+                self.progress_by_engine[engine] = ChangeProgress(
+                    change.number, now
+                )
+        for engine in set(self.progress_by_engine) - set(changes):
+            del self.progress_by_engine[engine]
+
+    def progress(self, engine: str, number: int) -> ChangeProgress | None:
+        """Returns the progress of a change, None if it was overtaken."""
+        progress = self.progress_by_engine.get(engine)
+        if progress is None or progress.number != number:
+            return None
+        return progress
+
+    def forget(self) -> None:
+        """Forgets everything, when another host gives the orders."""
+        self.held_since = None
+        self.progress_by_engine.clear()
+
+
+class ReportSource(Protocol):
+    """Where the reports of a region's engines are."""
+
+    report_by_engine: dict[str, LoadReport]
+    true_at_by_engine: dict[str, float]
+    pool_by_engine: dict[str, str]
+
+
+def situation(
+    board: Blackboard, memory: OrderMemory, reports: ReportSource, now: float
+) -> Situation:
+    """Returns what decisions depend on at a moment."""
+    view_by_engine = {
+        endpoint.id: _view(board, memory, reports, endpoint, now)
+        for endpoint in board.endpoints_by_id.values()
+        if endpoint.kind is ListedKind.ENGINE
+        and endpoint.region == board.region
+    }
+    for engine, change in board.orders.change_by_engine.items():
+        if engine not in view_by_engine:
+            unlisted = ListedEngine(engine, '', None, True)
+            view_by_engine[engine] = EngineView(
+                unlisted, '', '', None, False, None, change=change
+            )
+    return Situation(
+        board.host,
+        board.incarnation,
+        memory.held_since if memory.held_since is not None else math.inf,
+        memory.last_load_at,
+        board.config.weight_limits(board.region),
+        _served_models(board),
+        view_by_engine,
+    )
+
+
+def _view(
+    board: Blackboard,
+    memory: OrderMemory,
+    reports: ReportSource,
+    endpoint: EndpointEntry,
+    now: float,
+) -> EngineView:
+    engine = endpoint.id
+    listed = ListedEngine(
+        engine, endpoint.listed_model, endpoint.listed_role, endpoint.fencing
+    )
+    return EngineView(
+        listed,
+        reports.pool_by_engine.get(engine, ''),
+        endpoint.model,
+        endpoint.role,
+        not endpoint.leaving(now),
+        wanted_of(listed, board.config.wanted_by_name),
+        reports.report_by_engine.get(engine),
+        reports.true_at_by_engine.get(engine, -math.inf),
+        board.orders.change_by_engine.get(engine),
+        memory.progress_by_engine.get(engine),
+    )
+
+
+def _served_models(board: Blackboard) -> frozenset[str]:
+    """Returns the models that language services use."""
+    return frozenset(
+        entry.choice.model
+        for entry in board.config.services_by_name.values()
+        if entry.choice.kind is ServiceKind.LANGUAGE
+    )
--- /dev/null
+++ b/mustardscale/orders.py
@@ -0,0 +1,226 @@
+"""Gives orders to engines so that they reach the state that is wanted.
+
+One host of a region does it. It states every change on the log, whose offset
+becomes the order's fencing number, and only then sends the order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.controller import Controller, pause
+from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.engine_drain import EngineDrains
+from mustardscale.engines import REFUSED_FENCED, EngineOrder
+from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
+from mustardscale.membership import QUORUM_LEASE_S
+from mustardscale.metrics import Metrics
+from mustardscale.order_decisions import Decisions, decide
+from mustardscale.order_log import OrderLog
+from mustardscale.order_reports import OrderReports
+from mustardscale.order_state import OrderRecord, PlacedEngine, orders_stream
+from mustardscale.order_views import OrderMemory, situation
+from mustardscale.outcomes import Outcome
+from mustardscale.rendezvous import owner
+
+log = logging.getLogger(__name__)
+
+INTERVAL_S = 0.25
+# Age of what is known of the log's tail at which no order is given, seconds.
+LOG_AGE_S = 3.0
+ORDER_TIMEOUT_S = 2.0
+# The state is written again at this interval, so that the log retains it;
+# must be well under the log's retention.
+REFRESH_S = 60.0
+# Time without a settled state after which it is begun anew, seconds; longer
+# than REFRESH_S, so that a host that knows the state has written it.
+RESTART_AFTER_S = 150.0
+
+
+class OrderController(Controller):
+    """Gives the orders of a region while this host is chosen to."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clients: EndpointClients,
+        drains: EngineDrains,
+        order_log: OrderLog,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._clients = clients
+        self._order_log = order_log
+        self._metrics = metrics
+        self._rng = rng
+        self._reports = OrderReports(blackboard, clients, drains)
+        self._memory = OrderMemory()
+        self._written_at = -math.inf
+        self._written_version = 0
+        self._sending: dict[str, asyncio.Task[None]] = {}
+        metrics.add_gauge(
+            'engine_changes', lambda: len(blackboard.orders.change_by_engine)
+        )
+
+    async def run(self) -> None:
+        """Decides at a fixed interval while this host gives the orders."""
+        try:
+            while True:
+                chosen = self._is_chosen()
+                self._order_log.hold(chosen)
+                if not chosen:
+                    self._memory.forget()
+                elif self._knows_the_log():
+                    await self._step()
+                elif self._is_stuck():
+                    await self._write(Decisions(), restart=True)
+                await pause(INTERVAL_S, self._rng)
+        finally:
+            self._reports.stop()
+            for task in self._sending.values():
+                task.cancel()
+
+    def _is_chosen(self) -> bool:
+        """Returns whether this host gives orders, as far as it knows."""
+        board = self._blackboard
+        if board.draining or not self._knows_the_configuration():
+            return False
+        now = asyncio.get_running_loop().time()
+        if now - board.quorum_at > QUORUM_LEASE_S:
+            return False
+        stream = orders_stream(board.region)
+        return owner(stream, board.serving_hosts()) == board.host
+
+    def _knows_the_configuration(self) -> bool:
+        """Returns whether no live host is known to be further on."""
+        config = self._blackboard.config
+        offsets = [
+            host.config_offset
+            for host in self._blackboard.hosts_by_id.values()
+            if not host.silent
+        ]
+        known = config.folded_offset >= max(offsets, default=0)
+        return bool(config.by_key) and config.settled and known
+
+    def _knows_the_log(self) -> bool:
+        age_s = asyncio.get_running_loop().time() - self._order_log.read_at
+        return self._blackboard.orders.settled and age_s <= LOG_AGE_S
+
+    def _is_stuck(self) -> bool:
+        """Returns whether the state is lost: nobody has written it again."""
+        since = self._order_log.unsettled_since
+        now = asyncio.get_running_loop().time()
+        fresh = now - self._order_log.read_at <= LOG_AGE_S
+        return fresh and since is not None and now - since > RESTART_AFTER_S
+
+    async def _step(self) -> None:
+        board = self._blackboard
+        now = asyncio.get_running_loop().time()
+        if not board.config.wanted_by_name and not board.orders.version:
+            return
+        self._memory.follow(board, now)
+        self._reports.poll(self._memory)
+        current = situation(board, self._memory, self._reports, now)
+        decisions = decide(current, now)
+        self._report_held_back(decisions)
+        if decisions.writes or self._is_refresh_due(now):
+            await self._write(decisions)
+        for engine, order in decisions.orders.items():
+            if engine not in self._sending:
+                task = asyncio.create_task(self._send(engine, order))
+                self._sending[engine] = task
+
+    def _is_refresh_due(self, now: float) -> bool:
+        version = self._blackboard.orders.version
+        if version != self._written_version:
+            self._written_version = version
+            self._written_at = now
+        return bool(version) and now - self._written_at > REFRESH_S
+
+    async def _write(self, decisions: Decisions, restart: bool = False) -> None:
+        """Writes the state that follows from decisions."""
+        board = self._blackboard
+        orders = board.orders
+        changes = dict(orders.change_by_engine)
+        placed = dict(orders.placed_by_engine)
+        for engine, target in decisions.finished.items():
+            changes.pop(engine, None)
+            placed[engine] = PlacedEngine(engine, target.model, target.role)
+            listed = board.endpoints_by_id[engine]
+            if (target.model, target.role) == (
+                listed.listed_model,
+                listed.listed_role,
+            ):
+                del placed[engine]
+        for engine in decisions.abandoned:
+            log.warning(
+                'change of engine %s is given up',
+                engine,
+                extra={'code': Outcome.ORDER_FAILED},
+            )
+            changes.pop(engine, None)
+        changes |= {change.engine: change for change in decisions.changes}
+        record = OrderRecord(
+            orders.folded_offset if restart else orders.version,
+            board.host,
+            board.incarnation,
+            tuple(changes.values()) if not restart else (),
+            tuple(placed.values()),
+            restart,
+        )
+        await self._order_log.append(record)
+
+    async def _send(self, engine: str, order: EngineOrder) -> None:
+        """Sends one order, unless it was overtaken."""
+        try:
+            client = self._clients.engine(engine)
+            change = self._blackboard.orders.change_by_engine.get(engine)
+            progress = self._memory.progress(engine, order.term)
+            if client is None or change is None or progress is None:
+                return
+            if change.number != order.term or not self._may_give():
+                return
+            now = asyncio.get_running_loop().time()
+            progress.note_sent(now)
+            if change.loads:
+                self._memory.last_load_at = now
+            self._metrics.count('engine_orders_sent')
+            try:
+                async with asyncio.timeout(ORDER_TIMEOUT_S):
+                    await client.order(order)
+                progress.accepted = True
+            except EndpointRefusedError as error:
+                progress.fenced = error.reason == REFUSED_FENCED
+                self._note_failure(engine, error, progress.fenced)
+            except (MustardscaleError, TimeoutError) as error:
+                self._note_failure(engine, error, False)
+        finally:
+            self._sending.pop(engine, None)
+
+    def _may_give(self) -> bool:
+        return self._is_chosen() and self._knows_the_log()
+
+    def _note_failure(
+        self, engine: str, error: Exception, fenced: bool
+    ) -> None:
+        code = Outcome.ORDER_FENCED_OFF if fenced else Outcome.ORDER_FAILED
+        self._metrics.count('engine_orders_failed')
+        log.warning(
+            'order to engine %s: %r', engine, error, extra={'code': code}
+        )
+
+    def _report_held_back(self, decisions: Decisions) -> None:
+        """Logs an engine that is held back once."""
+        held_back = set(decisions.held_back)
+        for engine in sorted(held_back - self._memory.held_back):
+            log.warning(
+                'engine %s is the last one of its role in service',
+                engine,
+                extra={'code': Outcome.ORDER_HELD_BACK},
+            )
+        self._memory.held_back = held_back
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peer_messages.capnp
@@ -25,6 +25,8 @@
     heldDigest @17 :HeldDigest;
     heldDigestReply @18 :HeldDigestReply;
     suspicionNotice @19 :SuspicionNotice;
+    engineDrain @20 :EngineDrain;
+    engineDrainReply @21 :EngineDrainReply;
   }
 }
 
@@ -226,3 +228,14 @@
 
 struct Acknowledgement {
 }
+
+struct EngineDrain {
+  pool @0 :Text;
+  engine @1 :Text;
+  number @2 :Int64;
+}
+
+struct EngineDrainReply {
+  withdrawn @0 :Bool;
+  streams @1 :Int64;
+}
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -346,6 +346,34 @@
     position: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineDrain:
+    """Asks a pool's owner whether an engine has become free of work.
+
+    Attributes:
+        pool: id of the pool.
+        engine: id of the engine.
+        number: fencing number of the engine's change.
+    """
+
+    pool: str
+    engine: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineDrainReply:
+    """Whether an engine gets no more work, and what it still has to do.
+
+    Attributes:
+        withdrawn: whether the owner knows of the change.
+        streams: reservations that still need the engine.
+    """
+
+    withdrawn: bool
+    streams: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """Empty answer."""
@@ -363,6 +391,7 @@
     | StreamRelease
     | ConfigFetch
     | SuspicionNotice
+    | EngineDrain
 )
 PeerReply = (
     Heartbeat
@@ -373,6 +402,7 @@
     | StreamLookupReply
     | StreamReleaseReply
     | ConfigFetchReply
+    | EngineDrainReply
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -387,4 +417,5 @@
     StreamRelease: StreamReleaseReply,
     ConfigFetch: ConfigFetchReply,
     SuspicionNotice: Acknowledgement,
+    EngineDrain: EngineDrainReply,
 }
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pool_owner.py
@@ -187,6 +187,7 @@
                 not entry.leaving(now)
                 and entry.unreachable_since is None
                 and model_ready
+                and not self._blackboard.is_withdrawn(entry)
             )
             new_report = entry.reported_at != engine.reported_at
             engine.report = report
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -23,6 +23,7 @@
 from mustardscale.directory import DirectoryHome
 from mustardscale.directory_client import DirectoryClient
 from mustardscale.endpoint_clients import EndpointClients, EndpointConnector
+from mustardscale.engine_drain import EngineDrains
 from mustardscale.engine_watch import EngineWatch
 from mustardscale.engines import TokenEvent
 from mustardscale.exceptions import OutcomeError
@@ -39,6 +40,8 @@
     MembershipTimes,
 )
 from mustardscale.metrics import Metrics
+from mustardscale.order_log import OrderLog
+from mustardscale.orders import OrderController
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
 from mustardscale.peer_transport import PeerTransport
@@ -167,6 +170,13 @@
         self.pool_owner = PoolOwner(
             board, calls, suspicions, POLICY_BY_NAME[options.policy], rng
         )
+        # A generator of their own, so that orders change no other draws.
+        orders_rng = random.Random(f'{options.host} {options.incarnation}')
+        order_log = OrderLog(board, edges.log, orders_rng)
+        drains = EngineDrains(board, calls, self.pool_owner)
+        orders = OrderController(
+            board, clients, drains, order_log, self.metrics, orders_rng
+        )
         self._canceller = Canceller(board, clients)
         watch = EngineWatch(board, clients, self.pool_owner, rng)
         reconciler = Reconciler(
@@ -223,6 +233,8 @@
             follower,
             SuspicionExpiry(suspicions),
             sharing,
+            order_log,
+            orders,
             *self.claims.streams,
         ]
 
--- a/mustardscale/state_dump.py
+++ b/mustardscale/state_dump.py
@@ -9,6 +9,7 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.engines import EngineRole
+from mustardscale.order_state import OrderState
 from mustardscale.owned_pool import OwnedPool
 from mustardscale.pool_owner import PoolOwner
 
@@ -39,10 +40,21 @@
             for pool_id, pool in pool_owner.owned_by_id.items()
         },
         'log_reachable': log_reachable,
+        'orders': _orders(board.orders),
         'requests': len(board.served_by_id),
     }
 
 
+def _orders(orders: OrderState) -> dict[str, object]:
+    return {
+        'version': orders.version,
+        'host': orders.host,
+        'settled': orders.settled,
+        'change_by_engine': _plain(orders.change_by_engine),
+        'placed_by_engine': _plain(orders.placed_by_engine),
+    }
+
+
 def _pool_fill(pool: OwnedPool) -> dict[str, object]:
     decodes = pool.state.engines(EngineRole.DECODE)
     reports = [engine.report for engine in decodes if engine.report]
@@ -82,6 +94,7 @@
                 for key, entry in board.config.by_key.items()
             },
         },
+        'orders': _orders(board.orders),
         'pools_by_id': {
             pool_id: {
                 **_pool_fill(pool),
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -22,6 +22,7 @@
         report_lag_s: least age of load reports, seconds.
         leaving: whether new work is refused.
         lose_cancel_answers: cancels take effect but are not answered.
+        lose_order_answers: orders take effect but are not answered.
         lose_events: probability that a token event is lost.
         duplicate_events: probability that a token event is sent twice.
         reorder_events: probability that a token event is sent after the next.
@@ -37,6 +38,7 @@
     report_lag_s: float | None = None
     leaving: bool | None = None
     lose_cancel_answers: bool | None = None
+    lose_order_answers: bool | None = None
     lose_events: float | None = None
     duplicate_events: float | None = None
     reorder_events: float | None = None
@@ -46,6 +48,7 @@
     'slow_factor',
     'leaving',
     'lose_cancel_answers',
+    'lose_order_answers',
     'lose_events',
     'duplicate_events',
     'reorder_events',
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -133,7 +133,7 @@
             lambda call: self._crash_if_marked(call.prompt),
         )
         self._orders = OrderDesk(
-            parameters, self.counters, load_model, self._cache.clear
+            parameters, self.counters, load_model, self._end_all_work
         )
         self._reports = LaggedReports(
             parameters.report_lag_s, self.current_report
@@ -230,6 +230,8 @@
         """Accepts an order and carries it out afterwards."""
         await self._answering()
         self._orders.accept(order)
+        if self.faults.lose_order_answers:
+            raise EndpointFailedError('the answer to the order was lost')
 
     async def orders_settled(self) -> None:
         """Waits until the order accepted last is carried out."""
@@ -284,12 +286,24 @@
         self._down_until = asyncio.get_running_loop().time() + down_s
         error = EndpointFailedError('the engine crashed', crashed=True)
         self._fence.clear()
+        self._drop_all(error)
+        self._orders.restart()
+        self._reports.restart()
+        self.on_crash(down_s)
+
+    def _end_all_work(self) -> None:
+        """Ends everything that was computed with the model unloaded now."""
+        self.counters.cut_by_orders += sum(
+            info.stage is not StreamStage.FINISHED
+            for info in self.held_streams()
+        )
+        self._drop_all(EndpointFailedError('the model was unloaded'))
+
+    def _drop_all(self, error: EndpointFailedError) -> None:
         self._prefills.fail_all(error)
         self._store.discard(lambda tag: True, WASTED_LOST)
         self._decodes.fail_all(error)
         self._cache.clear()
-        self._reports.restart()
-        self.on_crash(down_s)
 
     def freeze(self) -> None:
         """Halts the engine; calls get no answer until it is thawed."""
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -38,17 +38,13 @@
             load_model: reads a model and version from the weight store.
             on_model_change: called when another model is to be loaded.
         """
-        self.role = parameters.role
-        self.model = parameters.model
-        self.model_version = parameters.model_version
-        self.adapters: tuple[str, ...] = ()
-        self.term = 0
         self._parameters = parameters
         self._counters = counters
         self._load_model = load_model
         self._on_model_change = on_model_change
-        self._accepted_term = 0
         self._task: asyncio.Task[None] | None = None
+        self._accepted_term = 0
+        self._reset()
 
     def serves(self, role: EngineRole, model: str) -> bool:
         """Returns whether work for this role and model is taken."""
@@ -61,6 +57,7 @@
             EndpointRefusedError: its term is old and terms are checked.
         """
         if self._parameters.checks_fencing and order.term < self._accepted_term:
+            self._counters.orders_refused += 1
             raise EndpointRefusedError(REFUSED_FENCED)
         self._accepted_term = order.term
         self.close()
@@ -71,6 +68,19 @@
         if self._task is not None:
             await asyncio.shield(self._task)
 
+    def restart(self) -> None:
+        """Loses the order in progress and all that orders have changed."""
+        self.close()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.role = self._parameters.role
+        self.model = self._parameters.model
+        self.model_version = self._parameters.model_version
+        self.adapters: tuple[str, ...] = ()
+        self.term = 0
+        self._accepted_term = 0
+
     def close(self) -> None:
         """Gives up the order that is being carried out."""
         if self._task is not None:
--- a/standins/engine_parameters.py
+++ b/standins/engine_parameters.py
@@ -78,6 +78,7 @@
         transfers_stalled: whether exports of KV cache make no progress.
         leaving: whether new work is refused.
         lose_cancel_answers: cancels take effect but are not answered.
+        lose_order_answers: orders take effect but are not answered.
         lose_events: probability that a token event is lost.
         duplicate_events: probability that a token event is sent twice.
         reorder_events: probability that a token event is sent after the next.
@@ -88,6 +89,7 @@
     transfers_stalled: bool = False
     leaving: bool = False
     lose_cancel_answers: bool = False
+    lose_order_answers: bool = False
     lose_events: float = 0.0
     duplicate_events: float = 0.0
     reorder_events: float = 0.0
@@ -108,6 +110,8 @@
             where it has any.
         crashes: crashes and kills.
         orders_done: orders carried out.
+        orders_refused: orders refused because of their old term.
+        cut_by_orders: prefills and streams that a change of model ended.
     """
 
     prefill_tokens_computed: int = 0
@@ -127,6 +131,8 @@
     preempted: int = 0
     crashes: int = 0
     orders_done: list[EngineOrder] = dataclasses.field(default_factory=list)
+    orders_refused: int = 0
+    cut_by_orders: int = 0
 
     @property
     def prefill_tokens_wasted(self) -> int:
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -95,6 +95,7 @@
         self.entries_by_id: dict[str, EntryProcess] = {}
         self.endpoint_address_by_id: dict[str, str] = {}
         self._engine_roles: dict[str, EngineRole] = {}
+        self._unfenced: set[str] = set()
         self._choose_addresses()
 
     def _choose_addresses(self) -> None:
@@ -119,6 +120,8 @@
         for number in range(engines):
             name = f'{layout.language_service}-{number + 1}'
             self.endpoint_address_by_id[name] = next(addresses)
+            if number >= engines - layout.unfenced_engines:
+                self._unfenced.add(name)
             is_prefill = number < layout.prefill_engines
             self._engine_roles[name] = (
                 EngineRole.PREFILL if is_prefill else EngineRole.DECODE
@@ -159,6 +162,7 @@
                     ),
                     model=layout.language_service if is_engine else '',
                     role=role,
+                    fencing=name not in self._unfenced,
                 )
             )
         return listed
@@ -211,6 +215,7 @@
                 address,
                 f'--role={role}',
                 f'--model={self.layout.language_service}',
+                f'--checks-fencing={name not in self._unfenced}',
             )
         self._process_by_endpoint[name] = process
 
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -43,6 +43,7 @@
 from standins.memory_peers import MemoryPeerNetwork
 from standins.plain_inprocess import MemoryPlainEndpoint
 from standins.plain_model import PlainModel
+from standins.weight_store_model import WeightStoreModel
 
 # Wall-clock time at loop time 0, seconds since the epoch.
 WALL_START_S = 1_800_000_000.0
@@ -63,6 +64,7 @@
         plain_service: name of the plain service.
         plain_endpoints: its endpoints.
         other_plain_services: plain services that the same endpoints serve.
+        unfenced_engines: engines, the last ones, that ignore old terms.
     """
 
     region: str = 'dk-east'
@@ -74,6 +76,7 @@
     plain_service: str = 'katode-ledger'
     plain_endpoints: int = 4
     other_plain_services: tuple[str, ...] = ()
+    unfenced_engines: int = 0
 
 
 def token_of(service: str) -> str:
@@ -123,6 +126,7 @@
         log: the log.
         host_list: the host list.
         peers: the network between entry hosts.
+        weight_store: where the engines load weights from.
         engines_by_id: the engines.
         plains_by_id: the endpoints of the plain service.
         trace: where hosts started from now on record events.
@@ -153,6 +157,7 @@
         self.cut_pairs: set[tuple[str, str]] = set()
         self._ledger = PickupLedger()
         self._kv_source = InProcessKvSource(self.engines_by_id)
+        self.weight_store = WeightStoreModel()
         self._make_engines(parameters or EngineParameters())
         self._make_plains()
         self.host_list = HostListModel(self._listed())
@@ -169,6 +174,7 @@
         layout = self.layout
         roles = [EngineRole.PREFILL] * layout.prefill_engines
         roles += [EngineRole.DECODE] * layout.decode_engines
+        fenced = len(roles) - layout.unfenced_engines
         for number, role in enumerate(roles):
             name = f'{layout.language_service}-{number + 1}'
             self.engines_by_id[name] = EngineModel(
@@ -176,11 +182,13 @@
                     parameters,
                     role=role,
                     model=layout.language_service,
+                    checks_fencing=number < fenced,
                     seed=self.rng.randrange(1 << 30),
                 ),
                 self._kv_source,
                 self._length_of,
-                ledger=self._ledger,
+                self.weight_store.load_patiently,
+                self._ledger,
             )
 
     def listed_by_id(self) -> dict[str, ListedHost]:
@@ -205,6 +213,7 @@
                     service=layout.language_service,
                     model=layout.language_service,
                     role=engine.parameters.role,
+                    fencing=engine.parameters.checks_fencing,
                 )
             )
         for name in self.plains_by_id:
--- a/standins/weight_store_model.py
+++ b/standins/weight_store_model.py
@@ -15,6 +15,9 @@
     pass_disruption,
 )
 
+# Least time for which an engine waits after a refusal, seconds.
+LEAST_WAIT_S = 0.1
+
 
 @dataclasses.dataclass(slots=True)
 class WeightStoreConditions:
@@ -106,6 +109,15 @@
         self.counters.loads += 1
         return WeightLoad(model, version, size, duration_s)
 
+    async def load_patiently(self, model: str, version: str) -> None:
+        """Loads as engines do, which wait as often as the store asks."""
+        while True:
+            try:
+                await self.load(model, version)
+                return
+            except StandinRefusedError as error:
+                await asyncio.sleep(max(LEAST_WAIT_S, error.retry_after_s))
+
     def _begin(self, now: float) -> None:
         counters = self.counters
         if counters.loading >= self.conditions.loads_at_once:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,7 +17,12 @@
 pytest_plugins = ['pytester']
 
 ROOT = pathlib.Path(__file__).parents[1]
-LAYOUT = SiteLayout(prefill_engines=1, decode_engines=2, plain_endpoints=3)
+LAYOUT = SiteLayout(
+    prefill_engines=1,
+    decode_engines=2,
+    plain_endpoints=3,
+    unfenced_engines=1,
+)
 
 
 def pytest_collection_modifyitems(items):
--- /dev/null
+++ b/tests/order_site.py
@@ -0,0 +1,128 @@
+"""What tests of orders to engines share: sites, waiting and judging."""
+
+import asyncio
+
+import async_solipsism
+
+from mustardscale.config_records import ConfigKey, Profile
+from mustardscale.engines import EngineRole
+from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
+from standins.memory_site import MemorySite, SiteLayout
+
+MODEL = 'katode-lm'
+ALL = f'model/{MODEL}'
+ENGINES = [f'{MODEL}-{number}' for number in range(1, 6)]
+# Some engines check fencing numbers and some don't.
+LAYOUT = SiteLayout(unfenced_engines=2)
+# Time in which every engine of the site reaches a wanted state, seconds.
+REACHED_S = 120.0
+POLL_S = 0.1
+
+
+def run_orders(scenario, layout=LAYOUT):
+    """Runs a coroutine function with a started site on a paused clock."""
+
+    async def main():
+        site = MemorySite(layout, seed=1)
+        site.weight_store.conditions.loads_at_once = 1
+        await site.start()
+        await site.publish_defaults(Profile(patience_s=5), Profile())
+        await asyncio.sleep(5)
+        watch = asyncio.create_task(Watch(site).run())
+        try:
+            await scenario(site)
+            assert not watch.done(), watch.exception()
+        finally:
+            watch.cancel()
+            await site.stop()
+
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        runner.run(main())
+
+
+class Watch:
+    """Fails when all engines of a role are changed at once."""
+
+    def __init__(self, site):
+        self.site = site
+
+    async def run(self):
+        """Looks at the engines at a short interval."""
+        while True:
+            for role in EngineRole:
+                engines = [
+                    engine.current_report()
+                    for engine in self.site.engines_by_id.values()
+                    if engine.current_report().role is role
+                ]
+                assert any(report.model == MODEL for report in engines), role
+            await asyncio.sleep(POLL_S)
+
+
+async def want(site, name=ALL, version='2', **fields):
+    """Publishes a wanted state made from the current one."""
+    key = ConfigKey('engine', name)
+    router = next(iter(site.routers_by_host.values()))
+    base = router.blackboard.config.version(key)
+    fields.setdefault('model', MODEL)
+    content = WantedEngine(model_version=version, **fields)
+    return await site.publish(key, content, base)
+
+
+async def limit(site, **fields):
+    """Publishes the limits of the weight store."""
+    key = ConfigKey('weights', site.layout.region)
+    await site.publish(key, WeightStoreLimits(**fields))
+
+
+async def until(check, within_s=REACHED_S):
+    """Polls until a check holds; the bound is its deadline."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + within_s
+    while not check():
+        assert loop.time() < give_up_at, 'it did not come in time'
+        await asyncio.sleep(POLL_S)
+
+
+def versions(site):
+    """Returns the versions that the engines serve, '' while they load."""
+    reports = [e.current_report() for e in site.engines_by_id.values()]
+    return [report.model and report.model_version for report in reports]
+
+
+def all_have(site, version):
+    """Returns whether every engine serves a version and no change is left."""
+    settled = all(
+        not router.blackboard.orders.change_by_engine
+        for router in site.routers_by_host.values()
+    )
+    return settled and set(versions(site)) == {version}
+
+
+def changes(site):
+    """Returns the changes under way, by engine, as the log has them."""
+    routers = site.routers_by_host.values()
+    newest = max(routers, key=lambda r: r.blackboard.orders.version)
+    return newest.blackboard.orders.change_by_engine
+
+
+def holder(site):
+    """Returns the host that gives the orders."""
+    routers = site.routers_by_host.values()
+    newest = max(routers, key=lambda r: r.blackboard.orders.version)
+    return newest.blackboard.orders.host
+
+
+def loading(site):
+    """Returns the engines that load now."""
+    return [
+        name
+        for name, engine in site.engines_by_id.items()
+        if not engine.current_report().model
+    ]
+
+
+def cut(site):
+    """Returns how many streams orders have ended."""
+    engines = site.engines_by_id.values()
+    return sum(engine.counters.cut_by_orders for engine in engines)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -42,6 +42,16 @@
             'hosts': {'e2': 0.25},
             'pools': {'m@a': {'pieces_used': 3, 'pieces_total': 9}},
             'log_reachable': True,
+            'orders': {
+                'version': 4,
+                'change_by_engine': {
+                    'd1': {
+                        'target': {'model': 'm', 'model_version': '2'},
+                        'number': 4,
+                        'host': 'e2',
+                    }
+                },
+            },
         }
 
     async def dump(self, address):
@@ -192,7 +202,7 @@
         await tool.run(*FIRST)
         code, text = await tool.run('status')
         assert code == ExitCode.DONE
-        for shown in ('e2 0.25 s', 'm@a', '3 of 9', 'e1, e2, e3'):
+        for shown in ('e2 0.25 s', 'm@a', '3 of 9', 'e1, e2, e3', 'd1'):
             assert shown in text
         tool.operators.silent = {'o3'}
         code, text = await tool.run('status')
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,347 @@
+"""Orders to engines at a whole site, under failure and virtual time."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from mustardscale import orders
+from mustardscale.config_records import ConfigKey, ServiceChoice
+from mustardscale.engines import EngineOrder, EngineRole
+from mustardscale.exceptions import EndpointRefusedError
+from standins.fault_actions import FaultActions
+from standins.faults import Outage
+from standins.memory_site import SiteLayout
+from tests.order_site import (
+    ENGINES,
+    LAYOUT,
+    MODEL,
+    all_have,
+    changes,
+    cut,
+    holder,
+    limit,
+    loading,
+    run_orders,
+    until,
+    versions,
+    want,
+)
+from tests.test_memory_site import answer, language, whole
+
+
+class TestWantedState:
+    """Engines reach what is wanted, one after another, and serve on."""
+
+    @pytest.mark.parametrize('loads', [1, 2])
+    def test_a_new_version_everywhere_under_load(self, loads):
+        async def scenario(site):
+            site.weight_store.conditions.loads_at_once = loads
+            await limit(site, loads_at_once=loads)
+            await want(site, adapters=('a',))
+            number = 0
+            while not all_have(site, '2'):
+                hosts = list(site.routers_by_host.values())
+                requests = [language(number + n) for n in range(6)]
+                answers = await asyncio.gather(*map(answer, hosts, requests))
+                assert answers == [whole(request) for request in requests]
+                number += len(requests)
+                assert number < 1000
+            counters = site.weight_store.counters
+            assert (counters.refused, counters.loads) == (0, len(ENGINES))
+            assert counters.most_loading <= loads
+            assert cut(site) == 0
+            adapters = {
+                engine.current_report().adapters
+                for engine in site.engines_by_id.values()
+            }
+            assert adapters == {('a',)}
+
+        run_orders(scenario)
+
+    def test_loads_keep_their_distance(self):
+        async def scenario(site):
+            begun = []
+            load = site.weight_store.load
+
+            async def noting(model, version):
+                begun.append(asyncio.get_running_loop().time())
+                return await load(model, version)
+
+            for engine in site.engines_by_id.values():
+                engine._orders._load_model = noting
+            await limit(site, bytes_per_s=1e9, weight_bytes=12e9)
+            await want(site)
+            await until(lambda: all_have(site, '2'))
+            gaps = [b - a for a, b in itertools.pairwise(begun)]
+            assert len(gaps) == len(ENGINES) - 1
+            assert min(gaps) >= 12.0 - 0.1
+
+        run_orders(scenario)
+
+    def test_a_role_changes_and_changes_back(self):
+        async def scenario(site):
+            router = site.routers_by_host['entry-1']
+            board = router.blackboard
+            await want(site, ENGINES[4], '1', role=EngineRole.PREFILL)
+            await until(lambda: ENGINES[4] in board.orders.placed_by_engine)
+            entry = board.endpoints_by_id[ENGINES[4]]
+            assert entry.role is EngineRole.PREFILL
+            requests = [language(number) for number in range(6)]
+            for request in requests:
+                assert await answer(router, request) == whole(request)
+            await want(site, ENGINES[4], '1', role=EngineRole.DECODE)
+            await until(lambda: ENGINES[4] not in board.orders.placed_by_engine)
+            assert entry.role is EngineRole.DECODE
+            assert site.weight_store.counters.loads == 0
+
+        run_orders(scenario)
+
+    def test_an_engine_goes_to_the_pool_of_its_new_model(self):
+        async def scenario(site):
+            boards = [r.blackboard for r in site.routers_by_host.values()]
+            await want(site, ENGINES[4], '7', model='other')
+
+            def placed():
+                models = [b.endpoints_by_id[ENGINES[4]].model for b in boards]
+                return set(models) == {'other'}
+
+            await until(placed)
+            assert versions(site) == ['1'] * 4 + ['7']
+            owned = {
+                pool_id: pool
+                for router in site.routers_by_host.values()
+                for pool_id, pool in router.pool_owner.owned_by_id.items()
+            }
+            assert sorted(owned) == ['katode-lm@dk-east#0', 'other@dk-east#0']
+            assert (
+                ENGINES[4]
+                not in owned['katode-lm@dk-east#0'].members.engine_ids
+            )
+            await asyncio.sleep(1)
+            others = owned['other@dk-east#0'].state.engines_by_id
+            assert [e.usable for e in others.values()] == [True]
+
+        run_orders(scenario)
+
+    @pytest.mark.parametrize('allowed', [False, True])
+    def test_the_last_engine_of_a_role_is_left_alone(self, allowed):
+        async def scenario(site):
+            await want(site, ENGINES[0], allow_outage=allowed)
+            await asyncio.sleep(30)
+            assert versions(site)[0] == ('2' if allowed else '1')
+
+        layout = SiteLayout(prefill_engines=1)
+        if allowed:
+            with pytest.raises(AssertionError, match='prefill'):
+                run_orders(scenario, layout)
+        else:
+            run_orders(scenario, layout)
+
+    def test_a_model_that_no_service_uses_is_not_protected(self):
+        async def scenario(site):
+            key = ConfigKey('service', MODEL)
+            board = site.routers_by_host['entry-1'].blackboard
+            choice = ServiceChoice(MODEL, model='elsewhere')
+            await site.publish(key, choice, board.config.version(key))
+            await want(site, ENGINES[1])
+            await want(site, ENGINES[0], model='other')
+            await until(lambda: versions(site)[:2] == ['2', '2'])
+
+        with pytest.raises(AssertionError, match='prefill'):
+            run_orders(scenario)
+
+    def test_a_long_stream_is_waited_for(self):
+        async def scenario(site):
+            request = language(2, 4000)
+            host = site.routers_by_host['entry-1']
+            reading = asyncio.create_task(answer(host, request))
+            await asyncio.sleep(1)
+            await limit(site, loads_at_once=9)
+            await want(site)
+            assert await reading == whole(request)
+            await until(lambda: all_have(site, '2'))
+            assert cut(site) == 0
+            begun = [
+                engine.counters.executions_by_request.get(request.id, 0)
+                for engine in site.engines_by_id.values()
+            ]
+            assert sum(begun) == 1
+
+        run_orders(scenario)
+
+
+class TestHolders:
+    """The host that gives orders pauses, dies or is not the only one."""
+
+    def test_killed_in_the_middle(self):
+        async def scenario(site):
+            await want(site)
+            # A third one would leave no majority of the listed hosts.
+            for _ in range(2):
+                await until(
+                    lambda: (
+                        loading(site) and holder(site) in site.routers_by_host
+                    )
+                )
+                await site.kill_host(holder(site))
+            await until(lambda: all_have(site, '2'))
+            assert site.weight_store.counters.refused == 0
+
+        run_orders(scenario)
+
+    @pytest.mark.parametrize('at_s', [0.0, 0.7, 1.4, 2.1, 4.0])
+    def test_paused_and_resumed(self, at_s):
+        async def scenario(site):
+            actions = FaultActions(site)
+            await want(site)
+            await until(lambda: changes(site))
+            await asyncio.sleep(at_s)
+            paused = holder(site)
+            end = actions.freeze(paused)
+            await until(lambda: holder(site) != paused)
+            await want(site, version='3')
+            await asyncio.sleep(8)
+            await end()
+            await until(lambda: all_have(site, '3'))
+            await asyncio.sleep(20)
+            assert all_have(site, '3')
+
+        run_orders(scenario)
+
+    @pytest.mark.parametrize('engine', [ENGINES[0], ENGINES[4]])
+    def test_an_order_held_back_by_a_pause_arrives_late(self, engine):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: engine in changes(site))
+            change = changes(site)[engine]
+            await until(lambda: all_have(site, '2'))
+            await want(site, version='3')
+            await until(lambda: all_have(site, '3'))
+            model = site.engines_by_id[engine]
+            late = EngineOrder(change.number, change.target.role, MODEL, '2')
+            if model.parameters.checks_fencing:
+                with pytest.raises(EndpointRefusedError, match='fenced'):
+                    await model.order(late)
+                assert all_have(site, '3')
+            else:
+                await model.order(late)
+                await until(lambda: '2' in versions(site))
+                await until(lambda: all_have(site, '3'))
+
+        run_orders(scenario)
+
+    def test_every_host_takes_itself_for_the_holder(self, monkeypatch):
+        async def scenario(site):
+            await want(site)
+            await asyncio.sleep(2)
+            with monkeypatch.context() as patch:
+                chosen = orders.OrderController._knows_the_configuration
+                patch.setattr(orders.OrderController, '_is_chosen', chosen)
+                for _ in range(80):
+                    await asyncio.sleep(0.25)
+                    assert len(changes(site)) <= 1
+                    assert len(loading(site)) <= 1
+            await until(lambda: all_have(site, '2'))
+            assert site.weight_store.counters.refused == 0
+
+        run_orders(scenario)
+
+    def test_nothing_is_ordered_without_a_majority(self):
+        async def scenario(site):
+            for one in site.routers_by_host:
+                for other in site.routers_by_host:
+                    if one < other:
+                        site.peers.cut(one, other)
+            await asyncio.sleep(5)
+            await want(site)
+            await asyncio.sleep(30)
+            assert versions(site) == ['1'] * 5
+
+        run_orders(scenario)
+
+
+class TestPlatform:
+    """The log, the engines and the answers fail."""
+
+    @pytest.mark.parametrize('outage', [Outage.REFUSE, Outage.HANG])
+    def test_log_outage(self, outage):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: loading(site))
+            engine = loading(site)[0]
+            site.log.conditions.outage = outage
+            await asyncio.sleep(30)
+            # What was ordered is carried out and serves; nothing else begins.
+            assert sorted(versions(site)) == ['1'] * 4 + ['2']
+            pool = next(
+                pool
+                for router in site.routers_by_host.values()
+                for pool in router.pool_owner.owned_by_id.values()
+            )
+            assert pool.state.engines_by_id[engine].usable
+            site.log.conditions.outage = Outage.NONE
+            await until(lambda: all_have(site, '2'))
+
+        run_orders(scenario)
+
+    def test_log_answers_are_lost(self):
+        async def scenario(site):
+            site.log.conditions.lose_answer_probability = 0.5
+            await want(site)
+            await until(lambda: all_have(site, '2'))
+            assert site.weight_store.counters.refused == 0
+
+        run_orders(scenario)
+
+    def test_answers_to_orders_are_lost(self):
+        async def scenario(site):
+            for engine in site.engines_by_id.values():
+                engine.faults.lose_order_answers = True
+            await want(site)
+            await until(lambda: all_have(site, '2'))
+            assert site.weight_store.counters.refused == 0
+
+        run_orders(scenario)
+
+    @pytest.mark.parametrize('engine', [ENGINES[0], ENGINES[4]])
+    @pytest.mark.parametrize('at_s', [0.0, 1.0, 2.0, 3.0, 5.0])
+    def test_engine_crashes_in_the_middle(self, engine, at_s):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: engine in changes(site))
+            await asyncio.sleep(at_s)
+            site.engines_by_id[engine].kill()
+            await until(lambda: all_have(site, '2'))
+            # It starts with what its deployment says and is corrected.
+            site.engines_by_id[engine].kill()
+            await until(lambda: versions(site).count('1') == 1)
+            await until(lambda: all_have(site, '2'))
+
+        run_orders(scenario)
+
+    def test_an_engine_that_is_gone_does_not_hold_the_others_up(self):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: ENGINES[2] in changes(site))
+            site.engines_by_id[ENGINES[2]].kill(1e6)
+            rest = [0, 1, 3, 4]
+            await until(
+                lambda: [versions(site)[n] for n in rest] == ['2'] * 4, 200
+            )
+
+        run_orders(scenario)
+
+    def test_the_state_outlives_the_retention(self):
+        async def scenario(site):
+            site.log.conditions.retention_s = 100
+            await want(site, ENGINES[4], '7', model='other')
+            await until(lambda: not changes(site) and versions(site)[4] == '7')
+            await asyncio.sleep(250)
+            router = await site.start_host('entry-7')
+            await asyncio.sleep(10)
+            assert router.blackboard.orders.settled
+            entry = router.blackboard.endpoints_by_id[ENGINES[4]]
+            assert entry.model == 'other'
+
+        run_orders(scenario, LAYOUT)
