Change wanted states in fault runs, measure, and decide less often when idle

Judged: every engine ends as wanted, no load beyond the weight store's limit, no stream ended by an order.

--- a/mustardscale/orders.py
+++ b/mustardscale/orders.py
@@ -29,7 +29,10 @@
 
 log = logging.getLogger(__name__)
 
-INTERVAL_S = 0.25
+# Interval of decisions while engines are being changed, seconds.
+CHANGE_INTERVAL_S = 0.25
+# The same while none is.
+IDLE_INTERVAL_S = 1.0
 # Age of what is known of the log's tail at which no order is given, seconds.
 LOG_AGE_S = 3.0
 ORDER_TIMEOUT_S = 2.0
@@ -79,7 +82,9 @@
                     await self._step()
                 elif self._is_stuck():
                     await self._write(Decisions(), restart=True)
-                await pause(INTERVAL_S, self._rng)
+                busy = chosen and self._blackboard.orders.change_by_engine
+                interval_s = CHANGE_INTERVAL_S if busy else IDLE_INTERVAL_S
+                await pause(interval_s, self._rng)
         finally:
             self._reports.stop()
             for task in self._sending.values():
--- a/standins/fault_runs.py
+++ b/standins/fault_runs.py
@@ -26,6 +26,7 @@
 from standins.fault_actions import FaultActions
 from standins.fault_callers import FaultCallers
 from standins.fault_operators import FaultOperators
+from standins.fault_orders import FaultOrders
 from standins.fault_plan import FAULTS_END_S, Fault, draw_faults
 from standins.memory_site import MemorySite, SiteLayout
 from standins.promise_checks import (
@@ -80,6 +81,7 @@
     seed: int,
     faults: list[Fault] | None = None,
     record: pathlib.Path | None = None,
+    orders: bool = False,
 ) -> RunReport:
     """Runs one seed under virtual time.
 
@@ -87,13 +89,14 @@
         seed: the seed of everything random.
         faults: faults to carry out in place of those that the seed draws.
         record: file to which all hosts record one trace.
+        orders: whether operators also change what engines shall serve.
     """
     faulthandler.dump_traceback_later(SEED_LIMIT_S, exit=True)
     with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
         loop = runner.get_loop()
         loop.set_exception_handler(lambda *_: None)
         try:
-            return runner.run(_run(seed, faults, record))
+            return runner.run(_run(seed, faults, record, orders))
         finally:
             faulthandler.cancel_dump_traceback_later()
 
@@ -137,7 +140,10 @@
 
 
 async def _run(
-    seed: int, faults: list[Fault] | None, record: pathlib.Path | None
+    seed: int,
+    faults: list[Fault] | None,
+    record: pathlib.Path | None,
+    orders: bool,
 ) -> RunReport:
     rng = random.Random(seed)
     drawn = draw_faults(rng)
@@ -153,6 +159,9 @@
     callers = FaultCallers(site, actions, random.Random(rng.random()))
     checks = PromiseChecks(site, actions, callers)
     operators = FaultOperators(site, random.Random(rng.random()))
+    engine_operators = None
+    if orders:
+        engine_operators = FaultOrders(site, random.Random(rng.random()))
     sampling = asyncio.create_task(checks.run())
     failures = ControllerFailures()
     async with asyncio.TaskGroup() as group:
@@ -160,11 +169,16 @@
             group.create_task(actions.carry_out(fault))
         group.create_task(callers.run(FAULTS_END_S))
         group.create_task(operators.run(FAULTS_END_S))
+        if engine_operators is not None:
+            group.create_task(engine_operators.run(FAULTS_END_S))
     await _check_recovery(site, callers, checks)
     await asyncio.sleep(QUIET_S)
     checks.judge()
     for text in operators.judge():
         checks.report_config(text)
+    if engine_operators is not None:
+        for text in await engine_operators.judge():
+            checks.report_orders(text)
     for text in failures.end():
         checks.require_recovery('controller', text)
     sampling.cancel()
@@ -237,6 +251,11 @@
     parser.add_argument('--seeds', type=int, default=20)
     parser.add_argument('--first-seed', type=int, default=1)
     parser.add_argument('--processes', type=int, default=MOST_PROCESSES)
+    parser.add_argument(
+        '--orders',
+        action='store_true',
+        help='change what engines shall serve during the runs',
+    )
     parser.add_argument('--verbose', action='store_true')
     parser.add_argument(
         '--record', type=pathlib.Path, help='directory for a trace of each seed'
@@ -250,7 +269,9 @@
     seeds = range(options.first_seed, options.first_seed + options.seeds)
     processes = min(options.processes, MOST_PROCESSES)
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        run = functools.partial(_run_recorded, directory=options.record)
+        run = functools.partial(
+            _run_recorded, directory=options.record, orders=options.orders
+        )
         reports = list(pool.map(run, seeds))
     write = sys.stdout.write
     for promise in Promise:
@@ -265,12 +286,15 @@
     return 1 if broken else 0
 
 
-def _run_recorded(seed: int, directory: pathlib.Path | None) -> RunReport:
+def _run_recorded(
+    seed: int, directory: pathlib.Path | None, orders: bool
+) -> RunReport:
     """Runs a seed; its trace goes to a directory, if there is one."""
     if directory is None:
-        return run_seed(seed)
+        return run_seed(seed, orders=orders)
     directory.mkdir(parents=True, exist_ok=True)
-    return run_seed(seed, record=directory / f'seed-{seed}.jsonl')
+    record = directory / f'seed-{seed}.jsonl'
+    return run_seed(seed, record=record, orders=orders)
 
 
 def summary(reports: list[RunReport]) -> str:
--- a/standins/promise_checks.py
+++ b/standins/promise_checks.py
@@ -40,6 +40,7 @@
     DRAIN_CUTS_NOTHING = 7
     PROFILES_IN_FORCE = 8
     RECOVERS = 9
+    ORDERS_REACHED = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +236,10 @@
         """Notes that an operator was told something untrue."""
         self._report(Promise.PROFILES_IN_FORCE, text)
 
+    def report_orders(self, text: str) -> None:
+        """Notes what orders to engines led to and must not."""
+        self._report(Promise.ORDERS_REACHED, text)
+
     def require_recovery(self, host: str, text: str) -> None:
         """Notes that a host did not serve again by itself."""
         self._report(Promise.RECOVERS, f'{host}: {text}')
--- a/tests/order_site.py
+++ b/tests/order_site.py
@@ -1,13 +1,16 @@
 """What tests of orders to engines share: sites, waiting and judging."""
 
 import asyncio
+import itertools
 
 import async_solipsism
 
 from mustardscale.config_records import ConfigKey, Profile
 from mustardscale.engines import EngineRole
 from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
+from standins.expected_answers import output_length
 from standins.memory_site import MemorySite, SiteLayout
+from tests.test_memory_site import language
 
 MODEL = 'katode-lm'
 ALL = f'model/{MODEL}'
@@ -17,6 +20,7 @@
 # Time in which every engine of the site reaches a wanted state, seconds.
 REACHED_S = 120.0
 POLL_S = 0.1
+LONG_TOKENS = 2_000
 
 
 def run_orders(scenario, layout=LAYOUT):
@@ -126,3 +130,13 @@
     """Returns how many streams orders have ended."""
     engines = site.engines_by_id.values()
     return sum(engine.counters.cut_by_orders for engine in engines)
+
+
+def long_request():
+    """Returns a request whose answer takes half a minute or more."""
+    requests = (language(number, 4000) for number in itertools.count(1000))
+    return next(
+        request
+        for request in requests
+        if output_length(request.prompt.fingerprint, 4000) >= LONG_TOKENS
+    )
--- a/tests/test_order_decisions.py
+++ b/tests/test_order_decisions.py
@@ -18,6 +18,12 @@
     decide,
 )
 from mustardscale.order_state import EngineChange
+from mustardscale.orders import (
+    LOG_AGE_S,
+    ORDER_TIMEOUT_S,
+    REFRESH_S,
+    RESTART_AFTER_S,
+)
 from mustardscale.wanted_state import (
     EngineTarget,
     ListedEngine,
@@ -119,6 +125,10 @@
         assert len(soon.orders) == sent
         assert len(decided(engine, held_since=NOW - MARGIN_S).orders) == 1
 
+    def test_the_margin_outlasts_an_earlier_holder_s_last_order(self):
+        assert MARGIN_S >= LOG_AGE_S + ORDER_TIMEOUT_S
+        assert RESTART_AFTER_S > 2 * REFRESH_S
+
     def test_loads_keep_their_distance(self):
         engines = [changed('a'), changed('b')]
         assert len(decided(*engines).orders) == 2
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,6 +1,7 @@
 """Orders to engines at a whole site, under failure and virtual time."""
 
 import asyncio
+import dataclasses
 import itertools
 
 import pytest
@@ -9,6 +10,11 @@
 from mustardscale.config_records import ConfigKey, ServiceChoice
 from mustardscale.engines import EngineOrder, EngineRole
 from mustardscale.exceptions import EndpointRefusedError
+from mustardscale.order_state import (
+    OrderRecord,
+    encode_order_record,
+    orders_stream,
+)
 from standins.fault_actions import FaultActions
 from standins.faults import Outage
 from standins.memory_site import SiteLayout
@@ -22,6 +28,7 @@
     holder,
     limit,
     loading,
+    long_request,
     run_orders,
     until,
     versions,
@@ -151,9 +158,28 @@
         with pytest.raises(AssertionError, match='prefill'):
             run_orders(scenario)
 
+    def test_a_withdrawn_engine_gets_no_new_work(self):
+        async def scenario(site):
+            host = site.routers_by_host['entry-1']
+            reading = asyncio.create_task(answer(host, long_request()))
+            await asyncio.sleep(1)
+            engines = site.engines_by_id
+            busy = next(n for n in ENGINES[2:] if engines[n].held_streams())
+            await want(site, busy)
+            await until(lambda: busy in changes(site))
+            await asyncio.sleep(0.5)
+            begun = dict(engines[busy].counters.executions_by_request)
+            for number in range(30):
+                await answer(host, language(number, 50))
+            assert not reading.done()
+            assert engines[busy].counters.executions_by_request == begun
+            await reading
+
+        run_orders(scenario)
+
     def test_a_long_stream_is_waited_for(self):
         async def scenario(site):
-            request = language(2, 4000)
+            request = long_request()
             host = site.routers_by_host['entry-1']
             reading = asyncio.create_task(answer(host, request))
             await asyncio.sleep(1)
@@ -231,10 +257,46 @@
 
         run_orders(scenario)
 
+    def test_a_record_that_a_pause_held_back_changes_nothing(self):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: loading(site))
+            stream = orders_stream(site.layout.region)
+            first = next(iter(changes(site).values()))
+            other = dataclasses.replace(first, engine=ENGINES[2], number=1)
+            late = encode_order_record(
+                OrderRecord(0, 'entry-1', 1, changes=(other,))
+            )
+            await site.log.append(stream, [late])
+            for _ in range(20):
+                await asyncio.sleep(0.5)
+                assert len(loading(site)) <= 1
+            assert site.weight_store.counters.refused == 0
+            await until(lambda: all_have(site, '2'))
+
+        run_orders(scenario)
+
+    def test_an_earlier_holder_s_order_is_refused_after_a_takeover(self):
+        async def scenario(site):
+            await want(site)
+            await until(lambda: ENGINES[0] in changes(site))
+            first = changes(site)[ENGINES[0]]
+            FaultActions(site).freeze(first.host)
+            await until(lambda: set(versions(site)) == {'2'})
+            target = first.target
+            late = EngineOrder(first.number, target.role, MODEL, '2')
+            with pytest.raises(EndpointRefusedError, match='fenced'):
+                await site.engines_by_id[ENGINES[0]].order(late)
+
+        run_orders(scenario)
+
     def test_every_host_takes_itself_for_the_holder(self, monkeypatch):
         async def scenario(site):
+            # They reach different engines, and so choose different ones.
+            for number, engine in enumerate(ENGINES, 1):
+                site.cut_pairs.add((f'entry-{number}', engine))
+                site.cut_pairs.add((f'entry-{number % 5 + 1}', engine))
             await want(site)
-            await asyncio.sleep(2)
             with monkeypatch.context() as patch:
                 chosen = orders.OrderController._knows_the_configuration
                 patch.setattr(orders.OrderController, '_is_chosen', chosen)
@@ -242,8 +304,9 @@
                     await asyncio.sleep(0.25)
                     assert len(changes(site)) <= 1
                     assert len(loading(site)) <= 1
-            await until(lambda: all_have(site, '2'))
             assert site.weight_store.counters.refused == 0
+            site.cut_pairs.clear()
+            await until(lambda: all_have(site, '2'))
 
         run_orders(scenario)
 
@@ -285,6 +348,27 @@
 
         run_orders(scenario)
 
+    def test_a_stated_order_is_not_sent_in_an_outage(self):
+        async def scenario(site):
+            host = site.routers_by_host['entry-1']
+            request = long_request()
+            reading = asyncio.create_task(answer(host, request))
+            await asyncio.sleep(1)
+            engines = site.engines_by_id
+            busy = next(n for n in ENGINES[2:] if engines[n].held_streams())
+            await want(site, busy)
+            await until(lambda: busy in changes(site))
+            site.log.conditions.outage = Outage.REFUSE
+            await asyncio.sleep(5)
+            assert not reading.done()
+            assert await reading == whole(request)
+            await asyncio.sleep(30)
+            assert versions(site) == ['1'] * 5
+            site.log.conditions.outage = Outage.NONE
+            await until(lambda: '2' in versions(site))
+
+        run_orders(scenario)
+
     def test_log_answers_are_lost(self):
         async def scenario(site):
             site.log.conditions.lose_answer_probability = 0.5
--- a/tests/test_process_orders.py
+++ b/tests/test_process_orders.py
@@ -12,6 +12,8 @@
 # Time in which an order that the paused holder held back would arrive and be
 # corrected, seconds.
 AFTERWARDS_S = 1.0
+# Time in which the resumed host serves callers again.
+SERVES_S = 15.0
 
 
 async def want(site, version, *more):
@@ -63,5 +65,11 @@
         site.local.signal_entry(holder, signal.SIGCONT)
         await asyncio.sleep(AFTERWARDS_S)
         await site.until(reached, REACHED_S)
-        result = await site.caller(tokens=20).call([site.url(holder)])
-        assert result.code == 0, result
+
+        async def serves():
+            result = await site.caller(tokens=20).call([site.url(holder)])
+            return result.code == 0
+
+        await site.until(serves, SERVES_S)
+        alone = await site.counters(site.local.engine_names()[0])
+        assert not alone['counters']['orders_done']
