Leave engines alone that were moved to another pool

Cause: an owner that is cut from the log does not learn that an engine was moved by a change of its model. It went on comparing the engine's streams with its own pool, found them unnamed and cancelled them after 2 s.

The owner reads the engine's reports itself; it now leaves an engine alone that reports another model than the pool's. No stream of the old pool is left there, since loading another model ends them.

--- a/mustardscale/reconcile.py
+++ b/mustardscale/reconcile.py
@@ -73,7 +73,7 @@
 
     async def _compare(self, pool: OwnedPool, engine_id: str) -> None:
         engine = self._clients.engine(engine_id)
-        if engine is None:
+        if engine is None or self._serves_another(pool, engine_id):
             return
         asked_at = asyncio.get_running_loop().time()
         try:
@@ -100,6 +100,16 @@
             if key[0] == engine_id and key[1:] not in present:
                 del self._unnamed_since[key]
 
+    def _serves_another(self, pool: OwnedPool, engine_id: str) -> bool:
+        """Returns whether an engine works for another pool by now.
+
+        An owner that is cut from the log does not learn that it was moved.
+        """
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        if entry is None or entry.report is None:
+            return False
+        return entry.report.model not in ('', pool.members.model)
+
     def _judge(self, engine_id: str, info: StreamInfo) -> None:
         """Cancels a stream that nobody names once its grace is over."""
         now = asyncio.get_running_loop().time()
