Tell peers only what a host knows itself of leaving endpoints

Cause: a host told its peers of every endpoint that it took for leaving, also when it had that from a peer only, and each telling counts for 30 s. Hosts whose 30 s ended at different moments told one another again, so an endpoint that was taken off the list of leaving ones stayed without work for good.

What the list or the endpoint says is kept apart from what peers say.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -114,8 +114,9 @@
         fencing: whether it refuses orders with an old term.
         listed: whether the host list names it.
         listed_leaving: whether the host list says that it is leaving.
-        leaving_until: loop time until which peers' or its own word that it is
-            leaving counts.
+        leaving_until: loop time until which its own word that it is leaving
+            counts.
+        told_leaving_until: the same for the word of peers.
         report: its last load report.
         reported_at: loop time of that report.
         unreachable_since: loop time since when it did not answer, or None.
@@ -136,6 +137,7 @@
     listed: bool = True
     listed_leaving: bool = False
     leaving_until: float = -math.inf
+    told_leaving_until: float = -math.inf
     report: LoadReport | None = None
     reported_at: float = -math.inf
     unreachable_since: float | None = None
@@ -145,6 +147,11 @@
 
     def leaving(self, now: float) -> bool:
         """Returns whether the endpoint takes no new work."""
+        told = now < self.told_leaving_until
+        return self.known_leaving(now) or told
+
+    def known_leaving(self, now: float) -> bool:
+        """Returns whether this host knows it from the list or the endpoint."""
         return self.listed_leaving or now < self.leaving_until
 
 
--- a/mustardscale/host_list_controller.py
+++ b/mustardscale/host_list_controller.py
@@ -10,8 +10,8 @@
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.host_list import HostList, ListedHost, ListedKind
-from mustardscale.order_log import place
 from mustardscale.membership import MembershipTimes
+from mustardscale.order_log import place
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/membership.py
+++ b/mustardscale/membership.py
@@ -148,16 +148,16 @@
         )
 
     def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
-        """Returns the endpoints that are leaving, looked for now and then.
+        """Returns the endpoints that this host knows to be leaving.
 
-        Heartbeats go to and from each peer, and endpoints are many.
+        They are looked for now and then: heartbeats and endpoints are many.
         """
         if now - self._leaving_at >= LEAVING_INTERVAL_S:
             self._leaving_at = now
             self._leaving = tuple(
                 endpoint.id
                 for endpoint in self._blackboard.endpoints_by_id.values()
-                if endpoint.leaving(now)
+                if endpoint.known_leaving(now)
             )
         return self._leaving
 
@@ -266,7 +266,7 @@
         for endpoint_id in beat.leaving:
             endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
             if endpoint is not None and not endpoint.leaving(now):
-                endpoint.leaving_until = now + LEAVING_MEMORY_S
+                endpoint.told_leaving_until = now + LEAVING_MEMORY_S
                 self._blackboard.membership_changed.notify()
 
     def _merge_quarantine(self, beat: Heartbeat, now: float) -> None:
--- a/tests/test_promises_site.py
+++ b/tests/test_promises_site.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardscale.config_records import ConfigKey, Profile
+from mustardscale.membership import LEAVING_MEMORY_S
 from standins.fault_actions import FaultActions
 from standins.fault_callers import FaultCallers
 from standins.fault_operators import KEY, FaultOperators
@@ -61,6 +62,21 @@
 
         run(scenario)
 
+    def test_an_endpoint_that_stays_after_all_gets_work_again(self):
+        async def scenario(site):
+            endpoint = 'katode-lm-3'
+            site.host_list.change(HostChange(leaving=[endpoint]))
+            await asyncio.sleep(KNOWN_AFTER_S)
+            listed = site.listed_by_id()[endpoint]
+            site.host_list.change(HostChange(put=[listed]))
+            await asyncio.sleep(LEAVING_MEMORY_S + KNOWN_AFTER_S)
+            now = asyncio.get_running_loop().time()
+            for router in site.routers_by_host.values():
+                entry = router.blackboard.endpoints_by_id[endpoint]
+                assert not entry.leaving(now)
+
+        run(scenario)
+
     def test_list_is_out_but_the_endpoint_refuses(self):
         async def scenario(site):
             site.host_list.conditions.outage = Outage.REFUSE
