--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 SITE ?= kobberfonden
 SEEDS ?= 20
 FIRST_SEED ?= 1
+# Not empty: fault runs also change what engines shall serve.
+ORDERS ?=
 
 .PHONY: test run up faults bench load clean
 
@@ -27,7 +29,7 @@
 	$(PY) -m standins.demo --site $(SITE) --keep-up
 
 faults: $(STAMP)
-	$(PY) -m standins.fault_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+	$(PY) -m standins.fault_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) $(if $(ORDERS),--orders)
 
 bench: $(STAMP)
 	$(PY) -m bench.compare
--- a/tests/test_fault_runs.py
+++ b/tests/test_fault_runs.py
@@ -7,6 +7,8 @@
 
 # Seeds that broke a promise once, and the first ones.
 SEEDS = (2, 6, 37, 126, 381, 393, 451, 555, 597, 641)
+# An engine that crashes, and a slow log.
+ORDER_SEEDS = (12, 16)
 
 
 class TestSeeds:
@@ -19,6 +21,16 @@
         assert report.answered > report.requests / 2
 
 
+class TestOrders:
+    """Faults while operators change what engines shall serve."""
+
+    @pytest.mark.parametrize('seed', ORDER_SEEDS)
+    def test_no_promise_is_broken(self, seed):
+        report = run_seed(seed, orders=True)
+        assert [str(violation) for violation in report.violations] == []
+        assert report.answered > report.requests / 2
+
+
 class TestEachFault:
     """Each kind of fault, together with another one."""
 
