--- a/mustardscale/config_copy.py
+++ b/mustardscale/config_copy.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from mustardscale.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+    ConfigRecord,
+)
 from mustardscale.config_records import (
     ConfigSnapshot,
     RecordError,
@@ -13,7 +18,6 @@
 )
 from mustardscale.config_state import ConfigState
 from mustardscale.peer_codec import MAX_FRAME_BYTES
-from mustardscale.peers import ConfigFetch, ConfigFetchReply, ConfigRecord
 
 # Encoded entries in one part, bytes; half is left for what is around them.
 PART_BYTES = MAX_FRAME_BYTES // 2
--- a/mustardscale/config_sync.py
+++ b/mustardscale/config_sync.py
@@ -9,6 +9,7 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.config_copy import ConfigCopy, part_of
+from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
 from mustardscale.config_records import ConfigSnapshot, encode_record
 from mustardscale.config_state import Fate
 from mustardscale.controller import Controller, pause
@@ -20,7 +21,6 @@
 from mustardscale.log_client import CONFIG_STREAM, LogClient, LogPage
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import ConfigFetch, ConfigFetchReply
 from mustardscale.rendezvous import owner
 
 log = logging.getLogger(__name__)
--- a/mustardscale/peers.py
+++ b/mustardscale/peers.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
 from mustardscale.directory_messages import (
     DirectoryRegister,
     DirectoryRemove,
@@ -15,19 +16,6 @@
 from mustardscale.engines import StreamStage, StreamTag
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigRecord:
-    """A configuration record as it stands on the log.
-
-    Attributes:
-        offset: its offset on the configuration stream.
-        payload: the record's bytes.
-    """
-
-    offset: int
-    payload: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantine:
     """A request that endpoints crashed on.
@@ -320,32 +308,6 @@
     age_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigFetch:
-    """Asks for the next part of a peer's folded configuration.
-
-    Attributes:
-        after: only entries with a version above this; 0 for all.
-        position: where the part before ended; 0 for the first one.
-    """
-
-    after: int
-    position: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigFetchReply:
-    """A part of the folded configuration as a snapshot record, or nothing.
-
-    Attributes:
-        records: a snapshot record; its offset is the offset folded up to.
-        position: version at which the next part begins; 0 for the last part.
-    """
-
-    records: tuple[ConfigRecord, ...]
-    position: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineDrain:
     """Asks a pool's owner whether an engine has become free of work.
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Coroutine
 
+from mustardscale.config_messages import ConfigFetchReply
 from mustardscale.exceptions import (
     OutcomeError,
     PeerCallError,
@@ -16,7 +17,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_codec import Frame, FrameKind, encode_frame
 from mustardscale.peer_transport import PeerHandler, PeerTransport
-from mustardscale.peers import ConfigFetchReply, PeerReply, PeerRequest
+from mustardscale.peers import PeerReply, PeerRequest
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/tests/peer_pair.py
+++ b/tests/peer_pair.py
@@ -3,6 +3,11 @@
 import asyncio
 import random
 
+from mustardscale.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+    ConfigRecord,
+)
 from mustardscale.exceptions import (
     OutcomeError,
 )
@@ -10,14 +15,7 @@
 from mustardscale.peer_streams import (
     PeerIdentity,
 )
-from mustardscale.peers import (
-    Acknowledgement,
-    ConfigFetch,
-    ConfigFetchReply,
-    ConfigRecord,
-    StreamLookup,
-    StreamLookupReply,
-)
+from mustardscale.peers import Acknowledgement, StreamLookup, StreamLookupReply
 from mustardscale.tcp_peers import TcpPeerTransport
 
 REPLY = StreamLookupReply(())
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from mustardscale.config_copy import ConfigCopy, part_of
+from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
 from mustardscale.config_records import (
     ConfigChange,
     ConfigKey,
@@ -15,7 +16,6 @@
     encode_record,
 )
 from mustardscale.config_state import PROFILE_KIND, ConfigState, Fate
-from mustardscale.peers import ConfigFetch, ConfigFetchReply
 
 KEY = ConfigKey(PROFILE_KIND, 'noon')
 OTHER = ConfigKey(PROFILE_KIND, 'night')
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -8,6 +8,11 @@
 from hypothesis import strategies as st
 
 from mustardscale import peers
+from mustardscale.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+    ConfigRecord,
+)
 from mustardscale.engines import StreamTag
 from mustardscale.exceptions import PeerFrameError
 from mustardscale.outcomes import Outcome
@@ -104,17 +109,17 @@
     """Messages that may not be sent."""
 
     def test_value_outside_the_range(self):
-        frame = Frame(FrameKind.REQUEST, 1, peers.ConfigFetch(2**63))
+        frame = Frame(FrameKind.REQUEST, 1, ConfigFetch(2**63))
         with pytest.raises(PeerFrameError):
             encode_frame(frame)
 
     def test_message_that_does_not_fit_the_kind(self):
         with pytest.raises(PeerFrameError):
-            encode_frame(Frame(FrameKind.REPLY, 1, peers.ConfigFetch(1)))
+            encode_frame(Frame(FrameKind.REPLY, 1, ConfigFetch(1)))
 
     def test_frame_above_the_limit(self):
-        record = peers.ConfigRecord(1, bytes(MAX_FRAME_BYTES))
-        reply = peers.ConfigFetchReply((record,))
+        record = ConfigRecord(1, bytes(MAX_FRAME_BYTES))
+        reply = ConfigFetchReply((record,))
         with pytest.raises(PeerFrameError) as caught:
             encode_frame(Frame(FrameKind.REPLY, 1, reply))
         assert caught.value.outcome is Outcome.PEER_FRAME_TOO_LARGE
@@ -149,7 +154,7 @@
         assert _code_of(bytes(encoded[:cut])) is not None
 
     def test_small_payload_cannot_claim_many_elements(self):
-        frame = Frame(FrameKind.REPLY, 1, peers.ConfigFetchReply(()))
+        frame = Frame(FrameKind.REPLY, 1, ConfigFetchReply(()))
         encoded = bytearray(encode_frame(frame))
         # The last word is the list's pointer: 4096 elements without a size.
         encoded[-8:] = (1 | (4096 << 35)).to_bytes(8, 'little')
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardscale.config_messages import ConfigFetch
 from mustardscale.exceptions import (
     PeerUnavailableError,
 )
@@ -16,10 +17,7 @@
     PeerTraffic,
     greet_server,
 )
-from mustardscale.peers import (
-    ConfigFetch,
-    StreamLookup,
-)
+from mustardscale.peers import StreamLookup
 from tests.peer_pair import REPLY, Pair
 from tests.virtual_time import virtual_time
 
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardscale.config_messages import ConfigFetch
 from mustardscale.exceptions import (
     PeerCallError,
     PeerGoneError,
@@ -13,10 +14,7 @@
 from mustardscale.peer_streams import (
     PeerLimits,
 )
-from mustardscale.peers import (
-    ConfigFetch,
-    StreamLookup,
-)
+from mustardscale.peers import StreamLookup
 from tests.peer_pair import REPLY, Pair, transport
 from tests.virtual_time import virtual_time
 
