Make the router's parts in functions of one subject each

What a host is made from now stands in router_options.py; services, configuration, requests and orders have a function each.

--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -31,7 +31,8 @@
 from mustardscale.peer_connections import split_address
 from mustardscale.peer_streams import PeerIdentity, PeerTraffic
 from mustardscale.prometheus_text import prometheus_text
-from mustardscale.router import Edges, Router, RouterOptions
+from mustardscale.router import Router
+from mustardscale.router_options import Edges, RouterOptions
 from mustardscale.setting_sources import load_settings
 from mustardscale.settings import Settings, public_settings
 from mustardscale.tcp_peers import TcpPeerTransport
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -7,7 +7,7 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import AsyncGenerator, Callable, Iterator
+from collections.abc import AsyncGenerator, Iterator
 
 from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard
@@ -22,29 +22,22 @@
 from mustardscale.controller import Controller, keep_running
 from mustardscale.directory import DirectoryHome
 from mustardscale.directory_client import DirectoryClient
-from mustardscale.endpoint_clients import EndpointClients, EndpointConnector
+from mustardscale.endpoint_clients import EndpointClients
 from mustardscale.engine_drain import EngineDrains
 from mustardscale.engine_watch import EngineWatch
 from mustardscale.engines import TokenEvent
 from mustardscale.exceptions import OutcomeError
-from mustardscale.host_list import HostList
 from mustardscale.host_list_controller import HostListController
-from mustardscale.kept_answers import KeptAnswerLimits, KeptAnswers
+from mustardscale.kept_answers import KeptAnswers
 from mustardscale.language import LanguageService
 from mustardscale.language_attempts import AttemptRunner
 from mustardscale.limits import ServiceLimits
-from mustardscale.log_client import LogClient
-from mustardscale.membership import (
-    HeartbeatController,
-    MembershipFollower,
-    MembershipTimes,
-)
+from mustardscale.membership import HeartbeatController, MembershipFollower
 from mustardscale.metrics import Metrics
 from mustardscale.order_log import OrderLog
 from mustardscale.orders import OrderController
 from mustardscale.outcomes import Outcome
 from mustardscale.peer_calls import PeerCalls
-from mustardscale.peer_transport import PeerTransport
 from mustardscale.plain_calls import PlainService, content_fingerprint
 from mustardscale.plain_endpoints import PlainAnswer
 from mustardscale.policy import POLICY_BY_NAME
@@ -53,62 +46,15 @@
 from mustardscale.reconcile import Reconciler
 from mustardscale.requests import LanguageRequest, PlainRequest
 from mustardscale.resumption import Resumption
+from mustardscale.router_options import Edges, RouterOptions
 from mustardscale.service_api import RequestService
 from mustardscale.state_dump import dump_state, summarize_state
 from mustardscale.suspicion_sharing import SuspicionSharing
-from mustardscale.trace import NoTrace, TraceKind, TraceSink
+from mustardscale.trace import TraceKind
 
 DRAINING_RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class RouterOptions:
-    """What distinguishes one entry host.
-
-    Attributes:
-        host: its id.
-        incarnation: start number of its process.
-        data_centre: its data centre.
-        region: its region.
-        policy: name of the placement policy.
-        times: intervals of membership.
-        resume_grace_s: seconds for which a dead host's streams are kept.
-        kept_answers: how long delivered answers are kept.
-    """
-
-    host: str
-    incarnation: int
-    data_centre: str
-    region: str
-    policy: str = 'mustardscale'
-    times: MembershipTimes = dataclasses.field(default_factory=MembershipTimes)
-    resume_grace_s: float = 3.0
-    kept_answers: KeptAnswerLimits = dataclasses.field(
-        default_factory=KeptAnswerLimits
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class Edges:
-    """The outside systems that a router uses.
-
-    Attributes:
-        log: the platform's log.
-        host_list: the platform's host list.
-        transport: carries messages to peers.
-        connector: makes clients of endpoints.
-        wall_clock: returns the wall-clock time, seconds.
-        trace: where events of requests are recorded.
-    """
-
-    log: LogClient
-    host_list: HostList
-    transport: PeerTransport
-    connector: EndpointConnector
-    wall_clock: Callable[[], float]
-    trace: TraceSink = dataclasses.field(default_factory=NoTrace)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Arrival:
     """What is recorded of a request when it arrives."""
@@ -162,82 +108,108 @@
         )
         self.heartbeats = HeartbeatController(board, calls, options.times, rng)
         self.config_log = ConfigLogController(board, edges.log, rng)
-        config_peers = ConfigPeerController(board, calls, rng)
-        snapshots = SnapshotController(board, self.config_log, edges.log, rng)
-        home = DirectoryHome(board, calls, options.times.dead_after_s, rng)
-        directory = DirectoryClient(board, calls, rng)
-        admission = AdmissionClient(board, calls, rng)
         self.pool_owner = PoolOwner(
             board, calls, suspicions, POLICY_BY_NAME[options.policy], rng
         )
-        # A generator of their own, so that orders change no other draws.
-        orders_rng = random.Random(f'{options.host} {options.incarnation}')
-        order_log = OrderLog(board, edges.log, orders_rng)
-        drains = EngineDrains(board, calls, self.pool_owner)
-        orders = OrderController(
-            board, clients, drains, order_log, self.metrics, orders_rng
-        )
+        self.claims = Claims(board, edges.log, edges.wall_clock, rng)
         self._canceller = Canceller(board, clients)
-        watch = EngineWatch(board, clients, self.pool_owner, rng)
-        reconciler = Reconciler(
+        self._directory = DirectoryClient(board, calls, rng)
+        self._admission = AdmissionClient(board, calls, rng)
+        limits = ServiceLimits(board)
+        self._language = self._language_service(options, limits)
+        self._plain = PlainService(
+            board, self._directory, self.claims, clients, limits, rng
+        )
+        self._controllers: list[Controller] = [
+            self.host_list,
+            self.heartbeats,
+            *self._config_controllers(rng),
+            *self._request_controllers(options, rng),
+            *self._order_controllers(options),
+            *self.claims.streams,
+        ]
+
+    def _language_service(
+        self, options: RouterOptions, limits: ServiceLimits
+    ) -> LanguageService:
+        board, clients = self.blackboard, self._clients
+        runner = AttemptRunner(
             board,
+            self._admission,
+            self._directory,
             clients,
-            self.pool_owner,
             self._canceller,
-            options.resume_grace_s,
-            rng,
+            self.metrics,
         )
-        limits = ServiceLimits(board)
-        self.claims = Claims(board, edges.log, edges.wall_clock, rng)
-        runner = AttemptRunner(
-            board, admission, directory, clients, self._canceller, self.metrics
+        resumption = Resumption(
+            board, self._calls, clients, KeptAnswers(options.kept_answers)
         )
-        self._language = LanguageService(
+        return LanguageService(
             board,
-            admission,
-            directory,
-            Resumption(
-                board, calls, clients, KeptAnswers(options.kept_answers)
-            ),
+            self._admission,
+            self._directory,
+            resumption,
             runner,
             limits,
-            suspicions,
+            self.suspicions,
             self.metrics,
         )
-        self._plain = PlainService(
-            board, directory, self.claims, clients, limits, rng
-        )
-        sharing = SuspicionSharing(board, calls, suspicions)
-        follower = MembershipFollower(
+
+    def _config_controllers(self, rng: random.Random) -> list[Controller]:
+        """Returns what keeps the configuration up to date."""
+        board, log = self.blackboard, self._edges.log
+        return [
+            self.config_log,
+            ConfigPeerController(board, self._calls, rng),
+            SnapshotController(board, self.config_log, log, rng),
+        ]
+
+    def _request_controllers(
+        self, options: RouterOptions, rng: random.Random
+    ) -> list[Controller]:
+        """Returns what this host does for requests, its peers' as well."""
+        board, calls, clients = self.blackboard, self._calls, self._clients
+        home = DirectoryHome(board, calls, options.times.dead_after_s, rng)
+        sharing = SuspicionSharing(board, calls, self.suspicions)
+        followers = [
+            home.follow_membership,
+            self.pool_owner.follow_membership,
+            self._admission.follow_membership,
+            self._directory.follow_membership,
+            sharing.follow_membership,
+        ]
+        reconciler = Reconciler(
             board,
-            [
-                home.follow_membership,
-                self.pool_owner.follow_membership,
-                admission.follow_membership,
-                directory.follow_membership,
-                sharing.follow_membership,
-            ],
+            clients,
+            self.pool_owner,
+            self._canceller,
+            options.resume_grace_s,
+            rng,
         )
-        self._controllers: list[Controller] = [
-            self.host_list,
-            self.heartbeats,
-            self.config_log,
-            config_peers,
-            snapshots,
+        return [
             home,
-            directory,
-            admission,
+            self._directory,
+            self._admission,
             self.pool_owner,
-            watch,
+            EngineWatch(board, clients, self.pool_owner, rng),
             reconciler,
-            follower,
-            SuspicionExpiry(suspicions),
+            MembershipFollower(board, followers),
+            SuspicionExpiry(self.suspicions),
             sharing,
-            order_log,
-            orders,
-            *self.claims.streams,
         ]
 
+    def _order_controllers(self, options: RouterOptions) -> list[Controller]:
+        """Returns what gives orders to engines."""
+        board = self.blackboard
+        # A generator of their own, so that orders change no other draws.
+        rng = random.Random(f'{options.host} {options.incarnation}')
+        order_log = OrderLog(board, self._edges.log, rng)
+        drains = EngineDrains(board, self._calls, self.pool_owner)
+        orders = OrderController(
+            board, self._clients, drains, order_log, self.metrics, rng
+        )
+        return [order_log, orders]
+
     async def start(self) -> None:
         """Starts to answer peers and starts the controllers."""
         await self._edges.transport.start(self._calls.dispatch)
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -28,7 +28,8 @@
 from mustardscale.host_list import ListedHost, ListedKind
 from mustardscale.log_client import CONFIG_STREAM
 from mustardscale.plain_endpoints import PlainEndpoint
-from mustardscale.router import Edges, Router, RouterOptions
+from mustardscale.router import Router
+from mustardscale.router_options import Edges, RouterOptions
 from mustardscale.trace import NoTrace, TraceSink
 from standins.engine_inprocess import InProcessEngine
 from standins.engine_model import EngineModel
