Read only whole lines of a log that is being written

Cause: a test read the daemon's log while its last line, the state dump, was half written (DecodeError: Input data was truncated, once on a busy machine; found by reading, not reproduced). It now waits for the end of the line, and reads every line once more when the process has ended.

--- a/tests/test_process_daemon.py
+++ b/tests/test_process_daemon.py
@@ -151,10 +151,13 @@
         await wait_ready(site, operators)
         process.send_signal(signal.SIGUSR1)
 
+        def read(text):
+            return [msgspec.json.decode(line) for line in text.splitlines()]
+
         async def dumped():
-            lines = path.read_text().splitlines()
-            entries = [msgspec.json.decode(line) for line in lines]
-            return any('hosts_by_id' in e.get('state', {}) for e in entries)
+            # The daemon may be writing the last line.
+            whole = path.read_text().rpartition('\n')[0]
+            return any('hosts_by_id' in e.get('state', {}) for e in read(whole))
 
         await site.until(dumped, GUARD_S)
         process.send_signal(signal.SIGTERM)
@@ -164,4 +167,5 @@
 
         await site.until(ended, GUARD_S)
         assert process.returncode == 0
+        assert read(path.read_text())
         assert OPERATORS_TOKEN not in path.read_text()
