--- a/bench/bench_faults.py
+++ b/bench/bench_faults.py
@@ -10,8 +10,8 @@
 
 from bench.callers import Callers
 from bench.workloads import Arrival, prompt_of
-from mustardscale.config_records import ServiceKind
-from mustardscale.engines import EngineRole
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.endpoints.engines import EngineRole
 from standins.engine_model import EngineModel
 from standins.faults import Outage
 from standins.memory_site import MemorySite
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -11,10 +11,10 @@
 
 from bench.deployments import CALLER_DELAY_S
 from bench.workloads import Arrival
-from mustardscale.config_records import ServiceKind
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.endpoints.caller_requests import LanguageRequest, PlainRequest
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.requests import LanguageRequest, PlainRequest
 from mustardscale.router import Router
 from standins.memory_site import MemorySite
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -38,8 +38,8 @@
 
 from bench.deployments import Deployment
 from bench.workloads import Arrival, record_arrivals
-from mustardscale.config_records import ServiceKind
-from mustardscale.engines import BLOCK_TOKENS
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.endpoints.engines import BLOCK_TOKENS
 from standins.engine_parameters import EngineParameters
 
 RESOURCES = (
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -4,8 +4,12 @@
 
 import dataclasses
 
-from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
-from mustardscale.engines import EngineRole
+from mustardscale.configuration.config_records import (
+    Profile,
+    ServiceChoice,
+    ServiceKind,
+)
+from mustardscale.endpoints.engines import EngineRole
 from standins.engine_parameters import EngineParameters
 
 # Time of a message between two data centres, seconds one way.
--- a/bench/load_calls.py
+++ b/bench/load_calls.py
@@ -12,9 +12,9 @@
 import msgspec
 import uuid_utils
 
-from mustardscale.engines import DecodeCall, PrefillCall, StreamTag
-from mustardscale.http_engine import HttpEngine
-from mustardscale.requests import prompt_from_text
+from mustardscale.endpoints.caller_requests import prompt_from_text
+from mustardscale.endpoints.engines import DecodeCall, PrefillCall, StreamTag
+from mustardscale.endpoints.http_engine import HttpEngine
 from standins.expected_answers import output_length
 from standins.local_site import LocalSite
 from standins.memory_site import token_of
--- a/bench/load_micro.py
+++ b/bench/load_micro.py
@@ -19,30 +19,40 @@
 
 from bench.load_site import LOAD_PROFILE
 from mustardscale.blackboard import Blackboard
-from mustardscale.claim_state import (
+from mustardscale.claims.claim_state import (
     ClaimKind,
     ClaimRecord,
     ClaimState,
     encode_claim,
 )
-from mustardscale.config_records import ConfigChange, ConfigKey, encode_record
-from mustardscale.config_state import ConfigState
-from mustardscale.directory import DirectoryHome
-from mustardscale.directory_messages import (
+from mustardscale.configuration.config_records import (
+    ConfigChange,
+    ConfigKey,
+    encode_record,
+)
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.directory.directory_home import DirectoryHome
+from mustardscale.endpoints.engines import EngineRole, StreamStage, StreamTag
+from mustardscale.hosts.host_list import ListedHost, ListedKind
+from mustardscale.hosts.host_list_controller import HostListController
+from mustardscale.hosts.http_host_list import HostsAnswer
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.log.log_client import LogPage, LogRecord
+from mustardscale.peers.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
-from mustardscale.engines import EngineRole, StreamStage, StreamTag
-from mustardscale.host_list import ListedHost, ListedKind
-from mustardscale.host_list_controller import HostListController
-from mustardscale.http_host_list import HostsAnswer
-from mustardscale.log_client import LogPage, LogRecord
-from mustardscale.membership import MembershipTimes
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peer_codec import Frame, FrameKind, decode_frame, encode_frame
-from mustardscale.peers import (
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_codec import (
+    Frame,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
+from mustardscale.peers.peer_messages import (
     AdmitReply,
     AdmitRequest,
     Heartbeat,
@@ -52,8 +62,7 @@
     Progress,
     Release,
 )
-from mustardscale.pools import divide_pools
-from mustardscale.rendezvous import owner
+from mustardscale.pools.pool_members import divide_pools
 from standins.host_list_model import HostListModel, MemoryHostList
 from standins.memory_network import MemoryNetwork
 from standins.memory_peers import MemoryPeerNetwork
--- a/bench/load_owner.py
+++ b/bench/load_owner.py
@@ -15,15 +15,25 @@
 
 from bench.slopes import fit_line
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.config_records import Profile
-from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
-from mustardscale.host_list import ListedKind
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import (
+    EngineRole,
+    LoadReport,
+    StreamStage,
+    StreamTag,
+)
+from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import AdmitRequest, HeldStream, Progress, Release
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import (
+    AdmitRequest,
+    HeldStream,
+    Progress,
+    Release,
+)
 from mustardscale.policy import POLICY_BY_NAME
-from mustardscale.pool_owner import SETTLE_S, PoolOwner
-from mustardscale.quarantine import Suspicions
+from mustardscale.pools.pool_owner import SETTLE_S, PoolOwner
+from mustardscale.pools.quarantine import Suspicions
 from standins.memory_peers import MemoryPeerNetwork
 
 POLICY = 'mustardscale'
--- a/bench/load_services.py
+++ b/bench/load_services.py
@@ -14,13 +14,13 @@
 import async_solipsism
 
 from bench.load_site import LOAD_PROFILE
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     ServiceChoice,
     encode_record,
 )
-from mustardscale.limits import ServiceLimits
+from mustardscale.requests.limits import ServiceLimits
 from mustardscale.router import Router
 from standins.memory_site import MemorySite, SiteLayout, token_of
 
--- a/bench/load_site.py
+++ b/bench/load_site.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
@@ -20,9 +20,9 @@
     ServiceKind,
     encode_record,
 )
-from mustardscale.engines import EngineRole
-from mustardscale.http_log import HttpLogClient
-from mustardscale.log_client import CONFIG_STREAM
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.log.http_log import HttpLogClient
+from mustardscale.log.log_client import CONFIG_STREAM
 from standins.local_site import POLL_S, READY_TIMEOUT_S, LocalSite
 from standins.memory_site import SiteLayout, token_of
 
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -9,7 +9,7 @@
 from bench.callers import CallRecord
 from bench.deployments import Deployment
 from bench.replay import WARM_UP_S, ReplayResult
-from mustardscale.config_records import ServiceKind
+from mustardscale.configuration.config_records import ServiceKind
 from mustardscale.outcomes import OutcomeClass, outcome_class
 from standins.expected_answers import expected_tokens
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -12,15 +12,15 @@
 
 import async_solipsism
 
-from mustardscale.config_records import ConfigKey, Profile
-from mustardscale.engines import EngineRole, LoadReport
-from mustardscale.order_decisions import EngineView, Situation, decide
-from mustardscale.order_state import orders_stream
-from mustardscale.wanted_state import (
+from mustardscale.configuration.config_records import ConfigKey, Profile
+from mustardscale.configuration.wanted_state import (
     ListedEngine,
     WantedEngine,
     WeightStoreLimits,
 )
+from mustardscale.endpoints.engines import EngineRole, LoadReport
+from mustardscale.orders.order_decisions import EngineView, Situation, decide
+from mustardscale.orders.order_state import orders_stream
 from standins.memory_site import MemorySite, SiteLayout
 
 WARM_UP_S = 5.0
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -15,7 +15,7 @@
 from bench.callers import Callers, CallRecord
 from bench.deployments import DEPLOYMENT_BY_NAME, Deployment
 from bench.workloads import Arrival
-from mustardscale.config_records import ConfigKey, ServiceKind
+from mustardscale.configuration.config_records import ConfigKey, ServiceKind
 from standins.engine_model import EngineModel
 from standins.memory_site import MemorySite, SiteLayout, token_of
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -14,8 +14,8 @@
 import xxhash
 
 from bench.deployments import Deployment, LanguageMix, PlainMix
-from mustardscale.config_records import ServiceKind
-from mustardscale.engines import BLOCK_TOKENS, Prompt
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.endpoints.engines import BLOCK_TOKENS, Prompt
 
 # Files of a service that may be read again.
 RECENT_FILES = 40
--- a/mustardscale/__main__.py
+++ b/mustardscale/__main__.py
@@ -12,19 +12,20 @@
 import configargparse
 import uvloop
 
-from mustardscale import __version__, commands
-from mustardscale.command_context import (
+from mustardscale import __version__
+from mustardscale.commands import command_table as commands
+from mustardscale.commands.command_context import (
     TOKEN_VARIABLE,
     open_context,
     read_token,
 )
+from mustardscale.commands.exit_codes import TEXT_BY_EXIT_CODE, ExitCode
 from mustardscale.exceptions import (
     LogUnavailableError,
     PeerUnavailableError,
     SettingError,
 )
-from mustardscale.exit_codes import TEXT_BY_EXIT_CODE, ExitCode
-from mustardscale.setting_options import Url
+from mustardscale.settings.setting_options import Url
 
 PROGRAM = 'mustardscale'
 
--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -7,13 +7,18 @@
 import math
 from typing import Any
 
-from mustardscale.config_state import ConfigState
-from mustardscale.directory_messages import DirectoryEntry
-from mustardscale.engines import EngineRole, LoadReport, StreamStage, StreamTag
-from mustardscale.host_list import ListedKind
-from mustardscale.order_state import OrderState
-from mustardscale.peers import HeldStream
-from mustardscale.trace import (
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.endpoints.engines import (
+    EngineRole,
+    LoadReport,
+    StreamStage,
+    StreamTag,
+)
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.orders.order_state import OrderState
+from mustardscale.peers.directory_messages import DirectoryEntry
+from mustardscale.peers.peer_messages import HeldStream
+from mustardscale.traces.trace import (
     NoTrace,
     TraceEvent,
     TraceKind,
@@ -367,6 +372,12 @@
             return True
         return not change.target.reached(report)
 
+    def place(self, endpoint: EndpointEntry) -> None:
+        """Sets what an endpoint serves by the orders, else by the list."""
+        placed = self.orders.placed_by_engine.get(endpoint.id)
+        endpoint.model = placed.model if placed else endpoint.listed_model
+        endpoint.role = placed.role if placed else endpoint.listed_role
+
     def live_hosts(self) -> list[str]:
         """Returns the ids of hosts that are heard, this one included."""
         heard = [
--- /dev/null
+++ b/mustardscale/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP servers, bodies and answers."""
--- a/mustardscale/caller_bodies.py
+++ b/mustardscale/callers/caller_bodies.py
@@ -6,7 +6,7 @@
 
 from aiohttp import http_exceptions, web
 
-from mustardscale.caller_connections import CallerLimits
+from mustardscale.callers.caller_connections import CallerLimits
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 
--- a/mustardscale/caller_connections.py
+++ b/mustardscale/callers/caller_connections.py
@@ -9,9 +9,9 @@
 
 from aiohttp import http_exceptions, web
 
+from mustardscale.callers.problem_details import problem_response
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.problem_details import problem_response
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/callers_http.py
+++ b/mustardscale/callers/callers_http.py
@@ -6,21 +6,24 @@
 
 from aiohttp import web
 
-from mustardscale import caller_headers
-from mustardscale.caller_bodies import BodyReader, host_overloaded
-from mustardscale.caller_connections import (
+from mustardscale.callers import caller_headers
+from mustardscale.callers.caller_bodies import BodyReader, host_overloaded
+from mustardscale.callers.caller_connections import (
     CallerConnection,
     CallerLimits,
     CallerServer,
     check_header_size,
     write_in_time,
 )
-from mustardscale.chat_handler import ChatHandler
+from mustardscale.callers.chat_handler import ChatHandler
+from mustardscale.callers.plain_handler import PLAIN_PREFIX, PlainHandler
+from mustardscale.callers.problem_details import (
+    REQUEST_ID_KEY,
+    problem_response,
+)
+from mustardscale.callers.service_api import RequestService
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_handler import PLAIN_PREFIX, PlainHandler
-from mustardscale.problem_details import REQUEST_ID_KEY, problem_response
-from mustardscale.service_api import RequestService
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/chat_completions.py
+++ b/mustardscale/callers/chat_completions.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from mustardscale.chat_options import OptionMembers, sampling_of
-from mustardscale.engines import SamplingOptions, TokenEvent
+from mustardscale.callers.chat_options import OptionMembers, sampling_of
+from mustardscale.endpoints.engines import SamplingOptions, TokenEvent
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 
--- a/mustardscale/chat_handler.py
+++ b/mustardscale/callers/chat_handler.py
@@ -7,32 +7,35 @@
 
 from aiohttp import web
 
-from mustardscale import caller_headers
-from mustardscale.caller_bodies import BodyReader
-from mustardscale.caller_connections import (
+from mustardscale.callers import caller_headers
+from mustardscale.callers.caller_bodies import BodyReader
+from mustardscale.callers.caller_connections import (
     CallerLimits,
     write_chunk,
     write_in_time,
 )
-from mustardscale.caller_headers import LastEvent
-from mustardscale.chat_completions import (
+from mustardscale.callers.caller_headers import LastEvent
+from mustardscale.callers.chat_completions import (
     ChatRequest,
     ChunkEncoder,
     encode_completion,
     encode_error_event,
     parse_chat_request,
 )
-from mustardscale.checked_answer import CheckedAnswer
-from mustardscale.config_records import ServiceChoice, ServiceKind
-from mustardscale.exceptions import OutcomeError
-from mustardscale.outcomes import Outcome
-from mustardscale.problem_details import (
+from mustardscale.callers.checked_answer import CheckedAnswer
+from mustardscale.callers.problem_details import (
     REQUEST_ID_HEADER,
     REQUEST_ID_KEY,
     problem_json,
 )
-from mustardscale.requests import LanguageRequest, prompt_from_text
-from mustardscale.service_api import RequestService
+from mustardscale.callers.service_api import RequestService
+from mustardscale.configuration.config_records import ServiceChoice, ServiceKind
+from mustardscale.endpoints.caller_requests import (
+    LanguageRequest,
+    prompt_from_text,
+)
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/chat_options.py
+++ b/mustardscale/callers/chat_options.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from mustardscale.engines import SamplingOptions
+from mustardscale.endpoints.engines import SamplingOptions
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 
--- a/mustardscale/checked_answer.py
+++ b/mustardscale/callers/checked_answer.py
@@ -5,12 +5,12 @@
 import logging
 from collections.abc import AsyncGenerator, AsyncIterator
 
-from mustardscale.chat_completions import Usage
-from mustardscale.engines import TokenEvent
+from mustardscale.callers.chat_completions import Usage
+from mustardscale.callers.service_api import RequestService
+from mustardscale.endpoints.caller_requests import LanguageRequest
+from mustardscale.endpoints.engines import TokenEvent
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.requests import LanguageRequest
-from mustardscale.service_api import RequestService
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/plain_handler.py
+++ b/mustardscale/callers/plain_handler.py
@@ -7,15 +7,18 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mustardscale import caller_headers
-from mustardscale.caller_bodies import BodyReader
-from mustardscale.config_records import ServiceKind
+from mustardscale.callers import caller_headers
+from mustardscale.callers.caller_bodies import BodyReader
+from mustardscale.callers.problem_details import (
+    REQUEST_ID_HEADER,
+    REQUEST_ID_KEY,
+)
+from mustardscale.callers.service_api import RequestService
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.endpoints.caller_requests import PlainRequest
+from mustardscale.endpoints.plain_endpoints import PlainAnswer
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainAnswer
-from mustardscale.problem_details import REQUEST_ID_HEADER, REQUEST_ID_KEY
-from mustardscale.requests import PlainRequest
-from mustardscale.service_api import RequestService
 
 PLAIN_PREFIX = '/services/'
 
--- a/mustardscale/service_api.py
+++ b/mustardscale/callers/service_api.py
@@ -5,10 +5,10 @@
 import abc
 from collections.abc import AsyncIterator
 
-from mustardscale.config_records import ServiceChoice, ServiceKind
-from mustardscale.engines import TokenEvent
-from mustardscale.plain_endpoints import PlainAnswer
-from mustardscale.requests import LanguageRequest, PlainRequest
+from mustardscale.configuration.config_records import ServiceChoice, ServiceKind
+from mustardscale.endpoints.caller_requests import LanguageRequest, PlainRequest
+from mustardscale.endpoints.engines import TokenEvent
+from mustardscale.endpoints.plain_endpoints import PlainAnswer
 
 
 class RequestService(abc.ABC):
--- /dev/null
+++ b/mustardscale/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on the log: a non-idempotent request runs at most once."""
--- a/mustardscale/claim_state.py
+++ b/mustardscale/claims/claim_state.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from mustardscale.log_client import LogPage
+from mustardscale.log.log_client import LogPage
 
 
 class ClaimKind(enum.StrEnum):
--- a/mustardscale/claim_stream.py
+++ b/mustardscale/claims/claim_stream.py
@@ -10,20 +10,17 @@
 from collections.abc import Callable
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.claim_state import (
+from mustardscale.claims.claim_lines import ClaimsLine, folded_claims
+from mustardscale.claims.claim_state import (
     ClaimRecord,
     ClaimState,
     decode_claim,
     encode_claim,
 )
 from mustardscale.controller import Controller, pause
-from mustardscale.decision_lines import (
-    ClaimsLine,
-    DecisionKind,
-    folded_claims,
-)
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log_client import LogClient, LogPage
+from mustardscale.log.log_client import LogClient, LogPage
+from mustardscale.traces.trace import DecisionKind
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/claims.py
+++ b/mustardscale/claims/claims_controller.py
@@ -12,17 +12,17 @@
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
-from mustardscale.claim_state import ClaimKind, ClaimRecord
-from mustardscale.claim_stream import ClaimStream
+from mustardscale.claims.claim_state import ClaimKind, ClaimRecord
+from mustardscale.claims.claim_stream import ClaimStream
 from mustardscale.controller import pause
 from mustardscale.exceptions import (
     LogUnavailableError,
     LogUncertainError,
     OutcomeError,
 )
-from mustardscale.log_client import LogClient
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.log.log_client import LogClient
 from mustardscale.outcomes import Outcome
-from mustardscale.rendezvous import owner
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mustardscale/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the command-line tool."""
--- a/mustardscale/command_config.py
+++ b/mustardscale/commands/command_config.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from mustardscale.command_context import CommandContext
-from mustardscale.config_records import ConfigChange, ConfigKey
-from mustardscale.config_state import ConfigState, Fate
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.exit_codes import ExitCode
+from mustardscale.configuration.config_records import ConfigChange, ConfigKey
+from mustardscale.configuration.config_state import ConfigState, Fate
+from mustardscale.configuration.publishing import read_config
 from mustardscale.exceptions import SettingError
-from mustardscale.exit_codes import ExitCode
-from mustardscale.publishing import read_config
 
 _HISTORY_HEADERS = ('offset', 'name', 'fate', 'base', 'author', 'change id')
 _VERSION_MARK = '@'
--- a/mustardscale/command_context.py
+++ b/mustardscale/commands/command_context.py
@@ -13,10 +13,10 @@
 import aiohttp
 import tabulate
 
+from mustardscale.commands.operators_client import OperatorsClient
 from mustardscale.exceptions import SettingError
-from mustardscale.host_list import HostList
-from mustardscale.log_client import LogClient
-from mustardscale.operators_client import OperatorsClient
+from mustardscale.hosts.host_list import HostList
+from mustardscale.log.log_client import LogClient
 
 TOKEN_VARIABLE = 'MUSTARDSCALE_OPERATORS_TOKEN'
 
@@ -67,8 +67,8 @@
 ) -> AsyncGenerator[CommandContext, None]:
     """Opens the clients of the platform's services and of the hosts."""
     # Imported here so that --help and usage errors stay quick.
-    from mustardscale.http_host_list import HttpHostList
-    from mustardscale.http_log import HttpLogClient
+    from mustardscale.hosts.http_host_list import HttpHostList
+    from mustardscale.log.http_log import HttpLogClient
 
     log = HttpLogClient(_address(log_url))
     host_list = HttpHostList(_address(host_list_url))
--- a/mustardscale/command_hosts.py
+++ b/mustardscale/commands/command_hosts.py
@@ -6,11 +6,11 @@
 import dataclasses
 from typing import Any
 
-from mustardscale.command_context import CommandContext
-from mustardscale.config_rollout import entry_hosts
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.exit_codes import ExitCode
+from mustardscale.configuration.config_rollout import entry_hosts
 from mustardscale.exceptions import PeerUnavailableError, SettingError
-from mustardscale.exit_codes import ExitCode
-from mustardscale.host_list import ListedHost
+from mustardscale.hosts.host_list import ListedHost
 
 _HOST_HEADERS = (
     'host',
--- a/mustardscale/command_publish.py
+++ b/mustardscale/commands/command_publish.py
@@ -6,26 +6,34 @@
 
 import uuid_utils
 
-from mustardscale.command_context import CommandContext
-from mustardscale.config_edits import Edit, edit_content
-from mustardscale.config_records import ConfigChange, ConfigKey, make_change
-from mustardscale.config_rollout import Rollout, await_rollout, entry_hosts
-from mustardscale.config_state import ConfigState
-from mustardscale.exceptions import PeerUnavailableError, SettingError
-from mustardscale.exit_codes import ExitCode
-from mustardscale.host_list import ListedKind
-from mustardscale.outcomes import Outcome
-from mustardscale.publishing import (
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.exit_codes import ExitCode
+from mustardscale.configuration.config_edits import Edit, edit_content
+from mustardscale.configuration.config_records import (
+    ConfigChange,
+    ConfigKey,
+    make_change,
+)
+from mustardscale.configuration.config_rollout import (
+    Rollout,
+    await_rollout,
+    entry_hosts,
+)
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.configuration.publishing import (
     PublishFate,
     PublishResult,
     publish,
     read_config,
 )
-from mustardscale.wanted_state import (
+from mustardscale.configuration.wanted_state import (
     ListedEngine,
     WantedEngine,
     check_wanted,
 )
+from mustardscale.exceptions import PeerUnavailableError, SettingError
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.outcomes import Outcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/command_replay.py
+++ b/mustardscale/commands/command_replay.py
@@ -8,17 +8,17 @@
 import msgspec
 import tabulate
 
+from mustardscale.commands.exit_codes import ExitCode
 from mustardscale.exceptions import SettingError
-from mustardscale.exit_codes import ExitCode
 from mustardscale.outcomes import Outcome
-from mustardscale.trace_checks import (
+from mustardscale.replay.trace_checks import (
     TracedSend,
     TraceViolation,
     check_trace,
     sends_by_id,
 )
-from mustardscale.trace_reader import Trace, read_trace
-from mustardscale.trace_replay import DecisionReplay
+from mustardscale.replay.trace_reader import Trace, read_trace
+from mustardscale.replay.trace_replay import DecisionReplay
 
 _HEADERS = ('request', 'service', 'host', 'sent to', 'outcome')
 
--- a/mustardscale/commands.py
+++ b/mustardscale/commands/command_table.py
@@ -6,13 +6,13 @@
 import sys
 from collections.abc import Awaitable, Callable
 
-from mustardscale import command_config, command_hosts
-from mustardscale.command_context import CommandContext
-from mustardscale.command_publish import PublishOptions, publish_entry
-from mustardscale.command_replay import replay_trace
-from mustardscale.config_edits import Edit
-from mustardscale.config_records import ConfigKey
-from mustardscale.exit_codes import ExitCode
+from mustardscale.commands import command_config, command_hosts
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.command_publish import PublishOptions, publish_entry
+from mustardscale.commands.command_replay import replay_trace
+from mustardscale.commands.exit_codes import ExitCode
+from mustardscale.configuration.config_edits import Edit
+from mustardscale.configuration.config_records import ConfigKey
 
 Command = Callable[[CommandContext, argparse.Namespace], Awaitable[ExitCode]]
 
--- a/mustardscale/operators_client.py
+++ b/mustardscale/commands/operators_client.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.operators_http import DUMP_PATH, STATUS_PATH
+from mustardscale.operators.operators_http import DUMP_PATH, STATUS_PATH
 
 # Seconds until a call to one host is given up.
 CALL_TIMEOUT_S = 2.0
--- /dev/null
+++ b/mustardscale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators publish and how it reaches every host."""
--- a/mustardscale/config_copy.py
+++ b/mustardscale/configuration/config_copy.py
@@ -4,20 +4,20 @@
 
 import msgspec
 
-from mustardscale.config_messages import (
-    ConfigFetch,
-    ConfigFetchReply,
-    ConfigRecord,
-)
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigSnapshot,
     RecordError,
     VersionedChange,
     decode_record,
     encode_record,
 )
-from mustardscale.config_state import ConfigState
-from mustardscale.peer_codec import MAX_FRAME_BYTES
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.peers.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+    ConfigRecord,
+)
+from mustardscale.peers.peer_codec import MAX_FRAME_BYTES
 
 # Encoded entries in one part, bytes; half is left for what is around them.
 PART_BYTES = MAX_FRAME_BYTES // 2
--- a/mustardscale/config_edits.py
+++ b/mustardscale/configuration/config_edits.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     TYPE_BY_KIND,
     ConfigContent,
     ConfigKey,
     ServiceChoice,
 )
-from mustardscale.config_state import PROFILE_KIND, ConfigState
+from mustardscale.configuration.config_state import PROFILE_KIND, ConfigState
 from mustardscale.exceptions import SettingError
 
 _TOKENS_FIELD = 'token_sha256'
--- a/mustardscale/config_records.py
+++ b/mustardscale/configuration/config_records.py
@@ -9,8 +9,11 @@
 import msgspec
 import xxhash
 
+from mustardscale.configuration.wanted_state import (
+    WantedEngine,
+    WeightStoreLimits,
+)
 from mustardscale.exceptions import MustardscaleError
-from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
 
 SCHEMA_VERSION = 1
 
--- a/mustardscale/config_rollout.py
+++ b/mustardscale/configuration/config_rollout.py
@@ -7,9 +7,9 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
-from mustardscale.config_records import ConfigKey
+from mustardscale.configuration.config_records import ConfigKey
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import HostList, ListedHost, ListedKind
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
 
 # Seconds between two rounds of asking.
 POLL_INTERVAL_S = 0.2
--- a/mustardscale/config_state.py
+++ b/mustardscale/configuration/config_state.py
@@ -18,7 +18,7 @@
 
 import xxhash
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     ConfigSnapshot,
@@ -28,7 +28,10 @@
     VersionedChange,
     decode_record,
 )
-from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
+from mustardscale.configuration.wanted_state import (
+    WantedEngine,
+    WeightStoreLimits,
+)
 
 PROFILE_KIND = 'profile'
 SERVICE_KIND = 'service'
--- a/mustardscale/config_sync.py
+++ b/mustardscale/configuration/config_sync.py
@@ -8,20 +8,26 @@
 import random
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.config_copy import ConfigCopy, part_of
-from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
-from mustardscale.config_records import ConfigSnapshot, encode_record
-from mustardscale.config_state import Fate
+from mustardscale.configuration.config_copy import ConfigCopy, part_of
+from mustardscale.configuration.config_records import (
+    ConfigSnapshot,
+    encode_record,
+)
+from mustardscale.configuration.config_state import Fate
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import (
     LogUnavailableError,
     LogUncertainError,
     PeerUnavailableError,
 )
-from mustardscale.log_client import CONFIG_STREAM, LogClient, LogPage
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.log.log_client import CONFIG_STREAM, LogClient, LogPage
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.rendezvous import owner
+from mustardscale.peers.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+)
+from mustardscale.peers.peer_calls import PeerCalls
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/publishing.py
+++ b/mustardscale/configuration/publishing.py
@@ -6,10 +6,13 @@
 import dataclasses
 import enum
 
-from mustardscale.config_records import ConfigChange, encode_record
-from mustardscale.config_state import ConfigState, Fate
+from mustardscale.configuration.config_records import (
+    ConfigChange,
+    encode_record,
+)
+from mustardscale.configuration.config_state import ConfigState, Fate
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log_client import CONFIG_STREAM, LogClient
+from mustardscale.log.log_client import CONFIG_STREAM, LogClient
 
 # Records read at once.
 PAGE_RECORDS = 1_000
--- a/mustardscale/wanted_state.py
+++ b/mustardscale/configuration/wanted_state.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from mustardscale.engines import EngineRole, LoadReport
+from mustardscale.endpoints.engines import EngineRole, LoadReport
 
 # Name of an entry for all engines that the host list names for a model.
 MODEL_PREFIX = 'model/'
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -17,26 +17,26 @@
 import msgspec
 
 import mustardscale
-from mustardscale.caller_connections import CallerLimits
-from mustardscale.callers_http import CallersServer
+from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.callers.callers_http import CallersServer
+from mustardscale.endpoints.http_connector import HttpConnector
 from mustardscale.exceptions import SettingError
-from mustardscale.http_connector import HttpConnector
-from mustardscale.http_host_list import HttpHostList
-from mustardscale.http_log import HttpLogClient
-from mustardscale.json_logging import configure_logging
-from mustardscale.kept_answers import KeptAnswerLimits
-from mustardscale.membership import MembershipTimes
-from mustardscale.metrics import Metrics
-from mustardscale.operators_http import OperatorsServer
-from mustardscale.peer_connections import split_address
-from mustardscale.peer_streams import PeerIdentity, PeerTraffic
-from mustardscale.prometheus_text import prometheus_text
+from mustardscale.hosts.http_host_list import HttpHostList
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.http_log import HttpLogClient
+from mustardscale.operators.operators_http import OperatorsServer
+from mustardscale.peers.peer_connections import split_address
+from mustardscale.peers.peer_streams import PeerIdentity, PeerTraffic
+from mustardscale.peers.tcp_peers import TcpPeerTransport
+from mustardscale.reporting.json_logging import configure_logging
+from mustardscale.reporting.metrics import Metrics
+from mustardscale.reporting.prometheus_text import prometheus_text
+from mustardscale.requests.kept_answers import KeptAnswerLimits
 from mustardscale.router import Router
 from mustardscale.router_options import Edges, RouterOptions
-from mustardscale.setting_sources import load_settings
-from mustardscale.settings import Settings, public_settings
-from mustardscale.tcp_peers import TcpPeerTransport
-from mustardscale.trace import FileTrace, NoTrace, TraceSink
+from mustardscale.settings.daemon_settings import Settings, public_settings
+from mustardscale.settings.setting_sources import load_settings
+from mustardscale.traces.trace import FileTrace, NoTrace, TraceSink
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mustardscale/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Which host serves an id."""
--- a/mustardscale/directory_client.py
+++ b/mustardscale/directory/directory_client.py
@@ -10,23 +10,23 @@
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.controller import Controller, pause
-from mustardscale.directory import (
+from mustardscale.directory.directory_home import (
     CALL_TIMEOUT_S,
     REBUILD_PAUSE_S,
     REBUILD_TIMEOUT_S,
     REBUILD_TRIES,
 )
-from mustardscale.directory_messages import (
+from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.hosts.rendezvous import owner, rank
+from mustardscale.outcomes import Outcome
+from mustardscale.peers.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
-from mustardscale.exceptions import OutcomeError, PeerUnavailableError
-from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import Acknowledgement
-from mustardscale.rendezvous import owner, rank
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import Acknowledgement
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/directory.py
+++ b/mustardscale/directory/directory_home.py
@@ -15,19 +15,20 @@
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, DirectoryRow
 from mustardscale.controller import Controller, pause
-from mustardscale.decision_lines import DecisionKind, DirectoryLine
-from mustardscale.directory_messages import (
+from mustardscale.directory.directory_lines import DirectoryLine
+from mustardscale.directory.directory_rules import Registration, may_replace
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.peers.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
-from mustardscale.directory_rules import Registration, may_replace
-from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.membership import QUORUM_LEASE_S
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import Acknowledgement
-from mustardscale.rendezvous import owner
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import Acknowledgement
+from mustardscale.traces.trace import DecisionKind
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/directory_rules.py
+++ b/mustardscale/directory/directory_rules.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from mustardscale.directory_messages import DirectoryEntry
+from mustardscale.peers.directory_messages import DirectoryEntry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/mustardscale/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints' side: engines and plain services, and their clients."""
--- a/mustardscale/requests.py
+++ b/mustardscale/endpoints/caller_requests.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     BLOCK_TOKENS,
     BYTES_PER_TOKEN,
     Prompt,
--- a/mustardscale/cancellation.py
+++ b/mustardscale/endpoints/cancellation.py
@@ -7,9 +7,9 @@
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
-from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.endpoints.endpoint_clients import EndpointClients
 from mustardscale.exceptions import MustardscaleError
-from mustardscale.trace import TraceKind
+from mustardscale.traces.trace import TraceKind
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/endpoint_clients.py
+++ b/mustardscale/endpoints/endpoint_clients.py
@@ -5,8 +5,8 @@
 import abc
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.engines import Engine
-from mustardscale.plain_endpoints import PlainEndpoint
+from mustardscale.endpoints.engines import Engine
+from mustardscale.endpoints.plain_endpoints import PlainEndpoint
 
 
 class EndpointConnector(abc.ABC):
--- a/mustardscale/http_connector.py
+++ b/mustardscale/endpoints/http_connector.py
@@ -5,11 +5,11 @@
 import aiohttp
 
 from mustardscale.blackboard import EndpointEntry
-from mustardscale.endpoint_clients import EndpointConnector
-from mustardscale.engines import Engine
-from mustardscale.http_engine import HttpEngine
-from mustardscale.http_plain import HttpPlainEndpoint
-from mustardscale.plain_endpoints import PlainEndpoint
+from mustardscale.endpoints.endpoint_clients import EndpointConnector
+from mustardscale.endpoints.engines import Engine
+from mustardscale.endpoints.http_engine import HttpEngine
+from mustardscale.endpoints.http_plain import HttpPlainEndpoint
+from mustardscale.endpoints.plain_endpoints import PlainEndpoint
 
 # Connections to all engines at the same time; 0 is unlimited, since the
 # limits on requests in progress already bound them.
--- a/mustardscale/http_engine.py
+++ b/mustardscale/endpoints/http_engine.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     CacheEvent,
     DecodeCall,
     Engine,
@@ -23,7 +23,10 @@
     StreamInfo,
     TokenEvent,
 )
-from mustardscale.event_stream import EventStreamDecoder, EventStreamError
+from mustardscale.endpoints.event_stream import (
+    EventStreamDecoder,
+    EventStreamError,
+)
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
@@ -61,7 +64,7 @@
     """Body of an answer with status 409.
 
     Attributes:
-        reason: one of the REFUSED_* constants of mustardscale.engines.
+        reason: a REFUSED_* constant of mustardscale.endpoints.engines.
     """
 
     reason: str
--- a/mustardscale/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -9,14 +9,8 @@
 import aiohttp
 import yarl
 
-from mustardscale.engines import REFUSED_LEAVING
-from mustardscale.exceptions import (
-    EndpointFailedError,
-    EndpointRefusedError,
-    EndpointUnreachableError,
-    OutcomeError,
-)
-from mustardscale.http_sessions import (
+from mustardscale.endpoints.engines import REFUSED_LEAVING
+from mustardscale.endpoints.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
     ConnectionLostError,
@@ -25,8 +19,18 @@
     make_session,
     read_content,
 )
+from mustardscale.endpoints.plain_endpoints import (
+    PlainAnswer,
+    PlainCall,
+    PlainEndpoint,
+)
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainAnswer, PlainCall, PlainEndpoint
 
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 # Header with which an endpoint says in a 503 why it did not take a call.
--- a/mustardscale/token_assembler.py
+++ b/mustardscale/endpoints/token_assembler.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from mustardscale.engines import TokenEvent
+from mustardscale.endpoints.engines import TokenEvent
 from mustardscale.outcomes import Outcome
 
 log = logging.getLogger(__name__)
--- a/mustardscale/token_events.py
+++ b/mustardscale/endpoints/token_events.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
-from mustardscale.engines import TokenEvent
-from mustardscale.token_assembler import TokenAssembler
+from mustardscale.endpoints.engines import TokenEvent
+from mustardscale.endpoints.token_assembler import TokenAssembler
 
 
 def next_tokens(
--- a/mustardscale/exceptions.py
+++ b/mustardscale/exceptions.py
@@ -54,7 +54,7 @@
     """The endpoint answered that it did not take the work.
 
     Attributes:
-        reason: one of the REFUSED_* constants of mustardscale.engines.
+        reason: a REFUSED_* constant of mustardscale.endpoints.engines.
     """
 
     def __init__(self, reason: str):
--- /dev/null
+++ b/mustardscale/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts and endpoints are there, and who owns what."""
--- a/mustardscale/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 
-from mustardscale.engines import EngineRole
+from mustardscale.endpoints.engines import EngineRole
 
 
 class ListedKind(enum.StrEnum):
--- a/mustardscale/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -9,9 +9,8 @@
 from mustardscale.blackboard import Blackboard, EndpointEntry, HostEntry
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import HostList, ListedHost, ListedKind
-from mustardscale.membership import MembershipTimes
-from mustardscale.order_log import place
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
+from mustardscale.hosts.membership import MembershipTimes
 
 log = logging.getLogger(__name__)
 
@@ -96,7 +95,7 @@
             known = endpoints_by_id.get(host.id)
             if known is None or known.address != host.address:
                 known = endpoints_by_id[host.id] = _endpoint_of(host)
-                place(known, self._blackboard)
+                self._blackboard.place(known)
                 changed = True
             if known.listed_leaving != host.leaving or not known.listed:
                 known.listed_leaving = host.leaving
--- a/mustardscale/http_host_list.py
+++ b/mustardscale/hosts/http_host_list.py
@@ -8,15 +8,15 @@
 import aiohttp
 import msgspec
 
-from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import HostList, ListedHost
-from mustardscale.http_sessions import (
+from mustardscale.endpoints.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
     describe_error,
     make_session,
     read_content,
 )
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.host_list import HostList, ListedHost
 
 # Seconds until a read is given up.
 FETCH_TIMEOUT_S = 2.0
--- a/mustardscale/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -18,8 +18,8 @@
 )
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import HeardHost, Heartbeat, Quarantine
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mustardscale/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's log service."""
--- a/mustardscale/http_log.py
+++ b/mustardscale/log/http_log.py
@@ -9,8 +9,7 @@
 import aiohttp
 import msgspec
 
-from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.http_sessions import (
+from mustardscale.endpoints.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
     SendProgress,
@@ -18,7 +17,8 @@
     make_session,
     read_content,
 )
-from mustardscale.log_client import LogClient, LogPage
+from mustardscale.exceptions import LogUnavailableError, LogUncertainError
+from mustardscale.log.log_client import LogClient, LogPage
 
 # Seconds until a call is given up, beyond the time for which a read waits.
 CALL_TIMEOUT_S = 2.0
--- /dev/null
+++ b/mustardscale/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side: HTTP server and dumps of the state."""
--- a/mustardscale/operators_http.py
+++ b/mustardscale/operators/operators_http.py
@@ -10,10 +10,10 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from mustardscale.callers.problem_details import problem_response
+from mustardscale.callers.service_api import RequestService
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.problem_details import problem_response
-from mustardscale.service_api import RequestService
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/state_dump.py
+++ b/mustardscale/operators/state_dump.py
@@ -8,10 +8,10 @@
 from collections.abc import Mapping
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.engines import EngineRole
-from mustardscale.order_state import OrderState
-from mustardscale.owned_pool import OwnedPool
-from mustardscale.pool_owner import PoolOwner
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.orders.order_state import OrderState
+from mustardscale.pools.owned_pool import OwnedPool
+from mustardscale.pools.pool_owner import PoolOwner
 
 
 def summarize_state(
--- /dev/null
+++ b/mustardscale/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, under a fence."""
--- a/mustardscale/orders.py
+++ b/mustardscale/orders/order_controller.py
@@ -13,19 +13,23 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engine_drain import EngineDrains
-from mustardscale.engines import REFUSED_FENCED, EngineOrder
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import REFUSED_FENCED, EngineOrder
 from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
-from mustardscale.membership import QUORUM_LEASE_S
-from mustardscale.metrics import Metrics
-from mustardscale.order_decisions import Decisions, decide
-from mustardscale.order_log import OrderLog
-from mustardscale.order_reports import OrderReports
-from mustardscale.order_state import OrderRecord, PlacedEngine, orders_stream
-from mustardscale.order_views import OrderMemory, situation
+from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.orders.order_decisions import Decisions, decide
+from mustardscale.orders.order_log import OrderLog
+from mustardscale.orders.order_reports import OrderReports
+from mustardscale.orders.order_state import (
+    OrderRecord,
+    PlacedEngine,
+    orders_stream,
+)
+from mustardscale.orders.order_views import OrderMemory, situation
 from mustardscale.outcomes import Outcome
-from mustardscale.rendezvous import owner
+from mustardscale.pools.engine_drain import EngineDrains
+from mustardscale.reporting.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/order_decisions.py
+++ b/mustardscale/orders/order_decisions.py
@@ -6,9 +6,7 @@
 import dataclasses
 import math
 
-from mustardscale.engines import EngineOrder, EngineRole, LoadReport
-from mustardscale.order_state import EngineChange
-from mustardscale.wanted_state import (
+from mustardscale.configuration.wanted_state import (
     EngineTarget,
     ListedEngine,
     WantedEngine,
@@ -16,6 +14,8 @@
     checks_fencing,
     target_of,
 )
+from mustardscale.endpoints.engines import EngineOrder, EngineRole, LoadReport
+from mustardscale.orders.order_state import EngineChange
 
 # A report older than this says nothing about the present, seconds.
 FRESH_S = 15.0
--- a/mustardscale/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -7,11 +7,11 @@
 import math
 import random
 
-from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log_client import LogClient, LogPage
-from mustardscale.order_state import (
+from mustardscale.log.log_client import LogClient, LogPage
+from mustardscale.orders.order_state import (
     OrderRecord,
     encode_order_record,
     orders_stream,
@@ -94,7 +94,7 @@
     def _place_all(self) -> None:
         board = self._blackboard
         for endpoint in board.endpoints_by_id.values():
-            place(endpoint, board)
+            board.place(endpoint)
         board.membership_changed.notify()
 
     async def append(self, record: OrderRecord) -> None:
@@ -119,10 +119,3 @@
         state = self._blackboard.orders
         async with self._folded:
             await self._folded.wait_for(lambda: state.folded_offset >= offset)
-
-
-def place(endpoint: EndpointEntry, board: Blackboard) -> None:
-    """Sets what an endpoint serves by the orders, else by the host list."""
-    placed = board.orders.placed_by_engine.get(endpoint.id)
-    endpoint.model = placed.model if placed else endpoint.listed_model
-    endpoint.role = placed.role if placed else endpoint.listed_role
--- a/mustardscale/order_reports.py
+++ b/mustardscale/orders/order_reports.py
@@ -6,13 +6,13 @@
 import math
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engine_drain import EngineDrains, holds_nothing
-from mustardscale.engines import LoadReport
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import LoadReport
 from mustardscale.exceptions import MustardscaleError
-from mustardscale.host_list import ListedKind
-from mustardscale.order_views import OrderMemory
-from mustardscale.pools import divide_pools
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.orders.order_views import OrderMemory
+from mustardscale.pools.engine_drain import EngineDrains, holds_nothing
+from mustardscale.pools.pool_members import divide_pools
 
 # Interval of reports from an engine, seconds.
 IDLE_INTERVAL_S = 5.0
--- a/mustardscale/order_state.py
+++ b/mustardscale/orders/order_state.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from mustardscale.engines import EngineRole
-from mustardscale.log_client import LogPage
-from mustardscale.wanted_state import EngineTarget
+from mustardscale.configuration.wanted_state import EngineTarget
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.log.log_client import LogPage
 
 SCHEMA_VERSION = 1
 
--- a/mustardscale/order_views.py
+++ b/mustardscale/orders/order_views.py
@@ -7,15 +7,15 @@
 from typing import Protocol
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.config_records import ServiceKind
-from mustardscale.engines import LoadReport
-from mustardscale.host_list import ListedKind
-from mustardscale.order_decisions import (
+from mustardscale.configuration.config_records import ServiceKind
+from mustardscale.configuration.wanted_state import ListedEngine, wanted_of
+from mustardscale.endpoints.engines import LoadReport
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.orders.order_decisions import (
     ChangeProgress,
     EngineView,
     Situation,
 )
-from mustardscale.wanted_state import ListedEngine, wanted_of
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/mustardscale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry hosts."""
--- a/mustardscale/held_set.py
+++ b/mustardscale/peers/held_set.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from mustardscale.engines import StreamStage, StreamTag
+from mustardscale.endpoints.engines import StreamStage, StreamTag
 
 
 def stream_hash(tag: StreamTag, stage: StreamStage) -> int:
--- a/mustardscale/peer_calls.py
+++ b/mustardscale/peers/peer_calls.py
@@ -8,8 +8,8 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.exceptions import MustardscaleError, PeerUnavailableError
-from mustardscale.peer_transport import PeerTransport
-from mustardscale.peers import PeerReply, PeerRequest
+from mustardscale.peers.peer_messages import PeerReply, PeerRequest
+from mustardscale.peers.peer_transport import PeerTransport
 
 Reply = TypeVar('Reply')
 RequestHandler = Callable[[str, Any], Awaitable[PeerReply]]
--- a/mustardscale/peer_codec.py
+++ b/mustardscale/peers/peer_codec.py
@@ -15,10 +15,14 @@
 
 import capnp
 
-from mustardscale import peers
 from mustardscale.exceptions import PeerFrameError
 from mustardscale.outcomes import Outcome
-from mustardscale.struct_mapping import camel_case, read_struct, write_struct
+from mustardscale.peers import peer_messages as peers
+from mustardscale.peers.struct_mapping import (
+    camel_case,
+    read_struct,
+    write_struct,
+)
 
 MAGIC = b'MSPF'
 FRAME_VERSION = 1
--- a/mustardscale/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -15,8 +15,18 @@
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import CallFailure, Frame, FrameKind, encode_frame
-from mustardscale.peer_streams import (
+from mustardscale.peers.peer_codec import (
+    CallFailure,
+    Frame,
+    FrameKind,
+    encode_frame,
+)
+from mustardscale.peers.peer_messages import (
+    REPLY_BY_REQUEST,
+    PeerReply,
+    PeerRequest,
+)
+from mustardscale.peers.peer_streams import (
     CONNECTION_LOST,
     FrameStream,
     GreetingError,
@@ -25,7 +35,6 @@
     PeerTraffic,
     greet_server,
 )
-from mustardscale.peers import REPLY_BY_REQUEST, PeerReply, PeerRequest
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -1,7 +1,7 @@
 @0xb7d1c2f09a4e5831;
 # Messages between entry hosts. Each struct mirrors the class of the same name
-# in peers.py and directory_messages.py; fields may be added at the end, never
-# renumbered.
+# in peer_messages.py, directory_messages.py and config_messages.py; fields may
+# be added at the end, never renumbered.
 
 struct Envelope {
   union {
--- a/mustardscale/peers.py
+++ b/mustardscale/peers/peer_messages.py
@@ -7,13 +7,16 @@
 
 import dataclasses
 
-from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
-from mustardscale.directory_messages import (
+from mustardscale.endpoints.engines import StreamStage, StreamTag
+from mustardscale.peers.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+)
+from mustardscale.peers.directory_messages import (
     DirectoryRegister,
     DirectoryRemove,
     DirectoryReply,
 )
-from mustardscale.engines import StreamStage, StreamTag
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peer_server.py
+++ b/mustardscale/peers/peer_server.py
@@ -8,8 +8,14 @@
 
 from mustardscale.exceptions import OutcomeError, PeerFrameError
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import CallFailure, Frame, FrameKind, encode_frame
-from mustardscale.peer_streams import (
+from mustardscale.peers.peer_codec import (
+    CallFailure,
+    Frame,
+    FrameKind,
+    encode_frame,
+)
+from mustardscale.peers.peer_messages import PeerReply, PeerRequest
+from mustardscale.peers.peer_streams import (
     CONNECTION_LOST,
     FrameStream,
     GreetingError,
@@ -18,8 +24,7 @@
     PeerTraffic,
     greet_caller,
 )
-from mustardscale.peer_transport import PeerHandler
-from mustardscale.peers import PeerReply, PeerRequest
+from mustardscale.peers.peer_transport import PeerHandler
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -10,7 +10,7 @@
 
 from mustardscale.exceptions import MustardscaleError, PeerFrameError
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import (
+from mustardscale.peers.peer_codec import (
     HEADER_BYTES,
     Frame,
     FrameKind,
--- a/mustardscale/peer_transport.py
+++ b/mustardscale/peers/peer_transport.py
@@ -5,7 +5,7 @@
 import abc
 from collections.abc import Awaitable, Callable
 
-from mustardscale.peers import PeerReply, PeerRequest
+from mustardscale.peers.peer_messages import PeerReply, PeerRequest
 
 PeerHandler = Callable[[str, PeerRequest], Awaitable[PeerReply]]
 
--- a/mustardscale/tcp_peers.py
+++ b/mustardscale/peers/tcp_peers.py
@@ -6,11 +6,15 @@
 import random
 
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.peer_connections import OutboundPeer, split_address
-from mustardscale.peer_server import PeerServer
-from mustardscale.peer_streams import PeerIdentity, PeerLimits, PeerTraffic
-from mustardscale.peer_transport import PeerHandler, PeerTransport
-from mustardscale.peers import PeerReply, PeerRequest
+from mustardscale.peers.peer_connections import OutboundPeer, split_address
+from mustardscale.peers.peer_messages import PeerReply, PeerRequest
+from mustardscale.peers.peer_server import PeerServer
+from mustardscale.peers.peer_streams import (
+    PeerIdentity,
+    PeerLimits,
+    PeerTraffic,
+)
+from mustardscale.peers.peer_transport import PeerHandler, PeerTransport
 
 
 class TcpPeerTransport(PeerTransport):
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -8,18 +8,18 @@
 import random
 from collections.abc import Iterator, MutableMapping
 
-from mustardscale.config_records import Profile
-from mustardscale.engines import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import (
     CacheEvent,
     EngineRole,
     LoadReport,
     StreamStage,
     StreamTag,
 )
-from mustardscale.held_set import HeldSet, stream_hash
-from mustardscale.memory_booking import PIECE_TOKENS, pieces_for
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitRequest, HeldStream, Release
+from mustardscale.peers.held_set import HeldSet, stream_hash
+from mustardscale.peers.peer_messages import AdmitRequest, HeldStream, Release
+from mustardscale.policy.memory_booking import PIECE_TOKENS, pieces_for
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -6,9 +6,10 @@
 import dataclasses
 import math
 
-from mustardscale.engines import EngineRole, LoadReport, StreamStage
-from mustardscale.load_estimate import LineFit
-from mustardscale.memory_booking import (
+from mustardscale.endpoints.engines import EngineRole, LoadReport, StreamStage
+from mustardscale.policy.base import DecodeShare, PoolState, Reservation
+from mustardscale.policy.load_estimate import LineFit
+from mustardscale.policy.memory_booking import (
     PIECE_TOKENS,
     ChernoffBooking,
     DecodeMemory,
@@ -16,8 +17,7 @@
     pieces_for,
     present_pieces,
 )
-from mustardscale.output_lengths import OutputLengths
-from mustardscale.policy.base import DecodeShare, PoolState, Reservation
+from mustardscale.policy.output_lengths import OutputLengths
 
 DEFAULT_PIECES = 64
 # Share of the learnt step time forgotten in an interval by each decode engine's
--- a/mustardscale/policy/engine_books.py
+++ b/mustardscale/policy/engine_books.py
@@ -4,19 +4,19 @@
 
 import dataclasses
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     BLOCK_TOKENS,
     CacheEvent,
     EngineRole,
     LoadReport,
     StreamStage,
 )
-from mustardscale.link_schedule import LinkSchedule
-from mustardscale.peers import AdmitRequest, Release
+from mustardscale.peers.peer_messages import AdmitRequest, Release
 from mustardscale.policy.base import EngineState, PoolState, Reservation
 from mustardscale.policy.decode_room import DecodeRooms
+from mustardscale.policy.link_schedule import LinkSchedule
 from mustardscale.policy.prefill_timeline import PrefillTimeline
-from mustardscale.prefix_index import PrefixIndex
+from mustardscale.policy.prefix_index import PrefixIndex
 
 DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
 PREFILL_BASE_S = 0.02
--- a/mustardscale/policy/hurried_demand.py
+++ b/mustardscale/policy/hurried_demand.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Collection, Iterable, Mapping
 
-from mustardscale.config_records import Profile
+from mustardscale.configuration.config_records import Profile
 from mustardscale.policy.base import WaitingRequest
 
 # Seconds after which an arrival's weight has fallen to 1/e.
--- a/mustardscale/memory_booking.py
+++ b/mustardscale/policy/memory_booking.py
@@ -9,7 +9,10 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from mustardscale.output_lengths import LONGEST_OUTPUT_TOKENS, OutputLengths
+from mustardscale.policy.output_lengths import (
+    LONGEST_OUTPUT_TOKENS,
+    OutputLengths,
+)
 
 # Tokens of KV cache in a piece.
 PIECE_TOKENS = 2_000
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -6,10 +6,9 @@
 import math
 from collections.abc import Iterable
 
-from mustardscale.config_records import Profile
-from mustardscale.engines import EngineRole
-from mustardscale.memory_booking import StreamNeed
-from mustardscale.peers import AdmitRequest
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.peers.peer_messages import AdmitRequest
 from mustardscale.policy.base import PoolState
 from mustardscale.policy.decode_room import EngineRoom, needed_pieces
 from mustardscale.policy.engine_books import (
@@ -19,6 +18,7 @@
     EngineBooks,
 )
 from mustardscale.policy.hurried_demand import Express
+from mustardscale.policy.memory_booking import StreamNeed
 from mustardscale.policy.prefill_timeline import SEND_S
 
 # A prefill is granted when its engine is free within this time, seconds.
--- a/mustardscale/prefix_index.py
+++ b/mustardscale/policy/prefix_index.py
@@ -5,7 +5,7 @@
 import collections
 from collections.abc import Iterable, Sequence
 
-from mustardscale.engines import BLOCK_TOKENS, CacheEvent
+from mustardscale.endpoints.engines import BLOCK_TOKENS, CacheEvent
 
 # Blocks remembered for each endpoint.
 BLOCKS_PER_ENDPOINT = 20_000
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -5,10 +5,9 @@
 import random
 from collections.abc import Collection
 
-from mustardscale.config_records import Profile
-from mustardscale.engines import CacheEvent, LoadReport, StreamStage
-from mustardscale.memory_booking import PIECE_TOKENS, StreamNeed, pieces_for
-from mustardscale.peers import Release
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import CacheEvent, LoadReport, StreamStage
+from mustardscale.peers.peer_messages import Release
 from mustardscale.policy.base import (
     Decision,
     EngineState,
@@ -20,6 +19,11 @@
 from mustardscale.policy.engine_books import EngineBooks
 from mustardscale.policy.fair_shares import FairShares
 from mustardscale.policy.hurried_demand import HurriedDemand
+from mustardscale.policy.memory_booking import (
+    PIECE_TOKENS,
+    StreamNeed,
+    pieces_for,
+)
 from mustardscale.policy.pairing import (
     Round,
     begin_round,
--- a/mustardscale/policy/unreserved.py
+++ b/mustardscale/policy/unreserved.py
@@ -5,7 +5,7 @@
 import abc
 from collections.abc import Sequence
 
-from mustardscale.engines import EngineRole
+from mustardscale.endpoints.engines import EngineRole
 from mustardscale.outcomes import Outcome
 from mustardscale.policy.base import (
     Decision,
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -5,9 +5,9 @@
 import dataclasses
 import math
 
-from mustardscale.config_records import Profile
+from mustardscale.configuration.config_records import Profile
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitRequest
+from mustardscale.peers.peer_messages import AdmitRequest
 from mustardscale.policy.base import Refusal, WaitingRequest
 from mustardscale.policy.pairing import Round
 
--- /dev/null
+++ b/mustardscale/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of engines: admission, their owners and what is held."""
--- a/mustardscale/admission.py
+++ b/mustardscale/pools/admission.py
@@ -10,13 +10,15 @@
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.config_records import Profile
+from mustardscale.configuration.config_records import Profile
 from mustardscale.controller import Controller, pause
+from mustardscale.endpoints.caller_requests import LanguageRequest
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
-from mustardscale.held_set import HeldSet, stream_hash
+from mustardscale.hosts.rendezvous import owner, rank
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import (
+from mustardscale.peers.held_set import HeldSet, stream_hash
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import (
     Acknowledgement,
     AdmitReply,
     AdmitRequest,
@@ -27,9 +29,7 @@
     Progress,
     Release,
 )
-from mustardscale.pools import PoolMembers, divide_pools
-from mustardscale.rendezvous import owner, rank
-from mustardscale.requests import LanguageRequest
+from mustardscale.pools.pool_members import PoolMembers, divide_pools
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/engine_drain.py
+++ b/mustardscale/pools/engine_drain.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.engines import LoadReport, StreamStage
+from mustardscale.endpoints.engines import LoadReport, StreamStage
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import EngineDrain, EngineDrainReply
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import EngineDrain, EngineDrainReply
 from mustardscale.policy.base import Reservation
-from mustardscale.pool_owner import PoolOwner
-from mustardscale.rendezvous import owner
+from mustardscale.pools.pool_owner import PoolOwner
 
 TIMEOUT_S = 1.0
 
--- a/mustardscale/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -10,11 +10,11 @@
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engines import CacheEvent, Engine, EngineRole
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import CacheEvent, Engine, EngineRole
 from mustardscale.exceptions import MustardscaleError
-from mustardscale.owned_pool import OwnedPool
-from mustardscale.pool_owner import PoolOwner
+from mustardscale.pools.owned_pool import OwnedPool
+from mustardscale.pools.pool_owner import PoolOwner
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/lapsed_reservations.py
+++ b/mustardscale/pools/lapsed_reservations.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Collection
 
-from mustardscale.engines import StreamTag
+from mustardscale.endpoints.engines import StreamTag
 from mustardscale.policy.base import Reservation, tag_key
 
 # A reservation that its host does not name for this long has lapsed, seconds.
--- a/mustardscale/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -6,11 +6,15 @@
 import dataclasses
 import math
 
-from mustardscale.engines import EngineRole, StreamStage
-from mustardscale.held_set import HeldSet
-from mustardscale.lapsed_reservations import LapsedReservations
+from mustardscale.endpoints.engines import EngineRole, StreamStage
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitReply, HeldDigest, HeldStream, Release
+from mustardscale.peers.held_set import HeldSet
+from mustardscale.peers.peer_messages import (
+    AdmitReply,
+    HeldDigest,
+    HeldStream,
+    Release,
+)
 from mustardscale.policy.base import (
     EngineState,
     Grant,
@@ -20,8 +24,9 @@
     WaitingRequest,
     candidate_engines,
 )
-from mustardscale.pools import PoolMembers
-from mustardscale.quarantine import Suspicions
+from mustardscale.pools.lapsed_reservations import LapsedReservations
+from mustardscale.pools.pool_members import PoolMembers
+from mustardscale.pools.quarantine import Suspicions
 
 # Time without any work after which a pool's engines are read less often,
 # seconds. It is longer than work takes to be found and freed after a failure,
--- a/mustardscale/pool_changes.py
+++ b/mustardscale/pools/pool_changes.py
@@ -7,14 +7,14 @@
 from collections.abc import Mapping, MutableMapping
 from typing import TypeVar
 
-from mustardscale.config_records import Profile
-from mustardscale.decision_lines import PoolChange, Renewal
+from mustardscale.configuration.config_records import Profile
 from mustardscale.policy.base import (
     EngineState,
     PoolState,
     Reservation,
     WaitingRequest,
 )
+from mustardscale.pools.pool_lines import PoolChange, Renewal
 
 Entry = TypeVar('Entry', EngineState, WaitingRequest, Reservation)
 
--- a/mustardscale/decision_lines.py
+++ b/mustardscale/pools/pool_lines.py
@@ -1,25 +1,16 @@
-"""Lines of a trace that carry the inputs of decisions and what was decided.
+"""Trace lines of decisions on pools, with their inputs.
 
-A replay decides again from the inputs; see docs/design/traces.md.
+A replay decides again from them; see docs/design/traces.md.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import enum
 from typing import NamedTuple
 
-from mustardscale.claim_state import (
-    ClaimKind,
-    ClaimRecord,
-    ClaimState,
-    decode_claim,
-)
-from mustardscale.config_records import Profile
-from mustardscale.directory_rules import Registration
-from mustardscale.engines import CacheEvent, StreamStage
-from mustardscale.log_client import LogPage
-from mustardscale.peers import Release
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import CacheEvent, StreamStage
+from mustardscale.peers.peer_messages import Release
 from mustardscale.policy.base import (
     Decision,
     EngineState,
@@ -27,22 +18,7 @@
     Reservation,
     WaitingRequest,
 )
-from mustardscale.trace import TraceLine
-
-
-class DecisionKind(enum.StrEnum):
-    """What was decided, or told to a policy that learns from it."""
-
-    POLICY_BEGUN = 'policy_begun'
-    POLICY_DECIDED = 'policy_decided'
-    POLICY_GRANT = 'policy_grant'
-    POLICY_STAGE = 'policy_stage'
-    POLICY_RELEASE = 'policy_release'
-    POLICY_REPORT = 'policy_report'
-    POLICY_CACHE = 'policy_cache'
-    CLAIMS_FOLDED = 'claims_folded'
-    DIRECTORY_DECIDED = 'directory_decided'
-    ORPHAN_JUDGED = 'orphan_judged'
+from mustardscale.traces.trace import DecisionKind, TraceLine
 
 
 class Renewal(NamedTuple):
@@ -151,62 +127,6 @@
     decisions: tuple[Decided, ...] = ()
 
 
-class FoldedClaim(NamedTuple):
-    """What a page left of an id: offset of its claim, 0 if none holds it."""
-
-    request_id: str
-    offset: int
-    result: ClaimKind | None
-
-
-def folded_claims(state: ClaimState, page: LogPage) -> tuple[FoldedClaim, ...]:
-    """Returns what a page that was just folded left of the ids on it."""
-    claims = [decode_claim(record.payload) for record in page.records]
-    request_ids = dict.fromkeys(c.request_id for c in claims if c is not None)
-    return tuple(
-        FoldedClaim(request_id, held.offset, held.result)
-        if (held := state.held_by_id.get(request_id)) is not None
-        else FoldedClaim(request_id, 0, None)
-        for request_id in request_ids
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimsLine(TraceLine):
-    """A page of claims that a host has folded.
-
-    Attributes:
-        kind: CLAIMS_FOLDED.
-        stream: name of the stream.
-        wall_now: wall-clock time, seconds.
-        first_offset: offset of the oldest record retained.
-        records: offset and claim, None for a record that cannot be read.
-        folded: what came of the ids on the page.
-    """
-
-    kind: DecisionKind
-    stream: str
-    wall_now: float
-    first_offset: int = 0
-    records: tuple[tuple[int, ClaimRecord | None], ...] = ()
-    folded: tuple[FoldedClaim, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DirectoryLine(TraceLine):
-    """A home's decision on the registration of an id that it knows.
-
-    Attributes:
-        kind: DIRECTORY_DECIDED.
-        registration: what it decided on.
-        accepted: what was decided.
-    """
-
-    kind: DecisionKind
-    registration: Registration
-    accepted: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrphanLine(TraceLine):
     """An owner's decision to cancel a stream that no host names.
--- a/mustardscale/pools.py
+++ b/mustardscale/pools/pool_members.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 
 from mustardscale.blackboard import EndpointEntry
-from mustardscale.engines import EngineRole
-from mustardscale.host_list import ListedKind
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.hosts.host_list import ListedKind
 
 # Engines in one pool at most, unless a data centre lacks a role.
 MAX_POOL_ENGINES = 8
--- a/mustardscale/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -8,23 +8,13 @@
 import random
 
 from mustardscale.blackboard import Blackboard, Signal
-from mustardscale.config_records import Profile, ServiceKind
+from mustardscale.configuration.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
-from mustardscale.engines import EngineRole, StreamStage
+from mustardscale.endpoints.engines import EngineRole, StreamStage
+from mustardscale.hosts.rendezvous import owner
 from mustardscale.outcomes import Outcome
-from mustardscale.owned_pool import (
-    OwnedPool,
-    mark_suspects,
-    rebuilt_reservation,
-    release_of_expired,
-    renew_named,
-    reservation_of,
-    visible_waiting,
-    working_engine,
-    working_on,
-)
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import (
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import (
     Acknowledgement,
     AdmitReply,
     AdmitRequest,
@@ -44,10 +34,20 @@
     PoolState,
     WaitingRequest,
 )
-from mustardscale.pools import PoolMembers, divide_pools
-from mustardscale.quarantine import Suspicions
-from mustardscale.recorded_policy import RecordedPolicy
-from mustardscale.rendezvous import owner
+from mustardscale.pools.owned_pool import (
+    OwnedPool,
+    mark_suspects,
+    rebuilt_reservation,
+    release_of_expired,
+    renew_named,
+    reservation_of,
+    visible_waiting,
+    working_engine,
+    working_on,
+)
+from mustardscale.pools.pool_members import PoolMembers, divide_pools
+from mustardscale.pools.quarantine import Suspicions
+from mustardscale.pools.recorded_policy import RecordedPolicy
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/quarantine.py
+++ b/mustardscale/pools/quarantine.py
@@ -14,7 +14,7 @@
 from mustardscale.blackboard import Blackboard, Signal, Suspicion
 from mustardscale.controller import Controller
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import Quarantine
+from mustardscale.peers.peer_messages import Quarantine
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/reconcile.py
+++ b/mustardscale/pools/reconcile.py
@@ -8,16 +8,17 @@
 import random
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.cancellation import Canceller
 from mustardscale.controller import Controller, pause
-from mustardscale.decision_lines import DecisionKind, OrphanLine
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engines import StreamInfo, StreamStage
+from mustardscale.endpoints.cancellation import Canceller
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import StreamInfo, StreamStage
 from mustardscale.exceptions import MustardscaleError
 from mustardscale.outcomes import Outcome
-from mustardscale.owned_pool import OwnedPool
 from mustardscale.policy.base import tag_key
-from mustardscale.pool_owner import PoolOwner
+from mustardscale.pools.owned_pool import OwnedPool
+from mustardscale.pools.pool_lines import OrphanLine
+from mustardscale.pools.pool_owner import PoolOwner
+from mustardscale.traces.trace import DecisionKind
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/recorded_policy.py
+++ b/mustardscale/pools/recorded_policy.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.decision_lines import DecisionKind, PolicyLine, decided
-from mustardscale.engines import CacheEvent, LoadReport, StreamStage
-from mustardscale.peers import Release
+from mustardscale.endpoints.engines import CacheEvent, LoadReport, StreamStage
+from mustardscale.peers.peer_messages import Release
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.policy.base import (
     Decision,
@@ -14,7 +13,9 @@
     PoolState,
     Reservation,
 )
-from mustardscale.pool_changes import PoolChanges, without_hashes
+from mustardscale.pools.pool_changes import PoolChanges, without_hashes
+from mustardscale.pools.pool_lines import PolicyLine, decided
+from mustardscale.traces.trace import DecisionKind
 
 
 class RecordedPolicy(PlacementPolicy):
--- a/mustardscale/suspicion_sharing.py
+++ b/mustardscale/pools/suspicion_sharing.py
@@ -13,9 +13,9 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import Acknowledgement, SuspicionNotice
-from mustardscale.quarantine import Suspicions
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import Acknowledgement, SuspicionNotice
+from mustardscale.pools.quarantine import Suspicions
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mustardscale/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces: reading, checks and deciding again."""
--- a/mustardscale/trace_checks.py
+++ b/mustardscale/replay/trace_checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Iterator
 
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.trace import TraceEvent, TraceKind
+from mustardscale.traces.trace import TraceEvent, TraceKind
 
 # Time within which work that nobody waits for must be cancelled, seconds.
 CANCEL_BOUND_S = 5.0
--- a/mustardscale/trace_reader.py
+++ b/mustardscale/replay/trace_reader.py
@@ -8,14 +8,15 @@
 
 import msgspec
 
-from mustardscale.decision_lines import (
-    ClaimsLine,
+from mustardscale.claims.claim_lines import ClaimsLine
+from mustardscale.directory.directory_lines import DirectoryLine
+from mustardscale.pools.pool_lines import OrphanLine, PolicyLine
+from mustardscale.traces.trace import (
     DecisionKind,
-    DirectoryLine,
-    OrphanLine,
-    PolicyLine,
+    TraceEvent,
+    TraceKind,
+    TraceLine,
 )
-from mustardscale.trace import TraceEvent, TraceKind, TraceLine
 
 _TYPE_BY_KIND: dict[str, type[TraceLine]] = {
     **dict.fromkeys(TraceKind, TraceEvent),
--- a/mustardscale/trace_replay.py
+++ b/mustardscale/replay/trace_replay.py
@@ -6,27 +6,28 @@
 import random
 from collections.abc import Iterable
 
-from mustardscale.claim_state import ClaimState, encode_claim
-from mustardscale.claim_stream import MEMORY_S
-from mustardscale.decision_lines import (
+from mustardscale.claims.claim_lines import (
     ClaimsLine,
-    Decided,
-    DecisionKind,
-    DirectoryLine,
     FoldedClaim,
-    OrphanLine,
-    PolicyLine,
-    decided,
     folded_claims,
 )
-from mustardscale.directory_rules import may_replace
-from mustardscale.log_client import LogPage, LogRecord
+from mustardscale.claims.claim_state import ClaimState, encode_claim
+from mustardscale.claims.claim_stream import MEMORY_S
+from mustardscale.directory.directory_lines import DirectoryLine
+from mustardscale.directory.directory_rules import may_replace
+from mustardscale.log.log_client import LogPage, LogRecord
 from mustardscale.outcomes import Outcome
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.policy.base import PlacementPolicy
-from mustardscale.pool_changes import FollowedPool
-from mustardscale.reconcile import is_orphan
-from mustardscale.trace import TraceLine
+from mustardscale.pools.pool_changes import FollowedPool
+from mustardscale.pools.pool_lines import (
+    Decided,
+    OrphanLine,
+    PolicyLine,
+    decided,
+)
+from mustardscale.pools.reconcile import is_orphan
+from mustardscale.traces.trace import DecisionKind, TraceLine
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/mustardscale/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- a/mustardscale/prometheus_text.py
+++ b/mustardscale/reporting/prometheus_text.py
@@ -6,7 +6,11 @@
 import math
 from collections.abc import Iterator
 
-from mustardscale.metrics import LatencyHistogram, Metrics, ServiceMetrics
+from mustardscale.reporting.metrics import (
+    LatencyHistogram,
+    Metrics,
+    ServiceMetrics,
+)
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mustardscale/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from arrival to answer."""
--- a/mustardscale/kept_answers.py
+++ b/mustardscale/requests/kept_answers.py
@@ -11,7 +11,7 @@
 import sys
 from collections.abc import Sequence
 
-from mustardscale.peers import StreamReleaseReply
+from mustardscale.peers.peer_messages import StreamReleaseReply
 
 # Tokens kept of one answer at most.
 LONGEST_TAIL_TOKENS = 16_384
--- a/mustardscale/language.py
+++ b/mustardscale/requests/language.py
@@ -7,33 +7,36 @@
 import logging
 from collections.abc import AsyncGenerator
 
-from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.config_records import Profile
-from mustardscale.deadline import until
-from mustardscale.directory_client import DirectoryClient, check_reply
-from mustardscale.directory_messages import DirectoryEntry, DirectoryReply
-from mustardscale.engines import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.directory.directory_client import DirectoryClient, check_reply
+from mustardscale.endpoints.caller_requests import LanguageRequest
+from mustardscale.endpoints.engines import (
     StreamTag,
     TokenEvent,
 )
+from mustardscale.endpoints.token_events import from_index
 from mustardscale.exceptions import (
     OutcomeError,
 )
-from mustardscale.kept_answers import KeptAnswer
-from mustardscale.language_attempts import (
+from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
+from mustardscale.peers.directory_messages import (
+    DirectoryEntry,
+    DirectoryReply,
+)
+from mustardscale.pools.admission import AdmissionClient
+from mustardscale.pools.quarantine import Suspicions
+from mustardscale.reporting.metrics import Metrics
+from mustardscale.requests.deadline import until
+from mustardscale.requests.kept_answers import KeptAnswer
+from mustardscale.requests.language_attempts import (
     AttemptFailedError,
     AttemptProgress,
     AttemptRunner,
 )
-from mustardscale.limits import ServiceLimits
-from mustardscale.membership import QUORUM_LEASE_S
-from mustardscale.metrics import Metrics
-from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.quarantine import Suspicions
-from mustardscale.requests import LanguageRequest
-from mustardscale.resumption import Resumption
-from mustardscale.token_events import from_index
+from mustardscale.requests.limits import ServiceLimits
+from mustardscale.requests.resumption import Resumption
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/language_attempts.py
+++ b/mustardscale/requests/language_attempts.py
@@ -7,13 +7,13 @@
 import dataclasses
 from collections.abc import AsyncGenerator
 
-from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.cancellation import Canceller
-from mustardscale.config_records import Profile
-from mustardscale.directory_client import DirectoryClient
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engines import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.directory.directory_client import DirectoryClient
+from mustardscale.endpoints.caller_requests import LanguageRequest
+from mustardscale.endpoints.cancellation import Canceller
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import (
     REFUSED_LEAVING,
     REFUSED_STALE_ATTEMPT,
     DecodeCall,
@@ -23,20 +23,20 @@
     StreamTag,
     TokenEvent,
 )
+from mustardscale.endpoints.token_assembler import TokenAssembler
+from mustardscale.endpoints.token_events import next_tokens
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
     OutcomeError,
 )
-from mustardscale.membership import LEAVING_MEMORY_S
-from mustardscale.metrics import Metrics
+from mustardscale.hosts.membership import LEAVING_MEMORY_S
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitReply
-from mustardscale.requests import LanguageRequest
-from mustardscale.token_assembler import TokenAssembler
-from mustardscale.token_events import next_tokens
-from mustardscale.trace import TraceKind
+from mustardscale.peers.peer_messages import AdmitReply
+from mustardscale.pools.admission import AdmissionClient
+from mustardscale.reporting.metrics import Metrics
+from mustardscale.traces.trace import TraceKind
 
 # Distance to an attempt number that an engine has not seen cancelled.
 ATTEMPT_SKIP = 16
--- a/mustardscale/limits.py
+++ b/mustardscale/requests/limits.py
@@ -6,10 +6,10 @@
 import collections
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.config_records import Profile
+from mustardscale.configuration.config_records import Profile
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.token_bucket import RetryBudget, TokenBucket
+from mustardscale.requests.token_bucket import RetryBudget, TokenBucket
 
 RETRY_AFTER_S = 1.0
 # Retries permitted to a service with little traffic, for each minute.
--- a/mustardscale/plain_calls.py
+++ b/mustardscale/requests/plain_calls.py
@@ -9,25 +9,25 @@
 import xxhash
 
 from mustardscale.blackboard import Blackboard, EndpointEntry, ServedRequest
-from mustardscale.claim_state import ClaimRecord
-from mustardscale.claims import Claims
-from mustardscale.config_records import Profile
-from mustardscale.directory import ENDED_MEMORY_S
-from mustardscale.directory_client import DirectoryClient, check_reply
-from mustardscale.endpoint_clients import EndpointClients
+from mustardscale.claims.claim_state import ClaimRecord
+from mustardscale.claims.claims_controller import Claims
+from mustardscale.configuration.config_records import Profile
+from mustardscale.directory.directory_client import DirectoryClient, check_reply
+from mustardscale.directory.directory_home import ENDED_MEMORY_S
+from mustardscale.endpoints.caller_requests import PlainRequest
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.plain_endpoints import PlainAnswer, PlainCall
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
     OutcomeError,
 )
-from mustardscale.host_list import ListedKind
-from mustardscale.limits import ServiceLimits
-from mustardscale.membership import LEAVING_MEMORY_S
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.hosts.membership import LEAVING_MEMORY_S
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainAnswer, PlainCall
-from mustardscale.requests import PlainRequest
-from mustardscale.trace import TraceKind
+from mustardscale.requests.limits import ServiceLimits
+from mustardscale.traces.trace import TraceKind
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/resumption.py
+++ b/mustardscale/requests/resumption.py
@@ -10,30 +10,30 @@
 from collections.abc import Iterator, Sequence
 
 from mustardscale.blackboard import Blackboard, ServedRequest
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engines import StreamStage, StreamTag
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import StreamStage, StreamTag
 from mustardscale.exceptions import (
     MustardscaleError,
     OutcomeError,
     PeerGoneError,
     PeerUnavailableError,
 )
-from mustardscale.kept_answers import (
-    KeptAnswer,
-    KeptAnswers,
-    kept_in,
-    reply_with,
-)
-from mustardscale.membership import QUORUM_LEASE_S
+from mustardscale.hosts.membership import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.peers import (
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import (
     HeldStream,
     StreamLookup,
     StreamLookupReply,
     StreamRelease,
     StreamReleaseReply,
 )
+from mustardscale.requests.kept_answers import (
+    KeptAnswer,
+    KeptAnswers,
+    kept_in,
+    reply_with,
+)
 
 log = logging.getLogger(__name__)
 
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -9,48 +9,55 @@
 import random
 from collections.abc import AsyncGenerator, Iterator
 
-from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard
-from mustardscale.cancellation import Canceller
-from mustardscale.claims import Claims
-from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
-from mustardscale.config_sync import (
+from mustardscale.callers.service_api import RequestService
+from mustardscale.claims.claims_controller import Claims
+from mustardscale.configuration.config_records import (
+    Profile,
+    ServiceChoice,
+    ServiceKind,
+)
+from mustardscale.configuration.config_sync import (
     ConfigLogController,
     ConfigPeerController,
     SnapshotController,
 )
 from mustardscale.controller import Controller, keep_running
-from mustardscale.directory import DirectoryHome
-from mustardscale.directory_client import DirectoryClient
-from mustardscale.endpoint_clients import EndpointClients
-from mustardscale.engine_drain import EngineDrains
-from mustardscale.engine_watch import EngineWatch
-from mustardscale.engines import TokenEvent
+from mustardscale.directory.directory_client import DirectoryClient
+from mustardscale.directory.directory_home import DirectoryHome
+from mustardscale.endpoints.caller_requests import LanguageRequest, PlainRequest
+from mustardscale.endpoints.cancellation import Canceller
+from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.engines import TokenEvent
+from mustardscale.endpoints.plain_endpoints import PlainAnswer
 from mustardscale.exceptions import OutcomeError
-from mustardscale.host_list_controller import HostListController
-from mustardscale.kept_answers import KeptAnswers
-from mustardscale.language import LanguageService
-from mustardscale.language_attempts import AttemptRunner
-from mustardscale.limits import ServiceLimits
-from mustardscale.membership import HeartbeatController, MembershipFollower
-from mustardscale.metrics import Metrics
-from mustardscale.order_log import OrderLog
-from mustardscale.orders import OrderController
+from mustardscale.hosts.host_list_controller import HostListController
+from mustardscale.hosts.membership import (
+    HeartbeatController,
+    MembershipFollower,
+)
+from mustardscale.operators.state_dump import dump_state, summarize_state
+from mustardscale.orders.order_controller import OrderController
+from mustardscale.orders.order_log import OrderLog
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.plain_calls import PlainService, content_fingerprint
-from mustardscale.plain_endpoints import PlainAnswer
+from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.policy import POLICY_BY_NAME
-from mustardscale.pool_owner import PoolOwner
-from mustardscale.quarantine import SuspicionExpiry, Suspicions
-from mustardscale.reconcile import Reconciler
-from mustardscale.requests import LanguageRequest, PlainRequest
-from mustardscale.resumption import Resumption
+from mustardscale.pools.admission import AdmissionClient
+from mustardscale.pools.engine_drain import EngineDrains
+from mustardscale.pools.engine_watch import EngineWatch
+from mustardscale.pools.pool_owner import PoolOwner
+from mustardscale.pools.quarantine import SuspicionExpiry, Suspicions
+from mustardscale.pools.reconcile import Reconciler
+from mustardscale.pools.suspicion_sharing import SuspicionSharing
+from mustardscale.reporting.metrics import Metrics
+from mustardscale.requests.kept_answers import KeptAnswers
+from mustardscale.requests.language import LanguageService
+from mustardscale.requests.language_attempts import AttemptRunner
+from mustardscale.requests.limits import ServiceLimits
+from mustardscale.requests.plain_calls import PlainService, content_fingerprint
+from mustardscale.requests.resumption import Resumption
 from mustardscale.router_options import Edges, RouterOptions
-from mustardscale.service_api import RequestService
-from mustardscale.state_dump import dump_state, summarize_state
-from mustardscale.suspicion_sharing import SuspicionSharing
-from mustardscale.trace import TraceKind
+from mustardscale.traces.trace import TraceKind
 
 DRAINING_RETRY_AFTER_S = 1.0
 
--- a/mustardscale/router_options.py
+++ b/mustardscale/router_options.py
@@ -5,13 +5,13 @@
 import dataclasses
 from collections.abc import Callable
 
-from mustardscale.endpoint_clients import EndpointConnector
-from mustardscale.host_list import HostList
-from mustardscale.kept_answers import KeptAnswerLimits
-from mustardscale.log_client import LogClient
-from mustardscale.membership import MembershipTimes
-from mustardscale.peer_transport import PeerTransport
-from mustardscale.trace import NoTrace, TraceSink
+from mustardscale.endpoints.endpoint_clients import EndpointConnector
+from mustardscale.hosts.host_list import HostList
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.log_client import LogClient
+from mustardscale.peers.peer_transport import PeerTransport
+from mustardscale.requests.kept_answers import KeptAnswerLimits
+from mustardscale.traces.trace import NoTrace, TraceSink
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/mustardscale/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's settings."""
--- a/mustardscale/settings.py
+++ b/mustardscale/settings/daemon_settings.py
@@ -8,7 +8,7 @@
 
 import tabulate
 
-from mustardscale.setting_options import (
+from mustardscale.settings.setting_options import (
     Address,
     Choice,
     Count,
--- a/mustardscale/setting_sources.py
+++ b/mustardscale/settings/setting_sources.py
@@ -10,8 +10,7 @@
 import configargparse
 
 from mustardscale.exceptions import SettingError
-from mustardscale.setting_options import Option, Secret
-from mustardscale.settings import (
+from mustardscale.settings.daemon_settings import (
     Settings,
     argument_name_of,
     flag_of,
@@ -19,6 +18,7 @@
     option_of,
     variable_of,
 )
+from mustardscale.settings.setting_options import Option, Secret
 
 
 def load_settings(
--- /dev/null
+++ b/mustardscale/traces/__init__.py
@@ -0,0 +1,1 @@
+"""What a process records of requests and decisions."""
--- a/mustardscale/trace.py
+++ b/mustardscale/traces/trace.py
@@ -39,6 +39,21 @@
     ENDED = 'ended'
 
 
+class DecisionKind(enum.StrEnum):
+    """What was decided, or told to a policy that learns from it."""
+
+    POLICY_BEGUN = 'policy_begun'
+    POLICY_DECIDED = 'policy_decided'
+    POLICY_GRANT = 'policy_grant'
+    POLICY_STAGE = 'policy_stage'
+    POLICY_RELEASE = 'policy_release'
+    POLICY_REPORT = 'policy_report'
+    POLICY_CACHE = 'policy_cache'
+    CLAIMS_FOLDED = 'claims_folded'
+    DIRECTORY_DECIDED = 'directory_decided'
+    ORPHAN_JUDGED = 'orphan_judged'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TraceLine:
     """One line of a trace.
--- a/standins/attempt_fence.py
+++ b/standins/attempt_fence.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from mustardscale.engines import REFUSED_STALE_ATTEMPT, StreamTag
+from mustardscale.endpoints.engines import REFUSED_STALE_ATTEMPT, StreamTag
 from mustardscale.exceptions import EndpointRefusedError
 
 
--- a/standins/caller_records.py
+++ b/standins/caller_records.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
+from mustardscale.endpoints.caller_requests import LanguageRequest, PlainRequest
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.requests import LanguageRequest, PlainRequest
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/config_checks.py
+++ b/standins/config_checks.py
@@ -5,13 +5,13 @@
 import asyncio
 from collections.abc import Iterable, Iterator
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     RecordError,
     decode_record,
 )
-from mustardscale.log_client import CONFIG_STREAM, LogRecord
+from mustardscale.log.log_client import CONFIG_STREAM, LogRecord
 from standins.fault_actions import FaultActions
 from standins.faults import Outage
 from standins.memory_site import MemorySite
--- a/standins/decode_batch.py
+++ b/standins/decode_batch.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from mustardscale.engines import StreamStage
+from mustardscale.endpoints.engines import StreamStage
 from standins.decode_stream import (
     FINISH_LENGTH,
     FINISH_PREEMPTED,
--- a/standins/decode_side.py
+++ b/standins/decode_side.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     REFUSED_KV_EVICTED,
     REFUSED_MEMORY,
     REFUSED_UNKNOWN_STREAM,
--- a/standins/decode_stream.py
+++ b/standins/decode_stream.py
@@ -6,7 +6,7 @@
 import dataclasses
 from collections.abc import AsyncGenerator
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     DecodeCall,
     StreamInfo,
     StreamStage,
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,7 +17,11 @@
 import msgspec
 import tabulate
 
-from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
+from mustardscale.configuration.config_records import (
+    Profile,
+    ServiceChoice,
+    ServiceKind,
+)
 from standins.local_callers import (
     AnswerFate,
     CallResult,
--- a/standins/engine_inprocess.py
+++ b/standins/engine_inprocess.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import AsyncGenerator, Callable
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     CacheEvent,
     DecodeCall,
     Engine,
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import AsyncGenerator, Callable
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     REFUSED_LEAVING,
     REFUSED_MEMORY,
     REFUSED_MODEL,
@@ -61,7 +61,7 @@
 class EngineModel:
     """One engine; create it inside a running event loop.
 
-    Its methods raise like those of mustardscale.engines.Engine.
+    Its methods raise like those of mustardscale.endpoints.engines.Engine.
 
     Attributes:
         parameters: size and speed.
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -5,7 +5,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from mustardscale.engines import REFUSED_FENCED, EngineOrder, EngineRole
+from mustardscale.endpoints.engines import (
+    REFUSED_FENCED,
+    EngineOrder,
+    EngineRole,
+)
 from mustardscale.exceptions import EndpointRefusedError
 from standins.engine_parameters import EngineCounters, EngineParameters
 
--- a/standins/engine_parameters.py
+++ b/standins/engine_parameters.py
@@ -4,7 +4,11 @@
 
 import dataclasses
 
-from mustardscale.engines import EngineOrder, EngineRole, SamplingOptions
+from mustardscale.endpoints.engines import (
+    EngineOrder,
+    EngineRole,
+    SamplingOptions,
+)
 
 WASTED_EVICTED = 'evicted'
 WASTED_CANCELLED = 'cancelled'
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -17,19 +17,19 @@
 import msgspec
 from aiohttp import web
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     DecodeCall,
     EngineOrder,
     PrefillCall,
     TokenEvent,
 )
-from mustardscale.event_stream import encode_event
+from mustardscale.endpoints.event_stream import encode_event
+from mustardscale.endpoints.http_engine import Refusal
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
 )
-from mustardscale.http_engine import Refusal
 from standins import serving
 from standins.engine_faults import FaultChange, apply_faults
 from standins.engine_model import EngineModel
--- a/standins/event_faults.py
+++ b/standins/event_faults.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import AsyncGenerator
 
-from mustardscale.engines import TokenEvent
+from mustardscale.endpoints.engines import TokenEvent
 from standins.engine_parameters import EngineFaults
 
 
--- a/standins/fault_actions.py
+++ b/standins/fault_actions.py
@@ -6,8 +6,8 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
-from mustardscale.pools import divide_pools
-from mustardscale.rendezvous import owner
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.pools.pool_members import divide_pools
 from standins.fault_plan import Fault, FaultKind
 from standins.faults import Outage
 from standins.host_list_model import HostChange
--- a/standins/fault_callers.py
+++ b/standins/fault_callers.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable
 
 from mustardscale.background_tasks import BackgroundTasks
-from mustardscale.exceptions import OutcomeError
-from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.requests import (
+from mustardscale.endpoints.caller_requests import (
     LanguageRequest,
     PlainRequest,
     prompt_from_text,
 )
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from standins.caller_records import CallerRecord, Send
 from standins.expected_answers import expected_tokens, output_length
 from standins.fault_actions import FaultActions
--- a/standins/fault_operators.py
+++ b/standins/fault_operators.py
@@ -5,15 +5,19 @@
 import asyncio
 import random
 
-from mustardscale.config_records import ConfigChange, ConfigKey, Profile
-from mustardscale.exceptions import LogUnavailableError
-from mustardscale.log_client import CONFIG_STREAM
-from mustardscale.publishing import (
+from mustardscale.configuration.config_records import (
+    ConfigChange,
+    ConfigKey,
+    Profile,
+)
+from mustardscale.configuration.publishing import (
     PublishFate,
     PublishResult,
     publish,
     read_config,
 )
+from mustardscale.exceptions import LogUnavailableError
+from mustardscale.log.log_client import CONFIG_STREAM
 from standins.config_checks import fold_accepted
 from standins.memory_log import MemoryLogClient
 from standins.memory_site import MemorySite
--- a/standins/fault_orders.py
+++ b/standins/fault_orders.py
@@ -5,11 +5,10 @@
 import asyncio
 import random
 
-from mustardscale.config_records import ConfigKey, make_change
-from mustardscale.config_state import ENGINE_KIND, WEIGHTS_KIND
-from mustardscale.exceptions import LogUnavailableError
-from mustardscale.publishing import publish, read_config
-from mustardscale.wanted_state import (
+from mustardscale.configuration.config_records import ConfigKey, make_change
+from mustardscale.configuration.config_state import ENGINE_KIND, WEIGHTS_KIND
+from mustardscale.configuration.publishing import publish, read_config
+from mustardscale.configuration.wanted_state import (
     MODEL_PREFIX,
     ListedEngine,
     WantedEngine,
@@ -17,6 +16,7 @@
     target_of,
     wanted_of,
 )
+from mustardscale.exceptions import LogUnavailableError
 from standins.memory_log import MemoryLogClient
 from standins.memory_site import MemorySite
 
--- a/standins/fault_runs.py
+++ b/standins/fault_runs.py
@@ -21,8 +21,8 @@
 
 import async_solipsism
 
-from mustardscale.config_records import Profile
-from mustardscale.trace import FileTrace
+from mustardscale.configuration.config_records import Profile
+from mustardscale.traces.trace import FileTrace
 from standins.fault_actions import FaultActions
 from standins.fault_callers import FaultCallers
 from standins.fault_operators import FaultOperators
--- a/standins/host_list_model.py
+++ b/standins/host_list_model.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import HostList, ListedHost
+from mustardscale.hosts.host_list import HostList, ListedHost
 from standins.faults import (
     NonNegative,
     Outage,
--- a/standins/host_list_server.py
+++ b/standins/host_list_server.py
@@ -12,7 +12,7 @@
 import xxhash
 from aiohttp import web
 
-from mustardscale.http_host_list import HostsAnswer
+from mustardscale.hosts.http_host_list import HostsAnswer
 from standins import serving
 from standins.host_list_model import (
     HostChange,
--- a/standins/http_kv_source.py
+++ b/standins/http_kv_source.py
@@ -7,9 +7,9 @@
 import aiohttp
 import msgspec
 
-from mustardscale.engines import DecodeCall
+from mustardscale.endpoints.engines import DecodeCall
+from mustardscale.endpoints.http_engine import Refusal
 from mustardscale.exceptions import EndpointFailedError, EndpointRefusedError
-from mustardscale.http_engine import Refusal
 from standins.kv_source import KvSource
 
 _STATUS_OK = 200
--- a/standins/kv_source.py
+++ b/standins/kv_source.py
@@ -4,13 +4,19 @@
 
 import abc
 from collections.abc import Mapping
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from mustardscale.engines import DecodeCall
+from mustardscale.endpoints.engines import DecodeCall
 from mustardscale.exceptions import EndpointUnreachableError
 
-if TYPE_CHECKING:
-    from standins.engine_model import EngineModel
+
+class KvExporter(Protocol):
+    """An engine that KV caches can be fetched from."""
+
+    async def export_kv(
+        self, kv_id: str, importer_bytes_per_s: float
+    ) -> object:
+        """Hands a KV cache over; takes the time of the transfer."""
 
 
 class KvSource(abc.ABC):
@@ -34,7 +40,7 @@
 
     __slots__ = ('model_by_address',)
 
-    def __init__(self, model_by_address: Mapping[str, EngineModel]):
+    def __init__(self, model_by_address: Mapping[str, KvExporter]):
         self.model_by_address = model_by_address
 
     async def fetch(
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -12,7 +12,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     REFUSED_KV_EVICTED,
     PrefillResult,
     StreamTag,
--- a/standins/load_reports.py
+++ b/standins/load_reports.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from mustardscale.engines import LoadReport
+from mustardscale.endpoints.engines import LoadReport
 
 # Reports taken within one lag.
 _REPORTS_PER_LAG = 2
--- a/standins/local_callers.py
+++ b/standins/local_callers.py
@@ -13,8 +13,8 @@
 import msgspec
 import uuid_utils
 
-from mustardscale.config_records import Profile
-from mustardscale.requests import prompt_from_text
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.caller_requests import prompt_from_text
 from standins.expected_answers import expected_tokens, output_length
 from standins.memory_site import token_of
 
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -19,9 +19,9 @@
 import aiohttp
 import msgspec
 
-from mustardscale.engines import EngineRole
-from mustardscale.host_list import ListedHost, ListedKind
-from mustardscale.http_host_list import HostsAnswer
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.hosts.host_list import ListedHost, ListedKind
+from mustardscale.hosts.http_host_list import HostsAnswer
 from standins.memory_site import SiteLayout
 
 log = logging.getLogger(__name__)
--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -7,7 +7,7 @@
 import dataclasses
 import random
 
-from mustardscale.log_client import LogPage, LogRecord
+from mustardscale.log.log_client import LogPage, LogRecord
 from standins.faults import (
     Count,
     NonNegative,
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from mustardscale.http_log import AppendAnswer, AppendBody
+from mustardscale.log.http_log import AppendAnswer, AppendBody
 from standins import serving
 from standins.log_model import LogConditions, LogModel
 
--- a/standins/memory_log.py
+++ b/standins/memory_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log_client import LogClient, LogPage
+from mustardscale.log.log_client import LogClient, LogPage
 from standins.faults import AnswerLostError, StandinRefusedError
 from standins.log_model import LogModel
 from standins.memory_network import (
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Coroutine
 
-from mustardscale.config_messages import ConfigFetchReply
 from mustardscale.exceptions import (
     OutcomeError,
     PeerCallError,
@@ -15,9 +14,10 @@
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import Frame, FrameKind, encode_frame
-from mustardscale.peer_transport import PeerHandler, PeerTransport
-from mustardscale.peers import PeerReply, PeerRequest
+from mustardscale.peers.config_messages import ConfigFetchReply
+from mustardscale.peers.peer_codec import Frame, FrameKind, encode_frame
+from mustardscale.peers.peer_messages import PeerReply, PeerRequest
+from mustardscale.peers.peer_transport import PeerHandler, PeerTransport
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/standins/memory_site.py
+++ b/standins/memory_site.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 from mustardscale.blackboard import EndpointEntry
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigContent,
     ConfigKey,
     ConfigSnapshot,
@@ -23,14 +23,14 @@
     encode_record,
     make_change,
 )
-from mustardscale.endpoint_clients import EndpointConnector
-from mustardscale.engines import Engine, EngineRole
-from mustardscale.host_list import ListedHost, ListedKind
-from mustardscale.log_client import CONFIG_STREAM
-from mustardscale.plain_endpoints import PlainEndpoint
+from mustardscale.endpoints.endpoint_clients import EndpointConnector
+from mustardscale.endpoints.engines import Engine, EngineRole
+from mustardscale.endpoints.plain_endpoints import PlainEndpoint
+from mustardscale.hosts.host_list import ListedHost, ListedKind
+from mustardscale.log.log_client import CONFIG_STREAM
 from mustardscale.router import Router
 from mustardscale.router_options import Edges, RouterOptions
-from mustardscale.trace import NoTrace, TraceSink
+from mustardscale.traces.trace import NoTrace, TraceSink
 from standins.engine_inprocess import InProcessEngine
 from standins.engine_model import EngineModel
 from standins.engine_parameters import EngineParameters
--- a/standins/plain_inprocess.py
+++ b/standins/plain_inprocess.py
@@ -4,13 +4,17 @@
 
 import msgspec
 
-from mustardscale.engines import REFUSED_LEAVING
+from mustardscale.endpoints.engines import REFUSED_LEAVING
+from mustardscale.endpoints.plain_endpoints import (
+    PlainAnswer,
+    PlainCall,
+    PlainEndpoint,
+)
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
 )
-from mustardscale.plain_endpoints import PlainAnswer, PlainCall, PlainEndpoint
 from standins.faults import AnswerLostError
 from standins.memory_network import (
     ConnectionCutError,
--- a/standins/plain_server.py
+++ b/standins/plain_server.py
@@ -11,8 +11,8 @@
 
 from aiohttp import web
 
-from mustardscale.engines import REFUSED_LEAVING
-from mustardscale.http_plain import IDEMPOTENCY_KEY, REFUSED_REASON
+from mustardscale.endpoints.engines import REFUSED_LEAVING
+from mustardscale.endpoints.http_plain import IDEMPOTENCY_KEY, REFUSED_REASON
 from standins import serving
 from standins.plain_model import (
     CrashedError,
--- a/standins/prefill_queue.py
+++ b/standins/prefill_queue.py
@@ -8,7 +8,7 @@
 import itertools
 from collections.abc import Callable
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     REFUSED_STALE_ATTEMPT,
     PrefillCall,
     PrefillResult,
--- a/standins/prefix_cache.py
+++ b/standins/prefix_cache.py
@@ -6,7 +6,7 @@
 import collections
 import random
 
-from mustardscale.engines import BLOCK_TOKENS, CacheEvent, Prompt
+from mustardscale.endpoints.engines import BLOCK_TOKENS, CacheEvent, Prompt
 
 # Cache events that are kept for readers.
 _EVENTS_KEPT = 10_000
--- a/standins/promise_checks.py
+++ b/standins/promise_checks.py
@@ -7,9 +7,9 @@
 import dataclasses
 import enum
 
-from mustardscale.engines import StreamInfo, StreamStage
+from mustardscale.endpoints.caller_requests import PlainRequest
+from mustardscale.endpoints.engines import StreamInfo, StreamStage
 from mustardscale.outcomes import OutcomeClass, outcome_class
-from mustardscale.requests import PlainRequest
 from standins.caller_records import CallerRecord, Send
 from standins.config_checks import ConfigChecks
 from standins.fault_actions import FaultActions
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -16,7 +16,7 @@
 import msgspec
 from aiohttp import web
 
-from mustardscale.http_sessions import HOST_ID_HEADER
+from mustardscale.endpoints.http_sessions import HOST_ID_HEADER
 from standins.faults import (
     OUTAGE_RETRY_AFTER_S,
     AnswerLostError,
--- a/tests/callers_client.py
+++ b/tests/callers_client.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 
-from mustardscale.caller_connections import CallerLimits
-from mustardscale.callers_http import CallersServer
+from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.callers.callers_http import CallersServer
 from tests.fake_service import FakeService
 
 BOOKING_ID = '01890a5d-ac96-774b-bcce-b302099a8057'
--- a/tests/engine_pair.py
+++ b/tests/engine_pair.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardscale.engines import (
+from mustardscale.endpoints.engines import (
     DecodeCall,
     EngineRole,
     PrefillCall,
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-from mustardscale.config_records import ServiceChoice, ServiceKind
-from mustardscale.engines import TokenEvent
+from mustardscale.callers.service_api import RequestService
+from mustardscale.configuration.config_records import ServiceChoice, ServiceKind
+from mustardscale.endpoints.engines import TokenEvent
+from mustardscale.endpoints.plain_endpoints import PlainAnswer
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainAnswer
-from mustardscale.service_api import RequestService
 
 SERVICE_BY_TOKEN = {'lm-token': 'lm', 'ledger-token': 'ledger'}
 CHOICE_BY_SERVICE = {
--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -6,18 +6,19 @@
 
 import dataclasses
 
-from mustardscale import directory, language
 from mustardscale.blackboard import EndpointEntry
-from mustardscale.cancellation import Canceller
-from mustardscale.claims import Claims
-from mustardscale.config_state import ConfigState
-from mustardscale.config_sync import ConfigPeerController
-from mustardscale.directory import DirectoryHome
-from mustardscale.membership import HeartbeatController
+from mustardscale.claims.claims_controller import Claims
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.configuration.config_sync import ConfigPeerController
+from mustardscale.directory import directory_home as directory
+from mustardscale.directory.directory_home import DirectoryHome
+from mustardscale.endpoints.cancellation import Canceller
+from mustardscale.endpoints.token_assembler import TokenAssembler
+from mustardscale.hosts.membership import HeartbeatController
 from mustardscale.policy import decode_room
-from mustardscale.resumption import Resumption
+from mustardscale.requests import language
+from mustardscale.requests.resumption import Resumption
 from mustardscale.router import Router
-from mustardscale.token_assembler import TokenAssembler
 from standins import expected_answers, fault_callers, fault_runs
 from standins.fault_plan import Fault, FaultKind
 from standins.promise_checks import Promise
--- a/tests/order_site.py
+++ b/tests/order_site.py
@@ -5,9 +5,12 @@
 
 import async_solipsism
 
-from mustardscale.config_records import ConfigKey, Profile
-from mustardscale.engines import EngineRole
-from mustardscale.wanted_state import WantedEngine, WeightStoreLimits
+from mustardscale.configuration.config_records import ConfigKey, Profile
+from mustardscale.configuration.wanted_state import (
+    WantedEngine,
+    WeightStoreLimits,
+)
+from mustardscale.endpoints.engines import EngineRole
 from standins.expected_answers import output_length
 from standins.memory_site import MemorySite, SiteLayout
 from tests.test_memory_site import language
--- a/tests/peer_pair.py
+++ b/tests/peer_pair.py
@@ -3,20 +3,24 @@
 import asyncio
 import random
 
-from mustardscale.config_messages import (
+from mustardscale.exceptions import (
+    OutcomeError,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.peers.config_messages import (
     ConfigFetch,
     ConfigFetchReply,
     ConfigRecord,
 )
-from mustardscale.exceptions import (
-    OutcomeError,
+from mustardscale.peers.peer_messages import (
+    Acknowledgement,
+    StreamLookup,
+    StreamLookupReply,
 )
-from mustardscale.outcomes import Outcome
-from mustardscale.peer_streams import (
+from mustardscale.peers.peer_streams import (
     PeerIdentity,
 )
-from mustardscale.peers import Acknowledgement, StreamLookup, StreamLookupReply
-from mustardscale.tcp_peers import TcpPeerTransport
+from mustardscale.peers.tcp_peers import TcpPeerTransport
 
 REPLY = StreamLookupReply(())
 
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -10,12 +10,16 @@
 import uuid_utils
 
 from mustardscale.__main__ import build_parser
-from mustardscale.command_context import CommandContext
-from mustardscale.config_records import Profile, ServiceChoice, ServiceKind
-from mustardscale.http_host_list import HttpHostList
-from mustardscale.http_log import HttpLogClient
-from mustardscale.operators_client import OperatorsClient
-from mustardscale.requests import prompt_from_text
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.operators_client import OperatorsClient
+from mustardscale.configuration.config_records import (
+    Profile,
+    ServiceChoice,
+    ServiceKind,
+)
+from mustardscale.endpoints.caller_requests import prompt_from_text
+from mustardscale.hosts.http_host_list import HttpHostList
+from mustardscale.log.http_log import HttpLogClient
 from standins.expected_answers import output_length
 from standins.local_callers import LanguageCaller, call_plain
 from standins.local_site import OPERATORS_TOKEN, LocalSite
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,15 +5,15 @@
 
 import pytest
 
-from mustardscale.admission import AdmissionClient
 from mustardscale.blackboard import Blackboard, EndpointEntry, ServedRequest
-from mustardscale.config_records import Profile
-from mustardscale.engines import EngineRole, Prompt, StreamTag
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.caller_requests import LanguageRequest
+from mustardscale.endpoints.engines import EngineRole, Prompt, StreamTag
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
-from mustardscale.host_list import ListedKind
+from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitReply
-from mustardscale.requests import LanguageRequest
+from mustardscale.peers.peer_messages import AdmitReply
+from mustardscale.pools.admission import AdmissionClient
 from tests.virtual_time import virtual_time
 
 HURRIED = Profile(first_token_s=0.9, patience_s=0.9)
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from mustardscale.caller_connections import (
+from mustardscale.callers.caller_connections import (
     REFUSED_CONNECTIONS,
     CallerLimits,
 )
-from mustardscale.callers_http import CallersServer
+from mustardscale.callers.callers_http import CallersServer
 from mustardscale.outcomes import Outcome
 from tests.callers_client import (
     PATIENCE_S,
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -6,7 +6,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from mustardscale.chat_completions import parse_chat_request
+from mustardscale.callers.chat_completions import parse_chat_request
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from tests.callers_client import (
--- a/tests/test_callers_plain.py
+++ b/tests/test_callers_plain.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from mustardscale.endpoints.plain_endpoints import PlainAnswer
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainAnswer
 from tests.callers_client import (
     BOOKING_ID,
     code,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,7 @@
 )
 from bench.deployments import DEPLOYMENT_BY_NAME, KOBBERFONDEN
 from bench.workloads import record_arrivals
-from mustardscale.config_records import ServiceKind
+from mustardscale.configuration.config_records import ServiceKind
 
 PARAMETERS = KOBBERFONDEN.parameters
 
--- a/tests/test_chat_options.py
+++ b/tests/test_chat_options.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mustardscale.chat_completions import parse_chat_request
-from mustardscale.engines import SamplingOptions
+from mustardscale.callers.chat_completions import parse_chat_request
+from mustardscale.endpoints.engines import SamplingOptions
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from tests.callers_client import CHAT, code, served
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -9,14 +9,14 @@
 import pytest
 
 from mustardscale.__main__ import build_parser, main
-from mustardscale.command_context import CommandContext
-from mustardscale.engines import EngineRole
+from mustardscale.commands.command_context import CommandContext
+from mustardscale.commands.exit_codes import ExitCode
+from mustardscale.commands.operators_client import OperatorsClient
+from mustardscale.configuration.publishing import read_config
+from mustardscale.endpoints.engines import EngineRole
 from mustardscale.exceptions import PeerUnavailableError, SettingError
-from mustardscale.exit_codes import ExitCode
-from mustardscale.host_list import ListedHost, ListedKind
-from mustardscale.operators_client import OperatorsClient
-from mustardscale.operators_http import OperatorsServer
-from mustardscale.publishing import read_config
+from mustardscale.hosts.host_list import ListedHost, ListedKind
+from mustardscale.operators.operators_http import OperatorsServer
 from standins.host_list_model import HostListModel, MemoryHostList
 from standins.log_model import LogModel
 from standins.memory_log import MemoryLogClient
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -5,9 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale.config_copy import ConfigCopy, part_of
-from mustardscale.config_messages import ConfigFetch, ConfigFetchReply
-from mustardscale.config_records import (
+from mustardscale.configuration.config_copy import ConfigCopy, part_of
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
@@ -15,7 +14,15 @@
     decode_record,
     encode_record,
 )
-from mustardscale.config_state import PROFILE_KIND, ConfigState, Fate
+from mustardscale.configuration.config_state import (
+    PROFILE_KIND,
+    ConfigState,
+    Fate,
+)
+from mustardscale.peers.config_messages import (
+    ConfigFetch,
+    ConfigFetchReply,
+)
 
 KEY = ConfigKey(PROFILE_KIND, 'noon')
 OTHER = ConfigKey(PROFILE_KIND, 'night')
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -6,16 +6,16 @@
 import pytest
 
 from mustardscale.blackboard import Blackboard, HostEntry
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
     ServiceChoice,
     encode_record,
 )
-from mustardscale.config_sync import ConfigPeerController
-from mustardscale.log_client import CONFIG_STREAM
-from mustardscale.peer_calls import PeerCalls
+from mustardscale.configuration.config_sync import ConfigPeerController
+from mustardscale.log.log_client import CONFIG_STREAM
+from mustardscale.peers.peer_calls import PeerCalls
 from standins.memory_peers import MemoryPeerNetwork
 from standins.memory_site import MemorySite, SiteLayout
 from tests.virtual_time import virtual_time
--- a/tests/test_deadline.py
+++ b/tests/test_deadline.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardscale.deadline import until
+from mustardscale.requests.deadline import until
 from tests.virtual_time import virtual_time
 
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -7,16 +7,16 @@
 import pytest
 
 from mustardscale.blackboard import Blackboard, DirectoryRow
-from mustardscale.config_records import Profile
-from mustardscale.directory import DirectoryHome
-from mustardscale.directory_messages import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.directory.directory_home import DirectoryHome
+from mustardscale.exceptions import OutcomeError
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.outcomes import Outcome
+from mustardscale.peers.directory_messages import (
     DirectoryEntry,
     DirectoryRegister,
 )
-from mustardscale.exceptions import OutcomeError
-from mustardscale.outcomes import Outcome
-from mustardscale.peer_calls import PeerCalls
-from mustardscale.rendezvous import owner
+from mustardscale.peers.peer_calls import PeerCalls
 from tests.test_memory_site import answer, language, run, whole
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mustardscale.exit_codes import exit_code_table
+from mustardscale.commands.exit_codes import exit_code_table
 from mustardscale.outcomes import TEXT_BY_OUTCOME, Outcome, outcome_table
 
 ROOT = pathlib.Path(__file__).parents[1]
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -7,17 +7,17 @@
 
 import pytest
 
-from mustardscale import engines
-from mustardscale.engines import (
+from mustardscale.endpoints import engines
+from mustardscale.endpoints.caller_requests import prompt_from_text
+from mustardscale.endpoints.engines import (
     PrefillCall,
     StreamStage,
     StreamTag,
 )
+from mustardscale.endpoints.token_assembler import TokenAssembler
 from mustardscale.exceptions import (
     EndpointFailedError,
 )
-from mustardscale.requests import prompt_from_text
-from mustardscale.token_assembler import TokenAssembler
 from standins.expected_answers import expected_tokens
 from tests.engine_pair import (
     LENGTH,
--- a/tests/test_engine_model_faults.py
+++ b/tests/test_engine_model_faults.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from mustardscale import engines
-from mustardscale.engines import (
+from mustardscale.endpoints import engines
+from mustardscale.endpoints.engines import (
     EngineOrder,
     EngineRole,
     PrefillCall,
--- a/tests/test_engine_watch.py
+++ b/tests/test_engine_watch.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from mustardscale.engines import PrefillCall, StreamTag
-from mustardscale.owned_pool import QUIET_AFTER_S
-from mustardscale.requests import prompt_from_text
+from mustardscale.endpoints.caller_requests import prompt_from_text
+from mustardscale.endpoints.engines import PrefillCall, StreamTag
+from mustardscale.pools.owned_pool import QUIET_AFTER_S
 from tests.test_memory_site import answer, language, run, whole
 from tests.test_promises_memory import FREE_AFTER_S, owner_of_pool, used
 
--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -8,8 +8,8 @@
 import pytest
 
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.host_list import ListedHost, ListedKind
-from mustardscale.http_host_list import HttpHostList
+from mustardscale.hosts.host_list import ListedHost, ListedKind
+from mustardscale.hosts.http_host_list import HttpHostList
 from standins.faults import Outage
 from standins.host_list_model import (
     HostChange,
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -1,4 +1,4 @@
-"""Tests of mustardscale.http_engine against the engine stand-in."""
+"""Tests of mustardscale.endpoints.http_engine against the engine stand-in."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 import pytest
 from aiohttp import web
 
-from mustardscale import engines
-from mustardscale.engines import (
+from mustardscale.endpoints import engines
+from mustardscale.endpoints.caller_requests import prompt_from_text
+from mustardscale.endpoints.engines import (
     DecodeCall,
     EngineOrder,
     EngineRole,
@@ -19,13 +20,12 @@
     StreamTag,
     TokenEvent,
 )
+from mustardscale.endpoints.http_engine import HttpEngine
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
 )
-from mustardscale.http_engine import HttpEngine
-from mustardscale.requests import prompt_from_text
 from standins import serving
 from standins.engine_parameters import EngineParameters
 from standins.engine_server import EngineServer
--- a/tests/test_http_log.py
+++ b/tests/test_http_log.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.http_log import HttpLogClient
+from mustardscale.log.http_log import HttpLogClient
 from standins.faults import Outage
 from standins.log_model import LogConditions, LogModel
 from standins.log_server import make_log_application
--- a/tests/test_json_logging.py
+++ b/tests/test_json_logging.py
@@ -8,16 +8,19 @@
 
 import pytest
 
-from mustardscale import json_logging
+from mustardscale.endpoints.caller_requests import (
+    LanguageRequest,
+    prompt_from_text,
+)
 from mustardscale.exceptions import PeerFrameError
-from mustardscale.json_logging import (
+from mustardscale.outcomes import Outcome
+from mustardscale.reporting import json_logging
+from mustardscale.reporting.json_logging import (
     MAX_TEXT,
     JsonFormatter,
     LogOutput,
     configure_logging,
 )
-from mustardscale.outcomes import Outcome
-from mustardscale.requests import LanguageRequest, prompt_from_text
 
 SECRET = 'peer-key-of-this-floor'
 PROMPT = 'Assay of lot 17'
--- a/tests/test_kept_answers.py
+++ b/tests/test_kept_answers.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from mustardscale.kept_answers import (
+from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.outcomes import Outcome
+from mustardscale.requests.kept_answers import (
     LONGEST_TAIL_TOKENS,
     KeptAnswer,
     KeptAnswerLimits,
     KeptAnswers,
 )
-from mustardscale.membership import QUORUM_LEASE_S
-from mustardscale.outcomes import Outcome
 from standins.fault_actions import FaultActions
 from tests.test_memory_site import answer, language, run, whole
 from tests.test_promises_answers import outcome_of
--- a/tests/test_lapsed_reservations.py
+++ b/tests/test_lapsed_reservations.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from mustardscale.engines import StreamStage
+from mustardscale.endpoints.engines import StreamStage
 from tests.test_memory_site import answer, language, run
 from tests.test_promises_memory import FREE_AFTER_HOST_LOSS_S, owner_of_pool
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
@@ -11,7 +11,7 @@
     encode_record,
 )
 from mustardscale.exceptions import OutcomeError
-from mustardscale.limits import ServiceLimits
+from mustardscale.requests.limits import ServiceLimits
 from tests.virtual_time import virtual_time
 
 
--- a/tests/test_link_schedule.py
+++ b/tests/test_link_schedule.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mustardscale.link_schedule import RATE_SAMPLES, LinkSchedule
+from mustardscale.policy.link_schedule import RATE_SAMPLES, LinkSchedule
 
 RATE = 1000.0
 
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mustardscale.load_estimate import DecodeLoad, LineFit, PrefillLoad
+from mustardscale.policy.load_estimate import DecodeLoad, LineFit, PrefillLoad
 
 BASE_S = 0.02
 PER_TOKEN_S = 1 / 16_000
--- a/tests/test_load_figures.py
+++ b/tests/test_load_figures.py
@@ -8,7 +8,7 @@
 
 from bench.load_owner import OwnerBench
 from bench.load_usage import Usage, cpu_seconds, mean, memory_mb, rate
-from mustardscale.pool_owner import SETTLE_S
+from mustardscale.pools.pool_owner import SETTLE_S
 
 
 class TestUsage:
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mustardscale.engines import StreamStage
-from mustardscale.reconcile import Reconciler
+from mustardscale.endpoints.engines import StreamStage
+from mustardscale.pools.reconcile import Reconciler
 from standins.fault_runs import run_seed
 from tests.mechanisms import CASE_BY_NAME, nothing
 from tests.test_memory_site import run
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,9 +6,9 @@
 import pytest
 
 from mustardscale.controller import JITTER_SHARE
-from mustardscale.membership import QUORUM_LEASE_S, MembershipTimes
-from mustardscale.peer_codec import Frame, FrameKind, encode_frame
-from mustardscale.peers import Heartbeat
+from mustardscale.hosts.membership import QUORUM_LEASE_S, MembershipTimes
+from mustardscale.peers.peer_codec import Frame, FrameKind, encode_frame
+from mustardscale.peers.peer_messages import Heartbeat
 from standins.memory_site import MemorySite, SiteLayout
 from tests.virtual_time import virtual_time
 
--- a/tests/test_memory_booking.py
+++ b/tests/test_memory_booking.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale.memory_booking import (
+from mustardscale.policy.memory_booking import (
     ChernoffBooking,
     DecodeMemory,
     MaximumBooking,
@@ -15,7 +15,7 @@
     pieces_for,
     present_pieces,
 )
-from mustardscale.output_lengths import OutputLengths
+from mustardscale.policy.output_lengths import OutputLengths
 
 MEMORY = DecodeMemory(24, 500)
 MAX_TOKENS = 3000
--- a/tests/test_memory_peers.py
+++ b/tests/test_memory_peers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.peers import StreamLookup, StreamLookupReply
+from mustardscale.peers.peer_messages import StreamLookup, StreamLookupReply
 from standins.memory_peers import MemoryPeerNetwork
 from tests.virtual_time import virtual_time
 
--- a/tests/test_memory_site.py
+++ b/tests/test_memory_site.py
@@ -8,14 +8,14 @@
 import pytest
 import uuid_utils
 
-from mustardscale.config_records import Profile
-from mustardscale.exceptions import OutcomeError
-from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.requests import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.caller_requests import (
     LanguageRequest,
     PlainRequest,
     prompt_from_text,
 )
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from standins.expected_answers import expected_tokens, output_length
 from standins.memory_site import WALL_START_S, MemorySite, SiteLayout
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,15 +5,15 @@
 
 import pytest
 
-from mustardscale.metrics import (
+from mustardscale.outcomes import Outcome
+from mustardscale.reporting.metrics import (
     MAX_NAMES,
     MAX_SERVICES,
     OTHER_SERVICE,
     LatencyHistogram,
     Metrics,
 )
-from mustardscale.outcomes import Outcome
-from mustardscale.prometheus_text import prometheus_text
+from mustardscale.reporting.prometheus_text import prometheus_text
 
 SAMPLE = re.compile(
     r'[a-z_]+(\{[a-z]+="(\\.|[^"\\])*"(,[a-z]+="(\\.|[^"\\])*")*\})? \S+'
--- a/tests/test_naming.py
+++ b/tests/test_naming.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from mustardscale import admission
-from mustardscale.engines import EngineRole
-from mustardscale.peer_codec import Frame, FrameKind, encode_frame
-from mustardscale.peers import HeldDigest, Progress
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.peers.peer_codec import Frame, FrameKind, encode_frame
+from mustardscale.peers.peer_messages import HeldDigest, Progress
+from mustardscale.pools import admission
 from tests.test_memory_site import answer, language, run
 from tests.test_promises_memory import leave, owner_of_pool
 
--- a/tests/test_operators_http.py
+++ b/tests/test_operators_http.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from mustardscale.operators_http import OperatorsServer
+from mustardscale.operators.operators_http import OperatorsServer
 from tests.fake_service import FakeService
 
 TOKEN = 'operators'
--- a/tests/test_order_decisions.py
+++ b/tests/test_order_decisions.py
@@ -4,8 +4,20 @@
 
 import pytest
 
-from mustardscale.engines import EngineRole, LoadReport
-from mustardscale.order_decisions import (
+from mustardscale.configuration.wanted_state import (
+    EngineTarget,
+    ListedEngine,
+    WantedEngine,
+    WeightStoreLimits,
+)
+from mustardscale.endpoints.engines import EngineRole, LoadReport
+from mustardscale.orders.order_controller import (
+    LOG_AGE_S,
+    ORDER_TIMEOUT_S,
+    REFRESH_S,
+    RESTART_AFTER_S,
+)
+from mustardscale.orders.order_decisions import (
     DRAIN_LIMIT_S,
     FRESH_S,
     LOAD_LIMIT_S,
@@ -17,19 +29,7 @@
     Situation,
     decide,
 )
-from mustardscale.order_state import EngineChange
-from mustardscale.orders import (
-    LOG_AGE_S,
-    ORDER_TIMEOUT_S,
-    REFRESH_S,
-    RESTART_AFTER_S,
-)
-from mustardscale.wanted_state import (
-    EngineTarget,
-    ListedEngine,
-    WantedEngine,
-    WeightStoreLimits,
-)
+from mustardscale.orders.order_state import EngineChange
 
 NOW = 1000.0
 DECODE = EngineRole.DECODE
--- a/tests/test_order_state.py
+++ b/tests/test_order_state.py
@@ -5,16 +5,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale.engines import EngineRole
-from mustardscale.log_client import LogPage, LogRecord
-from mustardscale.order_state import (
+from mustardscale.configuration.wanted_state import EngineTarget
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.log.log_client import LogPage, LogRecord
+from mustardscale.orders.order_state import (
     EngineChange,
     OrderRecord,
     OrderState,
     PlacedEngine,
     encode_order_record,
 )
-from mustardscale.wanted_state import EngineTarget
 
 TARGET = EngineTarget(EngineRole.DECODE, 'm', '2')
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from mustardscale.config_records import ConfigKey, ServiceChoice
-from mustardscale.engines import EngineRole
+from mustardscale.configuration.config_records import ConfigKey, ServiceChoice
+from mustardscale.endpoints.engines import EngineRole
 from standins.memory_site import SiteLayout
 from tests.order_site import (
     ENGINES,
--- a/tests/test_orders_failures.py
+++ b/tests/test_orders_failures.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from mustardscale import orders
-from mustardscale.engines import EngineOrder
+from mustardscale.endpoints.engines import EngineOrder
 from mustardscale.exceptions import EndpointRefusedError
-from mustardscale.order_state import (
+from mustardscale.orders import order_controller as orders
+from mustardscale.orders.order_state import (
     OrderRecord,
     encode_order_record,
     orders_stream,
--- a/tests/test_output_lengths.py
+++ b/tests/test_output_lengths.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardscale.output_lengths import (
+from mustardscale.policy.output_lengths import (
     BIN_RATIO,
     LONGEST_OUTPUT_TOKENS,
     OutputLengths,
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -7,16 +7,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale import peers
-from mustardscale.config_messages import (
+from mustardscale.endpoints.engines import StreamTag
+from mustardscale.exceptions import PeerFrameError
+from mustardscale.outcomes import Outcome
+from mustardscale.peers import peer_messages as peers
+from mustardscale.peers.config_messages import (
     ConfigFetch,
     ConfigFetchReply,
     ConfigRecord,
 )
-from mustardscale.engines import StreamTag
-from mustardscale.exceptions import PeerFrameError
-from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import (
+from mustardscale.peers.peer_codec import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
     TYPES_BY_KIND,
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -4,20 +4,20 @@
 
 import pytest
 
-from mustardscale.config_messages import ConfigFetch
 from mustardscale.exceptions import (
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_codec import Frame, FrameKind, Hello, encode_frame
-from mustardscale.peer_streams import (
+from mustardscale.peers.config_messages import ConfigFetch
+from mustardscale.peers.peer_codec import Frame, FrameKind, Hello, encode_frame
+from mustardscale.peers.peer_messages import StreamLookup
+from mustardscale.peers.peer_streams import (
     FrameStream,
     PeerIdentity,
     PeerLimits,
     PeerTraffic,
     greet_server,
 )
-from mustardscale.peers import StreamLookup
 from tests.peer_pair import REPLY, Pair
 from tests.virtual_time import virtual_time
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -9,15 +9,15 @@
 import msgspec
 import pytest
 
+from mustardscale.endpoints.http_plain import HttpPlainEndpoint, PlainLimits
+from mustardscale.endpoints.plain_endpoints import PlainCall
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
     EndpointUnreachableError,
     OutcomeError,
 )
-from mustardscale.http_plain import HttpPlainEndpoint, PlainLimits
 from mustardscale.outcomes import Outcome
-from mustardscale.plain_endpoints import PlainCall
 from standins.memory_network import MemoryNetwork
 from standins.plain_inprocess import MemoryPlainEndpoint
 from standins.plain_model import (
--- a/tests/test_prefix_index.py
+++ b/tests/test_prefix_index.py
@@ -1,7 +1,7 @@
 """Tests of the index of prefix caches."""
 
-from mustardscale.engines import BLOCK_TOKENS, CacheEvent
-from mustardscale.prefix_index import PrefixIndex
+from mustardscale.endpoints.engines import BLOCK_TOKENS, CacheEvent
+from mustardscale.policy.prefix_index import PrefixIndex
 
 CHAIN = tuple(range(100, 110))
 
--- a/tests/test_process_orders.py
+++ b/tests/test_process_orders.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from mustardscale.exit_codes import ExitCode
+from mustardscale.commands.exit_codes import ExitCode
 from tests.process_site import on_site
 
 # Time for the holder to begin, and for another one to end what it began.
--- a/tests/test_promises_answers.py
+++ b/tests/test_promises_answers.py
@@ -6,8 +6,8 @@
 import pytest
 
 from mustardscale.exceptions import OutcomeError
+from mustardscale.hosts.rendezvous import owner, rank
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.rendezvous import owner, rank
 from standins.faults import Outage
 from tests.test_memory_site import (
     answer,
--- a/tests/test_promises_load.py
+++ b/tests/test_promises_load.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from mustardscale.endpoints.caller_requests import PlainRequest
 from mustardscale.exceptions import OutcomeError
-from mustardscale.limits import RETRY_MINIMUM
 from mustardscale.outcomes import Outcome
-from mustardscale.requests import PlainRequest
+from mustardscale.requests.limits import RETRY_MINIMUM
 from standins.faults import Outage
 from standins.log_model import LogModel
 from standins.memory_site import SiteLayout
--- a/tests/test_promises_memory.py
+++ b/tests/test_promises_memory.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from mustardscale.engines import StreamStage
+from mustardscale.endpoints.engines import StreamStage
 from mustardscale.exceptions import OutcomeError
-from mustardscale.pools import divide_pools
-from mustardscale.rendezvous import owner
+from mustardscale.hosts.rendezvous import owner
+from mustardscale.pools.pool_members import divide_pools
 from standins.fault_actions import FaultActions
 from tests.test_memory_site import answer, language, run
 
--- a/tests/test_promises_races.py
+++ b/tests/test_promises_races.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from mustardscale.config_records import Profile
-from mustardscale.config_state import Fate
-from mustardscale.limits import RETRY_MINIMUM
-from mustardscale.log_client import CONFIG_STREAM
+from mustardscale.configuration.config_records import Profile
+from mustardscale.configuration.config_state import Fate
+from mustardscale.log.log_client import CONFIG_STREAM
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.policy.reserving import ReservingPolicy
-from mustardscale.trace import TraceEvent, TraceKind, TraceSink
+from mustardscale.requests.limits import RETRY_MINIMUM
+from mustardscale.traces.trace import TraceEvent, TraceKind, TraceSink
 from standins.fault_operators import KEY, FaultOperators
 from standins.faults import AnswerLostError, Outage
 from standins.log_model import LogModel
--- a/tests/test_promises_recovery.py
+++ b/tests/test_promises_recovery.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mustardscale.config_records import Profile
+from mustardscale.configuration.config_records import Profile
 from tests.test_memory_site import answer, language, run, whole
 from tests.test_promises_answers import outcome_of
 
--- a/tests/test_promises_site.py
+++ b/tests/test_promises_site.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mustardscale.config_records import ConfigKey, Profile
-from mustardscale.membership import LEAVING_MEMORY_S
+from mustardscale.configuration.config_records import ConfigKey, Profile
+from mustardscale.hosts.membership import LEAVING_MEMORY_S
 from standins.fault_actions import FaultActions
 from standins.fault_callers import FaultCallers
 from standins.fault_operators import KEY, FaultOperators
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -5,15 +5,19 @@
 
 import pytest
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigChange,
     ConfigKey,
     Profile,
     encode_record,
 )
+from mustardscale.configuration.publishing import (
+    PublishFate,
+    publish,
+    read_config,
+)
 from mustardscale.exceptions import LogUnavailableError
-from mustardscale.log_client import CONFIG_STREAM
-from mustardscale.publishing import PublishFate, publish, read_config
+from mustardscale.log.log_client import CONFIG_STREAM
 from standins.faults import Outage
 from standins.log_model import LogModel
 from standins.memory_log import MemoryLogClient
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardscale.rendezvous import owner, rank
+from mustardscale.hosts.rendezvous import owner, rank
 
 NODES = [f'host-{number}' for number in range(7)]
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -5,16 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale.engines import EngineRole, StreamStage, StreamTag
-from mustardscale.memory_booking import (
-    PIECE_TOKENS,
-    ChernoffBooking,
-    DecodeMemory,
-    StreamNeed,
-    pieces_for,
-    present_pieces,
-)
-from mustardscale.peers import HeldStream
+from mustardscale.endpoints.engines import EngineRole, StreamStage, StreamTag
+from mustardscale.peers.peer_messages import HeldStream
 from mustardscale.policy.base import (
     EngineState,
     PoolState,
@@ -26,6 +18,14 @@
     need_of,
     needed_pieces,
 )
+from mustardscale.policy.memory_booking import (
+    PIECE_TOKENS,
+    ChernoffBooking,
+    DecodeMemory,
+    StreamNeed,
+    pieces_for,
+    present_pieces,
+)
 
 DECODES = ('decode-0', 'decode-1', 'decode-2')
 EPSILON = 0.01
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mustardscale.config_records import Profile
-from mustardscale.engines import (
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import (
     BLOCK_TOKENS,
     EngineRole,
     LoadReport,
@@ -13,7 +13,7 @@
     StreamTag,
 )
 from mustardscale.outcomes import Outcome
-from mustardscale.peers import AdmitRequest, HeldStream, Release
+from mustardscale.peers.peer_messages import AdmitRequest, HeldStream, Release
 from mustardscale.policy.base import (
     EngineState,
     Grant,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,8 +5,11 @@
 import pytest
 
 from mustardscale.exceptions import SettingError
-from mustardscale.setting_sources import load_settings
-from mustardscale.settings import public_settings, settings_table
+from mustardscale.settings.daemon_settings import (
+    public_settings,
+    settings_table,
+)
+from mustardscale.settings.setting_sources import load_settings
 
 TOKEN = 'operators-secret-1'
 REQUIRED = {
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.quarantine import TRANSIT_S, Suspicions
+from mustardscale.pools.quarantine import TRANSIT_S, Suspicions
 from standins.memory_site import SiteLayout
 from tests.test_memory_site import run
 from tests.virtual_time import virtual_time
--- a/tests/test_tcp_peers.py
+++ b/tests/test_tcp_peers.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from mustardscale.config_messages import ConfigFetch
 from mustardscale.exceptions import (
     PeerCallError,
     PeerGoneError,
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
-from mustardscale.peer_streams import (
+from mustardscale.peers.config_messages import ConfigFetch
+from mustardscale.peers.peer_messages import StreamLookup
+from mustardscale.peers.peer_streams import (
     PeerLimits,
 )
-from mustardscale.peers import StreamLookup
 from tests.peer_pair import REPLY, Pair, transport
 from tests.virtual_time import virtual_time
 
--- a/tests/test_token_assembler.py
+++ b/tests/test_token_assembler.py
@@ -1,4 +1,4 @@
-"""Tests of mustardscale.token_assembler."""
+"""Tests of mustardscale.endpoints.token_assembler."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardscale.engines import TokenEvent
-from mustardscale.token_assembler import TokenAssembler
+from mustardscale.endpoints.engines import TokenEvent
+from mustardscale.endpoints.token_assembler import TokenAssembler
 
 ANSWER = tuple(f'w{index}' for index in range(40))
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from mustardscale.command_replay import replay_trace
+from mustardscale.commands.command_replay import replay_trace
+from mustardscale.commands.exit_codes import ExitCode
 from mustardscale.exceptions import SettingError
-from mustardscale.exit_codes import ExitCode
 from mustardscale.outcomes import Outcome
-from mustardscale.trace import FileTrace, TraceEvent, TraceKind
-from mustardscale.trace_checks import check_trace, sends_by_id
+from mustardscale.replay.trace_checks import check_trace, sends_by_id
+from mustardscale.traces.trace import FileTrace, TraceEvent, TraceKind
 from tests.test_memory_site import answer, booking, language, run
 
 LIMIT = 10_000_000
--- a/tests/test_trace_replay.py
+++ b/tests/test_trace_replay.py
@@ -5,16 +5,21 @@
 
 import pytest
 
-from mustardscale import trace_replay
-from mustardscale.claim_state import ClaimState, HeldClaim
-from mustardscale.command_replay import replay_trace
-from mustardscale.decision_lines import DecisionKind, OrphanLine
-from mustardscale.exit_codes import ExitCode
+from mustardscale.claims.claim_state import ClaimState, HeldClaim
+from mustardscale.commands.command_replay import replay_trace
+from mustardscale.commands.exit_codes import ExitCode
 from mustardscale.outcomes import Outcome
 from mustardscale.policy import reserving
-from mustardscale.trace import FileTrace, TraceEvent, TraceKind
-from mustardscale.trace_reader import read_trace
-from mustardscale.trace_replay import DecisionReplay
+from mustardscale.pools.pool_lines import OrphanLine
+from mustardscale.replay import trace_replay
+from mustardscale.replay.trace_reader import read_trace
+from mustardscale.replay.trace_replay import DecisionReplay
+from mustardscale.traces.trace import (
+    DecisionKind,
+    FileTrace,
+    TraceEvent,
+    TraceKind,
+)
 from standins.fault_runs import run_seed
 from tests import violating_traces
 
--- a/tests/test_wanted_state.py
+++ b/tests/test_wanted_state.py
@@ -2,15 +2,14 @@
 
 import pytest
 
-from mustardscale.config_records import (
+from mustardscale.configuration.config_records import (
     ConfigKey,
     decode_record,
     encode_record,
     make_change,
 )
-from mustardscale.config_state import ConfigState
-from mustardscale.engines import EngineRole
-from mustardscale.wanted_state import (
+from mustardscale.configuration.config_state import ConfigState
+from mustardscale.configuration.wanted_state import (
     ListedEngine,
     WantedEngine,
     WeightStoreLimits,
@@ -18,6 +17,7 @@
     target_of,
     wanted_of,
 )
+from mustardscale.endpoints.engines import EngineRole
 
 ENGINES = [
     ListedEngine('p1', 'm', EngineRole.PREFILL, True),
--- a/tests/test_workloads.py
+++ b/tests/test_workloads.py
@@ -11,7 +11,7 @@
     record_arrivals,
     save_arrivals,
 )
-from mustardscale.config_records import ServiceKind
+from mustardscale.configuration.config_records import ServiceKind
 
 
 def contents(arrivals, service):
--- a/tests/violating_traces.py
+++ b/tests/violating_traces.py
@@ -16,10 +16,11 @@
 
 import pytest
 
-from mustardscale.command_replay import replay_trace
-from mustardscale.decision_lines import DirectoryLine, OrphanLine
-from mustardscale.trace import FileTrace, TraceEvent
-from mustardscale.trace_reader import read_trace
+from mustardscale.commands.command_replay import replay_trace
+from mustardscale.directory.directory_lines import DirectoryLine
+from mustardscale.pools.pool_lines import OrphanLine
+from mustardscale.replay.trace_reader import read_trace
+from mustardscale.traces.trace import FileTrace, TraceEvent
 from standins.fault_runs import run_seed
 from tests.mechanisms import CASE_BY_NAME, SEED_CASE_BY_NAME
 
