--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -18,6 +18,7 @@
 from mustardscale.orders.order_state import OrderState
 from mustardscale.peers.directory_messages import DirectoryEntry
 from mustardscale.peers.peer_messages import HeldStream
+from mustardscale.reporting.event_log import EventLog, NoEvents
 from mustardscale.traces.trace import (
     NoTrace,
     TraceEvent,
@@ -176,6 +177,7 @@
         stage: where it stands.
         prompt_tokens: prompt length of the present attempt, tokens.
         max_tokens: tokens wanted at most.
+        hint_tokens: the caller's guess of the tokens, 0 for none.
         emitted: tokens received so far.
         attempt_base: tokens received before the present attempt.
         started: whether an endpoint may have begun work on it.
@@ -201,6 +203,7 @@
     stage: StreamStage = StreamStage.QUEUED
     prompt_tokens: int = 0
     max_tokens: int = 0
+    hint_tokens: int = 0
     emitted: list[str] = dataclasses.field(default_factory=list)
     attempt_base: int = 0
     started: bool = False
@@ -212,6 +215,11 @@
     previous_incarnation: int = 0
     confirmed_at: float = -math.inf
 
+    @property
+    def emitted_tokens(self) -> int:
+        """Number of tokens received so far."""
+        return len(self.emitted)
+
     def held_stream(self) -> HeldStream | None:
         """Returns what is registered with the pool's owner, if granted."""
         if self.tag is None or not self.prefill:
@@ -223,12 +231,29 @@
             decode=self.decode,
             stage=self.stage,
             prompt_tokens=self.prompt_tokens,
-            emitted=len(self.emitted) - self.attempt_base,
+            emitted=self.emitted_tokens - self.attempt_base,
             max_tokens=self.max_tokens - self.attempt_base,
             fingerprint=self.fingerprint,
+            hint_tokens=self.hint_tokens,
         )
 
 
+@dataclasses.dataclass(slots=True)
+class RelayedRequest(ServedRequest):
+    """A request whose answer is relayed as the endpoint's bytes.
+
+    Attributes:
+        relayed_tokens: tokens in the events relayed so far.
+    """
+
+    relayed_tokens: int = 0
+
+    @property
+    def emitted_tokens(self) -> int:
+        """Number of tokens received so far."""
+        return self.relayed_tokens
+
+
 @dataclasses.dataclass(slots=True)
 class DirectoryRow:
     """A directory entry at its home.
@@ -270,6 +295,8 @@
         incarnation: start number of this process.
         data_centre: this host's data centre.
         region: this host's region.
+        address: 'ip:port' at which peers reach this host, '' where only the
+            host list tells it.
         draining: whether this host is shutting down.
         config: the folded configuration.
         orders: the folded orders stream.
@@ -282,6 +309,7 @@
         membership_changed: notified when a host or endpoint comes or goes.
         config_changed: notified when the configuration moves on.
         trace: where events of requests are recorded.
+        events: where decisions are logged.
         quorum_at: send time of the newest heartbeat round that a majority of
             the listed hosts answered.
         quorum_gap_at: loop time at which heartbeats were last found to have
@@ -289,12 +317,14 @@
     """
 
     __slots__ = (
+        'address',
         'config',
         'config_changed',
         'data_centre',
         'directory_by_request_id',
         'draining',
         'endpoints_by_id',
+        'events',
         'host',
         'host_list_read',
         'hosts_by_id',
@@ -316,6 +346,7 @@
         self.incarnation = incarnation
         self.data_centre = data_centre
         self.region = region
+        self.address = ''
         self.draining = False
         self.config = ConfigState()
         self.orders = OrderState()
@@ -326,6 +357,7 @@
         self.directory_by_request_id: dict[str, DirectoryRow] = {}
         self.suspicions_by_key: dict[str, Suspicion] = {}
         self.trace: TraceSink = NoTrace()
+        self.events: EventLog = NoEvents()
         self.membership_changed = Signal()
         self.config_changed = Signal()
         self.quorum_at = -math.inf
@@ -368,7 +400,10 @@
         if change is None:
             return False
         report = endpoint.report
-        if report is None or report.order_term < change.number:
+        if report is None:
+            return True
+        term = report.order_term
+        if term is not None and term < change.number:
             return True
         return not change.target.reached(report)
 
--- a/mustardscale/callers/caller_bodies.py
+++ b/mustardscale/callers/caller_bodies.py
@@ -58,6 +58,10 @@
         self._limits = limits
         self._memory = BodyMemory(limits.all_bodies_bytes)
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Sets the limits of bodies that come from now on."""
+        self._limits = limits
+
     async def read(self, request: web.BaseRequest) -> bytes:
         """Reads a body; it is counted until release() is called.
 
--- a/mustardscale/callers/caller_connections.py
+++ b/mustardscale/callers/caller_connections.py
@@ -171,6 +171,10 @@
         self._limits = limits
         self.open_connections = 0
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Sets the limits of connections that are opened from now on."""
+        self._limits = limits
+
     def count_opened(self) -> int:
         """Counts a connection; returns how many there are beyond the limit."""
         self.open_connections += 1
--- a/mustardscale/configuration/config_records.py
+++ b/mustardscale/configuration/config_records.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from mustardscale.configuration.routes import RouteTable
 from mustardscale.configuration.wanted_state import (
     WantedEngine,
     WeightStoreLimits,
@@ -121,7 +122,7 @@
     """Names one configuration entry.
 
     Attributes:
-        kind: 'profile', 'service', 'engine' or 'weights'.
+        kind: 'profile', 'service', 'engine', 'weights' or 'routes'.
         name: its name.
     """
 
@@ -133,7 +134,9 @@
         return f'{self.kind}/{self.name}'
 
 
-ConfigContent = Profile | ServiceChoice | WantedEngine | WeightStoreLimits
+ConfigContent = (
+    Profile | ServiceChoice | WantedEngine | WeightStoreLimits | RouteTable
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,6 +152,7 @@
         service: the new choice, when the key names a service.
         engine: the new wanted state, when the key names engines.
         weights: the new limits, when the key names a weight store.
+        routes: the new routes, when the key names a table of routes.
     """
 
     key: ConfigKey
@@ -159,6 +163,7 @@
     service: ServiceChoice | None = None
     engine: WantedEngine | None = None
     weights: WeightStoreLimits | None = None
+    routes: RouteTable | None = None
 
     def __post_init__(self):
         """Checks that the content fits the key."""
@@ -183,6 +188,7 @@
     'service': ServiceChoice,
     'engine': WantedEngine,
     'weights': WeightStoreLimits,
+    'routes': RouteTable,
 }
 
 
--- a/mustardscale/configuration/config_state.py
+++ b/mustardscale/configuration/config_state.py
@@ -28,6 +28,7 @@
     VersionedChange,
     decode_record,
 )
+from mustardscale.configuration.route_index import EMPTY_INDEX, RouteIndex
 from mustardscale.configuration.wanted_state import (
     WantedEngine,
     WeightStoreLimits,
@@ -37,6 +38,7 @@
 SERVICE_KIND = 'service'
 ENGINE_KIND = 'engine'
 WEIGHTS_KIND = 'weights'
+ROUTES_KIND = 'routes'
 
 # Changes kept for the operators' history.
 HISTORY_LIMIT = 1_000
@@ -115,6 +117,7 @@
         profiles_by_name: the current profiles.
         services_by_name: the current service choices.
         wanted_by_name: the current wanted states of engines.
+        routes: the current routes.
         history: the latest folded changes, the oldest first.
         folded_offset: offset up to which every record is settled.
     """
@@ -128,6 +131,7 @@
         'folded_offset',
         'history',
         'profiles_by_name',
+        'routes',
         'services_by_name',
         'wanted_by_name',
     )
@@ -137,6 +141,7 @@
         self.profiles_by_name: dict[str, ProfileEntry] = {}
         self.services_by_name: dict[str, ServiceEntry] = {}
         self.wanted_by_name: dict[str, WantedEngine] = {}
+        self.routes: RouteIndex = EMPTY_INDEX
         self.history: collections.deque[HistoryEntry] = collections.deque(
             maxlen=HISTORY_LIMIT
         )
@@ -320,6 +325,8 @@
             )
         if change.engine is not None:
             self.wanted_by_name[change.key.name] = change.engine
+        if change.routes is not None:
+            self.routes = RouteIndex(change.routes)
         if change.service is not None:
             self._set_service(change.key.name, entry.version, change.service)
 
--- /dev/null
+++ b/mustardscale/configuration/route_index.py
@@ -0,0 +1,97 @@
+"""Finds the routes of a table, and the profiles that they stand for."""
+
+from __future__ import annotations
+
+from mustardscale.configuration.config_records import Profile
+from mustardscale.configuration.routes import Route, RouteTable
+
+# Callers of streams leave when no event comes for this long: the longest of a
+# fixed time, seconds, a multiple of the target latency and one of the pause.
+LEAVE_AFTER_S = 2.0
+LEAVE_AFTER_LATENCIES = 4.0
+LEAVE_AFTER_GAPS = 8.0
+# Time from a place to the first event that a request must have left, seconds.
+START_S = 0.45
+# Engines that serve routes do not tell the time of a step, so it is not held
+# to a target; seconds.
+UNCHECKED_PER_TOKEN_S = 1.0
+MAX_TOKENS = 1_000_000
+
+
+def profile_of(route: Route) -> Profile:
+    """Returns how a pool's owner treats a route's requests."""
+    return Profile(
+        first_token_s=route.target_latency_s,
+        per_token_s=UNCHECKED_PER_TOKEN_S,
+        patience_s=max(
+            route.target_latency_s, _leaves_after_s(route) - START_S
+        ),
+        max_prompt_tokens=MAX_TOKENS,
+        max_output_tokens=MAX_TOKENS,
+        timeout_s=route.timeout_s,
+    )
+
+
+def _leaves_after_s(route: Route) -> float:
+    """Returns the seconds without an event after which callers leave."""
+    return min(
+        route.timeout_s,
+        max(
+            LEAVE_AFTER_S,
+            LEAVE_AFTER_LATENCIES * route.target_latency_s,
+            LEAVE_AFTER_GAPS * route.gap_s,
+        ),
+    )
+
+
+class RouteIndex:
+    """Finds routes and services of a table.
+
+    Attributes:
+        table: the table.
+        service_by_name: its services.
+        profile_by_route: how pool owners treat the streams of each route.
+    """
+
+    __slots__ = (
+        '_route_by_prefix_by_host',
+        'profile_by_route',
+        'service_by_name',
+        'table',
+    )
+
+    def __init__(self, table: RouteTable):
+        self.table = table
+        self.service_by_name = {item.name: item for item in table.services}
+        self.profile_by_route = {
+            route.name: profile_of(route)
+            for route in table.routes
+            if route.is_stream
+        }
+        self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in table.routes:
+            by_prefix = self._route_by_prefix_by_host.setdefault(
+                route.host.lower(), {}
+            )
+            by_prefix[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path.
+
+        Args:
+            host: value of the Host header.
+            path: path of the request, without the query.
+        """
+        by_prefix = self._route_by_prefix_by_host.get(host.lower())
+        if by_prefix is None:
+            return None
+        end = path.rfind('/')
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+
+EMPTY_INDEX = RouteIndex(RouteTable(0))
--- a/mustardscale/controller.py
+++ b/mustardscale/controller.py
@@ -41,5 +41,9 @@
 
 async def pause(interval_s: float, rng: random.Random) -> None:
     """Sleeps for an interval, spread by JITTER_SHARE."""
-    spread = 1.0 + JITTER_SHARE * (2.0 * rng.random() - 1.0)
-    await asyncio.sleep(interval_s * spread)
+    await asyncio.sleep(spread(interval_s, rng))
+
+
+def spread(interval_s: float, rng: random.Random) -> float:
+    """Returns an interval that is up to JITTER_SHARE longer or shorter."""
+    return interval_s * (1.0 + JITTER_SHARE * (2.0 * rng.random() - 1.0))
--- a/mustardscale/endpoints/endpoint_clients.py
+++ b/mustardscale/endpoints/endpoint_clients.py
@@ -5,17 +5,33 @@
 import abc
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.endpoints.engines import Engine
+from mustardscale.endpoints.engines import Engine, EngineControl
 from mustardscale.endpoints.plain_endpoints import PlainEndpoint
 
 
-class EndpointConnector(abc.ABC):
+class ControlConnector(abc.ABC):
+    """Makes the clients by which engines are read and given orders."""
+
+    @abc.abstractmethod
+    def control(self, endpoint: EndpointEntry) -> EngineControl:
+        """Makes the client of an engine."""
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return None
+
+
+class EndpointConnector(ControlConnector):
     """Makes clients; the daemon's speak HTTP, tests use models in-process."""
 
     @abc.abstractmethod
     def engine(self, endpoint: EndpointEntry) -> Engine:
         """Makes the client of an engine."""
 
+    def control(self, endpoint: EndpointEntry) -> EngineControl:
+        """See the base class."""
+        return self.engine(endpoint)
+
     @abc.abstractmethod
     def plain(self, endpoint: EndpointEntry) -> PlainEndpoint:
         """Makes the client of a plain service's endpoint."""
@@ -24,24 +40,47 @@
     def engine_url(self, endpoint: EndpointEntry) -> str:
         """Returns the address by which other engines reach an engine."""
 
+
+class ControlClients:
+    """The clients by which the engines on the blackboard are controlled."""
+
+    __slots__ = ('_blackboard', '_connector', '_control_by_address')
+
+    def __init__(self, blackboard: Blackboard, connector: ControlConnector):
+        self._blackboard = blackboard
+        self._connector = connector
+        self._control_by_address: dict[str, EngineControl] = {}
+
+    def control(self, endpoint_id: str) -> EngineControl | None:
+        """Returns the client of an engine, None if it is not listed."""
+        endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
+        if endpoint is None:
+            return None
+        client = self._control_by_address.get(endpoint.address)
+        if client is None:
+            client = self._connector.control(endpoint)
+            self._control_by_address[endpoint.address] = client
+        return client
+
     async def close(self) -> None:
-        """Releases connections."""
-        return None
+        """Closes all clients."""
+        for client in self._control_by_address.values():
+            await client.close()
+        await self._connector.close()
 
 
-class EndpointClients:
+class EndpointClients(ControlClients):
     """The clients of the endpoints on the blackboard."""
 
     __slots__ = (
-        '_blackboard',
-        '_connector',
+        '_endpoint_connector',
         '_engine_by_address',
         '_plain_by_address',
     )
 
     def __init__(self, blackboard: Blackboard, connector: EndpointConnector):
-        self._blackboard = blackboard
-        self._connector = connector
+        super().__init__(blackboard, connector)
+        self._endpoint_connector = connector
         self._engine_by_address: dict[str, Engine] = {}
         self._plain_by_address: dict[str, PlainEndpoint] = {}
 
@@ -52,10 +91,14 @@
             return None
         client = self._engine_by_address.get(endpoint.address)
         if client is None:
-            client = self._connector.engine(endpoint)
+            client = self._endpoint_connector.engine(endpoint)
             self._engine_by_address[endpoint.address] = client
         return client
 
+    def control(self, endpoint_id: str) -> EngineControl | None:
+        """See the base class; both uses share a client."""
+        return self.engine(endpoint_id)
+
     def plain(self, endpoint_id: str) -> PlainEndpoint | None:
         """Returns the client of a plain endpoint, None if not listed."""
         endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
@@ -63,14 +106,14 @@
             return None
         client = self._plain_by_address.get(endpoint.address)
         if client is None:
-            client = self._connector.plain(endpoint)
+            client = self._endpoint_connector.plain(endpoint)
             self._plain_by_address[endpoint.address] = client
         return client
 
     def engine_url(self, endpoint_id: str) -> str:
         """Returns the address of an engine for other engines, '' if none."""
         endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
-        return self._connector.engine_url(endpoint) if endpoint else ''
+        return self._endpoint_connector.engine_url(endpoint) if endpoint else ''
 
     async def close(self) -> None:
         """Closes all clients."""
@@ -78,4 +121,4 @@
             await engine.close()
         for plain in self._plain_by_address.values():
             await plain.close()
-        await self._connector.close()
+        await super().close()
--- a/mustardscale/endpoints/engines.py
+++ b/mustardscale/endpoints/engines.py
@@ -9,6 +9,10 @@
 
 # Tokens covered by one block hash of a prompt.
 BLOCK_TOKENS = 512
+# Tokens of KV cache in a piece of an engine's memory, unless it tells.
+PIECE_TOKENS = 2_000
+# Size of the KV cache of a token, unless the engine tells, bytes.
+KV_BYTES_PER_TOKEN = 100_000
 # Bytes of text that count as one token where the engine has not counted yet.
 BYTES_PER_TOKEN = 4
 
@@ -212,14 +216,23 @@
         pieces_free: free memory in pieces.
         active: streams in the decode batch.
         queued_tokens: prompt tokens queued or being computed.
-        prefill_tokens_per_s: rate at which prompt tokens are computed.
-        step_s: duration of the last decode step, seconds.
+        prefill_tokens_per_s: rate at which prompt tokens are computed, 0 if
+            the engine does not tell.
+        step_s: duration of the last decode step, seconds, 0 if the engine
+            does not tell.
         age_s: age of this report, seconds.
         leaving: whether the engine refuses new work.
         start: start number of the engine process; a change means a crash.
-        order_term: fencing number of the last order carried out.
+        order_term: fencing number of the last order carried out, None if the
+            engine does not tell.
         link_bytes_per_s: rate of the link for KV transfers.
         adapters: adapters loaded, None if the engine does not tell.
+        piece_tokens: tokens of KV cache in a piece.
+        kv_bytes_per_token: size of the KV cache of a token.
+        reads_prompts: whether it computes prompts by itself also as a decode
+            engine, more slowly.
+        drains_itself: whether it lets running work end before it carries out
+            an order, and refuses new work meanwhile.
     """
 
     role: EngineRole
@@ -234,9 +247,13 @@
     age_s: float
     leaving: bool
     start: int
-    order_term: int
+    order_term: int | None
     link_bytes_per_s: float
     adapters: tuple[str, ...] | None = None
+    piece_tokens: int = PIECE_TOKENS
+    kv_bytes_per_token: int = KV_BYTES_PER_TOKEN
+    reads_prompts: bool = False
+    drains_itself: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -273,14 +290,37 @@
     adapters: tuple[str, ...] = ()
 
 
-class Engine(abc.ABC):
-    """One model engine.
+class EngineControl(abc.ABC):
+    """What is read of a model engine and ordered of it.
 
     Methods raise EndpointUnreachableError when nothing was sent,
     EndpointRefusedError when the engine did not take the work, and
     EndpointFailedError when the connection was lost afterwards.
     """
 
+    @abc.abstractmethod
+    async def report(self) -> LoadReport:
+        """Reads the latest published load report."""
+
+    @abc.abstractmethod
+    async def order(self, order: EngineOrder) -> None:
+        """Asks the engine to reach a state; returns when it is accepted."""
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Reads the cache events published after a sequence number.
+
+        Engines that publish none have none.
+        """
+        return []
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return None
+
+
+class Engine(EngineControl):
+    """One model engine that takes prompts and answers in tokens."""
+
     @abc.abstractmethod
     async def prefill(self, call: PrefillCall) -> PrefillResult:
         """Computes a prompt's KV cache and keeps it for a short time."""
@@ -306,18 +346,6 @@
     async def streams(self) -> list[StreamInfo]:
         """Lists the streams held, at all stages."""
 
-    @abc.abstractmethod
-    async def report(self) -> LoadReport:
-        """Reads the latest published load report."""
-
     @abc.abstractmethod
     async def cache_events(self, after: int) -> list[CacheEvent]:
         """Reads the cache events published after a sequence number."""
-
-    @abc.abstractmethod
-    async def order(self, order: EngineOrder) -> None:
-        """Asks the engine to reach a state; returns when it is accepted."""
-
-    async def close(self) -> None:
-        """Releases connections."""
-        return None
--- a/mustardscale/endpoints/http_sessions.py
+++ b/mustardscale/endpoints/http_sessions.py
@@ -86,6 +86,7 @@
     host: str = '',
     max_header_bytes: int = DEFAULT_HEADER_BYTES,
     skip_auto_headers: Iterable[str] = (),
+    connector: aiohttp.BaseConnector | None = None,
 ) -> aiohttp.ClientSession:
     """Makes a session that sends each request at most once.
 
@@ -97,11 +98,13 @@
         host: id of this host, sent with each request unless empty.
         max_header_bytes: length of a line of an answer's head at most.
         skip_auto_headers: names of headers that aiohttp shall not add.
+        connector: makes the connections; one that keeps them if None.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_mark_connected)
     trace.on_connection_reuseconn.append(_mark_connected)
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    if connector is None:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import dataclasses
 import enum
+import math
 
 from mustardscale.endpoints.engines import EngineRole
 
@@ -49,7 +51,16 @@
 
 
 class HostList(abc.ABC):
-    """Access to the host list, which lags behind the truth."""
+    """Access to the host list, which lags behind the truth.
+
+    Attributes:
+        version: rises with each change, 0 for lists without versions.
+        regained_at: loop time since when the list can be read again, minus
+            infinity if it always could.
+    """
+
+    version: int = 0
+    regained_at: float = -math.inf
 
     @abc.abstractmethod
     async def fetch(self) -> list[ListedHost]:
@@ -61,6 +72,30 @@
             PeerUnavailableError: the list could not be read.
         """
 
+    def is_current(self) -> bool:
+        """Returns whether the list can be read at present."""
+        return True
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Waits for a change or for timeout_s; lists may not tell changes."""
+        await asyncio.sleep(timeout_s)
+
+    async def announce(self, host: ListedHost) -> None:
+        """Names an entry host on the list, where the hosts do so themselves.
+
+        Raises:
+            PeerUnavailableError: the list may not name it.
+        """
+        return None
+
+    async def retire(self, host: str) -> None:
+        """Takes an entry host off the list, where hosts do so themselves.
+
+        Raises:
+            PeerUnavailableError: the list may still name it.
+        """
+        return None
+
     async def close(self) -> None:
         """Releases connections."""
         return None
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import logging
+import math
 import random
 
 from mustardscale.blackboard import Blackboard, EndpointEntry, HostEntry
-from mustardscale.controller import Controller, pause
+from mustardscale.controller import Controller, spread
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
 from mustardscale.hosts.membership import MembershipTimes
@@ -16,6 +17,11 @@
 
 # Hosts unlisted and silent for this long are forgotten, seconds.
 FORGET_AFTER_S = 60.0
+# Time after a list can be read again in which endpoints whose entries lapsed
+# meanwhile may be back; those still missing then are gone, seconds.
+LAPSE_GRACE_S = 2.0
+# Share of the endpoints that do not leave at once but lapse together.
+LAPSED_SHARE = 0.5
 
 
 class HostListController(Controller):
@@ -33,10 +39,12 @@
         self._times = times
         self._rng = rng
         self.fetched_at: float | None = None
+        self.version = 0
         self._applied: list[ListedHost] | None = None
+        self._lapse_ends_at = -math.inf
 
     async def run(self) -> None:
-        """Reads the list at a fixed interval."""
+        """Reads the list at each change that it tells, else at an interval."""
         while True:
             try:
                 listed = await self._host_list.fetch()
@@ -44,16 +52,39 @@
                 log.warning('host list not read, keeping the last: %s', error)
             else:
                 self.fetched_at = asyncio.get_running_loop().time()
-                self.apply(listed)
-            await pause(self._times.host_list_s, self._rng)
+                if self._host_list.version >= self.version:
+                    self.version = self._host_list.version
+                    self.apply(listed)
+            await self._host_list.wait_changed(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Returns the seconds until the list is looked at again."""
+        pause_s = spread(self._times.host_list_s, self._rng)
+        now = asyncio.get_running_loop().time()
+        if self._lapse_ends_at > now:
+            pause_s = min(pause_s, self._lapse_ends_at - now)
+        return pause_s
+
+    @property
+    def listed(self) -> list[ListedHost]:
+        """The list that was merged last."""
+        return self._applied or []
+
+    def copy(self, listed: list[ListedHost], version: int) -> bool:
+        """Merges a list that a peer has read, unless this one is as new."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.apply(listed)
+        return True
 
     def apply(self, listed: list[ListedHost]) -> None:
         """Merges one reading of the list."""
         self._blackboard.host_list_read = True
         now = asyncio.get_running_loop().time()
         changed = self._apply_hosts(listed, now)
-        if listed is not self._applied:
-            changed = self._apply_endpoints(listed) or changed
+        if listed is not self._applied or self._lapse_ends_at > 0:
+            changed = self._apply_endpoints(listed, now) or changed
             self._applied = listed
         if changed:
             self._blackboard.membership_changed.notify()
@@ -87,7 +118,7 @@
                 changed = True
         return changed
 
-    def _apply_endpoints(self, listed: list[ListedHost]) -> bool:
+    def _apply_endpoints(self, listed: list[ListedHost], now: float) -> bool:
         endpoints_by_id = self._blackboard.endpoints_by_id
         entries = [host for host in listed if host.kind is not ListedKind.ENTRY]
         changed = False
@@ -102,11 +133,26 @@
                 known.listed = True
                 changed = True
         listed_ids = {host.id for host in entries}
-        for known in list(endpoints_by_id.values()):
-            if known.id not in listed_ids:
-                del endpoints_by_id[known.id]
-                changed = True
-        return changed
+        gone = [key for key in endpoints_by_id if key not in listed_ids]
+        if gone and self._may_return(len(gone), len(endpoints_by_id), now):
+            return changed
+        for key in gone:
+            del endpoints_by_id[key]
+        return changed or bool(gone)
+
+    def _may_return(self, gone: int, known: int, now: float) -> bool:
+        """Returns whether missing entries may only have lapsed.
+
+        They may have while the list could not be read; so they have where
+        most are missing at once.
+        """
+        ends_at = self._host_list.regained_at + LAPSE_GRACE_S
+        if gone > 1 and gone > known * LAPSED_SHARE and ends_at < now:
+            ends_at = self._lapse_ends_at
+            if ends_at < 0:
+                ends_at = now + LAPSE_GRACE_S
+        self._lapse_ends_at = ends_at if ends_at > now else -math.inf
+        return ends_at > now
 
 
 def _endpoint_of(host: ListedHost) -> EndpointEntry:
--- /dev/null
+++ b/mustardscale/hosts/host_list_copy.py
@@ -0,0 +1,113 @@
+"""Copies the host list from peers while it cannot be read."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.host_list import HostList, ListedHost
+from mustardscale.hosts.host_list_controller import HostListController
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import HostListFetch, HostListFetchReply
+
+log = logging.getLogger(__name__)
+
+INTERVAL_S = 0.3
+CALL_TIMEOUT_S = 0.5
+
+
+class HostListCopy(Controller):
+    """Asks peers for the list, and gives it to peers that ask."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        host_list: HostList,
+        controller: HostListController,
+        seed_addresses: Sequence[str],
+        rng: random.Random,
+    ):
+        """Prepares the copying.
+
+        Args:
+            blackboard: the blackboard.
+            calls: calls to peers.
+            host_list: the list as this host reads it.
+            controller: takes copies in.
+            seed_addresses: 'ip:port' of peers to ask before any is known.
+            rng: chooses whom to ask.
+        """
+        self._blackboard = blackboard
+        self._calls = calls
+        self._host_list = host_list
+        self._controller = controller
+        self._seeds = [
+            address
+            for address in seed_addresses
+            if address != blackboard.address
+        ]
+        self._rng = rng
+        calls.handle(HostListFetch, self._on_fetch)
+
+    async def run(self) -> None:
+        """Asks one peer at a time while the list is out of date."""
+        while True:
+            await pause(INTERVAL_S, self._rng)
+            if not self._host_list.is_current():
+                await self._ask()
+
+    async def _ask(self) -> None:
+        request = HostListFetch(self._controller.version)
+        peers = [
+            host
+            for host in self._blackboard.live_hosts()
+            if host != self._blackboard.host
+        ]
+        try:
+            if peers:
+                reply = await self._calls.call(
+                    self._rng.choice(peers),
+                    request,
+                    HostListFetchReply,
+                    CALL_TIMEOUT_S,
+                )
+            elif self._seeds:
+                reply = await self._calls.call_address(
+                    self._rng.choice(self._seeds),
+                    request,
+                    HostListFetchReply,
+                    CALL_TIMEOUT_S,
+                )
+            else:
+                return
+        except PeerUnavailableError as error:
+            log.debug('no host list from a peer: %s', error)
+            return
+        self._take(reply)
+
+    def _take(self, reply: HostListFetchReply) -> None:
+        if not reply.content:
+            return
+        try:
+            listed = msgspec.json.decode(reply.content, type=list[ListedHost])
+        except msgspec.MsgspecError as error:
+            log.warning('unreadable host list from a peer: %s', error)
+            return
+        if self._controller.copy(listed, reply.version):
+            log.info('host list copied from a peer, version %d', reply.version)
+
+    async def _on_fetch(
+        self, sender: str, request: HostListFetch
+    ) -> HostListFetchReply:
+        version = self._controller.version
+        if version <= request.version:
+            return HostListFetchReply(version)
+        content = msgspec.json.encode(self._controller.listed)
+        return HostListFetchReply(version, content)
--- /dev/null
+++ b/mustardscale/hosts/host_registration.py
@@ -0,0 +1,99 @@
+"""Keeps the entry hosts' own entries on a list that they write themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.controller import Controller, pause
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
+from mustardscale.hosts.host_list_controller import HostListController
+from mustardscale.hosts.rendezvous import owner
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 0.5
+CHECK_INTERVAL_S = 2.0
+# Silence after which a listed host is taken off the list, seconds; longer than
+# a host takes to start again or a cut between hosts usually lasts.
+RETIRE_AFTER_S = 15.0
+
+
+class HostRegistration(Controller):
+    """Announces this host and retires hosts that are gone."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        host_list: HostList,
+        controller: HostListController,
+        rng: random.Random,
+    ):
+        self._blackboard = blackboard
+        self._host_list = host_list
+        self._controller = controller
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Announces until the list has the entry, then looks after others."""
+        await self._announce_until_listed()
+        while True:
+            await pause(CHECK_INTERVAL_S, self._rng)
+            for host in self._gone():
+                await self._retire(host)
+            if not self._is_listed():
+                await self._announce_until_listed()
+
+    async def withdraw(self) -> None:
+        """Takes this host off the list, before it stops."""
+        await self._retire(self._blackboard.host)
+
+    async def _announce_until_listed(self) -> None:
+        while not await self._announce():
+            await pause(RETRY_S, self._rng)
+
+    def _is_listed(self) -> bool:
+        own = self._blackboard.host
+        return any(
+            host.id == own and host.kind is ListedKind.ENTRY
+            for host in self._controller.listed
+        )
+
+    async def _announce(self) -> bool:
+        board = self._blackboard
+        entry = ListedHost(
+            board.host,
+            ListedKind.ENTRY,
+            board.address,
+            board.data_centre,
+            board.region,
+        )
+        try:
+            await self._host_list.announce(entry)
+        except PeerUnavailableError as error:
+            log.warning('this host is not on the host list yet: %s', error)
+            return False
+        return True
+
+    def _gone(self) -> list[str]:
+        """Returns the listed hosts that this host has to take off."""
+        board = self._blackboard
+        now = asyncio.get_running_loop().time()
+        live = board.live_hosts()
+        return [
+            host.id
+            for host in board.hosts_by_id.values()
+            if host.listed
+            and host.silent
+            and now - host.silent_since > RETIRE_AFTER_S
+            and owner(f'retire {host.id}', live) == board.host
+        ]
+
+    async def _retire(self, host: str) -> None:
+        try:
+            await self._host_list.retire(host)
+        except PeerUnavailableError as error:
+            log.warning('host %s is still on the list: %s', host, error)
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -145,6 +145,7 @@
             sent_at=now,
             echo_at=echo.sent_at,
             echo_incarnation=echo.incarnation,
+            address=board.address,
         )
 
     def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
@@ -196,6 +197,8 @@
     def _hear(self, beat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
         host = self._blackboard.hosts_by_id.get(beat.host)
+        if host is None:
+            host = self._introduced(beat)
         if host is None or beat.incarnation < host.incarnation:
             return
         self._take_echo(beat, now)
@@ -225,6 +228,16 @@
             )
             self._blackboard.membership_changed.notify()
 
+    def _introduced(self, beat: Heartbeat) -> HostEntry | None:
+        """Adds a host that tells its address before the list names it."""
+        if not beat.address or beat.host == self._blackboard.host:
+            return None
+        host = HostEntry(
+            beat.host, beat.address, beat.data_centre, listed=False
+        )
+        self._blackboard.hosts_by_id[beat.host] = host
+        return host
+
     def _take_echo(self, beat: Heartbeat, now: float) -> None:
         """Takes note that a peer has heard a heartbeat of this process.
 
--- a/mustardscale/log/http_log.py
+++ b/mustardscale/log/http_log.py
@@ -79,8 +79,10 @@
         self._call_timeout_s = call_timeout_s
         self._session = make_session(host)
 
-    async def append(self, stream: str, payloads: list[bytes]) -> list[int]:
-        """See the base class."""
+    async def append(
+        self, stream: str, payloads: list[bytes], after: int | None = None
+    ) -> list[int]:
+        """See the base class; this log knows no conditions."""
         progress = SendProgress()
         try:
             status, content = await self._exchange(
--- a/mustardscale/log/log_client.py
+++ b/mustardscale/log/log_client.py
@@ -30,20 +30,30 @@
         records: records in offset order.
         first_offset: offset of the oldest record retained (end + 1 if none).
         end_offset: offset of the newest record of the stream, 0 if none.
+        compacted: whether the records replace all that were before them.
     """
 
     records: tuple[LogRecord, ...]
     first_offset: int
     end_offset: int
+    compacted: bool = False
 
 
 class LogClient(abc.ABC):
     """Access to the log's streams."""
 
     @abc.abstractmethod
-    async def append(self, stream: str, payloads: list[bytes]) -> list[int]:
+    async def append(
+        self, stream: str, payloads: list[bytes], after: int | None = None
+    ) -> list[int]:
         """Appends records in order, as one call, and returns their offsets.
 
+        Args:
+            stream: name of the stream.
+            payloads: the records.
+            after: append only if this is the offset of the newest record. Logs
+                without such conditions append anyway.
+
         Raises:
             LogUnavailableError: nothing was appended.
             LogUncertainError: the records may have been appended.
--- a/mustardscale/orders/order_controller.py
+++ b/mustardscale/orders/order_controller.py
@@ -10,10 +10,12 @@
 import logging
 import math
 import random
+from collections.abc import Mapping
 
 from mustardscale.blackboard import Blackboard
+from mustardscale.configuration.wanted_state import WantedEngine
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.endpoint_clients import ControlClients
 from mustardscale.endpoints.engines import REFUSED_FENCED, EngineOrder
 from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
 from mustardscale.hosts.membership import QUORUM_LEASE_S
@@ -26,7 +28,12 @@
     PlacedEngine,
     orders_stream,
 )
-from mustardscale.orders.order_views import OrderMemory, situation
+from mustardscale.orders.order_views import (
+    OrderMemory,
+    balance_views,
+    situation,
+)
+from mustardscale.orders.role_balance import RoleBalance
 from mustardscale.outcomes import Outcome
 from mustardscale.pools.engine_drain import EngineDrains
 from mustardscale.reporting.metrics import Metrics
@@ -37,6 +44,8 @@
 CHANGE_INTERVAL_S = 0.25
 # The same while none is.
 IDLE_INTERVAL_S = 1.0
+# Time for which a host is the chosen one before it gives orders, seconds.
+CHOSEN_SETTLE_S = 1.0
 # Age of what is known of the log's tail at which no order is given, seconds.
 LOG_AGE_S = 3.0
 ORDER_TIMEOUT_S = 2.0
@@ -54,17 +63,20 @@
     def __init__(
         self,
         blackboard: Blackboard,
-        clients: EndpointClients,
+        clients: ControlClients,
         drains: EngineDrains,
         order_log: OrderLog,
         metrics: Metrics,
         rng: random.Random,
+        balance: RoleBalance | None = None,
     ):
         self._blackboard = blackboard
         self._clients = clients
         self._order_log = order_log
         self._metrics = metrics
         self._rng = rng
+        self._balance = balance
+        self._chosen_since = math.inf
         self._reports = OrderReports(blackboard, clients, drains)
         self._memory = OrderMemory()
         self._written_at = -math.inf
@@ -78,10 +90,10 @@
         """Decides at a fixed interval while this host gives the orders."""
         try:
             while True:
-                chosen = self._is_chosen()
+                chosen = self._is_chosen() and self._is_settled()
                 self._order_log.hold(chosen)
                 if not chosen:
-                    self._memory.forget()
+                    self._forget()
                 elif self._knows_the_log():
                     await self._step()
                 elif self._is_stuck():
@@ -105,6 +117,22 @@
         stream = orders_stream(board.region)
         return owner(stream, board.serving_hosts()) == board.host
 
+    def _is_settled(self) -> bool:
+        """Returns whether this host is the chosen one for a while.
+
+        A host that has just started may not know its peers yet.
+        """
+        now = asyncio.get_running_loop().time()
+        self._chosen_since = min(self._chosen_since, now)
+        return now - self._chosen_since >= CHOSEN_SETTLE_S
+
+    def _forget(self) -> None:
+        self._memory.forget()
+        if self._balance is not None:
+            self._balance.forget()
+        if not self._is_chosen():
+            self._chosen_since = math.inf
+
     def _knows_the_configuration(self) -> bool:
         """Returns whether no live host is known to be further on."""
         config = self._blackboard.config
@@ -130,11 +158,16 @@
     async def _step(self) -> None:
         board = self._blackboard
         now = asyncio.get_running_loop().time()
-        if not board.config.wanted_by_name and not board.orders.version:
+        idle = not board.config.wanted_by_name and self._balance is None
+        if idle and not board.orders.version:
             return
         self._memory.follow(board, now)
         self._reports.poll(self._memory)
-        current = situation(board, self._memory, self._reports, now)
+        balanced: Mapping[str, WantedEngine] = {}
+        if self._balance is not None:
+            views = balance_views(board, self._reports.report_by_engine, now)
+            balanced = self._balance.wanted(views, now)
+        current = situation(board, self._memory, self._reports, balanced, now)
         decisions = decide(current, now)
         self._report_held_back(decisions)
         if decisions.writes or self._is_refresh_due(now):
@@ -187,7 +220,7 @@
     async def _send(self, engine: str, order: EngineOrder) -> None:
         """Sends one order, unless it was overtaken."""
         try:
-            client = self._clients.engine(engine)
+            client = self._clients.control(engine)
             change = self._blackboard.orders.change_by_engine.get(engine)
             progress = self._memory.progress(engine, order.term)
             if client is None or change is None or progress is None:
--- a/mustardscale/orders/order_decisions.py
+++ b/mustardscale/orders/order_decisions.py
@@ -25,7 +25,7 @@
 # ends it, seconds.
 DRAIN_LIMIT_S = 300.0
 # Time after a change of the host that gives orders in which an order of the
-# earlier one may arrive, seconds.
+# earlier one may arrive, or that host may still give one, seconds.
 MARGIN_S = 6.0
 # Time for which an accepted order may load without a new one, seconds.
 LOAD_LIMIT_S = 600.0
@@ -141,6 +141,7 @@
         limits: what the weight store bears.
         served_models: models that language services use.
         view_by_engine: the engines of the region.
+        taken_over: whether another host gave the orders before.
     """
 
     host: str
@@ -150,6 +151,7 @@
     limits: WeightStoreLimits
     served_models: frozenset[str]
     view_by_engine: dict[str, EngineView]
+    taken_over: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -238,6 +240,9 @@
         report = view.fresh_report(self._now)
         if report is None or not change.target.reached(report):
             return False
+        if report.order_term is None:
+            # The change began because another state was shown.
+            return view.reported_at > progress.known_since
         settled = view.reported_at > progress.known_since + SETTLE_S
         return report.order_term >= change.number or settled
 
@@ -266,10 +271,12 @@
         if now < progress.next_at or view.wanted is None:
             return False
         drain_until = progress.known_since + DRAIN_LIMIT_S
-        if not progress.drained and now < drain_until:
+        waits = not (view.report and view.report.drains_itself)
+        if waits and not progress.drained and now < drain_until:
             return False
         fencing = checks_fencing(view.listed, view.wanted)
-        if not fencing and now < self._situation.held_since + MARGIN_S:
+        alone = fencing and not self._situation.taken_over
+        if not alone and now < self._situation.held_since + MARGIN_S:
             return False
         if change.loads and now < self._load_at + self._situation.limits.load_s:
             return False
--- a/mustardscale/orders/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -106,7 +106,9 @@
         payload = encode_order_record(record)
         try:
             async with asyncio.timeout(APPEND_TIMEOUT_S):
-                offsets = await self._client.append(self._stream, [payload])
+                offsets = await self._client.append(
+                    self._stream, [payload], record.base
+                )
                 await self._wait_folded(offsets[0])
         except (
             LogUnavailableError,
--- a/mustardscale/orders/order_reports.py
+++ b/mustardscale/orders/order_reports.py
@@ -6,7 +6,7 @@
 import math
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.endpoints.endpoint_clients import EndpointClients
+from mustardscale.endpoints.endpoint_clients import ControlClients
 from mustardscale.endpoints.engines import LoadReport
 from mustardscale.exceptions import MustardscaleError
 from mustardscale.hosts.host_list import ListedKind
@@ -33,7 +33,7 @@
     def __init__(
         self,
         blackboard: Blackboard,
-        clients: EndpointClients,
+        clients: ControlClients,
         drains: EngineDrains,
     ):
         self._blackboard = blackboard
@@ -73,7 +73,7 @@
 
     async def _read(self, engine: str, memory: OrderMemory) -> None:
         try:
-            client = self._clients.engine(engine)
+            client = self._clients.control(engine)
             if client is None:
                 return
             async with asyncio.timeout(REPORT_TIMEOUT_S):
--- a/mustardscale/orders/order_state.py
+++ b/mustardscale/orders/order_state.py
@@ -96,6 +96,7 @@
         settled: whether no record is missing that could decide on others.
         host: entry host that wrote the record that counts.
         incarnation: start number of that host's process.
+        earlier_host: another host that wrote before it, '' if there was none.
         change_by_engine: the changes that are under way.
         placed_by_engine: engines that serve something else than listed.
     """
@@ -103,6 +104,7 @@
     __slots__ = (
         '_candidates',
         'change_by_engine',
+        'earlier_host',
         'folded_offset',
         'host',
         'incarnation',
@@ -117,6 +119,7 @@
         self.settled = True
         self.host = ''
         self.incarnation = 0
+        self.earlier_host = ''
         self.change_by_engine: dict[str, EngineChange] = {}
         self.placed_by_engine: dict[str, PlacedEngine] = {}
         self._candidates: dict[int, OrderRecord] = {}
@@ -128,6 +131,8 @@
             Whether another record counts now.
         """
         before = self.version
+        if page.compacted:
+            return self._take_newest(page)
         if page.first_offset > self.folded_offset + 1:
             self.settled = False
             self._candidates.clear()
@@ -140,6 +145,20 @@
                     self._apply(record.offset, content)
         return self.version != before
 
+    def _take_newest(self, page: LogPage) -> bool:
+        """Takes the newest record of a stream that keeps no others.
+
+        Records come there only under the condition that their writer knew the
+        one before, so each of them counted.
+        """
+        before = self.version
+        for record in page.records:
+            content = _decode(record.payload)
+            if content is not None and record.offset > self.version:
+                self._set(record.offset, content)
+        self.folded_offset = max(self.folded_offset, page.end_offset)
+        return self.version != before
+
     def _apply(self, offset: int, record: OrderRecord) -> None:
         if record.restart:
             if record.base == offset - 1:
@@ -164,6 +183,8 @@
         self.version = offset
         self.settled = True
         self._candidates = {}
+        if self.host not in ('', record.host):
+            self.earlier_host = self.host
         self.host = record.host
         self.incarnation = record.incarnation
         self.change_by_engine = {
--- a/mustardscale/orders/order_views.py
+++ b/mustardscale/orders/order_views.py
@@ -4,11 +4,16 @@
 
 import dataclasses
 import math
+from collections.abc import Mapping
 from typing import Protocol
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.configuration.config_records import ServiceKind
-from mustardscale.configuration.wanted_state import ListedEngine, wanted_of
+from mustardscale.configuration.wanted_state import (
+    ListedEngine,
+    WantedEngine,
+    wanted_of,
+)
 from mustardscale.endpoints.engines import LoadReport
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.orders.order_decisions import (
@@ -16,6 +21,7 @@
     EngineView,
     Situation,
 )
+from mustardscale.orders.role_balance import BalanceView
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,11 +82,23 @@
 
 
 def situation(
-    board: Blackboard, memory: OrderMemory, reports: ReportSource, now: float
+    board: Blackboard,
+    memory: OrderMemory,
+    reports: ReportSource,
+    balanced: Mapping[str, WantedEngine],
+    now: float,
 ) -> Situation:
-    """Returns what decisions depend on at a moment."""
+    """Returns what decisions depend on at a moment.
+
+    Args:
+        board: the blackboard.
+        memory: what this host remembers of the changes.
+        reports: the engines' reports.
+        balanced: states wanted of engines of which operators want nothing.
+        now: loop time.
+    """
     view_by_engine = {
-        endpoint.id: _view(board, memory, reports, endpoint, now)
+        endpoint.id: _view(board, memory, reports, balanced, endpoint, now)
         for endpoint in board.endpoints_by_id.values()
         if endpoint.kind is ListedKind.ENGINE
         and endpoint.region == board.region
@@ -99,6 +117,7 @@
         board.config.weight_limits(board.region),
         _served_models(board),
         view_by_engine,
+        taken_over=bool(board.orders.earlier_host),
     )
 
 
@@ -106,6 +125,7 @@
     board: Blackboard,
     memory: OrderMemory,
     reports: ReportSource,
+    balanced: Mapping[str, WantedEngine],
     endpoint: EndpointEntry,
     now: float,
 ) -> EngineView:
@@ -119,7 +139,7 @@
         endpoint.model,
         endpoint.role,
         not endpoint.leaving(now),
-        wanted_of(listed, board.config.wanted_by_name),
+        wanted_of(listed, board.config.wanted_by_name) or balanced.get(engine),
         reports.report_by_engine.get(engine),
         reports.true_at_by_engine.get(engine, -math.inf),
         board.orders.change_by_engine.get(engine),
@@ -134,3 +154,22 @@
         for entry in board.config.services_by_name.values()
         if entry.choice.kind is ServiceKind.LANGUAGE
     )
+
+
+def balance_views(
+    board: Blackboard, report_by_engine: Mapping[str, LoadReport], now: float
+) -> list[BalanceView]:
+    """Returns what the balance of roles depends on, of each usable engine."""
+    return [
+        BalanceView(
+            endpoint.id,
+            endpoint.listed_model,
+            report.role,
+            report.model_version,
+        )
+        for endpoint in board.endpoints_by_id.values()
+        if endpoint.kind is ListedKind.ENGINE
+        and endpoint.region == board.region
+        and not endpoint.leaving(now)
+        and (report := report_by_engine.get(endpoint.id)) is not None
+    ]
--- /dev/null
+++ b/mustardscale/orders/role_balance.py
@@ -0,0 +1,110 @@
+"""Decides how many engines of a model prefill and how many decode.
+
+A prompt keeps a prefill engine busy for some hundredths of a second, its answer
+keeps memory of a decode engine for seconds. So a small share of prefill engines
+serves a pool whose decode memory is the scarce part.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from mustardscale.configuration.wanted_state import WantedEngine
+from mustardscale.endpoints.engines import EngineRole
+
+# Time for which a pool lacks prefill engines before others take the role,
+# seconds. Longer than an engine takes to start again: until then decode
+# engines read prompts themselves.
+PROMOTE_AFTER_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BalanceView:
+    """What is known of an engine that may change its role.
+
+    Attributes:
+        id: its name.
+        model: model that it serves.
+        role: its present role.
+        model_version: version of its model.
+    """
+
+    id: str
+    model: str
+    role: EngineRole
+    model_version: str
+
+
+class RoleBalance:
+    """Wants a share of each model's engines to prefill, the others to decode.
+
+    Attributes:
+        prefill_share: share of the engines that prefill; at least one does.
+    """
+
+    __slots__ = ('_lacking_since_by_model', 'prefill_share')
+
+    def __init__(self, prefill_share: float):
+        self.prefill_share = prefill_share
+        self._lacking_since_by_model: dict[str, float] = {}
+
+    def forget(self) -> None:
+        """Forgets everything, when another host gives the orders."""
+        self._lacking_since_by_model.clear()
+
+    def wanted(
+        self, views: Iterable[BalanceView], now: float
+    ) -> dict[str, WantedEngine]:
+        """Returns the wanted state of each engine.
+
+        Args:
+            views: the engines that are in service.
+            now: loop time.
+        """
+        by_model: dict[str, list[BalanceView]] = collections.defaultdict(list)
+        for view in views:
+            by_model[view.model].append(view)
+        wanted: dict[str, WantedEngine] = {}
+        for model, engines in by_model.items():
+            prefills = self._prefills(model, engines, now)
+            for engine in engines:
+                role = EngineRole.DECODE
+                if engine.id in prefills:
+                    role = EngineRole.PREFILL
+                wanted[engine.id] = WantedEngine(
+                    model, engine.model_version, role
+                )
+        return wanted
+
+    def _prefills(
+        self, model: str, engines: list[BalanceView], now: float
+    ) -> set[str]:
+        """Returns the ids of the engines that shall prefill."""
+        present = sorted(
+            engine.id for engine in engines if engine.role is EngineRole.PREFILL
+        )
+        others = sorted(
+            engine.id for engine in engines if engine.role is EngineRole.DECODE
+        )
+        count = prefill_count(len(engines), self.prefill_share)
+        if len(present) >= count:
+            self._lacking_since_by_model.pop(model, None)
+            return set(present[:count])
+        since = self._lacking_since_by_model.setdefault(model, now)
+        if now - since < PROMOTE_AFTER_S:
+            return set(present)
+        return {*present, *others[: count - len(present)]}
+
+
+def prefill_count(engines: int, share: float) -> int:
+    """Returns how many of a model's engines prefill.
+
+    >>> prefill_count(5, 0.2), prefill_count(6, 0.2), prefill_count(1, 0.2)
+    (1, 1, 0)
+    """
+    if engines < 2:
+        return 0
+    return min(engines - 1, max(1, math.floor(engines * share + 0.5)))
--- a/mustardscale/peers/peer_calls.py
+++ b/mustardscale/peers/peer_calls.py
@@ -64,6 +64,25 @@
             )
         return reply
 
+    async def call_address(
+        self,
+        address: str,
+        request: PeerRequest,
+        reply_type: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        """Calls whichever host serves its peers at an address.
+
+        Raises:
+            PeerUnavailableError: no reply came; the host may have acted.
+        """
+        reply = await self._transport.call('', address, request, timeout_s)
+        if not isinstance(reply, reply_type):
+            raise PeerUnavailableError(
+                f'{address} answered with {type(reply).__name__}'
+            )
+        return reply
+
     async def _call_self(self, request: PeerRequest, timeout_s: float) -> Any:
         try:
             async with asyncio.timeout(timeout_s):
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -27,6 +27,8 @@
     suspicionNotice @19 :SuspicionNotice;
     engineDrain @20 :EngineDrain;
     engineDrainReply @21 :EngineDrainReply;
+    hostListFetch @22 :HostListFetch;
+    hostListFetchReply @23 :HostListFetchReply;
   }
 }
 
@@ -88,6 +90,7 @@
   sentAt @10 :Float64;
   echoAt @11 :Float64;
   echoIncarnation @12 :UInt64;
+  address @13 :Text;
 }
 
 struct HeardHost {
@@ -110,6 +113,7 @@
   waitedS @9 :Float64;
   excluded @10 :List(Text);
   alone @11 :Bool;
+  hintTokens @12 :Int64;
 }
 
 struct AdmitReply {
@@ -118,6 +122,7 @@
   decode @2 :Text;
   retryAfterS @3 :Float64;
   priority @4 :Int64;
+  prefillS @5 :Float64;
 }
 
 struct HeldStream {
@@ -130,6 +135,7 @@
   emitted @6 :Int64;
   maxTokens @7 :Int64;
   fingerprint @8 :UInt64;
+  hintTokens @9 :Int64;
 }
 
 struct Progress {
@@ -239,3 +245,12 @@
   withdrawn @0 :Bool;
   streams @1 :Int64;
 }
+
+struct HostListFetch {
+  version @0 :Int64;
+}
+
+struct HostListFetchReply {
+  version @0 :Int64;
+  content @1 :Data;
+}
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -88,6 +88,8 @@
             receiver.
         echo_incarnation: start number of the process that sent that one, 0 if
             there is none.
+        address: 'ip:port' at which the sender serves its peers, '' where only
+            the host list tells it.
     """
 
     host: str
@@ -103,6 +105,7 @@
     sent_at: float = 0.0
     echo_at: float = 0.0
     echo_incarnation: int = 0
+    address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +125,7 @@
         waited_s: seconds since the caller's request arrived.
         excluded: ids of endpoints that must not be used again.
         alone: whether to run it with no other request on the endpoint.
+        hint_tokens: the caller's guess of the tokens emitted, 0 for none.
     """
 
     pool: str
@@ -136,6 +140,7 @@
     waited_s: float = 0.0
     excluded: tuple[str, ...] = ()
     alone: bool = False
+    hint_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +153,7 @@
         decode: id of the decode endpoint.
         retry_after_s: when refused, seconds after which to come back.
         priority: priority for the engines' queues.
+        prefill_s: seconds that the prefill is expected to take, 0 if unknown.
     """
 
     outcome: int
@@ -155,6 +161,7 @@
     decode: str = ''
     retry_after_s: float = 0.0
     priority: int = 0
+    prefill_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +178,7 @@
         emitted: tokens emitted by this attempt so far.
         max_tokens: tokens that this attempt may emit.
         fingerprint: hash of the prompt, 0 when not known.
+        hint_tokens: the caller's guess of the tokens emitted, 0 for none.
     """
 
     tag: StreamTag
@@ -182,6 +190,7 @@
     emitted: int
     max_tokens: int
     fingerprint: int = 0
+    hint_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -339,6 +348,30 @@
     streams: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListFetch:
+    """Asks a host for the host list that it has.
+
+    Attributes:
+        version: version of the list that the sender has, 0 if it has none.
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListFetchReply:
+    """The host list that a host has.
+
+    Attributes:
+        version: its version.
+        content: its entries as JSON; empty if the sender's is as new.
+    """
+
+    version: int
+    content: bytes = b''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """Empty answer."""
@@ -357,6 +390,7 @@
     | ConfigFetch
     | SuspicionNotice
     | EngineDrain
+    | HostListFetch
 )
 PeerReply = (
     Heartbeat
@@ -368,6 +402,7 @@
     | StreamReleaseReply
     | ConfigFetchReply
     | EngineDrainReply
+    | HostListFetchReply
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -383,4 +418,5 @@
     ConfigFetch: ConfigFetchReply,
     SuspicionNotice: Acknowledgement,
     EngineDrain: EngineDrainReply,
+    HostListFetch: HostListFetchReply,
 }
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -190,6 +190,12 @@
 ) -> None:
     """Opens a connection as the caller.
 
+    Args:
+        stream: the connection.
+        identity: who calls.
+        host: id of the host that must answer, '' for any.
+        connect_s: seconds until the greeting is given up.
+
     Raises:
         GreetingError: another host answered, or one without the peer key.
         TimeoutError, PeerFrameError, OSError, EOFError: no usable answer.
@@ -197,7 +203,7 @@
     hello = Hello(identity.host, identity.incarnation, _nonce())
     _send_hello(stream, hello)
     answer = await _receive_hello(stream, connect_s)
-    if answer.host != host:
+    if host and answer.host != host:
         raise GreetingError(f'{answer.host!r} answers in place of {host!r}')
     _check_proof(answer, _proof(identity.key, b'server', hello, answer))
     proof = _proof(identity.key, b'caller', hello, answer)
--- a/mustardscale/peers/peer_transport.py
+++ b/mustardscale/peers/peer_transport.py
@@ -26,7 +26,7 @@
         Cancelling the call cancels the handler at the peer.
 
         Args:
-            host: id of the peer.
+            host: id of the peer, '' for whichever is at the address.
             address: 'ip:port' of the peer.
             request: the message.
             timeout_s: seconds until the call is given up.
--- a/mustardscale/peers/tcp_peers.py
+++ b/mustardscale/peers/tcp_peers.py
@@ -54,7 +54,7 @@
         """Sends a request and returns the reply; see PeerTransport."""
         if self._closing:
             raise PeerUnavailableError('this host is shutting down')
-        peer = self._peer(host)
+        peer = self._peer(host, address)
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await peer.connect(address)
@@ -74,14 +74,16 @@
         if self._server is not None:
             await self._server.close()
 
-    def _peer(self, host: str) -> OutboundPeer:
-        peer = self._peer_by_host.get(host)
+    def _peer(self, host: str, address: str) -> OutboundPeer:
+        # Host ids have no colon, so that addresses are told from them.
+        key = host or address
+        peer = self._peer_by_host.get(key)
         if peer is None:
             self._forget_unused()
             peer = OutboundPeer(
                 host, self._identity, self._limits, self._rng, self.traffic
             )
-            self._peer_by_host[host] = peer
+            self._peer_by_host[key] = peer
         return peer
 
     def _forget_unused(self) -> None:
--- /dev/null
+++ b/mustardscale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product."""
--- /dev/null
+++ b/mustardscale/platform/entry.py
@@ -0,0 +1,306 @@
+"""The process that runs on each edge machine of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+
+import aiomisc
+import msgspec
+
+import mustardscale
+from mustardscale.blackboard import Blackboard
+from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.configuration.routes import CallerBounds
+from mustardscale.exceptions import SettingError
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.operators.state_dump import dump_state
+from mustardscale.peers.peer_connections import split_address
+from mustardscale.peers.peer_streams import PeerIdentity
+from mustardscale.peers.tcp_peers import TcpPeerTransport
+from mustardscale.platform import names
+from mustardscale.platform.front_http import FrontServer, ReadyServer
+from mustardscale.platform.store_client import StoreClient, StoreLog
+from mustardscale.platform.store_hosts import StoreHostList
+from mustardscale.platform.store_routes import StoreRoutes
+from mustardscale.platform.worker_connector import WorkerConnector
+from mustardscale.relay.retry_budget import RetryAllowance
+from mustardscale.relay_options import RelayEdges, RelayOptions
+from mustardscale.relay_router import RelayRouter
+from mustardscale.reporting.event_log import EventKind, EventLog, JsonEvents
+from mustardscale.reporting.json_logging import LogOutput, configure_logging
+from mustardscale.reporting.prometheus_text import prometheus_text
+from mustardscale.settings.daemon_settings import public_settings
+from mustardscale.settings.relay_settings import RelaySettings
+from mustardscale.settings.setting_sources import load_settings_of
+
+log = logging.getLogger(__name__)
+
+SETTINGS_FILE_VARIABLE = 'MUSTARDSCALE_BOOT'
+EXIT_SETTINGS = 2
+# Time for the servers to close after the drain, seconds.
+CLOSE_TIMEOUT_S = 0.5
+# Interval at which the settings file is compared, seconds.
+SETTINGS_CHECK_S = 1.0
+# Interval at which a change of readiness is looked for, seconds.
+READINESS_CHECK_S = 0.25
+
+
+class EdgeHost(aiomisc.Service):
+    """The router with its servers, as a service of the process."""
+
+    settings: RelaySettings
+    events: EventLog
+    output: LogOutput
+
+    async def start(self) -> None:
+        """Starts the router, then the servers."""
+        settings = self.settings
+        self._router = make_router(settings, self.events)
+        self._ready = ReadyServer(
+            self._router.is_ready,
+            lambda: prometheus_text(self._router.metrics),
+            lambda: dump(self._router),
+        )
+        self._front = FrontServer(
+            self._router,
+            caller_limits(settings, CallerBounds()),
+            CLOSE_TIMEOUT_S,
+        )
+        await self._router.start()
+        await self._ready.start(*split_address(settings.ready_listen))
+        await self._front.start(*split_address(settings.callers_listen))
+        self._tasks = [
+            asyncio.create_task(self._follow_bounds()),
+            asyncio.create_task(self._follow_readiness()),
+            asyncio.create_task(self._follow_settings()),
+        ]
+        self._reload = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        self.events.emit(
+            EventKind.PROCESS_STARTED,
+            version=mustardscale.__version__,
+            incarnation=self._router.blackboard.incarnation,
+            settings=public_settings(settings),
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drains, then stops."""
+        settings = self.settings
+        active = self._router.active
+        self.events.emit(
+            EventKind.PROCESS_STOPPING,
+            active=active.count,
+            drain_s=settings.drain_notice_s + settings.drain_timeout_s,
+        )
+        whole = await self._router.drain(
+            settings.drain_notice_s, settings.drain_timeout_s
+        )
+        for task in self._tasks:
+            task.cancel()
+        await self._front.stop()
+        await self._ready.stop()
+        await self._router.stop()
+        self.events.emit(
+            EventKind.PROCESS_STOPPED,
+            whole=whole,
+            active=active.count,
+            lines_dropped=self.output.dropped,
+        )
+
+    async def _follow_bounds(self) -> None:
+        """Keeps the limits on callers those of the configuration."""
+        board = self._router.blackboard
+        bounds = CallerBounds()
+        while True:
+            if board.config.routes.table.bounds != bounds:
+                bounds = board.config.routes.table.bounds
+                self._front.set_limits(caller_limits(self.settings, bounds))
+            await board.config_changed.wait(60.0)
+
+    async def _follow_readiness(self) -> None:
+        """Logs each change of readiness."""
+        told = False
+        while True:
+            ready = self._router.is_ready()
+            if ready != told:
+                told = ready
+                draining = self._router.blackboard.draining
+                cause = 'draining' if draining else 'configuration and workers'
+                self.events.emit(
+                    EventKind.READINESS_CHANGED, ready=ready, cause=cause
+                )
+            await asyncio.sleep(READINESS_CHECK_S)
+
+    async def _follow_settings(self) -> None:
+        """Reads the settings again at SIGHUP and when the file changes."""
+        known = settings_text()
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_CHECK_S):
+                    await self._reload.wait()
+            except TimeoutError:
+                if settings_text() == known:
+                    continue
+            self._reload.clear()
+            known = settings_text()
+            self._take_settings()
+
+    def _take_settings(self) -> None:
+        """Takes the settings that may change while the process runs."""
+        loaded = self.settings
+        errors: list[str] = []
+        try:
+            loaded = load()
+        except* SettingError as group:
+            errors = [str(error) for error in group.exceptions]
+        changed = [
+            field.name
+            for field in dataclasses.fields(loaded)
+            if getattr(loaded, field.name) != getattr(self.settings, field.name)
+        ]
+        self.settings = loaded
+        logging.getLogger().setLevel(loaded.log_level.upper())
+        self._router.set_allowance(allowance_of(loaded))
+        bounds = self._router.blackboard.config.routes.table.bounds
+        self._front.set_limits(caller_limits(loaded, bounds))
+        self.events.emit(
+            EventKind.SETTINGS_RELOADED, changed=changed, error=errors
+        )
+
+
+def make_router(settings: RelaySettings, events: EventLog) -> RelayRouter:
+    """Makes a router whose edges are those of the platform."""
+    rng = random.Random(f'{settings.seed}/{settings.host_id}')
+    incarnation = time.time_ns() // 1_000_000
+    identity = PeerIdentity(
+        settings.host_id, incarnation, settings.peer_key.encode()
+    )
+    client = StoreClient(settings.store_address)
+    connector = WorkerConnector(settings.host_id)
+    board = Blackboard(
+        settings.host_id, incarnation, settings.data_centre, settings.region
+    )
+    board.address = settings.peers_listen
+    board.events = events
+    connector.follow(board)
+    tails = {
+        topic: KeyedTail(board, client, topic, rng)
+        for topic in (
+            names.OPERATOR_TOPIC,
+            names.WORKERS_TOPIC,
+            names.HOSTS_TOPIC,
+        )
+    }
+    edges = RelayEdges(
+        StoreLog(client),
+        StoreHostList(
+            client,
+            tails[names.WORKERS_TOPIC],
+            tails[names.HOSTS_TOPIC],
+            settings.region,
+        ),
+        StoreRoutes(tails[names.OPERATOR_TOPIC]),
+        TcpPeerTransport(identity, settings.peers_listen, rng),
+        connector,
+        tuple(tails.values()),
+    )
+    options = RelayOptions(
+        settings.seed_addresses,
+        settings.policy,
+        MembershipTimes(
+            heartbeat_s=settings.heartbeat_s,
+            dead_after_s=settings.dead_after_s,
+            host_list_s=settings.host_list_interval_s,
+        ),
+        allowance_of(settings),
+        settings.prefill_share,
+        settings.report_interval_s,
+    )
+    return RelayRouter(board, options, edges, rng)
+
+
+def allowance_of(settings: RelaySettings) -> RetryAllowance:
+    """Returns the retry budget that settings name."""
+    return RetryAllowance(
+        settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+    )
+
+
+def caller_limits(
+    settings: RelaySettings, bounds: CallerBounds
+) -> CallerLimits:
+    """Returns what callers may take up, by settings and configuration."""
+    return CallerLimits(
+        connections=settings.max_connections,
+        all_bodies_bytes=settings.max_all_bodies_bytes,
+        header_bytes=bounds.header_bytes,
+        body_bytes=bounds.body_bytes,
+        header_timeout_s=bounds.header_timeout_s,
+        body_timeout_s=settings.body_timeout_s,
+        write_timeout_s=settings.stream_write_timeout_s,
+        keepalive_timeout_s=bounds.idle_timeout_s,
+    )
+
+
+def dump(router: RelayRouter) -> bytes:
+    """Renders a router's state as JSON."""
+    state = dump_state(router.blackboard, router.pool_owner)
+    return msgspec.json.encode(state, enc_hook=str)
+
+
+def settings_path() -> str:
+    """Returns the path of the settings file, '' if there is none."""
+    path = os.environ.get(SETTINGS_FILE_VARIABLE, '')
+    return path if path and pathlib.Path(path).exists() else ''
+
+
+def settings_text() -> str:
+    """Returns the content of the settings file, '' if it is unreadable."""
+    path = settings_path()
+    try:
+        return pathlib.Path(path).read_text() if path else ''
+    except OSError:
+        return ''
+
+
+def load() -> RelaySettings:
+    """Reads the settings.
+
+    Raises:
+        ExceptionGroup: of SettingError, one for each wrong setting.
+    """
+    return load_settings_of(
+        RelaySettings, sys.argv[1:], os.environ, settings_path()
+    )
+
+
+def run(settings: RelaySettings) -> None:
+    """Runs the process until a signal ends it."""
+    output = configure_logging(
+        settings.log_level, secrets=(settings.peer_key,), stream=sys.stdout
+    )
+    write: Callable[[str], None] = output.write_line
+    host = EdgeHost(
+        settings=settings,
+        events=JsonEvents(settings.host_id, write),
+        output=output,
+    )
+    shutdown_timeout_s = settings.drain_timeout_s + settings.drain_notice_s
+    with aiomisc.entrypoint(
+        host,
+        log_config=False,
+        shutdown_timeout=shutdown_timeout_s + 3 * CLOSE_TIMEOUT_S,
+    ) as loop:
+        loop.run_forever()
+    output.close()
--- /dev/null
+++ b/mustardscale/platform/front_http.py
@@ -0,0 +1,299 @@
+"""The front that the platform's balancer connects clients to."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from aiohttp import web
+
+from mustardscale.callers.caller_bodies import BodyReader
+from mustardscale.callers.caller_connections import (
+    CallerLimits,
+    CallerServer,
+    check_header_size,
+    write_chunk,
+    write_in_time,
+)
+from mustardscale.callers.problem_details import problem_of, problem_response
+from mustardscale.endpoints.http_plain import HOP_BY_HOP_HEADERS
+from mustardscale.exceptions import OutcomeError
+from mustardscale.outcomes import Outcome
+from mustardscale.platform import names
+from mustardscale.relay.relay_messages import (
+    Headers,
+    RelayRequest,
+    SizeEstimate,
+    WholeAnswer,
+)
+from mustardscale.relay.stream_relay import RelayedStream
+from mustardscale.relay_router import RelayRouter
+
+log = logging.getLogger(__name__)
+
+_BACKLOG = 1_024
+_SERVICE_UNAVAILABLE = 503
+_REPLACED_HEADERS = frozenset({'content-length', 'expect', 'host'})
+
+
+class FrontServer:
+    """Serves clients on one address."""
+
+    def __init__(
+        self, router: RelayRouter, limits: CallerLimits, grace_s: float
+    ):
+        """Prepares the server.
+
+        Args:
+            router: relays the requests.
+            limits: what one client may take up.
+            grace_s: seconds after which stop() cuts off what is left.
+        """
+        self._router = router
+        self._limits = limits
+        self._grace_s = grace_s
+        self._bodies = BodyReader(limits)
+        self._server: CallerServer | None = None
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts to listen."""
+        self._server = CallerServer(self._handle, self._limits)
+        self._runner = web.ServerRunner(
+            self._server, shutdown_timeout=self._grace_s
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, backlog=_BACKLOG)
+        await site.start()
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Sets the limits of requests and connections that come from now."""
+        self._limits = limits
+        self._bodies.set_limits(limits)
+        if self._server is not None:
+            self._server.set_limits(limits)
+
+    async def stop(self) -> None:
+        """Stops to listen, and waits for the requests in progress."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get(names.REQUEST_ID, '')
+        try:
+            return await self._relay(request)
+        except OutcomeError as error:
+            response = error_response(error, request_id)
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception:
+            log.exception('request failed', extra={'request_id': request_id})
+            response = error_response(
+                OutcomeError(Outcome.INTERNAL_ERROR), request_id
+            )
+        finally:
+            self._bodies.release(request)
+        await self._send(request, response)
+        return response
+
+    async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_at = asyncio.get_running_loop().time()
+        check_header_size(request, self._limits)
+        body = await self._bodies.read(request)
+        relayed = relay_request(request, body, arrived_at)
+        async with self._router.serve(relayed) as answer:
+            if isinstance(answer, WholeAnswer):
+                response = _whole_response(answer)
+                await self._send(request, response)
+                return response
+            return await self._stream(request, answer)
+
+    async def _stream(
+        self, request: web.BaseRequest, answer: RelayedStream
+    ) -> web.StreamResponse:
+        """Passes events on as they come.
+
+        Raises:
+            ConnectionResetError: the client left, or the answer broke off and
+                the connection was closed so that it does not look whole.
+        """
+        head = answer.head
+        response = web.StreamResponse(status=head.status)
+        for name, value in head.headers:
+            response.headers.add(name, value)
+        response.enable_chunked_encoding()
+        self._close_if_draining(response)
+        await write_in_time(request, response.prepare(request), self._limits)
+        try:
+            async for data in answer.events():
+                await write_chunk(request, response, data, self._limits)
+        except OutcomeError:
+            if request.transport is not None:
+                request.transport.close()
+            raise ConnectionResetError('the answer broke off') from None
+        await write_in_time(request, response.write_eof(), self._limits)
+        return response
+
+    def _close_if_draining(self, response: web.StreamResponse) -> None:
+        if self._router.blackboard.draining:
+            response.force_close()
+
+    async def _send(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Sends a whole answer."""
+        if not request.content.is_eof():
+            response.force_close()
+        self._close_if_draining(response)
+
+        async def send() -> None:
+            await response.prepare(request)
+            await response.write_eof()
+
+        await write_in_time(request, send(), self._limits)
+
+
+def relay_request(
+    request: web.BaseRequest, body: bytes, arrived_at: float
+) -> RelayRequest:
+    """Returns a client's request in the product's terms.
+
+    Raises:
+        OutcomeError: MALFORMED_REQUEST.
+    """
+    headers = request.headers
+    request_id = headers.get(names.REQUEST_ID, '')
+    host = headers.get('Host', '')
+    if not request_id or len(headers.getall(names.REQUEST_ID)) > 1:
+        raise OutcomeError(
+            Outcome.MALFORMED_REQUEST, f'{names.REQUEST_ID} must come once'
+        )
+    if len(headers.getall('Host', [])) != 1:
+        raise OutcomeError(Outcome.MALFORMED_REQUEST, 'Host must come once')
+    return RelayRequest(
+        id=request_id,
+        host=host.partition(':')[0],
+        method=request.method,
+        target=request.raw_path,
+        headers=_passed_headers(request),
+        body=body,
+        arrived_at=arrived_at,
+        timeout_s=_milliseconds(headers.get(names.REQUEST_DEADLINE)),
+        size=_size(
+            headers.get(names.TOKEN_USAGE), headers.get(names.LENGTH_HINT)
+        ),
+        resume_after=headers.get(names.LAST_EVENT_ID, ''),
+    )
+
+
+def _passed_headers(request: web.BaseRequest) -> Headers:
+    """Returns the headers that go on to the worker."""
+    pairs = [
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in request.raw_headers
+    ]
+    dropped = set(HOP_BY_HOP_HEADERS)
+    for name, value in pairs:
+        if name.lower() == 'connection':
+            named = {token.strip().lower() for token in value.split(',')}
+            dropped |= named - names.KEPT_HEADERS
+    dropped |= names.SYSTEM_HEADERS | _REPLACED_HEADERS
+    dropped.add(names.REQUEST_ID.lower())
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
+
+
+def _milliseconds(text: str | None) -> float | None:
+    """Returns a number of milliseconds in seconds, None if there is none.
+
+    >>> _milliseconds('1500'), _milliseconds('soon'), _milliseconds(None)
+    (1.5, None, None)
+    """
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text) / 1000.0
+
+
+def _size(usage: str | None, hint: str | None) -> SizeEstimate | None:
+    """Returns the size that a client tells.
+
+    >>> _size('1460,80', '70')
+    SizeEstimate(prompt_tokens=1460, max_output_tokens=80, \
+output_hint_tokens=70)
+    >>> _size('many', None) is None
+    True
+    """
+    parts = (usage or '').split(',')
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        return None
+    prompt, output = (int(part) for part in parts)
+    hinted = int(hint) if hint is not None and hint.strip().isdigit() else 0
+    return SizeEstimate(max(1, prompt), max(1, output), hinted)
+
+
+def error_response(error: OutcomeError, request_id: str) -> web.Response:
+    """Returns the answer to a request that ended with an outcome."""
+    status = None
+    if error.outcome in (Outcome.QUARANTINED, Outcome.ALREADY_IN_PROGRESS):
+        # Not run, and no fault of the request's form.
+        status = _SERVICE_UNAVAILABLE
+    response = problem_response(error, request_id, status)
+    if names.RETRY_AFTER in response.headers:
+        seconds = problem_of(error).retry_after or 0.0
+        response.headers[names.RETRY_AFTER] = f'{seconds:.2f}'
+    return response
+
+
+def _whole_response(answer: WholeAnswer) -> web.Response:
+    response = web.Response(status=answer.head.status, body=answer.body)
+    for name, value in answer.head.headers:
+        response.headers.add(name, value)
+    return response
+
+
+class ReadyServer:
+    """Answers the platform's question whether this host is ready."""
+
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        metrics_text: Callable[[], str],
+        dump: Callable[[], bytes],
+    ):
+        """Prepares the server.
+
+        Args:
+            is_ready: whether clients may be sent here.
+            metrics_text: renders the metrics.
+            dump: renders the state.
+        """
+        self._is_ready = is_ready
+        self._metrics_text = metrics_text
+        self._dump = dump
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts to listen."""
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None)
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Stops to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        path = request.path
+        if path == names.READY_PATH:
+            ready = self._is_ready()
+            return web.Response(status=200 if ready else _SERVICE_UNAVAILABLE)
+        if path == '/metrics':
+            return web.Response(text=self._metrics_text())
+        if path == '/state':
+            return web.Response(
+                body=self._dump(), content_type='application/json'
+            )
+        return web.Response(status=404)
--- /dev/null
+++ b/mustardscale/platform/http_client.py
@@ -0,0 +1,86 @@
+"""HTTP calls that send each request at most once and tell how they ended."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import aiohttp
+import yarl
+
+from mustardscale.endpoints.http_sessions import (
+    ConnectionLostError,
+    SendProgress,
+    make_session,
+)
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointUnreachableError,
+)
+
+# Keep-alive probes of the transport, which show a connection that has gone
+# silent: seconds before the first, between two, and their number.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
+# Seconds until a connection attempt is given up.
+CONNECT_TIMEOUT_S = 0.3
+MAX_HEADER_BYTES = 65_536
+_AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
+
+
+def probing_socket(address: Any) -> socket.socket:
+    """Makes the socket of a connection, with keep-alive probes."""
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    return made
+
+
+def make_client(one_call_each: bool) -> aiohttp.ClientSession:
+    """Makes a session.
+
+    Args:
+        one_call_each: whether each call has a connection of its own, so that
+            no answer can be taken for that of another call.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=one_call_each,
+        socket_factory=probing_socket,
+    )
+    return make_session(
+        max_header_bytes=MAX_HEADER_BYTES,
+        skip_auto_headers=_AUTOMATIC_HEADERS,
+        connector=connector,
+    )
+
+
+def url_of(address: str, target: str) -> yarl.URL:
+    """Returns the URL of a target as it came."""
+    return yarl.URL(f'http://{address}{target}', encoded=True)
+
+
+def timeout_of(seconds: float) -> aiohttp.ClientTimeout:
+    """Returns the limits on a call's time."""
+    return aiohttp.ClientTimeout(
+        total=max(0.001, seconds), sock_connect=CONNECT_TIMEOUT_S
+    )
+
+
+def endpoint_error(
+    error: BaseException, progress: SendProgress
+) -> EndpointUnreachableError | EndpointFailedError:
+    """Returns what a failed call to an endpoint means for the request."""
+    detail = str(error) or type(error).__name__
+    if not progress.connected:
+        return EndpointUnreachableError(detail)
+    lost = isinstance(
+        error, (ConnectionLostError, aiohttp.ClientPayloadError, OSError)
+    )
+    return EndpointFailedError(
+        detail, lost and not isinstance(error, TimeoutError)
+    )
--- /dev/null
+++ b/mustardscale/platform/names.py
@@ -0,0 +1,62 @@
+"""The names of the platform's wire."""
+
+from __future__ import annotations
+
+REQUEST_ID = 'X-Request-Id'
+REQUEST_DEADLINE = 'X-Request-Deadline'
+EXPECT_INSTANCE = 'X-Expect-Instance'
+INSTANCE_ID = 'X-Instance-Id'
+NOT_EXECUTED = 'X-Not-Executed'
+SIGNATURE = 'X-Response-Signature'
+TOKEN_USAGE = 'X-Token-Usage'
+LENGTH_HINT = 'X-Length-Hint'
+LAST_EVENT_ID = 'Last-Event-Id'
+SERVING_PHASE = 'X-Serving-Phase'
+KV_SOURCE = 'X-Kv-Source'
+RETRY_AFTER = 'Retry-After'
+
+# Headers that are the system's to set, in lower case; a caller's are dropped.
+SYSTEM_HEADERS = frozenset(
+    {
+        'kv-fetch',
+        'last-event-id',
+        'x-expect-instance',
+        'x-expect-version',
+        'x-instance-id',
+        'x-kv-backup',
+        'x-kv-hold',
+        'x-kv-source',
+        'x-not-executed',
+        'x-pin-duration',
+        'x-request-deadline',
+        'x-request-priority',
+        'x-response-signature',
+        'x-serving-phase',
+    }
+)
+# Headers that a caller cannot make one connection's own, in lower case.
+KEPT_HEADERS = frozenset(
+    {
+        'host',
+        'x-length-hint',
+        'x-model-name',
+        'x-prompt-prefix',
+        'x-request-id',
+        'x-token-usage',
+    }
+)
+
+READY_PATH = '/mustardscale/ready'
+REPORT_PATH = '/mustardscale/report'
+ORDER_PATH = '/mustardscale/order'
+HANDLE_PATH = '/mustardscale/kv-handle/'
+APPEND_PATH = '/mustardscale/log-append'
+READ_PATH = '/mustardscale/log-read'
+NEWEST_PATH = '/mustardscale/log-newest'
+
+# Keyed topics of the platform, and of the system.
+OPERATOR_TOPIC = 'keyed.op'
+WORKERS_TOPIC = 'keyed.servers'
+HOSTS_TOPIC = 'keyed.hosts'
+OWN_TOPIC_PREFIX = 'keyed.'
+CONFIG_KEY = 'config'
--- /dev/null
+++ b/mustardscale/platform/store_client.py
@@ -0,0 +1,229 @@
+"""The platform's metadata store as a log of keyed streams."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+from collections.abc import Iterator
+from urllib.parse import quote
+
+import msgspec
+
+from mustardscale.endpoints.http_sessions import (
+    REQUEST_ERRORS,
+    SendProgress,
+    describe_error,
+    read_content,
+)
+from mustardscale.exceptions import LogUnavailableError, LogUncertainError
+from mustardscale.log.keyed_log import (
+    KeyedLogClient,
+    KeyedPage,
+    KeyedRecord,
+    RecordsGoneError,
+)
+from mustardscale.log.log_client import LogClient, LogPage, LogRecord
+from mustardscale.platform import names
+from mustardscale.platform.http_client import make_client, timeout_of, url_of
+
+CALL_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_ENDS = struct.Struct('!QQ')
+_LENGTH = struct.Struct('!I')
+
+
+class _NewestItem(msgspec.Struct):
+    """A record in an answer."""
+
+    key: str
+    offset: int
+    value: str = ''
+
+
+class _NewestAnswer(msgspec.Struct):
+    """The newest records of a topic."""
+
+    items: list[_NewestItem]
+    end: int
+    has_more: bool = False
+
+
+class _AppendAnswer(msgspec.Struct):
+    """Where a record was appended."""
+
+    offset: int
+
+
+class StoreClient(KeyedLogClient):
+    """Reads and appends records; offsets are counted from 1 on this side."""
+
+    def __init__(self, address: str):
+        """Opens a session; a loop must be running.
+
+        Args:
+            address: 'ip:port' of the store.
+        """
+        self._address = address
+        self._session = make_client(one_call_each=False)
+
+    async def close(self) -> None:
+        """Closes the session."""
+        await self._session.close()
+
+    async def newest(self, stream: str) -> KeyedPage:
+        """See the base class."""
+        records: list[KeyedRecord] = []
+        query = f'{names.NEWEST_PATH}?topic={quote(stream)}&part=0'
+        after = ''
+        while True:
+            status, content = await self._get(query + after, 0.0)
+            if status != 200:
+                raise LogUnavailableError(f'the store refused: {status}')
+            try:
+                answer = msgspec.json.decode(content, type=_NewestAnswer)
+            except msgspec.MsgspecError as error:
+                raise LogUnavailableError(str(error)) from error
+            records += [
+                KeyedRecord(item.key, _decoded(item.value), item.offset + 1)
+                for item in answer.items
+            ]
+            if not answer.has_more or not answer.items:
+                return KeyedPage(tuple(records), answer.end)
+            after = f'&after={quote(answer.items[-1].key)}'
+
+    async def read(self, stream: str, after: int, wait_s: float) -> KeyedPage:
+        """See the base class."""
+        query = (
+            f'{names.READ_PATH}?topic={quote(stream)}&part=0&from={after}'
+            f'&wait_ms={round(wait_s * 1000)}'
+        )
+        status, content = await self._get(query, wait_s)
+        if status == 410:
+            raise RecordsGoneError(stream)
+        if status != 200 or len(content) < _ENDS.size:
+            raise LogUnavailableError(f'the store refused: {status}')
+        end, _ = _ENDS.unpack_from(content)
+        records = [
+            KeyedRecord(*_key_and_value(record), offset=after + number)
+            for number, record in enumerate(_records(content), start=1)
+        ]
+        return KeyedPage(tuple(records), end)
+
+    async def put(
+        self, stream: str, key: str, value: bytes, after: int | None = None
+    ) -> int:
+        """See the base class."""
+        query = f'{names.APPEND_PATH}?topic={quote(stream)}&part=0'
+        if after is not None:
+            query += f'&at={after}'
+        encoded = key.encode()
+        record = bytes([len(encoded)]) + encoded + value
+        progress = SendProgress()
+        try:
+            async with self._session.post(
+                url_of(self._address, query),
+                data=_LENGTH.pack(len(record)) + record,
+                timeout=timeout_of(CALL_TIMEOUT_S),
+                trace_request_ctx=progress,
+            ) as response:
+                content = await read_content(response, MAX_ANSWER_BYTES)
+                status = response.status
+        except REQUEST_ERRORS as error:
+            if progress.connected:
+                raise LogUncertainError(describe_error(error)) from error
+            raise LogUnavailableError(describe_error(error)) from error
+        if status != 200:
+            raise LogUnavailableError(f'the store refused: {status}')
+        try:
+            return msgspec.json.decode(content, type=_AppendAnswer).offset + 1
+        except msgspec.MsgspecError as error:
+            raise LogUncertainError(str(error)) from error
+
+    async def _get(self, query: str, wait_s: float) -> tuple[int, bytes]:
+        try:
+            async with self._session.get(
+                url_of(self._address, query),
+                timeout=timeout_of(CALL_TIMEOUT_S + wait_s),
+                trace_request_ctx=SendProgress(),
+            ) as response:
+                content = await read_content(response, MAX_ANSWER_BYTES)
+                return response.status, content
+        except REQUEST_ERRORS as error:
+            raise LogUnavailableError(describe_error(error)) from error
+
+
+class StoreLog(LogClient):
+    """A stream of the product on a keyed topic that keeps the newest record."""
+
+    def __init__(self, client: StoreClient):
+        self._client = client
+
+    async def append(
+        self, stream: str, payloads: list[bytes], after: int | None = None
+    ) -> list[int]:
+        """See the base class."""
+        topic = names.OWN_TOPIC_PREFIX + stream
+        offsets = []
+        for payload in payloads:
+            offset = await self._client.put(topic, stream, payload, after)
+            offsets.append(offset)
+            after = offset if after is not None else None
+        return offsets
+
+    async def read(
+        self, stream: str, after: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> LogPage:
+        """See the base class."""
+        topic = names.OWN_TOPIC_PREFIX + stream
+        if after == 0:
+            page = await self._client.newest(topic)
+            if page.end_offset:
+                return _log_page(page, compacted=True)
+        try:
+            page = await self._client.read(topic, after, wait_s)
+        except RecordsGoneError:
+            return _log_page(await self._client.newest(topic), compacted=True)
+        return _log_page(page, first_offset=after + 1)
+
+    async def close(self) -> None:
+        """Closes the client."""
+        await self._client.close()
+
+
+def _log_page(
+    page: KeyedPage, first_offset: int = 1, compacted: bool = False
+) -> LogPage:
+    records = tuple(
+        LogRecord(record.offset, record.value) for record in page.records
+    )
+    last = max((record.offset for record in records), default=0)
+    end = max(page.end_offset, last)
+    return LogPage(records, first_offset, end, compacted)
+
+
+def _records(content: bytes) -> Iterator[bytes]:
+    """Yields the records of an answer; a torn one at the end is left out."""
+    position = _ENDS.size
+    while position + _LENGTH.size <= len(content):
+        (length,) = _LENGTH.unpack_from(content, position)
+        start = position + _LENGTH.size
+        position = start + length
+        if position > len(content):
+            return
+        yield content[start:position]
+
+
+def _key_and_value(record: bytes) -> tuple[str, bytes]:
+    """Returns the parts of a record; damaged ones get an empty key."""
+    if not record or len(record) < 1 + record[0]:
+        return '', b''
+    end = 1 + record[0]
+    return record[1:end].decode('utf-8', 'replace'), record[end:]
+
+
+def _decoded(value: str) -> bytes:
+    try:
+        return base64.b64decode(value, validate=True)
+    except (binascii.Error, ValueError):
+        return b''
--- /dev/null
+++ b/mustardscale/platform/store_hosts.py
@@ -0,0 +1,162 @@
+"""The platform's workers and the entry hosts as the product's host list."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import msgspec
+
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.exceptions import (
+    LogUnavailableError,
+    LogUncertainError,
+    PeerUnavailableError,
+)
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
+from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.platform import names
+from mustardscale.platform.store_client import StoreClient
+
+log = logging.getLogger(__name__)
+
+_ROLE_BY_PHASE = {
+    'prefill': EngineRole.PREFILL,
+    'decode': EngineRole.DECODE,
+}
+_STATES = frozenset({'ready', 'draining'})
+
+
+class StoreHostList(HostList):
+    """The entries of two topics: the workers' own and the entry hosts'."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        workers: KeyedTail,
+        hosts: KeyedTail,
+        region: str,
+    ):
+        self._client = client
+        self._workers = workers
+        self._hosts = hosts
+        self._region = region
+        self._version = (-1, -1)
+        self._listed: list[ListedHost] = []
+
+    @property
+    def version(self) -> int:  # type: ignore[override]
+        """Rises with each change that was read."""
+        return self._workers.end_offset + self._hosts.end_offset
+
+    @property
+    def regained_at(self) -> float:  # type: ignore[override]
+        """Loop time since when the workers can be read again."""
+        return self._workers.regained_at
+
+    def is_current(self) -> bool:
+        """See the base class."""
+        return self._workers.current and self._hosts.current
+
+    async def fetch(self) -> list[ListedHost]:
+        """See the base class."""
+        version = (self._workers.end_offset, self._hosts.end_offset)
+        if not (self._workers.end_offset or self._hosts.end_offset):
+            raise PeerUnavailableError('the store was not read yet')
+        if version != self._version:
+            self._version = version
+            self._listed = [*self._listed_hosts(), *self._listed_workers()]
+        return self._listed
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """See the base class."""
+        waits = [
+            asyncio.create_task(tail.changed.wait(timeout_s))
+            for tail in (self._workers, self._hosts)
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def announce(self, host: ListedHost) -> None:
+        """See the base class."""
+        await self._put(host.id, msgspec.json.encode(host))
+
+    async def retire(self, host: str) -> None:
+        """See the base class."""
+        await self._put(host, b'')
+
+    async def _put(self, key: str, value: bytes) -> None:
+        try:
+            await self._client.put(names.HOSTS_TOPIC, key, value)
+        except (LogUnavailableError, LogUncertainError) as error:
+            raise PeerUnavailableError(str(error)) from error
+
+    def _listed_hosts(self) -> list[ListedHost]:
+        listed = []
+        for key, value in self._hosts.value_by_key.items():
+            try:
+                listed.append(msgspec.json.decode(value, type=ListedHost))
+            except msgspec.MsgspecError as error:
+                log.warning('entry of host %r is unreadable: %s', key, error)
+        return listed
+
+    def _listed_workers(self) -> list[ListedHost]:
+        listed = []
+        for key, value in self._workers.value_by_key.items():
+            worker = worker_entry(key, value, self._region)
+            if worker is not None:
+                listed.append(worker)
+        return listed
+
+
+def worker_entry(key: str, value: bytes, region: str) -> ListedHost | None:
+    """Returns a worker's entry, None for one that names no worker to use."""
+    try:
+        fields = msgspec.json.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if not isinstance(fields, dict) or not _is_worker(fields):
+        return None
+    role = _ROLE_BY_PHASE.get(fields.get('phase', ''))
+    return ListedHost(
+        id=key,
+        kind=ListedKind.PLAIN if role is None else ListedKind.ENGINE,
+        address=fields['address'],
+        data_centre=fields['zone'],
+        region=region,
+        leaving=fields['state'] == 'draining',
+        service=fields['service'],
+        model=fields['service'] if role is not None else '',
+        role=role,
+    )
+
+
+def _is_worker(fields: dict[str, Any]) -> bool:
+    texts = ('service', 'address', 'zone', 'state')
+    if not all(isinstance(fields.get(name), str) for name in texts):
+        return False
+    if fields['state'] not in _STATES or not fields['service']:
+        return False
+    if not isinstance(fields.get('phase', ''), str):
+        return False
+    return is_address(fields['address'])
+
+
+def is_address(text: str) -> bool:
+    """Returns whether a text is an IP number and a port.
+
+    >>> is_address('10.0.0.1:80'), is_address('nobody'), is_address('a:80')
+    (True, False, False)
+    """
+    ip, _, port = text.rpartition(':')
+    parts = ip.split('.')
+    return (
+        len(parts) == 4
+        and all(part.isdigit() and int(part) < 256 for part in parts)
+        and port.isdigit()
+        and 0 < int(port) < 65_536
+    )
--- /dev/null
+++ b/mustardscale/platform/store_routes.py
@@ -0,0 +1,174 @@
+"""The operator's configuration as the product's table of routes."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from mustardscale.configuration.route_source import RouteSource
+from mustardscale.configuration.routes import (
+    CallerBounds,
+    EngineSpec,
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteTarget,
+    ServiceSpec,
+)
+from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.platform import names
+
+log = logging.getLogger(__name__)
+
+WAIT_S = 60.0
+_KIND_BY_TYPE = {
+    'idempotent': RequestKind.REPEATABLE,
+    'non_idempotent': RequestKind.ONCE,
+    'streaming': RequestKind.STREAM,
+}
+_BYTES_PER_MBIT = 125_000.0
+
+
+class _Split(msgspec.Struct):
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    target_latency_ms: float = 1_000.0
+    priority: int = 0
+    service: str = ''
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    target_gap_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    """What the workers of a service have in common."""
+
+    slot_count: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: int = 1
+    link_mbps: float = 1.0
+    stride: int = 1
+    kv_hold_s: float = 0.5
+    role_switch_s: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    """What a client may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    """One version of the configuration."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class StoreRoutes(RouteSource):
+    """Follows the operator's topic."""
+
+    def __init__(self, tail: KeyedTail):
+        self._tail = tail
+        self._taken = b''
+
+    async def next_table(self) -> RouteTable:
+        """See the base class."""
+        while True:
+            value = self._tail.value_by_key.get(names.CONFIG_KEY, b'')
+            if value and value != self._taken:
+                self._taken = value
+                table = decode_table(value)
+                if table is not None:
+                    return table
+            await self._tail.changed.wait(WAIT_S)
+
+
+def decode_table(value: bytes) -> RouteTable | None:
+    """Returns the table of a configuration, None if it is unreadable."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        return RouteTable(
+            config.version,
+            tuple(_route(route) for route in config.routes),
+            tuple(_service(service) for service in config.services),
+            _bounds(config.limits),
+        )
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        log.error('a configuration is unreadable and skipped: %s', error)
+        return None
+
+
+def _route(route: _Route) -> Route:
+    kind = _KIND_BY_TYPE[route.type]
+    if kind is RequestKind.STREAM and route.resumable:
+        kind = RequestKind.RESUMABLE
+    targets = tuple(
+        RouteTarget(split.service, split.weight)
+        for split in route.traffic_split
+        if split.weight > 0
+    )
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=kind,
+        targets=targets or (RouteTarget(route.service),),
+        timeout_s=route.timeout_ms / 1000.0,
+        target_latency_s=route.target_latency_ms / 1000.0,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        gap_s=route.target_gap_ms / 1000.0,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    spec = None
+    if engine is not None:
+        spec = EngineSpec(
+            slots=engine.slot_count,
+            memory_tokens=engine.kv_capacity_tokens,
+            kv_bytes_per_token=engine.kv_token_bytes,
+            link_bytes_per_s=engine.link_mbps * _BYTES_PER_MBIT,
+            event_tokens=max(1, engine.stride),
+            result_keep_s=engine.kv_hold_s,
+            role_change_s=engine.role_switch_s,
+        )
+    return ServiceSpec(service.name, service.max_connections, spec)
+
+
+def _bounds(limits: _Limits) -> CallerBounds:
+    return CallerBounds(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms / 1000.0,
+        limits.idle_timeout_ms / 1000.0,
+    )
--- /dev/null
+++ b/mustardscale/platform/worker_connector.py
@@ -0,0 +1,63 @@
+"""Makes the clients of the platform's workers."""
+
+from __future__ import annotations
+
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.configuration.routes import EngineSpec
+from mustardscale.endpoints.engines import EngineControl
+from mustardscale.platform.http_client import make_client
+from mustardscale.platform.worker_control import WorkerControl
+from mustardscale.platform.worker_relay import WorkerRelay
+from mustardscale.relay.relay_endpoint import RelayConnector, RelayEndpoint
+
+# What is taken for engines of a service that the configuration lacks.
+UNKNOWN_SPEC = EngineSpec(1, 0, 1, 1e9)
+
+
+class WorkerConnector(RelayConnector):
+    """Clients that share one session, with a connection for each call."""
+
+    def __init__(self, host: str):
+        """Opens a session; a loop must be running.
+
+        Args:
+            host: id of this host, which holds the orders that it gives.
+        """
+        self._host = host
+        self._session = make_client(one_call_each=True)
+        self._board: Blackboard | None = None
+
+    def follow(self, board: Blackboard) -> None:
+        """Takes what services have in common from a blackboard."""
+        self._board = board
+
+    def control(self, endpoint: EndpointEntry) -> EngineControl:
+        """See the base class."""
+        return WorkerControl(
+            self._session,
+            endpoint.address,
+            endpoint.id,
+            endpoint.service,
+            self._spec(endpoint),
+            self._host,
+        )
+
+    def relay(self, endpoint: EndpointEntry) -> RelayEndpoint:
+        """See the base class."""
+        spec = self._spec(endpoint)
+        return WorkerRelay(
+            self._session, endpoint.address, endpoint.id, spec.result_keep_s
+        )
+
+    async def close(self) -> None:
+        """Closes the session."""
+        await self._session.close()
+
+    def _spec(self, endpoint: EndpointEntry) -> EngineSpec:
+        if self._board is None:
+            return UNKNOWN_SPEC
+        routes = self._board.config.routes
+        service = routes.service_by_name.get(endpoint.service)
+        if service is None or service.engine is None:
+            return UNKNOWN_SPEC
+        return service.engine
--- /dev/null
+++ b/mustardscale/platform/worker_control.py
@@ -0,0 +1,167 @@
+"""Reports of the platform's workers and orders to them."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from mustardscale.configuration.routes import EngineSpec
+from mustardscale.endpoints.engines import (
+    REFUSED_FENCED,
+    REFUSED_MODEL,
+    EngineControl,
+    EngineOrder,
+    EngineRole,
+    LoadReport,
+)
+from mustardscale.endpoints.http_sessions import (
+    REQUEST_ERRORS,
+    SendProgress,
+    read_content,
+)
+from mustardscale.exceptions import EndpointFailedError, EndpointRefusedError
+from mustardscale.platform import names
+from mustardscale.platform.http_client import (
+    endpoint_error,
+    timeout_of,
+    url_of,
+)
+
+CALL_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 1_048_576
+# Tokens by which a worker allots memory.
+BLOCK_TOKENS = 16
+# Age of a worker's values when they are read, seconds.
+REPORT_AGE_S = 0.6
+_REFUSED_BUSY = 'busy'
+
+
+class _Model(msgspec.Struct):
+    """A model that a worker serves."""
+
+    name: str = ''
+    version: int = 0
+
+
+class WorkerReport(msgspec.Struct):
+    """What a worker says of itself."""
+
+    phase: str = ''
+    models: list[_Model] = []
+    busy: bool = False
+    sequence: int = 0
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    state: str = 'ready'
+    next: int | None = 0
+    born: int = 0
+
+
+class _Order(msgspec.Struct):
+    """An order to change a worker's stage."""
+
+    opcode: str
+    phase: str
+    holder: str
+    fencing_token: int
+    expect: int
+
+
+class WorkerControl(EngineControl):
+    """One worker."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        instance: str,
+        service: str,
+        spec: EngineSpec,
+        holder: str,
+    ):
+        self._session = session
+        self._address = address
+        self._instance = instance
+        self._service = service
+        self._spec = spec
+        self._holder = holder
+        self._orders_taken = 0
+
+    async def report(self) -> LoadReport:
+        """See the base class."""
+        status, content = await self._call('GET', names.REPORT_PATH, None)
+        if status != 200:
+            raise EndpointRefusedError(f'status {status}')
+        try:
+            told = msgspec.json.decode(content, type=WorkerReport)
+            role = EngineRole(told.phase)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise EndpointFailedError(f'unreadable report: {error}') from error
+        self._orders_taken = told.sequence
+        return load_report(told, role, self._service, self._spec)
+
+    async def order(self, order: EngineOrder) -> None:
+        """See the base class."""
+        body = _Order(
+            'phase', order.role, self._holder, order.term, self._orders_taken
+        )
+        status, _ = await self._call(
+            'POST', names.ORDER_PATH, msgspec.json.encode(body)
+        )
+        if status in (200, 202):
+            return
+        if status == 412:
+            raise EndpointRefusedError(REFUSED_FENCED)
+        if status == 421:
+            raise EndpointRefusedError(REFUSED_MODEL)
+        raise EndpointRefusedError(f'{_REFUSED_BUSY}: status {status}')
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        progress = SendProgress()
+        headers = {names.EXPECT_INSTANCE: self._instance}
+        if body is not None:
+            headers['Content-Type'] = 'application/json'
+        try:
+            async with self._session.request(
+                method,
+                url_of(self._address, path),
+                data=body,
+                headers=headers,
+                timeout=timeout_of(CALL_TIMEOUT_S),
+                trace_request_ctx=progress,
+            ) as response:
+                content = await read_content(response, MAX_REPORT_BYTES)
+                return response.status, content
+        except REQUEST_ERRORS as error:
+            raise endpoint_error(error, progress) from error
+
+
+def load_report(
+    told: WorkerReport, role: EngineRole, service: str, spec: EngineSpec
+) -> LoadReport:
+    """Returns a worker's report in the product's terms."""
+    free = max(0, told.kv_total - told.kv_used)
+    return LoadReport(
+        role=role,
+        model='' if told.busy else service,
+        model_version=str(told.models[0].version if told.models else 0),
+        pieces_total=told.kv_total // BLOCK_TOKENS,
+        pieces_free=free // BLOCK_TOKENS,
+        active=told.running,
+        queued_tokens=(told.next or 0) * max(1, told.waiting),
+        prefill_tokens_per_s=0.0,
+        step_s=0.0,
+        age_s=REPORT_AGE_S,
+        leaving=told.state == 'draining',
+        start=told.born,
+        order_term=None,
+        link_bytes_per_s=spec.link_bytes_per_s,
+        piece_tokens=BLOCK_TOKENS,
+        kv_bytes_per_token=spec.kv_bytes_per_token,
+        reads_prompts=True,
+        drains_itself=True,
+    )
--- /dev/null
+++ b/mustardscale/platform/worker_relay.py
@@ -0,0 +1,255 @@
+"""Relays requests to the platform's workers over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from mustardscale.endpoints.http_plain import end_to_end_headers
+from mustardscale.endpoints.http_sessions import (
+    REQUEST_ERRORS,
+    SendProgress,
+    read_content,
+)
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    MustardscaleError,
+)
+from mustardscale.platform import names
+from mustardscale.platform.http_client import (
+    endpoint_error,
+    timeout_of,
+    url_of,
+)
+from mustardscale.relay.relay_endpoint import (
+    REFUSED_FULL,
+    REFUSED_MOVED,
+    EndpointAnswer,
+    PrefillHandle,
+    RelayCall,
+    RelayEndpoint,
+)
+from mustardscale.relay.relay_messages import AnswerHead, Headers
+
+MAX_HANDLE_BYTES = 65_536
+CALL_TIMEOUT_S = 1.0
+# Time beyond a request's own in which a worker may say that it has passed,
+# seconds.
+GRACE_S = 0.1
+_MISDIRECTED = 421
+_PROMISING_STATUSES = frozenset({408, 429, 503})
+_HOP_HEADERS = frozenset({'content-length', 'date', 'server'})
+
+
+class _PrefillAnswer(msgspec.Struct):
+    """Where the result of a prefill is kept."""
+
+    kv_handle: str
+
+
+class WorkerAnswer(EndpointAnswer):
+    """The answer of a worker, read as it comes."""
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        head: AnswerHead,
+        progress: SendProgress,
+    ):
+        self.head = head
+        self._response = response
+        self._progress = progress
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """See the base class."""
+        response = self._response
+        connection = response.connection
+        protocol = connection.protocol if connection is not None else None
+        try:
+            async for data in response.content.iter_any():
+                yield data
+        except REQUEST_ERRORS as error:
+            raise endpoint_error(error, self._progress) from error
+        lost = protocol.exception() if protocol is not None else None
+        if _ends_with_connection(response) and isinstance(
+            lost, aiohttp.ClientOSError
+        ):
+            # The HTTP library takes a reset for the end of such an answer.
+            raise EndpointFailedError(str(lost), crashed=True)
+
+    def close(self) -> None:
+        """See the base class."""
+        self._response.close()
+
+
+class WorkerRelay(RelayEndpoint):
+    """One worker."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        instance: str,
+        keep_s: float,
+    ):
+        """Prepares the relay.
+
+        Args:
+            session: makes a connection for each call.
+            address: 'ip:port' of the worker.
+            instance: id of the worker.
+            keep_s: seconds for which it keeps the result of a prefill.
+        """
+        self._session = session
+        self._address = address
+        self._instance = instance
+        self._keep_s = keep_s
+
+    async def run(self, call: RelayCall) -> EndpointAnswer:
+        """See the base class."""
+        headers: list[tuple[str, str]] = []
+        if call.prefill is not None:
+            source = f'{call.prefill.source}/{call.prefill.key}'
+            headers.append((names.KV_SOURCE, source))
+        response, progress = await self._send(call, headers)
+        try:
+            head = _checked_head(response, call)
+        except BaseException:
+            response.close()
+            raise
+        return WorkerAnswer(response, head, progress)
+
+    async def prefill(self, call: RelayCall) -> PrefillHandle:
+        """See the base class."""
+        response, progress = await self._send(
+            call, [(names.SERVING_PHASE, 'prefill')]
+        )
+        try:
+            _check_taken(response)
+            content = await read_content(response, MAX_HANDLE_BYTES)
+        except REQUEST_ERRORS as error:
+            raise endpoint_error(error, progress) from error
+        finally:
+            response.close()
+        if response.status != 200:
+            raise EndpointFailedError(f'prefill: status {response.status}')
+        try:
+            key = msgspec.json.decode(content, type=_PrefillAnswer).kv_handle
+        except msgspec.MsgspecError as error:
+            raise EndpointFailedError(f'prefill: {error}') from error
+        kept_until = asyncio.get_running_loop().time() + self._keep_s
+        return PrefillHandle(self._instance, self._address, key, kept_until)
+
+    async def free(self, handle: PrefillHandle) -> None:
+        """See the base class."""
+        await self._control('DELETE', names.HANDLE_PATH + handle.key)
+
+    async def is_alive(self) -> bool:
+        """See the base class."""
+        try:
+            status = await self._control('GET', names.REPORT_PATH)
+        except MustardscaleError:
+            return False
+        return status != _MISDIRECTED
+
+    async def _control(self, method: str, path: str) -> int:
+        progress = SendProgress()
+        try:
+            async with self._session.request(
+                method,
+                url_of(self._address, path),
+                headers={names.EXPECT_INSTANCE: self._instance},
+                timeout=timeout_of(CALL_TIMEOUT_S),
+                trace_request_ctx=progress,
+            ) as response:
+                await read_content(response, MAX_HANDLE_BYTES)
+                return response.status
+        except REQUEST_ERRORS as error:
+            raise endpoint_error(error, progress) from error
+
+    async def _send(
+        self, call: RelayCall, headers: list[tuple[str, str]]
+    ) -> tuple[aiohttp.ClientResponse, SendProgress]:
+        """Sends a request and waits for the head of the answer."""
+        request = call.request
+        left_s = call.deadline_at - asyncio.get_running_loop().time()
+        all_headers = [
+            *request.headers,
+            ('Host', request.host),
+            (names.REQUEST_ID, request.id),
+            (names.REQUEST_DEADLINE, str(max(1, int(left_s * 1000)))),
+            (names.EXPECT_INSTANCE, self._instance),
+            *headers,
+        ]
+        if call.resume_after:
+            all_headers.append((names.LAST_EVENT_ID, call.resume_after))
+        progress = SendProgress()
+        try:
+            response = await self._session.request(
+                request.method,
+                url_of(self._address, request.target),
+                data=request.body or None,
+                headers=all_headers,
+                timeout=timeout_of(left_s + GRACE_S),
+                allow_redirects=False,
+                trace_request_ctx=progress,
+            )
+        except REQUEST_ERRORS as error:
+            raise endpoint_error(error, progress) from error
+        return response, progress
+
+
+def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether only the end of the connection ends an answer."""
+    headers = response.headers
+    chunked = 'chunked' in headers.get('Transfer-Encoding', '').lower()
+    return not chunked and 'Content-Length' not in headers
+
+
+def _check_taken(response: aiohttp.ClientResponse) -> None:
+    """Raises EndpointRefusedError if the worker did not run a request."""
+    if response.status == _MISDIRECTED:
+        raise EndpointRefusedError(REFUSED_MOVED)
+    if names.NOT_EXECUTED in response.headers:
+        raise EndpointRefusedError(f'{REFUSED_FULL}: {response.status}')
+
+
+def _checked_head(
+    response: aiohttp.ClientResponse, call: RelayCall
+) -> AnswerHead:
+    """Returns the head of an answer that is the request's own.
+
+    Raises:
+        EndpointRefusedError: the worker did not run the request.
+        EndpointFailedError: the answer is another's, or spoilt.
+    """
+    if response.headers.get(names.REQUEST_ID, call.request.id) != (
+        call.request.id
+    ):
+        raise EndpointFailedError('the answer belongs to another request')
+    _check_taken(response)
+    is_success = 200 <= response.status < 300
+    if 'Content-Encoding' in response.headers:
+        raise EndpointFailedError('the answer is encoded')
+    if is_success and names.SIGNATURE not in response.headers:
+        raise EndpointFailedError('the answer has no signature')
+    if response.status in _PROMISING_STATUSES:
+        # Without the worker's word such a status would promise too much.
+        raise EndpointFailedError(f'status {response.status}')
+    return AnswerHead(response.status, _answer_headers(response))
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
+    pairs = (
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in response.raw_headers
+    )
+    return tuple(
+        pair
+        for pair in end_to_end_headers(pairs)
+        if pair[0].lower() not in _HOP_HEADERS
+    )
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -116,6 +116,9 @@
     """The grants in use by request id, with sums by engine and by process.
 
     A reservation has to be set again when its stream was replaced.
+
+    Attributes:
+        piece_tokens: tokens in the pieces that the sums are counted in.
     """
 
     __slots__ = (
@@ -123,9 +126,11 @@
         '_counted_by_id',
         '_share_by_decode',
         '_share_by_process',
+        'piece_tokens',
     )
 
     def __init__(self):
+        self.piece_tokens = PIECE_TOKENS
         self._by_request_id: dict[str, Reservation] = {}
         self._counted_by_id: dict[str, _Counted] = {}
         self._share_by_decode: dict[str, DecodeShare] = collections.defaultdict(
@@ -136,6 +141,14 @@
             collections.defaultdict(ProcessShare)
         )
 
+    def measure_in(self, piece_tokens: int) -> None:
+        """Counts all anew in pieces of another size."""
+        if piece_tokens == self.piece_tokens:
+            return
+        self.piece_tokens = piece_tokens
+        for request_id, held in list(self._by_request_id.items()):
+            self[request_id] = held
+
     def on_decode(self, engine_id: str) -> DecodeShare:
         """Returns the reservations on a decode engine."""
         return self._share_by_decode.get(engine_id) or DecodeShare()
@@ -151,7 +164,7 @@
 
     def __setitem__(self, request_id: str, held: Reservation) -> None:
         """Adds a reservation or counts it anew."""
-        counted = _counted(held)
+        counted = _counted(held, self.piece_tokens)
         if self._counted_by_id.get(request_id) != counted:
             self._uncount(request_id)
             self._counted_by_id[request_id] = counted
@@ -193,12 +206,12 @@
             del self._share_by_process[counted.process]
 
 
-def _counted(held: Reservation) -> _Counted:
+def _counted(held: Reservation, piece_tokens: int) -> _Counted:
     stream = held.stream
     longest = max(stream.max_tokens, stream.emitted + 1)
     return _Counted(
         stream.decode,
-        pieces_for(stream.prompt_tokens + longest, PIECE_TOKENS),
+        pieces_for(stream.prompt_tokens + longest, piece_tokens),
         (stream.tag.host, stream.tag.incarnation),
         stream_hash(stream.tag, stream.stage),
     )
@@ -251,6 +264,21 @@
         default_factory=dict
     )
 
+    @property
+    def piece_tokens(self) -> int:
+        """Tokens of KV cache in a piece of the engines' memory."""
+        return self.reservations_by_request_id.piece_tokens
+
+    def follow_pieces(self) -> None:
+        """Takes the size of a piece from the engines, which share one."""
+        sizes = [
+            engine.report.piece_tokens
+            for engine in self.engines_by_id.values()
+            if engine.report is not None
+        ]
+        if sizes:
+            self.reservations_by_request_id.measure_in(min(sizes))
+
     def engines(self, role: EngineRole) -> list[EngineState]:
         """Returns the usable engines of a role, ordered by id."""
         engines = [
@@ -270,12 +298,14 @@
         prefill: id of the prefill engine.
         decode: id of the decode engine.
         priority: priority for the engines' queues.
+        prefill_s: seconds that the prefill is expected to take, 0 if unknown.
     """
 
     request_id: str
     prefill: str
     decode: str
     priority: int = 0
+    prefill_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -10,7 +10,6 @@
 from mustardscale.policy.base import DecodeShare, PoolState, Reservation
 from mustardscale.policy.load_estimate import LineFit
 from mustardscale.policy.memory_booking import (
-    PIECE_TOKENS,
     ChernoffBooking,
     DecodeMemory,
     StreamNeed,
@@ -30,8 +29,8 @@
 TYPICAL_STREAMS = 15.0
 # Memory states kept to compare late reports with.
 HISTORY_LENGTH = 40
-# Pieces by which a report and our own count differ without cause.
-COUNT_TOLERANCE = 2
+# Tokens by which a report and our own count differ without cause.
+COUNT_TOLERANCE_TOKENS = 4_000
 
 
 def need_of(
@@ -55,6 +54,7 @@
         stream.prompt_tokens,
         emitted,
         max(stream.max_tokens, emitted + 1),
+        stream.hint_tokens,
     )
 
 
@@ -88,7 +88,8 @@
             if noted_at <= moment:
                 then = pieces
         used = report.pieces_total - report.pieces_free
-        excess = used - max(then, own) - COUNT_TOLERANCE
+        tolerance = pieces_for(COUNT_TOLERANCE_TOKENS, report.piece_tokens)
+        excess = used - max(then, own) - tolerance
         self.pieces = max(0, excess)
 
 
@@ -134,7 +135,7 @@
                 for key in sorted(held_by_id)
             ]
             self._needs += self._placed
-            self._held_pieces = sum(map(needed_pieces, self._needs))
+            self._held_pieces = sum(map(self._needed_pieces, self._needs))
         return self._needs
 
     def holds_largest(self, pieces: int) -> bool:
@@ -157,9 +158,12 @@
         self._placed.append(need)
         if self._needs is not None:
             self._needs.append(need)
-            self._held_pieces += needed_pieces(need)
+            self._held_pieces += self._needed_pieces(need)
         self.streams += 1
-        self.largest_pieces += largest_pieces(need)
+        self.largest_pieces += largest_pieces(need, self.memory.piece_tokens)
+
+    def _needed_pieces(self, need: StreamNeed) -> int:
+        return needed_pieces(need, self.memory.piece_tokens)
 
 
 class DecodeRooms:
@@ -180,7 +184,7 @@
         """Takes in a load report of a decode engine."""
         share = pool.reservations_by_request_id.on_decode(engine_id)
         needs = [need_of(held) for held in share.by_request_id.values()]
-        memory = DecodeMemory(report.pieces_total, PIECE_TOKENS)
+        memory = DecodeMemory(report.pieces_total, report.piece_tokens)
         foreign = self._foreign_by_id.setdefault(engine_id, ForeignMemory())
         foreign.observe(report, present_pieces(memory, needs), now)
         passed_s = now - self._reported_at_by_id.get(engine_id, now)
@@ -212,7 +216,7 @@
         streams = len(share.by_request_id)
         return EngineRoom(
             engine_id,
-            DecodeMemory(pieces_total, PIECE_TOKENS),
+            DecodeMemory(pieces_total, pool.piece_tokens),
             share,
             self.step_s(streams),
             now,
@@ -251,7 +255,8 @@
 
     def fits(self, room: EngineRoom, need: StreamNeed, epsilon: float) -> bool:
         """Returns whether a stream that may fit does so until its end."""
-        if room.holds_largest(largest_pieces(need)):
+        piece_tokens = room.memory.piece_tokens
+        if room.holds_largest(largest_pieces(need, piece_tokens)):
             return True
         booking = self._booking_by_epsilon.get(epsilon)
         if booking is None:
@@ -259,7 +264,7 @@
             self._booking_by_epsilon[epsilon] = booking
         fits = booking.fits_later(room.memory, [*room.needs(), need])
         if not fits:
-            room.failed_pieces = needed_pieces(need)
+            room.failed_pieces = needed_pieces(need, piece_tokens)
         return fits
 
     def place(self, room: EngineRoom, need: StreamNeed) -> None:
@@ -268,12 +273,12 @@
         room.step_s = self.step_s(room.streams + 1)
 
 
-def needed_pieces(need: StreamNeed) -> int:
+def needed_pieces(need: StreamNeed, piece_tokens: int) -> int:
     """Returns the pieces that a stream needs for its next token."""
     tokens = need.prompt_tokens + min(need.emitted + 1, need.max_tokens)
-    return pieces_for(tokens, PIECE_TOKENS)
+    return pieces_for(tokens, piece_tokens)
 
 
-def largest_pieces(need: StreamNeed) -> int:
+def largest_pieces(need: StreamNeed, piece_tokens: int) -> int:
     """Returns the pieces that a stream needs if it emits all it may."""
-    return pieces_for(need.prompt_tokens + need.max_tokens, PIECE_TOKENS)
+    return pieces_for(need.prompt_tokens + need.max_tokens, piece_tokens)
--- a/mustardscale/policy/engine_books.py
+++ b/mustardscale/policy/engine_books.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from mustardscale.endpoints.engines import (
     BLOCK_TOKENS,
+    KV_BYTES_PER_TOKEN,
     CacheEvent,
     EngineRole,
     LoadReport,
@@ -21,9 +23,15 @@
 DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
 PREFILL_BASE_S = 0.02
 DEFAULT_LINK_BYTES_PER_S = 2e9
-KV_BYTES_PER_TOKEN = 100_000
 # Seconds between the end of a prefill and the start of its transfer.
 HANDOVER_S = 0.004
+# Weight of a new sample in the learnt rate of a prefill engine.
+RATE_SAMPLE_WEIGHT = 0.2
+# Shorter prompts tell little about an engine's rate, tokens.
+RATE_SAMPLE_TOKENS = 1_000
+# Rate of a decode engine that computes a prompt itself, as a share of that of a
+# prefill engine.
+OWN_RATE_SHARE = 0.5
 # Seconds for which a look-up of cached blocks is used again.
 CACHE_LOOKUP_S = 0.25
 # Look-ups kept at most.
@@ -51,16 +59,21 @@
     Attributes:
         rooms: the decode engines' memory.
         links: the engines' links.
+        kv_bytes_per_token: size of the KV cache of a token.
     """
 
     def __init__(self):
         self.rooms = DecodeRooms()
         self.links = LinkSchedule(DEFAULT_LINK_BYTES_PER_S)
+        self.kv_bytes_per_token = KV_BYTES_PER_TOKEN
         self._prefixes = PrefixIndex()
         self._timeline_by_id: dict[str, PrefillTimeline] = {}
         self._rate_by_id: dict[str, float] = {}
+        # Engines that tell their rate.
+        self._told_rates: set[str] = set()
         self._expected_blocks_by_request_id: dict[str, int] = {}
         self._lookup_by_request_id: dict[str, PrefillLookup] = {}
+        self._own_began_at_by_id: dict[str, float] = {}
 
     def prefill_s_by_id(
         self, engine_ids: frozenset[str], request: AdmitRequest, now: float
@@ -92,6 +105,22 @@
         tokens = max(1.0, request.prompt_tokens - cached)
         return PREFILL_BASE_S + tokens / self.rate(engine_id)
 
+    def own_rate(self) -> float:
+        """Returns a decode engine's rate with prompts, tokens a second."""
+        rates = list(self._rate_by_id.values())
+        mean = (
+            sum(rates) / len(rates) if rates else DEFAULT_PREFILL_TOKENS_PER_S
+        )
+        return OWN_RATE_SHARE * mean
+
+    def own_prefill_s(self, prompt_tokens: int) -> float:
+        """Returns the time in which a decode engine computes a prompt."""
+        return PREFILL_BASE_S + prompt_tokens / self.own_rate()
+
+    def own_began_at(self, engine_id: str) -> float:
+        """Returns when a decode engine last began to compute a prompt."""
+        return self._own_began_at_by_id.get(engine_id, -math.inf)
+
     def least_prefill_s(self, engine_id: str, request: AdmitRequest) -> float:
         """Returns the time of a prefill if all known blocks are cached."""
         prefixes = self._prefixes.endpoint(engine_id)
@@ -107,6 +136,10 @@
         """Returns a prefill engine's rate, tokens a second."""
         return self._rate_by_id.get(engine_id, DEFAULT_PREFILL_TOKENS_PER_S)
 
+    def least_transfer_s(self, tokens: int) -> float:
+        """Returns the least time of the transfer of a KV cache, seconds."""
+        return tokens * self.kv_bytes_per_token / self.links.fastest()
+
     def _timeline(self, engine_id: str) -> PrefillTimeline:
         timeline = self._timeline_by_id.get(engine_id)
         if timeline is None:
@@ -120,6 +153,12 @@
         if stream.stage is StreamStage.DECODE:
             return
         ready = now
+        if stream.prefill == stream.decode:
+            self._own_began_at_by_id[stream.decode] = now
+            self._timeline(stream.decode).add(
+                request_id, self.own_prefill_s(stream.prompt_tokens), now
+            )
+            return
         if stream.stage is not StreamStage.TRANSFER:
             hashes = reservation.block_hashes
             cached = self._prefixes.expected_cached_tokens(
@@ -139,7 +178,7 @@
             request_id,
             stream.prefill,
             stream.decode,
-            stream.prompt_tokens * KV_BYTES_PER_TOKEN,
+            stream.prompt_tokens * self.kv_bytes_per_token,
             ready,
             now,
         )
@@ -163,6 +202,8 @@
         seconds = self._timeline(stream.prefill).done(
             reservation.request_id, now
         )
+        if seconds is not None and stream.prefill not in self._told_rates:
+            self._learn_rate(stream.prefill, stream.prompt_tokens, seconds)
         hashes = reservation.block_hashes
         expected = self._expected_blocks_by_request_id.pop(
             reservation.request_id, 0
@@ -177,6 +218,19 @@
             expected, blocks * BLOCK_TOKENS
         )
 
+    def _learn_rate(
+        self, engine_id: str, prompt_tokens: int, seconds: float
+    ) -> None:
+        """Learns the rate of an engine that does not tell it."""
+        computing_s = seconds - PREFILL_BASE_S
+        if prompt_tokens < RATE_SAMPLE_TOKENS or computing_s <= 0:
+            return
+        sample = prompt_tokens / computing_s
+        known = self._rate_by_id.get(engine_id, sample)
+        self._rate_by_id[engine_id] = known + RATE_SAMPLE_WEIGHT * (
+            sample - known
+        )
+
     def observe_release(
         self, reservation: Reservation, release: Release, now: float
     ) -> None:
@@ -186,7 +240,9 @@
         self._expected_blocks_by_request_id.pop(reservation.request_id, None)
         self.links.drop(reservation.request_id)
         if release.finished:
-            self.rooms.lengths.record(stream.service, release.emitted)
+            self.rooms.lengths.record(
+                stream.service, release.emitted, stream.hint_tokens
+            )
 
     def observe_report(
         self,
@@ -197,10 +253,12 @@
     ) -> None:
         """Takes in speeds and the memory in use."""
         self.links.set_rate(engine.id, report.link_bytes_per_s)
-        if engine.role is EngineRole.PREFILL:
-            self._rate_by_id[engine.id] = report.prefill_tokens_per_s
-        else:
+        self.kv_bytes_per_token = report.kv_bytes_per_token
+        if engine.role is not EngineRole.PREFILL:
             self.rooms.observe_report(pool, engine.id, report, now)
+        elif report.prefill_tokens_per_s > 0:
+            self._told_rates.add(engine.id)
+            self._rate_by_id[engine.id] = report.prefill_tokens_per_s
 
     def observe_cache(
         self, engine: EngineState, events: list[CacheEvent], now: float
--- a/mustardscale/policy/link_schedule.py
+++ b/mustardscale/policy/link_schedule.py
@@ -84,6 +84,13 @@
         """Sets the rate that an endpoint reports for its link."""
         self._link(endpoint).nominal_bytes_per_s = bytes_per_s
 
+    def fastest(self) -> float:
+        """Returns the rate of the fastest link, bytes a second."""
+        rates = [
+            link.nominal_bytes_per_s for link in self._link_by_endpoint.values()
+        ]
+        return max([self._default_bytes_per_s, *rates])
+
     def predict(
         self,
         source: str,
--- a/mustardscale/policy/memory_booking.py
+++ b/mustardscale/policy/memory_booking.py
@@ -9,18 +9,18 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from mustardscale.endpoints.engines import PIECE_TOKENS as PIECE_TOKENS
 from mustardscale.policy.output_lengths import (
     LONGEST_OUTPUT_TOKENS,
     OutputLengths,
 )
 
-# Tokens of KV cache in a piece.
-PIECE_TOKENS = 2_000
 # Bounds of the intervals over which future demand is bounded, in tokens that
 # each stream emits from now on.
 HORIZON_TOKENS = (
     *(0, 100, 200, 300, 400, 500, 600, 700, 850, 1000, 1200, 1400, 1700),
-    *(2000, 2500, 3000, 4000, LONGEST_OUTPUT_TOKENS),
+    *(2000, 2500, 3000, 4000, 5000, 6000, 7000, 8000, 9000, 10_000),
+    *(12_000, LONGEST_OUTPUT_TOKENS),
 )
 # Largest and number of Chernoff exponents per share of the whole memory.
 LARGEST_EXPONENT = 120.0
@@ -52,12 +52,14 @@
         prompt_tokens: tokens of the prompt.
         emitted: output tokens emitted so far.
         max_tokens: output tokens at which the stream ends at the latest.
+        hint_tokens: the caller's guess of the output tokens, 0 for none.
     """
 
     service: str
     prompt_tokens: int
     emitted: int
     max_tokens: int
+    hint_tokens: int = 0
 
 
 def pieces_for(tokens: int | float, piece_tokens: int) -> int:
@@ -217,7 +219,7 @@
         known = np.array(
             [
                 (
-                    row(stream.service),
+                    row(stream.service, stream.hint_tokens),
                     stream.prompt_tokens,
                     min(stream.emitted, stream.max_tokens - 1),
                     stream.max_tokens,
--- a/mustardscale/policy/output_lengths.py
+++ b/mustardscale/policy/output_lengths.py
@@ -20,6 +20,12 @@
 PRIOR_LOG_SIGMA = 1.0
 # Samples after which the tables are computed again.
 REFRESH_SAMPLES = 16
+# Prior of the accuracy of callers' guesses: standard deviation of the logarithm
+# of guess by length, and samples that it counts for.
+HINT_PRIOR_SIGMA = 0.6
+HINT_PRIOR_SAMPLES = 8.0
+# Rows of the table at most; it is begun anew beyond that.
+MOST_ROWS = 512
 # Sample weights are rescaled before they exceed this.
 _LARGEST_WEIGHT = 1e12
 
@@ -39,6 +45,11 @@
 BIN_EDGES = _bin_edges()
 _WIDTHS = np.diff(BIN_EDGES, prepend=0)
 _BIN_BY_LENGTH = np.repeat(np.arange(len(BIN_EDGES)), _WIDTHS).tolist()
+# The first bin of the lengths above n, for n from 0 to LONGEST_OUTPUT_TOKENS;
+# one bin more stands for no length.
+_BIN_ABOVE = np.append(np.array(_BIN_BY_LENGTH), len(BIN_EDGES))
+_LOG_EDGES = np.log(BIN_EDGES)
+_ABOVE_NONE = np.zeros(1)
 
 
 def lognormal_bins(median: float, log_sigma: float) -> Floats:
@@ -59,18 +70,10 @@
     are overestimated by at most BIN_RATIO and never underestimated.
 
     Attributes:
-        survival: P(length > n) for n from 0 to LONGEST_OUTPUT_TOKENS.
-        sums: sum of survival from n on, for each n.
+        weights: weight of each bin, the prior included.
     """
 
-    __slots__ = (
-        '_prior',
-        '_sample_weight',
-        '_unread',
-        '_weights',
-        'sums',
-        'survival',
-    )
+    __slots__ = ('_prior', '_sample_weight', '_samples', '_unread', 'weights')
 
     def __init__(
         self,
@@ -79,20 +82,18 @@
     ):
         prior = lognormal_bins(prior_median, prior_log_sigma)
         self._prior = prior * PRIOR_SAMPLES
-        self._weights = np.zeros(len(BIN_EDGES))
+        self._samples = np.zeros(len(BIN_EDGES))
         self._sample_weight = 1.0
         self._unread = 0
-        self.survival = np.zeros(LONGEST_OUTPUT_TOKENS + 1)
-        self.sums = np.zeros(LONGEST_OUTPUT_TOKENS + 1)
-        self.refresh()
+        self.weights = self._prior
 
     def record(self, tokens: int) -> bool:
         """Counts an output; returns whether the tables were refreshed."""
         length = min(max(tokens, 1), LONGEST_OUTPUT_TOKENS)
-        self._weights[_BIN_BY_LENGTH[length - 1]] += self._sample_weight
+        self._samples[_BIN_BY_LENGTH[length - 1]] += self._sample_weight
         self._sample_weight *= 1 + 1 / MEMORY_SAMPLES
         if self._sample_weight > _LARGEST_WEIGHT:
-            self._weights /= self._sample_weight
+            self._samples /= self._sample_weight
             self._sample_weight = 1.0
         self._unread += 1
         if self._unread >= REFRESH_SAMPLES:
@@ -101,58 +102,128 @@
         return False
 
     def refresh(self) -> None:
-        """Computes survival and sums from the samples so far."""
-        weights = self._weights / self._sample_weight + self._prior
-        # Summed from the tail, so that small tail probabilities are exact.
-        at_least = np.cumsum(weights[::-1])[::-1]
-        at_least /= at_least[0]
-        self.survival[:-1] = np.repeat(at_least, _WIDTHS)
-        self.survival[-1] = 0.0
-        self.sums = np.cumsum(self.survival[::-1])[::-1]
+        """Sums up the samples so far."""
+        self.weights = self._samples / self._sample_weight + self._prior
         self._unread = 0
 
 
+class HintAccuracy:
+    """How far callers' guesses of the output lengths are off.
+
+    The logarithm of guess by length is taken to be normal.
+
+    Attributes:
+        samples: guesses that were compared, the prior included.
+    """
+
+    __slots__ = ('_mean', '_squares', 'samples')
+
+    def __init__(self):
+        self.samples = HINT_PRIOR_SAMPLES
+        self._mean = 0.0
+        self._squares = HINT_PRIOR_SAMPLES * HINT_PRIOR_SIGMA**2
+
+    def record(self, hint: int, tokens: int) -> None:
+        """Compares a guess with the length."""
+        error = math.log(max(1, hint) / max(1, tokens))
+        self.samples += 1
+        step = error - self._mean
+        self._mean += step / self.samples
+        self._squares += step * (error - self._mean)
+
+    def likelihood(self, hint: int) -> Floats:
+        """Returns how likely a guess is if the length is in each bin."""
+        sigma = math.sqrt(self._squares / self.samples)
+        errors = math.log(max(1, hint)) - _LOG_EDGES - self._mean
+        return np.exp(-0.5 * (errors / sigma) ** 2)
+
+
+def survival_of_bins(weights: Floats) -> Floats:
+    """Returns P(length is in a bin or above) for each bin, and 0."""
+    # Summed from the tail, so that small tail probabilities are exact.
+    at_least = np.cumsum(weights[::-1])[::-1]
+    return np.append(at_least / at_least[0], _ABOVE_NONE)
+
+
 class OutputLengths:
-    """Learnt output lengths by service."""
+    """Learnt output lengths by service, and by the guess where there is one."""
 
-    __slots__ = ('_histogram_by_service', '_row_by_service', '_table')
+    __slots__ = (
+        '_accuracy_by_service',
+        '_histogram_by_service',
+        '_row_by_key',
+        '_table',
+    )
 
     def __init__(self):
         self._histogram_by_service: dict[str, LengthHistogram] = {}
-        self._row_by_service: dict[str, int] = {}
-        self._table: Floats = np.zeros((0, LONGEST_OUTPUT_TOKENS + 1))
+        self._accuracy_by_service: dict[str, HintAccuracy] = {}
+        # Rows of the table by service and guess, 0 for none.
+        self._row_by_key: dict[tuple[str, int], int] = {}
+        self._table: Floats = np.zeros((0, len(BIN_EDGES) + 1))
 
-    def record(self, service: str, tokens: int) -> None:
-        """Counts the length of a finished output."""
-        row = self.row(service)
-        histogram = self._histogram_by_service[service]
-        if histogram.record(tokens):
-            self._table[row] = histogram.survival
-
-    def row(self, service: str) -> int:
-        """Returns the service's row in the survival table."""
-        row = self._row_by_service.get(service)
-        if row is None:
-            row = len(self._row_by_service)
-            histogram = LengthHistogram()
-            self._row_by_service[service] = row
+    def record(self, service: str, tokens: int, hint: int = 0) -> None:
+        """Counts the length of a finished output.
+
+        Args:
+            service: the service.
+            tokens: its length.
+            hint: the caller's guess of it, 0 if there was none.
+        """
+        if len(self._row_by_key) >= MOST_ROWS:
+            self._row_by_key.clear()
+            self._table = self._table[:0]
+        self.row(service, hint)
+        if hint:
+            self._accuracy_by_service[service].record(hint, tokens)
+        if self._histogram_by_service[service].record(tokens):
+            self._forget_rows(service)
+
+    def row(self, service: str, hint: int = 0) -> int:
+        """Returns the row in the table of a service's outputs.
+
+        Args:
+            service: the service.
+            hint: the caller's guess of the length, 0 for none.
+        """
+        row = self._row_by_key.get((service, hint))
+        if row is not None:
+            return row
+        histogram = self._histogram_by_service.get(service)
+        if histogram is None:
+            histogram = LengthHistogram(hint or PRIOR_MEDIAN_TOKENS)
             self._histogram_by_service[service] = histogram
-            self._table = np.vstack([self._table, histogram.survival])
+            self._accuracy_by_service[service] = HintAccuracy()
+        weights = histogram.weights
+        if hint:
+            accuracy = self._accuracy_by_service[service]
+            weights = weights * accuracy.likelihood(hint)
+        row = self._row_by_key[service, hint] = len(self._table)
+        self._table = np.vstack([self._table, survival_of_bins(weights)])
         return row
 
+    def _forget_rows(self, service: str) -> None:
+        """Forgets what was worked out for a service that is known better."""
+        kept = [key for key in self._row_by_key if key[0] != service]
+        rows = [self._row_by_key[key] for key in kept]
+        self._table = self._table[rows]
+        self._row_by_key = {key: number for number, key in enumerate(kept)}
+
     def survival(self, rows: Integers, lengths: Integers) -> Floats:
         """Looks up P(length > n), elementwise.
 
         Args:
-            rows: rows of the services, broadcast against lengths.
+            rows: rows of the table, broadcast against lengths.
             lengths: n, in tokens.
         """
-        return self._table[rows, np.minimum(lengths, LONGEST_OUTPUT_TOKENS)]
+        bounded = np.minimum(lengths, LONGEST_OUTPUT_TOKENS)
+        return self._table[rows, _BIN_ABOVE[bounded]]
 
     def tail(self, service: str, tokens: int) -> float:
         """Returns P(length > tokens)."""
-        row = self.row(service)
-        return float(self._table[row, min(tokens, LONGEST_OUTPUT_TOKENS)])
+        return float(
+            self._survival(service)[min(tokens, LONGEST_OUTPUT_TOKENS)]
+        )
 
     def mean(self, service: str) -> float:
         """Returns the mean length, tokens."""
@@ -164,19 +235,22 @@
 
     def remaining_mean(self, service: str, emitted: int) -> float:
         """Returns E[length - emitted | length > emitted], at least 1."""
-        row = self.row(service)
         emitted = min(emitted, LONGEST_OUTPUT_TOKENS - 1)
-        histogram = self._histogram_by_service[service]
-        return float(histogram.sums[emitted] / self._table[row, emitted])
+        survival = self._survival(service)
+        return float(survival[emitted:].sum() / survival[emitted])
 
     def remaining_quantile(self, service: str, emitted: int, q: float) -> int:
         """Returns the smallest n with P(length - emitted <= n | ...) >= q.
 
         The condition is that the output is longer than emitted.
         """
-        row = self.row(service)
-        survival = self._table[row]
+        survival = self._survival(service)
         emitted = min(emitted, LONGEST_OUTPUT_TOKENS - 1)
         allowed = (1 - q) * survival[emitted]
         following = -survival[emitted + 1 :]
         return 1 + int(np.searchsorted(following, -allowed))
+
+    def _survival(self, service: str) -> Floats:
+        """Returns P(length > n) for n from 0 to LONGEST_OUTPUT_TOKENS."""
+        row = self.row(service)
+        return self._table[row][_BIN_ABOVE]
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -12,13 +12,11 @@
 from mustardscale.policy.base import PoolState
 from mustardscale.policy.decode_room import EngineRoom, needed_pieces
 from mustardscale.policy.engine_books import (
-    DEFAULT_LINK_BYTES_PER_S,
     HANDOVER_S,
-    KV_BYTES_PER_TOKEN,
     EngineBooks,
 )
 from mustardscale.policy.hurried_demand import Express
-from mustardscale.policy.memory_booking import StreamNeed
+from mustardscale.policy.memory_booking import StreamNeed, pieces_for
 from mustardscale.policy.prefill_timeline import SEND_S
 
 # A prefill is granted when its engine is free within this time, seconds.
@@ -29,8 +27,8 @@
 KEEP_S = 0.7
 # Share of the time per token target that a decode step may take.
 STEP_SHARE = 0.97
-# Pieces of a decode engine that are left to hurried requests.
-HURRIED_PIECES = 2
+# Tokens of a decode engine's memory that are left to hurried requests.
+HURRIED_TOKENS = 4_000
 # Factor by which the bound on running out of memory exceeds what is seen.
 BOUND_SLACK = 3.0
 LEAST_WEIGHT = 1e-3
@@ -68,6 +66,8 @@
         free_at_by_link: loop time at which each link is free, by engine.
         unfit_pieces: least pieces for which no decode engine had room.
         step_s: least time of a decode step, seconds.
+        piece_tokens: tokens in a piece of the engines' memory.
+        readers: decode engines that compute prompts themselves.
     """
 
     now: float
@@ -80,6 +80,8 @@
     free_at_by_link: dict[str, float]
     unfit_pieces: int
     step_s: float
+    piece_tokens: int
+    readers: frozenset[str] = frozenset()
 
     def any_free(self) -> bool:
         """Returns whether a prefill engine is free soon."""
@@ -132,8 +134,10 @@
         {},
         UNLIMITED_PIECES,
         books.rooms.step_s(1),
+        pool.piece_tokens,
+        _readers(pool),
     )
-    if current.any_free():
+    if current.any_free() or current.readers:
         current.decodes_by_id = books.rooms.rooms(pool, now)
         current.free_at_by_link = {
             engine_id: books.links.free_at(engine_id, now)
@@ -157,9 +161,9 @@
         seconds = begin_s + seconds_by_id[engine_id]
         if seconds < best and engine_id not in request.excluded:
             best = seconds
-    transfer_s = (
-        request.prompt_tokens * KV_BYTES_PER_TOKEN
-    ) / DEFAULT_LINK_BYTES_PER_S
+    if best == math.inf and not current.readers.issubset(request.excluded):
+        best = books.own_prefill_s(request.prompt_tokens)
+    transfer_s = books.least_transfer_s(request.prompt_tokens)
     return best + transfer_s + HANDOVER_S + current.step_s
 
 
@@ -172,10 +176,10 @@
     busy_s: float,
 ) -> Pairing | None:
     """Returns the pairing with the first token soonest, if there is one."""
-    pieces = needed_pieces(need)
+    pieces = needed_pieces(need, current.piece_tokens)
     left_pieces = 0
     if request.tag.attempt == 1 and not current.express.is_hurried(profile):
-        left_pieces = HURRIED_PIECES
+        left_pieces = pieces_for(HURRIED_TOKENS, current.piece_tokens)
     step_s = STEP_SHARE * profile.per_token_s
     decodes = [
         room
@@ -202,12 +206,21 @@
         decode = pairing.decode
         if decode.id in unfit:
             continue
-        if books.rooms.fits(decode, need, _overbooking(profile)):
+        if books.rooms.fits(decode, need, overbooking(profile)):
             return pairing
         unfit.add(decode.id)
     return None
 
 
+def _readers(pool: PoolState) -> frozenset[str]:
+    """Returns the decode engines that compute prompts themselves."""
+    return frozenset(
+        engine.id
+        for engine in pool.engines(EngineRole.DECODE)
+        if engine.report is not None and engine.report.reads_prompts
+    )
+
+
 def _pairings(
     books: EngineBooks,
     current: Round,
@@ -226,7 +239,7 @@
         ready + PICKUP_WAIT_S,
         begin + books.least_prefill_s(engine.id, request) + KEEP_S,
     )
-    size = request.prompt_tokens * KV_BYTES_PER_TOKEN
+    size = request.prompt_tokens * books.kv_bytes_per_token
     free_at = current.free_at_by_link
     out_free_at = free_at[engine.id]
     if out_free_at > max(latest, ready):
@@ -239,7 +252,7 @@
         yield Pairing(engine, decode, done, finish)
 
 
-def _overbooking(profile: Profile) -> float:
+def overbooking(profile: Profile) -> float:
     """Returns the bound on running out of memory that a grant may reach."""
     weight = profile.goodput_weight / max(profile.waste_weight, LEAST_WEIGHT)
     return min(1.0, BOUND_SLACK * weight * profile.overbook_probability)
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -7,7 +7,7 @@
 
 from mustardscale.configuration.config_records import Profile
 from mustardscale.endpoints.engines import CacheEvent, LoadReport, StreamStage
-from mustardscale.peers.peer_messages import Release
+from mustardscale.peers.peer_messages import AdmitRequest, Release
 from mustardscale.policy.base import (
     Decision,
     EngineState,
@@ -19,11 +19,8 @@
 from mustardscale.policy.engine_books import EngineBooks
 from mustardscale.policy.fair_shares import FairShares
 from mustardscale.policy.hurried_demand import HurriedDemand
-from mustardscale.policy.memory_booking import (
-    PIECE_TOKENS,
-    StreamNeed,
-    pieces_for,
-)
+from mustardscale.policy.memory_booking import StreamNeed, pieces_for
+from mustardscale.policy.own_prompts import find_own_pairing, lacks_prefill
 from mustardscale.policy.pairing import (
     Round,
     begin_round,
@@ -65,14 +62,56 @@
         current = begin_round(self._books, pool, express, now)
         decisions, kept = self._judge(current, pool, ahead)
         kept.sort(key=lambda candidate: candidate.urgency)
+        ahead_s = 0.0
         for candidate in kept:
+            if not (current.any_free() or current.readers):
+                break
             grant = self._grant(current, candidate)
+            if grant is None and current.readers:
+                grant = self._own_grant(current, candidate, ahead_s)
             if grant is not None:
                 decisions.append(grant)
-                if not current.any_free():
-                    break
+            else:
+                ahead_s += self._prefill_s(current, candidate)
         return decisions
 
+    def _prefill_s(self, current: Round, candidate: Candidate) -> float:
+        """Returns the time that the prefill engines take for a request."""
+        tokens = candidate.item.request.prompt_tokens
+        rate = sum(engine.tokens_per_s for engine in current.prefills)
+        return tokens / rate if rate else 0.0
+
+    def _own_grant(
+        self, current: Round, candidate: Candidate, ahead_s: float
+    ) -> Grant | None:
+        """Lets a decode engine compute a prompt that has no other way.
+
+        Args:
+            current: the round.
+            candidate: the request.
+            ahead_s: time that prefill engines need for what goes before it.
+        """
+        item, profile = candidate.item, candidate.profile
+        request = item.request
+        if not lacks_prefill(current, request):
+            estimate_s = least_first_token_s(self._books, current, request)
+            begins_at = current.now + ahead_s
+            own_s = self._books.own_prefill_s(request.prompt_tokens)
+            is_late = begins_at + estimate_s > item.first_token_at
+            helps = current.now + own_s <= item.first_token_at
+            if not (is_late and helps):
+                return None
+        need = _need_of(request)
+        pairing = find_own_pairing(self._books, current, request, profile, need)
+        if pairing is None:
+            return None
+        decode = pairing.decode
+        self._books.rooms.place(decode, need)
+        current.readers -= {decode.id}
+        return Grant(
+            request.tag.request_id, decode.id, decode.id, URGENT_PRIORITY
+        )
+
     def _judge(
         self, current: Round, pool: PoolState, ahead: Collection[str]
     ) -> tuple[list[Decision], list[Candidate]]:
@@ -95,7 +134,7 @@
             )
             if refusal is not None:
                 refusals.append(refusal)
-            elif any_free:
+            elif any_free or current.readers:
                 urgency = urgency_of(
                     item, profile, estimate_s, current.now, service in ahead
                 )
@@ -105,12 +144,12 @@
     def _grant(self, current: Round, candidate: Candidate) -> Grant | None:
         item, profile = candidate.item, candidate.profile
         request = item.request
-        least_pieces = pieces_for(request.prompt_tokens + 1, PIECE_TOKENS)
+        least_pieces = pieces_for(
+            request.prompt_tokens + 1, current.piece_tokens
+        )
         if least_pieces >= current.unfit_pieces:
             return None
-        need = StreamNeed(
-            request.service, request.prompt_tokens, 0, request.max_tokens
-        )
+        need = _need_of(request)
         busy_s = _busy_s(current, candidate)
         pairing = find_pairing(
             self._books, current, request, profile, need, busy_s
@@ -132,6 +171,7 @@
             prefill.id,
             decode.id,
             URGENT_PRIORITY if urgent else PATIENT_PRIORITY,
+            pairing.prefill_done_at - current.now,
         )
 
     def observe_grant(
@@ -192,6 +232,17 @@
         self._books.observe_cache(engine, events, now)
 
 
+def _need_of(request: AdmitRequest) -> StreamNeed:
+    """Returns what a request needs of a decode engine."""
+    return StreamNeed(
+        request.service,
+        request.prompt_tokens,
+        0,
+        request.max_tokens,
+        request.hint_tokens,
+    )
+
+
 def _busy_s(current: Round, candidate: Candidate) -> float:
     """Returns the seconds for which a grant may keep all engines busy."""
     if candidate.urgency[0] >= AHEAD:
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -108,6 +108,8 @@
 
 def _retry_after_s(current: Round, backlog_tokens: int) -> float:
     """Returns the seconds until the present backlog is worked off."""
+    if not current.prefills:
+        return NO_ENDPOINT_RETRY_AFTER_S
     rate = sum(engine.tokens_per_s for engine in current.prefills)
     busy = sum(engine.free_at - current.now for engine in current.prefills)
     seconds = backlog_tokens / rate + busy / len(current.prefills)
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -12,7 +12,7 @@
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.configuration.config_records import Profile
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoints.caller_requests import LanguageRequest
+from mustardscale.endpoints.engines import Prompt
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
 from mustardscale.hosts.rendezvous import owner, rank
 from mustardscale.outcomes import Outcome
@@ -101,7 +101,7 @@
 
     async def admit(
         self,
-        request: LanguageRequest,
+        prompt: Prompt,
         served: ServedRequest,
         profile: Profile,
         model: str,
@@ -114,15 +114,15 @@
             OutcomeError: the owner refused, or no owner answered.
         """
         await self._wait_released(served.id)
-        hashes = request.prompt.block_hashes
-        prompt_key = str(hashes[0] if hashes else request.prompt.fingerprint)
+        hashes = prompt.block_hashes
+        prompt_key = str(hashes[0] if hashes else prompt.fingerprint)
         pools = self.pools_for(model, prompt_key)
         if not pools:
             raise OutcomeError(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
         reply = AdmitReply(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
         for pool in pools:
             served.pool = pool.id
-            ask = self._ask(request, served, profile, excluded, deadline_at)
+            ask = self._ask(prompt, served, profile, excluded, deadline_at)
             reply = await self._ask_owner(ask, deadline_at, profile)
             if reply.outcome == Outcome.COMPLETE:
                 return reply
@@ -139,7 +139,7 @@
 
     def _ask(
         self,
-        request: LanguageRequest,
+        prompt: Prompt,
         served: ServedRequest,
         profile: Profile,
         excluded: Sequence[str],
@@ -153,13 +153,14 @@
             tag=served.tag,
             service=served.service,
             prompt_tokens=served.prompt_tokens,
-            block_hashes=request.prompt.block_hashes,
-            fingerprint=request.prompt.fingerprint,
-            max_tokens=max(1, served.max_tokens - len(served.emitted)),
+            block_hashes=prompt.block_hashes,
+            fingerprint=prompt.fingerprint,
+            max_tokens=max(1, served.max_tokens - served.emitted_tokens),
             first_token_s=profile.first_token_s - waited_s,
             deadline_s=deadline_at - now,
             waited_s=waited_s,
             excluded=tuple(excluded),
+            hint_tokens=served.hint_tokens,
         )
 
     async def _ask_owner(
@@ -228,7 +229,7 @@
         """Frees the reservation of the present attempt."""
         if served.tag is None or not served.pool:
             return
-        emitted = len(served.emitted) - served.attempt_base
+        emitted = served.emitted_tokens - served.attempt_base
         release = Release(
             served.pool,
             served.tag,
--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -10,8 +10,8 @@
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoints.endpoint_clients import EndpointClients
-from mustardscale.endpoints.engines import CacheEvent, Engine, EngineRole
+from mustardscale.endpoints.endpoint_clients import ControlClients
+from mustardscale.endpoints.engines import CacheEvent, EngineControl, EngineRole
 from mustardscale.exceptions import MustardscaleError
 from mustardscale.pools.owned_pool import OwnedPool
 from mustardscale.pools.pool_owner import PoolOwner
@@ -58,14 +58,16 @@
     def __init__(
         self,
         blackboard: Blackboard,
-        clients: EndpointClients,
+        clients: ControlClients,
         pool_owner: PoolOwner,
         rng: random.Random,
+        report_interval_s: float = REPORT_INTERVAL_S,
     ):
         self._blackboard = blackboard
         self._clients = clients
         self._pool_owner = pool_owner
         self._rng = rng
+        self._report_interval_s = report_interval_s
         self._reading_by_id: dict[str, _Reading] = {}
         self._in_flight: dict[str, asyncio.Task[None]] = {}
 
@@ -93,7 +95,9 @@
             if reading is None:
                 reading = self._reading_by_id[engine_id] = _Reading(now)
             slow = quiet and not reading.failed
-            interval_s = QUIET_REPORT_INTERVAL_S if slow else 0.0
+            interval_s = self._report_interval_s
+            if slow:
+                interval_s = max(interval_s, QUIET_REPORT_INTERVAL_S)
             due = _is_due(reading.begun_at, interval_s, now)
             if due and engine_id not in self._in_flight:
                 self._start_poll(pool, engine_id, reading, slow)
@@ -109,7 +113,7 @@
     async def _poll(
         self, pool: OwnedPool, engine_id: str, reading: _Reading, slow: bool
     ) -> None:
-        engine = self._clients.engine(engine_id)
+        engine = self._clients.control(engine_id)
         entry = self._blackboard.endpoints_by_id.get(engine_id)
         if engine is None or entry is None:
             return
@@ -138,7 +142,7 @@
                 pool.policy.observe_cache(pool.state, state, events, now)
 
     async def _read_events(
-        self, engine: Engine, reading: _Reading, slow: bool
+        self, engine: EngineControl, reading: _Reading, slow: bool
     ) -> list[CacheEvent]:
         """Reads new cache events, unless few can have come since the last."""
         now = asyncio.get_running_loop().time()
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -195,6 +195,7 @@
         emitted=0,
         max_tokens=request.max_tokens,
         fingerprint=request.fingerprint,
+        hint_tokens=request.hint_tokens,
     )
     return Reservation(
         stream,
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -48,6 +48,7 @@
 from mustardscale.pools.pool_members import PoolMembers, divide_pools
 from mustardscale.pools.quarantine import Suspicions
 from mustardscale.pools.recorded_policy import RecordedPolicy
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -196,6 +197,7 @@
                 pool.policy.observe_report(pool.state, engine, report, now)
         for engine_id in set(engines_by_id) - set(pool.members.engine_ids):
             del engines_by_id[engine_id]
+        pool.state.follow_pieces()
 
     def refresh(self) -> None:
         """Brings the pools up to date with new reports and profiles."""
@@ -218,6 +220,7 @@
                 if entry.choice.kind is ServiceKind.LANGUAGE
                 and entry.choice.profile in config.profiles_by_name
             }
+            self._profile_by_service |= config.routes.profile_by_route
         return self._profile_by_service
 
     async def _on_admit(self, sender: str, request: AdmitRequest) -> AdmitReply:
@@ -274,21 +277,56 @@
             reservation = reservation_of(item, decision, now)
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
+            self._log_decision(pool, item, decision, now)
             reply.set_result(
                 AdmitReply(
                     Outcome.COMPLETE,
                     decision.prefill,
                     decision.decode,
                     priority=decision.priority,
+                    prefill_s=decision.prefill_s,
                 )
             )
         else:
+            self._log_decision(pool, item, decision, now)
             reply.set_result(
                 AdmitReply(
                     decision.outcome, retry_after_s=decision.retry_after_s
                 )
             )
 
+    def _log_decision(
+        self,
+        pool: OwnedPool,
+        item: WaitingRequest,
+        decision: Decision,
+        now: float,
+    ) -> None:
+        prefill = decode = ''
+        code, retry_after_s = Outcome.COMPLETE, 0.0
+        if isinstance(decision, Grant):
+            prefill, decode = decision.prefill, decision.decode
+        else:
+            code, retry_after_s = decision.outcome, decision.retry_after_s
+        ages = [
+            now - engine.reported_at
+            for engine in pool.state.engines_by_id.values()
+            if math.isfinite(engine.reported_at)
+        ]
+        self._blackboard.events.emit(
+            EventKind.POOL_DECIDED,
+            decision.request_id,
+            code,
+            pool=pool.members.id,
+            prefill=prefill,
+            decode=decode,
+            waited_s=round(item.request.waited_s + now - item.arrived_at, 4),
+            waiting=len(pool.waiting_by_request_id),
+            held=len(pool.state.reservations_by_request_id),
+            report_age_s=round(max(ages), 3) if ages else None,
+            retry_after_s=retry_after_s,
+        )
+
     async def _on_progress(
         self, sender: str, request: Progress
     ) -> Acknowledgement:
@@ -346,6 +384,8 @@
             del pool.state.reservations_by_request_id[request_id]
             now = asyncio.get_running_loop().time()
             pool.policy.observe_release(pool.state, known, request, now)
+            if request.outcome == Outcome.ENDPOINT_UNREACHABLE:
+                self._note_unreachable(pool, working_engine(known))
             if request.outcome == Outcome.ENDPOINT_FAILED:
                 pool.state.reservations_by_request_id[request_id] = known
                 self.note_crash(pool, working_engine(known))
@@ -375,6 +415,13 @@
             release = release_of_expired(pool, held)
             pool.policy.observe_release(pool.state, held, release, now)
 
+    def _note_unreachable(self, pool: OwnedPool, engine_id: str) -> None:
+        """Keeps work off an engine until its next report is read."""
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        if entry is not None and entry.unreachable_since is None:
+            entry.unreachable_since = asyncio.get_running_loop().time()
+            self._refresh_engines(pool)
+
     def note_crash(self, pool: OwnedPool, engine_id: str) -> None:
         """Counts a crash against the requests that the engine was running.
 
@@ -386,10 +433,7 @@
         if now - noted_at < CRASH_WINDOW_S:
             return
         pool.crash_noted_at_by_engine_id[engine_id] = now
-        entry = self._blackboard.endpoints_by_id.get(engine_id)
-        if entry is not None and entry.unreachable_since is None:
-            entry.unreachable_since = now
-            self._refresh_engines(pool)
+        self._note_unreachable(pool, engine_id)
         in_flight = working_on(pool, engine_id)
         self._suspicions.record_crash(
             engine_id,
--- /dev/null
+++ b/mustardscale/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are relayed unread, along routes."""
--- /dev/null
+++ b/mustardscale/relay/crash_watch.py
@@ -0,0 +1,84 @@
+"""Finds out whether a lost connection was the crash of its endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from mustardscale.background_tasks import BackgroundTasks
+from mustardscale.exceptions import MustardscaleError
+from mustardscale.pools.quarantine import Suspicions
+from mustardscale.relay.relay_endpoint import RelayClients
+
+# Time after the first loss in which the other calls of a crash are lost, too,
+# seconds.
+GATHER_S = 0.05
+CHECK_TIMEOUT_S = 0.5
+
+
+class CrashWatch:
+    """Blames requests for crashes of plain endpoints.
+
+    An endpoint that answers, or whose connection opens, has not crashed.
+    """
+
+    __slots__ = (
+        '_background',
+        '_clients',
+        '_open',
+        '_suspected',
+        '_suspicions',
+    )
+
+    def __init__(self, clients: RelayClients, suspicions: Suspicions):
+        self._clients = clients
+        self._suspicions = suspicions
+        self._background = BackgroundTasks()
+        # Fingerprints of the open calls, by endpoint and request id.
+        self._open: dict[str, dict[str, int]] = collections.defaultdict(dict)
+        # What was in flight at a loss that is being looked into, by endpoint.
+        self._suspected: dict[str, dict[str, int]] = {}
+
+    def begin(
+        self, endpoint_id: str, request_id: str, fingerprint: int
+    ) -> None:
+        """Notes a call."""
+        self._open[endpoint_id][request_id] = fingerprint
+
+    def end(self, endpoint_id: str, request_id: str) -> None:
+        """Notes the end of a call."""
+        self._open[endpoint_id].pop(request_id, None)
+        if not self._open[endpoint_id]:
+            del self._open[endpoint_id]
+
+    def lost(self, endpoint_id: str) -> None:
+        """Looks into a call whose connection was lost; it is still open."""
+        in_flight = self._open.get(endpoint_id, {})
+        suspected = self._suspected.get(endpoint_id)
+        if suspected is not None:
+            suspected.update(in_flight)
+            return
+        self._suspected[endpoint_id] = dict(in_flight)
+        self._background.start(self._look_into(endpoint_id))
+
+    def is_quarantined(self, request_id: str, fingerprint: int) -> bool:
+        """Returns whether a request must be kept off endpoints."""
+        return self._suspicions.is_quarantined(request_id, fingerprint)
+
+    async def is_alive(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint's process is still there."""
+        client = self._clients.relay(endpoint_id)
+        if client is None:
+            return False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                return await client.is_alive()
+        except (MustardscaleError, TimeoutError):
+            return False
+
+    async def _look_into(self, endpoint_id: str) -> None:
+        await asyncio.sleep(GATHER_S)
+        alive = await self.is_alive(endpoint_id)
+        suspected = self._suspected.pop(endpoint_id)
+        if not alive and suspected:
+            self._suspicions.record_crash(endpoint_id, suspected.items())
--- /dev/null
+++ b/mustardscale/relay/event_splitter.py
@@ -0,0 +1,62 @@
+"""Cuts a stream of server-sent events into whole events, byte for byte."""
+
+from __future__ import annotations
+
+import re
+
+# Bytes of one event at most.
+MAX_EVENT_BYTES = 1_048_576
+_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
+
+
+class EventSplitter:
+    r"""Collects the bytes of a stream into whole events.
+
+    Attributes:
+        events: whole events so far.
+        last_id: id of the last whole event that had one.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+    b'id: 1\ndata: a\n\n'
+    >>> splitter.feed(b'ta: b\n\n'), splitter.last_id, splitter.events
+    (b'id: 2\ndata: b\n\n', '2', 2)
+    """
+
+    __slots__ = ('_partial', 'events', 'last_id')
+
+    def __init__(self):
+        self.events = 0
+        self.last_id = ''
+        self._partial = b''
+
+    @property
+    def partial(self) -> bytes:
+        """The bytes after the last whole event."""
+        return self._partial
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes the next bytes and returns the whole events.
+
+        Raises:
+            ValueError: an event is too long.
+        """
+        buffered = self._partial + data
+        end = 0
+        for match in _END.finditer(buffered):
+            self._note(buffered[end : match.end()])
+            end = match.end()
+        self._partial = buffered[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ValueError('an event is too long')
+        return buffered[:end]
+
+    def drop_partial(self) -> None:
+        """Forgets the beginning of an event that does not go on."""
+        self._partial = b''
+
+    def _note(self, event: bytes) -> None:
+        self.events += 1
+        for match in _ID.finditer(event):
+            self.last_id = match.group(1).decode('latin-1')
--- /dev/null
+++ b/mustardscale/relay/plain_relay.py
@@ -0,0 +1,254 @@
+"""Relays requests to plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from mustardscale.configuration.routes import Route
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.outcomes import Outcome
+from mustardscale.relay.endpoint_choice import choose_endpoint
+from mustardscale.relay.endpoint_health import HealthTable
+from mustardscale.relay.relay_context import (
+    ANSWER_MARGIN_S,
+    RelayContext,
+    deadline_error,
+    deadline_of,
+)
+from mustardscale.relay.relay_endpoint import RelayCall
+from mustardscale.relay.relay_messages import RelayRequest, WholeAnswer
+from mustardscale.reporting.event_log import EventKind
+
+# Endpoints that one request finds unreachable before it is refused.
+MOST_UNREACHABLE = 4
+# Time after which a refused caller may come back where nothing tells it better,
+# seconds.
+RETRY_AFTER_S = 0.3
+# Share of its time after which a request that may repeat is sent to another
+# endpoint, at least FIRST_TRY_LEAST_S.
+FIRST_TRY_SHARE = 0.4
+FIRST_TRY_LEAST_S = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How a request has gone so far.
+
+    Attributes:
+        arrivals: endpoints that it reached.
+        runs: endpoints that may have run it.
+        unreachable: endpoints that could not be reached.
+        excluded: endpoints that are not tried again.
+    """
+
+    arrivals: int = 0
+    runs: int = 0
+    unreachable: int = 0
+    excluded: list[str] = dataclasses.field(default_factory=list)
+
+
+class PlainRelay:
+    """Serves the requests of routes to plain services."""
+
+    def __init__(self, context: RelayContext):
+        self._context = context
+        self.health = HealthTable()
+
+    async def serve(
+        self, request: RelayRequest, route: Route, service: str
+    ) -> WholeAnswer:
+        """Returns an endpoint's whole answer.
+
+        Raises:
+            OutcomeError: there is none; its class says whether the request
+                may have run.
+        """
+        context = self._context
+        fingerprint = request.fingerprint()
+        if context.crashes.is_quarantined(request.id, fingerprint):
+            raise OutcomeError(Outcome.QUARANTINED)
+        context.budgets.count_request(service, context.now())
+        progress = _Progress()
+        deadline_at = deadline_of(request, route)
+        try:
+            async with asyncio.timeout_at(deadline_at + ANSWER_MARGIN_S):
+                return await self._attempts(
+                    request, route, service, progress, deadline_at
+                )
+        except TimeoutError as error:
+            raise deadline_error(progress.runs > 0) from error
+
+    async def _attempts(
+        self,
+        request: RelayRequest,
+        route: Route,
+        service: str,
+        progress: _Progress,
+        deadline_at: float,
+    ) -> WholeAnswer:
+        last: WholeAnswer | None = None
+        while True:
+            endpoint_id = self._choose(service, progress)
+            if endpoint_id is None or not self._may_send(service, progress):
+                if last is not None:
+                    return last
+                raise _refusal(progress, endpoint_id)
+            give_up_at = deadline_at
+            if route.may_repeat and progress.runs + 1 < route.max_attempts:
+                give_up_at = self._first_try_ends(request, deadline_at)
+            try:
+                answer = await self._call(
+                    request, endpoint_id, progress, deadline_at, give_up_at
+                )
+            except EndpointFailedError as error:
+                self._note_failure(request, endpoint_id, progress, error)
+                if not _may_run_again(route, progress):
+                    raise OutcomeError(
+                        Outcome.ANSWER_LOST, str(error)
+                    ) from error
+                continue
+            except (EndpointRefusedError, EndpointUnreachableError) as error:
+                self._note_failure(request, endpoint_id, progress, error)
+                continue
+            if answer.head.is_server_error and _may_run_again(route, progress):
+                last = answer
+                progress.excluded.append(endpoint_id)
+                continue
+            return answer
+
+    def _choose(self, service: str, progress: _Progress) -> str | None:
+        if progress.unreachable >= MOST_UNREACHABLE:
+            return None
+        now = self._context.now()
+        candidates = sorted(
+            endpoint.id
+            for endpoint in self._context.board.endpoints_by_id.values()
+            if endpoint.service == service
+            and endpoint.kind is ListedKind.PLAIN
+            and not endpoint.leaving(now)
+        )
+        return choose_endpoint(
+            self.health.by_id,
+            candidates,
+            progress.excluded,
+            now,
+            self._context.rng,
+        )
+
+    def _may_send(self, service: str, progress: _Progress) -> bool:
+        return not progress.arrivals or self._context.take_retry(service)
+
+    def _first_try_ends(
+        self, request: RelayRequest, deadline_at: float
+    ) -> float:
+        """Returns when an endpoint without an answer is given up."""
+        now = self._context.now()
+        left_s = deadline_at - now
+        return now + max(FIRST_TRY_LEAST_S, FIRST_TRY_SHARE * left_s)
+
+    async def _call(
+        self,
+        request: RelayRequest,
+        endpoint_id: str,
+        progress: _Progress,
+        deadline_at: float,
+        give_up_at: float,
+    ) -> WholeAnswer:
+        """Sends a request to an endpoint and reads its whole answer."""
+        context = self._context
+        client = context.client(endpoint_id)
+        if client is None:
+            raise EndpointUnreachableError('the endpoint is gone')
+        health = self.health.of(endpoint_id)
+        began_at = context.now()
+        health.begin(request.id, began_at)
+        context.crashes.begin(endpoint_id, request.id, request.fingerprint())
+        progress.runs += 1
+        progress.arrivals += 1
+        try:
+            async with asyncio.timeout_at(give_up_at + ANSWER_MARGIN_S):
+                answer = await client.run(RelayCall(request, deadline_at))
+                try:
+                    body = b''.join([part async for part in answer.chunks()])
+                finally:
+                    answer.close()
+        except TimeoutError as error:
+            raise EndpointFailedError('no answer in time') from error
+        except EndpointUnreachableError:
+            progress.runs -= 1
+            progress.arrivals -= 1
+            raise
+        except EndpointRefusedError:
+            progress.runs -= 1
+            raise
+        except EndpointFailedError as error:
+            if error.crashed:
+                context.crashes.lost(endpoint_id)
+            raise
+        finally:
+            health.end(request.id)
+            context.crashes.end(endpoint_id, request.id)
+        now = context.now()
+        if answer.head.is_server_error:
+            health.failed(now)
+        else:
+            health.answered(now - began_at, now)
+        return WholeAnswer(answer.head, body)
+
+    def _note_failure(
+        self,
+        request: RelayRequest,
+        endpoint_id: str,
+        progress: _Progress,
+        error: Exception,
+    ) -> None:
+        """Remembers how an endpoint failed a request."""
+        context = self._context
+        progress.excluded.append(endpoint_id)
+        health = self.health.of(endpoint_id)
+        if isinstance(error, EndpointUnreachableError):
+            progress.unreachable += 1
+            health.unreachable(context.now())
+        elif isinstance(error, EndpointFailedError):
+            health.failed(context.now())
+        context.events.emit(
+            EventKind.ATTEMPT_FAILED,
+            request.id,
+            endpoint=endpoint_id,
+            cause=type(error).__name__,
+            detail=str(error),
+            runs=progress.runs,
+            arrivals=progress.arrivals,
+        )
+
+
+def _may_run_again(route: Route, progress: _Progress) -> bool:
+    return route.may_repeat and progress.runs < route.max_attempts
+
+
+def _refusal(progress: _Progress, endpoint_id: str | None) -> OutcomeError:
+    """Returns the outcome of a request that no further endpoint gets."""
+    if progress.runs:
+        return OutcomeError(Outcome.ATTEMPTS_EXHAUSTED)
+    if endpoint_id is not None:
+        return OutcomeError(
+            Outcome.RETRY_BUDGET_SPENT, retry_after_s=RETRY_AFTER_S
+        )
+    if progress.arrivals:
+        return OutcomeError(
+            Outcome.POOL_SATURATED,
+            'every endpoint is full',
+            retry_after_s=RETRY_AFTER_S,
+        )
+    if progress.unreachable:
+        return OutcomeError(
+            Outcome.ENDPOINT_UNREACHABLE, retry_after_s=RETRY_AFTER_S
+        )
+    return OutcomeError(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/mustardscale/relay/relay_messages.py
@@ -0,0 +1,104 @@
+"""Requests and answers that are relayed as they are."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import xxhash
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SizeEstimate:
+    """What a caller tells of the size of a request to engines.
+
+    Attributes:
+        prompt_tokens: tokens of the prompt.
+        max_output_tokens: tokens of the answer at most.
+        output_hint_tokens: the caller's guess of the answer's tokens, 0 if it
+            makes none.
+    """
+
+    prompt_tokens: int
+    max_output_tokens: int
+    output_hint_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RelayRequest:
+    """One send of a request, whose content is not read.
+
+    Attributes:
+        id: the caller's id of this send.
+        host: value of the Host header.
+        method: HTTP method.
+        target: path and query as they came.
+        headers: end-to-end headers that are passed on.
+        body: the content.
+        arrived_at: loop time at which it came.
+        timeout_s: seconds for which the caller waits, None if it does not say.
+        size: its size for engines, None if the caller tells none.
+        resume_after: id of the last event that the caller has, '' for none.
+    """
+
+    id: str
+    host: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    timeout_s: float | None = None
+    size: SizeEstimate | None = None
+    resume_after: str = ''
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition('?')[0]
+
+    def fingerprint(self) -> int:
+        """Returns a 64-bit hash of method, target and body.
+
+        A request that is sent again under another id has the same one.
+        """
+        digest = xxhash.xxh3_64(f'{self.method} {self.target} '.encode())
+        digest.update(self.body)
+        return digest.intdigest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The beginning of an endpoint's answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: end-to-end headers.
+    """
+
+    status: int
+    headers: Headers
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the endpoint succeeded."""
+        return 200 <= self.status < 300
+
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the endpoint failed."""
+        return self.status >= 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An endpoint's whole answer.
+
+    Attributes:
+        head: its beginning.
+        body: its content.
+    """
+
+    head: AnswerHead
+    body: bytes
--- /dev/null
+++ b/mustardscale/relay/retry_budget.py
@@ -0,0 +1,92 @@
+"""The retry budget of each service, shared by all hosts.
+
+Every arrival of a request at an endpoint beyond its first counts, also one that
+the endpoint refuses. Each host uses its share of what all may use together:
+what it counts of its own requests, and an equal part of the allowance.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+# Part of the budget that is used; the rest covers hosts that are not known of
+# and windows that lie otherwise.
+USED_SHARE = 0.7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """What all hosts together may use.
+
+    Attributes:
+        ratio: further arrivals as a share of the requests.
+        slack: further arrivals beyond that.
+        window_s: length of the sliding window, seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window_s: float = 10.0
+
+
+class _Window:
+    """Counts what happened within a sliding window."""
+
+    __slots__ = ('_times',)
+
+    def __init__(self):
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def count(self, now: float, window_s: float) -> int:
+        while self._times and self._times[0] < now - window_s:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RetryBudgets:
+    """This host's share of each service's retry budget."""
+
+    __slots__ = ('_requests_by_service', '_retries_by_service', 'allowance')
+
+    def __init__(self, allowance: RetryAllowance):
+        self.allowance = allowance
+        self._requests_by_service: dict[str, _Window] = collections.defaultdict(
+            _Window
+        )
+        self._retries_by_service: dict[str, _Window] = collections.defaultdict(
+            _Window
+        )
+
+    def count_request(self, service: str, now: float) -> None:
+        """Counts a request, whose first arrival is free."""
+        self._requests_by_service[service].add(now)
+
+    def count_retry(self, service: str, now: float) -> None:
+        """Counts a further arrival that has happened already."""
+        self._retries_by_service[service].add(now)
+
+    def left(self, service: str, hosts: int, now: float) -> float:
+        """Returns how many further arrivals this host may cause now.
+
+        Args:
+            service: the service.
+            hosts: hosts that share the budget.
+            now: loop time.
+        """
+        allowance = self.allowance
+        window_s = allowance.window_s
+        requests = self._requests_by_service[service].count(now, window_s)
+        retries = self._retries_by_service[service].count(now, window_s)
+        allowed = allowance.ratio * requests + allowance.slack / max(1, hosts)
+        return USED_SHARE * allowed - retries
+
+    def take(self, service: str, hosts: int, now: float) -> bool:
+        """Takes a further arrival, if there is one left."""
+        if self.left(service, hosts, now) < 1:
+            return False
+        self.count_retry(service, now)
+        return True
