Let no lost prefill and no frozen host keep engines booked

Streams of hosts that are gone counted for ten seconds, though the engines' reports no longer named them.

Change: a prefill that is overdue by more than a reservation's lease is taken for lost; reports that name an engine's runs let lapsed reservations go; the version of the host list is that of the endpoints alone, so that a copy from a peer that knows more hosts but older endpoints is not taken for newer. Beliefs about endpoints, hosts and orders are logged as events.

--- a/mustardscale/endpoints/engines.py
+++ b/mustardscale/endpoints/engines.py
@@ -233,6 +233,7 @@
             engine, more slowly.
         drains_itself: whether it lets running work end before it carries out
             an order, and refuses new work meanwhile.
+        run_ids: ids of the requests that it runs, None if it does not tell.
     """
 
     role: EngineRole
@@ -254,6 +255,7 @@
     kv_bytes_per_token: int = KV_BYTES_PER_TOKEN
     reads_prompts: bool = False
     drains_itself: bool = False
+    run_ids: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -12,6 +12,7 @@
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -127,19 +128,32 @@
             if known is None or known.address != host.address:
                 known = endpoints_by_id[host.id] = _endpoint_of(host)
                 self._blackboard.place(known)
+                self._tell(known, 'listed')
                 changed = True
             if known.listed_leaving != host.leaving or not known.listed:
                 known.listed_leaving = host.leaving
                 known.listed = True
+                self._tell(known, 'leaving' if host.leaving else 'back')
                 changed = True
         listed_ids = {host.id for host in entries}
         gone = [key for key in endpoints_by_id if key not in listed_ids]
         if gone and self._may_return(len(gone), len(endpoints_by_id), now):
             return changed
         for key in gone:
-            del endpoints_by_id[key]
+            self._tell(endpoints_by_id.pop(key), 'gone')
         return changed or bool(gone)
 
+    def _tell(self, endpoint: EndpointEntry, change: str) -> None:
+        """Logs what has become of an endpoint."""
+        self._blackboard.events.emit(
+            EventKind.ENDPOINT_CHANGED,
+            endpoint=endpoint.id,
+            change=change,
+            service=endpoint.service,
+            role=endpoint.role or '',
+            list_version=self.version,
+        )
+
     def _may_return(self, gone: int, known: int, now: float) -> bool:
         """Returns whether missing entries may only have lapsed.
 
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -20,6 +20,7 @@
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -342,11 +343,25 @@
 
     async def run(self) -> None:
         """Runs the followers at each change, and now and then without one."""
+        told: list[str] = []
         while True:
             for follow in self._followers:
                 follow()
+            live = self._blackboard.live_hosts()
+            if live != told:
+                told = live
+                self._tell(live)
             await self._blackboard.membership_changed.wait(FOLLOW_INTERVAL_S)
 
+    def _tell(self, live: list[str]) -> None:
+        """Logs who is live now."""
+        board = self._blackboard
+        board.events.emit(
+            EventKind.MEMBERSHIP_CHANGED,
+            live=live,
+            silent=sorted(set(board.hosts_by_id) - set(live)),
+        )
+
 
 def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
     """Makes the blackboard's entry of a quarantine told by a peer."""
--- a/mustardscale/orders/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -16,6 +16,7 @@
     encode_order_record,
     orders_stream,
 )
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -88,6 +89,15 @@
             self.read_at = asked_at
         if changed:
             self._place_all()
+            self._blackboard.events.emit(
+                EventKind.ORDERS_CHANGED,
+                holder=state.host,
+                version=state.version,
+                changes={
+                    change.engine: change.target.role
+                    for change in state.change_by_engine.values()
+                },
+            )
         async with self._folded:
             self._folded.notify_all()
 
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -47,8 +47,8 @@
 
     @property
     def version(self) -> int:  # type: ignore[override]
-        """Rises with each change that was read."""
-        return self._workers.end_offset + self._hosts.end_offset
+        """Rises with each change of the workers that was read."""
+        return self._workers.end_offset
 
     @property
     def regained_at(self) -> float:  # type: ignore[override]
@@ -62,7 +62,7 @@
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
         version = (self._workers.end_offset, self._hosts.end_offset)
-        if not (self._workers.end_offset or self._hosts.end_offset):
+        if not self._workers.end_offset:
             raise PeerUnavailableError('the store was not read yet')
         if version != self._version:
             self._version = version
--- a/mustardscale/platform/worker_control.py
+++ b/mustardscale/platform/worker_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 import msgspec
 
@@ -32,7 +34,7 @@
 # Tokens by which a worker allots memory.
 BLOCK_TOKENS = 16
 # Age of a worker's values when they are read, seconds.
-REPORT_AGE_S = 0.6
+REPORT_AGE_S = 0.9
 _REFUSED_BUSY = 'busy'
 
 
@@ -57,6 +59,8 @@
     state: str = 'ready'
     next: int | None = 0
     born: int = 0
+    # Rows of id, tokens in memory, events made and priority.
+    active_runs: list[list[Any]] | None = None
 
 
 class _Order(msgspec.Struct):
@@ -164,4 +168,11 @@
         kv_bytes_per_token=spec.kv_bytes_per_token,
         reads_prompts=True,
         drains_itself=True,
+        run_ids=_run_ids(told),
     )
+
+
+def _run_ids(told: WorkerReport) -> tuple[str, ...] | None:
+    if told.active_runs is None:
+        return None
+    return tuple(str(row[0]) for row in told.active_runs if row)
--- a/mustardscale/policy/prefill_timeline.py
+++ b/mustardscale/policy/prefill_timeline.py
@@ -8,6 +8,10 @@
 SEND_S = 0.005
 # Least time that overdue work is expected to take on, seconds.
 OVERDUE_S = 0.01
+# Time after which a prefill that is not known to be done is taken for lost, so
+# that it does not keep an engine booked; as long as a reservation whose host no
+# longer names it counts, seconds.
+LOST_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,5 +62,7 @@
         free_at = self._last_done_at
         for work in self._work_by_request_id.values():
             began = max(work.sent_at + SEND_S, free_at)
+            if now > began + work.seconds + LOST_AFTER_S:
+                continue
             free_at = max(began + work.seconds, now + OVERDUE_S)
         return max(free_at, now)
--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -11,10 +11,17 @@
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.controller import Controller, pause
 from mustardscale.endpoints.endpoint_clients import ControlClients
-from mustardscale.endpoints.engines import CacheEvent, EngineControl, EngineRole
+from mustardscale.endpoints.engines import (
+    CacheEvent,
+    EngineControl,
+    EngineRole,
+    LoadReport,
+)
 from mustardscale.exceptions import MustardscaleError
+from mustardscale.policy.base import tag_key
 from mustardscale.pools.owned_pool import OwnedPool
 from mustardscale.pools.pool_owner import PoolOwner
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -129,8 +136,11 @@
         now = asyncio.get_running_loop().time()
         reading.answered_at = now
         reading.failed = False
-        entry.unreachable_since = None
+        if entry.unreachable_since is not None:
+            entry.unreachable_since = None
+            self._tell(entry, 'answers')
         self._note_start(pool, entry, report.start)
+        self._note_runs(pool, entry.id, report, now)
         if report.leaving:
             entry.leaving_until = max(entry.leaving_until, now + 1.0)
         entry.report = report
@@ -141,6 +151,20 @@
             if state is not None:
                 pool.policy.observe_cache(pool.state, state, events, now)
 
+    def _note_runs(
+        self, pool: OwnedPool, engine_id: str, report: LoadReport, now: float
+    ) -> None:
+        """Lets lapsed reservations go that an engine no longer runs."""
+        if report.run_ids is None:
+            return
+        reservations = pool.state.reservations_by_request_id
+        present = {
+            tag_key(reservations[request_id].stream.tag)
+            for request_id in report.run_ids
+            if request_id in reservations
+        }
+        pool.lapsed.note_streams(engine_id, present, now - report.age_s)
+
     async def _read_events(
         self, engine: EngineControl, reading: _Reading, slow: bool
     ) -> list[CacheEvent]:
@@ -161,6 +185,17 @@
         if silent_s > UNREACHABLE_AFTER_S and entry.unreachable_since is None:
             log.warning('engine %s does not answer: %s', entry.id, error)
             entry.unreachable_since = now
+            self._tell(entry, 'silent')
+
+    def _tell(self, entry: EndpointEntry, change: str) -> None:
+        """Logs what has become of an engine."""
+        self._blackboard.events.emit(
+            EventKind.ENDPOINT_CHANGED,
+            endpoint=entry.id,
+            change=change,
+            service=entry.service,
+            role=entry.role or '',
+        )
 
     def _note_start(
         self, pool: OwnedPool, entry: EndpointEntry, start: int
@@ -169,6 +204,7 @@
         pool.start_by_engine_id[entry.id] = start
         if known is not None and start != known:
             log.warning('engine %s restarted', entry.id)
+            self._tell(entry, 'restarted')
             self._reading_by_id[entry.id].sequence = 0
             self._pool_owner.note_crash(pool, entry.id)
 
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -81,11 +81,11 @@
         ('version', 'routes', 'services'),
     ),
     EventKind.MEMBERSHIP_CHANGED: EventRule(
-        'The live entry hosts have changed.', ('live', 'silent', 'owned_pools')
+        'The live entry hosts have changed.', ('live', 'silent')
     ),
     EventKind.ENDPOINT_CHANGED: EventRule(
         'An endpoint came, left or changed.',
-        ('endpoint', 'change', 'service', 'role'),
+        ('endpoint', 'change', 'service', 'role', 'list_version'),
     ),
     EventKind.READINESS_CHANGED: EventRule(
         'The host became ready or unready.', ('ready', 'cause')
