--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -79,6 +79,27 @@
         self.apply(listed)
         return True
 
+    def add_hosts(self, listed: list[ListedHost]) -> None:
+        """Adds the entry hosts of a list that tells nothing else."""
+        hosts_by_id = self._blackboard.hosts_by_id
+        known = len(hosts_by_id)
+        for host in listed:
+            if host.kind is ListedKind.ENTRY and host.id not in hosts_by_id:
+                self._add_host(host)
+        if len(hosts_by_id) > known:
+            self._blackboard.membership_changed.notify()
+
+    def _add_host(self, host: ListedHost) -> None:
+        if host.id == self._blackboard.host:
+            return
+        self._blackboard.hosts_by_id[host.id] = HostEntry(
+            host.id,
+            host.address,
+            host.data_centre,
+            host.operators_address,
+            silent_since=asyncio.get_running_loop().time(),
+        )
+
     def apply(self, listed: list[ListedHost]) -> None:
         """Merges one reading of the list."""
         self._blackboard.host_list_read = True
@@ -102,13 +123,7 @@
         for host in entries:
             known = hosts_by_id.get(host.id)
             if known is None or known.address != host.address:
-                hosts_by_id[host.id] = HostEntry(
-                    host.id,
-                    host.address,
-                    host.data_centre,
-                    host.operators_address,
-                    silent_since=now,
-                )
+                self._add_host(host)
                 changed = True
         listed_ids = {host.id for host in entries}
         for known in list(hosts_by_id.values()):
--- a/mustardscale/hosts/host_list_copy.py
+++ b/mustardscale/hosts/host_list_copy.py
@@ -11,8 +11,9 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.host_list import HostList, ListedHost
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
 from mustardscale.hosts.host_list_controller import HostListController
+from mustardscale.hosts.host_registration import own_entry
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HostListFetch, HostListFetchReply
 
@@ -93,8 +94,6 @@
         self._take(reply)
 
     def _take(self, reply: HostListFetchReply) -> None:
-        if not reply.content:
-            return
         try:
             listed = msgspec.json.decode(reply.content, type=list[ListedHost])
         except msgspec.MsgspecError as error:
@@ -102,12 +101,18 @@
             return
         if self._controller.copy(listed, reply.version):
             log.info('host list copied from a peer, version %d', reply.version)
+        else:
+            self._controller.add_hosts(listed)
 
     async def _on_fetch(
         self, sender: str, request: HostListFetch
     ) -> HostListFetchReply:
         version = self._controller.version
-        if version <= request.version:
-            return HostListFetchReply(version)
-        content = msgspec.json.encode(self._controller.listed)
-        return HostListFetchReply(version, content)
+        listed = [
+            host
+            for host in self._controller.listed
+            if version > request.version or host.kind is ListedKind.ENTRY
+        ]
+        # This host may not be on the list yet.
+        listed.append(own_entry(self._blackboard))
+        return HostListFetchReply(version, msgspec.json.encode(listed))
--- a/mustardscale/hosts/host_registration.py
+++ b/mustardscale/hosts/host_registration.py
@@ -22,6 +22,17 @@
 RETIRE_AFTER_S = 15.0
 
 
+def own_entry(board: Blackboard) -> ListedHost:
+    """Returns the entry of this host."""
+    return ListedHost(
+        board.host,
+        ListedKind.ENTRY,
+        board.address,
+        board.data_centre,
+        board.region,
+    )
+
+
 class HostRegistration(Controller):
     """Announces this host and retires hosts that are gone."""
 
@@ -63,16 +74,8 @@
         )
 
     async def _announce(self) -> bool:
-        board = self._blackboard
-        entry = ListedHost(
-            board.host,
-            ListedKind.ENTRY,
-            board.address,
-            board.data_centre,
-            board.region,
-        )
         try:
-            await self._host_list.announce(entry)
+            await self._host_list.announce(own_entry(self._blackboard))
         except PeerUnavailableError as error:
             log.warning('this host is not on the host list yet: %s', error)
             return False
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -19,8 +19,8 @@
 # Time for which a read waits for a record, seconds.
 LONG_POLL_S = 20.0
 RETRY_S = 0.25
-# Time after which a read that was older than what is known is repeated,
-# seconds.
+# Time after which all is read again where a read was older than what is known,
+# or records were gone, seconds.
 STALE_RETRY_S = 0.1
 
 
@@ -66,6 +66,7 @@
                     await self._read_all()
             except RecordsGoneError:
                 self._whole = False
+                await pause(STALE_RETRY_S, self._rng)
             except LogUnavailableError as error:
                 self._note_lost(error)
                 await pause(RETRY_S, self._rng)
@@ -86,9 +87,9 @@
             self.changed.notify()
 
     async def _read_more(self) -> None:
-        page = await self._client.read(
-            self._stream, self.end_offset, LONG_POLL_S
-        )
+        # After an outage an answer must come at once, to know its end.
+        wait_s = LONG_POLL_S if self.current else 0.0
+        page = await self._client.read(self._stream, self.end_offset, wait_s)
         self._note_read()
         if self._merge(page):
             self.changed.notify()
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -365,7 +365,8 @@
 
     Attributes:
         version: its version.
-        content: its entries as JSON; empty if the sender's is as new.
+        content: its entries as JSON; only the entry hosts if the asking
+            host's list is as new.
     """
 
     version: int
--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -67,6 +67,13 @@
         site = web.TCPSite(self._runner, host, port, backlog=_BACKLOG)
         await site.start()
 
+    @property
+    def address(self) -> str:
+        """The address that is listened on, 'ip:port'."""
+        assert self._runner is not None
+        ip, port = self._runner.addresses[0][:2]
+        return f'{ip}:{port}'
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Sets the limits of requests and connections that come from now."""
         self._limits = limits
@@ -128,10 +135,10 @@
         try:
             async for data in answer.events():
                 await write_chunk(request, response, data, self._limits)
-        except OutcomeError:
+        except OutcomeError as error:
             if request.transport is not None:
                 request.transport.close()
-            raise ConnectionResetError('the answer broke off') from None
+            raise ConnectionResetError('the answer broke off') from error
         await write_in_time(request, response.write_eof(), self._limits)
         return response
 
--- a/mustardscale/policy/prefill_timeline.py
+++ b/mustardscale/policy/prefill_timeline.py
@@ -21,10 +21,12 @@
     Attributes:
         sent_at: loop time of the grant.
         seconds: time that it is expected to take.
+        due_at: loop time at which it was expected to be done.
     """
 
     sent_at: float
     seconds: float
+    due_at: float
 
 
 class PrefillTimeline:
@@ -42,7 +44,8 @@
 
     def add(self, request_id: str, seconds: float, now: float) -> None:
         """Notes a grant."""
-        self._work_by_request_id[request_id] = PrefillWork(now, seconds)
+        due_at = max(now + SEND_S, self.free_at(now)) + seconds
+        self._work_by_request_id[request_id] = PrefillWork(now, seconds, due_at)
 
     def done(self, request_id: str, now: float) -> float | None:
         """Notes the end of a prefill and returns the seconds that it took.
@@ -62,7 +65,7 @@
         free_at = self._last_done_at
         for work in self._work_by_request_id.values():
             began = max(work.sent_at + SEND_S, free_at)
-            if now > began + work.seconds + LOST_AFTER_S:
+            if now > work.due_at + LOST_AFTER_S:
                 continue
             free_at = max(began + work.seconds, now + OVERDUE_S)
         return max(free_at, now)
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -274,6 +274,7 @@
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(failure))
         self._splitter.drop_partial()
         head = self.head
+        self._present().close()
         try:
             async with asyncio.timeout_at(self._deadline_at):
                 answer = await self._attempts()
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -248,11 +248,16 @@
             report.outcome = error.outcome
             report.error = error
             raise
-        except (asyncio.CancelledError, GeneratorExit):
-            report.outcome = Outcome.CALLER_LEFT
-            raise
-        except ConnectionError:
+        except (
+            asyncio.CancelledError,
+            GeneratorExit,
+            ConnectionError,
+        ) as error:
             report.outcome = Outcome.CALLER_LEFT
+            if isinstance(error.__cause__, OutcomeError):
+                # The caller's connection was closed since the answer broke.
+                report.error = error.__cause__
+                report.outcome = report.error.outcome
             raise
         except BaseException:
             report.outcome = Outcome.INTERNAL_ERROR
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,126 @@
+"""Stand-in of the users' platform's store: keyed topics over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import struct
+
+from aiohttp import web
+
+_ENDS = struct.Struct('!QQ')
+_LENGTH = struct.Struct('!I')
+OPERATOR_TOPIC = 'keyed.op'
+WORKERS_TOPIC = 'keyed.servers'
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """What the store does wrong.
+
+    Attributes:
+        refuses: whether it answers every call with 503.
+        forgets_before: records before this offset are no longer there.
+    """
+
+    refuses: bool = False
+    forgets_before: int = 0
+
+
+class PlatformStore:
+    """Topics of keyed records in memory.
+
+    Attributes:
+        faults: the faults switched on.
+        calls: calls by path.
+    """
+
+    def __init__(self):
+        self.faults = StoreFaults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._records_by_topic: dict[str, list[bytes]] = (
+            collections.defaultdict(list)
+        )
+        self._changed = asyncio.Event()
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Appends a record and returns its offset, from 0."""
+        encoded = key.encode()
+        record = bytes([len(encoded)]) + encoded + value
+        self._records_by_topic[topic].append(record)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return len(self._records_by_topic[topic]) - 1
+
+    def keys(self, topic: str) -> set[str]:
+        """Returns the keys that have a value."""
+        return {str(item['key']) for item in self._newest(topic)}
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        application = web.Application()
+        for method, path, handler in (
+            ('GET', '/mustardscale/log-newest', self._on_newest),
+            ('GET', '/mustardscale/log-read', self._on_read),
+            ('POST', '/mustardscale/log-append', self._on_append),
+        ):
+            application.router.add_route(method, path, handler)
+        return application
+
+    def _refuse(self, request: web.Request) -> web.Response | None:
+        self.calls[request.path] += 1
+        return web.Response(status=503) if self.faults.refuses else None
+
+    async def _on_newest(self, request: web.Request) -> web.Response:
+        topic = request.query['topic']
+        end = len(self._records_by_topic[topic])
+        answer = {'items': self._newest(topic), 'has_more': False, 'end': end}
+        return self._refuse(request) or web.json_response(answer)
+
+    def _newest(self, topic: str) -> list[dict[str, object]]:
+        item_by_key: dict[str, dict[str, object]] = {}
+        for offset, record in enumerate(self._records_by_topic[topic]):
+            end = 1 + record[0]
+            key, value = record[1:end].decode(), record[end:]
+            item_by_key[key] = {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
+            }
+        return [item for item in item_by_key.values() if item['value']]
+
+    async def _on_read(self, request: web.Request) -> web.Response:
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return refusal
+        start = int(request.query['from'])
+        if start < self.faults.forgets_before:
+            return web.json_response(
+                {'first_offset': self.faults.forgets_before}, status=410
+            )
+        records = self._records_by_topic[request.query['topic']]
+        wait_s = int(request.query.get('wait_ms', 0)) / 1000
+        until = asyncio.get_running_loop().time() + wait_s
+        while len(records) <= start:
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        body = b''.join(_LENGTH.pack(len(r)) + r for r in records[start:])
+        return web.Response(body=_ENDS.pack(len(records), 0) + body)
+
+    async def _on_append(self, request: web.Request) -> web.Response:
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return refusal
+        topic = request.query['topic']
+        end = len(self._records_by_topic[topic])
+        if 'at' in request.query and int(request.query['at']) != end:
+            return web.json_response({'end': end}, status=412)
+        record = (await request.read())[_LENGTH.size :]
+        stop = 1 + record[0]
+        offset = self.put(topic, record[1:stop].decode(), record[stop:])
+        return web.json_response({'offset': offset, 'end': offset + 1})
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,151 @@
+"""Stand-in of the users' platform's workers: plain ones and engines."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+from typing import Any
+
+import multidict
+from aiohttp import web
+
+_ID = 'X-Request-Id'
+EVENTS = 3
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerFaults:
+    """What a worker does wrong.
+
+    Attributes:
+        full: whether it rejects every request.
+        loses_answers: whether it runs requests and closes without an answer.
+        other_id: an id that it puts on its answers in place of their own.
+        unsigned: whether its answers lack the signature.
+        breaks_after: events after which it breaks the next stream off, 0 for
+            none.
+    """
+
+    full: bool = False
+    loses_answers: bool = False
+    other_id: str = ''
+    unsigned: bool = False
+    breaks_after: int = 0
+
+
+class PlatformWorker:
+    """One worker.
+
+    Attributes:
+        faults: the faults switched on.
+        phase: its stage, '' for a plain service.
+        ran: ids of the requests that it ran, in order.
+        headers: headers of the requests that reached it, by id.
+        targets: method, target and body of these, by id.
+        orders: the orders that it took.
+        handles: results of prefills that it keeps.
+        gap_s: seconds before each event of a stream.
+    """
+
+    def __init__(self, instance: str, phase: str = '', gap_s: float = 0.0):
+        self.instance = instance
+        self.phase = phase
+        self.faults = WorkerFaults()
+        self.ran: list[str] = []
+        self.headers: dict[str, multidict.CIMultiDictProxy[str]] = {}
+        self.targets: dict[str, tuple[str, str, bytes]] = {}
+        self.orders: list[dict[str, Any]] = []
+        self.handles: set[str] = set()
+        self.gap_s = gap_s
+        self._numbers = itertools.count(1)
+
+    def server(self) -> web.Server:
+        """Returns the server to listen with."""
+        return web.Server(self._handle, access_log=None)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get('X-Expect-Instance', self.instance)
+        if expected != self.instance:
+            return web.Response(
+                status=421, headers={'X-Instance-Id': self.instance}
+            )
+        if request.path == '/mustardscale/report':
+            return web.json_response(self._report())
+        if request.path == '/mustardscale/order':
+            return await self._order(request)
+        if request.path.startswith('/mustardscale/kv-handle/'):
+            self.handles.discard(request.path.rpartition('/')[2])
+            return web.Response()
+        return await self._run(request)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            'phase': self.phase,
+            'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+            'busy': False,
+            'sequence': len(self.orders),
+            'waiting': 0,
+            'running': 0,
+            'kv_used': 0,
+            'kv_total': 100_000,
+            'state': 'ready',
+            'next': 0,
+            'born': 1,
+            'active_runs': [],
+        }
+
+    async def _order(self, request: web.BaseRequest) -> web.Response:
+        order = await request.json()
+        if order['expect'] != len(self.orders):
+            return web.Response(status=409)
+        self.orders.append(order)
+        self.phase = order['phase']
+        return web.Response(status=202)
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers[_ID]
+        body = await request.read()
+        self.headers[request_id] = request.headers
+        self.targets[request_id] = (request.method, request.raw_path, body)
+        if self.faults.full:
+            return web.Response(status=503, headers={'X-Not-Executed': '1'})
+        if 'X-Serving-Phase' in request.headers:
+            return self._prefill()
+        if self.phase == 'prefill':
+            return web.Response(status=421)
+        self.ran.append(request_id)
+        if self.faults.loses_answers:
+            assert request.transport is not None
+            request.transport.abort()
+            raise ConnectionResetError
+        headers = {_ID: self.faults.other_id or request_id}
+        if not self.faults.unsigned:
+            headers['X-Response-Signature'] = f'{self.instance}.{request_id}'
+        if self.phase:
+            return await self._stream(request, headers)
+        return web.Response(body=b'whole ' + body, headers=headers)
+
+    def _prefill(self) -> web.Response:
+        key = f'{next(self._numbers):012x}'
+        self.handles.add(key)
+        return web.json_response({'kv_handle': key, 'tokens': 1, 'version': 1})
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        begin = int(request.headers.get('Last-Event-Id', 0)) + 1
+        for number in range(begin, EVENTS + 1):
+            await asyncio.sleep(self.gap_s)
+            if self.faults.breaks_after and number > self.faults.breaks_after:
+                self.faults.breaks_after = 0
+                await response.write(b'id: %d\nda' % number)
+                assert request.transport is not None
+                request.transport.close()
+                raise ConnectionResetError
+            await response.write(b'id: %d\ndata: %d\n\n' % (number, number))
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,197 @@
+"""A small site on the platform: its stand-ins and hosts in this process."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+
+from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.peers.peer_connections import split_address
+from mustardscale.platform.entry import make_router
+from mustardscale.platform.front_http import FrontServer
+from mustardscale.reporting.event_log import NoEvents
+from mustardscale.settings.relay_settings import RelaySettings
+from standins.platform_store import (
+    OPERATOR_TOPIC,
+    WORKERS_TOPIC,
+    PlatformStore,
+)
+from standins.platform_worker import PlatformWorker
+
+HOST = 'shop.example'
+WAIT_S = 20.0
+
+
+async def until(condition):
+    """Waits until a condition holds; the test fails if it never does."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+async def listen(server):
+    """Serves on a free port of loopback; returns runner and address."""
+    if isinstance(server, web.Application):
+        runner = web.AppRunner(server, shutdown_timeout=0.1)
+    else:
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    ip, port = runner.addresses[0][:2]
+    return runner, f'{ip}:{port}'
+
+
+def route(name, service, kind, **fields):
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': f'/{name}/',
+        'type': kind,
+        'timeout_ms': 8000,
+        'target_latency_ms': 900,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'target_gap_ms': 300,
+    } | fields
+
+
+CONFIG = {
+    'version': 3,
+    'routes': [
+        route('chat', 'llm', 'streaming', resumable=True, sticky=True),
+        route('once', 'llm', 'streaming', resumable=False, sticky=True),
+        route('book', 'app', 'non_idempotent'),
+        route('read', 'app', 'idempotent'),
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'engine': {
+                'slot_count': 48,
+                'kv_capacity_tokens': 100_000,
+                'kv_token_bytes': 131_072,
+                'link_mbps': 4.4e6,
+                'stride': 72,
+                'kv_hold_s': 0.5,
+            },
+        },
+        {'name': 'app'},
+    ],
+    'limits': {
+        'max_header_bytes': 16_384,
+        'max_body_bytes': 100_000,
+        'header_timeout_ms': 3_000,
+        'idle_timeout_ms': 15_000,
+    },
+}
+
+
+class PlatformSite:
+    """A store, two plain workers, three engines and some hosts."""
+
+    def __init__(self):
+        self.store = PlatformStore()
+        self.workers = {
+            name: PlatformWorker(name, phase)
+            for name, phase in (
+                ('a1', ''),
+                ('a2', ''),
+                ('p1', 'prefill'),
+                ('d1', 'decode'),
+                ('d2', 'decode'),
+            )
+        }
+        self.routers = []
+        self.fronts = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        """Starts the stand-ins."""
+        await self._stack.__aenter__()
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.store_address = await self._serve(self.store.application())
+        self.address_by_worker = {
+            name: await self._serve(worker.server())
+            for name, worker in self.workers.items()
+        }
+        for name in self.workers:
+            self.list_worker(name)
+        self.configure(CONFIG)
+        return self
+
+    async def __aexit__(self, *error):
+        """Stops everything."""
+        await self._stack.__aexit__(*error)
+
+    async def _serve(self, server):
+        runner, address = await listen(server)
+        self._stack.push_async_callback(runner.cleanup)
+        return address
+
+    def list_worker(self, name, state='ready'):
+        worker = self.workers[name]
+        entry = {
+            'service': 'llm' if worker.phase else 'app',
+            'address': self.address_by_worker[name],
+            'zone': 'z',
+            'version': 'v1',
+            'slot_count': 6,
+            'state': state,
+            'cold_remaining_ms': 0,
+            'sequence': 0,
+        }
+        if worker.phase:
+            entry['phase'] = worker.phase
+        self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
+
+    def configure(self, config):
+        self.store.put(OPERATOR_TOPIC, 'config', json.dumps(config).encode())
+
+    async def add_host(self, name, seeds=()):
+        """Starts a host and waits until it is ready."""
+        probe, peers = await listen(web.Server(lambda request: None))
+        await probe.cleanup()
+        settings = RelaySettings(
+            host_id=name,
+            data_centre='z',
+            region='r',
+            callers_listen='127.0.0.1:0',
+            ready_listen='127.0.0.1:0',
+            peers_listen=peers,
+            seed_addresses=tuple(seeds),
+            store_address=self.store_address,
+            heartbeat_s=0.1,
+            dead_after_s=0.5,
+            prefill_share=0.34,
+        )
+        router = make_router(settings, NoEvents())
+        await router.start()
+        self._stack.push_async_callback(router.stop)
+        front = FrontServer(router, CallerLimits(), 0.1)
+        await front.start('127.0.0.1', 0)
+        self._stack.push_async_callback(front.stop)
+        self.routers.append(router)
+        self.fronts.append(front)
+        await until(router.is_ready)
+        return router
+
+    def url(self, path, host=0):
+        ip, port = split_address(self.fronts[host].address)
+        return f'http://{ip}:{port}{path}'
+
+    async def ask(self, path, request_id, host=0, **fields):
+        """Sends a request; returns status, headers and body."""
+        headers = {
+            'Host': HOST,
+            'X-Request-Id': request_id,
+            'X-Request-Deadline': '5000',
+        } | fields.pop('headers', {})
+        async with self.session.post(
+            self.url(path, host), headers=headers, data=b'body', **fields
+        ) as response:
+            return response.status, response.headers, await response.read()
--- /dev/null
+++ b/tests/relay_fakes.py
@@ -0,0 +1,198 @@
+"""Fakes at the interfaces of relaying."""
+
+import asyncio
+import random
+
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.configuration.routes import (
+    EngineSpec,
+    RequestKind,
+    Route,
+    RouteTarget,
+    ServiceSpec,
+)
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.outcomes import Outcome
+from mustardscale.peers.peer_messages import AdmitReply
+from mustardscale.pools.quarantine import Suspicions
+from mustardscale.relay.crash_watch import CrashWatch
+from mustardscale.relay.relay_context import RelayContext
+from mustardscale.relay.relay_endpoint import (
+    EndpointAnswer,
+    PrefillHandle,
+    RelayClients,
+    RelayConnector,
+    RelayEndpoint,
+)
+from mustardscale.relay.relay_messages import (
+    AnswerHead,
+    RelayRequest,
+    SizeEstimate,
+)
+from mustardscale.relay.retry_budget import RetryAllowance, RetryBudgets
+from mustardscale.reporting.event_log import EventLog
+
+ENGINE = EngineSpec(48, 100_000, 1, 1e12, event_tokens=10)
+
+
+def event(number):
+    return b'id: %d\ndata: x\n\n' % number
+
+
+class FakeAnswer(EndpointAnswer):
+    """An answer of given chunks; an exception among them breaks it off."""
+
+    def __init__(self, chunks, status=200, gap_s=0.0):
+        self.head = AnswerHead(status, (('X-Sign', 's'),))
+        self.closed = False
+        self._chunks = chunks
+        self._gap_s = gap_s
+
+    async def chunks(self):
+        for chunk in self._chunks:
+            await asyncio.sleep(self._gap_s)
+            if isinstance(chunk, Exception):
+                raise chunk
+            yield chunk
+
+    def close(self):
+        self.closed = True
+
+
+class FakeEndpoint(RelayEndpoint):
+    """Answers by scripts: what each call returns or raises, or a delay."""
+
+    def __init__(self, name):
+        self.name = name
+        self.runs = []
+        self.prefills = []
+        self.freed = []
+        self.run_script = []
+        self.prefill_script = []
+        self.alive = True
+
+    async def run(self, call):
+        self.runs.append(call)
+        step = self.run_script.pop(0) if self.run_script else [b'ok']
+        return await _play(step)
+
+    async def prefill(self, call):
+        self.prefills.append(call)
+        step = self.prefill_script.pop(0) if self.prefill_script else None
+        if step is not None:
+            await _play(step)
+        until = asyncio.get_running_loop().time() + 0.5
+        return PrefillHandle(self.name, f'{self.name}:1', 'key', until)
+
+    async def free(self, handle):
+        self.freed.append(handle)
+
+    async def is_alive(self):
+        return self.alive
+
+
+async def _play(step):
+    if isinstance(step, float):
+        await asyncio.sleep(step)
+        return FakeAnswer([])
+    if isinstance(step, Exception):
+        raise step
+    if isinstance(step, FakeAnswer):
+        return step
+    return FakeAnswer(step)
+
+
+class FakeConnector(RelayConnector):
+    """Hands out one fake for each endpoint id."""
+
+    def __init__(self):
+        self.by_id = {}
+
+    def control(self, endpoint):
+        raise NotImplementedError
+
+    def relay(self, endpoint):
+        return self.by_id.setdefault(endpoint.id, FakeEndpoint(endpoint.id))
+
+
+class HeardEvents(EventLog):
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def emit(self, kind, request_id='', code=0, **inputs):
+        self.told.append((kind, request_id, int(code), inputs))
+
+
+class FakeAdmission:
+    """Grants engines in turn; remembers what it was told."""
+
+    def __init__(self, grants):
+        self.grants = list(grants)
+        self.asked = []
+        self.releases = []
+        self.stages = []
+
+    async def admit(self, prompt, served, profile, model, excluded, until):
+        self.asked.append((served.tag, tuple(excluded), served.prompt_tokens))
+        grant = self.grants.pop(0)
+        if isinstance(grant, Exception):
+            raise grant
+        prefill, decode = grant
+        return AdmitReply(Outcome.COMPLETE, prefill, decode, prefill_s=0.1)
+
+    def report_stage(self, served):
+        self.stages.append(served.stage)
+
+    def release(self, served, outcome, computed_tokens, finished):
+        self.releases.append((served.tag.attempt, outcome, finished))
+
+
+class Bench:
+    """A relay's surroundings with endpoints of one service."""
+
+    def __init__(self, plain=(), engines=(), slack=50.0):
+        self.board = Blackboard('host', 1, 'dc', 'region')
+        self.board.events = self.events = HeardEvents()
+        self.connector = FakeConnector()
+        clients = RelayClients(self.board, self.connector)
+        self.suspicions = Suspicions(self.board)
+        self.context = RelayContext(
+            self.board,
+            clients,
+            RetryBudgets(RetryAllowance(0.0, slack, 10.0)),
+            CrashWatch(clients, self.suspicions),
+            random.Random(1),
+        )
+        for name in plain:
+            self._add(name, ListedKind.PLAIN, None)
+        for name in engines:
+            self._add(name, ListedKind.ENGINE, EngineRole.DECODE)
+
+    def _add(self, name, kind, role):
+        entry = EndpointEntry(
+            name, kind, f'{name}:1', 'dc', 'region', 'service', role=role
+        )
+        self.board.endpoints_by_id[name] = entry
+        self.connector.by_id[name] = FakeEndpoint(name)
+
+    def endpoint(self, name):
+        return self.connector.by_id[name]
+
+
+def route_of(kind, **fields):
+    fields.setdefault('timeout_s', 14.0)
+    fields.setdefault('target_latency_s', 0.9)
+    return Route('route', 'h', '/a/', kind, (RouteTarget('service'),), **fields)
+
+
+def request_of(name='r', **fields):
+    now = asyncio.get_running_loop().time()
+    fields.setdefault('size', SizeEstimate(1_000, 2_000, 500))
+    return RelayRequest(name, 'h', 'POST', '/a/x', (), b'body', now, **fields)
+
+
+SERVICE = ServiceSpec('service', engine=ENGINE)
+STREAM = RequestKind.STREAM
--- /dev/null
+++ b/tests/test_hosts_lists.py
@@ -0,0 +1,263 @@
+"""Tests of host lists that hosts write themselves and copy from peers."""
+
+import asyncio
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
+from mustardscale.hosts.host_list_controller import (
+    LAPSE_GRACE_S,
+    HostListController,
+)
+from mustardscale.hosts.host_list_copy import HostListCopy
+from mustardscale.hosts.host_registration import (
+    RETIRE_AFTER_S,
+    HostRegistration,
+)
+from mustardscale.hosts.membership import MembershipTimes
+from tests.virtual_time import virtual_time
+
+
+def endpoint(name, leaving=False):
+    return ListedHost(
+        name, ListedKind.PLAIN, f'{name}:1', 'dc', 'r', leaving, 'service'
+    )
+
+
+def entry_host(name):
+    return ListedHost(name, ListedKind.ENTRY, f'{name}:1', 'dc', 'r')
+
+
+class FakeList(HostList):
+    """A list that a test sets; wakes its readers at each change."""
+
+    def __init__(self, *listed):
+        self.listed = list(listed)
+        self.version = 1
+        self.current = True
+        self.announced = []
+        self.retired = []
+        self.failing = 0
+        self._changed = asyncio.Event()
+
+    def set(self, *listed):
+        self.listed = list(listed)
+        self.version += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def fetch(self):
+        if not self.current:
+            raise PeerUnavailableError('down')
+        return self.listed
+
+    def is_current(self):
+        return self.current
+
+    async def wait_changed(self, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    async def announce(self, host):
+        self.failing -= 1
+        if self.failing >= 0:
+            raise PeerUnavailableError('down')
+        self.announced.append(host.id)
+
+    async def retire(self, host):
+        self.retired.append(host)
+
+
+class Scene:
+    """One host that follows a list."""
+
+    def __init__(self, *listed):
+        self.board = Blackboard('me', 1, 'dc', 'r')
+        self.board.address = 'me:1'
+        self.list = FakeList(*listed)
+        self.rng = random.Random(1)
+        self.controller = HostListController(
+            self.board, self.list, MembershipTimes(), self.rng
+        )
+        self.tasks = [asyncio.create_task(self.controller.run())]
+
+    def known(self):
+        return set(self.board.endpoints_by_id)
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+class TestChanges:
+    """A list that tells its changes."""
+
+    @virtual_time
+    async def test_a_leaving_endpoint_is_known_at_once(self):
+        scene = Scene(endpoint('a'), endpoint('b'))
+        await asyncio.sleep(0.01)
+        scene.list.set(endpoint('a', leaving=True), endpoint('b'))
+        await asyncio.sleep(0.01)
+        now = asyncio.get_running_loop().time()
+        assert scene.board.endpoints_by_id['a'].leaving(now)
+        scene.stop()
+
+    @virtual_time
+    async def test_one_that_is_gone_is_gone_at_once(self):
+        scene = Scene(*map(endpoint, 'abc'))
+        await asyncio.sleep(0.01)
+        scene.list.set(endpoint('a'), endpoint('b'))
+        await asyncio.sleep(0.01)
+        assert scene.known() == {'a', 'b'}
+        scene.stop()
+
+
+class TestLapses:
+    """Entries that lapse while the list is away."""
+
+    @virtual_time
+    async def test_one_missing_after_an_outage_may_come_back(self):
+        scene = Scene(*map(endpoint, 'abc'))
+        await asyncio.sleep(0.01)
+        scene.list.regained_at = asyncio.get_running_loop().time()
+        scene.list.set(endpoint('a'), endpoint('b'))
+        await asyncio.sleep(LAPSE_GRACE_S - 0.2)
+        assert scene.known() == {'a', 'b', 'c'}
+        scene.list.set(*map(endpoint, 'abc'))
+        await asyncio.sleep(1.0)
+        assert scene.known() == {'a', 'b', 'c'}
+        scene.stop()
+
+    @virtual_time
+    async def test_one_still_missing_after_the_grace_is_gone(self):
+        scene = Scene(*map(endpoint, 'abc'))
+        await asyncio.sleep(0.01)
+        scene.list.regained_at = asyncio.get_running_loop().time()
+        scene.list.set(endpoint('a'), endpoint('b'))
+        await asyncio.sleep(LAPSE_GRACE_S + 0.1)
+        assert scene.known() == {'a', 'b'}
+        scene.stop()
+
+    @virtual_time
+    async def test_most_missing_at_once_have_lapsed(self):
+        scene = Scene(*map(endpoint, 'abcd'))
+        await asyncio.sleep(0.01)
+        scene.list.set(endpoint('a'))
+        await asyncio.sleep(LAPSE_GRACE_S - 0.2)
+        assert scene.known() == set('abcd')
+        await asyncio.sleep(0.4)
+        assert scene.known() == {'a'}
+        scene.stop()
+
+
+class FakeCalls:
+    """Peers' calls, answered by another host's copy."""
+
+    def __init__(self):
+        self.handler = None
+        self.asked = []
+        self.peer = None
+
+    def handle(self, request_type, handler):
+        self.handler = handler
+
+    async def call(self, host, request, reply_type, timeout_s):
+        self.asked.append(host)
+        return await self.peer.handler('me', request)
+
+    async def call_address(self, address, request, reply_type, timeout_s):
+        return await self.call(address, request, reply_type, timeout_s)
+
+
+class TestCopies:
+    """A host that cannot read the list asks others."""
+
+    def copy(self, scene, calls, seeds=()):
+        copy = HostListCopy(
+            scene.board, calls, scene.list, scene.controller, seeds, scene.rng
+        )
+        scene.tasks.append(asyncio.create_task(copy.run()))
+
+    @virtual_time
+    async def test_a_new_host_learns_from_a_seed(self):
+        there, here = Scene(endpoint('a'), entry_host('x')), Scene()
+        here.list.current = False
+        calls, theirs = FakeCalls(), FakeCalls()
+        self.copy(there, theirs)
+        self.copy(here, calls, ('me:1', 'x:1'))
+        calls.peer = theirs
+        await asyncio.sleep(1.0)
+        assert here.known() == {'a'}
+        assert set(here.board.hosts_by_id) == {'x'}
+        assert set(calls.asked) == {'x:1'}
+        there.stop()
+        here.stop()
+
+    @virtual_time
+    async def test_an_older_copy_changes_nothing(self):
+        there, here = Scene(endpoint('a')), Scene(endpoint('b'))
+        await asyncio.sleep(0.01)
+        here.list.set(endpoint('b'))
+        await asyncio.sleep(0.01)
+        here.list.current = False
+        calls, theirs = FakeCalls(), FakeCalls()
+        self.copy(there, theirs)
+        self.copy(here, calls, ('x:1',))
+        calls.peer = theirs
+        await asyncio.sleep(1.0)
+        assert here.known() == {'b'}
+        there.stop()
+        here.stop()
+
+    @virtual_time
+    async def test_nobody_is_asked_while_the_list_can_be_read(self):
+        here = Scene(endpoint('b'))
+        calls = FakeCalls()
+        self.copy(here, calls, ('x:1',))
+        await asyncio.sleep(2.0)
+        assert calls.asked == []
+        here.stop()
+
+
+class TestRegistration:
+    """Entry hosts on the list."""
+
+    def register(self, scene):
+        registration = HostRegistration(
+            scene.board, scene.list, scene.controller, scene.rng
+        )
+        scene.tasks.append(asyncio.create_task(registration.run()))
+        return registration
+
+    @virtual_time
+    async def test_it_announces_until_it_is_taken(self):
+        scene = Scene()
+        scene.list.failing = 2
+        self.register(scene)
+        await asyncio.sleep(1.8)
+        assert scene.list.announced == ['me']
+        scene.stop()
+
+    @virtual_time
+    async def test_it_retires_a_host_that_stays_silent(self):
+        scene = Scene(entry_host('x'), entry_host('me'))
+        self.register(scene)
+        await asyncio.sleep(RETIRE_AFTER_S - 1.0)
+        assert scene.list.retired == []
+        await asyncio.sleep(4.0)
+        assert set(scene.list.retired) == {'x'}
+        scene.stop()
+
+    @virtual_time
+    async def test_it_announces_again_when_it_was_retired(self):
+        scene = Scene(entry_host('me'))
+        self.register(scene)
+        await asyncio.sleep(0.1)
+        scene.list.set()
+        await asyncio.sleep(3.0)
+        assert scene.list.announced[:2] == ['me', 'me']
+        scene.stop()
--- /dev/null
+++ b/tests/test_keyed_tail.py
@@ -0,0 +1,219 @@
+"""Tests of following a keyed stream, and of routes that come by one."""
+
+import asyncio
+import random
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.configuration.config_sync import ConfigPeerController
+from mustardscale.configuration.route_source import ROUTES_KEY, merge_table
+from mustardscale.configuration.routes import (
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteTarget,
+)
+from mustardscale.exceptions import LogUnavailableError
+from mustardscale.log.keyed_log import (
+    KeyedLogClient,
+    KeyedPage,
+    KeyedRecord,
+    RecordsGoneError,
+)
+from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.reporting.event_log import EventKind
+from tests.relay_fakes import HeardEvents
+from tests.virtual_time import virtual_time
+
+
+class FakeLog(KeyedLogClient):
+    """A stream in memory that can be down, stale or without history."""
+
+    def __init__(self):
+        self.records = []
+        self.kept_from = 0
+        self.down = False
+        self.stale = 0
+        self.newest_reads = 0
+        self._changed = asyncio.Event()
+
+    def put_now(self, key, value):
+        self.records.append(KeyedRecord(key, value, len(self.records) + 1))
+        self.wake()
+
+    def wake(self):
+        """Lets the reads that wait look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def put(self, stream, key, value, after=None):
+        self.put_now(key, value)
+        return len(self.records)
+
+    async def newest(self, stream):
+        self.newest_reads += 1
+        self._check()
+        shown = self.records
+        if self.stale:
+            self.stale -= 1
+            shown = shown[:1]
+        by_key = {record.key: record for record in shown}
+        live = tuple(record for record in by_key.values() if record.value)
+        return KeyedPage(live, len(shown))
+
+    async def read(self, stream, after, wait_s):
+        self._check()
+        if after < self.kept_from:
+            raise RecordsGoneError(stream)
+        if len(self.records) <= after:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._check()
+            if after < self.kept_from:
+                raise RecordsGoneError(stream)
+        return KeyedPage(tuple(self.records[after:]), len(self.records))
+
+    def _check(self):
+        if self.down:
+            raise LogUnavailableError('down')
+
+
+class Scene:
+    """A tail of a stream."""
+
+    def __init__(self):
+        self.log = FakeLog()
+        self.board = Blackboard('me', 1, 'dc', 'r')
+        self.board.events = self.events = HeardEvents()
+        self.tail = KeyedTail(self.board, self.log, 's', random.Random(1))
+
+    async def __aenter__(self):
+        """Starts to follow."""
+        self._task = asyncio.create_task(self.tail.run())
+        await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *_):
+        """Stops."""
+        self._task.cancel()
+
+
+class TestKeyedTail:
+    """The newest values, merged by offset."""
+
+    @virtual_time
+    async def test_values_come_and_go(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            scene.log.put_now('b', b'1')
+            await asyncio.sleep(0.01)
+            scene.log.put_now('a', b'')
+            await asyncio.sleep(0.01)
+            assert scene.tail.value_by_key == {'b': b'1'}
+            assert scene.tail.end_offset == 3
+
+    @virtual_time
+    async def test_lost_history_is_read_anew(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            await asyncio.sleep(0.01)
+            scene.log.records += [
+                KeyedRecord('a', b'', 2),
+                KeyedRecord('c', b'2', 3),
+            ]
+            scene.log.kept_from = 3
+            scene.log.wake()
+            await asyncio.sleep(0.5)
+            assert scene.tail.value_by_key == {'c': b'2'}
+
+    @virtual_time
+    async def test_a_stale_reading_takes_nothing_back(self):
+        async with Scene() as scene:
+            for key in 'abc':
+                scene.log.put_now(key, b'1')
+            await asyncio.sleep(0.01)
+            scene.log.stale = 2
+            scene.log.kept_from = 9
+            scene.log.wake()
+            await asyncio.sleep(0.05)
+            assert set(scene.tail.value_by_key) == set('abc')
+            scene.log.kept_from = 0
+            await asyncio.sleep(1.0)
+            assert set(scene.tail.value_by_key) == set('abc')
+
+    @virtual_time
+    async def test_an_outage_is_told_once_and_so_is_its_end(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            await asyncio.sleep(0.01)
+            scene.log.down = True
+            scene.log.wake()
+            await asyncio.sleep(3.0)
+            assert not scene.tail.current
+            assert scene.tail.value_by_key == {'a': b'1'}
+            scene.log.down = False
+            await asyncio.sleep(0.5)
+            assert scene.tail.current
+            now = asyncio.get_running_loop().time()
+            assert now - scene.tail.regained_at < 0.6
+        kinds = [told[0] for told in scene.events.told]
+        assert kinds == [
+            EventKind.DEPENDENCY_LOST,
+            EventKind.DEPENDENCY_REGAINED,
+        ]
+
+
+def table(version):
+    route = Route(
+        'r',
+        'h',
+        '/a/',
+        RequestKind.ONCE,
+        (RouteTarget('s'),),
+        float(version),
+        0.3,
+    )
+    return RouteTable(version, (route,))
+
+
+class PeerPair:
+    """Calls between two hosts that copy each other's configuration."""
+
+    def __init__(self):
+        self.handler = None
+
+    def handle(self, request_type, handler):
+        self.handler = handler
+
+    async def call(self, host, request, reply_type, timeout_s):
+        return await self.other.handler('me', request)
+
+
+class TestRouteTables:
+    """Tables of routes as part of the configuration."""
+
+    @virtual_time
+    async def test_versions_never_go_back(self):
+        board = Blackboard('me', 1, 'dc', 'r')
+        assert merge_table(board, table(7))
+        assert not merge_table(board, table(4))
+        assert not merge_table(board, table(7))
+        assert merge_table(board, table(12))
+        assert board.config.routes.table.version == 12
+        assert board.config.settled
+
+    @virtual_time
+    async def test_a_host_without_the_source_copies_a_peer(self):
+        ahead, behind = (Blackboard(n, 1, 'dc', 'r') for n in 'ab')
+        calls, theirs = PeerPair(), PeerPair()
+        calls.other = theirs
+        rng = random.Random(1)
+        ConfigPeerController(ahead, theirs, rng)
+        copying = ConfigPeerController(behind, calls, rng)
+        for version in (3, 9):
+            merge_table(ahead, table(version))
+            await copying._fetch('a')
+            assert behind.config.routes.table == ahead.config.routes.table
+            assert behind.config.version(ROUTES_KEY) == version
--- /dev/null
+++ b/tests/test_plain_relay.py
@@ -0,0 +1,156 @@
+"""Tests of relaying to plain services."""
+
+import asyncio
+
+import pytest
+
+from mustardscale.configuration.routes import RequestKind
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
+from mustardscale.relay.plain_relay import PlainRelay
+from tests.relay_fakes import Bench, FakeAnswer, request_of, route_of
+from tests.virtual_time import virtual_time
+
+ONCE = RequestKind.ONCE
+REPEATABLE = RequestKind.REPEATABLE
+LOST = EndpointFailedError('reset', crashed=True)
+
+
+async def serve(bench, kind, request=None, **fields):
+    relay = PlainRelay(bench.context)
+    route = route_of(kind, **fields)
+    return await relay.serve(request or request_of(), route, 'service')
+
+
+def runs(bench):
+    return sum(len(item.runs) for item in bench.connector.by_id.values())
+
+
+async def outcome(bench, kind, **fields):
+    with pytest.raises(OutcomeError) as info:
+        await serve(bench, kind, **fields)
+    return info.value.outcome
+
+
+class TestOnce:
+    """Requests that run at most once for each send."""
+
+    @virtual_time
+    async def test_nothing_is_sent_again_after_a_lost_answer(self):
+        bench = Bench(plain=('a', 'b'))
+        for name in 'ab':
+            bench.endpoint(name).run_script = [LOST]
+        assert await outcome(bench, ONCE, max_attempts=3) is Outcome.ANSWER_LOST
+        assert runs(bench) == 1
+
+    @virtual_time
+    async def test_a_refusal_lets_another_endpoint_run_it(self):
+        bench = Bench(plain=('a', 'b'))
+        for name in 'ab':
+            bench.endpoint(name).run_script = [EndpointRefusedError('full')]
+        found = await outcome(bench, ONCE)
+        assert found is Outcome.POOL_SATURATED
+        assert outcome_class(found) is OutcomeClass.NOT_RUN
+        assert runs(bench) == 2
+
+    @virtual_time
+    async def test_one_that_cannot_be_reached_is_passed_over(self):
+        bench = Bench(plain=('a', 'b'))
+        bench.endpoint('a').run_script = [EndpointUnreachableError('no')]
+        bench.endpoint('b').run_script = [[b'o', b'k']]
+        answer = await serve(bench, ONCE)
+        assert answer.body == b'ok'
+
+    @virtual_time
+    async def test_an_answer_of_the_endpoint_itself_is_passed_on(self):
+        bench = Bench(plain=('a',))
+        bench.endpoint('a').run_script = [FakeAnswer([b'no'], status=500)]
+        answer = await serve(bench, ONCE)
+        assert (answer.head.status, answer.body) == (500, b'no')
+
+    @virtual_time
+    async def test_the_deadline_ends_it_and_does_not_say_not_run(self):
+        bench = Bench(plain=('a',))
+        bench.endpoint('a').run_script = [60.0]
+        began = asyncio.get_running_loop().time()
+        found = await outcome(bench, ONCE, timeout_s=1.5)
+        assert found is Outcome.DEADLINE_EXCEEDED
+        assert outcome_class(found) is not OutcomeClass.NOT_RUN
+        assert asyncio.get_running_loop().time() - began < 1.7
+
+
+class TestRepeatable:
+    """Requests that may run more than once."""
+
+    @virtual_time
+    async def test_another_endpoint_answers_after_a_lost_answer(self):
+        bench = Bench(plain=('a', 'b'))
+        bench.endpoint('a').run_script = [LOST]
+        bench.endpoint('b').run_script = [LOST, [b'ok']]
+        found = await outcome(bench, REPEATABLE, max_attempts=2)
+        assert found is Outcome.ANSWER_LOST
+        assert runs(bench) == 2
+
+    @virtual_time
+    async def test_a_mute_endpoint_is_given_up_in_time(self):
+        bench = Bench(plain=('a', 'b'))
+        bench.endpoint('a').run_script = [60.0]
+        bench.endpoint('b').run_script = [60.0]
+        serving = serve(bench, REPEATABLE, max_attempts=2, timeout_s=1.5)
+        with pytest.raises(OutcomeError):
+            await serving
+        assert runs(bench) == 2
+
+    @virtual_time
+    async def test_no_more_endpoints_run_it_than_the_route_allows(self):
+        bench = Bench(plain=('a', 'b', 'c'))
+        for name in 'abc':
+            bench.endpoint(name).run_script = [FakeAnswer([b''], status=500)]
+        answer = await serve(bench, REPEATABLE, max_attempts=2)
+        assert answer.head.status == 500
+        assert runs(bench) == 2
+
+    @virtual_time
+    async def test_a_spent_budget_ends_the_attempts(self):
+        bench = Bench(plain=('a', 'b'), slack=0.0)
+        for name in 'ab':
+            bench.endpoint(name).run_script = [EndpointRefusedError('full')]
+        found = await outcome(bench, REPEATABLE, max_attempts=2)
+        assert found is Outcome.RETRY_BUDGET_SPENT
+        assert runs(bench) == 1
+
+
+class TestCrashes:
+    """Requests that crash the endpoints that run them."""
+
+    @virtual_time
+    async def test_it_is_kept_off_endpoints_after_two_crashes(self):
+        bench = Bench(plain=('a', 'b', 'c'))
+        for name in 'abc':
+            bench.endpoint(name).run_script = [LOST]
+            bench.endpoint(name).alive = False
+        for number in range(2):
+            request = request_of(f'send-{number}')
+            await outcome(bench, ONCE, request=request)
+            await asyncio.sleep(1.0)
+        found = await outcome(bench, ONCE, request=request_of('send-3'))
+        assert found is Outcome.QUARANTINED
+        assert runs(bench) == 2
+
+    @virtual_time
+    async def test_a_broken_connection_alone_is_no_crash(self):
+        bench = Bench(plain=('a', 'b', 'c'))
+        for number in range(3):
+            for name in 'abc':
+                bench.endpoint(name).run_script = [LOST]
+            request = request_of(f'send-{number}')
+            assert await outcome(bench, ONCE, request=request) is (
+                Outcome.ANSWER_LOST
+            )
+            await asyncio.sleep(1.0)
+        assert not bench.suspicions.is_quarantined('x', request.fingerprint())
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,285 @@
+"""Tests of the whole path on the platform, against its stand-ins."""
+
+import asyncio
+import copy
+import json
+
+import aiohttp
+import pytest
+import uvloop
+
+from standins.platform_store import WORKERS_TOPIC
+from tests.platform_site import CONFIG, PlatformSite, until
+
+EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (n, n) for n in (1, 2, 3))
+USAGE = {'X-Token-Usage': '1000,500', 'X-Length-Hint': '300'}
+
+
+def run(scenario, hosts=1):
+    """Runs a scenario with a site whose hosts are ready."""
+
+    async def main():
+        async with PlatformSite() as site:
+            for number in range(hosts):
+                await site.add_host(f'h{number}')
+            await scenario(site)
+
+    uvloop.run(main())
+
+
+class TestPlain:
+    """Requests to plain services."""
+
+    def test_passes_unchanged_both_ways(self):
+        async def scenario(site):
+            path = '/book/a%2Fb//c/../d?q=%20&&r'
+            status, headers, body = await site.ask(
+                path,
+                'r1',
+                headers={
+                    'X-Own': 'kept',
+                    'X-Kv-Hold': 'forged',
+                    'X-Expect-Instance': 'forged',
+                    'Connection': 'X-Request-Id, X-Hop',
+                    'X-Hop': 'dropped',
+                },
+            )
+            assert (status, body) == (200, b'whole body')
+            assert headers['X-Request-Id'] == 'r1'
+            (worker,) = [w for w in site.workers.values() if w.ran]
+            signature = f'{worker.instance}.r1'
+            assert headers['X-Response-Signature'] == signature
+            seen = worker.headers['r1']
+            assert seen['X-Own'] == 'kept'
+            assert seen['X-Expect-Instance'] == worker.instance
+            assert 0 < int(seen['X-Request-Deadline']) <= 5000
+            assert 'X-Kv-Hold' not in seen
+            assert 'X-Hop' not in seen
+            assert worker.targets['r1'][2] == b'body'
+
+        run(scenario)
+
+    def test_bookings_run_once_when_the_answer_is_lost(self):
+        async def scenario(site):
+            for name in ('a1', 'a2'):
+                site.workers[name].faults.loses_answers = True
+            status, headers, _ = await site.ask('/book/x', 'r1')
+            assert status == 502
+            assert 'X-Response-Signature' not in headers
+            ran = [w.ran for w in site.workers.values() if w.ran]
+            assert ran == [['r1']]
+
+        run(scenario)
+
+    def test_full_endpoints_are_refused_with_a_time(self):
+        async def scenario(site):
+            for name in ('a1', 'a2'):
+                site.workers[name].faults.full = True
+            status, headers, _ = await site.ask('/book/x', 'r1')
+            assert status in (429, 503)
+            assert 0 < float(headers['Retry-After']) < 5
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        'fault', [{'other_id': 'r0'}, {'unsigned': True}], ids=str
+    )
+    def test_an_answer_that_is_not_its_own_never_arrives(self, fault):
+        async def scenario(site):
+            for name in ('a1', 'a2'):
+                for key, value in fault.items():
+                    setattr(site.workers[name].faults, key, value)
+            status, _, body = await site.ask('/book/x', 'r1')
+            assert status == 502
+            assert b'whole' not in body
+
+        run(scenario)
+
+
+class TestStreams:
+    """Requests to engines."""
+
+    def test_prefill_then_decode(self):
+        async def scenario(site):
+            status, headers, body = await site.ask(
+                '/once/x', 'r1', headers=USAGE
+            )
+            assert (status, body) == (200, EVENTS)
+            assert headers['Content-Type'].startswith('text/event-stream')
+            (decode,) = [w for w in site.workers.values() if w.ran]
+            source = decode.headers['r1']['X-Kv-Source']
+            address, _, handle = source.rpartition('/')
+            assert address == site.address_by_worker['p1']
+            assert handle in site.workers['p1'].handles
+
+        run(scenario)
+
+    def test_a_resumable_stream_goes_on_within_one_answer(self):
+        async def scenario(site):
+            # The first of the two to run it breaks off.
+            site.workers['d1'].faults = site.workers['d2'].faults
+            site.workers['d1'].faults.breaks_after = 1
+            for name in ('d1', 'd2'):
+                site.workers[name].gap_s = 0.05
+            status, headers, body = await site.ask(
+                '/chat/x', 'r1', headers=USAGE
+            )
+            assert (status, body) == (200, EVENTS)
+            engines = [site.workers[name] for name in ('d1', 'd2')]
+            assert [w.ran for w in engines] == [['r1'], ['r1']]
+            (second,) = [
+                w for w in engines if 'Last-Event-Id' in w.headers['r1']
+            ]
+            assert second.headers['r1']['Last-Event-Id'] == '1'
+            assert second.instance not in headers['X-Response-Signature']
+
+        run(scenario)
+
+    def test_one_that_may_not_be_resumed_does_not_look_whole(self):
+        async def scenario(site):
+            for name in ('d1', 'd2'):
+                site.workers[name].faults.breaks_after = 1
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await site.ask('/once/x', 'r1', headers=USAGE)
+            ran = [w.ran for w in site.workers.values() if w.ran]
+            assert ran == [['r1']]
+
+        run(scenario)
+
+    def test_decode_engines_serve_alone_while_the_prefill_engine_is_gone(self):
+        async def scenario(site):
+            site.store.put(WORKERS_TOPIC, 'p1', b'')
+            board = site.routers[0].blackboard
+            await until(lambda: 'p1' not in board.endpoints_by_id)
+            status, _, body = await site.ask('/once/x', 'r1', headers=USAGE)
+            assert (status, body) == (200, EVENTS)
+
+        run(scenario)
+
+
+class TestBadInput:
+    """Each bad input gets its status, and reaches no worker."""
+
+    @pytest.mark.parametrize(
+        ('path', 'headers', 'status'),
+        [
+            ('/none/x', {}, 404),
+            ('/book', {}, 404),
+            ('/book/x', {'Host': 'other.example'}, 404),
+            ('/book/x', {'X-Big': 'x' * 20_000}, 413),
+        ],
+    )
+    def test_status(self, path, headers, status):
+        async def scenario(site):
+            found, _, _ = await site.ask(path, 'r1', headers=headers)
+            assert found == status
+            assert not any(w.headers for w in site.workers.values())
+
+        run(scenario)
+
+    def test_no_id(self):
+        async def scenario(site):
+            async with site.session.post(
+                site.url('/book/x'), headers={'Host': 'shop.example'}
+            ) as response:
+                assert response.status == 400
+
+        run(scenario)
+
+
+class TestConfiguration:
+    """Versions of the configuration, and how they arrive."""
+
+    def test_a_new_version_is_in_force_and_an_old_one_is_not(self):
+        async def scenario(site):
+            board = site.routers[0].blackboard
+            newer = copy.deepcopy(CONFIG)
+            newer['version'] = 9
+            newer['routes'][2]['path_prefix'] = '/moved/'
+            site.configure(newer)
+            await until(lambda: board.config.routes.table.version == 9)
+            site.configure(CONFIG)
+            assert (await site.ask('/moved/x', 'r1'))[0] == 200
+            assert (await site.ask('/book/x', 'r2'))[0] == 404
+
+        run(scenario)
+
+    def test_a_host_whom_the_store_refuses_learns_from_a_seed(self):
+        async def scenario(site):
+            seed = site.routers[0].blackboard.address
+            site.store.faults.refuses = True
+            late = await site.add_host('late', seeds=[seed])
+            assert late.blackboard.config.routes.table.version == 3
+            status, _, body = await site.ask('/book/x', 'r1', host=1)
+            assert (status, body) == (200, b'whole body')
+
+        run(scenario)
+
+    def test_damaged_entries_name_no_worker(self):
+        async def scenario(site):
+            board = site.routers[0].blackboard
+            for number, value in enumerate(
+                (b'{', b'[]', b'{"service":1}', b'\xff\xfe')
+            ):
+                site.store.put(WORKERS_TOPIC, f'bad{number}', value)
+            strange = {'service': 'app', 'address': 'x', 'zone': 'z'}
+            strange['state'] = 'ready'
+            site.store.put(WORKERS_TOPIC, 'bad9', json.dumps(strange).encode())
+            site.list_worker('a1', state='draining')
+            now = asyncio.get_running_loop().time
+            await until(lambda: board.endpoints_by_id['a1'].leaving(now()))
+            assert set(board.endpoints_by_id) == set(site.workers)
+
+        run(scenario)
+
+
+class TestHosts:
+    """Several hosts."""
+
+    def test_they_find_each_other_and_one_gives_orders(self):
+        async def scenario(site):
+            boards = [router.blackboard for router in site.routers]
+            await until(
+                lambda: all(len(board.live_hosts()) == 3 for board in boards)
+            )
+            assert site.store.keys('keyed.hosts') == {'h0', 'h1', 'h2'}
+            for number in range(6):
+                status, _, body = await site.ask(
+                    '/once/x', f'r{number}', host=number % 3, headers=USAGE
+                )
+                assert (status, body) == (200, EVENTS)
+
+        run(scenario, hosts=3)
+
+    def test_surplus_prefill_engines_are_ordered_to_decode(self):
+        async def scenario(site):
+            worker = site.workers['d1']
+            worker.phase = 'prefill'
+            site.list_worker('d1')
+            await until(lambda: worker.orders or site.workers['p1'].orders)
+            (order,) = worker.orders or site.workers['p1'].orders
+            assert order['opcode'] == 'phase'
+            assert (order['phase'], order['holder']) == ('decode', 'h0')
+            assert order['fencing_token'] >= 1
+
+        run(scenario)
+
+    def test_a_draining_host_finishes_what_is_open(self):
+        async def scenario(site):
+            for name in ('d1', 'd2'):
+                site.workers[name].gap_s = 0.2
+            reading = asyncio.create_task(
+                site.ask('/once/x', 'r1', headers=USAGE)
+            )
+            engines = [site.workers[name] for name in ('d1', 'd2')]
+            await until(lambda: any(w.ran for w in engines))
+            draining = asyncio.create_task(site.routers[0].drain(0.05, 10.0))
+            status, _, body = await reading
+            assert (status, body) == (200, EVENTS)
+            assert await draining
+            assert not site.routers[0].is_ready()
+            status, headers, _ = await site.ask('/book/x', 'r2')
+            assert status == 503
+            assert headers['Connection'].lower() == 'close'
+
+        run(scenario)
--- /dev/null
+++ b/tests/test_relay_parts.py
@@ -0,0 +1,231 @@
+"""Tests of the small parts that relaying is made from."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardscale.configuration.route_index import RouteIndex, profile_of
+from mustardscale.configuration.routes import (
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteTarget,
+)
+from mustardscale.relay.endpoint_choice import choose_endpoint
+from mustardscale.relay.endpoint_health import EndpointHealth, HealthTable
+from mustardscale.relay.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from mustardscale.relay.relay_messages import RelayRequest
+from mustardscale.relay.retry_budget import (
+    USED_SHARE,
+    RetryAllowance,
+    RetryBudgets,
+)
+
+
+def route(prefix, kind=RequestKind.ONCE, name='', **fields):
+    fields.setdefault('timeout_s', 14.0)
+    fields.setdefault('target_latency_s', 0.9)
+    return Route(
+        name or prefix,
+        'shop.example',
+        prefix,
+        kind,
+        (RouteTarget('service'),),
+        **fields,
+    )
+
+
+class TestRoutes:
+    """Which route a request takes."""
+
+    INDEX = RouteIndex(
+        RouteTable(3, (route('/a/'), route('/a/b/'), route('/c/d/')))
+    )
+
+    @pytest.mark.parametrize(
+        ('path', 'prefix'),
+        [
+            ('/a/x', '/a/'),
+            ('/a/b/x', '/a/b/'),
+            ('/a/b/', '/a/b/'),
+            ('/a/bx', '/a/'),
+            ('/c/d/e/f', '/c/d/'),
+        ],
+    )
+    def test_the_longest_prefix_counts(self, path, prefix):
+        assert self.INDEX.find('Shop.Example', path).path_prefix == prefix
+
+    @pytest.mark.parametrize('path', ['/', '/c/', '/a', 'a/', '', '*'])
+    def test_others_match_nothing(self, path):
+        assert self.INDEX.find('shop.example', path) is None
+
+    def test_another_host_matches_nothing(self):
+        assert self.INDEX.find('else.example', '/a/x') is None
+
+    def test_streams_wait_no_longer_than_their_callers(self):
+        slow = route('/s/', RequestKind.STREAM, gap_s=0.3)
+        hurried = route(
+            '/h/', RequestKind.STREAM, gap_s=0.3, target_latency_s=0.1
+        )
+        assert 2.5 < profile_of(slow).patience_s < 4 * 0.9
+        assert profile_of(hurried).patience_s < 8 * 0.3
+
+
+class TestEventSplitter:
+    """Whole events out of a stream of bytes."""
+
+    @given(
+        st.lists(st.binary(min_size=1, max_size=9), max_size=12),
+        st.randoms(use_true_random=False),
+    )
+    def test_bytes_are_neither_lost_nor_changed(self, parts, rng):
+        events = [
+            b'id: %d\ndata: %s\n\n' % (number, part.hex().encode())
+            for number, part in enumerate(parts, start=1)
+        ]
+        stream = b''.join(events) + b'id: 99\nda'
+        splitter = EventSplitter()
+        out = b''
+        position = 0
+        while position < len(stream):
+            size = rng.randint(1, 7)
+            out += splitter.feed(stream[position : position + size])
+            position += size
+        assert out == b''.join(events)
+        assert splitter.partial == b'id: 99\nda'
+        assert splitter.events == len(events)
+        assert splitter.last_id == (str(len(events)) if events else '')
+
+    def test_the_id_of_a_partial_event_does_not_count(self):
+        splitter = EventSplitter()
+        splitter.feed(b'id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata')
+        assert splitter.last_id == '7'
+        splitter.drop_partial()
+        assert splitter.partial == b''
+
+    def test_an_endless_event_is_refused(self):
+        splitter = EventSplitter()
+        with pytest.raises(ValueError, match='too long'):
+            splitter.feed(b'x' * (MAX_EVENT_BYTES + 1))
+
+
+class TestRetryBudget:
+    """Arrivals beyond the first of each request."""
+
+    ALLOWANCE = RetryAllowance(ratio=0.2, slack=60.0, window_s=10.0)
+
+    @given(
+        st.integers(min_value=1, max_value=80),
+        st.lists(st.floats(0, 60), min_size=1, max_size=300),
+    )
+    def test_all_hosts_together_stay_within_the_rule(self, hosts, times):
+        budgets = [RetryBudgets(self.ALLOWANCE) for _ in range(hosts)]
+        requests, retries = [], []
+        for number, now in enumerate(sorted(times)):
+            budget = budgets[number % hosts]
+            budget.count_request('s', now)
+            requests.append(now)
+            while budget.take('s', hosts, now):
+                retries.append(now)
+        for end in times:
+            window = (end - 10.0, end)
+            asked = sum(window[0] <= t <= window[1] for t in requests)
+            extra = sum(window[0] <= t <= window[1] for t in retries)
+            assert extra <= 0.2 * asked + 60.0
+
+    def test_a_refused_arrival_counts_too(self):
+        budgets = RetryBudgets(self.ALLOWANCE)
+        budgets.count_retry('s', 0.0)
+        assert budgets.left('s', 1, 0.0) == USED_SHARE * 60.0 - 1
+        assert budgets.left('s', 1, 11.0) == USED_SHARE * 60.0
+
+    def test_services_are_apart(self):
+        budgets = RetryBudgets(RetryAllowance(0.0, 2.0, 10.0))
+        assert budgets.take('a', 1, 0.0)
+        assert not budgets.take('a', 1, 0.0)
+        assert budgets.take('b', 1, 0.0)
+
+
+class TestEndpointChoice:
+    """Which endpoint of a plain service gets a call."""
+
+    NAMES = ('a', 'b', 'c')
+
+    def chosen(self, table, now=10.0, excluded=(), draws=200):
+        rng = random.Random(1)
+        return {
+            choose_endpoint(table.by_id, self.NAMES, excluded, now, rng)
+            for _ in range(draws)
+        }
+
+    def test_equal_ones_share(self):
+        assert self.chosen(HealthTable()) == {'a', 'b', 'c'}
+
+    def test_excluded_ones_are_left_out(self):
+        assert self.chosen(HealthTable(), excluded=('a', 'b')) == {'c'}
+        assert self.chosen(HealthTable(), excluded=self.NAMES) == {None}
+
+    def test_a_slow_one_gets_nothing_until_it_is_forgotten(self):
+        table = HealthTable()
+        for name in self.NAMES:
+            for _ in range(20):
+                table.of(name).answered(0.5 if name == 'b' else 0.06, 10.0)
+        assert self.chosen(table) == {'a', 'c'}
+        assert 'b' in self.chosen(table, now=60.0)
+
+    def test_a_failing_one_rests_and_is_tried_again(self):
+        table = HealthTable()
+        for name in self.NAMES:
+            table.of(name).answered(0.06, 9.0)
+        table.of('a').failed(9.9)
+        table.of('a').failed(10.0)
+        assert 'a' not in self.chosen(table, now=10.5)
+        assert 'a' in self.chosen(table, now=60.0)
+
+    def test_an_unreachable_one_rests_at_once(self):
+        health = EndpointHealth()
+        health.unreachable(10.0)
+        assert health.rests_until > 10.0
+
+    def test_one_that_keeps_calls_without_an_answer_is_left_alone(self):
+        table = HealthTable()
+        for name in self.NAMES:
+            table.of(name).answered(0.06, 9.0)
+        table.of('a').begin('r1', 9.0)
+        assert self.chosen(table, now=10.0) == {'b', 'c'}
+
+    def test_resting_ones_are_better_than_none(self):
+        table = HealthTable()
+        for name in self.NAMES:
+            table.of(name).unreachable(10.0)
+        assert self.chosen(table, now=10.1) <= set(self.NAMES)
+        assert None not in self.chosen(table, now=10.1)
+
+
+class TestFingerprint:
+    """What a request that comes again is known by."""
+
+    @staticmethod
+    def request(request_id='r', target='/a?b', body=b'x'):
+        return RelayRequest(request_id, 'h', 'POST', target, (), body, 0.0)
+
+    def test_the_id_does_not_count(self):
+        again = self.request('other').fingerprint()
+        assert self.request().fingerprint() == again
+
+    def test_content_counts(self):
+        prints = {
+            self.request().fingerprint(),
+            self.request(body=b'y').fingerprint(),
+            self.request(target='/a?c').fingerprint(),
+        }
+        assert len(prints) == 3
+
+
+def test_a_loop_is_not_needed_for_decisions():
+    with pytest.raises(RuntimeError):
+        asyncio.get_running_loop()
+    assert choose_endpoint({}, ('a',), (), 0.0, random.Random(1)) == 'a'
--- /dev/null
+++ b/tests/test_stream_relay.py
@@ -0,0 +1,267 @@
+"""Tests of relaying to engines."""
+
+import asyncio
+
+import pytest
+
+from mustardscale.configuration.routes import RequestKind
+from mustardscale.endpoints.engines import StreamStage
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
+from mustardscale.relay.stream_relay import StreamRelay
+from tests.relay_fakes import (
+    SERVICE,
+    STREAM,
+    Bench,
+    FakeAdmission,
+    FakeAnswer,
+    event,
+    request_of,
+    route_of,
+)
+from tests.virtual_time import virtual_time
+
+RESUMABLE = RequestKind.RESUMABLE
+LOST = EndpointFailedError('reset', crashed=True)
+FULL = EndpointRefusedError('full')
+
+
+class Scene(Bench):
+    """Engines and an admission that grants them as told."""
+
+    def __init__(self, *grants, slack=50.0):
+        super().__init__(engines=('p', 'q', 'd', 'e'), slack=slack)
+        self.admission = FakeAdmission(grants)
+        self.relay = StreamRelay(self.context, self.admission)
+
+    async def read(self, kind=STREAM, request=None, **fields):
+        """Returns the bytes of an answer that becomes whole."""
+        request = request or request_of()
+        route = route_of(kind, **fields)
+        async with self.relay.serve(request, route, SERVICE) as stream:
+            return b''.join([part async for part in stream.events()])
+
+    async def fail(self, **fields):
+        with pytest.raises(OutcomeError) as info:
+            await self.read(**fields)
+        return info.value.outcome
+
+
+class TestOneAttempt:
+    """A stream that goes well."""
+
+    @virtual_time
+    async def test_prefill_then_run_with_its_result(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('d').run_script = [[event(1)[:5], event(1)[5:]]]
+        assert await scene.read() == event(1)
+        (call,) = scene.endpoint('d').runs
+        assert (call.prefill.source, call.prefill.key) == ('p:1', 'key')
+        assert scene.admission.releases == [(1, Outcome.COMPLETE, True)]
+        assert scene.admission.stages == [
+            StreamStage.TRANSFER,
+            StreamStage.DECODE,
+        ]
+        assert scene.endpoint('p').freed == []
+        assert scene.board.served_by_id == {}
+
+    @virtual_time
+    async def test_a_decode_engine_may_read_the_prompt_itself(self):
+        scene = Scene(('d', 'd'))
+        scene.endpoint('d').run_script = [[event(1)]]
+        assert await scene.read() == event(1)
+        assert scene.endpoint('d').runs[0].prefill is None
+        assert scene.endpoint('d').prefills == []
+
+    @virtual_time
+    async def test_tokens_are_counted_for_the_owner(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('d').run_script = [[event(1) + event(2), event(3)]]
+        route = route_of(STREAM)
+        async with scene.relay.serve(request_of(), route, SERVICE) as stream:
+            async for _ in stream.events():
+                pass
+            assert stream.served.held_stream().emitted == 30
+
+    @virtual_time
+    async def test_a_refusal_of_the_owner_is_passed_on(self):
+        refusal = OutcomeError(Outcome.POOL_SATURATED, retry_after_s=2.0)
+        scene = Scene(refusal)
+        assert await scene.fail() is Outcome.POOL_SATURATED
+
+
+class TestPrefill:
+    """Prefills that fail; they may always be repeated."""
+
+    @virtual_time
+    async def test_a_lost_one_is_repeated_elsewhere(self):
+        scene = Scene(('p', 'd'), ('q', 'd'))
+        scene.endpoint('p').prefill_script = [LOST]
+        scene.endpoint('d').run_script = [[event(1)]]
+        assert await scene.read() == event(1)
+        assert scene.admission.asked[1][1] == ('p',)
+
+    @virtual_time
+    async def test_a_mute_engine_is_given_up_soon(self):
+        scene = Scene(('p', 'd'), ('q', 'd'))
+        scene.endpoint('p').prefill_script = [60.0]
+        scene.endpoint('d').run_script = [[event(1)]]
+        began = asyncio.get_running_loop().time()
+        assert await scene.read() == event(1)
+        assert asyncio.get_running_loop().time() - began < 0.9
+
+    @virtual_time
+    async def test_the_first_accepted_one_is_free_and_others_are_not(self):
+        scene = Scene(('p', 'd'), ('q', 'd'), slack=0.0)
+        scene.endpoint('p').prefill_script = [FULL]
+        found = await scene.fail()
+        assert found is Outcome.RETRY_BUDGET_SPENT
+        assert outcome_class(found) is OutcomeClass.NOT_RUN
+        left = scene.context.budgets.left('service', 1, 0.0)
+        assert left == -1
+
+    @virtual_time
+    async def test_a_result_that_nobody_fetches_is_freed(self):
+        scene = Scene(
+            ('p', 'd'), OutcomeError(Outcome.POOL_SATURATED, retry_after_s=1.0)
+        )
+        scene.endpoint('d').run_script = [FULL]
+        assert await scene.fail() is Outcome.POOL_SATURATED
+        await asyncio.sleep(0.1)
+        assert len(scene.endpoint('p').freed) == 1
+
+    @virtual_time
+    async def test_a_result_is_used_at_another_engine(self):
+        scene = Scene(('p', 'd'), ('p', 'e'))
+        scene.endpoint('d').run_script = [FULL]
+        scene.endpoint('e').run_script = [[event(1)]]
+        assert await scene.read() == event(1)
+        assert len(scene.endpoint('p').prefills) == 1
+
+
+class TestAtMostOnce:
+    """Streams that may not be resumed."""
+
+    @virtual_time
+    async def test_nothing_is_sent_again_once_a_run_may_have_begun(self):
+        scene = Scene(('p', 'd'), ('p', 'e'))
+        scene.endpoint('d').run_script = [LOST]
+        assert await scene.fail(max_attempts=3) is Outcome.ANSWER_LOST
+        assert len(scene.admission.asked) == 1
+
+    @virtual_time
+    async def test_a_stream_that_breaks_off_does_not_end_as_whole(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('d').run_script = [[event(1), event(2)[:4], LOST]]
+        got = b''
+        with pytest.raises(OutcomeError) as info:
+            async with scene.relay.serve(
+                request_of(), route_of(STREAM), SERVICE
+            ) as stream:
+                async for part in stream.events():
+                    got += part
+        assert info.value.outcome is Outcome.ENDPOINT_FAILED
+        assert got == event(1)
+
+    @virtual_time
+    async def test_a_refused_run_may_go_elsewhere(self):
+        scene = Scene(('p', 'd'), ('p', 'e'))
+        scene.endpoint('d').run_script = [EndpointUnreachableError('no')]
+        scene.endpoint('e').run_script = [[event(1)]]
+        assert await scene.read() == event(1)
+
+    @virtual_time
+    async def test_a_second_send_of_an_id_in_progress_is_refused(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('d').run_script = [FakeAnswer([event(1)], gap_s=1.0)]
+        reading = asyncio.create_task(scene.read())
+        await asyncio.sleep(0.5)
+        assert await scene.fail() is Outcome.ALREADY_IN_PROGRESS
+        assert await reading == event(1)
+
+
+class TestResuming:
+    """Streams that go on at another engine."""
+
+    @virtual_time
+    async def test_it_goes_on_after_the_last_whole_event(self):
+        scene = Scene(('p', 'd'), ('q', 'e'))
+        first = FakeAnswer([event(1), event(2) + event(3)[:6], LOST])
+        scene.endpoint('d').run_script = [first]
+        scene.endpoint('e').run_script = [[event(3), event(4)]]
+        got = await scene.read(kind=RESUMABLE, max_attempts=2)
+        assert got == b''.join(map(event, range(1, 5)))
+        (call,) = scene.endpoint('e').runs
+        assert call.resume_after == '2'
+        assert scene.admission.asked[1][2] == 1_020
+        assert first.closed
+
+    @virtual_time
+    async def test_no_further_than_the_route_allows(self):
+        scene = Scene(('p', 'd'), ('q', 'e'))
+        scene.endpoint('d').run_script = [[event(1), LOST]]
+        scene.endpoint('e').run_script = [[event(2), LOST]]
+        found = await scene.fail(kind=RESUMABLE, max_attempts=2)
+        assert found is Outcome.ENDPOINT_FAILED
+
+    @virtual_time
+    async def test_the_callers_own_position_is_passed_on(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('d').run_script = [[event(6)]]
+        request = request_of(resume_after='5')
+        assert await scene.read(kind=RESUMABLE, request=request) == event(6)
+        assert scene.endpoint('d').runs[0].resume_after == '5'
+
+
+class TestLeaving:
+    """The caller leaves, or its time is over."""
+
+    @virtual_time
+    async def test_leaving_closes_the_run_and_frees_the_place(self):
+        scene = Scene(('p', 'd'))
+        answer = FakeAnswer([event(1), event(2)], gap_s=1.0)
+        scene.endpoint('d').run_script = [answer]
+        reading = asyncio.create_task(scene.read())
+        await asyncio.sleep(1.5)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        assert answer.closed
+        assert scene.admission.releases == [(1, Outcome.CALLER_LEFT, False)]
+
+    @virtual_time
+    async def test_the_deadline_ends_a_stream(self):
+        scene = Scene(('p', 'd'))
+        answer = FakeAnswer([event(1), event(2)], gap_s=9.0)
+        scene.endpoint('d').run_script = [answer]
+        found = await scene.fail(timeout_s=10.0)
+        assert found is Outcome.DEADLINE_EXCEEDED
+        assert answer.closed
+
+    @virtual_time
+    async def test_a_deadline_before_any_run_says_not_run(self):
+        scene = Scene(('p', 'd'))
+        scene.endpoint('p').prefill_script = [60.0]
+        request = request_of(timeout_s=0.2)
+        found = await scene.fail(request=request)
+        assert found is Outcome.DEADLINE_IN_QUEUE
+
+
+class TestCrashes:
+    """Engines that crash."""
+
+    @virtual_time
+    async def test_the_owner_hears_of_a_crash_only_if_the_engine_is_gone(self):
+        for alive, told in (
+            (True, Outcome.ATTEMPTS_EXHAUSTED),
+            (False, Outcome.ENDPOINT_FAILED),
+        ):
+            scene = Scene(('p', 'd'))
+            scene.endpoint('d').run_script = [LOST]
+            scene.endpoint('d').alive = alive
+            await scene.fail()
+            assert scene.admission.releases[0] == (1, told, False)
--- /dev/null
+++ b/tests/test_worst_load.py
@@ -0,0 +1,304 @@
+"""The worst load replayed: what waits, what is turned away, what is placed.
+
+Sizes and rates are those of the users' sheets: five engines of which one
+prefills, prompts of 5,200 tokens, answers of 5,000 told as at most 9,360, and
+bursts of several times the usual rate.
+"""
+
+import dataclasses
+import random
+
+import pytest
+
+from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import (
+    EngineRole,
+    LoadReport,
+    StreamStage,
+    StreamTag,
+)
+from mustardscale.outcomes import Outcome
+from mustardscale.peers.peer_messages import AdmitRequest, Release
+from mustardscale.policy.base import (
+    EngineState,
+    Grant,
+    PoolState,
+    Refusal,
+    WaitingRequest,
+)
+from mustardscale.policy.engine_books import EngineBooks
+from mustardscale.policy.prefill_timeline import LOST_AFTER_S
+from mustardscale.policy.reserving import ReservingPolicy
+from mustardscale.pools.owned_pool import reservation_of
+
+ROUTE = Profile(
+    first_token_s=0.9,
+    per_token_s=1.0,
+    patience_s=3.1,
+    max_prompt_tokens=1_000_000,
+    max_output_tokens=1_000_000,
+)
+MEMORY_TOKENS = 107_368
+BLOCK_TOKENS = 16
+STEP_S = 0.0007
+PREFILL_RATE = 55_555.0
+OWN_RATE = PREFILL_RATE / 2
+TICK_S = 0.02
+
+
+def report(role):
+    total = MEMORY_TOKENS // BLOCK_TOKENS
+    return LoadReport(
+        role=role,
+        model='m',
+        model_version='1',
+        pieces_total=total,
+        pieces_free=total,
+        active=0,
+        queued_tokens=0,
+        prefill_tokens_per_s=0.0,
+        step_s=0.0,
+        age_s=0.9,
+        leaving=False,
+        start=1,
+        order_term=None,
+        link_bytes_per_s=5.5e11,
+        piece_tokens=BLOCK_TOKENS,
+        kv_bytes_per_token=131_072,
+        reads_prompts=True,
+        drains_itself=True,
+    )
+
+
+@dataclasses.dataclass
+class Asked:
+    """A request of the replay.
+
+    Attributes:
+        at: when it comes, seconds.
+        prompt: tokens of the prompt.
+        output: tokens that the answer will have.
+        hint: the caller's guess of them.
+    """
+
+    at: float
+    prompt: int
+    output: int
+    hint: int
+
+
+def arrivals(rng, seconds, rate_at):
+    """Returns the requests of a replay, drawn as the users' sheets say."""
+    asked, now = [], 0.0
+    while now < seconds:
+        now += rng.expovariate(rate_at(now))
+        prompt = min(11_000, int(rng.lognormvariate(8.43, 0.48))) + 200
+        output = min(9_360, int(rng.lognormvariate(8.43, 0.45)))
+        hint = int(output * rng.lognormvariate(0.0, 0.48))
+        asked.append(Asked(now, prompt, output, hint))
+    return asked
+
+
+class Floor:
+    """Engines that serve as the policy decides, in steps of TICK_S."""
+
+    def __init__(self, prefills=1, decodes=4, lost=()):
+        self.policy = ReservingPolicy(random.Random(1))
+        self.pool = PoolState('pool')
+        self.pool.profile_by_service = {'route': ROUTE}
+        names = [(f'p{n}', EngineRole.PREFILL) for n in range(prefills)]
+        names += [(f'd{n}', EngineRole.DECODE) for n in range(decodes)]
+        for name, role in names:
+            engine = EngineState(name, role, 'dc', report=report(role))
+            self.pool.engines_by_id[name] = engine
+            self.policy.observe_report(self.pool, engine, engine.report, 0.0)
+        self.pool.follow_pieces()
+        # Requests whose prefill is never known to be done.
+        self.lost = set(lost)
+        self.asked_by_id = {}
+        self.free_at = dict.fromkeys(self.pool.engines_by_id, 0.0)
+        self.starts = {}
+        self.first_s = {}
+        self.refused = {}
+        self.overfull = 0
+
+    def run(self, asked, seconds):
+        """Plays the arrivals and the time after them."""
+        pending = sorted(asked, key=lambda item: item.at)
+        now = 0.0
+        while now < seconds:
+            while pending and pending[0].at <= now:
+                self._arrive(pending.pop(0), now)
+            self._advance(now)
+            for decision in self.policy.decide(self.pool, now):
+                self._carry_out(decision, now)
+            now += TICK_S
+
+    def _arrive(self, item, now):
+        name = f'r{len(self.asked_by_id)}'
+        self.asked_by_id[name] = item
+        request = AdmitRequest(
+            pool='pool',
+            tag=StreamTag(name, 1, 'host', 1),
+            service='route',
+            prompt_tokens=item.prompt,
+            block_hashes=(),
+            fingerprint=1,
+            max_tokens=9_360,
+            first_token_s=ROUTE.first_token_s,
+            deadline_s=14.0,
+            hint_tokens=item.hint,
+        )
+        self.pool.waiting_by_request_id[name] = WaitingRequest(
+            request, now, now + ROUTE.first_token_s, now + 14.0
+        )
+
+    def _carry_out(self, decision, now):
+        name = decision.request_id
+        item = self.pool.waiting_by_request_id.pop(name)
+        if isinstance(decision, Refusal):
+            self.refused[name] = decision
+            return
+        held = reservation_of(item, decision, now)
+        self.pool.reservations_by_request_id[name] = held
+        self.policy.observe_grant(self.pool, held, now)
+        own = decision.prefill == decision.decode
+        rate = OWN_RATE if own else PREFILL_RATE
+        begins = max(now, self.free_at[decision.prefill])
+        done = begins + self.asked_by_id[name].prompt / rate
+        self.free_at[decision.prefill] = done
+        self.starts[name] = done + 0.02
+
+    def _advance(self, now):
+        held_by_id = self.pool.reservations_by_request_id
+        used = dict.fromkeys(self.pool.engines_by_id, 0)
+        for name, held in list(held_by_id.items()):
+            if name in self.lost or now < self.starts[name]:
+                continue
+            item = self.asked_by_id[name]
+            stream = held.stream
+            if stream.stage is not StreamStage.DECODE:
+                for stage in (StreamStage.TRANSFER, StreamStage.DECODE):
+                    held.stream = stream = dataclasses.replace(
+                        stream, stage=stage
+                    )
+                    self.policy.observe_stage(self.pool, held, stage, now)
+                self.first_s[name] = now - item.at
+            emitted = int((now - self.starts[name]) / STEP_S)
+            held.stream = dataclasses.replace(stream, emitted=emitted)
+            held.renewed_at = now
+            held_by_id[name] = held
+            used[stream.decode] += item.prompt + min(emitted, item.output)
+            if emitted >= item.output:
+                del held_by_id[name]
+                release = Release(
+                    'pool', stream.tag, Outcome.COMPLETE, 0, item.output, True
+                )
+                self.policy.observe_release(self.pool, held, release, now)
+        self.overfull += sum(tokens > MEMORY_TOKENS for tokens in used.values())
+
+    def on_time(self):
+        """Returns the share of requests whose first token was on time."""
+        good = sum(seconds <= 0.9 for seconds in self.first_s.values())
+        return good / len(self.asked_by_id)
+
+
+def burst(now):
+    return 10.0 if 5.0 <= now < 10.0 else 5.2
+
+
+class TestWaiting:
+    """How work waits in a burst."""
+
+    @pytest.mark.parametrize('seed', range(3))
+    def test_a_burst_of_twice_the_rate_is_served_on_time(self, seed):
+        floor = Floor()
+        floor.run(arrivals(random.Random(seed), 20.0, burst), 30.0)
+        assert floor.on_time() >= 0.9
+        assert not floor.refused
+
+    def test_nobody_is_kept_beyond_the_time_that_callers_stay(self):
+        floor = Floor(decodes=1)
+        floor.run(arrivals(random.Random(1), 12.0, lambda _: 12.0), 20.0)
+        assert floor.refused
+        assert max(floor.first_s.values()) <= ROUTE.patience_s + 0.6
+
+    def test_a_prefill_that_is_never_done_does_not_block_the_engine(self):
+        floor = Floor(lost={f'r{number}' for number in range(6)})
+        asked = arrivals(random.Random(2), 12.0, lambda _: 4.0)
+        floor.run(asked, 16.0)
+        later = [
+            name
+            for name, item in floor.asked_by_id.items()
+            if item.at > 3.0 + LOST_AFTER_S
+        ]
+        served = [name for name in later if floor.first_s.get(name, 9) <= 0.9]
+        assert len(served) >= 0.8 * len(later)
+
+
+class TestTurningAway:
+    """What is refused, and when it is told to come back."""
+
+    def test_a_refusal_names_a_time_and_a_cause(self):
+        floor = Floor(decodes=1)
+        floor.run(arrivals(random.Random(3), 10.0, lambda _: 14.0), 14.0)
+        for refusal in floor.refused.values():
+            assert refusal.outcome is Outcome.POOL_SATURATED
+            assert 0.4 <= refusal.retry_after_s <= 30.0
+
+    def test_no_engine_at_all_is_refused_at_once(self):
+        floor = Floor(prefills=1, decodes=0)
+        floor.run([Asked(0.0, 5_200, 5_000, 5_000)], 0.1)
+        assert floor.refused['r0'].outcome is Outcome.NO_ENDPOINT
+
+
+class TestPlacing:
+    """Where work is placed."""
+
+    @pytest.mark.parametrize('seed', range(3))
+    def test_memory_is_overbooked_but_does_not_run_out(self, seed):
+        floor = Floor()
+        rng = random.Random(seed)
+        floor.run(arrivals(rng, 25.0, lambda _: 9.0), 32.0)
+        looks = 32.0 / TICK_S * 4
+        assert floor.overfull <= ROUTE.overbook_probability * looks
+        most_by_longest = 4 * MEMORY_TOKENS / (5_200 + 9_360)
+        busiest = len(floor.first_s) * 3.6 / 28.0
+        assert busiest > 0.8 * most_by_longest
+
+    def test_guesses_keep_memory_from_running_out_before_lengths_are_known(
+        self,
+    ):
+        def overfull(hint):
+            floor = Floor()
+            long = [Asked(0.1 * n, 5_000, 6_000, hint) for n in range(80)]
+            floor.run(long, 16.0)
+            return floor.overfull
+
+        assert overfull(6_000) == 0
+        assert overfull(0) > 0
+
+    def test_decode_engines_read_prompts_where_no_prefill_engine_is(self):
+        floor = Floor(prefills=0, decodes=4)
+        floor.run(arrivals(random.Random(4), 10.0, lambda _: 3.0), 15.0)
+        assert not floor.refused
+        assert floor.on_time() >= 0.9
+
+    def test_an_excluded_prefill_engine_is_not_waited_for(self):
+        floor = Floor()
+        floor._arrive(Asked(0.0, 5_000, 1_000, 1_000), 0.0)
+        waiting = floor.pool.waiting_by_request_id
+        item = waiting['r0']
+        waiting['r0'] = dataclasses.replace(
+            item,
+            request=dataclasses.replace(item.request, excluded=('p0',)),
+        )
+        (grant,) = floor.policy.decide(floor.pool, 0.0)
+        assert isinstance(grant, Grant)
+        assert grant.prefill == grant.decode
+
+    def test_the_rate_of_a_silent_engine_is_learnt(self):
+        floor = Floor()
+        floor.run(arrivals(random.Random(5), 10.0, lambda _: 4.0), 12.0)
+        books: EngineBooks = floor.policy._books
+        assert 0.5 * PREFILL_RATE < books.rate('p0') < 1.5 * PREFILL_RATE
