--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -185,6 +185,20 @@
         assert await reading == event(1)
 
 
+class TestTruth:
+    """Refusals after a run."""
+
+    @virtual_time
+    async def test_an_owner_that_refuses_a_second_run_does_not_say_not_run(
+        self,
+    ):
+        refusal = OutcomeError(Outcome.NO_ENDPOINT, retry_after_s=1.0)
+        scene = Scene(('p', 'd'), refusal)
+        scene.endpoint('d').run_script = [LOST]
+        found = await scene.fail(kind=RESUMABLE, max_attempts=2)
+        assert found is Outcome.ATTEMPTS_EXHAUSTED
+
+
 class TestResuming:
     """Streams that go on at another engine."""
 
