--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -27,6 +27,9 @@
     TraceSink,
 )
 
+# Engines in one pool at most, unless a host is told otherwise.
+MAX_POOL_ENGINES = 8
+
 
 class Signal:
     """Wakes the tasks that wait for a change."""
@@ -297,6 +300,7 @@
         region: this host's region.
         address: 'ip:port' at which peers reach this host, '' where only the
             host list tells it.
+        pool_engines: engines in one pool at most.
         draining: whether this host is shutting down.
         config: the folded configuration.
         orders: the folded orders stream.
@@ -331,6 +335,7 @@
         'incarnation',
         'membership_changed',
         'orders',
+        'pool_engines',
         'quorum_at',
         'quorum_gap_at',
         'region',
@@ -347,6 +352,7 @@
         self.data_centre = data_centre
         self.region = region
         self.address = ''
+        self.pool_engines = MAX_POOL_ENGINES
         self.draining = False
         self.config = ConfigState()
         self.orders = OrderState()
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -42,11 +42,23 @@
         client: KeyedLogClient,
         stream: str,
         rng: random.Random,
+        pause_s: float = 0.0,
     ):
+        """Prepares to follow.
+
+        Args:
+            blackboard: where events are told.
+            client: reads the stream.
+            stream: its name.
+            rng: spreads what hosts do alike.
+            pause_s: seconds between two reads that found something, so that
+                many changes at once are read together.
+        """
         self._blackboard = blackboard
         self._client = client
         self._stream = stream
         self._rng = rng
+        self._pause_s = pause_s
         self._offset_by_key: dict[str, int] = {}
         self._whole = False
         self._lost_at: float | None = None
@@ -93,6 +105,8 @@
         self._note_read()
         if self._merge(page):
             self.changed.notify()
+            if self._pause_s:
+                await pause(self._pause_s, self._rng)
 
     def _merge(self, page: KeyedPage) -> bool:
         """Takes the records that are newer than what is known."""
--- a/mustardscale/orders/order_reports.py
+++ b/mustardscale/orders/order_reports.py
@@ -12,7 +12,7 @@
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.orders.order_views import OrderMemory
 from mustardscale.pools.engine_drain import EngineDrains, holds_nothing
-from mustardscale.pools.pool_members import divide_pools
+from mustardscale.pools.pool_members import pools_of
 
 # Interval of reports from an engine, seconds.
 IDLE_INTERVAL_S = 5.0
@@ -48,7 +48,7 @@
     def poll(self, memory: OrderMemory) -> None:
         """Begins to read the reports that are due."""
         board = self._blackboard
-        pools = divide_pools(board.endpoints_by_id.values(), board.region)
+        pools = pools_of(board)
         self.pool_by_engine = {
             engine: pool.id
             for pool in pools.values()
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -51,6 +51,9 @@
 CLOSE_TIMEOUT_S = 0.5
 # Interval at which the settings file is compared, seconds.
 SETTINGS_CHECK_S = 1.0
+# Time between two reads of the entry hosts' own entries, seconds: heartbeats
+# tell of new hosts sooner, and all hosts start together.
+HOSTS_PAUSE_S = 2.0
 # Interval at which a change of readiness is looked for, seconds.
 READINESS_CHECK_S = 0.25
 
@@ -193,13 +196,14 @@
     )
     board.address = settings.peers_listen
     board.events = events
+    board.pool_engines = settings.pool_engines
     connector.follow(board)
     tails = {
-        topic: KeyedTail(board, client, topic, rng)
-        for topic in (
-            names.OPERATOR_TOPIC,
-            names.WORKERS_TOPIC,
-            names.HOSTS_TOPIC,
+        topic: KeyedTail(board, client, topic, rng, pause_s)
+        for topic, pause_s in (
+            (names.OPERATOR_TOPIC, 0.0),
+            (names.WORKERS_TOPIC, 0.0),
+            (names.HOSTS_TOPIC, HOSTS_PAUSE_S),
         )
     }
     edges = RelayEdges(
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -29,7 +29,7 @@
     Progress,
     Release,
 )
-from mustardscale.pools.pool_members import PoolMembers, divide_pools
+from mustardscale.pools.pool_members import PoolMembers, pools_of
 
 log = logging.getLogger(__name__)
 
@@ -72,9 +72,7 @@
     def follow_membership(self) -> None:
         """Notes a change of hosts or endpoints."""
         board = self._blackboard
-        self._pools_by_id = divide_pools(
-            board.endpoints_by_id.values(), board.region
-        )
+        self._pools_by_id = pools_of(board)
         hosts = board.serving_hosts()
         owner_by_pool = {
             pool_id: owner(pool_id, hosts) for pool_id in self._pools_by_id
--- a/mustardscale/pools/pool_members.py
+++ b/mustardscale/pools/pool_members.py
@@ -6,13 +6,14 @@
 import dataclasses
 from collections.abc import Iterable
 
-from mustardscale.blackboard import EndpointEntry
+from mustardscale.blackboard import (
+    MAX_POOL_ENGINES,
+    Blackboard,
+    EndpointEntry,
+)
 from mustardscale.endpoints.engines import EngineRole
 from mustardscale.hosts.host_list import ListedKind
 
-# Engines in one pool at most, unless a data centre lacks a role.
-MAX_POOL_ENGINES = 8
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolMembers:
@@ -31,18 +32,27 @@
     engine_ids: tuple[str, ...]
 
 
+def pools_of(board: Blackboard) -> dict[str, PoolMembers]:
+    """Divides the engines that a host knows in its region into pools."""
+    return divide_pools(
+        board.endpoints_by_id.values(), board.region, board.pool_engines
+    )
+
+
 def divide_pools(
-    endpoints: Iterable[EndpointEntry], region: str
+    endpoints: Iterable[EndpointEntry],
+    region: str,
+    most: int = MAX_POOL_ENGINES,
 ) -> dict[str, PoolMembers]:
     """Divides a region's engines into pools.
 
     A model with few engines forms one pool over the region. A larger one is
-    cut by data centre and then into parts of at most MAX_POOL_ENGINES, each
-    with engines of both roles.
+    cut by data centre and then into parts, each with engines of both roles.
 
     Args:
         endpoints: endpoints of any kind and region.
         region: the region whose engines are divided.
+        most: engines in a pool at most, unless a data centre lacks a role.
 
     Returns:
         The pools by id.
@@ -56,16 +66,16 @@
             engines_by_model[endpoint.model].append(endpoint)
     pools: dict[str, PoolMembers] = {}
     for model, engines in sorted(engines_by_model.items()):
-        for pool in _divide_model(model, engines, region):
+        for pool in _divide_model(model, engines, region, most):
             pools[pool.id] = pool
     return pools
 
 
 def _divide_model(
-    model: str, engines: list[EndpointEntry], region: str
+    model: str, engines: list[EndpointEntry], region: str, most: int
 ) -> list[PoolMembers]:
     engines = sorted(engines, key=lambda engine: engine.id)
-    if len(engines) <= MAX_POOL_ENGINES:
+    if len(engines) <= most:
         return [_pool(model, region, '', 0, engines)]
     by_data_centre: dict[str, list[EndpointEntry]] = collections.defaultdict(
         list
@@ -73,10 +83,10 @@
     for engine in engines:
         by_data_centre[engine.data_centre].append(engine)
     if not all(_has_both_roles(group) for group in by_data_centre.values()):
-        return _cut(model, region, '', engines)
+        return _cut(model, region, '', engines, most)
     pools = []
     for data_centre, group in sorted(by_data_centre.items()):
-        pools += _cut(model, region, data_centre, group)
+        pools += _cut(model, region, data_centre, group, most)
     return pools
 
 
@@ -86,12 +96,16 @@
 
 
 def _cut(
-    model: str, region: str, data_centre: str, engines: list[EndpointEntry]
+    model: str,
+    region: str,
+    data_centre: str,
+    engines: list[EndpointEntry],
+    most: int,
 ) -> list[PoolMembers]:
     """Cuts a group into parts and deals each role over all of them."""
     prefills = [e for e in engines if e.role is EngineRole.PREFILL]
     decodes = [e for e in engines if e.role is not EngineRole.PREFILL]
-    parts = -(-len(engines) // MAX_POOL_ENGINES)
+    parts = -(-len(engines) // most)
     parts = max(1, min(parts, len(prefills), len(decodes)))
     return [
         _pool(
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -45,7 +45,7 @@
     working_engine,
     working_on,
 )
-from mustardscale.pools.pool_members import PoolMembers, divide_pools
+from mustardscale.pools.pool_members import PoolMembers, pools_of
 from mustardscale.pools.quarantine import Suspicions
 from mustardscale.pools.recorded_policy import RecordedPolicy
 from mustardscale.reporting.event_log import EventKind
@@ -127,7 +127,7 @@
     def follow_membership(self) -> None:
         """Takes and gives up pools as hosts and endpoints come and go."""
         board = self._blackboard
-        pools = divide_pools(board.endpoints_by_id.values(), board.region)
+        pools = pools_of(board)
         hosts = board.serving_hosts()
         for pool_id, members in pools.items():
             if owner(pool_id, hosts) == board.host:
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -57,6 +57,11 @@
     prefill_share: float = setting(
         Share(), "Share of a model's engines that prefill.", 0.2
     )
+    pool_engines: int = setting(
+        Count(minimum=2),
+        'Engines that one host admits requests to at most.',
+        32,
+    )
     retry_ratio: float = setting(
         Share(), 'Retries of a service as a share of its requests.', 0.2
     )
