--- a/mustardscale/controller.py
+++ b/mustardscale/controller.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Iterable
 
 from mustardscale.outcomes import Outcome
 
@@ -39,6 +40,28 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
 
+class RunningControllers:
+    """Controllers that work side by side until they are stopped."""
+
+    __slots__ = ('_tasks',)
+
+    def __init__(self):
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, controllers: Iterable[Controller]) -> None:
+        """Starts controllers; each is kept running."""
+        self._tasks += [
+            asyncio.create_task(keep_running(controller))
+            for controller in controllers
+        ]
+
+    async def stop(self) -> None:
+        """Stops all of them and waits for their end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
 async def pause(interval_s: float, rng: random.Random) -> None:
     """Sleeps for an interval, spread by JITTER_SHARE."""
     await asyncio.sleep(spread(interval_s, rng))
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -20,7 +20,7 @@
     RouteReporter,
 )
 from mustardscale.configuration.routes import Route, ServiceSpec
-from mustardscale.controller import Controller, keep_running
+from mustardscale.controller import Controller, RunningControllers
 from mustardscale.exceptions import OutcomeError
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.host_list_copy import HostListCopy
@@ -89,7 +89,7 @@
         self.active = ActiveRequests()
         self._edges = edges
         self._rng = rng
-        self._tasks: list[asyncio.Task[None]] = []
+        self._running = RunningControllers()
         self._calls = calls = PeerCalls(board, edges.transport)
         self._clients = clients = RelayClients(board, edges.connector)
         self._budgets = RetryBudgets(options.allowance)
@@ -166,10 +166,7 @@
     async def start(self) -> None:
         """Starts to answer peers and starts the controllers."""
         await self._edges.transport.start(self._calls.dispatch)
-        self._tasks = [
-            asyncio.create_task(keep_running(controller))
-            for controller in self._controllers
-        ]
+        self._running.start(self._controllers)
 
     async def drain(self, notice_s: float, timeout_s: float) -> bool:
         """Stops taking requests and waits for those in progress.
@@ -200,9 +197,7 @@
 
     async def stop(self) -> None:
         """Stops at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._running.stop()
         await self._edges.transport.close()
         await self._clients.close()
         await self._edges.log.close()
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -26,7 +26,7 @@
     ConfigPeerController,
     SnapshotController,
 )
-from mustardscale.controller import Controller, keep_running
+from mustardscale.controller import Controller, RunningControllers
 from mustardscale.directory.directory_client import DirectoryClient
 from mustardscale.directory.directory_home import DirectoryHome
 from mustardscale.endpoints.caller_requests import LanguageRequest, PlainRequest
@@ -106,7 +106,7 @@
         board.trace = edges.trace
         self._calls = calls
         self._clients = clients
-        self._tasks: list[asyncio.Task[None]] = []
+        self._running = RunningControllers()
         self._active = ActiveRequests()
 
         self.host_list = HostListController(
@@ -219,10 +219,7 @@
     async def start(self) -> None:
         """Starts to answer peers and starts the controllers."""
         await self._edges.transport.start(self._calls.dispatch)
-        self._tasks = [
-            asyncio.create_task(keep_running(controller))
-            for controller in self._controllers
-        ]
+        self._running.start(self._controllers)
 
     async def drain(self, notice_s: float, timeout_s: float) -> bool:
         """Stops taking requests and waits for those in progress.
@@ -254,9 +251,7 @@
     async def stop(self) -> None:
         """Stops at once."""
         self._canceller.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._running.stop()
         await self._edges.transport.close()
         await self._clients.close()
         await self._edges.log.close()
