--- a/tests/test_hosts_lists.py
+++ b/tests/test_hosts_lists.py
@@ -197,6 +197,20 @@
         there.stop()
         here.stop()
 
+    @virtual_time
+    async def test_the_host_that_gives_the_list_names_itself(self):
+        there, here = Scene(endpoint('a')), Scene()
+        there.board.host, there.board.address = 'them', 'them:1'
+        here.list.current = False
+        calls, theirs = FakeCalls(), FakeCalls()
+        self.copy(there, theirs)
+        self.copy(here, calls, ('them:1',))
+        calls.peer = theirs
+        await asyncio.sleep(1.0)
+        assert here.board.hosts_by_id['them'].address == 'them:1'
+        there.stop()
+        here.stop()
+
     @virtual_time
     async def test_an_older_copy_changes_nothing(self):
         there, here = Scene(endpoint('a')), Scene(endpoint('b'))
