Exchange heartbeats through hubs among many hosts; turn away by a forecast

The log of its owner showed 211 requests waiting at a time, each of those refused after 3.1 s, since they were kept as long as callers stay; and the owner, on half a core, decided on all of them every 20 ms. Ruled out: placement (with processor time not charged, what was granted was on time: 0.1 s after the grant) and prefill engines (free while requests waited for decode memory).

Change: beyond 12 hosts each host exchanges heartbeats with five hubs, which tell whom they hear by a digest, vouch for a quorum and pass on who is leaving (heartbeat_hubs, quorum). Requests that wait for memory are refused at once if, by Little's law, they will have no turn in the time that their callers give (turn_forecast); the time to come back is that of the line. The replay of that load is in test_worst_load.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -85,10 +85,13 @@
         heard_at: loop time of the last heartbeat.
         told_at: loop time of the last heartbeat that a peer tells of.
         unheard: the hosts that it does not hear, by its last heartbeat.
+        known_digest: digest of what it has of this host's word as a hub.
+        leaving: the endpoints that it knows itself to be leaving.
         last_beat: when it sent the last heartbeat that came here.
         config_offset: configuration offset that it had folded then.
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
+        gone_at: loop time at which its process was found to have ended.
     """
 
     id: str
@@ -101,10 +104,13 @@
     heard_at: float = -math.inf
     told_at: float = -math.inf
     unheard: tuple[str, ...] = ()
+    known_digest: int = 0
+    leaving: tuple[str, ...] = ()
     last_beat: BeatTime = NO_BEAT
     config_offset: int = 0
     silent: bool = True
     silent_since: float = -math.inf
+    gone_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/directory/directory_home.py
+++ b/mustardscale/directory/directory_home.py
@@ -18,7 +18,7 @@
 from mustardscale.directory.directory_lines import DirectoryLine
 from mustardscale.directory.directory_rules import Registration, may_replace
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.hosts.rendezvous import owner
 from mustardscale.peers.directory_messages import (
     DirectoryEntry,
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from mustardscale.blackboard import (
     NO_BEAT,
@@ -18,19 +18,16 @@
 )
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerGoneError, PeerUnavailableError
+from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
+from mustardscale.hosts.quorum import Quorum
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
-from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
 # Seconds for which a peer's or an endpoint's own word that it is leaving
 # outweighs a host list that does not say so yet.
 LEAVING_MEMORY_S = 30.0
-# A host answers for others' sake, as a home or as the holder of a stream, only
-# if a majority of the listed hosts answered a heartbeat that it sent within
-# this time, seconds. Less than the silence after which it counts as dead.
-QUORUM_LEASE_S = 2.0
 # Interval at which all endpoints are gone through for those that are leaving,
 # seconds; a small part of the 3 s after which these get no new work.
 LEAVING_INTERVAL_S = 0.25
@@ -38,8 +35,6 @@
 # host; two exchanges with each have failed then, and the silence after which a
 # host counts as dead leaves time for several answers.
 ASK_AFTER_BEATS = 1.5
-# Interval at which membership is looked at without a change, seconds.
-FOLLOW_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,21 +70,24 @@
         self._times = times
         self._rng = rng
         self._in_flight: dict[str, asyncio.Task[None]] = {}
-        self._answered_sent_at_by_host: dict[str, float] = {}
+        self._hubs = HeartbeatHubs(blackboard, times.dead_after_s)
+        self._quorum = Quorum(blackboard, self._hubs)
         self._leaving: tuple[str, ...] = ()
         self._leaving_at = -math.inf
         calls.handle(Heartbeat, self._on_heartbeat)
 
     async def run(self) -> None:
-        """Exchanges heartbeats with each peer at a fixed interval."""
+        """Exchanges heartbeats at a fixed interval."""
         try:
             while True:
+                self._hubs.choose()
+                self._hubs.note_heard()
                 for host in list(self._blackboard.hosts_by_id.values()):
                     if host.id not in self._in_flight and self._begins(host):
                         task = asyncio.create_task(self._exchange(host.id))
                         self._in_flight[host.id] = task
                 self._mark_silent()
-                self._update_quorum()
+                self._quorum.update()
                 await pause(self._times.heartbeat_s, self._rng)
         finally:
             for task in self._in_flight.values():
@@ -101,6 +99,8 @@
         The one whose id is first does; the other one too, when it hears
         nothing.
         """
+        if not self._hubs.pairs_with(host.id):
+            return False
         return self._blackboard.host < host.id or self._is_unheard(host)
 
     def _is_unheard(self, host: HostEntry) -> bool:
@@ -137,16 +137,20 @@
             config_digest=board.config.digest(),
             leaving=self._leaving_endpoints(now),
             quarantined=tuple(quarantined),
-            heard=tuple(self._word_for(peer, now)),
+            heard=self._word_for(known, now),
             unheard=tuple(
                 host.id
                 for host in board.hosts_by_id.values()
-                if self._is_unheard(host)
+                if self._hubs.is_mesh and self._is_unheard(host)
             ),
             sent_at=now,
             echo_at=echo.sent_at,
             echo_incarnation=echo.incarnation,
             address=board.address,
+            heard_digest=self._hubs.heard_digest,
+            known_digest=self._hubs.known_digest(peer),
+            quorum_age_s=self._quorum.own_age_s(now),
+            relayed_leaving=self._relayed_leaving(),
         )
 
     def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
@@ -163,12 +167,42 @@
             )
         return self._leaving
 
-    def _word_for(self, peer: str, now: float) -> Iterator[HeardHost]:
+    def _relayed_leaving(self) -> tuple[str, ...]:
+        """Returns the endpoints that peers told this hub to be leaving.
+
+        Only what peers know themselves is passed on, or word would go round
+        for ever.
+        """
+        board = self._blackboard
+        if self._hubs.is_mesh or board.host not in self._hubs.hub_ids:
+            return ()
+        return tuple(
+            sorted(
+                {
+                    endpoint
+                    for host in board.hosts_by_id.values()
+                    if not host.silent
+                    for endpoint in host.leaving
+                }
+            )
+        )
+
+    def _word_for(
+        self, asking: HostEntry | None, now: float
+    ) -> tuple[HeardHost, ...]:
+        """Returns the hosts heard here of which a peer needs to be told."""
+        if asking is None:
+            return ()
+        if not self._hubs.is_mesh:
+            return self._hubs.news_for(asking.known_digest)
+        return tuple(self._unheard_word(asking, now))
+
+    def _unheard_word(
+        self, asking: HostEntry, now: float
+    ) -> Iterator[HeardHost]:
         """Yields the hosts heard here that a peer does not hear."""
-        hosts_by_id = self._blackboard.hosts_by_id
-        asking = hosts_by_id.get(peer)
-        for name in asking.unheard if asking is not None else ():
-            host = hosts_by_id.get(name)
+        for name in asking.unheard:
+            host = self._blackboard.hosts_by_id.get(name)
             if host is None:
                 continue
             age_s = now - host.heard_at
@@ -186,8 +220,7 @@
             if isinstance(error, PeerGoneError):
                 self._note_gone(host, sent_at)
         else:
-            answered_at = self._answered_sent_at_by_host.get(host, sent_at)
-            self._answered_sent_at_by_host[host] = max(answered_at, sent_at)
+            self._quorum.note_answer(host, sent_at)
             self._hear(reply)
         finally:
             self._in_flight.pop(host, None)
@@ -205,7 +238,7 @@
             return
         log.warning('host %s is gone', host_id)
         host.silent = True
-        host.silent_since = asyncio.get_running_loop().time()
+        host.silent_since = host.gone_at = asyncio.get_running_loop().time()
         host.heard_at = host.told_at = -math.inf
         self._blackboard.membership_changed.notify()
 
@@ -221,7 +254,8 @@
             host = self._introduced(beat)
         if host is None or beat.incarnation < host.incarnation:
             return
-        self._take_echo(beat, now)
+        self._quorum.take(beat, now)
+        self._hubs.take(beat, now)
         last_beat = BeatTime(beat.incarnation, beat.sent_at)
         host.last_beat = max(host.last_beat, last_beat)
         changed = (
@@ -232,13 +266,15 @@
         host.heard_at = now
         host.config_offset = beat.config_offset
         host.unheard = beat.unheard
+        host.known_digest = beat.known_digest
+        host.leaving = beat.leaving
         host.silent = False
         host.incarnation = beat.incarnation
         host.draining = beat.draining
         self._merge_leaving(beat, now)
         self._merge_quarantine(beat, now)
         for heard in beat.heard:
-            self._take_word(heard, now)
+            self._take_word(heard, now - heard.age_s, now)
         config = self._blackboard.config
         if beat.config_offset > config.folded_offset:
             self._blackboard.config_changed.notify()
@@ -258,28 +294,25 @@
         self._blackboard.hosts_by_id[beat.host] = host
         return host
 
-    def _take_echo(self, beat: Heartbeat, now: float) -> None:
-        """Takes note that a peer has heard a heartbeat of this process.
-
-        Just as good as an answer to it: the peer does not take this host for
-        dead before the usual silence after it.
-        """
-        if beat.echo_incarnation != self._blackboard.incarnation:
-            return
-        answered_at = self._answered_sent_at_by_host.get(beat.host, -math.inf)
-        if answered_at < beat.echo_at <= now:
-            self._answered_sent_at_by_host[beat.host] = beat.echo_at
-
-    def _take_word(self, heard: HeardHost, now: float) -> None:
+    def _take_word(self, heard: HeardHost, told_at: float, now: float) -> None:
         """Takes a peer's word that a host is live.
 
         Two hosts that are cut from each other must not choose different
         owners and homes while others hear both.
+
+        Args:
+            heard: the host.
+            told_at: loop time at which it was live.
+            now: loop time.
         """
         host = self._blackboard.hosts_by_id.get(heard.host)
         if host is None or heard.incarnation < host.incarnation:
             return
-        told_at = now - heard.age_s
+        if heard.incarnation == host.incarnation and (
+            now - host.gone_at <= self._times.dead_after_s
+        ):
+            # The peer has not found its process to have ended yet.
+            return
         if told_at <= max(host.heard_at, host.told_at):
             return
         host.told_at = told_at
@@ -296,7 +329,7 @@
             self._blackboard.membership_changed.notify()
 
     def _merge_leaving(self, beat: Heartbeat, now: float) -> None:
-        for endpoint_id in beat.leaving:
+        for endpoint_id in (*beat.leaving, *beat.relayed_leaving):
             endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
             if endpoint is not None and not endpoint.leaving(now):
                 endpoint.told_leaving_until = now + LEAVING_MEMORY_S
@@ -312,8 +345,11 @@
     def _mark_silent(self) -> None:
         now = asyncio.get_running_loop().time()
         changed = False
+        named = self._take_hub_words(now)
         for host in self._blackboard.hosts_by_id.values():
             live_at = max(host.heard_at, host.told_at)
+            if named is not None and host.id not in named:
+                live_at = host.heard_at
             overdue = now - live_at > self._times.dead_after_s
             if overdue and not host.silent:
                 log.warning('host %s is silent', host.id)
@@ -323,63 +359,19 @@
         if changed:
             self._blackboard.membership_changed.notify()
 
-    def _update_quorum(self) -> None:
-        """Finds the newest send time that a majority has answered.
+    def _take_hub_words(self, now: float) -> set[str] | None:
+        """Takes the hubs' word for the hosts that they hear.
 
-        A host that has not read the list yet does not know its peers, and so
-        has no majority, also when it hears nobody.
+        Returns:
+            The hosts named, None if no hub has said anything lately.
         """
-        if not self._blackboard.host_list_read:
-            return
-        now = asyncio.get_running_loop().time()
-        listed = [
-            host.id
-            for host in self._blackboard.hosts_by_id.values()
-            if host.listed and not host.draining
-        ]
-        answered = [
-            self._answered_sent_at_by_host.get(host, float('-inf'))
-            for host in listed
-        ]
-        needed = (len(listed) + 1) // 2
-        newest_first = sorted(answered, reverse=True)
-        quorum_at = newest_first[needed - 1] if needed else now
-        board = self._blackboard
-        had_quorum = math.isfinite(board.quorum_at)
-        if had_quorum and quorum_at - board.quorum_at > QUORUM_LEASE_S:
-            board.quorum_gap_at = now
-        board.quorum_at = max(board.quorum_at, quorum_at)
-
-
-class MembershipFollower(Controller):
-    """Tells the parts that depend on it when membership changes."""
-
-    def __init__(
-        self, blackboard: Blackboard, followers: list[Callable[[], None]]
-    ):
-        self._blackboard = blackboard
-        self._followers = followers
-
-    async def run(self) -> None:
-        """Runs the followers at each change, and now and then without one."""
-        told: list[str] = []
-        while True:
-            for follow in self._followers:
-                follow()
-            live = self._blackboard.live_hosts()
-            if live != told:
-                told = live
-                self._tell(live)
-            await self._blackboard.membership_changed.wait(FOLLOW_INTERVAL_S)
-
-    def _tell(self, live: list[str]) -> None:
-        """Logs who is live now."""
-        board = self._blackboard
-        board.events.emit(
-            EventKind.MEMBERSHIP_CHANGED,
-            live=live,
-            silent=sorted(set(board.hosts_by_id) - set(live)),
-        )
+        named: set[str] | None = None
+        for word in self._hubs.words(now):
+            named = named or set()
+            for heard in word.heard:
+                named.add(heard.host)
+                self._take_word(heard, word.told_at, now)
+        return named
 
 
 def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
--- /dev/null
+++ b/mustardscale/hosts/membership_follower.py
@@ -0,0 +1,43 @@
+"""Tells the parts that depend on it when membership changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.controller import Controller
+from mustardscale.reporting.event_log import EventKind
+
+# Interval at which membership is looked at without a change, seconds.
+FOLLOW_INTERVAL_S = 2.0
+
+
+class MembershipFollower(Controller):
+    """Tells the parts that depend on it when membership changes."""
+
+    def __init__(
+        self, blackboard: Blackboard, followers: list[Callable[[], None]]
+    ):
+        self._blackboard = blackboard
+        self._followers = followers
+
+    async def run(self) -> None:
+        """Runs the followers at each change, and now and then without one."""
+        told: list[str] = []
+        while True:
+            for follow in self._followers:
+                follow()
+            live = self._blackboard.live_hosts()
+            if live != told:
+                told = live
+                self._tell(live)
+            await self._blackboard.membership_changed.wait(FOLLOW_INTERVAL_S)
+
+    def _tell(self, live: list[str]) -> None:
+        """Logs who is live now."""
+        board = self._blackboard
+        board.events.emit(
+            EventKind.MEMBERSHIP_CHANGED,
+            live=live,
+            silent=sorted(set(board.hosts_by_id) - set(live)),
+        )
--- /dev/null
+++ b/mustardscale/hosts/quorum.py
@@ -0,0 +1,104 @@
+"""Whether a majority of the hosts takes this one for live."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs, vouched_at
+from mustardscale.peers.peer_messages import Heartbeat
+
+# A host answers for others' sake, as a home or as the holder of a stream, only
+# if a majority of the listed hosts answered a heartbeat that it sent within
+# this time, seconds. Less than the silence after which it counts as dead.
+QUORUM_LEASE_S = 2.0
+
+
+class Quorum:
+    """Keeps the blackboard's quorum from the answers to heartbeats."""
+
+    __slots__ = (
+        '_answered_sent_at_by_host',
+        '_blackboard',
+        '_hub_quorum_by_host',
+        '_hubs',
+    )
+
+    def __init__(self, blackboard: Blackboard, hubs: HeartbeatHubs):
+        self._blackboard = blackboard
+        self._hubs = hubs
+        self._answered_sent_at_by_host: dict[str, float] = {}
+        # Age of each hub's own quorum, and when it said so.
+        self._hub_quorum_by_host: dict[str, tuple[float, float]] = {}
+
+    def note_answer(self, host: str, sent_at: float) -> None:
+        """Notes that a host has answered a heartbeat sent then."""
+        answered_at = self._answered_sent_at_by_host.get(host, sent_at)
+        self._answered_sent_at_by_host[host] = max(answered_at, sent_at)
+
+    def take(self, beat: Heartbeat, now: float) -> None:
+        """Takes note of what a peer's heartbeat says of this process's own.
+
+        An echo is just as good as an answer: the peer does not take this host
+        for dead before the usual silence after it.
+        """
+        self._hub_quorum_by_host[beat.host] = (beat.quorum_age_s, now)
+        if beat.echo_incarnation != self._blackboard.incarnation:
+            return
+        if beat.echo_at <= now:
+            self.note_answer(beat.host, beat.echo_at)
+
+    def own_age_s(self, now: float) -> float:
+        """Returns the age of the quorum that this host has as a hub.
+
+        Returns:
+            Seconds, negative where it has none or is no hub.
+        """
+        board = self._blackboard
+        if self._hubs.is_mesh or board.host not in self._hubs.hub_ids:
+            return -1.0
+        return now - board.quorum_at if math.isfinite(board.quorum_at) else -1.0
+
+    def update(self) -> None:
+        """Finds the newest send time that a majority has answered.
+
+        A host that has not read the list yet does not know its peers, and so
+        has no majority, also when it hears nobody.
+        """
+        board = self._blackboard
+        if not board.host_list_read:
+            return
+        now = asyncio.get_running_loop().time()
+        if self._hubs.is_mesh or board.host in self._hubs.hub_ids:
+            quorum_at = self._by_answers(now)
+        else:
+            quorum_at = self._by_hubs()
+        had_quorum = math.isfinite(board.quorum_at)
+        if had_quorum and quorum_at - board.quorum_at > QUORUM_LEASE_S:
+            board.quorum_gap_at = now
+        board.quorum_at = max(board.quorum_at, quorum_at)
+
+    def _by_answers(self, now: float) -> float:
+        """Returns when a majority of the listed hosts was known to hear it."""
+        answered = [
+            self._answered_sent_at_by_host.get(host.id, -math.inf)
+            for host in self._blackboard.hosts_by_id.values()
+            if host.listed and not host.draining
+        ]
+        needed = (len(answered) + 1) // 2
+        return sorted(answered, reverse=True)[needed - 1] if needed else now
+
+    def _by_hubs(self) -> float:
+        """Returns when a majority of the hubs vouched for this host.
+
+        Each has to have a majority of the listed hosts itself, so that no two
+        parts of a divided network both have a quorum.
+        """
+        vouched = sorted(map(self._vouched_at, self._hubs.hub_ids))
+        return vouched[len(vouched) // 2]
+
+    def _vouched_at(self, hub: str) -> float:
+        age_s, heard_at = self._hub_quorum_by_host.get(hub, (-1.0, 0.0))
+        answered_at = self._answered_sent_at_by_host.get(hub, -math.inf)
+        return vouched_at(answered_at, age_s, heard_at)
--- a/mustardscale/orders/order_controller.py
+++ b/mustardscale/orders/order_controller.py
@@ -18,7 +18,7 @@
 from mustardscale.endpoints.endpoint_clients import ControlClients
 from mustardscale.endpoints.engines import REFUSED_FENCED, EngineOrder
 from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
-from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.hosts.rendezvous import owner
 from mustardscale.orders.order_decisions import Decisions, decide
 from mustardscale.orders.order_log import OrderLog
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -91,6 +91,10 @@
   echoAt @11 :Float64;
   echoIncarnation @12 :UInt64;
   address @13 :Text;
+  heardDigest @14 :UInt64;
+  knownDigest @15 :UInt64;
+  quorumAgeS @16 :Float64;
+  relayedLeaving @17 :List(Text);
 }
 
 struct HeardHost {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -90,6 +90,13 @@
             there is none.
         address: 'ip:port' at which the sender serves its peers, '' where only
             the host list tells it.
+        heard_digest: digest of the hosts that the sender hears as a hub, 0 if
+            it is none; `heard` has them all unless the receiver knows them.
+        known_digest: digest of what the sender has of the receiver's word.
+        quorum_age_s: seconds since a majority of the hosts answered a
+            heartbeat of the sender, a hub; negative otherwise.
+        relayed_leaving: ids of endpoints that are leaving by the word of the
+            hosts that the sender hears as a hub.
     """
 
     host: str
@@ -106,6 +113,10 @@
     echo_at: float = 0.0
     echo_incarnation: int = 0
     address: str = ''
+    heard_digest: int = 0
+    known_digest: int = 0
+    quorum_age_s: float = -1.0
+    relayed_leaving: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/policy/decode_room.py
+++ b/mustardscale/policy/decode_room.py
@@ -19,6 +19,7 @@
 from mustardscale.policy.output_lengths import OutputLengths
 
 DEFAULT_PIECES = 64
+UNLIMITED_PIECES = 1 << 30
 # Share of the learnt step time forgotten in an interval by each decode engine's
 # reports while the pool is idle, and the interval, seconds.
 IDLE_FADE = 0.05
@@ -119,7 +120,7 @@
     now: float
     streams: int
     largest_pieces: int
-    failed_pieces: int = 1 << 30
+    failed_pieces: int = UNLIMITED_PIECES
     step_s: float = 0.0
     _needs: list[StreamNeed] | None = None
     _held_pieces: int = 0
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -10,7 +10,11 @@
 from mustardscale.endpoints.engines import EngineRole
 from mustardscale.peers.peer_messages import AdmitRequest
 from mustardscale.policy.base import PoolState
-from mustardscale.policy.decode_room import EngineRoom, needed_pieces
+from mustardscale.policy.decode_room import (
+    UNLIMITED_PIECES,
+    EngineRoom,
+    needed_pieces,
+)
 from mustardscale.policy.engine_books import (
     HANDOVER_S,
     EngineBooks,
@@ -32,7 +36,6 @@
 # Factor by which the bound on running out of memory exceeds what is seen.
 BOUND_SLACK = 3.0
 LEAST_WEIGHT = 1e-3
-UNLIMITED_PIECES = 1 << 30
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +71,8 @@
         step_s: least time of a decode step, seconds.
         piece_tokens: tokens in a piece of the engines' memory.
         readers: decode engines that compute prompts themselves.
+        lacks_memory: whether the last request tried found no decode engine with
+            room for it though a prefill engine was free.
     """
 
     now: float
@@ -82,6 +87,7 @@
     step_s: float
     piece_tokens: int
     readers: frozenset[str] = frozenset()
+    lacks_memory: bool = False
 
     def any_free(self) -> bool:
         """Returns whether a prefill engine is free soon."""
@@ -191,6 +197,7 @@
         rooms = current.decodes_by_id.values()
         if not any(room.holds_now(pieces) for room in rooms):
             current.unfit_pieces = pieces
+        current.lacks_memory = True
         return None
     pairings = [
         pairing
@@ -209,6 +216,7 @@
         if books.rooms.fits(decode, need, overbooking(profile)):
             return pairing
         unfit.add(decode.id)
+    current.lacks_memory = bool(unfit)
     return None
 
 
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -7,6 +7,7 @@
 
 from mustardscale.configuration.config_records import Profile
 from mustardscale.endpoints.engines import CacheEvent, LoadReport, StreamStage
+from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_messages import AdmitRequest, Release
 from mustardscale.policy.base import (
     Decision,
@@ -14,6 +15,7 @@
     Grant,
     PlacementPolicy,
     PoolState,
+    Refusal,
     Reservation,
 )
 from mustardscale.policy.engine_books import EngineBooks
@@ -27,11 +29,19 @@
     find_pairing,
     least_first_token_s,
 )
+from mustardscale.policy.turn_forecast import (
+    TurnForecast,
+    has_a_turn,
+    is_worth_waiting,
+)
 from mustardscale.policy.urgency import (
     AHEAD,
+    IN_TIME,
+    REPEATED,
     Candidate,
     accepts_late,
     refusal_of,
+    retry_after_s,
     urgency_of,
 )
 
@@ -50,9 +60,14 @@
         self._books = EngineBooks()
         self._demand = HurriedDemand()
         self._shares = FairShares()
+        self._forecast = TurnForecast()
+        # Requests that lacked memory when last a prefill engine was free.
+        self._lacking_ids: set[str] = set()
 
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Grants by least slack while engines have room."""
+        self._forecast.observe_waiting(pool.waiting_by_request_id.values(), now)
+        self._lacking_ids &= pool.waiting_by_request_id.keys()
         self._demand.observe(pool.waiting_by_request_id.values(), now)
         self._shares.observe_waiting(
             item.request.service for item in pool.waiting_by_request_id.values()
@@ -62,18 +77,57 @@
         current = begin_round(self._books, pool, express, now)
         decisions, kept = self._judge(current, pool, ahead)
         kept.sort(key=lambda candidate: candidate.urgency)
+        line: list[Candidate] = []
         ahead_s = 0.0
         for candidate in kept:
-            if not (current.any_free() or current.readers):
-                break
-            grant = self._grant(current, candidate)
+            grant = None
+            if current.any_free():
+                grant = self._grant(current, candidate)
+                self._note_lacking(current, candidate, grant)
             if grant is None and current.readers:
                 grant = self._own_grant(current, candidate, ahead_s)
             if grant is not None:
                 decisions.append(grant)
             else:
+                line.append(candidate)
                 ahead_s += self._prefill_s(current, candidate)
-        return decisions
+        return decisions + self._turned_away(current, pool, line)
+
+    def _note_lacking(
+        self, current: Round, candidate: Candidate, grant: Grant | None
+    ) -> None:
+        """Notes whether a request has no grant for want of memory."""
+        request_id = candidate.item.request.tag.request_id
+        self._lacking_ids.discard(request_id)
+        if grant is None and current.lacks_memory:
+            self._lacking_ids.add(request_id)
+        current.lacks_memory = False
+
+    def _turned_away(
+        self, current: Round, pool: PoolState, line: list[Candidate]
+    ) -> list[Decision]:
+        """Refuses at once those lacking memory that will have no turn."""
+        held = len(pool.reservations_by_request_id)
+        refusals: list[Decision] = []
+        kept = 0
+        line = [
+            candidate
+            for candidate in line
+            if candidate.item.request.tag.request_id in self._lacking_ids
+        ]
+        for place, candidate in enumerate(line):
+            turn_s = self._forecast.wait_s(kept, place / len(line), held)
+            late_s = self._forecast.wait_s(kept, 1.0, held)
+            if _is_to_stay(current, candidate, turn_s, late_s):
+                kept += 1
+                continue
+            refusal = Refusal(
+                candidate.item.request.tag.request_id,
+                Outcome.POOL_SATURATED,
+                retry_after_s(late_s),
+            )
+            refusals.append(refusal)
+        return refusals
 
     def _prefill_s(self, current: Round, candidate: Candidate) -> float:
         """Returns the time that the prefill engines take for a request."""
@@ -122,7 +176,6 @@
         """
         refusals: list[Decision] = []
         kept: list[Candidate] = []
-        any_free = current.any_free()
         waiting = pool.waiting_by_request_id.values()
         backlog_tokens = sum(item.request.prompt_tokens for item in waiting)
         for item in waiting:
@@ -134,7 +187,7 @@
             )
             if refusal is not None:
                 refusals.append(refusal)
-            elif any_free or current.readers:
+            else:
                 urgency = urgency_of(
                     item, profile, estimate_s, current.now, service in ahead
                 )
@@ -148,6 +201,7 @@
             request.prompt_tokens + 1, current.piece_tokens
         )
         if least_pieces >= current.unfit_pieces:
+            current.lacks_memory = True
             return None
         need = _need_of(request)
         busy_s = _busy_s(current, candidate)
@@ -210,6 +264,8 @@
     ) -> None:
         """Frees the engines and learns the output length."""
         self._books.observe_release(reservation, release, now)
+        if release.finished:
+            self._forecast.observe_release(reservation, now)
 
     def observe_report(
         self,
@@ -251,3 +307,27 @@
     if candidate.item.request.tag.attempt > 1:
         left_s = 0.0
     return current.express.busy_s(candidate.profile, left_s)
+
+
+def _is_to_stay(
+    current: Round, candidate: Candidate, turn_s: float, late_s: float
+) -> bool:
+    """Returns whether a request goes on waiting.
+
+    Args:
+        current: the round.
+        candidate: the request.
+        turn_s: forecast of its turn while it is in time, seconds.
+        late_s: the same once it is late, when newcomers go before it.
+    """
+    item, profile = candidate.item, candidate.profile
+    if candidate.urgency[0] == REPEATED:
+        return True
+    left_s = item.first_token_at - current.now
+    in_time = candidate.urgency[0] in (IN_TIME, AHEAD)
+    if in_time and has_a_turn(turn_s, left_s):
+        return True
+    waited_s = item.request.waited_s + current.now - item.arrived_at
+    return accepts_late(item.request, profile) and is_worth_waiting(
+        late_s, profile, waited_s
+    )
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -68,7 +68,7 @@
         return Refusal(
             request_id,
             Outcome.POOL_SATURATED,
-            _retry_after_s(current, backlog_tokens),
+            _backlog_s(current, backlog_tokens),
         )
     return None
 
@@ -106,11 +106,16 @@
     )
 
 
-def _retry_after_s(current: Round, backlog_tokens: int) -> float:
+def _backlog_s(current: Round, backlog_tokens: int) -> float:
     """Returns the seconds until the present backlog is worked off."""
     if not current.prefills:
         return NO_ENDPOINT_RETRY_AFTER_S
     rate = sum(engine.tokens_per_s for engine in current.prefills)
     busy = sum(engine.free_at - current.now for engine in current.prefills)
     seconds = backlog_tokens / rate + busy / len(current.prefills)
+    return retry_after_s(seconds)
+
+
+def retry_after_s(seconds: float) -> float:
+    """Returns the time to come back for work that takes so many seconds."""
     return min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, seconds))
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -25,10 +25,8 @@
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.host_list_copy import HostListCopy
 from mustardscale.hosts.host_registration import HostRegistration
-from mustardscale.hosts.membership import (
-    HeartbeatController,
-    MembershipFollower,
-)
+from mustardscale.hosts.membership import HeartbeatController
+from mustardscale.hosts.membership_follower import MembershipFollower
 from mustardscale.orders.order_controller import OrderController
 from mustardscale.orders.order_log import OrderLog
 from mustardscale.orders.role_balance import RoleBalance
--- a/mustardscale/requests/language.py
+++ b/mustardscale/requests/language.py
@@ -19,7 +19,7 @@
 from mustardscale.exceptions import (
     OutcomeError,
 )
-from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.directory_messages import (
     DirectoryEntry,
--- a/mustardscale/requests/resumption.py
+++ b/mustardscale/requests/resumption.py
@@ -18,7 +18,7 @@
     PeerGoneError,
     PeerUnavailableError,
 )
-from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import (
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -36,10 +36,8 @@
 from mustardscale.endpoints.plain_endpoints import PlainAnswer
 from mustardscale.exceptions import OutcomeError
 from mustardscale.hosts.host_list_controller import HostListController
-from mustardscale.hosts.membership import (
-    HeartbeatController,
-    MembershipFollower,
-)
+from mustardscale.hosts.membership import HeartbeatController
+from mustardscale.hosts.membership_follower import MembershipFollower
 from mustardscale.operators.state_dump import dump_state, summarize_state
 from mustardscale.orders.order_controller import OrderController
 from mustardscale.orders.order_log import OrderLog
--- /dev/null
+++ b/tests/test_heartbeat_hubs.py
@@ -0,0 +1,167 @@
+"""Tests of heartbeats among many hosts, which go through a few hubs."""
+
+import asyncio
+
+from mustardscale.hosts.heartbeat_hubs import HUBS, MOST_IN_MESH
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
+from tests.test_membership import count_requests, started_site
+from tests.virtual_time import virtual_time
+
+HOSTS = 20
+LOOK_S = 0.1
+TIMES = MembershipTimes()
+# A hub's own silence, its word, and the pass that takes it.
+FOUND_DEAD_S = TIMES.dead_after_s + 3 * TIMES.heartbeat_s
+
+
+def boards_of(site):
+    return {
+        name: router.blackboard for name, router in site.routers_by_host.items()
+    }
+
+
+def hubs_of(site):
+    """Returns the hubs on which all hosts agree."""
+    chosen = {
+        router.heartbeats._hubs.hub_ids
+        for router in site.routers_by_host.values()
+    }
+    assert len(chosen) == 1
+    return set(chosen.pop())
+
+
+def views(site):
+    return [tuple(board.live_hosts()) for board in boards_of(site).values()]
+
+
+async def cut_off(site, names):
+    """Cuts hosts from all others, which still hear each other."""
+    for name in names:
+        for other in set(site.routers_by_host) - set(names):
+            site.peers.cut(name, other)
+
+
+class TestHubs:
+    """Who exchanges heartbeats, and what the others know by it."""
+
+    @virtual_time
+    async def test_their_number_grows_with_the_hosts_not_with_the_pairs(self):
+        site = await started_site(HOSTS)
+        counts = count_requests(site)
+        await asyncio.sleep(10)
+        rounds = 10 / TIMES.heartbeat_s
+        # Each pair of a hub and another host, with jitter and repetitions.
+        assert sum(counts.values()) <= HUBS * HOSTS * rounds * 1.2
+        await site.stop()
+
+    @virtual_time
+    async def test_all_know_all(self):
+        site = await started_site(HOSTS)
+        assert len(hubs_of(site)) == HUBS
+        assert set(views(site)) == {tuple(sorted(site.routers_by_host))}
+        await site.stop()
+
+    @virtual_time
+    async def test_nobody_is_lost_while_nothing_happens(self):
+        site = await started_site(HOSTS)
+        boards = boards_of(site).values()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 20
+        while loop.time() < end:
+            await asyncio.sleep(LOOK_S)
+            for board in boards:
+                assert len(board.live_hosts()) == HOSTS
+                assert loop.time() - board.quorum_at < QUORUM_LEASE_S
+        await site.stop()
+
+    @virtual_time
+    async def test_a_dead_host_is_found_by_all(self):
+        site = await started_site(HOSTS)
+        dead = next(
+            name for name in site.routers_by_host if name not in hubs_of(site)
+        )
+        await cut_off(site, [dead])
+        await asyncio.sleep(FOUND_DEAD_S)
+        others = {
+            name: b for name, b in boards_of(site).items() if name != dead
+        }
+        assert all(dead not in board.live_hosts() for board in others.values())
+        await site.stop()
+
+    @virtual_time
+    async def test_hubs_that_die_together_are_replaced(self):
+        site = await started_site(HOSTS)
+        dead = hubs_of(site)
+        for name in dead:
+            await site.kill_host(name)
+        await asyncio.sleep(2 * FOUND_DEAD_S)
+        assert not hubs_of(site) & dead
+        assert set(views(site)) == {tuple(sorted(site.routers_by_host))}
+        await site.stop()
+
+    @virtual_time
+    async def test_a_restarted_host_is_live_again(self):
+        site = await started_site(HOSTS)
+        name = sorted(set(site.routers_by_host) - hubs_of(site))[0]
+        await site.kill_host(name)
+        await asyncio.sleep(FOUND_DEAD_S)
+        await site.start_host(name)
+        await asyncio.sleep(FOUND_DEAD_S)
+        assert set(views(site)) == {tuple(sorted(site.routers_by_host))}
+        await site.stop()
+
+    @virtual_time
+    async def test_a_few_hosts_form_a_mesh(self):
+        site = await started_site(MOST_IN_MESH)
+        assert len(hubs_of(site)) == MOST_IN_MESH
+        await site.stop()
+
+
+class TestQuorum:
+    """Whose word counts in a divided network."""
+
+    @virtual_time
+    async def test_only_the_larger_part_has_one(self):
+        site = await started_site(HOSTS)
+        small = set(sorted(site.routers_by_host)[: HOSTS // 2 - 1])
+        await cut_off(site, small)
+        await asyncio.sleep(QUORUM_LEASE_S + FOUND_DEAD_S)
+        now = asyncio.get_running_loop().time()
+        for name, board in boards_of(site).items():
+            fresh = now - board.quorum_at < QUORUM_LEASE_S
+            assert fresh == (name not in small), name
+        await site.stop()
+
+
+class TestLeaving:
+    """Word of endpoints that leave."""
+
+    @virtual_time
+    async def test_it_comes_from_any_host_to_all(self):
+        site = await started_site(HOSTS)
+        boards = boards_of(site)
+        teller = sorted(set(boards) - hubs_of(site))[0]
+        engine = sorted(boards[teller].endpoints_by_id)[0]
+        now = asyncio.get_running_loop().time()
+        entry = boards[teller].endpoints_by_id[engine]
+        entry.leaving_until = now + 5
+        await asyncio.sleep(3 * TIMES.heartbeat_s)
+        now = asyncio.get_running_loop().time()
+        for board in boards.values():
+            assert board.endpoints_by_id[engine].leaving(now)
+        await site.stop()
+
+    @virtual_time
+    async def test_it_does_not_go_round_for_ever(self):
+        site = await started_site(HOSTS)
+        boards = boards_of(site)
+        teller = sorted(set(boards) - hubs_of(site))[0]
+        engine = sorted(boards[teller].endpoints_by_id)[0]
+        now = asyncio.get_running_loop().time()
+        boards[teller].endpoints_by_id[engine].leaving_until = now + 1
+        await asyncio.sleep(40)
+        now = asyncio.get_running_loop().time()
+        for board in boards.values():
+            assert not board.endpoints_by_id[engine].leaving(now)
+        await site.stop()
--- a/tests/test_kept_answers.py
+++ b/tests/test_kept_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mustardscale.hosts.membership import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
 from mustardscale.requests.kept_answers import (
     LONGEST_TAIL_TOKENS,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,8 @@
 import pytest
 
 from mustardscale.controller import JITTER_SHARE
-from mustardscale.hosts.membership import QUORUM_LEASE_S, MembershipTimes
+from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.peers.peer_codec import Frame, FrameKind, encode_frame
 from mustardscale.peers.peer_messages import Heartbeat
 from standins.memory_site import MemorySite, SiteLayout
@@ -117,7 +118,7 @@
         beat = peer.heartbeat('entry-2')
         assert 0 < beat.echo_incarnation < router.blackboard.incarnation
         await router.heartbeats._on_heartbeat('entry-1', beat)
-        assert not router.heartbeats._answered_sent_at_by_host
+        assert not router.heartbeats._quorum._answered_sent_at_by_host
         await site.stop()
 
     @pytest.mark.parametrize('loss', [0.0, 0.1])
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -32,6 +32,8 @@
     'config_digest',
     'digest',
     'echo_incarnation',
+    'heard_digest',
+    'known_digest',
     'fingerprint',
     'block_hashes',
 }
--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -120,6 +120,8 @@
         self.starts = {}
         self.first_s = {}
         self.refused = {}
+        # Seconds for which each refused request was kept.
+        self.kept_s = {}
         self.overfull = 0
 
     def run(self, asked, seconds):
@@ -158,6 +160,7 @@
         item = self.pool.waiting_by_request_id.pop(name)
         if isinstance(decision, Refusal):
             self.refused[name] = decision
+            self.kept_s[name] = now - self.asked_by_id[name].at
             return
         held = reservation_of(item, decision, now)
         self.pool.reservations_by_request_id[name] = held
@@ -252,6 +255,52 @@
         assert floor.refused['r0'].outcome is Outcome.NO_ENDPOINT
 
 
+@pytest.fixture(scope='module', name='afternoon')
+def play_afternoon():
+    """Plays a burst at twenty-eight engines once for several tests."""
+
+    def rate(now):
+        return 100.0 if 3.0 <= now < 8.0 else 29.0
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setitem(globals(), 'MEMORY_TOKENS', 63_376)
+        floor = Floor(prefills=6, decodes=22)
+        floor.run(arrivals(random.Random(1), 16.0, rate), 20.0)
+    return floor
+
+
+class TestAfternoon:
+    """Twenty-eight engines in bursts of two to three times what they bear.
+
+    The replay of the day on which the owner of one large pool fell behind: 211
+    requests waited, and each one that was refused had waited for 3.1 s.
+    """
+
+    def test_what_can_not_be_served_is_not_kept_until_its_caller_goes(
+        self, afternoon
+    ):
+        assert len(afternoon.refused) > 100
+        kept = sum(afternoon.kept_s.values()) / len(afternoon.kept_s)
+        # Hardly longer than a request may still be in time.
+        assert kept <= ROUTE.first_token_s * 4 / 3
+
+    def test_the_engines_are_used_all_the_same(self, afternoon):
+        # 22 engines with room for six streams of 3.5 s each.
+        assert len(afternoon.first_s) >= 0.9 * 20 * 22 * 6 / 3.5 / 1.25
+
+    def test_it_is_over_soon_after_the_burst(self, afternoon):
+        later = [
+            n for n, item in afternoon.asked_by_id.items() if item.at > 12.0
+        ]
+        good = sum(afternoon.first_s.get(name, 9.0) <= 0.9 for name in later)
+        assert good >= 0.9 * len(later)
+
+    def test_the_time_to_come_back_is_that_of_the_line(self, afternoon):
+        times = [r.retry_after_s for r in afternoon.refused.values()]
+        assert min(times) >= 0.5
+        assert max(times) > 1.0
+
+
 class TestPlacing:
     """Where work is placed."""
 
