Give each data centre of a large model its own pool and its own balance of roles

Ruled out: heartbeats (0.03 cores a host with hubs).

Change: a pool has 16 engines at most, so larger models have a pool in each data centre; roles are shared out within each of them; where decode engines compute prompts themselves a pool needs no prefill engine, so the loss of one engine leaves the other pools as they are.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -307,6 +307,8 @@
         address: 'ip:port' at which peers reach this host, '' where only the
             host list tells it.
         pool_engines: engines in one pool at most.
+        engines_read_prompts: whether decode engines compute prompts themselves
+            where no prefill engine is.
         draining: whether this host is shutting down.
         config: the folded configuration.
         orders: the folded orders stream.
@@ -334,6 +336,7 @@
         'directory_by_request_id',
         'draining',
         'endpoints_by_id',
+        'engines_read_prompts',
         'events',
         'host',
         'host_list_read',
@@ -359,6 +362,7 @@
         self.region = region
         self.address = ''
         self.pool_engines = MAX_POOL_ENGINES
+        self.engines_read_prompts = False
         self.draining = False
         self.config = ConfigState()
         self.orders = OrderState()
--- a/mustardscale/orders/order_views.py
+++ b/mustardscale/orders/order_views.py
@@ -22,6 +22,7 @@
     Situation,
 )
 from mustardscale.orders.role_balance import BalanceView
+from mustardscale.pools.pool_members import pools_of
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,10 +161,15 @@
     board: Blackboard, report_by_engine: Mapping[str, LoadReport], now: float
 ) -> list[BalanceView]:
     """Returns what the balance of roles depends on, of each usable engine."""
+    pools = pools_of(board).values()
+    group_by_engine = {
+        engine: pool.data_centre for pool in pools for engine in pool.engine_ids
+    }
     return [
         BalanceView(
             endpoint.id,
             endpoint.listed_model,
+            group_by_engine.get(endpoint.id, ''),
             report.role,
             report.model_version,
         )
--- a/mustardscale/orders/role_balance.py
+++ b/mustardscale/orders/role_balance.py
@@ -28,32 +28,36 @@
     Attributes:
         id: its name.
         model: model that it serves.
+        group: engines that share out the roles among themselves: a data centre
+            where each has pools of its own, else ''.
         role: its present role.
         model_version: version of its model.
     """
 
     id: str
     model: str
+    group: str
     role: EngineRole
     model_version: str
 
 
 class RoleBalance:
-    """Wants a share of each model's engines to prefill, the others to decode.
+    """Wants a share of each group of engines to prefill, the others to decode.
 
     Attributes:
         prefill_share: share of the engines that prefill; at least one does.
     """
 
-    __slots__ = ('_lacking_since_by_model', 'prefill_share')
+    __slots__ = ('_lacking_since_by_group', 'prefill_share')
 
     def __init__(self, prefill_share: float):
         self.prefill_share = prefill_share
-        self._lacking_since_by_model: dict[str, float] = {}
+        # By model and group.
+        self._lacking_since_by_group: dict[tuple[str, str], float] = {}
 
     def forget(self) -> None:
         """Forgets everything, when another host gives the orders."""
-        self._lacking_since_by_model.clear()
+        self._lacking_since_by_group.clear()
 
     def wanted(
         self, views: Iterable[BalanceView], now: float
@@ -64,12 +68,14 @@
             views: the engines that are in service.
             now: loop time.
         """
-        by_model: dict[str, list[BalanceView]] = collections.defaultdict(list)
+        by_group: dict[tuple[str, str], list[BalanceView]] = (
+            collections.defaultdict(list)
+        )
         for view in views:
-            by_model[view.model].append(view)
+            by_group[view.model, view.group].append(view)
         wanted: dict[str, WantedEngine] = {}
-        for model, engines in by_model.items():
-            prefills = self._prefills(model, engines, now)
+        for (model, group), engines in by_group.items():
+            prefills = self._prefills((model, group), engines, now)
             for engine in engines:
                 role = EngineRole.DECODE
                 if engine.id in prefills:
@@ -80,7 +86,7 @@
         return wanted
 
     def _prefills(
-        self, model: str, engines: list[BalanceView], now: float
+        self, group: tuple[str, str], engines: list[BalanceView], now: float
     ) -> set[str]:
         """Returns the ids of the engines that shall prefill."""
         present = sorted(
@@ -91,9 +97,9 @@
         )
         count = prefill_count(len(engines), self.prefill_share)
         if len(present) >= count:
-            self._lacking_since_by_model.pop(model, None)
+            self._lacking_since_by_group.pop(group, None)
             return set(present[:count])
-        since = self._lacking_since_by_model.setdefault(model, now)
+        since = self._lacking_since_by_group.setdefault(group, now)
         if now - since < PROMOTE_AFTER_S:
             return set(present)
         return {*present, *others[: count - len(present)]}
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -197,6 +197,7 @@
     board.address = settings.peers_listen
     board.events = events
     board.pool_engines = settings.pool_engines
+    board.engines_read_prompts = True
     connector.follow(board)
     tails = {
         topic: KeyedTail(board, client, topic, rng, pause_s)
--- a/mustardscale/pools/pool_members.py
+++ b/mustardscale/pools/pool_members.py
@@ -35,7 +35,10 @@
 def pools_of(board: Blackboard) -> dict[str, PoolMembers]:
     """Divides the engines that a host knows in its region into pools."""
     return divide_pools(
-        board.endpoints_by_id.values(), board.region, board.pool_engines
+        board.endpoints_by_id.values(),
+        board.region,
+        board.pool_engines,
+        both_roles=not board.engines_read_prompts,
     )
 
 
@@ -43,6 +46,7 @@
     endpoints: Iterable[EndpointEntry],
     region: str,
     most: int = MAX_POOL_ENGINES,
+    both_roles: bool = True,
 ) -> dict[str, PoolMembers]:
     """Divides a region's engines into pools.
 
@@ -53,6 +57,8 @@
         endpoints: endpoints of any kind and region.
         region: the region whose engines are divided.
         most: engines in a pool at most, unless a data centre lacks a role.
+        both_roles: whether a pool needs engines of both roles. Where it does
+            not, the loss of one engine does not divide the others anew.
 
     Returns:
         The pools by id.
@@ -66,13 +72,17 @@
             engines_by_model[endpoint.model].append(endpoint)
     pools: dict[str, PoolMembers] = {}
     for model, engines in sorted(engines_by_model.items()):
-        for pool in _divide_model(model, engines, region, most):
+        for pool in _divide_model(model, engines, region, most, both_roles):
             pools[pool.id] = pool
     return pools
 
 
 def _divide_model(
-    model: str, engines: list[EndpointEntry], region: str, most: int
+    model: str,
+    engines: list[EndpointEntry],
+    region: str,
+    most: int,
+    both_roles: bool,
 ) -> list[PoolMembers]:
     engines = sorted(engines, key=lambda engine: engine.id)
     if len(engines) <= most:
@@ -82,7 +92,8 @@
     )
     for engine in engines:
         by_data_centre[engine.data_centre].append(engine)
-    if not all(_has_both_roles(group) for group in by_data_centre.values()):
+    groups = by_data_centre.values()
+    if both_roles and not all(map(_has_both_roles, groups)):
         return _cut(model, region, '', engines, most)
     pools = []
     for data_centre, group in sorted(by_data_centre.items()):
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -60,7 +60,7 @@
     pool_engines: int = setting(
         Count(minimum=2),
         'Engines that one host admits requests to at most.',
-        32,
+        16,
     )
     retry_ratio: float = setting(
         Share(), 'Retries of a service as a share of its requests.', 0.2
--- a/tests/test_role_balance.py
+++ b/tests/test_role_balance.py
@@ -38,7 +38,7 @@
 def views(prefills, decodes):
     names = [(f'p{n}', PREFILL) for n in range(prefills)]
     names += [(f'd{n}', DECODE) for n in range(decodes)]
-    return [BalanceView(name, 'm', role, '1') for name, role in names]
+    return [BalanceView(name, 'm', '', role, '1') for name, role in names]
 
 
 def prefilling(wanted):
@@ -54,6 +54,18 @@
     def test_a_share_of_them_at_least_one(self, engines, count):
         assert prefill_count(engines, 0.2) == count
 
+    def test_each_group_has_its_own(self):
+        north = [
+            BalanceView(f'n{n}', 'm', 'north', DECODE, '1') for n in range(7)
+        ]
+        south = [
+            BalanceView(f's{n}', 'm', 'south', PREFILL, '1') for n in range(7)
+        ]
+        balance = RoleBalance(0.2)
+        balance.wanted([*north, *south], 0.0)
+        wanted = balance.wanted([*north, *south], PROMOTE_AFTER_S)
+        assert prefilling(wanted) == {'n0', 's0'}
+
     def test_surplus_prefill_engines_shall_decode_at_once(self):
         wanted = RoleBalance(0.2).wanted(views(2, 3), 0.0)
         assert prefilling(wanted) == {'p0'}
