Soak the platform's hosts as processes under faults from outside

Cause: the fault runs that exist have virtual time and the product's own front; nothing ran the programs of the users' platform as processes, and make run did not speak its protocol.

Change: make soak draws overlapping series of faults from a seed (signals, loopback proxies, store and workers that misbehave), judges by what callers and workers saw with the promises that the fault runs have, keeps plan and logs of a broken promise and plays a plan again; make run SITE=platform serves callers with three hosts and loses one. The stand-ins' configuration and entries are shared with the tests of the whole path.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,13 @@
 SITE ?= kobberfonden
 SEEDS ?= 20
 FIRST_SEED ?= 1
+# Limit of time of a soak in minutes, 0 for none, and its entry hosts.
+MINUTES ?= 0
+HOSTS ?= 6
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults bench load clean
+.PHONY: test run up faults soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -23,7 +26,11 @@
 	$(PY) -m pytest
 
 run: $(STAMP)
+ifeq ($(SITE),platform)
+	$(PY) -m standins.platform_demo
+else
 	$(PY) -m standins.demo --site $(SITE)
+endif
 
 up: $(STAMP)
 	$(PY) -m standins.demo --site $(SITE) --keep-up
@@ -31,6 +38,9 @@
 faults: $(STAMP)
 	$(PY) -m standins.fault_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) $(if $(ORDERS),--orders)
 
+soak: $(STAMP)
+	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
+
 bench: $(STAMP)
 	$(PY) -m bench.compare
 
--- /dev/null
+++ b/standins/platform_processes.py
@@ -0,0 +1,192 @@
+"""A site on the platform whose hosts are processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import aiohttp
+from aiohttp import web
+
+from standins.local_site import free_addresses
+from standins.loopback_proxy import LoopbackProxy
+from standins.platform_plan import CONFIG, worker_entry
+from standins.platform_store import (
+    OPERATOR_TOPIC,
+    WORKERS_TOPIC,
+    PlatformStore,
+)
+from standins.platform_worker import PlatformWorker
+
+READY_TIMEOUT_S = 60.0
+EVENT_GAP_S = 0.02
+WORKER_PHASES = {
+    'a1': '',
+    'a2': '',
+    'a3': '',
+    'p1': 'prefill',
+    'd1': 'decode',
+    'd2': 'decode',
+}
+
+
+class PlatformProcesses:
+    """The store, workers behind proxies, and hosts as processes.
+
+    Attributes:
+        store: the store.
+        worker_by_name: the workers.
+        link_by_worker: the proxy before each worker.
+        store_link_by_host: the proxy between each host and the store.
+        callers_by_host: 'ip:port' for callers of each host.
+        process_by_host: the processes started last.
+    """
+
+    def __init__(self, hosts: int, directory: pathlib.Path):
+        self.store = PlatformStore()
+        self.worker_by_name = {
+            name: PlatformWorker(name, phase, EVENT_GAP_S)
+            for name, phase in WORKER_PHASES.items()
+        }
+        self.link_by_worker: dict[str, LoopbackProxy] = {}
+        self.store_link_by_host: dict[str, LoopbackProxy] = {}
+        self.callers_by_host: dict[str, str] = {}
+        self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
+        self._ready_by_host: dict[str, str] = {}
+        self._peers_by_host: dict[str, str] = {}
+        self._names = [f'h{number}' for number in range(hosts)]
+        self._directory = directory
+        self._config = copy.deepcopy(CONFIG)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> PlatformProcesses:
+        """Starts everything and waits until each host is ready."""
+        await self._stack.__aenter__()
+        self._directory.mkdir(parents=True, exist_ok=True)
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Ends the processes and the stand-ins."""
+        for process in self.process_by_host.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        await self._stack.aclose()
+
+    async def _start(self) -> None:
+        runner = web.AppRunner(self.store.application(), shutdown_timeout=0.1)
+        store_address = await self._listen(runner)
+        for name, worker in self.worker_by_name.items():
+            address = await self._listen(
+                web.ServerRunner(worker.server(), shutdown_timeout=0.1)
+            )
+            self.link_by_worker[name] = await self._proxy(address)
+            self.list_worker(name)
+        self.store.put(
+            OPERATOR_TOPIC, 'config', json.dumps(self._config).encode()
+        )
+        addresses = iter(free_addresses(3 * len(self._names)))
+        for name in self._names:
+            self.store_link_by_host[name] = await self._proxy(store_address)
+            self.callers_by_host[name] = next(addresses)
+            self._ready_by_host[name] = next(addresses)
+            self._peers_by_host[name] = next(addresses)
+        for name in self._names:
+            self.start_host(name)
+        await self.wait_ready(self._names)
+
+    async def _listen(self, runner: web.BaseRunner) -> str:
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        ip, port = runner.addresses[0][:2]
+        return f'{ip}:{port}'
+
+    async def _proxy(self, target: str) -> LoopbackProxy:
+        proxy = LoopbackProxy(target)
+        await proxy.start()
+        self._stack.push_async_callback(proxy.close)
+        return proxy
+
+    def list_worker(self, name: str, state: str = 'ready') -> None:
+        """Writes a worker's entry."""
+        entry = worker_entry(
+            self.link_by_worker[name].address, WORKER_PHASES[name], state
+        )
+        self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
+
+    def change_config(self) -> None:
+        """Writes a new version of the configuration."""
+        self._config['version'] += 1
+        self.store.put(
+            OPERATOR_TOPIC, 'config', json.dumps(self._config).encode()
+        )
+
+    def start_host(self, name: str) -> None:
+        """Starts a host's process; its output goes to NAME.log."""
+        settings = {
+            'host-id': name,
+            'data-centre': 'z',
+            'region': 'r',
+            'callers-listen': self.callers_by_host[name],
+            'ready-listen': self._ready_by_host[name],
+            'peers-listen': self._peers_by_host[name],
+            'seed-addresses': ','.join(
+                address
+                for host, address in self._peers_by_host.items()
+                if host != name
+            ),
+            'store-address': self.store_link_by_host[name].address,
+            'prefill-share': 0.34,
+            'drain-notice-s': 0.3,
+            'drain-timeout-s': 3.0,
+        }
+        path = self._directory / f'{name}.conf'
+        path.write_text(
+            ''.join(f'{key} = {value}\n' for key, value in settings.items())
+        )
+        with (self._directory / f'{name}.log').open('ab') as output:
+            self.process_by_host[name] = subprocess.Popen(
+                [sys.executable, '-m', 'mustardscale.platform'],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {'MUSTARDSCALE_BOOT': str(path)},
+            )
+
+    async def wait_ready(self, hosts: list[str]) -> None:
+        """Waits until hosts say that they are ready.
+
+        Raises:
+            TimeoutError: one of them is not in time.
+        """
+        async with (
+            asyncio.timeout(READY_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            for name in hosts:
+                while not await self._is_ready(session, name):  # noqa: ASYNC110
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> bool:
+        url = f'http://{self._ready_by_host[name]}/mustardscale/ready'
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -13,6 +13,7 @@
 from mustardscale.platform.front_http import FrontServer
 from mustardscale.reporting.event_log import NoEvents
 from mustardscale.settings.relay_settings import RelaySettings
+from standins.platform_plan import CONFIG, HOST, worker_entry
 from standins.platform_store import (
     OPERATOR_TOPIC,
     WORKERS_TOPIC,
@@ -20,7 +21,6 @@
 )
 from standins.platform_worker import PlatformWorker
 
-HOST = 'shop.example'
 WAIT_S = 20.0
 
 
@@ -43,52 +43,6 @@
     return runner, f'{ip}:{port}'
 
 
-def route(name, service, kind, **fields):
-    return {
-        'name': name,
-        'host': HOST,
-        'path_prefix': f'/{name}/',
-        'type': kind,
-        'timeout_ms': 8000,
-        'target_latency_ms': 900,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2,
-        'target_gap_ms': 300,
-    } | fields
-
-
-CONFIG = {
-    'version': 3,
-    'routes': [
-        route('chat', 'llm', 'streaming', resumable=True, sticky=True),
-        route('once', 'llm', 'streaming', resumable=False, sticky=True),
-        route('book', 'app', 'non_idempotent'),
-        route('read', 'app', 'idempotent'),
-    ],
-    'services': [
-        {
-            'name': 'llm',
-            'engine': {
-                'slot_count': 48,
-                'kv_capacity_tokens': 100_000,
-                'kv_token_bytes': 131_072,
-                'link_mbps': 4.4e6,
-                'stride': 72,
-                'kv_hold_s': 0.5,
-            },
-        },
-        {'name': 'app'},
-    ],
-    'limits': {
-        'max_header_bytes': 16_384,
-        'max_body_bytes': 100_000,
-        'header_timeout_ms': 3_000,
-        'idle_timeout_ms': 15_000,
-    },
-}
-
-
 class PlatformSite:
     """A store, two plain workers, three engines and some hosts."""
 
@@ -135,18 +89,7 @@
 
     def list_worker(self, name, state='ready'):
         worker = self.workers[name]
-        entry = {
-            'service': 'llm' if worker.phase else 'app',
-            'address': self.address_by_worker[name],
-            'zone': 'z',
-            'version': 'v1',
-            'slot_count': 6,
-            'state': state,
-            'cold_remaining_ms': 0,
-            'sequence': 0,
-        }
-        if worker.phase:
-            entry['phase'] = worker.phase
+        entry = worker_entry(self.address_by_worker[name], worker.phase, state)
         self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
 
     def configure(self, config):
