Keep the soak's output to its own lines

Cause: workers that lose answers by plan are logged by their server with a traceback each, hundreds in a run. Change: that logger is silenced in the soak's program alone.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -28,8 +28,6 @@
     encode_plan,
 )
 
-log = logging.getLogger(__name__)
-
 CALLERS = 8
 # Time after the last fault within which requests are served again, seconds.
 RECOVERY_S = 15.0
@@ -260,6 +258,8 @@
     parser.add_argument(
         '--replay', type=pathlib.Path, help='A plan.json to play again.'
     )
+    # Workers that lose answers as the plan says are no errors.
+    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     return uvloop.run(_run(parser.parse_args()))
 
 
