Give duties to large hosts, tell differences of the hubs' word

Cause, by a profile of hosts of the large site at work (trial, 15 s): of the 0.53 s of processor time of a small host half went into heartbeats: hubs named all 195 hosts anew at each change, every host went through the words of five hubs at each beat and ranked all hosts for the choice of hubs; hubs and owners were as likely a host of 0.5 cores as one of 2.15. Each change of membership logged the names of all hosts.

Change: a hub tells what has changed since the word that the peer has (hub_word.py, the last 16 are kept); hubs that hear the same say the same, so one word is gone through; hubs are chosen again only when hosts come or go. Hosts learn their capacity from their settings and tell it; hubs, pools' owners and the host that gives orders are chosen by rendezvous weighted with its fourth power (duties.py), owners in the data centre of their engines if one is there. membership_changed tells who came and went.

Ruled out: start (1.3 s of processor time a process) and requests, which the profile shows as the rest; both stay as they are here.

Largest price left: store calls.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -82,6 +82,7 @@
         id: its name.
         address: 'ip:port' for peers.
         data_centre: its data centre.
+        capacity: its processor in usual cores, 1 while unknown.
         operators_address: 'ip:port' for operators.
         incarnation: start number of its process, 0 while unknown.
         listed: whether the host list names it.
@@ -102,6 +103,7 @@
     address: str
     data_centre: str
     operators_address: str = ''
+    capacity: float = 1.0
     incarnation: int = 0
     listed: bool = True
     draining: bool = False
@@ -321,6 +323,7 @@
         host: id of this host.
         incarnation: start number of this process.
         data_centre: this host's data centre.
+        capacity: this host's processor in usual cores.
         region: this host's region.
         address: 'ip:port' at which peers reach this host, '' where only the
             host list tells it.
@@ -349,6 +352,7 @@
 
     __slots__ = (
         'address',
+        'capacity',
         'config',
         'config_changed',
         'data_centre',
@@ -381,6 +385,7 @@
         self.data_centre = data_centre
         self.region = region
         self.address = ''
+        self.capacity = 1.0
         self.pool_engines = MAX_POOL_ENGINES
         self.engines_read_prompts = False
         self.draining = False
--- /dev/null
+++ b/mustardscale/hosts/duties.py
@@ -0,0 +1,57 @@
+"""Which host has a duty for others, such as the ownership of a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.hosts.rendezvous import weighted_rank
+
+# Power of a host's capacity that is its weight. A duty takes the same work on
+# any host, so small ones get it only where there are few large ones.
+CAPACITY_POWER = 4.0
+# Capacity that the smallest hosts are taken to have, usual cores.
+LEAST_CAPACITY = 0.05
+
+
+def rank_hosts(
+    board: Blackboard, duty: str, host_ids: Iterable[str]
+) -> list[str]:
+    """Returns hosts by falling preference for a duty, large ones first mostly.
+
+    Args:
+        board: knows the capacity of the hosts.
+        duty: name of the duty.
+        host_ids: the hosts.
+    """
+    weight_by_id = {
+        host_id: max(LEAST_CAPACITY, _capacity(board, host_id))
+        ** CAPACITY_POWER
+        for host_id in host_ids
+    }
+    return weighted_rank(duty, weight_by_id)
+
+
+def chosen_host(board: Blackboard, duty: str, data_centre: str = '') -> str:
+    """Returns the serving host that has a duty.
+
+    Args:
+        board: knows the hosts.
+        duty: name of the duty.
+        data_centre: whose hosts are preferred, '' for none.
+    """
+    hosts = board.serving_hosts()
+    near = [host for host in hosts if _place(board, host) == data_centre]
+    return rank_hosts(board, duty, near or hosts)[0]
+
+
+def _capacity(board: Blackboard, host_id: str) -> float:
+    if host_id == board.host:
+        return board.capacity
+    return board.hosts_by_id[host_id].capacity
+
+
+def _place(board: Blackboard, host_id: str) -> str:
+    if host_id == board.host:
+        return board.data_centre
+    return board.hosts_by_id[host_id].data_centre
--- a/mustardscale/hosts/heartbeat_hubs.py
+++ b/mustardscale/hosts/heartbeat_hubs.py
@@ -10,12 +10,17 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Iterable, Iterator
-
-import xxhash
 
 from mustardscale.blackboard import Blackboard, HostEntry
-from mustardscale.hosts.rendezvous import rank
+from mustardscale.hosts.duties import rank_hosts
+from mustardscale.hosts.hub_word import (
+    NO_WORD,
+    HubNews,
+    HubWord,
+    apply_news,
+    news_between,
+    word_of,
+)
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat
 
 # Up to this many hosts all pairs exchange heartbeats.
@@ -24,21 +29,22 @@
 # pause in which the others find new ones.
 HUBS = 5
 
+# Own words that a hub keeps, to tell its peers only what has changed since.
+KEPT_WORDS = 16
+
 _HUBS_KEY = 'heartbeats'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HubWord:
-    """What a hub said last of the hosts that it hears.
+class ToldWord:
+    """What a hub said last.
 
     Attributes:
-        digest: of the hosts.
-        heard: the hosts.
+        word: its word.
         told_at: loop time at which it said so.
     """
 
-    digest: int
-    heard: tuple[HeardHost, ...]
+    word: HubWord
     told_at: float
 
 
@@ -52,10 +58,11 @@
 
     __slots__ = (
         '_blackboard',
+        '_candidates',
         '_dead_after_s',
-        '_heard',
-        '_heard_digest',
-        '_word_by_hub',
+        '_told_by_hub',
+        '_word',
+        '_word_by_digest',
         'hub_ids',
         'is_mesh',
     )
@@ -63,9 +70,12 @@
     def __init__(self, blackboard: Blackboard, dead_after_s: float):
         self._blackboard = blackboard
         self._dead_after_s = dead_after_s
-        self._word_by_hub: dict[str, HubWord] = {}
-        self._heard: tuple[HeardHost, ...] = ()
-        self._heard_digest = 0
+        # Capacity of the hosts among which the hubs were chosen last.
+        self._candidates: dict[str, float] = {}
+        self._told_by_hub: dict[str, ToldWord] = {}
+        # What this host says as a hub, and what it said before.
+        self._word = NO_WORD
+        self._word_by_digest: dict[int, HubWord] = {}
         self.hub_ids: frozenset[str] = frozenset()
         self.is_mesh = True
 
@@ -73,20 +83,24 @@
         """Chooses the hubs anew among the hosts that may be live."""
         now = asyncio.get_running_loop().time()
         board = self._blackboard
-        hosts = {
-            host.id
+        capacity_by_id = {
+            host.id: host.capacity
             for host in board.hosts_by_id.values()
             if not host.draining and self._may_live(host, now)
         }
         if not board.draining:
-            hosts.add(board.host)
+            capacity_by_id[board.host] = board.capacity
+        if capacity_by_id == self._candidates:
+            return
+        self._candidates = capacity_by_id
+        hosts = frozenset(capacity_by_id)
         self.is_mesh = len(hosts) <= MOST_IN_MESH
         if self.is_mesh:
-            self.hub_ids = frozenset(hosts)
+            self.hub_ids = hosts
         else:
-            self.hub_ids = frozenset(rank(_HUBS_KEY, hosts)[:HUBS])
-        for hub in set(self._word_by_hub) - self.hub_ids:
-            del self._word_by_hub[hub]
+            self.hub_ids = frozenset(rank_hosts(board, _HUBS_KEY, hosts)[:HUBS])
+        for hub in set(self._told_by_hub) - self.hub_ids:
+            del self._told_by_hub[hub]
 
     def _may_live(self, host: HostEntry, now: float) -> bool:
         """Returns whether a host is live, or just listed and may be."""
@@ -101,61 +115,88 @@
             return True
         return host in self.hub_ids or self._blackboard.host in self.hub_ids
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host is one of a few hubs."""
+        return not self.is_mesh and self._blackboard.host in self.hub_ids
+
     def note_heard(self) -> None:
         """Works out anew which hosts this one hears itself."""
-        if self.is_mesh or self._blackboard.host not in self.hub_ids:
-            self._heard, self._heard_digest = (), 0
+        if not self.is_hub:
+            self._word = NO_WORD
+            self._word_by_digest.clear()
             return
         now = asyncio.get_running_loop().time()
-        self._heard = tuple(
+        board = self._blackboard
+        heard = [
             HeardHost(host.id, host.incarnation, host.draining, 0.0)
-            for host in sorted(
-                self._blackboard.hosts_by_id.values(), key=lambda host: host.id
-            )
+            for host in board.hosts_by_id.values()
             if now - host.heard_at <= self._dead_after_s
+        ]
+        # With itself, so that hubs that hear the same say the same.
+        heard.append(
+            HeardHost(board.host, board.incarnation, board.draining, 0.0)
         )
-        self._heard_digest = digest_of(self._heard)
+        heard.sort(key=lambda host: host.host)
+        if tuple(heard) != self._word.heard:
+            self._say(word_of(heard))
+
+    def _say(self, word: HubWord) -> None:
+        self._word = word
+        self._word_by_digest.pop(word.digest, None)
+        self._word_by_digest[word.digest] = word
+        if len(self._word_by_digest) > KEPT_WORDS:
+            del self._word_by_digest[next(iter(self._word_by_digest))]
 
     @property
     def heard_digest(self) -> int:
         """Digest of the hosts that this one hears as a hub, 0 if it is none."""
-        return self._heard_digest
+        return self._word.digest
 
     def known_digest(self, hub: str) -> int:
         """Returns the digest of what a hub has said, 0 for nothing."""
-        word = self._word_by_hub.get(hub)
-        return word.digest if word is not None else 0
+        told = self._told_by_hub.get(hub)
+        return told.word.digest if told is not None else 0
 
-    def news_for(self, known_digest: int) -> tuple[HeardHost, ...]:
-        """Returns this hub's word for a peer that knows another one."""
-        return () if known_digest == self._heard_digest else self._heard
+    def news_for(self, known_digest: int) -> HubNews:
+        """Returns this hub's word for a peer that may know another one."""
+        if known_digest == self._word.digest:
+            return HubNews(known_digest)
+        known = self._word_by_digest.get(known_digest, NO_WORD)
+        return news_between(known, self._word)
 
     def take(self, beat: Heartbeat, now: float) -> None:
         """Takes a hub's word from its heartbeat."""
         if self.is_mesh or not beat.heard_digest:
             return
-        heard = beat.heard
-        known = self._word_by_hub.get(beat.host)
-        if known is not None and known.digest == beat.heard_digest:
-            heard = known.heard
-        elif digest_of(heard) != beat.heard_digest:
-            return
-        self._word_by_hub[beat.host] = HubWord(beat.heard_digest, heard, now)
-
-    def words(self, now: float) -> Iterator[HubWord]:
-        """Yields what hubs have said lately."""
-        for hub, word in self._word_by_hub.items():
-            if hub in self.hub_ids and now - word.told_at <= self._dead_after_s:
-                yield word
-
-
-def digest_of(heard: Iterable[HeardHost]) -> int:
-    """Returns a digest of hosts that are heard, never 0."""
-    digest = xxhash.xxh3_64()
-    for host in heard:
-        text = f'{host.host}/{host.incarnation}/{host.draining};'
-        digest.update(text.encode())
-    return digest.intdigest() | 1
+        told = self._told_by_hub.get(beat.host)
+        known = told.word if told is not None else NO_WORD
+        word = known
+        if known.digest != beat.heard_digest:
+            if beat.heard_since not in (0, known.digest):
+                return
+            base = known if beat.heard_since else NO_WORD
+            news = HubNews(beat.heard_since, beat.heard, beat.lost)
+            word = apply_news(base, news)
+            if word.digest != beat.heard_digest:
+                return
+        self._told_by_hub[beat.host] = ToldWord(word, now)
+
+    def told_words(self, now: float) -> list[ToldWord]:
+        """Returns what hubs have said lately, the newest first.
+
+        Of hubs that say the same, only the newest one is listed.
+        """
+        told_by_digest: dict[int, ToldWord] = {}
+        for hub, told in self._told_by_hub.items():
+            if hub not in self.hub_ids:
+                continue
+            if now - told.told_at > self._dead_after_s:
+                continue
+            known = told_by_digest.get(told.word.digest)
+            if known is None or known.told_at < told.told_at:
+                told_by_digest[told.word.digest] = told
+        return sorted(told_by_digest.values(), key=lambda told: -told.told_at)
 
 
 def vouched_at(
--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -36,6 +36,7 @@
         fencing: whether an engine refuses orders with an old term.
         operators_address: 'ip:port' for operators, of entry hosts.
         start: start number of an endpoint's process, 0 if it is not told.
+        capacity: processor of an entry host in usual cores.
     """
 
     id: str
@@ -50,6 +51,7 @@
     fencing: bool = True
     operators_address: str = ''
     start: int = 0
+    capacity: float = 1.0
 
 
 class HostList(abc.ABC):
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -97,6 +97,7 @@
             host.address,
             host.data_centre,
             host.operators_address,
+            host.capacity,
             silent_since=asyncio.get_running_loop().time(),
         )
 
--- a/mustardscale/hosts/host_registration.py
+++ b/mustardscale/hosts/host_registration.py
@@ -30,6 +30,7 @@
         board.address,
         board.data_centre,
         board.region,
+        capacity=board.capacity,
     )
 
 
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -19,6 +19,7 @@
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerGoneError, PeerUnavailableError
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
+from mustardscale.hosts.hub_word import HubNews
 from mustardscale.hosts.quorum import Quorum
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
@@ -74,6 +75,8 @@
         self._quorum = Quorum(blackboard, self._hubs)
         self._leaving: tuple[str, ...] = ()
         self._leaving_at = -math.inf
+        self._relayed: tuple[str, ...] = ()
+        self._relayed_at = -math.inf
         calls.handle(Heartbeat, self._on_heartbeat)
 
     async def run(self) -> None:
@@ -128,6 +131,7 @@
             for key, suspicion in board.suspicions_by_key.items()
             if suspicion.quarantined
         ]
+        news = self._news_for(known, now)
         return Heartbeat(
             host=board.host,
             incarnation=board.incarnation,
@@ -137,12 +141,8 @@
             config_digest=board.config.digest(),
             leaving=self._leaving_endpoints(now),
             quarantined=tuple(quarantined),
-            heard=self._word_for(known, now),
-            unheard=tuple(
-                host.id
-                for host in board.hosts_by_id.values()
-                if self._hubs.is_mesh and self._is_unheard(host)
-            ),
+            heard=news.heard,
+            unheard=self._unheard_hosts(),
             sent_at=now,
             echo_at=echo.sent_at,
             echo_incarnation=echo.incarnation,
@@ -150,9 +150,19 @@
             heard_digest=self._hubs.heard_digest,
             known_digest=self._hubs.known_digest(peer),
             quorum_age_s=self._quorum.own_age_s(now),
-            relayed_leaving=self._relayed_leaving(),
+            relayed_leaving=self._relayed_leaving(now),
+            heard_since=news.since,
+            lost=news.lost,
+            capacity=board.capacity,
         )
 
+    def _unheard_hosts(self) -> tuple[str, ...]:
+        """Returns the hosts whose heartbeats fail to come, in a mesh."""
+        if not self._hubs.is_mesh:
+            return ()
+        hosts = self._blackboard.hosts_by_id.values()
+        return tuple(host.id for host in hosts if self._is_unheard(host))
+
     def _leaving_endpoints(self, now: float) -> tuple[str, ...]:
         """Returns the endpoints that this host knows to be leaving.
 
@@ -167,35 +177,32 @@
             )
         return self._leaving
 
-    def _relayed_leaving(self) -> tuple[str, ...]:
+    def _relayed_leaving(self, now: float) -> tuple[str, ...]:
         """Returns the endpoints that peers told this hub to be leaving.
 
         Only what peers know themselves is passed on, or word would go round
         for ever.
         """
-        board = self._blackboard
-        if self._hubs.is_mesh or board.host not in self._hubs.hub_ids:
+        if not self._hubs.is_hub:
             return ()
-        return tuple(
-            sorted(
-                {
-                    endpoint
-                    for host in board.hosts_by_id.values()
-                    if not host.silent
-                    for endpoint in host.leaving
-                }
-            )
-        )
-
-    def _word_for(
-        self, asking: HostEntry | None, now: float
-    ) -> tuple[HeardHost, ...]:
+        if now - self._relayed_at >= LEAVING_INTERVAL_S:
+            self._relayed_at = now
+            told = {
+                endpoint
+                for host in self._blackboard.hosts_by_id.values()
+                if not host.silent
+                for endpoint in host.leaving
+            }
+            self._relayed = tuple(sorted(told))
+        return self._relayed
+
+    def _news_for(self, asking: HostEntry | None, now: float) -> HubNews:
         """Returns the hosts heard here of which a peer needs to be told."""
         if asking is None:
-            return ()
-        if not self._hubs.is_mesh:
-            return self._hubs.news_for(asking.known_digest)
-        return tuple(self._unheard_word(asking, now))
+            return HubNews()
+        if self._hubs.is_mesh:
+            return HubNews(heard=tuple(self._unheard_word(asking, now)))
+        return self._hubs.news_for(asking.known_digest)
 
     def _unheard_word(
         self, asking: HostEntry, now: float
@@ -271,10 +278,12 @@
         host.silent = False
         host.incarnation = beat.incarnation
         host.draining = beat.draining
+        host.capacity = beat.capacity
         self._merge_leaving(beat, now)
         self._merge_quarantine(beat, now)
-        for heard in beat.heard:
-            self._take_word(heard, now - heard.age_s, now)
+        if self._hubs.is_mesh:
+            for heard in beat.heard:
+                self._take_word(heard, now - heard.age_s, now)
         config = self._blackboard.config
         if beat.config_offset > config.folded_offset:
             self._blackboard.config_changed.notify()
@@ -289,7 +298,11 @@
         if not beat.address or beat.host == self._blackboard.host:
             return None
         host = HostEntry(
-            beat.host, beat.address, beat.data_centre, listed=False
+            beat.host,
+            beat.address,
+            beat.data_centre,
+            capacity=beat.capacity,
+            listed=False,
         )
         self._blackboard.hosts_by_id[beat.host] = host
         return host
@@ -365,13 +378,13 @@
         Returns:
             The hosts named, None if no hub has said anything lately.
         """
-        named: set[str] | None = None
-        for word in self._hubs.words(now):
-            named = named or set()
-            for heard in word.heard:
-                named.add(heard.host)
-                self._take_word(heard, word.told_at, now)
-        return named
+        told_words = self._hubs.told_words(now)
+        for told in told_words:
+            for heard in told.word.heard:
+                self._take_word(heard, told.told_at, now)
+        if not told_words:
+            return None
+        return set().union(*(told.word.names for told in told_words))
 
 
 def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
--- a/mustardscale/hosts/membership_follower.py
+++ b/mustardscale/hosts/membership_follower.py
@@ -29,15 +29,17 @@
                 follow()
             live = self._blackboard.live_hosts()
             if live != told:
+                self._tell(set(told), set(live))
                 told = live
-                self._tell(live)
             await self._blackboard.membership_changed.wait(FOLLOW_INTERVAL_S)
 
-    def _tell(self, live: list[str]) -> None:
-        """Logs who is live now."""
+    def _tell(self, before: set[str], live: set[str]) -> None:
+        """Logs which hosts came and went."""
         board = self._blackboard
         board.events.emit(
             EventKind.MEMBERSHIP_CHANGED,
-            live=live,
-            silent=sorted(set(board.hosts_by_id) - set(live)),
+            live=len(live),
+            silent=len(set(board.hosts_by_id) - live),
+            came=sorted(live - before),
+            went=sorted(before - live),
         )
--- a/mustardscale/hosts/quorum.py
+++ b/mustardscale/hosts/quorum.py
@@ -56,7 +56,7 @@
             Seconds, negative where it has none or is no hub.
         """
         board = self._blackboard
-        if self._hubs.is_mesh or board.host not in self._hubs.hub_ids:
+        if not self._hubs.is_hub:
             return -1.0
         return now - board.quorum_at if math.isfinite(board.quorum_at) else -1.0
 
@@ -70,7 +70,7 @@
         if not board.host_list_read:
             return
         now = asyncio.get_running_loop().time()
-        if self._hubs.is_mesh or board.host in self._hubs.hub_ids:
+        if self._hubs.is_mesh or self._hubs.is_hub:
             quorum_at = self._by_answers(now)
         else:
             quorum_at = self._by_hubs()
--- a/mustardscale/hosts/rendezvous.py
+++ b/mustardscale/hosts/rendezvous.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
+_HASHES = 2.0**64
+
 
 def _score(key: str, node_id: str) -> tuple[int, str]:
     # A length prefix keeps ('ab', 'c') and ('a', 'bc') apart.
@@ -32,3 +35,25 @@
         ValueError: there are no nodes.
     """
     return max(node_ids, key=lambda node: _score(key, node))
+
+
+def weighted_rank(key: str, weight_by_id: Mapping[str, float]) -> list[str]:
+    """Returns the nodes by falling preference for a key.
+
+    A node comes first with a chance in proportion to its weight. The order is
+    that of rank() where all weights are equal, and removing a node leaves the
+    order of the others as it was.
+
+    Args:
+        key: the key.
+        weight_by_id: the weight of each node, above 0.
+
+    >>> weighted_rank('k', {'a': 1, 'b': 1}) == rank('k', ['a', 'b'])
+    True
+    """
+
+    def cost(node: str) -> tuple[float, str]:
+        score, _ = _score(key, node)
+        return -math.log((score + 0.5) / _HASHES) / weight_by_id[node], node
+
+    return sorted(weight_by_id, key=cost)
--- a/mustardscale/orders/order_controller.py
+++ b/mustardscale/orders/order_controller.py
@@ -18,8 +18,8 @@
 from mustardscale.endpoints.endpoint_clients import ControlClients
 from mustardscale.endpoints.engines import REFUSED_FENCED, EngineOrder
 from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
+from mustardscale.hosts.duties import chosen_host
 from mustardscale.hosts.quorum import QUORUM_LEASE_S
-from mustardscale.hosts.rendezvous import owner
 from mustardscale.orders.order_decisions import Decisions, decide
 from mustardscale.orders.order_log import OrderLog
 from mustardscale.orders.order_reports import OrderReports
@@ -115,7 +115,7 @@
         if now - board.quorum_at > QUORUM_LEASE_S:
             return False
         stream = orders_stream(board.region)
-        return owner(stream, board.serving_hosts()) == board.host
+        return chosen_host(board, stream) == board.host
 
     def _is_settled(self) -> bool:
         """Returns whether this host is the chosen one for a while.
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -95,6 +95,9 @@
   knownDigest @15 :UInt64;
   quorumAgeS @16 :Float64;
   relayedLeaving @17 :List(Text);
+  heardSince @18 :UInt64;
+  lost @19 :List(Text);
+  capacity @20 :Float64;
 }
 
 struct HeardHost {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -91,12 +91,16 @@
         address: 'ip:port' at which the sender serves its peers, '' where only
             the host list tells it.
         heard_digest: digest of the hosts that the sender hears as a hub, 0 if
-            it is none; `heard` has them all unless the receiver knows them.
+            it is none.
         known_digest: digest of what the sender has of the receiver's word.
         quorum_age_s: seconds since a majority of the hosts answered a
             heartbeat of the sender, a hub; negative otherwise.
         relayed_leaving: ids of endpoints that are leaving by the word of the
             hosts that the sender hears as a hub.
+        heard_since: digest of the hub's word that the receiver has, from which
+            `heard` and `lost` tell the difference; 0 if `heard` has all.
+        lost: the hosts of that word that the hub does not hear any more.
+        capacity: the sender's processor in usual cores.
     """
 
     host: str
@@ -117,6 +121,9 @@
     known_digest: int = 0
     quorum_age_s: float = -1.0
     relayed_leaving: tuple[str, ...] = ()
+    heard_since: int = 0
+    lost: tuple[str, ...] = ()
+    capacity: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -196,6 +196,7 @@
         settings.host_id, incarnation, settings.data_centre, settings.region
     )
     board.address = settings.peers_listen
+    board.capacity = settings.cpu_share * settings.cpu_speed
     board.events = events
     board.pool_engines = settings.pool_engines
     board.engines_read_prompts = True
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -14,7 +14,7 @@
 from mustardscale.controller import Controller, pause
 from mustardscale.endpoints.engines import Prompt
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
-from mustardscale.hosts.rendezvous import owner, rank
+from mustardscale.hosts.rendezvous import rank
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.held_set import HeldSet, stream_hash
 from mustardscale.peers.peer_calls import PeerCalls
@@ -29,7 +29,11 @@
     Progress,
     Release,
 )
-from mustardscale.pools.pool_members import PoolMembers, pools_of
+from mustardscale.pools.pool_members import (
+    PoolMembers,
+    owner_of,
+    pools_of,
+)
 
 log = logging.getLogger(__name__)
 
@@ -73,9 +77,9 @@
         """Notes a change of hosts or endpoints."""
         board = self._blackboard
         self._pools_by_id = pools_of(board)
-        hosts = board.serving_hosts()
         owner_by_pool = {
-            pool_id: owner(pool_id, hosts) for pool_id in self._pools_by_id
+            pool.id: owner_of(board, pool)
+            for pool in self._pools_by_id.values()
         }
         if owner_by_pool != self._owner_by_pool:
             self._owner_by_pool = owner_by_pool
--- a/mustardscale/pools/engine_drain.py
+++ b/mustardscale/pools/engine_drain.py
@@ -5,10 +5,10 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.endpoints.engines import LoadReport, StreamStage
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.rendezvous import owner
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import EngineDrain, EngineDrainReply
 from mustardscale.policy.base import Reservation
+from mustardscale.pools.pool_members import owner_of, pools_of
 from mustardscale.pools.pool_owner import PoolOwner
 
 TIMEOUT_S = 1.0
@@ -37,7 +37,10 @@
         """
         if not pool:
             return True
-        host = owner(pool, self._blackboard.serving_hosts())
+        members = pools_of(self._blackboard).get(pool)
+        if members is None:
+            return False
+        host = owner_of(self._blackboard, members)
         request = EngineDrain(pool, engine, number)
         try:
             reply = await self._calls.call(
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -11,7 +11,6 @@
 from mustardscale.configuration.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
 from mustardscale.endpoints.engines import EngineRole, StreamStage
-from mustardscale.hosts.rendezvous import owner
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import (
@@ -45,7 +44,11 @@
     working_engine,
     working_on,
 )
-from mustardscale.pools.pool_members import PoolMembers, pools_of
+from mustardscale.pools.pool_members import (
+    PoolMembers,
+    owner_of,
+    pools_of,
+)
 from mustardscale.pools.quarantine import Suspicions
 from mustardscale.pools.recorded_policy import RecordedPolicy
 from mustardscale.reporting.event_log import EventKind
@@ -130,9 +133,8 @@
         """Takes and gives up pools as hosts and endpoints come and go."""
         board = self._blackboard
         pools = pools_of(board)
-        hosts = board.serving_hosts()
         for pool_id, members in pools.items():
-            if owner(pool_id, hosts) == board.host:
+            if owner_of(board, members) == board.host:
                 self._take(members)
             else:
                 self._give_up(pool_id)
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -81,7 +81,8 @@
         ('version', 'routes', 'services'),
     ),
     EventKind.MEMBERSHIP_CHANGED: EventRule(
-        'The live entry hosts have changed.', ('live', 'silent')
+        'Entry hosts came, or fell silent.',
+        ('live', 'silent', 'came', 'went'),
     ),
     EventKind.ENDPOINT_CHANGED: EventRule(
         'An endpoint came, left or changed.',
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -10,6 +10,7 @@
     Addresses,
     Choice,
     Count,
+    Factor,
     Seconds,
     Secret,
     Share,
@@ -24,6 +25,12 @@
     host_id: str = setting(Text(), 'Id of this host.')
     data_centre: str = setting(Text(), 'Data centre of this host.')
     region: str = setting(Text(), 'Region of this host.')
+    cpu_share: float = setting(
+        Factor(), 'Cores that this host may use, or a share of one.', 1.0
+    )
+    cpu_speed: float = setting(
+        Factor(), 'Speed of a core, in multiples of a usual one.', 1.0
+    )
     callers_listen: str = setting(
         Address(), 'Address on which callers are served.'
     )
--- a/mustardscale/settings/setting_options.py
+++ b/mustardscale/settings/setting_options.py
@@ -143,6 +143,24 @@
         return value
 
 
+class Factor(Option):
+    """A factor above 0."""
+
+    kind = 'factor'
+    remedy = 'give a number above 0, such as 1.5'
+
+    def parse(self, text: str) -> float:
+        """Returns the factor.
+
+        >>> Factor().parse('1.5')
+        1.5
+        """
+        value = float(text)
+        if not 0 < value < math.inf:
+            raise ValueError('is not above 0')
+        return value
+
+
 class Addresses(Option):
     """Addresses of peers, joined by commas; may be empty."""
 
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -33,6 +33,7 @@
     'digest',
     'echo_incarnation',
     'heard_digest',
+    'heard_since',
     'known_digest',
     'fingerprint',
     'block_hashes',
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -166,6 +166,8 @@
             'node_name': 'h1',
             'zone': 'z',
             'region': 'r',
+            'limits.cpu_share': '0.5',
+            'limits.cpu_cores': '2',
             'listen_addrs.front': '10.0.0.1:1',
             'listen_addrs.ready': '10.0.0.1:2',
             'listen_addrs.control': '10.0.0.1:3',
