Let the hubs read the store's streams for all hosts

Change: hubs tell in their heartbeats how far they have read each stream and how long ago; the others copy what is new (StreamCopies, KeyedTail.newer_than and copy) and read for themselves only while no hub has read within 1.5 s, or none hands over what it tells of. Order logs of hosts that give no orders poll each 20 s.

Ruled out: delegates of their own in each data centre (18 readers and further long polls between hosts); taking a hub's age of its read alone (a suspended hub does not count its suspension, so one that stays behind does not speak for the store).

--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -21,6 +21,7 @@
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
 from mustardscale.hosts.hub_word import HubNews
 from mustardscale.hosts.quorum import Quorum
+from mustardscale.hosts.stream_copies import StreamCopies
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
 
@@ -57,7 +58,11 @@
 
 
 class HeartbeatController(Controller):
-    """Exchanges heartbeats with the peers and decides who is live."""
+    """Exchanges heartbeats with the peers and decides who is live.
+
+    Attributes:
+        hubs: the hosts with which heartbeats are exchanged.
+    """
 
     def __init__(
         self,
@@ -71,20 +76,25 @@
         self._times = times
         self._rng = rng
         self._in_flight: dict[str, asyncio.Task[None]] = {}
-        self._hubs = HeartbeatHubs(blackboard, times.dead_after_s)
-        self._quorum = Quorum(blackboard, self._hubs)
+        self.hubs = HeartbeatHubs(blackboard, times.dead_after_s)
+        self._quorum = Quorum(blackboard, self.hubs)
+        self._copies: StreamCopies | None = None
         self._leaving: tuple[str, ...] = ()
         self._leaving_at = -math.inf
         self._relayed: tuple[str, ...] = ()
         self._relayed_at = -math.inf
         calls.handle(Heartbeat, self._on_heartbeat)
 
+    def tell_of_streams(self, copies: StreamCopies) -> None:
+        """Lets heartbeats tell how far the platform's streams were read."""
+        self._copies = copies
+
     async def run(self) -> None:
         """Exchanges heartbeats at a fixed interval."""
         try:
             while True:
-                self._hubs.choose()
-                self._hubs.note_heard()
+                self.hubs.choose()
+                self.hubs.note_heard()
                 for host in list(self._blackboard.hosts_by_id.values()):
                     if host.id not in self._in_flight and self._begins(host):
                         task = asyncio.create_task(self._exchange(host.id))
@@ -102,7 +112,7 @@
         The one whose id is first does; the other one too, when it hears
         nothing.
         """
-        if not self._hubs.pairs_with(host.id):
+        if not self.hubs.pairs_with(host.id):
             return False
         return self._blackboard.host < host.id or self._is_unheard(host)
 
@@ -147,18 +157,19 @@
             echo_at=echo.sent_at,
             echo_incarnation=echo.incarnation,
             address=board.address,
-            heard_digest=self._hubs.heard_digest,
-            known_digest=self._hubs.known_digest(peer),
+            heard_digest=self.hubs.heard_digest,
+            known_digest=self.hubs.known_digest(peer),
             quorum_age_s=self._quorum.own_age_s(now),
             relayed_leaving=self._relayed_leaving(now),
             heard_since=news.since,
             lost=news.lost,
             capacity=board.capacity,
+            streams=self._copies.statuses(now) if self._copies else (),
         )
 
     def _unheard_hosts(self) -> tuple[str, ...]:
         """Returns the hosts whose heartbeats fail to come, in a mesh."""
-        if not self._hubs.is_mesh:
+        if not self.hubs.is_mesh:
             return ()
         hosts = self._blackboard.hosts_by_id.values()
         return tuple(host.id for host in hosts if self._is_unheard(host))
@@ -183,7 +194,7 @@
         Only what peers know themselves is passed on, or word would go round
         for ever.
         """
-        if not self._hubs.is_hub:
+        if not self.hubs.is_hub:
             return ()
         if now - self._relayed_at >= LEAVING_INTERVAL_S:
             self._relayed_at = now
@@ -200,9 +211,9 @@
         """Returns the hosts heard here of which a peer needs to be told."""
         if asking is None:
             return HubNews()
-        if self._hubs.is_mesh:
+        if self.hubs.is_mesh:
             return HubNews(heard=tuple(self._unheard_word(asking, now)))
-        return self._hubs.news_for(asking.known_digest)
+        return self.hubs.news_for(asking.known_digest)
 
     def _unheard_word(
         self, asking: HostEntry, now: float
@@ -262,7 +273,7 @@
         if host is None or beat.incarnation < host.incarnation:
             return
         self._quorum.take(beat, now)
-        self._hubs.take(beat, now)
+        self.hubs.take(beat, now)
         last_beat = BeatTime(beat.incarnation, beat.sent_at)
         host.last_beat = max(host.last_beat, last_beat)
         changed = (
@@ -281,7 +292,9 @@
         host.capacity = beat.capacity
         self._merge_leaving(beat, now)
         self._merge_quarantine(beat, now)
-        if self._hubs.is_mesh:
+        if self._copies is not None:
+            self._copies.take(beat.host, beat.streams, now)
+        if self.hubs.is_mesh:
             for heard in beat.heard:
                 self._take_word(heard, now - heard.age_s, now)
         config = self._blackboard.config
@@ -378,7 +391,7 @@
         Returns:
             The hosts named, None if no hub has said anything lately.
         """
-        told_words = self._hubs.told_words(now)
+        told_words = self.hubs.told_words(now)
         for told in told_words:
             for heard in told.word.heard:
                 self._take_word(heard, told.told_at, now)
--- /dev/null
+++ b/mustardscale/hosts/stream_copies.py
@@ -0,0 +1,263 @@
+"""Lets a few hosts read the platform's streams for all.
+
+The hubs of the heartbeats read the streams and tell in their heartbeats how far
+they are. The other hosts copy what is new from them, and read for themselves
+only while no hub has lately read the stream.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+from collections.abc import Iterable
+
+from mustardscale.blackboard import Blackboard, Signal
+from mustardscale.controller import Controller
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
+from mustardscale.log.keyed_log import KeyedCopy, KeyedRecord
+from mustardscale.log.keyed_tail import LONG_POLL_S, KeyedTail, StreamReading
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.stream_messages import (
+    StreamEntry,
+    StreamFetch,
+    StreamFetchReply,
+    StreamStatus,
+)
+
+log = logging.getLogger(__name__)
+
+# Age of a hub's last read up to which it speaks for the store, seconds. With a
+# heartbeat's interval less than the time in which a change has to be in force.
+FRESH_S = 1.5
+# Time for which a hub's read waits for a record, seconds; a part of FRESH_S, so
+# that it keeps speaking for the store while nothing comes.
+HUB_POLL_S = 0.8
+# The same for a host that no hub speaks to, seconds.
+UNCOVERED_POLL_S = 5.0
+FETCH_TIMEOUT_S = 0.5
+# Interval at which a host looks whether it has become a hub, seconds.
+CHECK_INTERVAL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Told:
+    """What a hub has told of a stream.
+
+    Attributes:
+        end_offset: offset up to which it has read.
+        read_at: loop time at which it knew of nothing newer.
+        regained_at: loop time since when it can read the stream again.
+    """
+
+    end_offset: int
+    read_at: float
+    regained_at: float
+
+
+class StreamCopies(Controller, StreamReading):
+    """Copies what hubs have read, and answers as a hub."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        hubs: HeartbeatHubs,
+        tails: Iterable[KeyedTail],
+        rng: random.Random,
+    ):
+        """Prepares the copying.
+
+        Args:
+            blackboard: the blackboard.
+            calls: calls to peers.
+            hubs: the hosts that read for all.
+            tails: the streams.
+            rng: chooses whom to ask.
+        """
+        self._blackboard = blackboard
+        self._calls = calls
+        self._hubs = hubs
+        self._rng = rng
+        self._tail_by_stream = {tail.stream: tail for tail in tails}
+        self._told_by_stream: dict[str, dict[str, _Told]] = {
+            stream: {} for stream in self._tail_by_stream
+        }
+        # Loop time since when a stream is not as far as a hub has told.
+        self._behind_since: dict[str, float] = {}
+        self._news = Signal()
+        self._was_hub = False
+        for tail in self._tail_by_stream.values():
+            tail.reading = self
+        calls.handle(StreamFetch, self._on_fetch)
+
+    async def run(self) -> None:
+        """Copies what is new as soon as a heartbeat tells of it."""
+        while True:
+            if self._hubs.is_hub != self._was_hub:
+                self._was_hub = self._hubs.is_hub
+                for tail in self._tail_by_stream.values():
+                    tail.read_anew()
+            for stream, tail in self._tail_by_stream.items():
+                if not self._hubs.is_hub:
+                    await self._catch_up(stream, tail)
+            await self._news.wait(CHECK_INTERVAL_S)
+
+    def statuses(self, now: float) -> tuple[StreamStatus, ...]:
+        """Returns what this host tells of the streams, if it is a hub."""
+        if not self._hubs.is_hub:
+            return ()
+        return tuple(
+            _status_of(tail, now) for tail in self._tail_by_stream.values()
+        )
+
+    def take(
+        self, hub: str, statuses: Iterable[StreamStatus], now: float
+    ) -> None:
+        """Takes what a hub tells of the streams."""
+        for status in statuses:
+            told_by_hub = self._told_by_stream.get(status.stream)
+            if told_by_hub is None or status.read_age_s < 0:
+                continue
+            regained_at = now - status.regained_age_s
+            told = told_by_hub[hub] = _Told(
+                status.end_offset,
+                now - status.read_age_s,
+                regained_at if status.regained_age_s >= 0 else -math.inf,
+            )
+            self._note_told(self._tail_by_stream[status.stream], told, now)
+
+    def _note_told(self, tail: KeyedTail, told: _Told, now: float) -> None:
+        if self._hubs.is_hub:
+            return
+        if told.end_offset > tail.end_offset:
+            self._behind_since.setdefault(tail.stream, now)
+            self._news.notify()
+        elif now - told.read_at <= FRESH_S:
+            tail.note_covered(told.regained_at)
+
+    def wait_s(self) -> float:
+        """See the base class."""
+        if self._hubs.is_mesh:
+            return LONG_POLL_S
+        return HUB_POLL_S if self._hubs.is_hub else UNCOVERED_POLL_S
+
+    def is_covered(self, stream: str) -> bool:
+        """See the base class."""
+        return self._covered_s(stream) > 0
+
+    async def wait_uncovered(self, stream: str) -> None:
+        """See the base class."""
+        while True:
+            covered_s = self._covered_s(stream)
+            if covered_s <= 0:
+                return
+            await asyncio.sleep(covered_s)
+
+    def _covered_s(self, stream: str) -> float:
+        """Returns the seconds for which peers speak for the store, or less."""
+        if self._hubs.is_mesh or self._hubs.is_hub:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        tail = self._tail_by_stream[stream]
+        fresh = [
+            told
+            for hub, told in self._told_by_stream[stream].items()
+            if hub in self._hubs.hub_ids and told.read_at + FRESH_S > now
+        ]
+        # A hub that stays behind has not read lately, whatever it says: it may
+        # have been suspended. What this host has just read itself, the hubs
+        # tell with one of the next heartbeats.
+        read_at = max(
+            (
+                told.read_at
+                for told in fresh
+                if told.end_offset >= tail.end_offset
+            ),
+            default=tail.read_at if fresh else -math.inf,
+        )
+        ends_at = read_at + FRESH_S
+        behind_since = self._behind_since.get(stream)
+        if behind_since is not None:
+            ends_at = min(ends_at, behind_since + FRESH_S)
+        return ends_at - now
+
+    async def _catch_up(self, stream: str, tail: KeyedTail) -> None:
+        """Copies from the hubs that are ahead until one has told all."""
+        told_by_hub = self._told_by_stream[stream]
+        ahead = [
+            hub
+            for hub, told in told_by_hub.items()
+            if told.end_offset > tail.end_offset
+        ]
+        self._rng.shuffle(ahead)
+        for hub in ahead:
+            if told_by_hub[hub].end_offset <= tail.end_offset:
+                continue
+            if not await self._fetch(hub, tail):
+                # It counts again when it tells of the stream again.
+                told_by_hub.pop(hub, None)
+        known = max(
+            (told.end_offset for told in told_by_hub.values()), default=0
+        )
+        if known <= tail.end_offset:
+            self._behind_since.pop(stream, None)
+
+    async def _fetch(self, hub: str, tail: KeyedTail) -> bool:
+        """Copies all that a hub has; returns whether it could tell."""
+        told = self._told_by_stream[tail.stream].get(hub)
+        while told is not None and tail.end_offset < told.end_offset:
+            known = tail.end_offset
+            try:
+                reply = await self._calls.call(
+                    hub,
+                    StreamFetch(tail.stream, known),
+                    StreamFetchReply,
+                    FETCH_TIMEOUT_S,
+                )
+            except PeerUnavailableError as error:
+                log.debug('nothing of %s from %s: %s', tail.stream, hub, error)
+                return False
+            if not reply.available or not tail.copy(_copy_of(reply)):
+                return False
+        return True
+
+    async def _on_fetch(
+        self, sender: str, request: StreamFetch
+    ) -> StreamFetchReply:
+        tail = self._tail_by_stream.get(request.stream)
+        newer = tail.newer_than(request.after) if tail is not None else None
+        if newer is None:
+            return StreamFetchReply(False)
+        entries = tuple(
+            StreamEntry(record.key, record.value, record.offset)
+            for record in newer.records
+        )
+        return StreamFetchReply(True, newer.end_offset, newer.whole, entries)
+
+
+def _status_of(tail: KeyedTail, now: float) -> StreamStatus:
+    """Returns how far this host has read a stream itself."""
+    read_age_s = -1.0 if tail.is_lost else _age_s(tail.read_at, now)
+    return StreamStatus(
+        tail.stream,
+        tail.end_offset,
+        read_age_s,
+        _age_s(tail.regained_at, now),
+    )
+
+
+def _age_s(at: float, now: float) -> float:
+    """Returns the seconds since a loop time, negative if it never was."""
+    return now - at if math.isfinite(at) else -1.0
+
+
+def _copy_of(reply: StreamFetchReply) -> KeyedCopy:
+    records = tuple(
+        KeyedRecord(entry.key, entry.value, entry.offset)
+        for entry in reply.entries
+    )
+    return KeyedCopy(records, reply.end_offset, reply.whole)
--- a/mustardscale/log/keyed_log.py
+++ b/mustardscale/log/keyed_log.py
@@ -40,6 +40,21 @@
     end_offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedCopy:
+    """What is newer on a stream than a reader knows.
+
+    Attributes:
+        records: the newest record of each key, by offset.
+        end_offset: offset up to which they go.
+        whole: whether all keys without a record here were dropped.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+    whole: bool
+
+
 class KeyedLogClient(abc.ABC):
     """Access to keyed streams."""
 
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import math
 import random
+from collections.abc import Sequence
 
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import LogUnavailableError
 from mustardscale.log.keyed_log import (
+    KeyedCopy,
     KeyedLogClient,
     KeyedPage,
+    KeyedRecord,
     RecordsGoneError,
 )
 from mustardscale.reporting.event_log import EventKind
@@ -22,6 +26,37 @@
 # Time after which all is read again where a read was older than what is known,
 # or records were gone, seconds.
 STALE_RETRY_S = 0.1
+# Bytes of values that one peer is given at once.
+COPY_BYTES = 262_144
+
+
+class StreamReading(abc.ABC):
+    """How the hosts share the reading of streams."""
+
+    @abc.abstractmethod
+    def wait_s(self) -> float:
+        """Returns the seconds for which a read waits for a record."""
+
+    @abc.abstractmethod
+    def is_covered(self, stream: str) -> bool:
+        """Returns whether peers keep this host up to date."""
+
+    @abc.abstractmethod
+    async def wait_uncovered(self, stream: str) -> None:
+        """Waits until they do not."""
+
+
+class _ReadAlone(StreamReading):
+    """Each host reads all streams itself."""
+
+    def wait_s(self) -> float:
+        return LONG_POLL_S
+
+    def is_covered(self, stream: str) -> bool:
+        return False
+
+    async def wait_uncovered(self, stream: str) -> None:
+        return None
 
 
 class KeyedTail(Controller):
@@ -33,7 +68,9 @@
         changed: wakes when values changed.
         regained_at: loop time since when the stream can be read again, minus
             infinity if it always could.
-        current: whether the last read succeeded.
+        current: whether the last read succeeded, or peers tell what is new.
+        read_at: loop time at which nothing newer was known to be there.
+        reading: how hosts share the reading.
     """
 
     def __init__(
@@ -61,18 +98,41 @@
         self._pause_s = pause_s
         self._offset_by_key: dict[str, int] = {}
         self._whole = False
+        # Offset at which keys were last found to be gone without a record.
+        self._dropped_at = 0
+        self._call: asyncio.Task[KeyedPage] | None = None
         self._lost_at: float | None = None
         self.value_by_key: dict[str, bytes] = {}
         self.end_offset = 0
         self.changed = Signal()
         self.regained_at = -math.inf
         self.current = False
+        self.read_at = -math.inf
+        self.reading: StreamReading = _ReadAlone()
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
 
     async def run(self) -> None:
         """Reads all once, then what is new; after a gap all again."""
+        try:
+            await self._follow()
+        finally:
+            self.read_anew()
+
+    def read_anew(self) -> None:
+        """Ends a read that waits for a record."""
+        if self._call is not None:
+            self._call.cancel()
+
+    async def _follow(self) -> None:
         while True:
             try:
-                if self._whole:
+                if self.reading.is_covered(self._stream):
+                    await self.reading.wait_uncovered(self._stream)
+                elif self._whole:
                     await self._read_more()
                 else:
                     await self._read_all()
@@ -91,17 +151,30 @@
             return
         present = {record.key for record in page.records}
         changed = self._merge(page)
-        for key in set(self.value_by_key) - present:
-            del self.value_by_key[key]
-            changed = True
+        changed = self._drop_all_but(present) or changed
         self._whole = True
         if changed:
             self.changed.notify()
 
+    def _drop_all_but(self, present: set[str]) -> bool:
+        """Drops keys that are gone without a record that says so."""
+        gone = set(self.value_by_key) - present
+        for key in gone:
+            del self.value_by_key[key]
+        if gone:
+            self._dropped_at = self.end_offset
+        return bool(gone)
+
     async def _read_more(self) -> None:
         # After an outage an answer must come at once, to know its end.
-        wait_s = LONG_POLL_S if self.current else 0.0
-        page = await self._client.read(self._stream, self.end_offset, wait_s)
+        wait_s = self.reading.wait_s() if self.current else 0.0
+        self._call = asyncio.create_task(
+            self._client.read(self._stream, self.end_offset, wait_s)
+        )
+        await asyncio.wait([self._call])
+        if self._call.cancelled():
+            return
+        page = self._call.result()
         self._note_read()
         if self._merge(page):
             self.changed.notify()
@@ -126,7 +199,67 @@
         self.end_offset = max(self.end_offset, last)
         return changed
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last read of this host failed."""
+        return self._lost_at is not None
+
+    def newer_than(self, after: int) -> KeyedCopy | None:
+        """Returns what a reader lacks that has come up to an offset.
+
+        Returns:
+            At most about COPY_BYTES of values, the oldest first; None where
+            that cannot be told.
+        """
+        if not self._whole:
+            return None
+        whole = after < self._dropped_at
+        records = sorted(
+            (
+                KeyedRecord(key, self.value_by_key.get(key, b''), offset)
+                for key, offset in self._offset_by_key.items()
+                if offset > after or (whole and key in self.value_by_key)
+            ),
+            key=lambda record: record.offset,
+        )
+        count = _count_within(records, COPY_BYTES)
+        if count == len(records):
+            return KeyedCopy(tuple(records), self.end_offset, whole)
+        if whole:
+            # A part would make the rest look dropped.
+            return None
+        part = tuple(records[:count])
+        return KeyedCopy(part, part[-1].offset, False)
+
+    def copy(self, copied: KeyedCopy) -> bool:
+        """Takes what another reader has; returns whether it is newer."""
+        if copied.end_offset <= self.end_offset:
+            return False
+        changed = self._merge(KeyedPage(copied.records, copied.end_offset))
+        self.end_offset = max(self.end_offset, copied.end_offset)
+        if copied.whole:
+            present = {record.key for record in copied.records if record.value}
+            changed = self._drop_all_but(present) or changed
+        self._whole = True
+        if changed:
+            self.changed.notify()
+        return True
+
+    def note_covered(self, regained_at: float) -> None:
+        """Notes that peers keep this host up to date.
+
+        Args:
+            regained_at: loop time since when they can read the stream again,
+                minus infinity if they always could.
+        """
+        self._note_regained()
+        self.regained_at = max(self.regained_at, regained_at)
+
     def _note_read(self) -> None:
+        self.read_at = asyncio.get_running_loop().time()
+        self._note_regained()
+
+    def _note_regained(self) -> None:
         self.current = True
         if self._lost_at is None:
             return
@@ -150,3 +283,13 @@
             cause=type(error).__name__,
             detail=str(error),
         )
+
+
+def _count_within(records: Sequence[KeyedRecord], size: int) -> int:
+    """Returns how many records have values of a size together, at least 1."""
+    total = 0
+    for number, record in enumerate(records):
+        total += len(record.value)
+        if total > size and number:
+            return number
+    return len(records)
--- a/mustardscale/orders/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 # Time for which a read waits for a record, seconds.
-LONG_POLL_S = 5.0
+LONG_POLL_S = 20.0
 # The same for the host that gives orders, which must know the stream's tail.
 HOLDER_POLL_S = 1.0
 READ_RETRY_S = 0.5
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -1,6 +1,6 @@
 @0xb7d1c2f09a4e5831;
 # Messages between entry hosts. Each struct mirrors the class of the same name
-# in peer_messages.py, directory_messages.py and config_messages.py; fields may
+# in peer_messages.py and the other *_messages.py beside it; fields may
 # be added at the end, never renumbered.
 
 struct Envelope {
@@ -29,6 +29,8 @@
     engineDrainReply @21 :EngineDrainReply;
     hostListFetch @22 :HostListFetch;
     hostListFetchReply @23 :HostListFetchReply;
+    streamFetch @24 :StreamFetch;
+    streamFetchReply @25 :StreamFetchReply;
   }
 }
 
@@ -98,6 +100,32 @@
   heardSince @18 :UInt64;
   lost @19 :List(Text);
   capacity @20 :Float64;
+  streams @21 :List(StreamStatus);
+}
+
+struct StreamStatus {
+  stream @0 :Text;
+  endOffset @1 :Int64;
+  readAgeS @2 :Float64;
+  regainedAgeS @3 :Float64;
+}
+
+struct StreamEntry {
+  key @0 :Text;
+  value @1 :Data;
+  offset @2 :Int64;
+}
+
+struct StreamFetch {
+  stream @0 :Text;
+  after @1 :Int64;
+}
+
+struct StreamFetchReply {
+  available @0 :Bool;
+  endOffset @1 :Int64;
+  whole @2 :Bool;
+  entries @3 :List(StreamEntry);
 }
 
 struct HeardHost {
@@ -121,6 +149,7 @@
   excluded @10 :List(Text);
   alone @11 :Bool;
   hintTokens @12 :Int64;
+  turnWithinS @13 :Float64;
 }
 
 struct AdmitReply {
@@ -130,6 +159,7 @@
   retryAfterS @3 :Float64;
   priority @4 :Int64;
   prefillS @5 :Float64;
+  missedTurn @6 :Bool;
 }
 
 struct HeldStream {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -17,6 +17,11 @@
     DirectoryRemove,
     DirectoryReply,
 )
+from mustardscale.peers.stream_messages import (
+    StreamFetch,
+    StreamFetchReply,
+    StreamStatus,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +106,7 @@
             `heard` and `lost` tell the difference; 0 if `heard` has all.
         lost: the hosts of that word that the hub does not hear any more.
         capacity: the sender's processor in usual cores.
+        streams: how far the sender, a hub, has read the platform's streams.
     """
 
     host: str
@@ -124,6 +130,7 @@
     heard_since: int = 0
     lost: tuple[str, ...] = ()
     capacity: float = 1.0
+    streams: tuple[StreamStatus, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +151,8 @@
         excluded: ids of endpoints that must not be used again.
         alone: whether to run it with no other request on the endpoint.
         hint_tokens: the caller's guess of the tokens emitted, 0 for none.
+        turn_within_s: seconds within which the grant must come, 0 for as long
+            as the caller stays.
     """
 
     pool: str
@@ -159,6 +168,7 @@
     excluded: tuple[str, ...] = ()
     alone: bool = False
     hint_tokens: int = 0
+    turn_within_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +182,8 @@
         retry_after_s: when refused, seconds after which to come back.
         priority: priority for the engines' queues.
         prefill_s: seconds that the prefill is expected to take, 0 if unknown.
+        missed_turn: whether the request was not refused, but got no grant
+            within the time that it gave.
     """
 
     outcome: int
@@ -180,6 +192,7 @@
     retry_after_s: float = 0.0
     priority: int = 0
     prefill_s: float = 0.0
+    missed_turn: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -410,6 +423,7 @@
     | SuspicionNotice
     | EngineDrain
     | HostListFetch
+    | StreamFetch
 )
 PeerReply = (
     Heartbeat
@@ -422,6 +436,7 @@
     | ConfigFetchReply
     | EngineDrainReply
     | HostListFetchReply
+    | StreamFetchReply
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -438,4 +453,5 @@
     SuspicionNotice: Acknowledgement,
     EngineDrain: EngineDrainReply,
     HostListFetch: HostListFetchReply,
+    StreamFetch: StreamFetchReply,
 }
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -54,7 +54,7 @@
 SETTINGS_CHECK_S = 1.0
 # Time between two reads of the entry hosts' own entries, seconds: heartbeats
 # tell of new hosts sooner, and all hosts start together.
-HOSTS_PAUSE_S = 2.0
+HOSTS_PAUSE_S = 1.0
 # Interval at which a change of readiness is looked for, seconds.
 READINESS_CHECK_S = 0.25
 
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -5,9 +5,9 @@
 import dataclasses
 
 from mustardscale.configuration.route_source import RouteSource
-from mustardscale.controller import Controller
 from mustardscale.hosts.host_list import HostList
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.log.log_client import LogClient
 from mustardscale.peers.peer_transport import PeerTransport
 from mustardscale.relay.answer_memory import AnswerLimits
@@ -53,7 +53,7 @@
         routes: where routes come from.
         transport: carries messages to peers.
         connector: makes clients of endpoints.
-        controllers: what keeps the edges up to date.
+        tails: the platform's streams that the edges follow.
     """
 
     log: LogClient
@@ -61,4 +61,4 @@
     routes: RouteSource
     transport: PeerTransport
     connector: RelayConnector
-    controllers: tuple[Controller, ...] = ()
+    tails: tuple[KeyedTail, ...] = ()
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -27,6 +27,7 @@
 from mustardscale.hosts.host_registration import HostRegistration
 from mustardscale.hosts.membership import HeartbeatController
 from mustardscale.hosts.membership_follower import MembershipFollower
+from mustardscale.hosts.stream_copies import StreamCopies
 from mustardscale.orders.order_controller import OrderController
 from mustardscale.orders.order_log import OrderLog
 from mustardscale.orders.role_balance import RoleBalance
@@ -92,6 +93,10 @@
         self._budgets = RetryBudgets(options.allowance)
         suspicions = Suspicions(board)
         self.heartbeats = HeartbeatController(board, calls, options.times, rng)
+        copies = StreamCopies(
+            board, calls, self.heartbeats.hubs, edges.tails, rng
+        )
+        self.heartbeats.tell_of_streams(copies)
         self.pool_owner = PoolOwner(
             board,
             calls,
@@ -123,7 +128,8 @@
             sharing.follow_membership,
         ]
         self._controllers: list[Controller] = [
-            *edges.controllers,
+            *edges.tails,
+            copies,
             host_list,
             HostListCopy(
                 board,
--- a/tests/test_heartbeat_hubs.py
+++ b/tests/test_heartbeat_hubs.py
@@ -24,7 +24,7 @@
 def hubs_of(site):
     """Returns the hubs on which all hosts agree."""
     chosen = {
-        router.heartbeats._hubs.hub_ids
+        router.heartbeats.hubs.hub_ids
         for router in site.routers_by_host.values()
     }
     assert len(chosen) == 1
--- /dev/null
+++ b/tests/test_stream_copies.py
@@ -0,0 +1,306 @@
+"""Tests of hosts that copy the platform's streams from a few others."""
+
+import asyncio
+import contextlib
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mustardscale.blackboard import Blackboard
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.stream_copies import (
+    FETCH_TIMEOUT_S,
+    FRESH_S,
+    HUB_POLL_S,
+    StreamCopies,
+)
+from mustardscale.log.keyed_log import KeyedRecord
+from mustardscale.log.keyed_tail import COPY_BYTES, KeyedTail
+from mustardscale.peers.stream_messages import StreamFetch
+from tests.test_keyed_tail import FakeLog
+from tests.virtual_time import virtual_time
+
+STREAM = 'stream'
+BEAT_S = 0.4
+# A heartbeat, and a copy that fails once.
+SOON_S = BEAT_S + FETCH_TIMEOUT_S + 0.1
+
+
+class CountingLog(FakeLog):
+    """A stream that counts the reads."""
+
+    def __init__(self):
+        super().__init__()
+        self.reads = 0
+
+    async def newest(self, stream):
+        self.reads += 1
+        return await super().newest(stream)
+
+    async def read(self, stream, after, wait_s):
+        self.reads += 1
+        return await super().read(stream, after, wait_s)
+
+
+class FakeHubs:
+    """A fixed choice of hubs."""
+
+    def __init__(self, host, hub_ids, is_mesh=False):
+        self.hub_ids = frozenset(hub_ids)
+        self.is_mesh = is_mesh
+        self.is_hub = not is_mesh and host in self.hub_ids
+
+
+class Host:
+    """One host with its tail, and the calls that reach it."""
+
+    def __init__(self, fleet, name, log):
+        self.log = log
+        self.mute = False
+        board = Blackboard(name, 1, 'dc', 'region')
+        rng = random.Random(name)
+        self.tail = KeyedTail(board, log, STREAM, rng)
+        self.copies = StreamCopies(
+            board, self, FakeHubs(name, fleet.hub_ids), [self.tail], rng
+        )
+        self._fleet = fleet
+
+    def handle(self, request_type, handler):
+        assert request_type is StreamFetch
+        self.on_fetch = handler
+
+    async def call(self, host, request, reply_type, timeout_s):
+        peer = self._fleet.host_by_id[host]
+        if peer.mute:
+            raise PeerUnavailableError('no reply')
+        return await peer.on_fetch('me', request)
+
+
+class Fleet:
+    """Hubs and followers of one stream, with heartbeats between them."""
+
+    def __init__(self, hubs=2, followers=10):
+        self.hub_ids = [f'hub{number}' for number in range(hubs)]
+        self.log = CountingLog()
+        names = self.hub_ids + [f'f{number}' for number in range(followers)]
+        self.host_by_id = {name: Host(self, name, self.log) for name in names}
+        self.hubs = [self.host_by_id[name] for name in self.hub_ids]
+        self.followers = [self.host_by_id[name] for name in names[hubs:]]
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        tasks = [asyncio.create_task(self._beat())]
+        for host in self.host_by_id.values():
+            tasks.append(asyncio.create_task(host.tail.run()))
+            tasks.append(asyncio.create_task(host.copies.run()))
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _beat(self):
+        while True:
+            now = asyncio.get_running_loop().time()
+            for name, hub in zip(self.hub_ids, self.hubs, strict=True):
+                if hub.mute:
+                    continue
+                statuses = hub.copies.statuses(now)
+                for follower in self.followers:
+                    follower.copies.take(name, statuses, now)
+            await asyncio.sleep(BEAT_S)
+
+    def values(self):
+        return [host.tail.value_by_key for host in self.followers]
+
+
+class TestCopying:
+    """Hosts that are kept up to date by hubs."""
+
+    @virtual_time
+    async def test_a_change_comes_to_all_and_few_read_the_store(self):
+        fleet = Fleet()
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            # The first reads, of hosts that know no hub yet, end meanwhile.
+            await asyncio.sleep(30.0)
+            before = fleet.log.reads
+            for number in range(10):
+                fleet.log.put_now('a', b'%d' % number)
+                fleet.log.put_now('b', b'' if number % 2 else b'x')
+                await asyncio.sleep(SOON_S)
+                values = [
+                    {'a': b'%d' % number},
+                    {'a': b'%d' % number} | {'b': b'x'},
+                ]
+                assert all(
+                    v == values[(number + 1) % 2] for v in fleet.values()
+                )
+            polls = 10 * SOON_S / HUB_POLL_S + 20
+            assert fleet.log.reads - before <= len(fleet.hubs) * polls
+
+    @virtual_time
+    async def test_hosts_that_read_first_leave_the_rest_to_the_hubs(self):
+        fleet = Fleet()
+        async with fleet.running():
+            # All begin with a read of their own, which the changes wake.
+            for number in range(30):
+                fleet.log.put_now('a', b'%d' % number)
+                await asyncio.sleep(1.0)
+            polls = len(fleet.hubs) * (30 / HUB_POLL_S + 30)
+            own = fleet.log.reads - polls
+            assert own <= 4 * len(fleet.followers)
+
+    @virtual_time
+    async def test_a_host_without_the_store_starts_from_a_hub(self):
+        fleet = Fleet()
+        fleet.log.put_now('a', b'1')
+        cut = fleet.followers[0]
+        cut.tail._client = CountingLog()
+        cut.tail._client.down = True
+        async with fleet.running():
+            await asyncio.sleep(2 * SOON_S)
+            assert cut.tail.value_by_key == {'a': b'1'}
+            assert cut.tail.current
+
+    @virtual_time
+    async def test_a_drop_without_a_record_is_copied(self):
+        fleet = Fleet(hubs=1, followers=1)
+        fleet.log.put_now('a', b'1')
+        fleet.log.put_now('b', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+            hub, follower = fleet.hubs[0].tail, fleet.followers[0].tail
+            hub.end_offset += 1
+            hub._drop_all_but({'a'})
+            await asyncio.sleep(2 * SOON_S)
+            assert follower.value_by_key == {'a': b'1'}
+
+
+class TestLoss:
+    """Hubs that fail."""
+
+    @virtual_time
+    async def test_all_read_for_themselves_when_the_hubs_are_silent(self):
+        fleet = Fleet()
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+            for hub in fleet.hubs:
+                hub.mute = True
+            fleet.log.put_now('a', b'2')
+            await asyncio.sleep(FRESH_S + 0.1)
+            assert all(value == {'a': b'2'} for value in fleet.values())
+
+    @virtual_time
+    async def test_hubs_that_lost_the_store_do_not_speak_for_it(self):
+        fleet = Fleet()
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+            for hub in fleet.hubs:
+                hub.tail._client = CountingLog()
+                hub.tail._client.down = True
+            fleet.log.put_now('a', b'2')
+            await asyncio.sleep(HUB_POLL_S + FRESH_S + BEAT_S)
+            assert all(value == {'a': b'2'} for value in fleet.values())
+
+    @virtual_time
+    async def test_a_hub_that_tells_but_does_not_answer(self):
+        fleet = Fleet(hubs=1)
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+
+            async def refuse(sender, request):
+                raise PeerUnavailableError('no reply')
+
+            fleet.hubs[0].on_fetch = refuse
+            fleet.log.put_now('a', b'2')
+            await asyncio.sleep(FRESH_S + SOON_S)
+            assert all(value == {'a': b'2'} for value in fleet.values())
+
+    @virtual_time
+    async def test_a_hub_that_wakes_with_old_records_turns_nothing_back(self):
+        fleet = Fleet(hubs=1)
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+            hub = fleet.hubs[0]
+            hub.mute = True
+            old = hub.copies.statuses(asyncio.get_running_loop().time())
+            fleet.log.put_now('a', b'0')
+            await asyncio.sleep(FRESH_S + 0.1)
+            follower = fleet.followers[0]
+            for number in range(1, 10):
+                fleet.log.put_now('a', b'%d' % number)
+                for _ in range(4):
+                    # The age of its last read does not count the suspension.
+                    now = asyncio.get_running_loop().time()
+                    follower.copies.take('hub0', old, now)
+                    await asyncio.sleep(BEAT_S)
+                assert follower.tail.value_by_key == {'a': b'%d' % number}
+
+
+def tail_of(log):
+    board = Blackboard('h', 1, 'dc', 'region')
+    return KeyedTail(board, log, STREAM, random.Random(1))
+
+
+class TestParts:
+    """What one reader gives another."""
+
+    CHANGES = st.lists(
+        st.tuples(
+            st.sampled_from('abcd'), st.sampled_from([b'', b'1', b'2', None])
+        ),
+        max_size=30,
+    )
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(CHANGES, st.integers(0, 30))
+    def test_a_copy_has_the_same_values(self, changes, begun_at):
+        giver, taker = tail_of(None), tail_of(None)
+        giver._whole = True
+
+        async def play():
+            for number, (key, value) in enumerate(changes):
+                if number == begun_at:
+                    taker.copy(giver.newer_than(taker.end_offset))
+                giver.end_offset += 1
+                if value is None:
+                    # Found to be gone by a read of all.
+                    giver._drop_all_but(set(giver.value_by_key) - {key})
+                    continue
+                record = KeyedRecord(key, value, giver.end_offset)
+                giver._offset_by_key[key] = record.offset
+                giver.value_by_key.pop(key, None)
+                if value:
+                    giver.value_by_key[key] = value
+            taker.copy(giver.newer_than(taker.end_offset))
+
+        asyncio.run(play())
+        assert taker.value_by_key == giver.value_by_key
+        assert taker.end_offset == giver.end_offset
+
+    def test_a_large_copy_comes_in_parts(self):
+        giver, taker = tail_of(None), tail_of(None)
+        giver._whole = True
+        size = COPY_BYTES // 3
+        for number in range(1, 11):
+            giver._offset_by_key[f'k{number}'] = giver.end_offset = number
+            giver.value_by_key[f'k{number}'] = bytes(size)
+
+        async def play():
+            parts = 0
+            while taker.end_offset < giver.end_offset:
+                part = giver.newer_than(taker.end_offset)
+                assert sum(len(r.value) for r in part.records) <= COPY_BYTES
+                taker.copy(part)
+                parts += 1
+            return parts
+
+        assert asyncio.run(play()) == 4
+        assert taker.value_by_key == giver.value_by_key
