Look for a turn in other pools while keeping the place in line

A refusal, the only way to another pool, comes late or never for those that are kept waiting.

Change: a request without a grant after 0.1 s stays in line and asks two other pools, spread by its id, for a turn at once; the first grant counts, the other is given back. Such requests do not count as arrivals of the pools that they ask.

Ruled out: asking all pools at once (books several for each request), asking the own pool again afterwards (loses the place, counts an arrival twice).

--- a/mustardscale/policy/turn_forecast.py
+++ b/mustardscale/policy/turn_forecast.py
@@ -51,10 +51,14 @@
     def observe_waiting(
         self, waiting: Iterable[WaitingRequest], now: float
     ) -> None:
-        """Counts the requests that came since the last call."""
+        """Counts the requests that came since the last call to stay in line."""
         fade = math.exp(-(now - self._arrivals_at) / ARRIVAL_MEMORY_S)
         self._arrivals_at = now
-        new = sum(item.arrived_at > self._seen_until for item in waiting)
+        new = sum(
+            item.arrived_at > self._seen_until
+            for item in waiting
+            if not item.request.turn_within_s
+        )
         self._arrivals = self._arrivals * fade + new / ARRIVAL_MEMORY_S
         self._seen_until = now
 
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import math
 import random
@@ -47,9 +48,44 @@
 CALL_TIMEOUT_S = 1.0
 OWNER_RETRY_S = 0.1
 RETRY_AFTER_S = 2.0
+# Time for which a request waits for its turn in the pool of its data centre
+# before the pools of others are asked, seconds.
+OWN_TURN_S = 0.1
+# Time within which another pool must have a turn for it, its owner's answer
+# included, seconds, and pools that are asked so.
+OTHERS_TURN_S = 0.005
+OTHERS_TIMEOUT_S = 0.1
+OTHERS_ASKED = 2
 # Beyond a request's patience, time for the owner's answer to arrive, seconds.
 ANSWER_MARGIN_S = 2.0
 
+_ANOTHER_POOL_MAY = frozenset(
+    {
+        Outcome.POOL_SATURATED,
+        Outcome.NO_ENDPOINT,
+        Outcome.OWNER_UNAVAILABLE,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Asking:
+    """What is asked for a request, whichever pool serves it.
+
+    Attributes:
+        prompt: its prompt.
+        served: what is registered of it.
+        profile: the profile that it runs under.
+        excluded: endpoints that must not be used again.
+        deadline_at: loop time by which it must have ended.
+    """
+
+    prompt: Prompt
+    served: ServedRequest
+    profile: Profile
+    excluded: Sequence[str]
+    deadline_at: float
+
 
 class AdmissionClient(Controller):
     """Asks pool owners for endpoints and names the streams held here."""
@@ -121,32 +157,64 @@
         pools = self.pools_for(model, prompt_key)
         if not pools:
             raise OutcomeError(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
-        reply = AdmitReply(Outcome.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S)
-        for pool in pools:
-            served.pool = pool.id
-            ask = self._ask(prompt, served, profile, excluded, deadline_at)
-            reply = await self._ask_owner(ask, deadline_at, profile)
-            if reply.outcome == Outcome.COMPLETE:
-                return reply
-            if reply.outcome not in (
-                Outcome.POOL_SATURATED,
-                Outcome.NO_ENDPOINT,
-                Outcome.OWNER_UNAVAILABLE,
-            ):
+        asking = _Asking(prompt, served, profile, excluded, deadline_at)
+        reply = await self._ask_first(pools, asking)
+        for pool in pools[1:]:
+            if reply.outcome not in _ANOTHER_POOL_MAY:
                 break
+            served.pool = pool.id
+            reply = await self._ask_owner(self._ask(asking), asking)
+        if reply.outcome == Outcome.COMPLETE:
+            return reply
         raise OutcomeError(
             Outcome(reply.outcome),
             retry_after_s=reply.retry_after_s or RETRY_AFTER_S,
         )
 
-    def _ask(
-        self,
-        prompt: Prompt,
-        served: ServedRequest,
-        profile: Profile,
-        excluded: Sequence[str],
-        deadline_at: float,
-    ) -> AdmitRequest:
+    async def _ask_first(
+        self, pools: Sequence[PoolMembers], asking: _Asking
+    ) -> AdmitReply:
+        """Waits in the preferred pool; soon looks for a turn in others.
+
+        While a burst fills one pool others may be free.
+        """
+        served = asking.served
+        served.pool = pools[0].id
+        ask = self._ask(asking)
+        waiting = asyncio.create_task(self._ask_owner(ask, asking))
+        try:
+            if len(pools) > 1:
+                await asyncio.wait([waiting], timeout=OWN_TURN_S)
+            if _may_look_elsewhere(waiting):
+                other = await self._look_elsewhere(pools[1:], asking)
+                if other is not None:
+                    if _is_granted(waiting):
+                        self._drop_grant(ask)
+                    return other
+            served.pool = ask.pool
+            return await waiting
+        finally:
+            waiting.cancel()
+
+    async def _look_elsewhere(
+        self, pools: Sequence[PoolMembers], asking: _Asking
+    ) -> AdmitReply | None:
+        """Returns the grant of a pool that has a turn at once, if any."""
+        served = asking.served
+        ranked = rank(served.id, [pool.id for pool in pools])
+        for pool_id in ranked[:OTHERS_ASKED]:
+            served.pool = pool_id
+            ask = dataclasses.replace(
+                self._ask(asking), turn_within_s=OTHERS_TURN_S
+            )
+            reply = await self._ask_once(ask, OTHERS_TIMEOUT_S)
+            if reply is not None and reply.outcome == Outcome.COMPLETE:
+                return reply
+        return None
+
+    def _ask(self, asking: _Asking) -> AdmitRequest:
+        """Returns the request for the pool that is noted as served there."""
+        served, prompt = asking.served, asking.prompt
         now = asyncio.get_running_loop().time()
         waited_s = now - served.arrived_at
         assert served.tag is not None
@@ -158,15 +226,15 @@
             block_hashes=prompt.block_hashes,
             fingerprint=prompt.fingerprint,
             max_tokens=max(1, served.max_tokens - served.emitted_tokens),
-            first_token_s=profile.first_token_s - waited_s,
-            deadline_s=deadline_at - now,
+            first_token_s=asking.profile.first_token_s - waited_s,
+            deadline_s=asking.deadline_at - now,
             waited_s=waited_s,
-            excluded=tuple(excluded),
+            excluded=tuple(asking.excluded),
             hint_tokens=served.hint_tokens,
         )
 
     async def _ask_owner(
-        self, ask: AdmitRequest, deadline_at: float, profile: Profile
+        self, ask: AdmitRequest, asking: _Asking
     ) -> AdmitReply:
         """Asks until an owner has decided; owners may change meanwhile.
 
@@ -174,10 +242,10 @@
         deadline.
         """
         loop = asyncio.get_running_loop()
-        give_up_at = deadline_at
+        give_up_at = asking.deadline_at
         if ask.tag.attempt == 1:
-            patience_s = profile.patience_s + ANSWER_MARGIN_S
-            give_up_at = min(deadline_at, loop.time() + patience_s)
+            patience_s = asking.profile.patience_s + ANSWER_MARGIN_S
+            give_up_at = min(give_up_at, loop.time() + patience_s)
         while True:
             left_s = give_up_at - loop.time()
             if left_s <= 0:
@@ -346,3 +414,17 @@
             )
         except PeerUnavailableError as error:
             log.debug('report to owner %s failed: %s', host, error)
+
+
+def _may_look_elsewhere(asking: asyncio.Task[AdmitReply]) -> bool:
+    """Returns whether another pool may serve what a first one does not yet."""
+    if not asking.done():
+        return True
+    return asking.result().outcome in _ANOTHER_POOL_MAY
+
+
+def _is_granted(asking: asyncio.Task[AdmitReply]) -> bool:
+    """Returns whether an owner has granted what was asked."""
+    if not asking.done() or asking.cancelled() or asking.exception():
+        return False
+    return asking.result().outcome == Outcome.COMPLETE
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -252,7 +252,11 @@
         if not reply.done():
             self._admission_waits.notify()
         try:
-            return await reply
+            within_s = request.turn_within_s or None
+            await asyncio.wait([reply], timeout=within_s)
+            if not reply.done():
+                return AdmitReply(Outcome.POOL_SATURATED, missed_turn=True)
+            return reply.result()
         finally:
             if pool.reply_by_request_id.get(request_id) is reply:
                 del pool.reply_by_request_id[request_id]
