End streams that send bytes but no events, move them where they may go on

Cause: only the deadline ended a stream that trickled bytes without a whole event; an engine that had stalled was found by the caller's leaving, when nothing could go on elsewhere any more.

Change: a stream without a whole event for half of the time after which callers leave goes on at another engine, if its route allows; where it may not, it is ended a quarter after that time, so that only callers that left already are concerned.

--- a/mustardscale/configuration/route_index.py
+++ b/mustardscale/configuration/route_index.py
@@ -23,16 +23,14 @@
     return Profile(
         first_token_s=route.target_latency_s,
         per_token_s=UNCHECKED_PER_TOKEN_S,
-        patience_s=max(
-            route.target_latency_s, _leaves_after_s(route) - START_S
-        ),
+        patience_s=max(route.target_latency_s, leaves_after_s(route) - START_S),
         max_prompt_tokens=MAX_TOKENS,
         max_output_tokens=MAX_TOKENS,
         timeout_s=route.timeout_s,
     )
 
 
-def _leaves_after_s(route: Route) -> float:
+def leaves_after_s(route: Route) -> float:
     """Returns the seconds without an event after which callers leave."""
     return min(
         route.timeout_s,
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -9,6 +9,7 @@
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import RelayedRequest
+from mustardscale.configuration.route_index import leaves_after_s
 from mustardscale.configuration.routes import Route, ServiceSpec
 from mustardscale.endpoints.engines import StreamStage
 from mustardscale.exceptions import (
@@ -34,6 +35,10 @@
 from mustardscale.relay.stream_attempts import StreamAttempts
 from mustardscale.reporting.event_log import EventKind
 
+# Times without a whole event after which a stream counts as stalled, as shares
+# of that after which callers leave: where it may go on elsewhere, or may not.
+MOVED_AFTER_SHARE = 0.5
+ENDED_AFTER_SHARE = 1.25
 # What a caller that tells no size is taken to ask for, tokens.
 UNTOLD_SIZE = SizeEstimate(1_000, 1_000)
 
@@ -108,6 +113,7 @@
         self._splitter = EventSplitter()
         self._answer: EndpointAnswer | None = None
         self._outcome = Outcome.CALLER_LEFT
+        self._progress_at = request.arrived_at
         self.first_event_at: float | None = None
         size = request.size or UNTOLD_SIZE
         self.served = RelayedRequest(
@@ -133,6 +139,13 @@
     def _gives_up_at(self) -> float:
         return self._attempts.deadline_at + ANSWER_MARGIN_S
 
+    @property
+    def _stalls_at(self) -> float:
+        """Loop time at which the stream counts as stalled, if nothing comes."""
+        may_move = self._attempts.may_run_again()
+        share = MOVED_AFTER_SHARE if may_move else ENDED_AFTER_SHARE
+        return self._progress_at + share * leaves_after_s(self._route)
+
     @property
     def head(self) -> AnswerHead:
         """The beginning of the answer."""
@@ -189,7 +202,9 @@
 
     async def _next_answer(self) -> EndpointAnswer:
         after = self._splitter.last_id or self._request.resume_after
-        return await self._attempts.next_answer(after)
+        answer = await self._attempts.next_answer(after)
+        self._progress_at = self._context.now()
+        return answer
 
     def _present(self) -> EndpointAnswer:
         if self._answer is None:
@@ -197,14 +212,26 @@
         return self._answer
 
     async def _read(self, answer: EndpointAnswer) -> AsyncIterator[bytes]:
-        """Yields an answer's content until the deadline."""
+        """Yields an answer's content until the deadline.
+
+        Raises:
+            EndpointFailedError: it broke off, or stalled.
+            TimeoutError: its time is over.
+        """
         chunks = answer.chunks()
         while True:
+            stalls_at = self._stalls_at
             try:
-                async with asyncio.timeout_at(self._gives_up_at):
+                async with asyncio.timeout_at(
+                    min(stalls_at, self._gives_up_at)
+                ):
                     data = await anext(chunks)
             except StopAsyncIteration:
                 return
+            except TimeoutError as error:
+                if stalls_at < self._gives_up_at:
+                    raise EndpointFailedError('the stream stalled') from error
+                raise
             yield data
 
     def _take(self, data: bytes) -> bytes:
@@ -215,6 +242,7 @@
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(error)) from error
         served = self.served
         if whole:
+            self._progress_at = self._context.now()
             engine = self._service.engine
             per_event = engine.event_tokens if engine is not None else 1
             served.relayed_tokens = self._splitter.events * per_event
