Read an empty topic once as a whole

Cause: the orders' topic has no record until the first order, and each poll of it began with a read of all newest records: two calls in place of one.

--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -158,6 +158,8 @@
 
     def __init__(self, client: StoreClient):
         self._client = client
+        # Topics that had no record yet when they were read.
+        self._empty_topics: set[str] = set()
 
     async def append(
         self, stream: str, payloads: list[bytes], after: int | None = None
@@ -176,10 +178,11 @@
     ) -> LogPage:
         """See the base class."""
         topic = names.OWN_TOPIC_PREFIX + stream
-        if after == 0:
+        if after == 0 and topic not in self._empty_topics:
             page = await self._client.newest(topic)
             if page.end_offset:
                 return _log_page(page, compacted=True)
+            self._empty_topics.add(topic)
         try:
             page = await self._client.read(topic, after, wait_s)
         except RecordsGoneError:
