Void the quorum after a suspension of the machine

Change: has_quorum() asks CLOCK_BOOTTIME at the moment of use; after a suspension what was heard before does not count, also answers that arrive afterwards.

Ruled out: a watch that looks now and then (others act before its turn); the rest of the ages: the time for which a busy endpoint is left alone only grows, results of prefills and grants end by their owners' clocks.

Shown: tests/test_suspension.py; without the question at the moment of use two of its tests fail, without the rule on late answers the one on these.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -23,6 +23,7 @@
 from mustardscale.peers.directory_messages import DirectoryEntry
 from mustardscale.peers.peer_messages import HeldStream
 from mustardscale.reporting.event_log import EventLog, NoEvents
+from mustardscale.suspension import suspended_s
 from mustardscale.traces.trace import (
     NoTrace,
     TraceEvent,
@@ -346,6 +347,8 @@
         events: where decisions are logged.
         quorum_at: send time of the newest heartbeat round that a majority of
             the listed hosts answered.
+        quorum_suspended_s: seconds for which the machine had been suspended
+            when the quorum was found last.
         quorum_gap_at: loop time at which heartbeats were last found to have
             been without such an answer for longer than a lease.
     """
@@ -371,6 +374,7 @@
         'pool_engines',
         'quorum_at',
         'quorum_gap_at',
+        'quorum_suspended_s',
         'region',
         'served_by_id',
         'suspicions_by_key',
@@ -404,6 +408,7 @@
         self.config_changed = Signal()
         self.quorum_at = -math.inf
         self.quorum_gap_at = -math.inf
+        self.quorum_suspended_s = suspended_s()
 
     def record(self, kind: TraceKind, request_id: str, **fields: Any) -> None:
         """Records an event of a request; fields are those of TraceEvent."""
--- a/mustardscale/directory/directory_home.py
+++ b/mustardscale/directory/directory_home.py
@@ -18,7 +18,7 @@
 from mustardscale.directory.directory_lines import DirectoryLine
 from mustardscale.directory.directory_rules import Registration, may_replace
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.quorum import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import has_quorum
 from mustardscale.hosts.rendezvous import owner
 from mustardscale.peers.directory_messages import (
     DirectoryEntry,
@@ -160,7 +160,7 @@
         """Returns whether no other host can be the home of an id now."""
         board = self._blackboard
         now = asyncio.get_running_loop().time()
-        if now - board.quorum_at > QUORUM_LEASE_S:
+        if not has_quorum(board, now):
             return False
         return owner(request_id, board.serving_hosts()) == board.host
 
--- a/mustardscale/hosts/quorum.py
+++ b/mustardscale/hosts/quorum.py
@@ -3,16 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs, vouched_at
 from mustardscale.peers.peer_messages import Heartbeat
+from mustardscale.suspension import suspended_s
+
+log = logging.getLogger(__name__)
 
 # A host answers for others' sake, as a home or as the holder of a stream, only
 # if a majority of the listed hosts answered a heartbeat that it sent within
 # this time, seconds. Less than the silence after which it counts as dead.
 QUORUM_LEASE_S = 2.0
+# Suspension of the machine that is told from an error of the clocks, seconds.
+NOTICED_SUSPENSION_S = 0.2
+
+
+def has_quorum(board: Blackboard, now: float) -> bool:
+    """Returns whether a majority takes this host for live at this moment.
+
+    To be asked when something is done by that right: the machine may have been
+    suspended since it was found.
+    """
+    return now - board.quorum_at <= QUORUM_LEASE_S and not _was_suspended(board)
+
+
+def _was_suspended(board: Blackboard) -> bool:
+    return suspended_s() - board.quorum_suspended_s > NOTICED_SUSPENSION_S
 
 
 class Quorum:
@@ -23,17 +42,22 @@
         '_blackboard',
         '_hub_quorum_by_host',
         '_hubs',
+        '_valid_from',
     )
 
     def __init__(self, blackboard: Blackboard, hubs: HeartbeatHubs):
         self._blackboard = blackboard
         self._hubs = hubs
         self._answered_sent_at_by_host: dict[str, float] = {}
+        # Answers to what was sent before do not count.
+        self._valid_from = -math.inf
         # Age of each hub's own quorum, and when it said so.
         self._hub_quorum_by_host: dict[str, tuple[float, float]] = {}
 
     def note_answer(self, host: str, sent_at: float) -> None:
         """Notes that a host has answered a heartbeat sent then."""
+        if sent_at < self._valid_from:
+            return
         answered_at = self._answered_sent_at_by_host.get(host, sent_at)
         self._answered_sent_at_by_host[host] = max(answered_at, sent_at)
 
@@ -70,6 +94,8 @@
         if not board.host_list_read:
             return
         now = asyncio.get_running_loop().time()
+        if _was_suspended(board):
+            self._forget(now)
         if self._hubs.is_mesh or self._hubs.is_hub:
             quorum_at = self._by_answers(now)
         else:
@@ -79,6 +105,17 @@
             board.quorum_gap_at = now
         board.quorum_at = max(board.quorum_at, quorum_at)
 
+    def _forget(self, now: float) -> None:
+        """Forgets all that was heard before the machine was suspended."""
+        board = self._blackboard
+        log.warning('the machine was suspended: its quorum has to be renewed')
+        self._valid_from = now
+        self._answered_sent_at_by_host.clear()
+        self._hub_quorum_by_host.clear()
+        board.quorum_suspended_s = suspended_s()
+        board.quorum_at = -math.inf
+        board.quorum_gap_at = now
+
     def _by_answers(self, now: float) -> float:
         """Returns when a majority of the listed hosts was known to hear it."""
         answered = [
--- a/mustardscale/orders/order_controller.py
+++ b/mustardscale/orders/order_controller.py
@@ -19,7 +19,7 @@
 from mustardscale.endpoints.engines import REFUSED_FENCED, EngineOrder
 from mustardscale.exceptions import EndpointRefusedError, MustardscaleError
 from mustardscale.hosts.duties import chosen_host
-from mustardscale.hosts.quorum import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import has_quorum
 from mustardscale.orders.order_decisions import Decisions, decide
 from mustardscale.orders.order_log import OrderLog
 from mustardscale.orders.order_reports import OrderReports
@@ -112,7 +112,7 @@
         if board.draining or not self._knows_the_configuration():
             return False
         now = asyncio.get_running_loop().time()
-        if now - board.quorum_at > QUORUM_LEASE_S:
+        if not has_quorum(board, now):
             return False
         stream = orders_stream(board.region)
         return chosen_host(board, stream) == board.host
--- a/mustardscale/requests/language.py
+++ b/mustardscale/requests/language.py
@@ -19,7 +19,7 @@
 from mustardscale.exceptions import (
     OutcomeError,
 )
-from mustardscale.hosts.quorum import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import has_quorum
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.directory_messages import (
     DirectoryEntry,
@@ -294,7 +294,7 @@
             raise OutcomeError(Outcome.STREAM_TAKEN_OVER)
         board = self._blackboard
         now = asyncio.get_running_loop().time()
-        is_fresh = now - board.quorum_at <= QUORUM_LEASE_S
+        is_fresh = has_quorum(board, now)
         if is_fresh and served.confirmed_at >= board.quorum_gap_at:
             return
         if not await self._directory.confirm(served):
--- a/mustardscale/requests/resumption.py
+++ b/mustardscale/requests/resumption.py
@@ -18,7 +18,7 @@
     PeerGoneError,
     PeerUnavailableError,
 )
-from mustardscale.hosts.quorum import QUORUM_LEASE_S
+from mustardscale.hosts.quorum import QUORUM_LEASE_S, has_quorum
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import (
@@ -148,7 +148,7 @@
         """
         board = self._blackboard
         now = asyncio.get_running_loop().time()
-        if now - board.quorum_at > QUORUM_LEASE_S:
+        if not has_quorum(board, now):
             return board.quorum_at
         is_after_gap = board.quorum_gap_at >= served.arrived_at - QUORUM_LEASE_S
         return -math.inf if is_after_gap else served.arrived_at
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,7 @@
 # blackboard stands aside: it knows the state of all, and all may know it.
 LAYERS = (
     ('outcomes',),
-    ('exceptions', 'controller', 'background_tasks'),
+    ('exceptions', 'controller', 'background_tasks', 'suspension'),
     ('active_requests',),
     ('traces', 'reporting', 'settings'),
     ('endpoints',),
@@ -40,6 +40,7 @@
     'mustardscale.peers.directory_messages',
     'mustardscale.peers.peer_messages',
     'mustardscale.reporting.event_log',
+    'mustardscale.suspension',
     'mustardscale.traces.trace',
 }
 
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,109 @@
+"""Tests of a machine that is suspended, unseen by the clock of the loop."""
+
+import asyncio
+
+import pytest
+
+from mustardscale import blackboard
+from mustardscale.blackboard import Blackboard
+from mustardscale.hosts import quorum
+from mustardscale.hosts.quorum import Quorum, has_quorum
+from mustardscale.peers.peer_messages import Heartbeat
+from tests.test_membership import started_site
+from tests.virtual_time import virtual_time
+
+
+class Suspension:
+    """The clock that counts suspensions."""
+
+    def __init__(self):
+        self.total_s = 100.0
+
+    def __call__(self):
+        return self.total_s
+
+
+class Mesh:
+    """A few hosts that all exchange heartbeats."""
+
+    is_mesh = True
+    is_hub = False
+
+
+@pytest.fixture
+def suspension(monkeypatch):
+    clock = Suspension()
+    for module in (blackboard, quorum):
+        monkeypatch.setattr(module, 'suspended_s', clock)
+    return clock
+
+
+def peer(board, name):
+    board.hosts_by_id[name] = blackboard.HostEntry(name, 'a:1', 'dc')
+
+
+class TestQuorum:
+    """The right to act for others."""
+
+    def scene(self):
+        board = Blackboard('a', 1, 'dc', 'region')
+        board.host_list_read = True
+        for name in 'bc':
+            peer(board, name)
+        return board, Quorum(board, Mesh())
+
+    @virtual_time
+    async def test_it_is_void_at_once_after_a_suspension(self, suspension):
+        board, held = self.scene()
+        now = asyncio.get_running_loop().time()
+        held.note_answer('b', now)
+        held.update()
+        assert has_quorum(board, now)
+        suspension.total_s += 5.0
+        # Before any controller has had its turn.
+        assert not has_quorum(board, now)
+
+    @virtual_time
+    async def test_answers_from_before_do_not_renew_it(self, suspension):
+        board, held = self.scene()
+        sent_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.1)
+        suspension.total_s += 5.0
+        held.update()
+        held.note_answer('b', sent_at)
+        echo = Heartbeat(
+            'c', 1, 'dc', False, 0, 0, echo_at=sent_at, echo_incarnation=1
+        )
+        held.take(echo, asyncio.get_running_loop().time())
+        held.update()
+        now = asyncio.get_running_loop().time()
+        assert not has_quorum(board, now)
+        held.note_answer('b', now)
+        held.update()
+        assert has_quorum(board, now)
+
+    @virtual_time
+    async def test_clocks_that_differ_a_little_do_no_harm(self, suspension):
+        board, held = self.scene()
+        now = asyncio.get_running_loop().time()
+        held.note_answer('b', now)
+        held.update()
+        suspension.total_s += 0.05
+        assert has_quorum(board, now)
+
+
+class TestSite:
+    """Hosts that are suspended and go on."""
+
+    @virtual_time
+    async def test_it_is_renewed_by_heartbeats(self, suspension):
+        site = await started_site(3)
+        boards = [r.blackboard for r in site.routers_by_host.values()]
+        now = asyncio.get_running_loop().time()
+        assert all(has_quorum(board, now) for board in boards)
+        suspension.total_s += 5.0
+        assert not any(has_quorum(board, now) for board in boards)
+        await asyncio.sleep(3.0)
+        now = asyncio.get_running_loop().time()
+        assert all(has_quorum(board, now) for board in boards)
+        await site.stop()
