Take figures of the platform with fractions

Change: the slack is a number of at least 0 (Amount); Seconds and Factor share their check. test_figures_of_the_platform_may_have_fractions fails without it.

--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -8,6 +8,7 @@
 from mustardscale.settings.setting_options import (
     Address,
     Addresses,
+    Amount,
     Choice,
     Count,
     Factor,
@@ -72,8 +73,8 @@
     retry_ratio: float = setting(
         Share(), 'Retries of a service as a share of its requests.', 0.2
     )
-    retry_slack: int = setting(
-        Count(minimum=0), 'Retries of a service beyond that share.', 50
+    retry_slack: float = setting(
+        Amount(), 'Retries of a service beyond that share.', 50.0
     )
     retry_window_s: float = setting(
         Seconds(), 'Time over which retries are counted.', 10.0
--- a/mustardscale/settings/setting_options.py
+++ b/mustardscale/settings/setting_options.py
@@ -48,17 +48,17 @@
         return text
 
 
-class Seconds(Option):
-    """A time span above 0, in seconds."""
+class Factor(Option):
+    """A factor above 0."""
 
-    kind = 'seconds'
-    remedy = 'give a number of seconds above 0, such as 0.5'
+    kind = 'factor'
+    remedy = 'give a number above 0, such as 1.5'
 
     def parse(self, text: str) -> float:
-        """Returns the seconds.
+        """Returns the number.
 
-        >>> Seconds().parse('0.5')
-        0.5
+        >>> Factor().parse('1.5')
+        1.5
         """
         value = float(text)
         if not math.isfinite(value) or value <= 0:
@@ -66,6 +66,31 @@
         return value
 
 
+class Amount(Option):
+    """A number of at least 0, also with a fraction."""
+
+    kind = 'number'
+    remedy = 'give a number of at least 0, such as 35.8'
+
+    def parse(self, text: str) -> float:
+        """Returns the number.
+
+        >>> Amount().parse('35.8')
+        35.8
+        """
+        value = float(text)
+        if not math.isfinite(value) or value < 0:
+            raise ValueError('is not finite and at least 0')
+        return value
+
+
+class Seconds(Factor):
+    """A time span above 0, in seconds."""
+
+    kind = 'seconds'
+    remedy = 'give a number of seconds above 0, such as 0.5'
+
+
 class Count(Option):
     """A whole number of at least a minimum."""
 
@@ -143,24 +168,6 @@
         return value
 
 
-class Factor(Option):
-    """A factor above 0."""
-
-    kind = 'factor'
-    remedy = 'give a number above 0, such as 1.5'
-
-    def parse(self, text: str) -> float:
-        """Returns the factor.
-
-        >>> Factor().parse('1.5')
-        1.5
-        """
-        value = float(text)
-        if not 0 < value < math.inf:
-            raise ValueError('is not above 0')
-        return value
-
-
 class Addresses(Option):
     """Addresses of peers, joined by commas; may be empty."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -189,6 +189,25 @@
         assert settings.seed_addresses == ('10.0.0.1:3', '10.0.0.2:3')
         assert (settings.retry_ratio, settings.retry_slack) == (0.2, 52)
 
+    def test_figures_of_the_platform_may_have_fractions(self, tmp_path):
+        figures = {
+            'bounds.retry_budget_ratio': 0.25,
+            'bounds.retry_slack': 35.833333333333336,
+            'bounds.retry_window_s': 7.5,
+            'limits.cpu_share': 0.516,
+            'limits.cpu_cores': 2.5,
+        }
+        texts = {name: str(figure) for name, figure in figures.items()}
+        settings = self.read(tmp_path, self.filled_in(**texts))
+        read = (
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+            settings.cpu_share,
+            settings.cpu_speed,
+        )
+        assert read == tuple(figures.values())
+
     def test_flag_before_variable_before_file(self, tmp_path):
         text = self.filled_in()
         variables = {
