Read the time of an answer's end several times

Cause: a host that is asked for the rest of a delivered answer compares when its end was handed out with when it was asked. The time is told as an age, and the way of the reply counts as if the end had come later.

Ruled out: taking the age at the sender (an end handed out while the question is on its way would be given twice).

Change: where the first reading says that the end came later, it is asked up to four times more and the earliest reading counts, as each is an upper bound. Of several hosts that kept it the one that handed it out last counts.

Three tests in virtual time; the one of a reply that was long on its way fails without the change.

--- a/mustardscale/requests/kept_answers.py
+++ b/mustardscale/requests/kept_answers.py
@@ -134,14 +134,19 @@
 def kept_in(
     replies: Sequence[StreamReleaseReply | None],
 ) -> KeptAnswer | None:
-    """Returns the answer that one of the hosts has kept, if any."""
-    for reply in replies:
-        if reply is not None and reply.done and reply.finish_reason:
-            now = asyncio.get_running_loop().time()
-            return KeptAnswer(
-                reply.first_index,
-                reply.emitted,
-                reply.finish_reason,
-                now - reply.age_s,
-            )
-    return None
+    """Returns the answer that was handed out last of those kept, if any."""
+    found = [
+        reply
+        for reply in replies
+        if reply is not None and reply.done and reply.finish_reason
+    ]
+    if not found:
+        return None
+    reply = min(found, key=lambda reply: reply.age_s)
+    now = asyncio.get_running_loop().time()
+    return KeptAnswer(
+        reply.first_index,
+        reply.emitted,
+        reply.finish_reason,
+        now - reply.age_s,
+    )
--- a/mustardscale/requests/resumption.py
+++ b/mustardscale/requests/resumption.py
@@ -41,6 +41,8 @@
 DELIVERED_MEMORY_S = 60.0
 CALL_TIMEOUT_S = 1.0
 RELEASE_RETRY_S = 0.1
+# Further readings of the time of an answer's end.
+TIMING_TRIES = 4
 # Time after which a holder that was never heard has lost its lease, seconds.
 UNHEARD_PATIENCE_S = 2.5
 
@@ -95,7 +97,8 @@
                     for host, incarnation in incarnation_by_holder.items()
                 )
             )
-        kept = await self._find_answer(served, released, hosts)
+        holders = list(incarnation_by_holder)
+        kept = await self._find_answer(served, released, holders, hosts)
         if kept is not None:
             return kept
         for reply in released:
@@ -115,10 +118,17 @@
         self,
         served: ServedRequest,
         released: Sequence[StreamReleaseReply | None],
+        holders: list[str],
         hosts: list[str],
     ) -> KeptAnswer | None:
         """Returns the answer if it was delivered whole before.
 
+        Args:
+            served: the request.
+            released: the replies of its holders.
+            holders: the hosts that were asked to let go of it.
+            hosts: all other live hosts.
+
         Raises:
             OutcomeError: ALREADY_COMPLETED, when it is no longer kept, or its
                 end was handed out after this resumption was asked for.
@@ -134,12 +144,40 @@
                 raise OutcomeError(Outcome.ALREADY_COMPLETED)
             return None
         served.answered = True
+        asked_at = self._asked_at(served)
+        if kept.delivered_at > asked_at:
+            kept = await self._time_again(served.id, kept, holders, asked_at)
         self._kept.add(served.id, kept)
-        if kept.delivered_at > self._asked_at(served):
+        if kept.delivered_at > asked_at:
             # Only one of the two streams may go on to the end.
             raise OutcomeError(Outcome.ALREADY_COMPLETED)
         return kept
 
+    async def _time_again(
+        self,
+        request_id: str,
+        kept: KeptAnswer,
+        holders: list[str],
+        asked_at: float,
+    ) -> KeptAnswer:
+        """Asks again when an answer's end was handed out.
+
+        The way of a reply, which is long on a busy host, makes the end look
+        later than it was. So the earliest of several readings counts.
+        """
+        for _ in range(TIMING_TRIES):
+            calls = [
+                self._release_if_live(host, request_id) for host in holders
+            ]
+            again = kept_in(await asyncio.gather(*calls))
+            if again is None:
+                break
+            if again.delivered_at < kept.delivered_at:
+                kept = again
+            if kept.delivered_at <= asked_at:
+                break
+        return kept
+
     def _asked_at(self, served: ServedRequest) -> float:
         """Returns the earliest loop time at which a caller may have asked.
 
--- a/tests/test_kept_answers.py
+++ b/tests/test_kept_answers.py
@@ -5,14 +5,17 @@
 
 import pytest
 
+from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from mustardscale.outcomes import Outcome
+from mustardscale.peers.peer_messages import StreamReleaseReply
 from mustardscale.requests.kept_answers import (
     LONGEST_TAIL_TOKENS,
     KeptAnswer,
     KeptAnswerLimits,
     KeptAnswers,
 )
+from mustardscale.requests.resumption import Resumption
 from standins.fault_actions import FaultActions
 from tests.test_memory_site import answer, language, run, whole
 from tests.test_promises_answers import outcome_of
@@ -152,6 +155,60 @@
         run(scenario)
 
 
+class SlowFirstReply:
+    """A holder whose first reply is long on its way."""
+
+    def __init__(self, delivered_at, first_s, later_s):
+        self._delivered_at = delivered_at
+        self._way_s = first_s
+        self._later_s = later_s
+
+    def handle(self, request_type, handler):
+        return None
+
+    async def call(self, host, request, reply_type, timeout_s):
+        age_s = asyncio.get_running_loop().time() - self._delivered_at
+        way_s, self._way_s = self._way_s, self._later_s
+        await asyncio.sleep(way_s)
+        return StreamReleaseReply(
+            False,
+            ('a', 'b'),
+            done=True,
+            first_index=0,
+            finish_reason='stop',
+            age_s=age_s,
+        )
+
+
+class TestTimeOfTheEnd:
+    """Whether the end was handed out before the rest was asked for."""
+
+    async def located(self, delivered_before_s, first_s, later_s=0.001):
+        now = asyncio.get_running_loop().time()
+        board = Blackboard('me', 1, 'dc', 'r')
+        board.quorum_at = now
+        calls = SlowFirstReply(now - delivered_before_s, first_s, later_s)
+        kept = KeptAnswers(KeptAnswerLimits(KEEP_S, 10_000))
+        resumption = Resumption(board, calls, None, kept)
+        served = ServedRequest('r', 's', 1, now, previous_holder='other')
+        return await resumption.locate(served, 'm')
+
+    @virtual_time
+    async def test_a_reply_that_was_long_on_its_way(self):
+        answer = await self.located(0.01, first_s=0.05)
+        assert answer.texts == ('a', 'b')
+
+    @virtual_time
+    async def test_an_end_that_may_have_come_later(self):
+        refused = await outcome_of(self.located(-0.002, first_s=0.05))
+        assert refused is Outcome.ALREADY_COMPLETED
+
+    @virtual_time
+    async def test_all_replies_are_long_on_their_way(self):
+        refused = await outcome_of(self.located(0.01, 0.05, later_s=0.05))
+        assert refused is Outcome.ALREADY_COMPLETED
+
+
 class TestBounds:
     """Time and size."""
 
