Order waiting requests by the time for which they take up the pool

Hypothesis: where memory is what is short, long answers hold it for most of the time, and the order looked at prompts alone (half a millisecond of slack for each token). Small requests first serves more of them in time.

Change: the seconds for which a request takes up the prefill engines and the decode memory, each as a share of what the pool has (policy/pool_capacity), take the place of its prompt tokens. The factor keeps the aging of the old rule.

--- /dev/null
+++ b/mustardscale/policy/pool_capacity.py
@@ -0,0 +1,66 @@
+"""For how long a request takes up a pool, in its scarce resources.
+
+A prompt takes the prefill engines' time, an answer holds decode memory until it
+ends. Where not all requests can be served in time, those that take up little
+leave room for more of them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from mustardscale.endpoints.engines import EngineRole
+from mustardscale.peers.peer_messages import AdmitRequest
+from mustardscale.policy.base import PoolState
+from mustardscale.policy.engine_books import EngineBooks
+from mustardscale.policy.pairing import Round
+
+# Streams on a decode engine for which the time of a step is taken.
+USUAL_STREAMS = 10
+# Part of the longest answer that is expected where callers give no guess.
+UNTOLD_OUTPUT_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolCapacity:
+    """What a pool's engines do together.
+
+    Attributes:
+        prompt_tokens_per_s: prompt tokens that they compute a second.
+        memory_tokens: tokens that the decode engines' memory holds.
+        step_s: seconds from one token of a stream to the next.
+    """
+
+    prompt_tokens_per_s: float
+    memory_tokens: int
+    step_s: float
+
+    def seconds_of(self, request: AdmitRequest) -> float:
+        """Returns the seconds for which a request would take up the pool.
+
+        >>> request = AdmitRequest('', None, '', 5_000, (), 0, 1_000, 1.0, 9.0)
+        >>> PoolCapacity(50_000.0, 1_000_000, 0.01).seconds_of(request)
+        0.12625
+        """
+        output = request.hint_tokens or request.max_tokens * UNTOLD_OUTPUT_SHARE
+        seconds = request.prompt_tokens / self.prompt_tokens_per_s
+        if self.memory_tokens:
+            mean_tokens = request.prompt_tokens + output / 2
+            held_s = output * self.step_s
+            seconds += mean_tokens * held_s / self.memory_tokens
+        return seconds
+
+
+def capacity_of(
+    books: EngineBooks, current: Round, pool: PoolState
+) -> PoolCapacity:
+    """Returns the capacity of a pool's usable engines."""
+    rate = sum(engine.tokens_per_s for engine in current.prefills)
+    if not rate:
+        rate = books.own_rate() * max(1, len(current.decode_ids))
+    memory_tokens = sum(
+        engine.report.pieces_total * engine.report.piece_tokens
+        for engine in pool.engines(EngineRole.DECODE)
+        if engine.report is not None
+    )
+    return PoolCapacity(rate, memory_tokens, books.rooms.step_s(USUAL_STREAMS))
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -29,6 +29,7 @@
     find_pairing,
     least_first_token_s,
 )
+from mustardscale.policy.pool_capacity import capacity_of
 from mustardscale.policy.turn_forecast import (
     TurnForecast,
     has_a_turn,
@@ -178,10 +179,12 @@
         kept: list[Candidate] = []
         waiting = pool.waiting_by_request_id.values()
         backlog_tokens = sum(item.request.prompt_tokens for item in waiting)
+        capacity = capacity_of(self._books, current, pool)
         for item in waiting:
             service = item.request.service
             profile = pool.profile_by_service.get(service, DEFAULT_PROFILE)
             estimate_s = least_first_token_s(self._books, current, item.request)
+            pool_s = capacity.seconds_of(item.request)
             refusal = refusal_of(
                 item, profile, estimate_s, current, backlog_tokens
             )
@@ -189,7 +192,12 @@
                 refusals.append(refusal)
             else:
                 urgency = urgency_of(
-                    item, profile, estimate_s, current.now, service in ahead
+                    item,
+                    profile,
+                    estimate_s,
+                    current.now,
+                    pool_s,
+                    service in ahead,
                 )
                 kept.append(Candidate(urgency, item, profile))
         return refusals, kept
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -11,8 +11,9 @@
 from mustardscale.policy.base import Refusal, WaitingRequest
 from mustardscale.policy.pairing import Round
 
-# Seconds of slack that a request with a prompt of one token more gives up.
-SLACK_PER_TOKEN_S = 0.5e-3
+# Seconds of slack that a request gives up for each second for which it would
+# take up the whole pool.
+SLACK_PER_POOL_SECOND = 6.0
 # Ranks of waiting requests; those of services that have had more than their
 # share come last, so that a late request is not put off for ever.
 REPEATED = 0
@@ -83,6 +84,7 @@
     profile: Profile,
     estimate_s: float,
     now: float,
+    pool_s: float,
     is_ahead: bool = False,
 ) -> tuple[int, float]:
     """Returns the sort key of a request; the smallest is decided first.
@@ -92,6 +94,7 @@
         profile: its profile.
         estimate_s: least seconds until its first token.
         now: loop time.
+        pool_s: seconds for which it would take up the pool.
         is_ahead: whether its service has had more than its share.
     """
     if item.request.tag.attempt > 1:
@@ -99,7 +102,7 @@
     slack_s = item.first_token_at - now - estimate_s
     if slack_s < 0:
         return (AHEAD_LATE if is_ahead else LATE, item.arrived_at)
-    cost_s = SLACK_PER_TOKEN_S * item.request.prompt_tokens
+    cost_s = SLACK_PER_POOL_SECOND * pool_s
     return (
         AHEAD if is_ahead else IN_TIME,
         (slack_s + cost_s) / profile.weight,
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -217,6 +217,12 @@
         scene.ask('late', tokens=400, now=6.0)
         assert list(scene.decide(6.0)) == ['long']
 
+    def test_a_long_answer_goes_behind_short_ones(self):
+        scene = Scene(prefills=1)
+        scene.ask('long', tokens=400, max_tokens=16_000)
+        scene.ask('short', tokens=400, max_tokens=400)
+        assert list(scene.decide()) == ['short']
+
 
 class TestFairShares:
     """What a service that sends too much takes from the others."""
