Do not make a prefill engine of decode memory that is short

Change: a decode engine takes the role only if the streams held fit in 0.7 of the memory of the others, for the eight seconds that the pool waits anyway.

--- a/mustardscale/orders/order_views.py
+++ b/mustardscale/orders/order_views.py
@@ -172,6 +172,8 @@
             group_by_engine.get(endpoint.id, ''),
             report.role,
             report.model_version,
+            report.pieces_total - report.pieces_free,
+            report.pieces_total,
         )
         for endpoint in board.endpoints_by_id.values()
         if endpoint.kind is ListedKind.ENGINE
--- a/mustardscale/orders/role_balance.py
+++ b/mustardscale/orders/role_balance.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from mustardscale.configuration.wanted_state import WantedEngine
 from mustardscale.endpoints.engines import EngineRole
@@ -19,6 +19,9 @@
 # seconds. Longer than an engine takes to start again: until then decode
 # engines read prompts themselves.
 PROMOTE_AFTER_S = 8.0
+# Share of the decode memory up to which it may be in use once engines have left
+# for the other role: memory that is short is not given away.
+MOST_MEMORY_SHARE = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +35,8 @@
             where each has pools of its own, else ''.
         role: its present role.
         model_version: version of its model.
+        used_pieces: pieces of its memory that are in use.
+        pieces: pieces of its memory, 0 if they are not known.
     """
 
     id: str
@@ -39,6 +44,8 @@
     group: str
     role: EngineRole
     model_version: str
+    used_pieces: int = 0
+    pieces: int = 0
 
 
 class RoleBalance:
@@ -92,19 +99,31 @@
         present = sorted(
             engine.id for engine in engines if engine.role is EngineRole.PREFILL
         )
-        others = sorted(
-            engine.id for engine in engines if engine.role is EngineRole.DECODE
-        )
+        decodes = [
+            engine for engine in engines if engine.role is EngineRole.DECODE
+        ]
+        others = sorted(engine.id for engine in decodes)
         count = prefill_count(len(engines), self.prefill_share)
         if len(present) >= count:
             self._lacking_since_by_group.pop(group, None)
             return set(present[:count])
+        if not _has_memory_for(decodes, count - len(present)):
+            self._lacking_since_by_group.pop(group, None)
+            return set(present)
         since = self._lacking_since_by_group.setdefault(group, now)
         if now - since < PROMOTE_AFTER_S:
             return set(present)
         return {*present, *others[: count - len(present)]}
 
 
+def _has_memory_for(decodes: Sequence[BalanceView], fewer: int) -> bool:
+    """Returns whether decode engines hold their streams with some fewer."""
+    used = sum(engine.used_pieces for engine in decodes)
+    pieces = sum(engine.pieces for engine in decodes)
+    left_share = max(0, len(decodes) - fewer) / max(1, len(decodes))
+    return used <= MOST_MEMORY_SHARE * left_share * pieces
+
+
 def prefill_count(engines: int, share: float) -> int:
     """Returns how many of a model's engines prefill.
 
--- a/tests/test_role_balance.py
+++ b/tests/test_role_balance.py
@@ -54,6 +54,33 @@
     def test_a_share_of_them_at_least_one(self, engines, count):
         assert prefill_count(engines, 0.2) == count
 
+    @pytest.mark.parametrize(
+        ('used_share', 'count'), [(0.0, 1), (0.4, 1), (0.6, 0), (1.0, 0)]
+    )
+    def test_memory_that_is_short_is_not_given_away(self, used_share, count):
+        """The pool lost its prefill engine, and two engines would be left."""
+        engines = [
+            BalanceView(
+                f'd{n}', 'm', '', DECODE, '1', int(1000 * used_share), 1000
+            )
+            for n in range(3)
+        ]
+        balance = RoleBalance(0.2)
+        balance.wanted(engines, 0.0)
+        wanted = balance.wanted(engines, PROMOTE_AFTER_S + 0.1)
+        assert len(prefilling(wanted)) == count
+
+    def test_memory_has_to_be_there_for_all_of_the_time(self):
+        balance = RoleBalance(0.2)
+        for second in range(20):
+            used = 900 if second == 5 else 100
+            engines = [
+                BalanceView(f'd{n}', 'm', '', DECODE, '1', used, 1000)
+                for n in range(3)
+            ]
+            wanted = balance.wanted(engines, float(second))
+            assert bool(prefilling(wanted)) == (second > 5 + PROMOTE_AFTER_S)
+
     def test_each_group_has_its_own(self):
         north = [
             BalanceView(f'n{n}', 'm', 'north', DECODE, '1') for n in range(7)
