Let decode engines with few streams read prompts; late ones give way

Cause: the rule before this one let late requests have their prompts read by any decode engine that had rested.

Change: an engine whose streams can come to take up at most 0.45 of its memory reads a prompt itself, with the rest between two that is kept; a late request goes to a decode engine only where none waits that may still be in time.

--- a/mustardscale/policy/own_prompts.py
+++ b/mustardscale/policy/own_prompts.py
@@ -1,8 +1,9 @@
 """Prompts that a decode engine computes itself, between its streams' tokens.
 
-It takes longer than on a prefill engine and makes the engine's streams pause.
-So it is done where no prefill engine can be used, and for prompts of moderate
-length that would be late otherwise.
+It takes longer than on a prefill engine and makes the engine's streams pause,
+but moves no memory. So it is done where no prefill engine can be used, on an
+engine that has few streams, and for prompts of moderate length that would be
+late otherwise.
 """
 
 from __future__ import annotations
@@ -31,6 +32,10 @@
 # longer than callers take for being on time.
 MOST_TOKENS = 6_000
 
+# Share of its memory that an engine's streams may come to take up for it to
+# read prompts before a prefill engine does.
+CALM_MEMORY_SHARE = 0.45
+
 
 def lacks_prefill(current: Round, request: AdmitRequest) -> bool:
     """Returns whether no prefill engine may be used for a request."""
@@ -43,8 +48,17 @@
     request: AdmitRequest,
     profile: Profile,
     need: StreamNeed,
+    calm: bool = False,
 ) -> Pairing | None:
-    """Returns the decode engine that would compute the prompt soonest.
+    """Returns the decode engine with the fewest streams that may compute it.
+
+    Args:
+        books: the engines' work.
+        current: the round.
+        request: the request.
+        profile: how it is to be served.
+        need: what it needs of a decode engine.
+        calm: whether only engines with few streams may be taken.
 
     Returns:
         A pairing of the engine with itself, None if there is none.
@@ -59,6 +73,8 @@
     )
     epsilon = overbooking(profile)
     for room in rooms:
+        if calm and not _is_calm(room):
+            continue
         if not books.rooms.fits(room, need, epsilon):
             continue
         seconds = books.own_prefill_s(request.prompt_tokens)
@@ -68,6 +84,11 @@
     return None
 
 
+def _is_calm(room: EngineRoom) -> bool:
+    """Returns whether an engine has few streams that a read delays."""
+    return room.largest_pieces <= CALM_MEMORY_SHARE * room.memory.pieces_total
+
+
 def _usable(
     books: EngineBooks,
     current: Round,
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Collection
 
@@ -37,7 +38,6 @@
 )
 from mustardscale.policy.urgency import (
     AHEAD,
-    IN_TIME,
     REPEATED,
     Candidate,
     accepts_late,
@@ -51,6 +51,30 @@
 # Services with a first-token target up to this are urgent, seconds.
 INTERACTIVE_S = 1.0
 DEFAULT_PROFILE = Profile()
+# Time from the end of a prompt that a decode engine computes to the caller's
+# first event, seconds.
+CALM_MARGIN_S = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class _Line:
+    """Requests that get no engine in a round, the most urgent first.
+
+    Attributes:
+        candidates: the requests.
+        seconds: time that the prefill engines need for them.
+        has_in_time: whether one of them may still be in time.
+    """
+
+    candidates: list[Candidate] = dataclasses.field(default_factory=list)
+    seconds: float = 0.0
+    has_in_time: bool = False
+
+    def add(self, candidate: Candidate, prefill_s: float) -> None:
+        """Adds a request at the end."""
+        self.candidates.append(candidate)
+        self.seconds += prefill_s
+        self.has_in_time = self.has_in_time or candidate.is_in_time()
 
 
 class ReservingPolicy(PlacementPolicy):
@@ -78,21 +102,19 @@
         current = begin_round(self._books, pool, express, now)
         decisions, kept = self._judge(current, pool, ahead)
         kept.sort(key=lambda candidate: candidate.urgency)
-        line: list[Candidate] = []
-        ahead_s = 0.0
+        line = _Line()
         for candidate in kept:
-            grant = None
-            if current.any_free():
+            grant = self._calm_grant(current, candidate)
+            if grant is None and current.any_free():
                 grant = self._grant(current, candidate)
                 self._note_lacking(current, candidate, grant)
-            if grant is None and current.readers:
-                grant = self._own_grant(current, candidate, ahead_s)
+            if grant is None:
+                grant = self._own_grant(current, candidate, line)
             if grant is not None:
                 decisions.append(grant)
             else:
-                line.append(candidate)
-                ahead_s += self._prefill_s(current, candidate)
-        return decisions + self._turned_away(current, pool, line)
+                line.add(candidate, self._prefill_s(current, candidate))
+        return decisions + self._turned_away(current, pool, line.candidates)
 
     def _note_lacking(
         self, current: Round, candidate: Candidate, grant: Grant | None
@@ -136,30 +158,57 @@
         rate = sum(engine.tokens_per_s for engine in current.prefills)
         return tokens / rate if rate else 0.0
 
+    def _calm_grant(self, current: Round, candidate: Candidate) -> Grant | None:
+        """Lets a decode engine with few streams compute a prompt in time."""
+        request = candidate.item.request
+        own_s = self._books.own_prefill_s(request.prompt_tokens)
+        begins_at = current.now + own_s + CALM_MARGIN_S
+        if begins_at > candidate.item.first_token_at:
+            return None
+        return self._read_by_decode(current, candidate, calm=True)
+
     def _own_grant(
-        self, current: Round, candidate: Candidate, ahead_s: float
+        self, current: Round, candidate: Candidate, line: _Line
     ) -> Grant | None:
         """Lets a decode engine compute a prompt that would be late otherwise.
 
-        A request that is late already also goes that way if it is sooner: the
-        prefill engines are left to those that can still be in time.
+        A request that is late already only goes that way if no other one waits
+        that may need it to be in time.
 
         Args:
             current: the round.
             candidate: the request.
-            ahead_s: time that prefill engines need for what goes before it.
+            line: what goes before it.
         """
-        item, profile = candidate.item, candidate.profile
-        request = item.request
+        request = candidate.item.request
         if not lacks_prefill(current, request):
             estimate_s = least_first_token_s(self._books, current, request)
-            begins_at = current.now + ahead_s
+            split_s = line.seconds + estimate_s
+            is_late = current.now + split_s > candidate.item.first_token_at
             own_s = self._books.own_prefill_s(request.prompt_tokens)
-            is_late = begins_at + estimate_s > item.first_token_at
-            if not is_late or own_s > ahead_s + estimate_s:
+            if not is_late or own_s > split_s:
                 return None
+            if line.has_in_time and not candidate.is_in_time():
+                return None
+        return self._read_by_decode(current, candidate)
+
+    def _read_by_decode(
+        self, current: Round, candidate: Candidate, calm: bool = False
+    ) -> Grant | None:
+        """Grants a request to a decode engine that computes its prompt.
+
+        Args:
+            current: the round.
+            candidate: the request.
+            calm: whether only an engine with few streams may.
+        """
+        if not current.readers:
+            return None
+        request = candidate.item.request
         need = _need_of(request)
-        pairing = find_own_pairing(self._books, current, request, profile, need)
+        pairing = find_own_pairing(
+            self._books, current, request, candidate.profile, need, calm
+        )
         if pairing is None:
             return None
         decode = pairing.decode
@@ -334,8 +383,7 @@
     if candidate.urgency[0] == REPEATED:
         return True
     left_s = item.first_token_at - current.now
-    in_time = candidate.urgency[0] in (IN_TIME, AHEAD)
-    if in_time and has_a_turn(turn_s, left_s):
+    if candidate.is_in_time() and has_a_turn(turn_s, left_s):
         return True
     waited_s = item.request.waited_s + current.now - item.arrived_at
     return accepts_late(item.request, profile) and is_worth_waiting(
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -41,6 +41,10 @@
     item: WaitingRequest
     profile: Profile
 
+    def is_in_time(self) -> bool:
+        """Returns whether its first token may still be in time."""
+        return self.urgency[0] in (IN_TIME, AHEAD)
+
 
 def refusal_of(
     item: WaitingRequest,
--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -19,6 +19,7 @@
 )
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_messages import AdmitRequest, Release
+from mustardscale.policy import own_prompts
 from mustardscale.policy.base import (
     EngineState,
     Grant,
@@ -119,6 +120,8 @@
         self.free_at = dict.fromkeys(self.pool.engines_by_id, 0.0)
         self.starts = {}
         self.first_s = {}
+        # Requests whose prompt their decode engine computed.
+        self.own = set()
         self.refused = {}
         # Seconds for which each refused request was kept.
         self.kept_s = {}
@@ -166,6 +169,8 @@
         self.pool.reservations_by_request_id[name] = held
         self.policy.observe_grant(self.pool, held, now)
         own = decision.prefill == decision.decode
+        if own:
+            self.own.add(name)
         rate = OWN_RATE if own else PREFILL_RATE
         begins = max(now, self.free_at[decision.prefill])
         done = begins + self.asked_by_id[name].prompt / rate
@@ -336,6 +341,52 @@
         assert refused <= 0.05 * asked
 
 
+class TestFewStreams:
+    """Engines with few streams, and engines that are nearly full."""
+
+    @pytest.mark.parametrize('seed', range(3))
+    def test_few_streams_leave_the_prefill_engine_to_bursts(self, seed):
+        floor = Floor()
+        asked = arrivals(random.Random(seed), 15.0, lambda _: 3.0)
+        floor.run(asked, 20.0)
+        assert len(floor.own) >= 0.5 * len(floor.asked_by_id)
+        assert floor.on_time() == 1.0
+
+    def test_an_engine_rests_between_two_prompts(self):
+        floor = Floor(decodes=1)
+        for _ in range(3):
+            floor._arrive(Asked(0.0, 4_000, 1_000, 1_000), 0.0)
+        for decision in floor.policy.decide(floor.pool, 0.0):
+            floor._carry_out(decision, 0.0)
+        assert len(floor.own) == 1
+
+    def test_a_full_engine_is_left_to_its_streams(self):
+        floor = Floor(decodes=1)
+        for number in range(20):
+            now = 0.7 * number
+            floor._arrive(Asked(now, 4_000, 9_000, 9_000), now)
+            for decision in floor.policy.decide(floor.pool, now):
+                floor._carry_out(decision, now)
+        assert {'r0', 'r1'} <= floor.own
+        assert not {'r10', 'r11'} & floor.own
+
+
+class TestLateRequests:
+    """What is late while others may still be in time."""
+
+    @pytest.mark.parametrize('others', [0, 1])
+    def test_it_leaves_the_decode_engines_to_them(self, monkeypatch, others):
+        monkeypatch.setattr(own_prompts, 'CALM_MEMORY_SHARE', -1.0)
+        floor = Floor(decodes=1)
+        # The prefill engine is busy for a while.
+        floor.policy._books._timeline('p0').add('busy', 0.4, 0.0)
+        for _ in range(1 + others):
+            floor._arrive(Asked(0.0, 5_000, 2_000, 2_000), 0.0)
+        floor.pool.waiting_by_request_id['r0'].first_token_at = -0.5
+        granted = floor.policy.decide(floor.pool, 0.0)
+        assert bool(granted) == (not others)
+
+
 class TestPlacing:
     """Where work is placed."""
 
