--- a/bench/platform_days.py
+++ b/bench/platform_days.py
@@ -87,9 +87,9 @@
     )
 
 
-def copy_tree(policy: str) -> pathlib.Path:
-    """Returns a copy of the tree that deploys a policy."""
-    folder = OUTPUT / policy
+def copy_tree(name: str) -> pathlib.Path:
+    """Returns a copy of the tree under a name."""
+    folder = OUTPUT / name
     shutil.rmtree(folder, ignore_errors=True)
     listed = subprocess.run(
         ['git', 'ls-files'],
@@ -98,14 +98,12 @@
         capture_output=True,
         text=True,
     )
-    for name in listed.stdout.split():
-        if name.startswith('journal/'):
+    for path in listed.stdout.split():
+        if path.startswith('journal/'):
             continue
-        target = folder / name
+        target = folder / path
         target.parent.mkdir(parents=True, exist_ok=True)
-        shutil.copy2(ROOT / name, target)
-    template = folder / TEMPLATE
-    template.write_text(template.read_text() + f'policy = {policy}\n')
+        shutil.copy2(ROOT / path, target)
     if (ROOT / 'target').exists():
         shutil.copytree(
             ROOT / 'target', folder / 'target', copy_function=os.link
@@ -118,13 +116,17 @@
 ) -> Iterator[DayResult]:
     """Plays days with a policy."""
     folder = copy_tree(policy)
+    template = folder / TEMPLATE
+    template.write_text(template.read_text() + f'policy = {policy}\n')
     try:
         yield from _play_in(folder, program, sites, days, policy)
     finally:
-        # The entries of the bench's journal belong to the repository.
-        shutil.copytree(
-            folder / 'journal', ROOT / 'journal', dirs_exist_ok=True
-        )
+        keep_journal(folder)
+
+
+def keep_journal(folder: pathlib.Path) -> None:
+    """Takes the entries that the bench has left in a copy of the tree."""
+    shutil.copytree(folder / 'journal', ROOT / 'journal', dirs_exist_ok=True)
 
 
 def _play_in(
