--- a/standins/loopback_proxy.py
+++ b/standins/loopback_proxy.py
@@ -95,6 +95,8 @@
                     await asyncio.sleep(_SILENT_LOOK_S)
                 if self.state is LinkState.DELAYED:
                     await asyncio.sleep(self.delay_s)
+                if writer.is_closing():
+                    return
                 writer.write(data)
                 await writer.drain()
         with contextlib.suppress(OSError, RuntimeError):
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -22,6 +22,7 @@
     OPERATOR_TOPIC,
     WORKERS_TOPIC,
     PlatformStore,
+    StoreCopy,
 )
 from standins.platform_worker import PlatformWorker
 
@@ -51,6 +52,7 @@
 
     def __init__(self, hosts: int, directory: pathlib.Path):
         self.store = PlatformStore()
+        self._state_by_worker: dict[str, str] = {}
         self.worker_by_name = {
             name: PlatformWorker(name, phase, EVENT_GAP_S)
             for name, phase in WORKER_PHASES.items()
@@ -123,11 +125,24 @@
 
     def list_worker(self, name: str, state: str = 'ready') -> None:
         """Writes a worker's entry."""
+        self._state_by_worker[name] = state
         entry = worker_entry(
             self.link_by_worker[name].address, WORKER_PHASES[name], state
         )
         self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
 
+    def set_store_back(self, copy: StoreCopy) -> None:
+        """Lets the store come back from a copy.
+
+        What the operator and the workers wrote is written again.
+        """
+        self.store.come_back_from(copy)
+        for name, state in self._state_by_worker.items():
+            self.list_worker(name, state)
+        self.store.put(
+            OPERATOR_TOPIC, 'config', json.dumps(self._config).encode()
+        )
+
     def change_config(self) -> None:
         """Writes a new version of the configuration."""
         self._config['version'] += 1
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -18,6 +18,7 @@
 
 from standins.loopback_proxy import LinkState, LoopbackProxy
 from standins.platform_processes import PlatformProcesses
+from standins.platform_store import StoreCopy
 from standins.promise_checks import Promise, Violation
 from standins.soak_callers import SoakCallers, judge
 from standins.soak_plan import (
@@ -47,6 +48,8 @@
 
     def __init__(self, site: PlatformProcesses):
         self._site = site
+        # What the store comes back from, by fault.
+        self._copy_by_fault: dict[SoakFault, StoreCopy] = {}
 
     async def carry_out(self, fault: SoakFault, began_at: float) -> None:
         """Begins a fault at its time and ends it."""
@@ -71,6 +74,8 @@
             self._set_worker(fault, True)
         elif fault.kind == 'store_refuses':
             site.store.faults.refuses = True
+        elif fault.kind == 'store_set_back':
+            self._copy_by_fault[fault] = site.store.take_copy()
         elif fault.kind == 'config_changed':
             site.change_config()
         elif fault.kind.startswith('host_'):
@@ -86,6 +91,8 @@
             self._set_worker(fault, False)
         elif fault.kind == 'store_refuses':
             site.store.faults.refuses = False
+        elif fault.kind == 'store_set_back':
+            site.set_store_back(self._copy_by_fault.pop(fault))
         elif fault.kind == 'host_paused':
             site.process_by_host[target].send_signal(signal.SIGCONT)
         elif fault.kind.startswith('host_'):
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -31,7 +31,7 @@
     'worker_breaks_streams',
     'worker_leaves',
 )
-SITE_KINDS = ('store_refuses', 'config_changed')
+SITE_KINDS = ('store_refuses', 'store_set_back', 'config_changed')
 ALL_KINDS = (*HOST_KINDS, *WORKER_KINDS, *SITE_KINDS)
 
 
