Bound what is read as the store's era

A text that is no era of at most three digits counts as none; once an era was told, an answer without one is dropped like one of an earlier era.

Seven tests; the one of 5,000 digits fails without the bound.

--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -37,6 +37,8 @@
 
 CALL_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Digits of an era; more would not leave room for offsets beside it.
+LONGEST_ERA = 3
 _ENDS = struct.Struct('!QQ')
 _LENGTH = struct.Struct('!I')
 
@@ -253,8 +255,18 @@
 
 def _era_told(response: aiohttp.ClientResponse) -> int:
     """Returns the era that an answer tells, 0 where it tells none."""
-    text = response.headers.get(names.STORE_ERA, '')
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return era_in(response.headers.get(names.STORE_ERA, ''))
+
+
+def era_in(text: str) -> int:
+    """Returns the era in a header, 0 for a text that is none.
+
+    >>> era_in('7'), era_in('-1'), era_in('9' * 5_000)
+    (7, 0, 0)
+    """
+    if not (text.isascii() and text.isdigit()) or len(text) > LONGEST_ERA:
+        return 0
+    return int(text)
 
 
 def _log_page(
--- a/tests/test_stream_eras.py
+++ b/tests/test_stream_eras.py
@@ -32,7 +32,11 @@
     OrderState,
     encode_order_record,
 )
-from mustardscale.platform.store_client import StoreClient, StoreLog
+from mustardscale.platform.store_client import (
+    StoreClient,
+    StoreLog,
+    era_in,
+)
 from mustardscale.reporting.event_log import EventKind
 from standins.platform_plan import CONFIG
 from standins.platform_store import PlatformStore
@@ -465,6 +469,19 @@
 
         self.run(scenario)
 
+    @pytest.mark.parametrize('text', ['', 'x', '-1', '1.5', '9' * 5_000, '٣'])
+    def test_a_header_that_is_no_era_is_none(self, text):
+        assert era_in(text) == 0
+
+    def test_an_answer_without_an_era_is_dropped_once_one_was_told(self):
+        async def scenario(store, client):
+            await client.newest('keyed.t')
+            store.era = 'none'
+            with pytest.raises(LogUnavailableError):
+                await client.newest('keyed.t')
+
+        self.run(scenario)
+
     def test_a_silent_read_of_the_earlier_era_ends(self):
         async def scenario(store, client):
             store.faults.keeps_reads = True
