Test the split path with a prompt that no decode engine reads

Cause: since decode engines with few streams read prompts themselves, an idle pool of the stand-ins serves a request of 1,000 tokens without the prefill engine as soon as the engines' reports are known; before that it splits it. So the test passed where the request came first. It now asks with 8,000 tokens, which are above the limit for a decode engine, with the same assertions, and a second test asks for the other way once the reports are known.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -101,8 +101,9 @@
 
     def test_prefill_then_decode(self):
         async def scenario(site):
+            # Too long a prompt for a decode engine beside its streams.
             status, headers, body = await site.ask(
-                '/once/x', 'r1', headers=USAGE
+                '/once/x', 'r1', headers=USAGE | {'X-Token-Usage': '8000,500'}
             )
             assert (status, body) == (200, EVENTS)
             assert headers['Content-Type'].startswith('text/event-stream')
@@ -114,6 +115,24 @@
 
         run(scenario)
 
+    def test_an_idle_decode_engine_reads_a_prompt_itself(self):
+        async def scenario(site):
+            (owned,) = site.routers[0].pool_owner.owned_by_id.values()
+            engines = owned.state.engines_by_id
+            await until(
+                lambda: (
+                    len(engines) == 3
+                    and all(engine.report for engine in engines.values())
+                )
+            )
+            status, _, body = await site.ask('/once/x', 'r1', headers=USAGE)
+            assert (status, body) == (200, EVENTS)
+            (decode,) = [w for w in site.workers.values() if w.ran]
+            assert 'X-Kv-Source' not in decode.headers['r1']
+            assert not site.workers['p1'].headers
+
+        run(scenario)
+
     def test_a_resumable_stream_goes_on_within_one_answer(self):
         async def scenario(site):
             # The first of the two to run it breaks off.
