Record the rate limit that an endpoint states, and which endpoint answered

An answer without the header ends a limit only if it shows that the request ran; a refusal or failure leaves the limit in force. A value that is no decimal number leaves the last one in force and is logged.

--- a/mustardscale/endpoints/endpoint_notices.py
+++ b/mustardscale/endpoints/endpoint_notices.py
@@ -10,6 +10,26 @@
 MAX_UNLISTED = 1_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Rate of requests that an endpoint accepts from all hosts together.
+
+    Attributes:
+        per_s: requests a second, None if the endpoint states no limit any more.
+        stated_at: loop time at which the endpoint stated this last.
+        first_hand: whether the endpoint stated it to this host itself.
+    """
+
+    per_s: float | None
+    stated_at: float
+    first_hand: bool = True
+
+    @property
+    def in_force(self) -> bool:
+        """Whether the endpoint limits the rate of its requests."""
+        return self.per_s is not None
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointNotice:
     """State that one process of an endpoint has reported to this host.
@@ -18,15 +38,22 @@
         start: start number of the process, 0 if unknown.
         leaving: whether it refuses new work until it ends.
         busy_until: loop time until which it takes no work from this host.
+        rate_limit: the rate limit that it stated last, None if it never did.
     """
 
     start: int = 0
     leaving: bool = False
     busy_until: float = -math.inf
+    rate_limit: RateLimit | None = None
+
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether the process limits the rate of its requests."""
+        return self.rate_limit is not None and self.rate_limit.in_force
 
     def is_in_force(self, now: float) -> bool:
-        """Returns whether the process refuses work at a loop time."""
-        return self.leaving or now < self.busy_until
+        """Returns whether the process refuses or limits work at a loop time."""
+        return self.leaving or now < self.busy_until or self.is_rate_limited
 
 
 class EndpointNotices:
--- a/mustardscale/platform/names.py
+++ b/mustardscale/platform/names.py
@@ -15,6 +15,7 @@
 KV_SOURCE = 'X-Kv-Source'
 RETRY_AFTER = 'Retry-After'
 SERVER_LEAVING = 'Server-Leaving'
+SERVER_LIMIT = 'Server-Limit'
 STORE_ERA = 'Store-Era'
 
 # Headers, in lower case, that only the system sets: those of a caller are
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
 from collections.abc import AsyncIterator
 
@@ -37,6 +38,8 @@
 )
 from mustardscale.relay.relay_messages import AnswerHead, Headers
 
+log = logging.getLogger(__name__)
+
 MAX_HANDLE_BYTES = 65_536
 CALL_TIMEOUT_S = 1.0
 # Time after a request's deadline in which the worker may still answer that the
@@ -49,6 +52,8 @@
 # Seconds, with an optional fraction. Dates are not accepted, because the clocks
 # of hosts differ.
 _RETRY_AFTER_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+# Requests a second, with an optional fraction.
+_RATE_LIMIT_PATTERN = _RETRY_AFTER_PATTERN
 
 
 class _PrefillAnswer(msgspec.Struct):
@@ -128,6 +133,7 @@
             headers.append((names.KV_SOURCE, source))
         response, progress = await self._send(call, headers)
         try:
+            self._record_rate_limit(response, call, _is_signed(response))
             head = _check_head(response, call)
         except BaseException:
             response.close()
@@ -140,6 +146,7 @@
             call, [(names.SERVING_PHASE, 'prefill')]
         )
         try:
+            self._record_rate_limit(response, call, response.status == 200)
             _check_executed(response)
             content = await read_content(response, MAX_HANDLE_BYTES)
         except REQUEST_ERRORS as error:
@@ -215,6 +222,36 @@
         self._notify_listener(response)
         return response, progress
 
+    def _record_rate_limit(
+        self, response: aiohttp.ClientResponse, call: RelayCall, ran: bool
+    ) -> None:
+        """Records the rate limit that the answer to a request states.
+
+        Args:
+            response: the answer.
+            call: the request.
+            ran: whether the worker ran the request. Only then does the answer
+                show that a limit has ended: a refusal or a failure may come
+                from a part of the worker that does not know of it.
+        """
+        echoed = response.headers.get(names.REQUEST_ID)
+        is_other = echoed is not None and echoed != call.request.id
+        if is_other or response.status == _MISDIRECTED:
+            return
+        if names.SERVER_LIMIT not in response.headers:
+            if ran:
+                self._listener.record_rate_limit(None)
+            return
+        per_s = parse_rate_limit(response)
+        if per_s is None:
+            log.warning(
+                'worker %s: %s is not a decimal number; its last limit holds',
+                self._instance,
+                names.SERVER_LIMIT,
+            )
+            return
+        self._listener.record_rate_limit(per_s)
+
     def _notify_listener(self, response: aiohttp.ClientResponse) -> None:
         """Notifies the listener if the worker leaves or is busy."""
         if response.status == _MISDIRECTED:
@@ -244,6 +281,23 @@
     return float(text)
 
 
+def parse_rate_limit(response: aiohttp.ClientResponse) -> float | None:
+    """Returns the requests a second that a worker takes from all hosts.
+
+    Returns:
+        None if the answer states no limit or one that cannot be parsed.
+    """
+    text = response.headers.get(names.SERVER_LIMIT, '').strip()
+    if not _RATE_LIMIT_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
+def _is_signed(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether an answer is the success of a request that ran."""
+    return 200 <= response.status < 300 and names.SIGNATURE in response.headers
+
+
 def _is_delimited_by_close(response: aiohttp.ClientResponse) -> bool:
     """Returns whether an answer ends only when the connection closes."""
     headers = response.headers
--- a/mustardscale/relay/endpoint_listener.py
+++ b/mustardscale/relay/endpoint_listener.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.endpoints.endpoint_notices import EndpointNotice
+from mustardscale.endpoints.endpoint_notices import EndpointNotice, RateLimit
 from mustardscale.reporting.event_log import EventKind
 
 # Maximum time for which a busy notice of an endpoint is honoured, seconds.
@@ -13,7 +13,7 @@
 
 
 class EndpointListener:
-    """Records the leaving and busy notices of one process of an endpoint.
+    """Records what one process of an endpoint states of itself.
 
     A listener may outlive the endpoint's entry on the blackboard. A late answer
     then counts for the process that sent it, not for the next process with the
@@ -53,11 +53,34 @@
         until = now + min(seconds, MAX_BUSY_S)
         self._notice.busy_until = max(self._notice.busy_until, until)
 
-    def _emit_change(self, change: str, busy_s: float = 0.0) -> None:
+    def record_rate_limit(self, per_s: float | None) -> None:
+        """Records the rate limit that an answer of the endpoint states.
+
+        Args:
+            per_s: requests a second from all hosts together, None if the
+                answer states no limit.
+        """
+        known = self._notice.rate_limit
+        known_per_s = known.per_s if known is not None else None
+        if known is None and per_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._notice.rate_limit = RateLimit(per_s, now)
+        if per_s != known_per_s:
+            change = 'ends rate limit' if per_s is None else 'states rate limit'
+            self._emit_change(change, limit_per_s=per_s)
+
+    def _emit_change(
+        self,
+        change: str,
+        busy_s: float = 0.0,
+        limit_per_s: float | None = None,
+    ) -> None:
         self._blackboard.events.emit(
             EventKind.ENDPOINT_CHANGED,
             endpoint=self._endpoint_id,
             change=change,
             service=self._service,
             busy_s=busy_s,
+            limit_per_s=limit_per_s,
         )
--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -203,7 +203,7 @@
             health.record_failure(now)
         else:
             health.record_answer(now - began_at, now)
-        return WholeAnswer(answer.head, body)
+        return WholeAnswer(answer.head, body, endpoint_id)
 
     def _record_failed_attempt(
         self,
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -98,7 +98,9 @@
     Attributes:
         head: status and headers.
         body: content.
+        endpoint_id: the endpoint that answered.
     """
 
     head: AnswerHead
     body: bytes
+    endpoint_id: str = ''
--- a/mustardscale/relay/request_report.py
+++ b/mustardscale/relay/request_report.py
@@ -30,12 +30,14 @@
         service: the service that was chosen, None if none was.
         stream: the stream of the answer, None for plain services.
         status: status of the endpoint's answer, 0 if there was none.
+        endpoint_id: the endpoint that answered, '' if none did.
     """
 
     __slots__ = (
         '_blackboard',
         '_metrics',
         '_request',
+        'endpoint_id',
         'error',
         'outcome',
         'route',
@@ -56,6 +58,7 @@
         self.service: ServiceSpec | None = None
         self.stream: RelayedStream | None = None
         self.status = 0
+        self.endpoint_id = ''
 
     def log_and_count(self) -> None:
         """Logs the end of the request and counts it."""
@@ -85,6 +88,7 @@
         """
         fields: dict[str, Any] = {
             'status': self.status,
+            'endpoint': self.endpoint_id,
             'config_version': self._blackboard.config.routes.table.version,
         }
         first_s = age_s if self.stream is None else first_event_s(self.stream)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -239,6 +239,7 @@
             if service.engine is None:
                 answer = await self._plain.serve(request, route, service.name)
                 report.status = answer.head.status
+                report.endpoint_id = answer.endpoint_id
                 yield answer
             else:
                 async with self._streams.serve(
@@ -247,6 +248,7 @@
                     report.stream = stream
                     report.status = stream.head.status
                     yield stream
+                    report.endpoint_id = stream.served.decode
         except OutcomeError as error:
             report.outcome = error.outcome
             report.error = error
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -91,7 +91,15 @@
     ),
     EventKind.ENDPOINT_CHANGED: EventRule(
         'An endpoint came, left or changed.',
-        ('endpoint', 'change', 'service', 'role', 'list_version', 'busy_s'),
+        (
+            'endpoint',
+            'change',
+            'service',
+            'role',
+            'list_version',
+            'busy_s',
+            'limit_per_s',
+        ),
     ),
     EventKind.READINESS_CHANGED: EventRule(
         'The host became ready or unready.', ('ready', 'cause')
@@ -145,6 +153,7 @@
             'first_s',
             'tokens',
             'status',
+            'endpoint',
             'config_version',
         ),
         rate_per_s=100.0,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -27,6 +27,7 @@
             none.
         leaving: whether it says in its answers that it leaves.
         busy_s: what it tells callers to wait where it is full, '' for nothing.
+        limit: requests a second that it states as its limit, '' for none.
     """
 
     full: bool = False
@@ -36,6 +37,7 @@
     breaks_after: int = 0
     leaving: bool = False
     busy_s: str = ''
+    limit: str = ''
 
 
 class PlatformWorker:
@@ -76,7 +78,12 @@
 
     def _own_headers(self) -> dict[str, str]:
         """Returns what it says of itself in each answer."""
-        return {'Server-Leaving': '1'} if self.faults.leaving else {}
+        headers = {}
+        if self.faults.leaving:
+            headers['Server-Leaving'] = '1'
+        if self.faults.limit:
+            headers['Server-Limit'] = self.faults.limit
+        return headers
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         expected = request.headers.get('X-Expect-Instance', self.instance)
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -18,7 +18,11 @@
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.membership import MembershipTimes
 from mustardscale.outcomes import Outcome
-from mustardscale.platform.worker_relay import announces_leaving, parse_busy_s
+from mustardscale.platform.worker_relay import (
+    announces_leaving,
+    parse_busy_s,
+    parse_rate_limit,
+)
 from mustardscale.relay.endpoint_listener import (
     MAX_BUSY_S,
     EndpointListener,
@@ -192,6 +196,33 @@
         assert info.value.retry_after_s == pytest.approx(2.5, abs=0.01)
 
 
+class TestStatedRateLimit:
+    """What a host knows of the rate limit that an endpoint states."""
+
+    @virtual_time
+    async def test_limit_and_its_end_are_recorded_and_logged(self):
+        bench = RelayBench(plain=('a',))
+        entry = bench.board.endpoints_by_id['a']
+        listener = EndpointListener(bench.board, entry)
+        listener.record_rate_limit(None)
+        assert entry.notice.rate_limit is None
+        listener.record_rate_limit(1.7)
+        await asyncio.sleep(2.0)
+        listener.record_rate_limit(1.7)
+        assert entry.notice.rate_limit.per_s == 1.7
+        assert entry.notice.rate_limit.stated_at == bench.context.now()
+        listener.record_rate_limit(None)
+        assert not entry.notice.is_rate_limited
+        changes = [
+            (inputs['change'], inputs['limit_per_s'])
+            for _, _, _, inputs in bench.events.recorded
+        ]
+        assert changes == [
+            ('states rate limit', 1.7),
+            ('ends rate limit', None),
+        ]
+
+
 class TestLeaving:
     """Endpoints that announce in an answer that they are leaving."""
 
@@ -309,6 +340,24 @@
             announces_leaving(answer_with(200, Server_Leaving=text)) is leaving
         )
 
+    @pytest.mark.parametrize(
+        ('text', 'per_s'),
+        [
+            ('1.7', 1.7),
+            (' 20 ', 20.0),
+            ('0', 0.0),
+            ('-1', None),
+            ('1e3', None),
+            ('nan', None),
+            ('9' * 400, None),
+            ('1,7', None),
+            ('', None),
+        ],
+    )
+    def test_rate_limit_of_a_header(self, text, per_s):
+        answer = answer_with(200, Server_Limit=text)
+        assert parse_rate_limit(answer) == per_s
+
 
 def run(scenario):
     """Runs a scenario with a site of one host."""
@@ -389,3 +438,36 @@
             assert not entry.notice.leaving
 
         run(scenario)
+
+    def test_a_stated_limit_is_known_until_an_answer_lacks_it(self):
+        async def scenario(site):
+            worker = site.workers['a1']
+            site.workers['a2'].faults.full = True
+            notice = site.routers[0].blackboard.endpoints_by_id['a1'].notice
+            worker.faults.limit = '50'
+            status, headers, _ = await site.ask('/book/x', 'r0')
+            assert (status, headers['Server-Limit']) == (200, '50')
+            assert notice.rate_limit.per_s == 50.0
+            worker.faults.limit = 'many'
+            await site.ask('/book/x', 'r1')
+            assert notice.rate_limit.per_s == 50.0
+            worker.faults.limit = ''
+            await site.ask('/book/x', 'r2')
+            assert not notice.is_rate_limited
+
+        run(scenario)
+
+    def test_an_engine_states_its_limit_in_answers_of_both_stages(self):
+        async def scenario(site):
+            for name in ('p1', 'd1', 'd2'):
+                site.workers[name].faults.limit = '50'
+            # The prompt is too long for a local prefill on a decode engine.
+            usage = USAGE | {'X-Token-Usage': '8000,500'}
+            status, _, _ = await site.ask('/once/x', 's0', headers=usage)
+            assert status == 200
+            entries = site.routers[0].blackboard.endpoints_by_id
+            limited = {k for k, e in entries.items() if e.notice.rate_limit}
+            assert 'p1' in limited
+            assert limited & {'d1', 'd2'}
+
+        run(scenario)
