Keep the requests of all hosts to the rate limit that an endpoint states

Callers noticed nothing, but an endpoint in need got three times the requests that it had asked for: no host read the limit in its answers, and a share kept by each host alone would not do either: at 195 hosts a limit of 1.7 a second leaves each one request in two minutes, and none to the host that has the traffic.

One host, chosen from the live hosts as the owner of a pool is, owns an endpoint's limit and grants a permit for each send from a token bucket. It needs a quorum; a new owner starts with an empty bucket after a handover. A permit that is late, or asked for before a suspension, is not used. Hosts that reach no owner use their share of half of the limit, divided by all listed hosts, silent ones too. Heartbeats tell limits to hosts that have not heard of them. Requests without a permit go to other endpoints; if none is left, they are refused at once with a time that spreads their return at the rate of the limit.

Weighed: equal shares (see above), shares by reported demand (a burst of one request at each of 195 hosts breaks the limit), the store (a write for each request; the limit must hold while it is away).

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -97,6 +97,7 @@
         config_offset: configuration offset that it had folded then.
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
+        met_at: loop time at which its present process was heard first.
         gone_at: loop time at which its process was found to have ended.
     """
 
@@ -117,6 +118,7 @@
     config_offset: int = 0
     silent: bool = True
     silent_since: float = -math.inf
+    met_at: float = -math.inf
     gone_at: float = -math.inf
 
 
@@ -183,8 +185,12 @@
         )
 
     def busy(self, now: float) -> bool:
-        """Returns whether it has asked this host to send nothing for now."""
-        return now < self.notice.busy_until
+        """Returns whether this host must send it nothing for now.
+
+        Either the endpoint has asked for this, or its rate limit leaves this
+        host no permit.
+        """
+        return now < self.notice.closed_until
 
     def takes_work(self, now: float) -> bool:
         """Returns whether this host knows of nothing against a new call."""
@@ -343,6 +349,8 @@
         suspicions_by_key: requests that endpoints crashed on.
         membership_changed: notified when a host or endpoint comes or goes.
         config_changed: notified when the configuration moves on.
+        rate_limit_changed: notified when an endpoint states another rate limit
+            to this host.
         trace: where events of requests are recorded.
         events: where decisions are logged.
         quorum_at: send time of the newest heartbeat round that a majority of
@@ -375,6 +383,7 @@
         'quorum_at',
         'quorum_gap_at',
         'quorum_suspended_s',
+        'rate_limit_changed',
         'region',
         'served_by_id',
         'suspicions_by_key',
@@ -406,6 +415,7 @@
         self.events: EventLog = NoEvents()
         self.membership_changed = Signal()
         self.config_changed = Signal()
+        self.rate_limit_changed = Signal()
         self.quorum_at = -math.inf
         self.quorum_gap_at = -math.inf
         self.quorum_suspended_s = suspended_s()
@@ -467,6 +477,15 @@
         ]
         return sorted([*heard, self.host])
 
+    def count_sharing_hosts(self) -> int:
+        """Returns how many hosts a common allowance is divided by.
+
+        A host that this one does not hear may only be cut off from it, and
+        still use its share. So silent hosts count while they are listed.
+        """
+        others = self.hosts_by_id.values()
+        return 1 + sum(host.listed or not host.silent for host in others)
+
     def serving_hosts(self) -> list[str]:
         """Returns the ids of live hosts that may own pools and entries."""
         serving = [
--- a/mustardscale/commands/command_explain.py
+++ b/mustardscale/commands/command_explain.py
@@ -26,6 +26,7 @@
         EventKind.DEPENDENCY_LOST,
         EventKind.DEPENDENCY_REGAINED,
         EventKind.ENDPOINT_CHANGED,
+        EventKind.RATE_LIMIT_CHANGED,
         EventKind.ORDERS_CHANGED,
         EventKind.READINESS_CHANGED,
     }
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -21,6 +21,7 @@
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
 from mustardscale.hosts.hub_view import ViewDelta
 from mustardscale.hosts.quorum import Quorum
+from mustardscale.hosts.stated_limits import StatedLimits, merge_statement
 from mustardscale.hosts.stream_copies import StreamCopies
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
@@ -84,6 +85,7 @@
         self._leaving_at = -math.inf
         self._relayed: tuple[str, ...] = ()
         self._relayed_at = -math.inf
+        self._stated_limits = StatedLimits(blackboard)
         calls.handle(Heartbeat, self._on_heartbeat)
 
     def report_streams(self, copies: StreamCopies) -> None:
@@ -168,6 +170,7 @@
             lost=delta.lost,
             capacity=board.capacity,
             streams=self._copies.statuses(now) if self._copies else (),
+            rate_limits=self._stated_limits.list_for(known, now),
         )
 
     def _unheard_hosts(self) -> tuple[str, ...]:
@@ -287,6 +290,8 @@
             or host.incarnation != heartbeat.incarnation
             or host.draining != heartbeat.draining
         )
+        if host.silent or host.incarnation != heartbeat.incarnation:
+            host.met_at = now
         host.heard_at = now
         host.config_offset = heartbeat.config_offset
         host.unheard = heartbeat.unheard
@@ -298,6 +303,8 @@
         host.capacity = heartbeat.capacity
         self._merge_leaving(heartbeat, now)
         self._merge_quarantine(heartbeat, now)
+        for statement in heartbeat.rate_limits:
+            merge_statement(self._blackboard, statement, now)
         if self._copies is not None:
             self._copies.merge_statuses(heartbeat.host, heartbeat.streams, now)
         if self.hubs.is_mesh:
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -31,6 +31,8 @@
     hostListFetchReply @23 :HostListFetchReply;
     streamFetch @24 :StreamFetch;
     streamFetchReply @25 :StreamFetchReply;
+    permitRequest @26 :PermitRequest;
+    permitReply @27 :PermitReply;
   }
 }
 
@@ -101,6 +103,30 @@
   lost @19 :List(Text);
   capacity @20 :Float64;
   streams @21 :List(StreamStatus);
+  rateLimits @22 :List(RateLimitStatement);
+}
+
+struct RateLimitStatement {
+  endpoint @0 :Text;
+  start @1 :Int64;
+  perS @2 :Float64;
+  ageS @3 :Float64;
+  firstHand @4 :Bool;
+}
+
+struct PermitRequest {
+  statement @0 :RateLimitStatement;
+  permits @1 :Int64;
+  refused @2 :Int64;
+}
+
+struct PermitReply {
+  available @0 :Bool;
+  granted @1 :Int64;
+  perS @2 :Float64;
+  ageS @3 :Float64;
+  waitS @4 :Float64;
+  backlogS @5 :Float64;
 }
 
 struct StreamStatus {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -17,6 +17,11 @@
     DirectoryRemove,
     DirectoryReply,
 )
+from mustardscale.peers.rate_limit_messages import (
+    PermitReply,
+    PermitRequest,
+    RateLimitStatement,
+)
 from mustardscale.peers.stream_messages import (
     StreamFetch,
     StreamFetchReply,
@@ -107,6 +112,8 @@
         lost: the hosts of that word that the hub does not hear any more.
         capacity: the sender's processor in usual cores.
         streams: how far the sender, a hub, has read the platform's streams.
+        rate_limits: rate limits of endpoints that the sender learnt lately, or
+            all that it knows if it met the receiver lately.
     """
 
     host: str
@@ -131,6 +138,7 @@
     lost: tuple[str, ...] = ()
     capacity: float = 1.0
     streams: tuple[StreamStatus, ...] = ()
+    rate_limits: tuple[RateLimitStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -424,6 +432,7 @@
     | EngineDrain
     | HostListFetch
     | StreamFetch
+    | PermitRequest
 )
 PeerReply = (
     Heartbeat
@@ -437,6 +446,7 @@
     | EngineDrainReply
     | HostListFetchReply
     | StreamFetchReply
+    | PermitReply
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -454,4 +464,5 @@
     EngineDrain: EngineDrainReply,
     HostListFetch: HostListFetchReply,
     StreamFetch: StreamFetchReply,
+    PermitRequest: PermitReply,
 }
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -276,6 +276,7 @@
 def render_state(router: RelayRouter) -> bytes:
     """Returns a router's state as JSON."""
     state = dump_state(router.blackboard, router.pool_owner)
+    state['owned_rate_limits'] = sorted(router.permit_owner.owned_by_id)
     return msgspec.json.encode(state, enc_hook=str)
 
 
--- /dev/null
+++ b/mustardscale/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that endpoints state and that all hosts keep to together."""
--- a/mustardscale/requests/token_bucket.py
+++ b/mustardscale/rate_limits/token_bucket.py
@@ -16,11 +16,18 @@
 
     __slots__ = ('_level', '_updated_at', 'burst', 'rate')
 
-    def __init__(self, rate: float, burst: float):
+    def __init__(self, rate: float, burst: float, level: float | None = None):
+        """Creates a bucket.
+
+        Args:
+            rate: requests a second; 0 is unlimited.
+            burst: requests that may arrive at once.
+            level: tokens that it holds at first, None for as many as it can.
+        """
         self.rate = rate
         # A bucket that holds less than one token would never permit a request.
         self.burst = max(1.0, burst)
-        self._level = self.burst
+        self._level = self.burst if level is None else level
         self._updated_at: float | None = None
 
     def take(self, now: float) -> float:
--- a/mustardscale/relay/endpoint_listener.py
+++ b/mustardscale/relay/endpoint_listener.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
-from mustardscale.endpoints.endpoint_notices import EndpointNotice, RateLimit
+from mustardscale.endpoints.endpoint_notices import EndpointNotice
 from mustardscale.reporting.event_log import EventKind
 
 # Maximum time for which a busy notice of an endpoint is honoured, seconds.
@@ -60,27 +60,26 @@
             per_s: requests a second from all hosts together, None if the
                 answer states no limit.
         """
-        known = self._notice.rate_limit
-        known_per_s = known.per_s if known is not None else None
-        if known is None and per_s is None:
+        if self._notice.rate_limit is None and per_s is None:
             return
         now = asyncio.get_running_loop().time()
-        self._notice.rate_limit = RateLimit(per_s, now)
-        if per_s != known_per_s:
-            change = 'ends rate limit' if per_s is None else 'states rate limit'
-            self._emit_change(change, limit_per_s=per_s)
-
-    def _emit_change(
-        self,
-        change: str,
-        busy_s: float = 0.0,
-        limit_per_s: float | None = None,
-    ) -> None:
+        if not self._notice.update_rate_limit(per_s, now, now, True):
+            return
+        self._blackboard.events.emit(
+            EventKind.RATE_LIMIT_CHANGED,
+            endpoint=self._endpoint_id,
+            change='stated by the endpoint',
+            service=self._service,
+            limit_per_s=per_s,
+        )
+        self._blackboard.notices.changed_limit_ids.add(self._endpoint_id)
+        self._blackboard.rate_limit_changed.notify()
+
+    def _emit_change(self, change: str, busy_s: float = 0.0) -> None:
         self._blackboard.events.emit(
             EventKind.ENDPOINT_CHANGED,
             endpoint=self._endpoint_id,
             change=change,
             service=self._service,
             busy_s=busy_s,
-            limit_per_s=limit_per_s,
         )
--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -47,12 +47,14 @@
         runs: endpoints that may have run the request.
         unreachable: endpoints that could not be reached.
         excluded: endpoints that must not be tried again.
+        without_permit: endpoints whose rate limit left no permit.
     """
 
     arrivals: int = 0
     runs: int = 0
     unreachable: int = 0
     excluded: list[str] = dataclasses.field(default_factory=list)
+    without_permit: list[str] = dataclasses.field(default_factory=list)
 
 
 class PlainRelay:
@@ -99,7 +101,9 @@
     ) -> WholeAnswer:
         last_error_answer: WholeAnswer | None = None
         while True:
-            endpoint_id = self._choose(service, progress)
+            endpoint_id = await self._choose_permitted(
+                request, service, progress
+            )
             if endpoint_id is None or not self._may_send(service, progress):
                 if last_error_answer is not None:
                     return last_error_answer
@@ -131,6 +135,20 @@
                 continue
             return answer
 
+    async def _choose_permitted(
+        self, request: RelayRequest, service: str, progress: _Progress
+    ) -> str | None:
+        """Returns the endpoint to send to, with a permit where it needs one."""
+        permits = self._context.permits
+        progress.without_permit.clear()
+        while True:
+            endpoint_id = self._choose(service, progress)
+            if endpoint_id is None:
+                return None
+            if await permits.acquire(endpoint_id, request.id):
+                return endpoint_id
+            progress.without_permit.append(endpoint_id)
+
     def _choose(self, service: str, progress: _Progress) -> str | None:
         if progress.unreachable >= MAX_UNREACHABLE_ENDPOINTS:
             return None
@@ -143,7 +161,7 @@
         return choose_endpoint(
             self.health.by_id,
             candidates,
-            progress.excluded,
+            [*progress.excluded, *progress.without_permit],
             now,
             self._context.rng,
         )
@@ -242,12 +260,14 @@
                 Outcome.RETRY_BUDGET_SPENT, retry_after_s=RETRY_AFTER_S
             )
         context = self._context
-        busy_s = context.busy_s(context.endpoints(service, ListedKind.PLAIN))
-        if progress.arrivals or busy_s:
+        endpoints = context.endpoints(service, ListedKind.PLAIN)
+        return_s = context.permits.refuse(endpoints)
+        if progress.arrivals or progress.without_permit or return_s:
+            limited = sum(e.notice.is_rate_limited for e in endpoints)
             return OutcomeError(
                 Outcome.POOL_SATURATED,
-                'every endpoint is full',
-                retry_after_s=busy_s or RETRY_AFTER_S,
+                f'every endpoint is full; {limited} state a rate limit',
+                retry_after_s=return_s or RETRY_AFTER_S,
             )
         if progress.unreachable:
             return OutcomeError(
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -5,13 +5,13 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.configuration.routes import Route
 from mustardscale.exceptions import OutcomeError
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
+from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.relay_endpoint import RelayClients, RelayEndpoint
 from mustardscale.relay.relay_messages import RelayRequest
@@ -33,6 +33,7 @@
         budgets: the retry budgets by service.
         crashes: detects crashes of endpoints and the requests behind them.
         rng: the generator of random choices.
+        permits: permits to send to endpoints with a rate limit.
     """
 
     board: Blackboard
@@ -40,6 +41,7 @@
     budgets: RetryBudgets
     crashes: CrashWatch
     rng: random.Random
+    permits: Permits
 
     @property
     def events(self) -> EventLog:
@@ -90,16 +92,6 @@
             and not endpoint.takes_work(now)
         ]
 
-    def busy_s(self, endpoints: Iterable[EndpointEntry]) -> float:
-        """Returns the seconds until the first of the endpoints is not busy.
-
-        Returns:
-            0 if one is not busy now, or if there are no endpoints.
-        """
-        now = self.now()
-        times = [endpoint.notice.busy_until - now for endpoint in endpoints]
-        return max(0.0, min(times, default=0.0))
-
 
 def compute_deadline(request: RelayRequest, route: Route) -> float:
     """Returns the loop time by which a request must have ended."""
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -233,24 +233,31 @@
         """
         context = self._context
         engines = context.endpoints(self._service.name, ListedKind.ENGINE)
-        busy_s = context.busy_s(
+        return_s = context.permits.refuse(
             engine
             for engine in engines
             if engine.role is not EngineRole.PREFILL
         )
-        if busy_s:
+        if return_s:
             raise OutcomeError(
                 Outcome.POOL_SATURATED,
                 'every engine is busy',
-                retry_after_s=busy_s,
+                retry_after_s=return_s,
             )
 
-    def _client(self, engine_id: str) -> RelayEndpoint:
+    async def _permitted_client(self, engine_id: str) -> RelayEndpoint:
+        """Returns the client of an engine that may be sent to at once.
+
+        Raises:
+            EndpointUnreachableError: the engine is gone.
+            _EngineClosedError: the engine must not be sent to now.
+        """
         context = self._context
+        permitted = await context.permits.acquire(engine_id, self._request.id)
         client = context.client(engine_id)
         if client is None:
             raise EndpointUnreachableError('the engine is gone')
-        if not context.takes_work(engine_id):
+        if not permitted or not context.takes_work(engine_id):
             raise _EngineClosedError(f'{engine_id} takes no calls from here')
         return client
 
@@ -269,7 +276,7 @@
         it. Each later prefill takes one retry in advance.
         """
         context = self._context
-        client = self._client(grant.prefill)
+        client = await self._permitted_client(grant.prefill)
         if self.progress.prefills and not context.take_retry(
             self._service.name
         ):
@@ -295,7 +302,7 @@
         """Sends the request to a decode engine."""
         context = self._context
         progress = self.progress
-        client = self._client(engine_id)
+        client = await self._permitted_client(engine_id)
         if progress.arrivals and not context.take_retry(self._service.name):
             raise self._compute_refusal()
         handle = progress.handle
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -40,6 +40,8 @@
 from mustardscale.pools.pool_owner import PoolOwner
 from mustardscale.pools.quarantine import SuspicionExpiry, Suspicions
 from mustardscale.pools.suspicion_sharing import SuspicionSharing
+from mustardscale.rate_limits.permit_owner import PermitOwner
+from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.plain_relay import PlainRelay
 from mustardscale.relay.relay_context import RelayContext
@@ -65,6 +67,7 @@
         metrics: counters and histograms.
         active: the requests in progress.
         pool_owner: admission to the pools owned here.
+        permit_owner: permits of the rate limits owned here.
     """
 
     def __init__(
@@ -106,12 +109,15 @@
             options.settle_s,
         )
         admission = AdmissionClient(board, calls, rng)
+        self.permit_owner = PermitOwner(board, calls)
+        permits = Permits(board, calls, self.metrics, rng)
         context = RelayContext(
             board,
             clients,
             self._budgets,
             CrashWatch(clients, suspicions),
             rng,
+            permits,
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
@@ -126,6 +132,8 @@
             self.pool_owner.follow_membership,
             admission.follow_membership,
             sharing.follow_membership,
+            self.permit_owner.follow_membership,
+            permits.follow_membership,
         ]
         self._controllers: list[Controller] = [
             *edges.tails,
@@ -152,6 +160,7 @@
             MembershipFollower(board, followers),
             SuspicionExpiry(suspicions),
             sharing,
+            permits,
             *self._order_controllers(options),
         ]
 
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -31,6 +31,8 @@
     CONFIG_APPLIED = 'config_applied'
     MEMBERSHIP_CHANGED = 'membership_changed'
     ENDPOINT_CHANGED = 'endpoint_changed'
+    RATE_LIMIT_CHANGED = 'rate_limit_changed'
+    PERMIT_DECIDED = 'permit_decided'
     READINESS_CHANGED = 'readiness_changed'
     ORDERS_CHANGED = 'orders_changed'
     POOL_DECIDED = 'pool_decided'
@@ -91,15 +93,26 @@
     ),
     EventKind.ENDPOINT_CHANGED: EventRule(
         'An endpoint came, left or changed.',
+        ('endpoint', 'change', 'service', 'role', 'list_version', 'busy_s'),
+    ),
+    EventKind.RATE_LIMIT_CHANGED: EventRule(
+        'A rate limit of an endpoint changed or ended.',
+        ('endpoint', 'change', 'service', 'limit_per_s'),
+    ),
+    EventKind.PERMIT_DECIDED: EventRule(
+        'A permit to send to a limited endpoint was granted or refused.',
         (
             'endpoint',
-            'change',
-            'service',
-            'role',
-            'list_version',
-            'busy_s',
+            'granted',
+            'source',
+            'owner',
             'limit_per_s',
+            'limit_age_s',
+            'first_hand',
+            'share_per_s',
+            'wait_s',
         ),
+        rate_per_s=50.0,
     ),
     EventKind.READINESS_CHANGED: EventRule(
         'The host became ready or unready.', ('ready', 'cause')
--- a/mustardscale/requests/limits.py
+++ b/mustardscale/requests/limits.py
@@ -9,7 +9,7 @@
 from mustardscale.configuration.config_records import Profile
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
-from mustardscale.requests.token_bucket import RetryBudget, TokenBucket
+from mustardscale.rate_limits.token_bucket import RetryBudget, TokenBucket
 
 RETRY_AFTER_S = 1.0
 # Retries permitted to a service before its requests have earned any.
--- a/standins/limited_fleet.py
+++ b/standins/limited_fleet.py
@@ -236,7 +236,7 @@
         return [
             violation
             for endpoint in self.endpoint_by_id.values()
-            for violation in endpoint.violations()
+            for violation in endpoint.arrivals.violations()
         ]
 
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -10,6 +10,8 @@
 import multidict
 from aiohttp import web
 
+from standins.limited_arrivals import LimitedArrivals
+
 _ID = 'X-Request-Id'
 EVENTS = 3
 
@@ -27,7 +29,8 @@
             none.
         leaving: whether it says in its answers that it leaves.
         busy_s: what it tells callers to wait where it is full, '' for nothing.
-        limit: requests a second that it states as its limit, '' for none.
+        limit: a text that it states as its limit, '' for the one of its
+            arrivals.
     """
 
     full: bool = False
@@ -52,6 +55,7 @@
         orders: the orders that it took.
         handles: results of prefills that it keeps.
         gap_s: seconds before each event of a stream.
+        arrivals: the requests that reached it, and the limits that it stated.
     """
 
     def __init__(self, instance: str, phase: str = '', gap_s: float = 0.0):
@@ -64,6 +68,7 @@
         self.orders: list[dict[str, Any]] = []
         self.handles: set[str] = set()
         self.gap_s = gap_s
+        self.arrivals = LimitedArrivals(instance)
         self._numbers = itertools.count(1)
 
     def server(self) -> web.Server:
@@ -83,6 +88,8 @@
             headers['Server-Leaving'] = '1'
         if self.faults.limit:
             headers['Server-Limit'] = self.faults.limit
+        elif self.arrivals.limit_per_s is not None:
+            headers['Server-Limit'] = str(self.arrivals.limit_per_s)
         return headers
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -126,6 +133,7 @@
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers[_ID]
+        self.arrivals.add()
         body = await request.read()
         self.headers[request_id] = request.headers
         self.targets[request_id] = (request.method, request.raw_path, body)
--- a/standins/promise_checks.py
+++ b/standins/promise_checks.py
@@ -41,6 +41,7 @@
     PROFILES_IN_FORCE = 8
     RECOVERS = 9
     ORDERS_REACHED = 10
+    LIMIT_KEPT = 11
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -33,6 +33,8 @@
 # Time after the last fault within which requests are served again, seconds.
 RECOVERY_S = 15.0
 PROBES = 8
+# Limit that a worker states, requests a second.
+WORKER_LIMIT_PER_S = 2.0
 _LINK_STATES = {
     'link_delayed': LinkState.DELAYED,
     'link_silent': LinkState.SILENT,
@@ -109,7 +111,11 @@
 
     def _set_worker(self, fault: SoakFault, harmed: bool) -> None:
         faults = self._site.worker_by_name[fault.target].faults
-        if fault.kind == 'worker_full':
+        if fault.kind == 'worker_limits':
+            limit_per_s = WORKER_LIMIT_PER_S if harmed else None
+            worker = self._site.worker_by_name[fault.target]
+            worker.arrivals.state_limit(limit_per_s)
+        elif fault.kind == 'worker_full':
             faults.full = harmed
         elif fault.kind == 'worker_loses_answers':
             faults.loses_answers = harmed
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -6,7 +6,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import aiohttp
 
@@ -122,9 +122,9 @@
 
 
 def judge(
-    records: Iterable[SoakRecord], workers: Iterable[PlatformWorker]
+    records: Iterable[SoakRecord], workers: Collection[PlatformWorker]
 ) -> list[Violation]:
-    """Compares what callers were told with what workers ran."""
+    """Compares what callers were told with what workers ran and allowed."""
     runs = collections.Counter(
         request_id for worker in workers for request_id in worker.ran
     )
@@ -143,6 +143,11 @@
             for promise, broken in texts.items()
             if broken
         ]
+    violations += [
+        Violation(Promise.LIMIT_KEPT, worker.arrivals.phases[0].began_at, text)
+        for worker in workers
+        for text in worker.arrivals.violations()
+    ]
     return violations
 
 
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -30,6 +30,7 @@
     'worker_loses_answers',
     'worker_breaks_streams',
     'worker_leaves',
+    'worker_limits',
 )
 SITE_KINDS = ('store_refuses', 'store_set_back', 'config_changed')
 ALL_KINDS = (*HOST_KINDS, *WORKER_KINDS, *SITE_KINDS)
@@ -69,6 +70,9 @@
         while at < LAST_END_S - SHORTEST_S:
             longest_s = min(LONGEST_S, LAST_END_S - at)
             for_s = rng.uniform(SHORTEST_S, longest_s)
+            if kind == 'worker_limits':
+                # A limit binds only after a while.
+                for_s = LAST_END_S - at
             faults.append(
                 SoakFault(kind, target, round(at, 2), round(for_s, 2))
             )
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -14,8 +14,11 @@
 from mustardscale.endpoints.engines import EngineRole
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
+from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import AdmitReply
 from mustardscale.pools.quarantine import Suspicions
+from mustardscale.rate_limits.permit_owner import PermitOwner
+from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.relay_context import RelayContext
 from mustardscale.relay.relay_endpoint import (
@@ -32,6 +35,7 @@
 )
 from mustardscale.relay.retry_budget import RetryAllowance, RetryBudgets
 from mustardscale.reporting.event_log import EventLog
+from mustardscale.reporting.metrics import Metrics
 
 ENGINE = EngineSpec(48, 100_000, 1, 1e12, event_tokens=10)
 
@@ -169,12 +173,19 @@
             RetryBudgets(RetryAllowance(0.0, slack, 10.0)),
             CrashWatch(clients, self.suspicions),
             random.Random(1),
+            Permits(self.board, self._calls(), Metrics(), random.Random(1)),
         )
         for name in plain:
             self._add(name, ListedKind.PLAIN, None)
         for name in engines:
             self._add(name, ListedKind.ENGINE, EngineRole.DECODE)
 
+    def _calls(self):
+        """Returns calls to this host alone, which owns all rate limits."""
+        calls = PeerCalls(self.board, None)
+        PermitOwner(self.board, calls)
+        return calls
+
     def _add(self, name, kind, role):
         entry = EndpointEntry(
             name, kind, f'{name}:1', 'dc', 'region', 'service', role=role
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -29,6 +29,7 @@
 )
 from mustardscale.relay.plain_relay import PlainRelay
 from mustardscale.relay.stream_relay import StreamRelay
+from mustardscale.reporting.event_log import EventKind
 from tests.platform_site import PlatformSite
 from tests.relay_fakes import (
     SERVICE,
@@ -42,6 +43,8 @@
 from tests.virtual_time import virtual_time
 
 ONCE = RequestKind.ONCE
+# Time in which a limit of 50 requests a second leaves a permit, seconds.
+PERMIT_WAIT_S = 0.1
 USAGE = {'X-Token-Usage': '1000,500', 'X-Length-Hint': '300'}
 
 
@@ -214,12 +217,12 @@
         listener.record_rate_limit(None)
         assert not entry.notice.is_rate_limited
         changes = [
-            (inputs['change'], inputs['limit_per_s'])
-            for _, _, _, inputs in bench.events.recorded
+            (kind, inputs['limit_per_s'])
+            for kind, _, _, inputs in bench.events.recorded
         ]
         assert changes == [
-            ('states rate limit', 1.7),
-            ('ends rate limit', None),
+            (EventKind.RATE_LIMIT_CHANGED, 1.7),
+            (EventKind.RATE_LIMIT_CHANGED, None),
         ]
 
 
@@ -449,9 +452,11 @@
             assert (status, headers['Server-Limit']) == (200, '50')
             assert notice.rate_limit.per_s == 50.0
             worker.faults.limit = 'many'
+            await asyncio.sleep(PERMIT_WAIT_S)
             await site.ask('/book/x', 'r1')
             assert notice.rate_limit.per_s == 50.0
             worker.faults.limit = ''
+            await asyncio.sleep(PERMIT_WAIT_S)
             await site.ask('/book/x', 'r2')
             assert not notice.is_rate_limited
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,7 +17,7 @@
     ('endpoints',),
     ('log', 'peers'),
     ('hosts',),
-    ('configuration',),
+    ('configuration', 'rate_limits'),
     ('policy',),
     ('pools',),
     ('orders', 'claims', 'directory'),
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardscale.requests.token_bucket import RetryBudget, TokenBucket
+from mustardscale.rate_limits.token_bucket import RetryBudget, TokenBucket
 
 
 class TestTokenBucket:
