Divide shared allowances by the hosts that may run, not by those heard

The slack of the retry budget and a service's rate and concurrency were divided by the hosts that a host hears. Of six hosts cut from one another each took the whole: 42 retries where 7 were its share, 60 requests where 10 were.

A silent host counts while it is listed, unless its process is known to have ended. After a loss of power its share is unused until it leaves the list (15 s). Ruled out: a quorum as the divisor's condition, since hosts with a majority would still take the share of those cut off. test_shared_allowances: the three cases of silent hosts failed before.

Left: shares of concurrency are rounded up, so that more hosts than the limit has units exceed it together.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -121,6 +121,16 @@
     met_at: float = -math.inf
     gone_at: float = -math.inf
 
+    @property
+    def may_run(self) -> bool:
+        """Whether its process may run, heard or not."""
+        if not self.silent:
+            return True
+        # Cleared when a process is found to have ended.
+        never_heard_since = self.heard_at == -math.inf
+        has_ended = never_heard_since and self.gone_at > -math.inf
+        return self.listed and not has_ended
+
 
 @dataclasses.dataclass(slots=True)
 class EndpointEntry:
@@ -481,10 +491,11 @@
         """Returns how many hosts a common allowance is divided by.
 
         A host that this one does not hear may only be cut off from it, and
-        still use its share. So silent hosts count while they are listed.
+        still use its share. So silent hosts count while they are listed, unless
+        their processes are known to have ended.
         """
         others = self.hosts_by_id.values()
-        return 1 + sum(host.listed or not host.silent for host in others)
+        return 1 + sum(host.may_run for host in others)
 
     def serving_hosts(self) -> list[str]:
         """Returns the ids of live hosts that may own pools and entries."""
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -58,7 +58,7 @@
         Returns:
             Whether the request may be sent to a further endpoint.
         """
-        hosts = len(self.board.live_hosts())
+        hosts = self.board.count_sharing_hosts()
         return self.budgets.take(service, hosts, self.now())
 
     def client(self, endpoint_id: str) -> RelayEndpoint | None:
--- a/mustardscale/requests/limits.py
+++ b/mustardscale/requests/limits.py
@@ -42,7 +42,7 @@
                 the request must not run.
         """
         self._check_rate(service, profile)
-        hosts = len(self._blackboard.serving_hosts())
+        hosts = self._blackboard.count_sharing_hosts()
         self._check_concurrency(service, profile, hosts)
         self.active_by_service[service] += 1
         self._active += 1
@@ -67,7 +67,7 @@
         if profile.rate_per_s <= 0:
             return
         now = asyncio.get_running_loop().time()
-        hosts = len(self._blackboard.serving_hosts())
+        hosts = self._blackboard.count_sharing_hosts()
         rate = profile.rate_per_s / hosts
         burst = max(1.0, profile.burst / hosts)
         bucket = self._bucket_by_service.get(service)
