Refuse with the engines' reason when granted engines keep closing

A request whose granted engines were closed six times, by a rate limit or a busy notice, was refused as if the retry budget were spent (1011), though nothing had been sent. It is refused as saturated (1002) now. The new test failed before with 1011.

--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -40,6 +40,9 @@
 # Number of attempts refused before any work was done at which the request is
 # refused.
 MAX_REFUSALS = 6
+# Time after which the caller of such a request may return if engines kept
+# closing after they were granted, seconds.
+CLOSED_RETRY_AFTER_S = 0.5
 # A prefill result is only used if it is kept for at least this time, seconds.
 HANDLE_MARGIN_S = 0.15
 FREE_TIMEOUT_S = 1.0
@@ -143,7 +146,7 @@
                 progress.refusals += 1
                 await self.record_failure('', error, False)
                 if progress.refusals >= MAX_REFUSALS:
-                    raise self._compute_refusal() from error
+                    raise self._compute_closed_refusal() from error
             except (EndpointRefusedError, EndpointUnreachableError) as error:
                 progress.refusals += 1
                 await self.record_failure(self._current_engine(), error, False)
@@ -178,6 +181,19 @@
             return OutcomeError(Outcome.ATTEMPTS_EXHAUSTED)
         return OutcomeError(Outcome.RETRY_BUDGET_SPENT, retry_after_s=1.0)
 
+    def _compute_closed_refusal(self) -> OutcomeError:
+        """Returns the outcome of a request whose granted engines were closed.
+
+        The engines that it was not granted may be open.
+        """
+        if self.progress.runs:
+            return OutcomeError(Outcome.ATTEMPTS_EXHAUSTED)
+        return OutcomeError(
+            Outcome.POOL_SATURATED,
+            'the granted engines take no calls now',
+            retry_after_s=CLOSED_RETRY_AFTER_S,
+        )
+
     def _begin_attempt(self) -> None:
         progress = self.progress
         board = self._context.board
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -38,6 +38,7 @@
     Permits,
 )
 from mustardscale.relay.endpoint_listener import EndpointListener
+from mustardscale.relay.stream_attempts import MAX_REFUSALS
 from mustardscale.relay.stream_relay import StreamRelay
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
@@ -443,6 +444,27 @@
         assert info.value.retry_after_s == pytest.approx(2.0, abs=0.05)
         assert bench.endpoint('d').runs == bench.endpoint('e').runs == []
 
+    @virtual_time
+    async def test_engines_that_close_after_each_grant_refuse_truthfully(self):
+        bench = RelayBench(engines=('d', 'e'))
+
+        class ClosingAdmission(FakeAdmission):
+            async def admit(self, *args):
+                entry = bench.board.endpoints_by_id['d']
+                listener = EndpointListener(bench.board, entry)
+                listener.record_busy(0.1)
+                return await super().admit(*args)
+
+        relay = StreamRelay(
+            bench.context, ClosingAdmission([('d', 'd')] * MAX_REFUSALS)
+        )
+        with pytest.raises(OutcomeError) as info:
+            async with relay.serve(request_of(), route_of(STREAM), SERVICE):
+                pass
+        assert info.value.outcome is Outcome.POOL_SATURATED
+        assert info.value.retry_after_s > 0
+        assert bench.endpoint('d').runs == []
+
 
 def statement(per_s=2.0, age_s=0.0, first_hand=True, start=0):
     return RateLimitStatement('a', start, per_s, age_s, first_hand)
