Log the limits behind a refusal, and ask no host of an earlier version

request_refused and request_failed name the limits of the service's endpoints as this host knew them: requests a second, age, and the time until the next permit. A refusal without a question to the owner left no trace of them before.

A host of an earlier version closes the connection at a message that it does not know. Heartbeats state whether a host grants permits; where the owner does not, hosts use their share.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -98,6 +98,7 @@
         silent: whether heartbeats have stopped.
         silent_since: loop time at which it was declared silent.
         met_at: loop time at which its present process was heard first.
+        grants_permits: whether its version may own rate limits.
         gone_at: loop time at which its process was found to have ended.
     """
 
@@ -119,6 +120,7 @@
     silent: bool = True
     silent_since: float = -math.inf
     met_at: float = -math.inf
+    grants_permits: bool = True
     gone_at: float = -math.inf
 
     @property
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -301,6 +301,7 @@
         host.incarnation = heartbeat.incarnation
         host.draining = heartbeat.draining
         host.capacity = heartbeat.capacity
+        host.grants_permits = heartbeat.grants_permits
         self._merge_leaving(heartbeat, now)
         self._merge_quarantine(heartbeat, now)
         for statement in heartbeat.rate_limits:
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -104,6 +104,7 @@
   capacity @20 :Float64;
   streams @21 :List(StreamStatus);
   rateLimits @22 :List(RateLimitStatement);
+  grantsPermits @23 :Bool;
 }
 
 struct RateLimitStatement {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -114,6 +114,8 @@
         streams: how far the sender, a hub, has read the platform's streams.
         rate_limits: rate limits of endpoints that the sender learnt lately, or
             all that it knows if it met the receiver lately.
+        grants_permits: whether the sender answers a PermitRequest; hosts of
+            earlier versions close the connection at it.
     """
 
     host: str
@@ -139,6 +141,7 @@
     capacity: float = 1.0
     streams: tuple[StreamStatus, ...] = ()
     rate_limits: tuple[RateLimitStatement, ...] = ()
+    grants_permits: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/rate_limits/permits.py
+++ b/mustardscale/rate_limits/permits.py
@@ -234,6 +234,9 @@
         if not has_quorum(self._blackboard, now):
             # The owners that this host still reaches have no quorum either.
             return None
+        entry = self._blackboard.hosts_by_id.get(owner)
+        if entry is not None and not entry.grants_permits:
+            return None
         refused, asking.refused = asking.refused, 0
         request = PermitRequest(
             make_statement(endpoint, limit, now), permits, refused
--- a/mustardscale/relay/request_report.py
+++ b/mustardscale/relay/request_report.py
@@ -16,6 +16,8 @@
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
 
+# Rate limits in one line of the log at most.
+MAX_LOGGED_LIMITS = 8
 # Service name under which requests without a matching route are counted.
 NO_SERVICE = 'none'
 
@@ -105,6 +107,28 @@
             )
         return fields
 
+    def _rate_limit_fields(self, service: str) -> dict[str, object]:
+        """Returns the rate limits that bind the service's endpoints.
+
+        Of each one the requests a second, the age of the statement, and the
+        seconds until this host may ask for a permit again.
+        """
+        now = asyncio.get_running_loop().time()
+        fields: dict[str, object] = {}
+        for endpoint in self._blackboard.endpoints_by_id.values():
+            limit = endpoint.notice.rate_limit
+            if endpoint.service != service or limit is None:
+                continue
+            if limit.in_force and len(fields) < MAX_LOGGED_LIMITS:
+                fields[endpoint.id] = {
+                    'per_s': limit.per_s,
+                    'age_s': round(now - limit.stated_at, 3),
+                    'wait_s': round(
+                        max(0.0, endpoint.notice.closed_until - now), 3
+                    ),
+                }
+        return fields
+
     def _failure_fields(self) -> dict[str, Any]:
         """Returns the log fields of a refusal or failure."""
         fields: dict[str, Any] = {}
@@ -112,6 +136,8 @@
             deadline_at = compute_deadline(self._request, self.route)
             deadline_s = deadline_at - self._request.arrived_at
             fields['deadline_s'] = round(deadline_s, 3)
+        if self.service is not None:
+            fields['rate_limits'] = self._rate_limit_fields(self.service.name)
         if self.error is not None:
             fields['detail'] = self.error.detail
             fields['retry_after_s'] = self.error.retry_after_s
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -175,6 +175,25 @@
         spread_s = returns[-1] - begins_at
         assert len(refused) <= 1.5 * taken_per_s * spread_s
 
+    @virtual_time
+    async def test_a_refusal_is_logged_with_the_limits_and_their_ages(self):
+        fleet = await start_fleet(6, endpoints=2)
+        events = RecordingEventLog()
+        fleet.router_by_host['h001'].blackboard.events = events
+        limit_all(fleet)
+        await fleet.load(LOAD_PER_S, 6.0, even(fleet.router_by_host))
+        await fleet.stop()
+        refusals = [
+            inputs['rate_limits']
+            for kind, _, _, inputs in events.recorded
+            if kind is EventKind.REQUEST_REFUSED
+        ]
+        assert refusals
+        for limit in refusals[-1].values():
+            assert limit['per_s'] == LIMIT_PER_S
+            assert 0 <= limit['age_s'] < STABLE_S
+        assert set(refusals[-1]) == set(fleet.endpoint_by_id)
+
     @virtual_time
     async def test_an_ended_limit_limits_nothing(self):
         fleet = await start_fleet(6, endpoints=1)
@@ -359,6 +378,20 @@
         assert loop.time() == begins_at
         assert site.metrics.counter_by_name['permit_calls_failed'] == 1
 
+    @virtual_time
+    async def test_a_host_of_an_earlier_version_is_asked_for_permits(self):
+        site = _Site(PermitReply(True, 1, 5.0))
+        site.state_limit(5.0)
+        for number in range(20):
+            site.board.hosts_by_id[f'h{number}'] = HostEntry(
+                f'h{number}', 'x:1', 'dc', silent=False, grants_permits=False
+            )
+        owner = find_permit_owner(site.board, site.entry)
+        assert owner != 'host'
+        assert not await site.permits.acquire('a', 'r')
+        assert site.requests == []
+        assert 'permit_calls_failed' not in site.metrics.counter_by_name
+
     @virtual_time
     async def test_a_failure_refuses_and_ends_no_request(self):
         site = _Site(None)
