Keep the owners of rate limits until the membership changes

Finding an owner hashes every live host, twice for each permit: an owner's answer took 342 us of processor time with 195 hosts and 631 us with 370. With the owners kept it takes 10 and 11 us (processor time of the handler alone, own loop, busy machine).

--- a/mustardscale/rate_limits/permit_owner.py
+++ b/mustardscale/rate_limits/permit_owner.py
@@ -34,10 +34,31 @@
 MAX_BACKLOG_S = 60.0
 
 
-def find_permit_owner(board: Blackboard, endpoint: EndpointEntry) -> str:
-    """Returns the host that owns the rate limit of an endpoint."""
-    duty = f'rate limit {endpoint.id}'
-    return choose_host(board, duty, endpoint.data_centre)
+class PermitOwners:
+    """Finds the hosts that own rate limits.
+
+    They are kept until the membership changes, as finding one takes a hash for
+    each host.
+    """
+
+    __slots__ = ('_blackboard', '_owner_by_id')
+
+    def __init__(self, blackboard: Blackboard):
+        self._blackboard = blackboard
+        self._owner_by_id: dict[str, str] = {}
+
+    def find(self, endpoint: EndpointEntry) -> str:
+        """Returns the host that owns the rate limit of an endpoint."""
+        owner = self._owner_by_id.get(endpoint.id)
+        if owner is None:
+            duty = f'rate limit {endpoint.id}'
+            owner = choose_host(self._blackboard, duty, endpoint.data_centre)
+            self._owner_by_id[endpoint.id] = owner
+        return owner
+
+    def follow_membership(self) -> None:
+        """Forgets the owners, who follow from the hosts that are live."""
+        self._owner_by_id.clear()
 
 
 def compute_burst(per_s: float) -> float:
@@ -119,8 +140,11 @@
         owned_by_id: the limits owned here, by endpoint.
     """
 
-    def __init__(self, blackboard: Blackboard, calls: PeerCalls):
+    def __init__(
+        self, blackboard: Blackboard, calls: PeerCalls, owners: PermitOwners
+    ):
         self._blackboard = blackboard
+        self._owners = owners
         self.owned_by_id: dict[str, OwnedLimit] = {}
         calls.handle(PermitRequest, self._on_request)
 
@@ -137,7 +161,7 @@
         return (
             owned.start == endpoint.notice.start
             and owned.owned_since > board.quorum_gap_at
-            and find_permit_owner(board, endpoint) == board.host
+            and self._owners.find(endpoint) == board.host
         )
 
     async def _on_request(
@@ -151,7 +175,7 @@
             endpoint is None
             or endpoint.notice.start != request.statement.start
             or not has_quorum(board, now)
-            or find_permit_owner(board, endpoint) != board.host
+            or self._owners.find(endpoint) != board.host
         ):
             return PermitReply(available=False)
         limit = endpoint.notice.rate_limit
--- a/mustardscale/rate_limits/permits.py
+++ b/mustardscale/rate_limits/permits.py
@@ -20,7 +20,7 @@
 from mustardscale.peers.rate_limit_messages import PermitReply, PermitRequest
 from mustardscale.rate_limits.permit_owner import (
     MIN_RATE_PER_S,
-    find_permit_owner,
+    PermitOwners,
 )
 from mustardscale.rate_limits.token_bucket import TokenBucket
 from mustardscale.reporting.event_log import EventKind
@@ -90,16 +90,17 @@
         self,
         blackboard: Blackboard,
         calls: PeerCalls,
+        owners: PermitOwners,
         metrics: Metrics,
         rng: random.Random,
     ):
         self._blackboard = blackboard
         self._calls = calls
+        self._owners = owners
         self._metrics = metrics
         self._rng = rng
         self._background = BackgroundTasks()
         self._asking_by_id: dict[str, _Asking] = {}
-        self._owner_by_id: dict[str, str] = {}
         self._unavailable_until_by_host: dict[str, float] = {}
         metrics.add_gauge('rate_limited_endpoints', self._count_limited)
         metrics.add_gauge('rate_limit_oldest_seconds', self._oldest_limit_s)
@@ -115,8 +116,7 @@
             await self._blackboard.rate_limit_changed.wait(interval_s)
 
     def follow_membership(self) -> None:
-        """Forgets the owners, who follow from the hosts that are live."""
-        self._owner_by_id.clear()
+        """Asks all owners again, and forgets endpoints that are gone."""
         self._unavailable_until_by_host.clear()
         listed = self._blackboard.endpoints_by_id
         for endpoint_id, asking in list(self._asking_by_id.items()):
@@ -226,7 +226,7 @@
     ) -> PermitReply | None:
         """Asks the owner for permits; returns None if it grants none."""
         now = asyncio.get_running_loop().time()
-        owner = self._find_owner(endpoint)
+        owner = self._owners.find(endpoint)
         limit = endpoint.notice.rate_limit
         unavailable_until = self._unavailable_until_by_host.get(owner, 0.0)
         if limit is None or now < unavailable_until:
@@ -277,13 +277,6 @@
                 limit_per_s=per_s,
             )
 
-    def _find_owner(self, endpoint: EndpointEntry) -> str:
-        owner = self._owner_by_id.get(endpoint.id)
-        if owner is None:
-            owner = find_permit_owner(self._blackboard, endpoint)
-            self._owner_by_id[endpoint.id] = owner
-        return owner
-
     def _use_share(
         self, endpoint: EndpointEntry, asking: _Asking, wanted: int, now: float
     ) -> tuple[int, float]:
@@ -344,7 +337,7 @@
             endpoint=endpoint.id,
             granted=decision.granted,
             source=decision.source,
-            owner=self._find_owner(endpoint),
+            owner=self._owners.find(endpoint),
             limit_per_s=limit.per_s,
             limit_age_s=round(now - limit.stated_at, 3),
             first_hand=limit.first_hand,
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -40,7 +40,7 @@
 from mustardscale.pools.pool_owner import PoolOwner
 from mustardscale.pools.quarantine import SuspicionExpiry, Suspicions
 from mustardscale.pools.suspicion_sharing import SuspicionSharing
-from mustardscale.rate_limits.permit_owner import PermitOwner
+from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.plain_relay import PlainRelay
@@ -109,8 +109,9 @@
             options.settle_s,
         )
         admission = AdmissionClient(board, calls, rng)
-        self.permit_owner = PermitOwner(board, calls)
-        permits = Permits(board, calls, self.metrics, rng)
+        permit_owners = PermitOwners(board)
+        self.permit_owner = PermitOwner(board, calls, permit_owners)
+        permits = Permits(board, calls, permit_owners, self.metrics, rng)
         context = RelayContext(
             board,
             clients,
@@ -132,6 +133,7 @@
             self.pool_owner.follow_membership,
             admission.follow_membership,
             sharing.follow_membership,
+            permit_owners.follow_membership,
             self.permit_owner.follow_membership,
             permits.follow_membership,
         ]
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -17,7 +17,7 @@
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import AdmitReply
 from mustardscale.pools.quarantine import Suspicions
-from mustardscale.rate_limits.permit_owner import PermitOwner
+from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.relay_context import RelayContext
@@ -173,18 +173,19 @@
             RetryBudgets(RetryAllowance(0.0, slack, 10.0)),
             CrashWatch(clients, self.suspicions),
             random.Random(1),
-            Permits(self.board, self._calls(), Metrics(), random.Random(1)),
+            self._permits(),
         )
         for name in plain:
             self._add(name, ListedKind.PLAIN, None)
         for name in engines:
             self._add(name, ListedKind.ENGINE, EngineRole.DECODE)
 
-    def _calls(self):
-        """Returns calls to this host alone, which owns all rate limits."""
+    def _permits(self):
+        """Returns the permits of this host alone, which owns all limits."""
         calls = PeerCalls(self.board, None)
-        PermitOwner(self.board, calls)
-        return calls
+        owners = PermitOwners(self.board)
+        PermitOwner(self.board, calls, owners)
+        return Permits(self.board, calls, owners, Metrics(), random.Random(1))
 
     def _add(self, name, kind, role):
         entry = EndpointEntry(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -28,8 +28,8 @@
     HANDOVER_S,
     MIN_RATE_PER_S,
     OwnedLimit,
+    PermitOwners,
     compute_burst,
-    find_permit_owner,
 )
 from mustardscale.rate_limits.permits import (
     CALL_TIMEOUT_S,
@@ -286,8 +286,13 @@
         calls = PeerCalls(self.board, None)
         calls.handle(PermitRequest, self._on_request)
         self.metrics = Metrics()
+        self.owners = PermitOwners(self.board)
         self.permits = Permits(
-            self.board, calls, self.metrics, random.Random(1)
+            self.board,
+            calls,
+            self.owners,
+            self.metrics,
+            random.Random(1),
         )
 
     async def _on_request(self, sender, request):
@@ -386,7 +391,7 @@
             site.board.hosts_by_id[f'h{number}'] = HostEntry(
                 f'h{number}', 'x:1', 'dc', silent=False, grants_permits=False
             )
-        owner = find_permit_owner(site.board, site.entry)
+        owner = site.owners.find(site.entry)
         assert owner != 'host'
         assert not await site.permits.acquire('a', 'r')
         assert site.requests == []
@@ -564,13 +569,13 @@
             board.hosts_by_id[f'h{number}'] = HostEntry(
                 f'h{number}', 'x:1', 'dc', silent=False
             )
-        owners = {
-            find_permit_owner(
-                board,
+        owners = PermitOwners(board)
+        found = {
+            owners.find(
                 EndpointEntry(
                     f'e{number}', ListedKind.PLAIN, 'x:1', 'dc', 'region'
-                ),
+                )
             )
             for number in range(100)
         }
-        assert len(owners) > 15
+        assert len(found) > 15
