--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 SITE ?= kobberfonden
 SEEDS ?= 20
 FIRST_SEED ?= 1
-# Limit of time of a soak in minutes, 0 for none, and its entry hosts.
+# Limit of time of a soak in minutes, 0 for none; entry hosts of soaks and
+# of runs with rate limits.
 MINUTES ?= 0
 HOSTS ?= 6
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults soak bench load clean
+.PHONY: test run up faults limits soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -38,6 +39,9 @@
 faults: $(STAMP)
 	$(PY) -m standins.fault_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) $(if $(ORDERS),--orders)
 
+limits: $(STAMP)
+	$(PY) -m standins.limit_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
+
 soak: $(STAMP)
 	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
 
