--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -128,9 +128,9 @@
         """Whether its process may run, heard or not."""
         if not self.silent:
             return True
-        # Cleared when a process is found to have ended.
-        never_heard_since = self.heard_at == -math.inf
-        has_ended = never_heard_since and self.gone_at > -math.inf
+        # The time of the last heartbeat is cleared when the process is found to
+        # have ended.
+        has_ended = self.gone_at > -math.inf and self.heard_at == -math.inf
         return self.listed and not has_ended
 
 
--- a/mustardscale/rate_limits/permit_owner.py
+++ b/mustardscale/rate_limits/permit_owner.py
@@ -37,7 +37,7 @@
 class PermitOwners:
     """Finds the hosts that own rate limits.
 
-    They are kept until the membership changes, as finding one takes a hash for
+    Owners are kept until the membership changes: finding one takes a hash for
     each host.
     """
 
--- a/mustardscale/rate_limits/permits.py
+++ b/mustardscale/rate_limits/permits.py
@@ -58,6 +58,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Decision:
+    """Whether a request may be sent, and what decided that."""
+
     granted: bool
     source: PermitSource
 
@@ -202,6 +204,7 @@
                 _answer(asking.waiting.popleft(), False, PermitSource.FAILED)
 
     async def _decide(self, endpoint: EndpointEntry, asking: _Asking) -> None:
+        """Decides on all requests that wait now."""
         wanted = len(asking.waiting)
         reply = await self._call_owner(endpoint, asking, wanted)
         now = asyncio.get_running_loop().time()
