--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -119,7 +119,9 @@
 
     def test_idle_decode_engine_does_a_local_prefill(self):
         async def scenario(site):
-            (owned,) = site.routers[0].pool_owner.owned_by_id.values()
+            pool_owner = site.routers[0].pool_owner
+            await until(lambda: pool_owner.owned_by_id)
+            (owned,) = pool_owner.owned_by_id.values()
             engines = owned.state.engines_by_id
             await until(
                 lambda: (
@@ -169,8 +171,9 @@
 
     def test_decode_engines_serve_alone_while_the_prefill_engine_is_gone(self):
         async def scenario(site):
-            site.store.put(WORKERS_TOPIC, 'p1', b'')
             board = site.routers[0].blackboard
+            await until(lambda: set(site.workers) <= set(board.endpoints_by_id))
+            site.store.put(WORKERS_TOPIC, 'p1', b'')
             await until(lambda: 'p1' not in board.endpoints_by_id)
             status, _, body = await site.ask('/once/x', 'r1', headers=USAGE)
             assert (status, body) == (200, EVENTS)
