Close the test's own connections to the peer server

On arm64 eight tests failed with a PytestUnraisableExceptionWarning: a StreamWriter was collected after its event loop was closed. Recording all writers of the test showed that in each of its 30 cases only the stream that the test itself had opened was left open; the peer server had closed every connection that it accepted, also while closing. Which case failed was the moment of collection.

The pair of transports closes these streams now, and the test counts the writers of both sides that are still open after closing. Ruled out: a socket left open by PeerServer.

--- a/tests/peer_pair.py
+++ b/tests/peer_pair.py
@@ -76,6 +76,7 @@
         self.a = transport('a', 7001, keys[0], limits)
         self.b = transport('b', 7002, keys[1], limits)
         self.handler = Handler()
+        self.streams = []
 
     async def __aenter__(self):
         """Starts both."""
@@ -84,7 +85,9 @@
         return self
 
     async def __aexit__(self, *_):
-        """Closes both."""
+        """Closes both, and the connections that the test made itself."""
+        for stream in self.streams:
+            stream.close()
         await self.a.close()
         await self.b.close()
 
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -22,19 +22,34 @@
 from tests.virtual_time import virtual_time
 
 
-async def connect():
-    """Connects to b without a greeting."""
+async def connect(pair):
+    """Connects to b without a greeting; the pair closes the stream."""
     reader, writer = await asyncio.open_connection('127.0.0.1', 7002)
-    return FrameStream(reader, writer, PeerLimits(), PeerTraffic())
+    stream = FrameStream(reader, writer, PeerLimits(), PeerTraffic())
+    pair.streams.append(stream)
+    return stream
 
 
-async def greeted():
+async def greeted(pair):
     """Connects to b as host x."""
-    stream = await connect()
+    stream = await connect(pair)
     await greet_server(stream, PeerIdentity('x', 1), 'b', 1)
     return stream
 
 
+def record_writers(monkeypatch):
+    """Returns a list that gets the writer of each connection, on both sides."""
+    writers = []
+    original = asyncio.StreamWriter.__init__
+
+    def record(writer, *arguments, **options):
+        original(writer, *arguments, **options)
+        writers.append(writer)
+
+    monkeypatch.setattr(asyncio.StreamWriter, '__init__', record)
+    return writers
+
+
 def request(call_id, message):
     return encode_frame(Frame(FrameKind.REQUEST, call_id, message))
 
@@ -45,7 +60,7 @@
     @virtual_time
     async def test_calls_above_the_limit_are_refused(self):
         async with Pair(limits=PeerLimits(calls=1)) as pair:
-            stream = await greeted()
+            stream = await greeted(pair)
             for call_id in (1, 2):
                 stream.send(request(call_id, StreamLookup('5')))
             refusal = await stream.receive(1)
@@ -57,7 +72,7 @@
     @virtual_time
     async def test_call_number_in_use_closes_the_connection(self):
         async with Pair() as pair:
-            stream = await greeted()
+            stream = await greeted(pair)
             for _ in range(2):
                 stream.send(request(1, StreamLookup('hang')))
             with pytest.raises((ConnectionError, EOFError)):
@@ -67,7 +82,7 @@
     @virtual_time
     async def test_caller_that_reads_nothing_is_cut_off(self):
         async with Pair() as pair:
-            stream = await greeted()
+            stream = await greeted(pair)
             stream.send(request(1, StreamLookup('hang')))
             for call_id in range(2, 20):
                 stream.send(request(call_id, ConfigFetch(900_000)))
@@ -78,11 +93,14 @@
 
     @pytest.mark.parametrize('steps', range(30))
     @virtual_time
-    async def test_closing_ends_connections_at_any_moment(self, steps):
+    async def test_closing_ends_connections_at_any_moment(
+        self, steps, monkeypatch
+    ):
+        writers = record_writers(monkeypatch)
         pair = Pair()
         await pair.b.start(pair.handler)
         call = asyncio.create_task(pair.call('hang', 100))
-        stream = await connect()
+        stream = await connect(pair)
         for _ in range(steps):
             await asyncio.sleep(0)
         await pair.b.close()
@@ -93,6 +111,9 @@
             await call
         assert pair.handler.running == 0
         assert asyncio.all_tasks() == {asyncio.current_task()}
+        stream.close()
+        assert len(writers) >= 2
+        assert all(writer.transport.is_closing() for writer in writers)
 
 
 class TestGreeting:
@@ -126,7 +147,7 @@
     @virtual_time
     async def test_caller_without_the_key_cannot_reach_the_handler(self):
         async with Pair((b'k', b'k')) as pair:
-            stream = await connect()
+            stream = await connect(pair)
             hello = Frame(FrameKind.HELLO, 0, Hello('x', 1))
             for _ in range(2):
                 stream.send(encode_frame(hello))
@@ -154,7 +175,7 @@
         async with Pair() as pair:
             other = asyncio.create_task(pair.call('20', 60))
             await asyncio.sleep(1)
-            stream = await greeted()
+            stream = await greeted(pair)
             stream.send(data)
             with pytest.raises((ConnectionError, EOFError)):
                 await stream.receive(10)
@@ -166,7 +187,7 @@
     @virtual_time
     async def test_silent_connection_is_closed(self):
         async with Pair() as pair:
-            stream = await connect()
+            stream = await connect(pair)
             with pytest.raises((ConnectionError, EOFError)):
                 await stream.receive(10)
             assert await pair.call('0') == REPLY
@@ -175,7 +196,7 @@
     async def test_connections_are_limited(self):
         async with Pair(limits=PeerLimits(connections=1)) as pair:
             assert await pair.call('0') == REPLY
-            stream = await connect()
+            stream = await connect(pair)
             with pytest.raises((ConnectionError, EOFError)):
                 await stream.receive(10)
             assert await pair.call('0') == REPLY
