--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -87,6 +87,7 @@
                 for pool in list(self._pool_owner.owned_by_id.values()):
                     self._start_polls(pool)
                 self._pool_owner.refresh()
+                await self._clients.close_retired()
                 if self._pool_owner.owned_by_id:
                     await pause(REPORT_INTERVAL_S, self._rng)
                 else:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -92,6 +92,18 @@
         entry = worker_entry(self.address_by_worker[name], worker.phase, state)
         self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
 
+    def unlist_worker(self, name):
+        self.store.put(WORKERS_TOPIC, name, b'')
+
+    def restart_worker(self, name, new_name):
+        """Lists a worker that has ended under another id at its address."""
+        worker = self.workers.pop(name)
+        worker.instance = new_name
+        self.workers[new_name] = worker
+        self.address_by_worker[new_name] = self.address_by_worker.pop(name)
+        self.unlist_worker(name)
+        self.list_worker(new_name)
+
     def configure(self, config):
         self.store.put(OPERATOR_TOPIC, 'config', json.dumps(config).encode())
 
