--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -194,6 +194,7 @@
             headers.get(names.TOKEN_USAGE), headers.get(names.LENGTH_HINT)
         ),
         resume_after=headers.get(names.LAST_EVENT_ID, ''),
+        segments=_parse_segments(headers.get(names.PROMPT_PREFIX)),
     )
 
 
@@ -247,6 +248,21 @@
     return SizeEstimate(max(1, prompt), max(1, output), hinted)
 
 
+def _parse_segments(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of the prompt's parts that other requests may share.
+
+    The last part is the request's own. Entries without an id are left out.
+
+    >>> _parse_segments('5C1E07A2:800, 91bd3f06:410,:7,e4402b7d:250')
+    ('5c1e07a2', '91bd3f06')
+    >>> _parse_segments('e4402b7d:250'), _parse_segments(None)
+    ((), ())
+    """
+    shared = (text or '').split(',')[:-1]
+    ids = (entry.partition(':')[0].strip().lower() for entry in shared)
+    return tuple(segment for segment in ids if segment)
+
+
 def make_error_response(error: OutcomeError, request_id: str) -> web.Response:
     """Returns the HTTP response to a request that ended with an error."""
     status = None
--- a/mustardscale/pools/quarantine.py
+++ b/mustardscale/pools/quarantine.py
@@ -16,6 +16,7 @@
 from mustardscale.controller import Controller
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_messages import Quarantine
+from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +28,8 @@
 # Error that the delivery of a notice may add to the time of a change, seconds.
 # If two changes are closer together than this, the one with more crashes wins.
 NOTICE_DELAY_S = 1.0
+# Requests in one line of the log at most.
+MAX_LOGGED = 64
 # Maximum number of remembered keys.
 MAX_KEYS = 10_000
 
@@ -53,6 +56,7 @@
     """
 
     def __init__(self, blackboard: Blackboard):
+        self._blackboard = blackboard
         self._by_key = blackboard.suspicions_by_key
         self.changes = 0
         self.changed = Signal()
@@ -99,6 +103,12 @@
             len(known),
             extra={'code': Outcome.ENDPOINT_CRASH_SUSPECTED},
         )
+        self._blackboard.events.emit(
+            EventKind.ENDPOINT_CRASHED,
+            code=Outcome.ENDPOINT_CRASH_SUSPECTED,
+            endpoint=endpoint_id,
+            requests=[request_id for request_id, _ in requests][:MAX_LOGGED],
+        )
         for item in requests:
             crashes = self.crashes(*item)
             if item in named or crashes == 0:
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -40,6 +40,8 @@
         timeout_s: seconds for which the caller waits, None if not declared.
         size: size for engines, None if the caller declares none.
         resume_after: id of the last event that the caller received, '' if none.
+        segments: ids of the segments of its prompt that other requests may
+            share, in order.
     """
 
     id: str
@@ -52,6 +54,7 @@
     timeout_s: float | None = None
     size: SizeEstimate | None = None
     resume_after: str = ''
+    segments: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/mustardscale/relay/request_report.py
+++ b/mustardscale/relay/request_report.py
@@ -18,6 +18,8 @@
 
 # Rate limits in one line of the log at most.
 MAX_LOGGED_LIMITS = 8
+# Segments of a prompt in one line of the log at most.
+MAX_LOGGED_SEGMENTS = 16
 # Service name under which requests without a matching route are counted.
 NO_SERVICE = 'none'
 
@@ -73,6 +75,8 @@
             'service': service,
             'age_s': round(age_s, 4),
         }
+        if request.segments:
+            fields['segments'] = request.segments[:MAX_LOGGED_SEGMENTS]
         if self.outcome is Outcome.COMPLETE:
             kind = EventKind.REQUEST_SERVED
             fields |= self._answer_fields(service, age_s)
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -31,6 +31,7 @@
     CONFIG_APPLIED = 'config_applied'
     MEMBERSHIP_CHANGED = 'membership_changed'
     ENDPOINT_CHANGED = 'endpoint_changed'
+    ENDPOINT_CRASHED = 'endpoint_crashed'
     RATE_LIMIT_CHANGED = 'rate_limit_changed'
     PERMIT_DECIDED = 'permit_decided'
     READINESS_CHANGED = 'readiness_changed'
@@ -95,6 +96,10 @@
         'An endpoint came, left or changed.',
         ('endpoint', 'change', 'service', 'role', 'list_version', 'busy_s'),
     ),
+    EventKind.ENDPOINT_CRASHED: EventRule(
+        'An endpoint crashed with requests in flight.',
+        ('endpoint', 'requests'),
+    ),
     EventKind.RATE_LIMIT_CHANGED: EventRule(
         'A rate limit of an endpoint changed or ended.',
         ('endpoint', 'change', 'service', 'limit_per_s'),
@@ -155,6 +160,7 @@
             'retry_after_s',
             'detail',
             'rate_limits',
+            'segments',
         ),
         rate_per_s=100.0,
         burst=400.0,
@@ -168,6 +174,7 @@
             'deadline_s',
             'detail',
             'rate_limits',
+            'segments',
         ),
         rate_per_s=100.0,
         burst=400.0,
@@ -183,6 +190,7 @@
             'status',
             'endpoint',
             'config_version',
+            'segments',
         ),
         rate_per_s=100.0,
         burst=200.0,
