--- /dev/null
+++ b/standins/host_fleet.py
@@ -0,0 +1,166 @@
+"""Hosts in one process that relay requests to a model of endpoints."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import itertools
+import random
+from collections.abc import Mapping
+
+from mustardscale.blackboard import Blackboard, Signal
+from mustardscale.configuration.route_source import RouteSource
+from mustardscale.configuration.routes import RouteTable
+from mustardscale.hosts.host_list import HostList, ListedHost
+from mustardscale.relay.relay_endpoint import RelayConnector
+from mustardscale.relay_options import RelayEdges, RelayOptions
+from mustardscale.relay_router import RelayRouter
+from standins.log_model import LogModel
+from standins.memory_log import MemoryLogClient
+from standins.memory_peers import MemoryPeerNetwork
+
+REGION = 'region'
+DATA_CENTRES = ('dc1', 'dc2', 'dc3')
+# Time in which started hosts have met one another, seconds.
+MEET_S = 4.0
+
+
+class FleetList(HostList):
+    """The host list, which hosts write themselves.
+
+    Attributes:
+        entry_by_id: the entries.
+        changed: notified when an endpoint came or went.
+    """
+
+    def __init__(self, entry_by_id: dict[str, ListedHost], changed: Signal):
+        self.entry_by_id = entry_by_id
+        self.changed = changed
+
+    async def fetch(self) -> list[ListedHost]:
+        """See the base class."""
+        return list(self.entry_by_id.values())
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """See the base class."""
+        await self.changed.wait(timeout_s)
+
+    async def announce(self, host: ListedHost) -> None:
+        """See the base class."""
+        self.entry_by_id[host.id] = host
+
+    async def retire(self, host: str) -> None:
+        """See the base class."""
+        self.entry_by_id.pop(host, None)
+
+
+class FixedRoutes(RouteSource):
+    """A table that never changes."""
+
+    def __init__(self, table: RouteTable) -> None:
+        self._table = table
+        self._sent = False
+
+    async def next_table(self) -> RouteTable:
+        """See the base class."""
+        if self._sent:
+            await asyncio.Event().wait()
+        self._sent = True
+        return self._table
+
+
+class HostFleet(abc.ABC):
+    """Hosts that can be started, killed and cut from one another.
+
+    Attributes:
+        rng: the generator of random choices.
+        router_by_host: the hosts that are up.
+        peers: the network between hosts.
+        listed: the entries of the host list, by id.
+        list_changed: notified when an endpoint came or went.
+    """
+
+    def __init__(self, hosts: int, table: RouteTable, seed: int):
+        self.rng = random.Random(seed)
+        self.peers = MemoryPeerNetwork(random.Random(self.rng.random()))
+        self.router_by_host: dict[str, RelayRouter] = {}
+        self.listed: dict[str, ListedHost] = {}
+        self.list_changed = Signal()
+        self._first_hosts = hosts
+        self._table = table
+        self._incarnations = itertools.count(1)
+        self._request_ids = itertools.count(1)
+        self._calls: set[asyncio.Task[None]] = set()
+        self._log = LogModel(random.Random(self.rng.random()))
+
+    @abc.abstractmethod
+    def connector(self, host: str) -> RelayConnector:
+        """Returns a host's connector to the endpoints."""
+
+    def edges(self, host: str, board: Blackboard) -> RelayEdges:
+        """Returns the outside systems of a host."""
+        return RelayEdges(
+            MemoryLogClient(self._log),
+            FleetList(self.listed, self.list_changed),
+            FixedRoutes(self._table),
+            self.peers.transport(host),
+            self.connector(host),
+        )
+
+    async def start(self) -> None:
+        """Starts the hosts, and waits until they know one another."""
+        for number in range(1, self._first_hosts + 1):
+            await self.start_host(f'h{number:03}')
+        await asyncio.sleep(MEET_S)
+
+    async def start_host(self, host: str) -> None:
+        """Starts a host, also one that was killed."""
+        board = Blackboard(
+            host,
+            next(self._incarnations),
+            DATA_CENTRES[hash_of(host) % len(DATA_CENTRES)],
+            REGION,
+        )
+        board.address = f'{host}:1'
+        board.engines_read_prompts = True
+        edges = self.edges(host, board)
+        rng = random.Random(self.rng.random())
+        router = RelayRouter(board, RelayOptions(), edges, rng)
+        await router.start()
+        self.router_by_host[host] = router
+
+    async def kill_host(self, host: str) -> None:
+        """Ends a host without a word; its entry stays on the list."""
+        await self.router_by_host.pop(host).stop()
+
+    def cut_host(self, host: str) -> None:
+        """Cuts a host from its peers, not from endpoints and callers."""
+        for other in self.router_by_host:
+            if other != host:
+                self.peers.cut(host, other)
+
+    def restore_host(self, host: str) -> None:
+        """Ends a cut."""
+        for other in list(self.router_by_host):
+            self.peers.restore(host, other)
+
+    def is_up(self, host: str) -> bool:
+        """Returns whether a host runs."""
+        return host in self.router_by_host
+
+    async def stop(self) -> None:
+        """Stops all hosts."""
+        for call in list(self._calls):
+            call.cancel()
+        for host in list(self.router_by_host):
+            await self.kill_host(host)
+
+
+def even(hosts: Mapping[str, RelayRouter]) -> dict[str, float]:
+    """Returns equal shares of the hosts that are up."""
+    return dict.fromkeys(hosts, 1.0)
+
+
+def hash_of(host: str) -> int:
+    """Returns a number that spreads hosts over data centres."""
+    return int(host.lstrip('h') or 0)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -42,9 +42,10 @@
 from mustardscale.relay.stream_relay import StreamRelay
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
+from standins.host_fleet import even
 from standins.limit_runs import play_seed
 from standins.limited_arrivals import STABLE_S
-from standins.limited_fleet import LimitedFleet, even
+from standins.limited_fleet import LimitedFleet
 from tests.relay_fakes import (
     SERVICE,
     STREAM,
