--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -23,6 +23,8 @@
 DATA_CENTRES = ('dc1', 'dc2', 'dc3')
 # Time in which started hosts have met one another, seconds.
 MEET_S = 4.0
+# Time in which the last messages between stopped hosts have arrived, seconds.
+LAST_TRAVEL_S = 0.1
 
 
 class FleetList(HostList):
@@ -154,6 +156,7 @@
             call.cancel()
         for host in list(self.router_by_host):
             await self.kill_host(host)
+        await asyncio.sleep(LAST_TRAVEL_S)
 
 
 def even(hosts: Mapping[str, RelayRouter]) -> dict[str, float]:
