Keep off engines what the crashes have in common, on all hosts

Callers saw streams break off and refusals because requests that share one segment of their prompts ended engine after engine. Crashes were counted against whole requests, and no two are alike: all 36 crash lines of a stand-in fleet list a request with the segment, and none was suspected twice. Besides, a suspect was cleared at its first event, which on engines with several tokens an event is before it ends them.

A crash now counts against everything that a request in flight may share with another one: its content and each segment. What has survived since is cleared; what explains most crashes is quarantined after two crashes, one after the other (four if it has survived before); what another property explains is not held against the rest. Every host records the crashes that it sees and tells all peers; what is new from others goes to two peers. A record of each quarantine on the platform's stream survives the loss of all hosts. Hosts check before each prefill, run and resumption; owners refuse what waits. One request at a time is tried, at growing intervals, and clears what was mended.

--- a/bench/load_owner.py
+++ b/bench/load_owner.py
@@ -33,7 +33,7 @@
 )
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.pools.pool_owner import SETTLE_S, PoolOwner
-from mustardscale.pools.quarantine import Suspicions
+from mustardscale.quarantine.suspicions import Suspicions
 from standins.memory_peers import MemoryPeerNetwork
 
 POLICY = 'mustardscale'
--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -22,6 +22,7 @@
 from mustardscale.orders.order_state import OrderState
 from mustardscale.peers.directory_messages import DirectoryEntry
 from mustardscale.peers.peer_messages import HeldStream
+from mustardscale.quarantine.crash_evidence import CrashEvidence
 from mustardscale.reporting.event_log import EventLog, NoEvents
 from mustardscale.suspension import suspended_s
 from mustardscale.traces.trace import (
@@ -238,6 +239,7 @@
         previous_incarnation: start number of that host's process.
         confirmed_at: loop time at which its home last confirmed that this
             host holds it.
+        keys: its suspicion keys.
     """
 
     id: str
@@ -262,6 +264,7 @@
     previous_holder: str = ''
     previous_incarnation: int = 0
     confirmed_at: float = -math.inf
+    keys: tuple[str, ...] = ()
 
     @property
     def emitted_tokens(self) -> int:
@@ -283,6 +286,7 @@
             max_tokens=self.max_tokens - self.attempt_base,
             fingerprint=self.fingerprint,
             hint_tokens=self.hint_tokens,
+            keys=self.keys,
         )
 
 
@@ -317,24 +321,6 @@
     ended_at: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class Suspicion:
-    """Crashes that happened with a request in flight.
-
-    Attributes:
-        crashes: number of crashed endpoints that count against it; 0 when
-            the suspicion turned out to be wrong.
-        last_at: loop time of the last crash, or of its clearing.
-        quarantined: whether it is kept off endpoints.
-        change: number of the change by which this host learnt of it.
-    """
-
-    crashes: int
-    last_at: float
-    quarantined: bool = False
-    change: int = 0
-
-
 class Blackboard:
     """Everything that one process knows.
 
@@ -358,7 +344,7 @@
         endpoints_by_id: all endpoints.
         served_by_id: requests whose callers are connected here.
         directory_by_request_id: directory entries whose home is here.
-        suspicions_by_key: requests that endpoints crashed on.
+        crash_evidence: what is known of crashes of endpoints.
         membership_changed: notified when a host or endpoint comes or goes.
         config_changed: notified when the configuration moves on.
         rate_limit_changed: notified when an endpoint states another rate limit
@@ -378,6 +364,7 @@
         'capacity',
         'config',
         'config_changed',
+        'crash_evidence',
         'data_centre',
         'directory_by_request_id',
         'draining',
@@ -398,7 +385,6 @@
         'rate_limit_changed',
         'region',
         'served_by_id',
-        'suspicions_by_key',
         'trace',
     )
 
@@ -422,7 +408,7 @@
         self.notices = EndpointNotices()
         self.served_by_id: dict[str, ServedRequest] = {}
         self.directory_by_request_id: dict[str, DirectoryRow] = {}
-        self.suspicions_by_key: dict[str, Suspicion] = {}
+        self.crash_evidence = CrashEvidence()
         self.trace: TraceSink = NoTrace()
         self.events: EventLog = NoEvents()
         self.membership_changed = Signal()
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -14,7 +14,6 @@
     BeatTime,
     Blackboard,
     HostEntry,
-    Suspicion,
 )
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerGoneError, PeerUnavailableError
@@ -24,7 +23,7 @@
 from mustardscale.hosts.stated_limits import StatedLimits, merge_statement
 from mustardscale.hosts.stream_copies import StreamCopies
 from mustardscale.peers.peer_calls import PeerCalls
-from mustardscale.peers.peer_messages import HeardHost, Heartbeat, Quarantine
+from mustardscale.peers.peer_messages import HeardHost, Heartbeat
 
 log = logging.getLogger(__name__)
 
@@ -141,11 +140,6 @@
         board = self._blackboard
         known = board.hosts_by_id.get(peer)
         echo = known.last_beat if known is not None else NO_BEAT
-        quarantined = [
-            Quarantine(key, suspicion.crashes, now - suspicion.last_at, 1)
-            for key, suspicion in board.suspicions_by_key.items()
-            if suspicion.quarantined
-        ]
         delta = self._delta_for(known, now)
         return Heartbeat(
             host=board.host,
@@ -155,7 +149,6 @@
             config_offset=board.config.folded_offset,
             config_digest=board.config.digest(),
             leaving=self._leaving_endpoints(now),
-            quarantined=tuple(quarantined),
             heard=delta.heard,
             unheard=self._unheard_hosts(),
             sent_at=now,
@@ -303,7 +296,6 @@
         host.capacity = heartbeat.capacity
         host.grants_permits = heartbeat.grants_permits
         self._merge_leaving(heartbeat, now)
-        self._merge_quarantine(heartbeat, now)
         for statement in heartbeat.rate_limits:
             merge_statement(self._blackboard, statement, now)
         if self._copies is not None:
@@ -377,13 +369,6 @@
                 endpoint.told_leaving_until = now + LEAVING_MEMORY_S
                 self._blackboard.membership_changed.notify()
 
-    def _merge_quarantine(self, heartbeat: Heartbeat, now: float) -> None:
-        suspicions = self._blackboard.suspicions_by_key
-        for item in heartbeat.quarantined:
-            known = suspicions.get(item.key)
-            if known is None or not known.quarantined:
-                suspicions[item.key] = _suspicion_of(item, now)
-
     def _mark_silent(self) -> None:
         now = asyncio.get_running_loop().time()
         changed = False
@@ -414,8 +399,3 @@
         if not recent_views:
             return None
         return set().union(*(reported.view.names for reported in recent_views))
-
-
-def _suspicion_of(item: Quarantine, now: float) -> Suspicion:
-    """Makes the blackboard's entry for a quarantine reported by a peer."""
-    return Suspicion(item.crashes, now - item.age_s, quarantined=True)
--- a/mustardscale/operators/state_dump.py
+++ b/mustardscale/operators/state_dump.py
@@ -12,6 +12,7 @@
 from mustardscale.orders.order_state import OrderState
 from mustardscale.pools.owned_pool import OwnedPool
 from mustardscale.pools.pool_owner import PoolOwner
+from mustardscale.quarantine.crash_evidence import CrashEvidence, ProcessId
 
 
 def summarize_state(
@@ -86,7 +87,7 @@
             for request_id, served in board.served_by_id.items()
         },
         'directory_by_request_id': _plain(board.directory_by_request_id),
-        'suspicions_by_key': _plain(board.suspicions_by_key),
+        'crash_evidence': _evidence(board.crash_evidence),
         'config': {
             'folded_offset': board.config.folded_offset,
             'versions': {
@@ -105,6 +106,38 @@
     }
 
 
+def _evidence(evidence: CrashEvidence) -> dict[str, object]:
+    """Returns what is suspected of crashing endpoints, and why."""
+    return {
+        'harmful': [
+            {
+                'keys': sorted(found.keys),
+                'crashed': [list(_ids(p)) for p in found.crashes],
+                'last_at': _number(found.last_at),
+            }
+            for found in evidence.judgement.harmful
+        ],
+        'suspected': sorted(evidence.judgement.suspected),
+        'crashes': [
+            {
+                'endpoint': crash.process.endpoint_id,
+                'start': crash.process.start,
+                'at': _number(crash.at),
+                'was_alive': crash.was_alive,
+                'is_own': crash.is_own,
+                'sent_at_by_key': crash.sent_at_by_key,
+            }
+            for crash in evidence.crashes
+        ],
+        'survival_by_key': _plain(evidence.survival_by_key),
+        'trial_by_key': _plain(evidence.trial_by_key),
+    }
+
+
+def _ids(process: ProcessId) -> tuple[str, int]:
+    return process.endpoint_id, process.start
+
+
 def _plain(by_key: Mapping[str, object]) -> dict[str, object]:
     return {key: _fields(value) for key, value in by_key.items()}
 
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -76,8 +76,35 @@
   alone @3 :Int64;
 }
 
+struct CrashKey {
+  key @0 :Text;
+  sentAgeS @1 :Float64;
+}
+
+struct CrashReport {
+  endpoint @0 :Text;
+  start @1 :Int64;
+  ageS @2 :Float64;
+  wasAlive @3 :Bool;
+  keys @4 :List(CrashKey);
+}
+
+struct SurvivalReport {
+  key @0 :Text;
+  ageS @1 :Float64;
+}
+
+struct TrialReport {
+  key @0 :Text;
+  ageS @1 :Float64;
+  count @2 :Int64;
+}
+
 struct SuspicionNotice {
   items @0 :List(Quarantine);
+  crashes @1 :List(CrashReport);
+  survivals @2 :List(SurvivalReport);
+  trials @3 :List(TrialReport);
 }
 
 struct Heartbeat {
@@ -177,6 +204,7 @@
   alone @11 :Bool;
   hintTokens @12 :Int64;
   turnWithinS @13 :Float64;
+  keys @14 :List(Text);
 }
 
 struct AdmitReply {
@@ -187,6 +215,7 @@
   priority @4 :Int64;
   prefillS @5 :Float64;
   missedTurn @6 :Bool;
+  isTrial @7 :Bool;
 }
 
 struct HeldStream {
@@ -200,6 +229,7 @@
   maxTokens @7 :Int64;
   fingerprint @8 :UInt64;
   hintTokens @9 :Int64;
+  keys @10 :List(Text);
 }
 
 struct Progress {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -27,34 +27,7 @@
     StreamFetchReply,
     StreamStatus,
 )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Quarantine:
-    """A request that endpoints crashed on.
-
-    Attributes:
-        key: request id, or prompt fingerprint in hexadecimal.
-        crashes: endpoints that crashed with it in flight.
-        age_s: seconds since the last crash.
-        alone: crashes at which no other request was in flight.
-    """
-
-    key: str
-    crashes: int
-    age_s: float
-    alone: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspicionNotice:
-    """Tells a peer of requests suspected of crashing endpoints.
-
-    Attributes:
-        items: the suspicions; one with no crash was cleared.
-    """
-
-    items: tuple[Quarantine, ...]
+from mustardscale.peers.suspicion_messages import Quarantine, SuspicionNotice
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,7 +62,7 @@
         config_offset: newest configuration offset folded.
         config_digest: hash over the folded state, to find differences.
         leaving: ids of endpoints known to be leaving.
-        quarantined: requests to keep off endpoints.
+        quarantined: what hosts of earlier versions keep off endpoints; empty.
         heard: of the hosts that the receiver does not hear, those that the
             sender hears itself.
         unheard: the hosts that the sender does not hear.
@@ -164,6 +137,7 @@
         hint_tokens: the caller's guess of the tokens emitted, 0 for none.
         turn_within_s: seconds within which the grant must come, 0 for as long
             as the caller stays.
+        keys: the request's suspicion keys.
     """
 
     pool: str
@@ -180,6 +154,7 @@
     alone: bool = False
     hint_tokens: int = 0
     turn_within_s: float = 0.0
+    keys: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,6 +170,7 @@
         prefill_s: seconds that the prefill is expected to take, 0 if unknown.
         missed_turn: whether the request was not refused, but got no grant
             within the time that it gave.
+        is_trial: whether the request may run although it is quarantined.
     """
 
     outcome: int
@@ -204,6 +180,7 @@
     priority: int = 0
     prefill_s: float = 0.0
     missed_turn: bool = False
+    is_trial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,6 +198,7 @@
         max_tokens: tokens that this attempt may emit.
         fingerprint: hash of the prompt, 0 when not known.
         hint_tokens: the caller's guess of the tokens emitted, 0 for none.
+        keys: the request's suspicion keys, if the owner does not know them.
     """
 
     tag: StreamTag
@@ -233,6 +211,7 @@
     max_tokens: int
     fingerprint: int = 0
     hint_tokens: int = 0
+    keys: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -35,7 +35,11 @@
 from mustardscale.platform.worker_connector import WorkerConnector
 from mustardscale.relay.answer_memory import AnswerLimits
 from mustardscale.relay.retry_budget import RetryAllowance
-from mustardscale.relay_options import RelayEdges, RelayOptions
+from mustardscale.relay_options import (
+    QuarantineStream,
+    RelayEdges,
+    RelayOptions,
+)
 from mustardscale.relay_router import RelayRouter
 from mustardscale.reporting.event_log import EventKind, EventLog, JsonEvents
 from mustardscale.reporting.json_logging import LogOutput, configure_logging
@@ -219,6 +223,7 @@
             (names.OPERATOR_TOPIC, 0.0),
             (names.WORKERS_TOPIC, 0.0),
             (names.HOSTS_TOPIC, HOSTS_READ_PAUSE_S),
+            (names.QUARANTINE_TOPIC, 0.0),
         )
     }
     edges = RelayEdges(
@@ -233,6 +238,7 @@
         TcpPeerTransport(identity, settings.peers_listen, rng),
         connector,
         tuple(tails.values()),
+        QuarantineStream(client, tails[names.QUARANTINE_TOPIC]),
     )
     options = RelayOptions(
         settings.seed_addresses,
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -31,7 +31,8 @@
         arrived_at: loop time at which it arrived at this owner.
         first_token_at: loop time by which the first token is due.
         deadline_at: loop time of its deadline.
-        suspect: whether an endpoint crashed while it was in flight there.
+        suspect: whether it may crash an endpoint.
+        is_trial: whether it may run although it is quarantined.
     """
 
     request: AdmitRequest
@@ -39,6 +40,7 @@
     first_token_at: float
     deadline_at: float
     suspect: bool = False
+    is_trial: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,11 +53,11 @@
         granted_at: loop time of the grant.
         renewed_at: loop time at which its host last reported its progress.
         decoding_since: loop time of the first progress in decode, None before.
-        suspect: whether an endpoint crashed while the request was in flight
-            there.
+        suspect: whether the request may crash an endpoint.
         block_hashes: chained hashes of the prompt's blocks.
         named_at: loop time at which its host last confirmed it, in a report or
             by the digest of the streams that it holds.
+        keys: the request's suspicion keys.
     """
 
     stream: HeldStream
@@ -66,6 +68,7 @@
     suspect: bool = False
     block_hashes: tuple[int, ...] = ()
     named_at: float = dataclasses.field(default=0.0, compare=False)
+    keys: tuple[str, ...] = dataclasses.field(default=(), compare=False)
 
     @property
     def request_id(self) -> str:
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -52,6 +52,9 @@
 MAX_ALWAYS_LISTED_STREAMS = 16
 CALL_TIMEOUT_S = 1.0
 OWNER_RETRY_S = 0.1
+# Remaining time that is too short for another request, seconds. The loop's
+# clock may not advance by less.
+LEAST_WAIT_S = 1e-6
 RETRY_AFTER_S = 2.0
 # Time for which a request waits for admission to the preferred pool before
 # other pools are tried as well, seconds.
@@ -245,6 +248,7 @@
             waited_s=waited_s,
             excluded=tuple(query.excluded),
             hint_tokens=served.hint_tokens,
+            keys=served.keys,
         )
 
     async def _request_until_decided(
@@ -263,7 +267,7 @@
             give_up_at = min(give_up_at, loop.time() + patience_s)
         while True:
             left_s = give_up_at - loop.time()
-            if left_s <= 0:
+            if left_s <= LEAST_WAIT_S:
                 return AdmitReply(Outcome.OWNER_UNAVAILABLE)
             reply = await self._request_once(admission_request, left_s)
             if reply is not None and reply.outcome != Outcome.OWNER_UNAVAILABLE:
@@ -311,7 +315,8 @@
         """Reports to the pool's owner that a stream reached a stage."""
         stream = served.held_stream()
         if stream is not None:
-            self._send(served.pool, self._build_progress(served.pool, [stream]))
+            known = dataclasses.replace(stream, keys=())
+            self._send(served.pool, self._build_progress(served.pool, [known]))
 
     def release(
         self,
@@ -404,6 +409,11 @@
             if served.pool == pool_id
             and (stream := served.held_stream()) is not None
         ]
+        if listed_to == host:
+            # The owner has the keys from the admissions or from the last list.
+            streams = [
+                dataclasses.replace(stream, keys=()) for stream in streams
+            ]
         await self._deliver(host, self._build_progress(pool_id, streams, True))
 
     def _build_digest(self, pool_id: str) -> HeldDigest:
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -26,7 +26,7 @@
 )
 from mustardscale.pools.expired_reservations import ExpiredReservations
 from mustardscale.pools.pool_members import PoolMembers
-from mustardscale.pools.quarantine import Suspicions
+from mustardscale.quarantine.suspicions import Suspicions
 
 # Time without any work after which a pool is idle and its engines are polled
 # less often, seconds. After a failure, work that is left on engines is found
@@ -207,18 +207,18 @@
         renewed_at=now,
         suspect=item.suspect,
         block_hashes=request.block_hashes,
+        keys=request.keys,
     )
 
 
 def mark_suspects(pool: OwnedPool, suspicions: Suspicions) -> None:
     """Updates which requests and reservations are suspects."""
-    for request_id, waiting in pool.waiting_by_request_id.items():
-        fingerprint = waiting.request.fingerprint
-        waiting.suspect = suspicions.is_suspect(request_id, fingerprint)
+    for waiting in pool.waiting_by_request_id.values():
+        waiting.suspect = suspicions.is_suspect(waiting.request.keys)
     for held in pool.state.reservations_by_request_id.values():
-        held.suspect = suspicions.is_suspect(held.request_id, held.fingerprint)
+        held.suspect = suspicions.is_suspect(held.keys)
 
 
 def rebuild_reservation(stream: HeldStream, now: float) -> Reservation:
     """Returns the reservation of a stream that an earlier owner granted."""
-    return Reservation(stream, stream.fingerprint, now, now)
+    return Reservation(stream, stream.fingerprint, now, now, keys=stream.keys)
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -11,6 +11,7 @@
 from mustardscale.configuration.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
 from mustardscale.endpoints.engines import EngineRole, StreamStage
+from mustardscale.hosts.quorum import has_quorum
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import (
@@ -49,8 +50,9 @@
     compute_pools,
     find_owner,
 )
-from mustardscale.pools.quarantine import Suspicions
 from mustardscale.pools.recorded_policy import RecordedPolicy
+from mustardscale.quarantine.crash_evidence import HarmfulKeys, ProcessId
+from mustardscale.quarantine.suspicions import Suspicions
 from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
@@ -68,9 +70,11 @@
 SETTLE_S = 0.8
 # Signs of a crash of one engine within this time count as one crash, seconds.
 CRASH_WINDOW_S = 5.0
-# Tokens that a suspected request must emit past the point of its crash before
-# the suspicion is cleared.
-CLEARED_AFTER_TOKENS = 8
+# Time in which a new owner has learnt of earlier trials, seconds.
+TRIAL_SETTLE_S = 3.0
+# Time for which a suspected request must have written before it is cleared,
+# seconds. A harmful one ends its engine as it begins to write.
+CLEARED_AFTER_S = 2.0
 
 _STAGE_ORDER = {stage: number for number, stage in enumerate(StreamStage)}
 
@@ -101,8 +105,8 @@
         self.pools_acquired = Signal()
         self._admission_arrived = Signal()
         self._profiles_digest = 0
-        self._suspicions_seen = 0
         self._profile_by_service: dict[str, Profile] = {}
+        suspicions.listeners.append(self._apply_suspicions)
         calls.handle(AdmitRequest, self._on_admit)
         calls.handle(Progress, self._on_progress)
         calls.handle(HeldDigest, self._on_held_digest)
@@ -212,9 +216,41 @@
         for pool in self.owned_by_id.values():
             self._refresh_engines(pool)
             pool.state.profile_by_service = profiles
-            if self._suspicions.changes != self._suspicions_seen:
-                mark_suspects(pool, self._suspicions)
-        self._suspicions_seen = self._suspicions.changes
+
+    def _apply_suspicions(self) -> None:
+        """Refuses waiting requests that are quarantined, and marks suspects."""
+        for pool in self.owned_by_id.values():
+            mark_suspects(pool, self._suspicions)
+            for request_id, item in list(pool.waiting_by_request_id.items()):
+                is_quarantined = self._suspicions.is_quarantined(
+                    item.request.keys
+                )
+                reply = pool.reply_by_request_id.get(request_id)
+                if is_quarantined and not item.is_trial and reply is not None:
+                    del pool.waiting_by_request_id[request_id]
+                    if not reply.done():
+                        reply.set_result(AdmitReply(Outcome.QUARANTINED))
+        self._admission_arrived.notify()
+
+    def _may_try(self, pool: OwnedPool, harmful: HarmfulKeys) -> bool:
+        """Returns whether a quarantined request may be tried in a pool.
+
+        Only the owner of a model's first pool decides, and only if it is not
+        cut off, so that one request at a time is tried.
+        """
+        board = self._blackboard
+        now = asyncio.get_running_loop().time()
+        first = min(
+            members.id
+            for members in compute_pools(board).values()
+            if members.model == pool.members.model
+        )
+        return (
+            pool.members.id == first
+            and has_quorum(board, now)
+            and now - pool.owned_since > TRIAL_SETTLE_S
+            and self._suspicions.may_try(harmful)
+        )
 
     def _language_profiles(self) -> dict[str, Profile]:
         """Returns the profiles of language services and routes by name."""
@@ -235,8 +271,11 @@
         if pool is None:
             return AdmitReply(Outcome.OWNER_UNAVAILABLE)
         request_id = request.tag.request_id
-        if self._suspicions.is_quarantined(request_id, request.fingerprint):
-            return AdmitReply(Outcome.QUARANTINED)
+        harmful = self._suspicions.find_harmful(request.keys)
+        if harmful is not None:
+            if not self._may_try(pool, harmful):
+                return AdmitReply(Outcome.QUARANTINED)
+            self._suspicions.record_trial(harmful, request_id)
         loop = asyncio.get_running_loop()
         now = loop.time()
         reply: asyncio.Future[AdmitReply] = loop.create_future()
@@ -246,9 +285,8 @@
             arrived_at=now,
             first_token_at=now + request.first_token_s,
             deadline_at=now + request.deadline_s,
-            suspect=self._suspicions.is_suspect(
-                request_id, request.fingerprint
-            ),
+            suspect=self._suspicions.is_suspect(request.keys),
+            is_trial=harmful is not None,
         )
         pool.waiting_by_request_id[request_id] = item
         self.decide(pool)
@@ -296,6 +334,7 @@
                     decision.decode,
                     priority=decision.priority,
                     prefill_s=decision.prefill_s,
+                    is_trial=item.is_trial,
                 )
             )
         else:
@@ -359,9 +398,7 @@
         known = pool.state.reservations_by_request_id.get(request_id)
         if known is None:
             known = rebuild_reservation(stream, now)
-            known.suspect = self._suspicions.is_suspect(
-                request_id, stream.fingerprint
-            )
+            known.suspect = self._suspicions.is_suspect(known.keys)
             pool.state.reservations_by_request_id[request_id] = known
             pool.policy.observe_grant(pool.state, known, now)
             return
@@ -379,9 +416,15 @@
             known.decoding_since = now
         if stream.stage is not old_stage:
             pool.policy.observe_stage(pool.state, known, stream.stage, now)
-        if known.suspect and stream.emitted >= CLEARED_AFTER_TOKENS:
+        decoding_since = known.decoding_since
+        if (
+            known.suspect
+            and stream.emitted
+            and decoding_since is not None
+            and now - decoding_since >= CLEARED_AFTER_S
+        ):
             known.suspect = False
-            self._suspicions.clear(request_id, known.fingerprint)
+            self._suspicions.record_survival(known.keys)
 
     async def _on_release(
         self, sender: str, request: Release
@@ -402,7 +445,8 @@
                 self.handle_crash(pool, find_current_engine(known))
                 del pool.state.reservations_by_request_id[request_id]
             if request.outcome == Outcome.COMPLETE and request.finished:
-                self._suspicions.clear(request_id, known.fingerprint)
+                process = self._process(find_current_engine(known))
+                self._suspicions.record_end(process, known.keys)
             self.decide(pool)
         return Acknowledgement()
 
@@ -450,9 +494,12 @@
         self._mark_unreachable(pool, engine_id)
         in_flight = find_reservations_on(pool, engine_id)
         self._suspicions.record_crash(
-            engine_id,
-            [(held.request_id, held.fingerprint) for held in in_flight],
+            self._process(engine_id),
+            [(held.keys, held.granted_at) for held in in_flight],
+            [held.request_id for held in in_flight],
         )
         mark_suspects(pool, self._suspicions)
-        for held in in_flight:
-            held.suspect = True
+
+    def _process(self, engine_id: str) -> ProcessId:
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        return ProcessId(engine_id, entry.notice.start if entry else 0)
--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -12,7 +12,9 @@
     EndpointUnreachableError,
     OutcomeError,
 )
+from mustardscale.hosts.duties import choose_host
 from mustardscale.hosts.host_list import ListedKind
+from mustardscale.hosts.quorum import has_quorum
 from mustardscale.outcomes import Outcome
 from mustardscale.relay.answer_memory import AnswerLimits, AnswerMemory
 from mustardscale.relay.endpoint_choice import choose_endpoint
@@ -43,6 +45,8 @@
     """Attempts made at a request so far.
 
     Attributes:
+        keys: the request's suspicion keys.
+        is_trial: whether it may be sent although it is quarantined.
         arrivals: endpoints that the request reached.
         runs: endpoints that may have run the request.
         unreachable: endpoints that could not be reached.
@@ -50,6 +54,8 @@
         without_permit: endpoints whose rate limit left no permit.
     """
 
+    keys: tuple[str, ...]
+    is_trial: bool = False
     arrivals: int = 0
     runs: int = 0
     unreachable: int = 0
@@ -77,11 +83,11 @@
                 whether the request may have run.
         """
         context = self._context
-        fingerprint = request.fingerprint()
-        if context.crashes.is_quarantined(request.id, fingerprint):
-            raise OutcomeError(Outcome.QUARANTINED)
+        keys = request.suspicion_keys(service)
+        is_trial = self._try_harmful(keys, request.id)
+        context.refuse_harmful(keys, 0, is_trial)
         context.budgets.count_request(service, context.now())
-        progress = _Progress()
+        progress = _Progress(keys, is_trial)
         deadline_at = compute_deadline(request, route)
         try:
             async with asyncio.timeout_at(deadline_at + ANSWER_MARGIN_S):
@@ -91,6 +97,25 @@
         except TimeoutError as error:
             raise deadline_error(progress.runs > 0) from error
 
+    def _try_harmful(self, keys: tuple[str, ...], request_id: str) -> bool:
+        """Returns whether a quarantined request may be tried by this host.
+
+        One host decides on all trials of a request, and only if it is not cut
+        off, so that one at a time is tried.
+        """
+        suspicions = self._context.crashes.suspicions
+        harmful = suspicions.find_harmful(keys)
+        if harmful is None or not suspicions.may_try(harmful):
+            return False
+        board = self._context.board
+        duty = f'trial {min(harmful.keys)}'
+        if choose_host(board, duty) != board.host:
+            return False
+        if not has_quorum(board, self._context.now()):
+            return False
+        suspicions.record_trial(harmful, request_id)
+        return True
+
     async def _make_attempts(
         self,
         request: RelayRequest,
@@ -99,8 +124,12 @@
         progress: _Progress,
         deadline_at: float,
     ) -> WholeAnswer:
+        context = self._context
         last_error_answer: WholeAnswer | None = None
         while True:
+            context.refuse_harmful(
+                progress.keys, progress.runs, progress.is_trial
+            )
             endpoint_id = await self._choose_permitted(
                 request, service, progress
             )
@@ -193,13 +222,15 @@
         health = self.health.get_or_create(endpoint_id)
         began_at = context.now()
         health.begin(request.id, began_at)
-        context.crashes.begin(endpoint_id, request.id, request.fingerprint())
+        context.crashes.begin(endpoint_id, request.id, progress.keys)
         progress.runs += 1
         progress.arrivals += 1
+        is_success = False
         try:
             async with asyncio.timeout_at(give_up_at + ANSWER_MARGIN_S):
                 answer = await client.run(RelayCall(request, deadline_at))
                 body = await self._memory.read(answer)
+            is_success = answer.head.is_success
         except TimeoutError as error:
             raise EndpointFailedError('no answer in time') from error
         except EndpointUnreachableError:
@@ -215,7 +246,7 @@
             raise
         finally:
             health.end(request.id)
-            context.crashes.end(endpoint_id, request.id)
+            context.crashes.end(endpoint_id, request.id, is_success)
         now = context.now()
         if answer.head.is_server_error:
             health.record_failure(now)
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -11,6 +11,7 @@
 from mustardscale.exceptions import OutcomeError
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
+from mustardscale.quarantine.suspicions import describe
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
 from mustardscale.relay.relay_endpoint import RelayClients, RelayEndpoint
@@ -61,6 +62,26 @@
         hosts = self.board.count_sharing_hosts()
         return self.budgets.take(service, hosts, self.now())
 
+    def refuse_harmful(
+        self, keys: tuple[str, ...], runs: int, is_trial: bool = False
+    ) -> None:
+        """Refuses a request that is known to crash endpoints.
+
+        Args:
+            keys: the request's suspicion keys.
+            runs: number of endpoints that may have run it.
+            is_trial: whether it was admitted although it is quarantined.
+
+        Raises:
+            OutcomeError: it must not be sent. The outcome says whether it may
+                have run.
+        """
+        harmful = self.crashes.suspicions.find_harmful(keys)
+        if harmful is None or is_trial:
+            return
+        outcome = Outcome.ATTEMPTS_EXHAUSTED if runs else Outcome.QUARANTINED
+        raise OutcomeError(outcome, describe(harmful))
+
     def client(self, endpoint_id: str) -> RelayEndpoint | None:
         """Returns the client of an endpoint, None if it is gone."""
         return self.clients.relay(endpoint_id)
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from mustardscale.quarantine.suspicion_keys import make_keys
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -61,6 +63,10 @@
         """The path without the query."""
         return self.target.partition('?')[0]
 
+    def suspicion_keys(self, service: str) -> tuple[str, ...]:
+        """Returns the keys under which crashes count against the request."""
+        return make_keys(service, self.id, self.fingerprint(), self.segments)
+
     def fingerprint(self) -> int:
         """Returns a 64-bit hash of method, target and body.
 
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -117,6 +117,8 @@
         self._route = route
         self._service = service
         self._prompt = Prompt(served.prompt_tokens, (), served.fingerprint)
+        self._is_trial = False
+        self._called_engine = ''
         self._profile = build_route_profile(route)
         self._run_sent = False
         self._resume_after = ''
@@ -170,7 +172,10 @@
 
     def _correct_outcome(self, error: OutcomeError) -> OutcomeError:
         """Replaces a 'not run' outcome if an engine may have run it."""
-        not_run = outcome_class(error.outcome) is OutcomeClass.NOT_RUN
+        not_run = (
+            outcome_class(error.outcome) is OutcomeClass.NOT_RUN
+            or error.outcome is Outcome.QUARANTINED
+        )
         if not_run and self.progress.runs:
             return OutcomeError(Outcome.ATTEMPTS_EXHAUSTED, error.detail)
         return error
@@ -225,6 +230,7 @@
         )
         served.prefill = grant.prefill
         served.decode = grant.decode
+        self._is_trial = grant.is_trial
         self._drop_expiring_handle()
         served.stage = StreamStage.PREFILL
         if grant.prefill != grant.decode:
@@ -270,6 +276,7 @@
         """
         context = self._context
         permitted = await context.permits.acquire(engine_id, self._request.id)
+        self._refuse_harmful()
         client = context.client(engine_id)
         if client is None:
             raise EndpointUnreachableError('the engine is gone')
@@ -277,6 +284,36 @@
             raise _EngineClosedError(f'{engine_id} takes no calls from here')
         return client
 
+    def _refuse_harmful(self) -> None:
+        """Refuses a request that became known to crash engines meanwhile."""
+        self._context.refuse_harmful(
+            self.served.keys, self.progress.runs, self._is_trial
+        )
+
+    def _begin_call(self, engine_id: str) -> None:
+        """Counts the request as in flight at an engine."""
+        self.end_call()
+        self._called_engine = engine_id
+        self._context.crashes.begin(engine_id, self.served.id, self.served.keys)
+
+    def end_call(self, is_success: bool = False) -> None:
+        """Ends the call at the engine that was called last.
+
+        Args:
+            is_success: whether the engine has completed the request.
+        """
+        if self._called_engine:
+            self._context.crashes.end(
+                self._called_engine, self.served.id, is_success
+            )
+            self._called_engine = ''
+
+    def record_survival(self) -> None:
+        """Records that the request has done the engine that runs it no harm."""
+        self._context.crashes.record_survival(
+            self._called_engine, self.served.id
+        )
+
     def _call(self, handle: PrefillHandle | None) -> RelayCall:
         return RelayCall(
             self._request,
@@ -299,6 +336,7 @@
             raise self._compute_refusal()
         expected_s = grant.prefill_s or DEFAULT_PREFILL_S
         timeout_s = PREFILL_TIMEOUT_FACTOR * expected_s + PREFILL_MARGIN_S
+        self._begin_call(grant.prefill)
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 handle = await client.prefill(self._call(None))
@@ -325,6 +363,7 @@
         progress.arrivals += 1
         progress.runs += 1
         self.served.started = True
+        self._begin_call(engine_id)
         try:
             answer = await client.run(self._call(handle))
         except EndpointUnreachableError:
@@ -359,9 +398,10 @@
         elif (
             isinstance(error, EndpointFailedError)
             and error.crashed
-            and not await self._context.crashes.is_alive(engine_id)
+            and await self._context.crashes.has_crashed(engine_id)
         ):
             outcome = Outcome.ENDPOINT_FAILED
+        self.end_call()
         self._context.events.emit(
             EventKind.ATTEMPT_FAILED,
             self._request.id,
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -40,6 +40,9 @@
 # resume the stream, the second if none may.
 RESUMABLE_STALL_SHARE = 0.5
 FINAL_STALL_SHARE = 1.25
+# Time after its first event at which a run has done its engine no harm,
+# seconds.
+SURVIVED_AFTER_S = 2.0
 # Size assumed if the caller declares none, tokens.
 DEFAULT_SIZE = SizeEstimate(1_000, 1_000)
 
@@ -65,9 +68,11 @@
         context = self._context
         if request.id in context.board.served_by_id:
             raise OutcomeError(Outcome.ALREADY_IN_PROGRESS)
-        fingerprint = request.fingerprint()
-        if context.crashes.is_quarantined(request.id, fingerprint):
-            raise OutcomeError(Outcome.QUARANTINED)
+        keys = request.suspicion_keys(service.name)
+        harmful = context.crashes.suspicions.find_harmful(keys)
+        if harmful is None or not context.crashes.suspicions.may_try(harmful):
+            # The pool's owner decides whether the request is tried.
+            context.refuse_harmful(keys, 0)
         context.budgets.count_request(service.name, context.now())
         stream = RelayedStream(
             context,
@@ -76,7 +81,7 @@
             request,
             route,
             service,
-            fingerprint,
+            keys,
         )
         context.board.served_by_id[request.id] = stream.served
         try:
@@ -104,7 +109,7 @@
         request: RelayRequest,
         route: Route,
         service: ServiceSpec,
-        fingerprint: int,
+        keys: tuple[str, ...],
     ):
         self._context = context
         self._admission = admission
@@ -116,15 +121,19 @@
         self._outcome = Outcome.CALLER_LEFT
         self._progress_at = request.arrived_at
         self.first_event_at: float | None = None
+        # Loop time of the first event of the present run, infinity once the
+        # run's survival was recorded.
+        self._wrote_since: float | None = None
         size = request.size or DEFAULT_SIZE
         self.served = RelayedRequest(
             id=request.id,
             service=route.name,
-            fingerprint=fingerprint,
+            fingerprint=request.fingerprint(),
             arrived_at=request.arrived_at,
             prompt_tokens=size.prompt_tokens,
             max_tokens=size.max_output_tokens,
             hint_tokens=size.output_hint_tokens,
+            keys=keys,
         )
         self._attempts = StreamAttempts(
             context,
@@ -190,6 +199,7 @@
         if self._splitter.partial:
             yield self._splitter.partial
         self._outcome = Outcome.COMPLETE
+        self._attempts.end_call(is_success=True)
 
     def end(self) -> None:
         """Releases the answer, the prefill result and the engine grant.
@@ -198,6 +208,7 @@
         """
         if self._answer is not None:
             self._answer.close()
+        self._attempts.end_call()
         self._attempts.free_handle()
         served = self.served
         if served.tag is not None and served.decode:
@@ -208,6 +219,7 @@
         after = self._splitter.last_id or self._request.resume_after
         answer = await self._attempts.next_answer(after)
         self._progress_at = self._context.now()
+        self._wrote_since = None
         return answer
 
     def _require_answer(self) -> EndpointAnswer:
@@ -250,6 +262,7 @@
             engine = self._service.engine
             per_event = engine.event_tokens if engine is not None else 1
             served.relayed_tokens = self._splitter.events * per_event
+            self._record_long_survival()
         if served.stage is not StreamStage.DECODE:
             served.stage = StreamStage.DECODE
             self._admission.report_stage(served)
@@ -257,6 +270,14 @@
                 self.first_event_at = self._context.now()
         return whole_events
 
+    def _record_long_survival(self) -> None:
+        """Records once that the stream runs on long after its first event."""
+        if self._wrote_since is None:
+            self._wrote_since = self._progress_at
+        elif self._progress_at - self._wrote_since > SURVIVED_AFTER_S:
+            self._wrote_since = math.inf
+            self._attempts.record_survival()
+
     async def _resume(self, failure: EndpointFailedError) -> None:
         """Resumes a broken stream at another engine.
 
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -7,6 +7,7 @@
 from mustardscale.configuration.route_source import RouteSource
 from mustardscale.hosts.host_list import HostList
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.log.log_client import LogClient
 from mustardscale.peers.peer_transport import PeerTransport
@@ -43,6 +44,19 @@
     settle_s: float = 0.25
 
 
+@dataclasses.dataclass(slots=True)
+class QuarantineStream:
+    """The platform's stream of what crashes endpoints.
+
+    Attributes:
+        client: writes records.
+        tail: follows the stream; it is one of the host's tails.
+    """
+
+    client: KeyedLogClient
+    tail: KeyedTail
+
+
 @dataclasses.dataclass(slots=True)
 class RelayEdges:
     """The outside systems that a relaying host uses.
@@ -54,6 +68,7 @@
         transport: carries messages to peers.
         connector: makes clients of endpoints.
         tails: the platform's streams that the edges follow.
+        quarantine: where it is kept what crashes endpoints, None for nowhere.
     """
 
     log: LogClient
@@ -62,3 +77,4 @@
     transport: PeerTransport
     connector: RelayConnector
     tails: tuple[KeyedTail, ...] = ()
+    quarantine: QuarantineStream | None = None
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -38,8 +38,9 @@
 from mustardscale.pools.engine_drain import EngineDrains
 from mustardscale.pools.engine_watch import EngineWatch
 from mustardscale.pools.pool_owner import PoolOwner
-from mustardscale.pools.quarantine import SuspicionExpiry, Suspicions
-from mustardscale.pools.suspicion_sharing import SuspicionSharing
+from mustardscale.quarantine.quarantine_log import QuarantineLog
+from mustardscale.quarantine.suspicion_sharing import SuspicionSharing
+from mustardscale.quarantine.suspicions import SuspicionExpiry, Suspicions
 from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
@@ -116,7 +117,7 @@
             board,
             clients,
             self._budgets,
-            CrashWatch(clients, suspicions),
+            CrashWatch(board, clients, suspicions),
             rng,
             permits,
         )
@@ -128,7 +129,7 @@
         self._registration = HostRegistration(
             board, edges.host_list, host_list, rng
         )
-        sharing = SuspicionSharing(board, calls, suspicions)
+        sharing = SuspicionSharing(board, calls, suspicions, rng)
         followers = [
             self.pool_owner.follow_membership,
             admission.follow_membership,
@@ -163,9 +164,23 @@
             SuspicionExpiry(suspicions),
             sharing,
             permits,
+            *self._quarantine_controllers(suspicions),
             *self._order_controllers(options),
         ]
 
+    def _quarantine_controllers(
+        self, suspicions: Suspicions
+    ) -> list[Controller]:
+        """Returns what keeps on the platform what crashes endpoints."""
+        stream = self._edges.quarantine
+        if stream is None:
+            return []
+        return [
+            QuarantineLog(
+                self.blackboard, stream.client, stream.tail, suspicions
+            )
+        ]
+
     def _order_controllers(self, options: RelayOptions) -> list[Controller]:
         """Returns what gives orders to engines."""
         board = self.blackboard
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -32,6 +32,7 @@
     MEMBERSHIP_CHANGED = 'membership_changed'
     ENDPOINT_CHANGED = 'endpoint_changed'
     ENDPOINT_CRASHED = 'endpoint_crashed'
+    QUARANTINE_CHANGED = 'quarantine_changed'
     RATE_LIMIT_CHANGED = 'rate_limit_changed'
     PERMIT_DECIDED = 'permit_decided'
     READINESS_CHANGED = 'readiness_changed'
@@ -98,7 +99,11 @@
     ),
     EventKind.ENDPOINT_CRASHED: EventRule(
         'An endpoint crashed with requests in flight.',
-        ('endpoint', 'requests'),
+        ('endpoint', 'start', 'requests', 'keys'),
+    ),
+    EventKind.QUARANTINE_CHANGED: EventRule(
+        'What crashes endpoints was suspected, quarantined or cleared.',
+        ('change', 'keys', 'crashed', 'last_crash_s', 'trial_in_s'),
     ),
     EventKind.RATE_LIMIT_CHANGED: EventRule(
         'A rate limit of an endpoint changed or ended.',
--- a/mustardscale/requests/language.py
+++ b/mustardscale/requests/language.py
@@ -26,7 +26,8 @@
     DirectoryReply,
 )
 from mustardscale.pools.admission import AdmissionClient
-from mustardscale.pools.quarantine import Suspicions
+from mustardscale.quarantine.suspicion_keys import make_keys
+from mustardscale.quarantine.suspicions import Suspicions, describe
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.requests.deadline import yield_until
 from mustardscale.requests.kept_answers import KeptAnswer
@@ -85,7 +86,7 @@
         """
         resumed = request.resume_after is not None
         try:
-            served = await self._accept(request, profile)
+            served = await self._accept(request, profile, model)
         except OutcomeError as error:
             raise _correct_outcome(error, resumed) from error
         first_at: float | None = None
@@ -125,13 +126,13 @@
             )
 
     async def _accept(
-        self, request: LanguageRequest, profile: Profile
+        self, request: LanguageRequest, profile: Profile, model: str
     ) -> ServedRequest:
         """Checks a request against the limits and registers it.
 
         Nothing runs for a request before this returns.
         """
-        self._check(request, profile)
+        keys = self._check(request, profile, model)
         earlier = self._blackboard.served_by_id.get(request.id)
         if earlier is not None:
             if request.resume_after is None:
@@ -145,6 +146,7 @@
             fingerprint=request.prompt.fingerprint,
             arrived_at=asyncio.get_running_loop().time(),
             max_tokens=min(request.max_tokens, profile.max_output_tokens),
+            keys=keys,
         )
         self._limits.enter(request.service, profile)
         # Set before the first await, so that a duplicate of the request that
@@ -187,12 +189,19 @@
         if self._blackboard.served_by_id.get(served.id) is served:
             del self._blackboard.served_by_id[served.id]
 
-    def _check(self, request: LanguageRequest, profile: Profile) -> None:
+    def _check(
+        self, request: LanguageRequest, profile: Profile, model: str
+    ) -> tuple[str, ...]:
+        """Checks a request; returns its suspicion keys."""
         prompt = request.prompt
         if prompt.tokens > profile.max_prompt_tokens:
             raise OutcomeError(Outcome.PROMPT_TOO_LONG)
-        if self._suspicions.is_quarantined(request.id, prompt.fingerprint):
-            raise OutcomeError(Outcome.QUARANTINED)
+        keys = make_keys(model, request.id, prompt.fingerprint, prompt.segments)
+        harmful = self._suspicions.find_harmful(keys)
+        if harmful is not None and not self._suspicions.may_try(harmful):
+            # The pool's owner decides whether the request is tried.
+            raise OutcomeError(Outcome.QUARANTINED, describe(harmful))
+        return keys
 
     def _continue_attempts(
         self,
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -48,9 +48,9 @@
 from mustardscale.pools.engine_drain import EngineDrains
 from mustardscale.pools.engine_watch import EngineWatch
 from mustardscale.pools.pool_owner import PoolOwner
-from mustardscale.pools.quarantine import SuspicionExpiry, Suspicions
 from mustardscale.pools.reconcile import Reconciler
-from mustardscale.pools.suspicion_sharing import SuspicionSharing
+from mustardscale.quarantine.suspicion_sharing import SuspicionSharing
+from mustardscale.quarantine.suspicions import SuspicionExpiry, Suspicions
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.requests.kept_answers import KeptAnswers
 from mustardscale.requests.language import LanguageService
@@ -174,7 +174,7 @@
         """Returns what this host does for requests, its peers' as well."""
         board, calls, clients = self.blackboard, self._calls, self._clients
         home = DirectoryHome(board, calls, options.times.dead_after_s, rng)
-        sharing = SuspicionSharing(board, calls, self.suspicions)
+        sharing = SuspicionSharing(board, calls, self.suspicions, rng)
         followers = [
             home.follow_membership,
             self.pool_owner.follow_membership,
--- a/standins/crash_engines.py
+++ b/standins/crash_engines.py
@@ -117,27 +117,37 @@
         self.log = log
         self._rng = rng
         self._on_crash = on_crash
-        self._ended = asyncio.Event()
+        # Set when connections may have been lost.
+        self._interrupted = asyncio.Event()
 
     def crash(self) -> None:
         """Ends the process with all that it runs."""
         if not self.alive:
             return
         self.alive = False
-        self._ended.set()
+        self._interrupted.set()
         self._on_crash(self)
 
-    async def work(self, seconds: float) -> None:
-        """Works for some time.
+    def refuse_host(self, host: str) -> None:
+        """Resets a host's connections and refuses new ones."""
+        self.unreachable_hosts.add(host)
+        self._interrupted.set()
+        self._interrupted = asyncio.Event()
+
+    async def work(self, seconds: float, host: str) -> None:
+        """Works for a host for some time.
 
         Raises:
-            EndpointFailedError: the process ended meanwhile.
+            EndpointFailedError: the connection was lost meanwhile.
         """
-        try:
-            async with asyncio.timeout(seconds):
-                await self._ended.wait()
-        except TimeoutError:
-            return
+        ends_at = asyncio.get_running_loop().time() + seconds
+        while self.alive and host not in self.unreachable_hosts:
+            interrupted = self._interrupted
+            try:
+                async with asyncio.timeout_at(ends_at):
+                    await interrupted.wait()
+            except TimeoutError:
+                return
         raise EndpointFailedError('connection reset', crashed=True)
 
     def begin_to_write(self, segments: tuple[str, ...]) -> None:
@@ -181,9 +191,10 @@
 class _EventAnswer(EndpointAnswer):
     """A stream of events that has begun."""
 
-    def __init__(self, engine: CrashEngine, call: RelayCall):
+    def __init__(self, engine: CrashEngine, call: RelayCall, host: str):
         self.head = AnswerHead(200, ())
         self._engine = engine
+        self._host = host
         self._first = int(call.resume_after or 0) + 1
         self._segments = call.request.segments
         self._closed = False
@@ -193,7 +204,7 @@
         """See the base class."""
         self._engine.begin_to_write(self._segments)
         for number in range(self._first, EVENTS + 1):
-            await self._engine.work(EVENT_GAP_S)
+            await self._engine.work(EVENT_GAP_S, self._host)
             yield b'id: %d\ndata: x\n\n' % number
         await asyncio.sleep(TRAVEL_S)
 
@@ -239,13 +250,13 @@
     async def run(self, call: RelayCall) -> EndpointAnswer:
         """See the base class."""
         engine = await self._arrive(call)
-        await engine.work(FIRST_EVENT_S)
-        return _EventAnswer(engine, call)
+        await engine.work(FIRST_EVENT_S, self._host)
+        return _EventAnswer(engine, call, self._host)
 
     async def prefill(self, call: RelayCall) -> PrefillHandle:
         """See the base class."""
         engine = await self._arrive(call)
-        await engine.work(PREFILL_S)
+        await engine.work(PREFILL_S, self._host)
         kept_until = asyncio.get_running_loop().time() + 0.5
         return PrefillHandle(self._id, self._address, 'kv', kept_until)
 
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -12,15 +12,22 @@
 from mustardscale.configuration.route_source import RouteSource
 from mustardscale.configuration.routes import RouteTable
 from mustardscale.hosts.host_list import HostList, ListedHost
+from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.relay.relay_endpoint import RelayConnector
-from mustardscale.relay_options import RelayEdges, RelayOptions
+from mustardscale.relay_options import (
+    QuarantineStream,
+    RelayEdges,
+    RelayOptions,
+)
 from mustardscale.relay_router import RelayRouter
 from standins.log_model import LogModel
+from standins.memory_keyed_log import KeyedStreams, MemoryKeyedLog
 from standins.memory_log import MemoryLogClient
 from standins.memory_peers import MemoryPeerNetwork
 
 REGION = 'region'
 DATA_CENTRES = ('dc1', 'dc2', 'dc3')
+QUARANTINE_STREAM = 'quarantine'
 # Time in which started hosts have met one another, seconds.
 MEET_S = 4.0
 # Time in which the last messages between stopped hosts have arrived, seconds.
@@ -80,6 +87,8 @@
         peers: the network between hosts.
         listed: the entries of the host list, by id.
         list_changed: notified when an endpoint came or went.
+        streams: the platform's keyed streams.
+        keyed_log_by_host: each host's access to them.
     """
 
     def __init__(self, hosts: int, table: RouteTable, seed: int):
@@ -88,6 +97,8 @@
         self.router_by_host: dict[str, RelayRouter] = {}
         self.listed: dict[str, ListedHost] = {}
         self.list_changed = Signal()
+        self.streams = KeyedStreams()
+        self.keyed_log_by_host: dict[str, MemoryKeyedLog] = {}
         self._first_hosts = hosts
         self._table = table
         self._incarnations = itertools.count(1)
@@ -101,12 +112,19 @@
 
     def edges(self, host: str, board: Blackboard) -> RelayEdges:
         """Returns the outside systems of a host."""
+        client = MemoryKeyedLog(self.streams)
+        self.keyed_log_by_host[host] = client
+        tail = KeyedTail(
+            board, client, QUARANTINE_STREAM, random.Random(self.rng.random())
+        )
         return RelayEdges(
             MemoryLogClient(self._log),
             FleetList(self.listed, self.list_changed),
             FixedRoutes(self._table),
             self.peers.transport(host),
             self.connector(host),
+            (tail,),
+            QuarantineStream(client, tail),
         )
 
     async def start(self) -> None:
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -16,7 +16,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import AdmitReply
-from mustardscale.pools.quarantine import Suspicions
+from mustardscale.quarantine.suspicions import Suspicions
 from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
@@ -171,7 +171,7 @@
             self.board,
             clients,
             RetryBudgets(RetryAllowance(0.0, slack, 10.0)),
-            CrashWatch(clients, self.suspicions),
+            CrashWatch(self.board, clients, self.suspicions),
             random.Random(1),
             self._permits(),
         )
--- a/tests/test_plain_relay.py
+++ b/tests/test_plain_relay.py
@@ -153,4 +153,6 @@
                 Outcome.ANSWER_LOST
             )
             await asyncio.sleep(1.0)
-        assert not bench.suspicions.is_quarantined('x', request.fingerprint())
+        keys = request.suspicion_keys('service')
+        assert not bench.suspicions.is_quarantined(keys)
+        assert not bench.suspicions.is_suspect(keys)
--- a/tests/test_promises_load.py
+++ b/tests/test_promises_load.py
@@ -7,6 +7,7 @@
 from mustardscale.endpoints.caller_requests import PlainRequest
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
+from mustardscale.quarantine.suspicion_keys import make_keys
 from mustardscale.requests.limits import INITIAL_RETRIES
 from standins.faults import Outage
 from standins.log_model import LogModel
@@ -36,7 +37,10 @@
 def counted(site, host, request):
     """Returns the crashes that a host counts against a request."""
     suspicions = site.routers_by_host[host].suspicions
-    return suspicions.crashes(request.id, request.prompt.fingerprint)
+    keys = make_keys(
+        SiteLayout().language_service, request.id, request.prompt.fingerprint
+    )
+    return suspicions.crashes(keys)
 
 
 async def result_of(coroutine):
