Excuse hosts only while a fault lasts, and give quarantine records the fleet's clock

The stand-in fleet excused all that a host had sent before a fault too, so that the test of the loss of all hosts had no requests to judge; records took their times from the wall clock while the fleet runs on virtual time. 21 tests of test_harmful_segments pass, the case of 195 hosts was not run again here.

--- a/mustardscale/quarantine/quarantine_log.py
+++ b/mustardscale/quarantine/quarantine_log.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -83,7 +82,7 @@
         client: KeyedLogClient,
         tail: KeyedTail,
         suspicions: Suspicions,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float],
     ):
         """Prepares to follow the records.
 
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import time
+from collections.abc import Callable
 
 from mustardscale.configuration.route_source import RouteSource
 from mustardscale.hosts.host_list import HostList
@@ -51,10 +53,12 @@
     Attributes:
         client: writes records.
         tail: follows the stream; it is one of the host's tails.
+        wall_clock: returns the Unix time in seconds.
     """
 
     client: KeyedLogClient
     tail: KeyedTail
+    wall_clock: Callable[[], float] = time.time
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -177,7 +177,11 @@
             return []
         return [
             QuarantineLog(
-                self.blackboard, stream.client, stream.tail, suspicions
+                self.blackboard,
+                stream.client,
+                stream.tail,
+                suspicions,
+                stream.wall_clock,
             )
         ]
 
--- a/standins/crash_fleet.py
+++ b/standins/crash_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from mustardscale.configuration.routes import (
@@ -102,7 +103,7 @@
         engine_by_address: the processes that run, by address.
         log: what the engines saw.
         records: the requests that have ended.
-        touched_at_by_host: loop time until which a fault excuses a host.
+        faults_by_host: loop times between which faults excuse a host.
     """
 
     def __init__(
@@ -125,7 +126,7 @@
         self.engine_by_address: dict[str, CrashEngine] = {}
         self.log = EngineLog()
         self.records: list[CallerRecord] = []
-        self.touched_at_by_host: dict[str, float] = {}
+        self.faults_by_host: dict[str, list[tuple[float, float]]] = {}
         self._starts = 0
         for service in names:
             self._start_engine(f'{service}-p1', EngineRole.PREFILL, service)
@@ -183,14 +184,21 @@
         del self.listed[engine_id]
         self.list_changed.notify()
 
-    def touch(self, host: str) -> None:
-        """Excuses a host that a fault harms now, until STABLE_S later."""
+    def begin_fault(self, host: str) -> None:
+        """Excuses what a host sends from now on."""
         now = asyncio.get_running_loop().time()
-        self.touched_at_by_host[host] = now + STABLE_S
+        self.faults_by_host.setdefault(host, []).append((now, math.inf))
+
+    def end_fault(self, host: str) -> None:
+        """Excuses a host until STABLE_S from now, and no longer."""
+        now = asyncio.get_running_loop().time()
+        began_at, _ = self.faults_by_host[host].pop()
+        self.faults_by_host[host].append((began_at, now + STABLE_S))
 
     def is_excused(self, host: str, at: float) -> bool:
         """Returns whether a fault excuses what a host sent."""
-        return at < self.touched_at_by_host.get(host, 0.0)
+        faults = self.faults_by_host.get(host, [])
+        return any(began_at <= at < ends_at for began_at, ends_at in faults)
 
     async def load(
         self,
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -124,7 +124,7 @@
             self.peers.transport(host),
             self.connector(host),
             (tail,),
-            QuarantineStream(client, tail),
+            QuarantineStream(client, tail, asyncio.get_running_loop().time),
         )
 
     async def start(self) -> None:
--- a/tests/test_harmful_segments.py
+++ b/tests/test_harmful_segments.py
@@ -110,10 +110,10 @@
             for _ in range(5):
                 await asyncio.sleep(0.4)
                 (owner, *_) = owners(fleet)
-                fleet.touch(owner)
+                fleet.begin_fault(owner)
                 await fleet.kill_host(owner)
                 await fleet.start_host(owner)
-                fleet.touch(owner)
+                fleet.end_fault(owner)
 
         await play(fleet, kill_owners())
 
@@ -143,8 +143,9 @@
             for host in hosts:
                 await fleet.kill_host(host)
             for host in hosts:
+                fleet.begin_fault(host)
                 await fleet.start_host(host)
-                fleet.touch(host)
+                fleet.end_fault(host)
 
         await play(fleet, restart_all())
         assert len(fleet.crashes_of(HARMFUL)) <= CRASHES_ALLOWED
@@ -160,12 +161,13 @@
                 fleet.cut_host(host)
                 fleet.keyed_log_by_host[host].is_cut = from_store
                 if from_store:
-                    fleet.touched_at_by_host[host] = float('inf')
+                    fleet.begin_fault(host)
             await asyncio.sleep(15.0)
             for host in ('h001', 'h004'):
                 fleet.restore_host(host)
                 fleet.keyed_log_by_host[host].is_cut = False
-                fleet.touch(host)
+                if from_store:
+                    fleet.end_fault(host)
 
         await play(fleet, cut())
 
@@ -177,11 +179,11 @@
             for host in ('h002', 'h005'):
                 await asyncio.sleep(0.3)
                 fleet.peers.freeze(host)
-                fleet.touched_at_by_host[host] = float('inf')
+                fleet.begin_fault(host)
             await asyncio.sleep(5.0)
             for host in ('h002', 'h005'):
                 fleet.peers.thaw(host)
-                fleet.touch(host)
+                fleet.end_fault(host)
 
         await play(fleet, freeze())
 
