Take a stream for whole only if its connection ends after an event

Callers got an answer as complete that its engine had broken off: where an answer has neither a length nor chunks, its connection's end was taken for its end, also inside an event. Such an end is a failure now; the stream goes on at another engine where its route allows, or is broken off. Two tests fail before.

A resumed stream also took the body of any answer with the status of the first one: an error text with status 200 and another media type reached callers in the middle of their stream (two cases fail before; those with an error's status did not). The media type must be that of the first answer.

Not possible here, each now with a test that passed before: a head that stops anywhere gives no answer, and a refusal that names another request is none; the platform's client has a connection for each call. A prefill's answer that names another request is refused too.

--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -72,6 +72,7 @@
         progress: SendProgress,
     ):
         self.head = head
+        self.ends_with_connection = _is_delimited_by_close(response)
         self._response = response
         self._progress = progress
 
@@ -86,7 +87,7 @@
         except REQUEST_ERRORS as error:
             raise make_endpoint_error(error, self._progress) from error
         lost = protocol.exception() if protocol is not None else None
-        if _is_delimited_by_close(response) and isinstance(
+        if self.ends_with_connection and isinstance(
             lost, aiohttp.ClientOSError
         ):
             # aiohttp treats a reset as the normal end of such an answer.
@@ -147,6 +148,7 @@
         )
         try:
             self._record_rate_limit(response, call, response.status == 200)
+            _check_owner(response, call)
             _check_executed(response)
             content = await read_content(response, MAX_HANDLE_BYTES)
         except REQUEST_ERRORS as error:
@@ -305,6 +307,13 @@
     return not chunked and 'Content-Length' not in headers
 
 
+def _check_owner(response: aiohttp.ClientResponse, call: RelayCall) -> None:
+    """Raises EndpointFailedError if an answer names another request."""
+    echoed = response.headers.get(names.REQUEST_ID)
+    if echoed is not None and echoed != call.request.id:
+        raise EndpointFailedError('the answer belongs to another request')
+
+
 def _check_executed(response: aiohttp.ClientResponse) -> None:
     """Raises EndpointRefusedError if the worker did not run a request."""
     if response.status == _MISDIRECTED:
@@ -325,9 +334,9 @@
             the request may give.
     """
     is_success = 200 <= response.status < 300
-    echoed = response.headers.get(names.REQUEST_ID)
-    if echoed != call.request.id and (echoed is not None or is_success):
-        raise EndpointFailedError('the answer belongs to another request')
+    _check_owner(response, call)
+    if is_success and names.REQUEST_ID not in response.headers:
+        raise EndpointFailedError('the answer names no request')
     _check_executed(response)
     if 'Content-Encoding' in response.headers:
         raise EndpointFailedError('the answer is encoded')
--- a/mustardscale/relay/relay_endpoint.py
+++ b/mustardscale/relay/relay_endpoint.py
@@ -57,9 +57,12 @@
 
     Attributes:
         head: status and headers.
+        ends_with_connection: whether only the end of the connection tells that
+            the content is complete.
     """
 
     head: AnswerHead
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -94,6 +94,17 @@
         """Whether the status is a success (2xx)."""
         return 200 <= self.status < 300
 
+    def continues(self, first: AnswerHead) -> bool:
+        """Returns whether its content may follow that of a first answer."""
+        same_status = self.status == first.status
+        return same_status and self._media_type() == first._media_type()
+
+    def _media_type(self) -> str:
+        for name, value in self.headers:
+            if name.lower() == 'content-type':
+                return value.partition(';')[0].strip().lower()
+        return ''
+
     @property
     def is_server_error(self) -> bool:
         """Whether the status is a server error (5xx or above)."""
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -191,6 +191,7 @@
                     whole_events = self._process_chunk(data)
                     if whole_events:
                         yield whole_events
+                self._check_end()
                 break
             except EndpointFailedError as error:
                 await self._resume(error)
@@ -201,6 +202,18 @@
         self._outcome = Outcome.COMPLETE
         self._attempts.end_call(is_success=True)
 
+    def _check_end(self) -> None:
+        """Requires that an answer which its connection ends is complete.
+
+        Raises:
+            EndpointFailedError: the connection ended inside an event.
+        """
+        ends_with_connection = self._require_answer().ends_with_connection
+        if ends_with_connection and self._splitter.partial:
+            raise EndpointFailedError(
+                'the connection ended inside an event', crashed=True
+            )
+
     def end(self) -> None:
         """Releases the answer, the prefill result and the engine grant.
 
@@ -296,9 +309,12 @@
                 answer = await self._next_answer()
         except TimeoutError as error:
             raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
-        if answer.head.status != head.status:
+        if not answer.head.continues(head):
             answer.close()
-            raise OutcomeError(Outcome.ENDPOINT_FAILED, 'not resumed')
+            raise OutcomeError(
+                Outcome.ENDPOINT_FAILED,
+                f'not resumed: status {answer.head.status}',
+            )
         self._answer = answer
         self._context.events.emit(
             EventKind.STREAM_RESUMED,
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -47,8 +47,17 @@
 class FakeAnswer(EndpointAnswer):
     """An answer of given chunks. An exception among them is raised."""
 
-    def __init__(self, chunks, status=200, gap_s=0.0):
-        self.head = AnswerHead(status, (('X-Sign', 's'),))
+    def __init__(
+        self,
+        chunks,
+        status=200,
+        gap_s=0.0,
+        media_type='text/event-stream',
+        ends_with_connection=False,
+    ):
+        headers = (('X-Sign', 's'), ('Content-Type', media_type))
+        self.head = AnswerHead(status, headers)
+        self.ends_with_connection = ends_with_connection
         self.closed = False
         self._chunks = chunks
         self._gap_s = gap_s
--- a/tests/test_platform_worker.py
+++ b/tests/test_platform_worker.py
@@ -33,7 +33,7 @@
     """Serves one raw answer to each connection; yields its relay."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        try:
             await reader.readuntil(b'\r\n\r\n')
             writer.write(answer)
             await writer.drain()
@@ -44,8 +44,10 @@
                 linger = struct.pack('ii', 1, 0)
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
-            else:
-                writer.close()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
@@ -110,6 +112,14 @@
         with pytest.raises(EndpointFailedError):
             read_raw_answer(HEAD + rest)
 
+    def test_worker_that_stops_in_the_head_gives_no_answer(self):
+        raw = HEAD + b'Content-Length: 4\r\n\r\n'
+        for length in range(len(raw)):
+            with pytest.raises(EndpointFailedError):
+                read_raw_answer(raw[:length])
+            with pytest.raises(EndpointFailedError):
+                read_raw_answer(raw[:length], reset=True)
+
     def test_bytes_after_the_answer_are_ignored(self):
         raw = HEAD + b'Content-Length: 4\r\n\r\nbody' + HEAD + b'\r\nmore'
         assert read_raw_answer(raw) == b'body'
@@ -135,6 +145,17 @@
         with pytest.raises(error):
             read_raw_answer(raw + b'Content-Length: 0\r\n\r\n')
 
+    def test_refusal_that_names_another_request_is_no_refusal(self):
+        refusal = (
+            b'HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Request-Id: r0\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        with pytest.raises(EndpointFailedError):
+            read_raw_answer(refusal)
+        # A copy on the connection of an earlier call never reaches this one.
+        whole = HEAD + b'Content-Length: 4\r\n\r\nbody'
+        assert read_raw_answer(whole + refusal) == b'body'
+
     def test_refused_connection_is_unreachable(self):
         async def main():
             async with worker(b'') as relay:
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -230,6 +230,70 @@
         assert bench.endpoint('d').runs[0].resume_after == '5'
 
 
+class TestAnswersThatBreakOff:
+    """Answers whose end does not show whether they are complete."""
+
+    @virtual_time
+    async def test_connection_that_ends_inside_an_event_is_no_whole_answer(
+        self,
+    ):
+        bench = StreamBench(('p', 'd'))
+        chunks = [event(1), event(2)[:6]]
+        bench.endpoint('d').run_script = [
+            FakeAnswer(chunks, ends_with_connection=True)
+        ]
+        assert await bench.fail() is Outcome.ENDPOINT_FAILED
+        assert bench.admission.releases[-1][2] is False
+
+    @virtual_time
+    async def test_connection_that_ends_inside_an_event_is_resumed(self):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        chunks = [event(1), event(2)[:6]]
+        bench.endpoint('d').run_script = [
+            FakeAnswer(chunks, ends_with_connection=True)
+        ]
+        bench.endpoint('e').run_script = [[event(2)]]
+        got = await bench.read(kind=RESUMABLE, max_attempts=2)
+        assert got == event(1) + event(2)
+
+    @virtual_time
+    async def test_connection_that_ends_after_an_event_is_a_whole_answer(self):
+        bench = StreamBench(('p', 'd'))
+        bench.endpoint('d').run_script = [
+            FakeAnswer([event(1)], ends_with_connection=True)
+        ]
+        assert await bench.read() == event(1)
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            {'status': 500},
+            {'status': 503},
+            {'media_type': 'text/plain'},
+            {'media_type': 'application/json'},
+        ],
+    )
+    @virtual_time
+    async def test_error_of_the_next_engine_stays_out_of_a_broken_stream(
+        self, answer
+    ):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(1), LOST]]
+        failure = FakeAnswer([b'{"error": "no"}'], **answer)
+        bench.endpoint('e').run_script = [failure]
+        got = []
+        route = route_of(RESUMABLE, max_attempts=2)
+        with pytest.raises(OutcomeError) as info:
+            async with bench.relay.serve(
+                request_of(), route, SERVICE
+            ) as stream:
+                async for part in stream.events():
+                    got.append(part)
+        assert info.value.outcome is Outcome.ENDPOINT_FAILED
+        assert got == [event(1)]
+        assert failure.closed
+
+
 class TestLeaving:
     """Callers that leave, and deadlines that pass."""
 
