Find harmful messages at the own interface, and show what is suspected

The own interface counted crashes against whole prompts as well. Each message of a chat is a segment now, without any change of what engines get. Its engines restart under their own ids, and a second crash within 5 s was taken for a sign of the first: the owner tells processes apart by the start number of their reports.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults limits soak bench load clean
+.PHONY: test run up faults limits crashes soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -42,6 +42,9 @@
 limits: $(STAMP)
 	$(PY) -m standins.limit_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
 
+crashes: $(STAMP)
+	$(PY) -m standins.crash_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
+
 soak: $(STAMP)
 	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
 
--- a/mustardscale/callers/chat_completions.py
+++ b/mustardscale/callers/chat_completions.py
@@ -7,6 +7,7 @@
 from typing import Annotated
 
 import msgspec
+import xxhash
 
 from mustardscale.callers.chat_options import OptionMembers, sampling_of
 from mustardscale.endpoints.engines import SamplingOptions, TokenEvent
@@ -68,6 +69,7 @@
         stream: whether the answer is streamed.
         include_usage: whether a streamed answer ends with the token counts.
         sampling: how engines choose tokens.
+        segments: a hash of each message, in order.
     """
 
     model: str
@@ -76,6 +78,7 @@
     stream: bool
     include_usage: bool
     sampling: SamplingOptions
+    segments: tuple[str, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,16 +113,20 @@
         content = _decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise OutcomeError(Outcome.MALFORMED_REQUEST, str(error)) from error
+    messages = [_message_text(message) for message in content.messages]
     limits = [content.max_tokens, content.max_completion_tokens]
     given = [limit for limit in limits if limit is not None]
     options = content.stream_options or _StreamOptions()
     return ChatRequest(
         model=content.model,
-        prompt=''.join(_message_text(m) for m in content.messages),
+        prompt=''.join(messages),
         max_tokens=min(given, default=MAX_TOKENS_LIMIT),
         stream=content.stream,
         include_usage=options.include_usage,
         sampling=sampling_of(content),
+        segments=tuple(
+            xxhash.xxh3_64_hexdigest(message.encode()) for message in messages
+        ),
     )
 
 
--- a/mustardscale/callers/chat_handler.py
+++ b/mustardscale/callers/chat_handler.py
@@ -87,6 +87,7 @@
             timeout_s=timeout_s,
             resume_after=last_event.index if last_event else None,
             sampling=chat.sampling,
+            segments=chat.segments,
         )
         if chat.stream:
             return await self._stream(request, chat, language_request)
--- a/mustardscale/commands/command_explain.py
+++ b/mustardscale/commands/command_explain.py
@@ -27,6 +27,8 @@
         EventKind.DEPENDENCY_REGAINED,
         EventKind.ENDPOINT_CHANGED,
         EventKind.RATE_LIMIT_CHANGED,
+        EventKind.ENDPOINT_CRASHED,
+        EventKind.QUARANTINE_CHANGED,
         EventKind.ORDERS_CHANGED,
         EventKind.READINESS_CHANGED,
     }
@@ -148,13 +150,19 @@
         if event.time > story[-1].time:
             break
         if event.event in BELIEF_KINDS and event.host in hosts:
-            subject = event.inputs.get('endpoint') or event.inputs.get(
-                'dependency', ''
-            )
-            last[event.host, event.event, str(subject)] = event
+            last[event.host, event.event, _subject_of(event)] = event
     yield from sorted(last.values(), key=lambda event: event.time)
 
 
+def _subject_of(event: LoggedEvent) -> str:
+    """Returns what a belief is about, '' if there is one of its kind only."""
+    inputs = event.inputs
+    keys = ' '.join(map(str, inputs.get('keys', ())))
+    if event.event == EventKind.QUARANTINE_CHANGED:
+        return keys
+    return str(inputs.get('endpoint') or inputs.get('dependency', ''))
+
+
 def _write_story(
     request_id: str,
     story: Sequence[LoggedEvent],
--- a/mustardscale/endpoints/caller_requests.py
+++ b/mustardscale/endpoints/caller_requests.py
@@ -32,6 +32,7 @@
             resumes a broken stream; -1 when it received none; None when the
             caller doesn't resume.
         sampling: how engines choose tokens.
+        segments: names of the prompt's segments that other prompts may share.
     """
 
     id: str
@@ -43,6 +44,7 @@
     sampling: SamplingOptions = dataclasses.field(
         default_factory=SamplingOptions
     )
+    segments: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/endpoints/engines.py
+++ b/mustardscale/endpoints/engines.py
@@ -55,14 +55,12 @@
             each hash also covers the blocks before.
         fingerprint: 64-bit hash of the whole prompt.
         text: the content; empty in replays, whose traces hold only hashes.
-        segments: names of the parts that other prompts may share.
     """
 
     tokens: int
     block_hashes: tuple[int, ...]
     fingerprint: int
     text: str = dataclasses.field(default='', repr=False)
-    segments: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -221,12 +221,12 @@
         self, pool: OwnedPool, entry: EndpointEntry, start: int
     ) -> None:
         known = pool.start_by_engine_id.get(entry.id)
-        pool.start_by_engine_id[entry.id] = start
         if known is not None and start != known:
             log.warning('engine %s restarted', entry.id)
             self._emit_change(entry, 'restarted')
             self._poll_state_by_id[entry.id].sequence = 0
             self._pool_owner.handle_crash(pool, entry.id)
+        pool.start_by_engine_id[entry.id] = start
 
 
 def _is_due(last_at: float, interval_s: float, now: float) -> bool:
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -26,6 +26,7 @@
 )
 from mustardscale.pools.expired_reservations import ExpiredReservations
 from mustardscale.pools.pool_members import PoolMembers
+from mustardscale.quarantine.crash_evidence import ProcessId
 from mustardscale.quarantine.suspicions import Suspicions
 
 # Time without any work after which a pool is idle and its engines are polled
@@ -48,7 +49,7 @@
             that are hidden from the policy because suspected requests must run
             on different engines.
         start_by_engine_id: last start number seen of each engine.
-        crashed_at_by_engine_id: loop time of the last crash counted.
+        crashed_at_by_process: loop times of the last crashes counted.
         expired_reservations: reservations that their hosts do not report any
             more.
         last_work_at: last loop time at which there was work according to
@@ -66,7 +67,7 @@
         default_factory=dict
     )
     start_by_engine_id: dict[str, int] = dataclasses.field(default_factory=dict)
-    crashed_at_by_engine_id: dict[str, float] = dataclasses.field(
+    crashed_at_by_process: dict[ProcessId, float] = dataclasses.field(
         default_factory=dict
     )
     expired_reservations: ExpiredReservations = dataclasses.field(
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -445,7 +445,7 @@
                 self.handle_crash(pool, find_current_engine(known))
                 del pool.state.reservations_by_request_id[request_id]
             if request.outcome == Outcome.COMPLETE and request.finished:
-                process = self._process(find_current_engine(known))
+                process = self._process(pool, find_current_engine(known))
                 self._suspicions.record_end(process, known.keys)
             self.decide(pool)
         return Acknowledgement()
@@ -483,23 +483,33 @@
         """Counts a crash against the requests that the engine was running.
 
         One crash shows several times: as broken streams and as a new start
-        number in the engine's report. All signs within CRASH_WINDOW_S count as
-        one crash.
+        number in the engine's report. All signs of one process within
+        CRASH_WINDOW_S count as one crash.
         """
         now = asyncio.get_running_loop().time()
-        crashed_at = pool.crashed_at_by_engine_id.get(engine_id, -math.inf)
+        process = self._process(pool, engine_id)
+        crashed_at = pool.crashed_at_by_process.get(process, -math.inf)
         if now - crashed_at < CRASH_WINDOW_S:
             return
-        pool.crashed_at_by_engine_id[engine_id] = now
+        pool.crashed_at_by_process = {
+            other: at
+            for other, at in pool.crashed_at_by_process.items()
+            if now - at < CRASH_WINDOW_S
+        }
+        pool.crashed_at_by_process[process] = now
         self._mark_unreachable(pool, engine_id)
         in_flight = find_reservations_on(pool, engine_id)
         self._suspicions.record_crash(
-            self._process(engine_id),
+            process,
             [(held.keys, held.granted_at) for held in in_flight],
             [held.request_id for held in in_flight],
         )
         mark_suspects(pool, self._suspicions)
 
-    def _process(self, engine_id: str) -> ProcessId:
+    def _process(self, pool: OwnedPool, engine_id: str) -> ProcessId:
+        """Returns the process of an engine, by its report or the host list."""
         entry = self._blackboard.endpoints_by_id.get(engine_id)
-        return ProcessId(engine_id, entry.notice.start if entry else 0)
+        listed = entry.notice.start if entry else 0
+        return ProcessId(
+            engine_id, pool.start_by_engine_id.get(engine_id, listed)
+        )
--- a/mustardscale/quarantine/suspicions.py
+++ b/mustardscale/quarantine/suspicions.py
@@ -28,6 +28,7 @@
 from mustardscale.quarantine.suspicion_keys import property_of
 from mustardscale.quarantine.verdicts import judge
 from mustardscale.reporting.event_log import EventKind
+from mustardscale.reporting.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -508,6 +509,18 @@
             self._suspicions.expire()
 
 
+def add_quarantine_gauges(board: Blackboard, metrics: Metrics) -> None:
+    """Shows as gauges what is suspected, quarantined and known of crashes."""
+    evidence = board.crash_evidence
+    metrics.add_gauge(
+        'quarantined_properties', lambda: len(evidence.judgement.harmful)
+    )
+    metrics.add_gauge(
+        'suspected_properties', lambda: len(evidence.judgement.suspected)
+    )
+    metrics.add_gauge('remembered_crashes', lambda: len(evidence.crashes))
+
+
 def _keep_only(item_by_key: dict, keys: set[str]) -> None:
     for key in list(item_by_key):
         if key not in keys:
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -40,7 +40,11 @@
 from mustardscale.pools.pool_owner import PoolOwner
 from mustardscale.quarantine.quarantine_log import QuarantineLog
 from mustardscale.quarantine.suspicion_sharing import SuspicionSharing
-from mustardscale.quarantine.suspicions import SuspicionExpiry, Suspicions
+from mustardscale.quarantine.suspicions import (
+    SuspicionExpiry,
+    Suspicions,
+    add_quarantine_gauges,
+)
 from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.crash_watch import CrashWatch
@@ -138,6 +142,7 @@
             self.permit_owner.follow_membership,
             permits.follow_membership,
         ]
+        add_quarantine_gauges(board, self.metrics)
         self._controllers: list[Controller] = [
             *edges.tails,
             copies,
--- a/mustardscale/requests/language.py
+++ b/mustardscale/requests/language.py
@@ -196,7 +196,9 @@
         prompt = request.prompt
         if prompt.tokens > profile.max_prompt_tokens:
             raise OutcomeError(Outcome.PROMPT_TOO_LONG)
-        keys = make_keys(model, request.id, prompt.fingerprint, prompt.segments)
+        keys = make_keys(
+            model, request.id, prompt.fingerprint, request.segments
+        )
         harmful = self._suspicions.find_harmful(keys)
         if harmful is not None and not self._suspicions.may_try(harmful):
             # The pool's owner decides whether the request is tried.
--- a/mustardscale/router.py
+++ b/mustardscale/router.py
@@ -50,7 +50,11 @@
 from mustardscale.pools.pool_owner import PoolOwner
 from mustardscale.pools.reconcile import Reconciler
 from mustardscale.quarantine.suspicion_sharing import SuspicionSharing
-from mustardscale.quarantine.suspicions import SuspicionExpiry, Suspicions
+from mustardscale.quarantine.suspicions import (
+    SuspicionExpiry,
+    Suspicions,
+    add_quarantine_gauges,
+)
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.requests.kept_answers import KeptAnswers
 from mustardscale.requests.language import LanguageService
@@ -124,6 +128,7 @@
         self._plain = PlainService(
             board, self._directory, self.claims, clients, limits, rng
         )
+        add_quarantine_gauges(board, self.metrics)
         self._controllers: list[Controller] = [
             self.host_list,
             self.heartbeats,
--- a/standins/crash_fleet.py
+++ b/standins/crash_fleet.py
@@ -184,6 +184,14 @@
         del self.listed[engine_id]
         self.list_changed.notify()
 
+    def decode_engines(self) -> list[CrashEngine]:
+        """Returns the processes that run as decode engines."""
+        return [
+            engine
+            for engine in self.engine_by_address.values()
+            if engine.role is EngineRole.DECODE
+        ]
+
     def begin_fault(self, host: str) -> None:
         """Excuses what a host sends from now on."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/standins/crash_runs.py
@@ -0,0 +1,192 @@
+"""Runs fleets before engines that harmful segments end, under drawn faults."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import random
+import sys
+from collections.abc import Sequence
+
+import async_solipsism
+
+from standins.crash_fleet import (
+    CRASHES_ALLOWED,
+    SOUND_SHARE,
+    STABLE_S,
+    CrashFleet,
+)
+from standins.limit_runs import FleetFault
+
+CALM_S = 6.0
+HARMFUL_S = 25.0
+SOUND_PER_S = 8.0
+HARMFUL_PER_S = (0.5, 1.5, 4.0)
+LONGEST_FAULT_S = 6.0
+MAX_FAULTS = 6
+HOST_FAULTS = ('restart', 'freeze', 'cut', 'join', 'engine', 'links')
+
+
+class CrashRun:
+    """One run of a seed.
+
+    Attributes:
+        fleet: the hosts and the engines.
+    """
+
+    def __init__(self, seed: int, hosts: int):
+        self._rng = random.Random(seed)
+        self.fleet = CrashFleet(hosts, self._rng.choice((4, 6, 8)), seed=seed)
+        self._harmful = tuple(
+            f'harmful{number}' for number in range(self._rng.choice((1, 1, 2)))
+        )
+        self._harmful_per_s = self._rng.choice(HARMFUL_PER_S)
+        self._joined = 0
+        self._faults = [
+            FleetFault(
+                self._rng.choice(HOST_FAULTS),
+                self._rng.uniform(0.0, HARMFUL_S),
+                self._rng.uniform(0.3, LONGEST_FAULT_S),
+            )
+            for _ in range(self._rng.randint(0, MAX_FAULTS))
+        ]
+
+    async def play(self) -> list[str]:
+        """Plays the run; returns what was broken."""
+        fleet = self.fleet
+        loop = asyncio.get_running_loop()
+        await fleet.start()
+        calm_from = loop.time()
+        await fleet.load(SOUND_PER_S, CALM_S)
+        harmful_from = loop.time()
+        for harmful in fleet.harmful_by_service.values():
+            harmful.update(self._harmful)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.load(SOUND_PER_S, HARMFUL_S))
+            load = fleet.load(
+                self._harmful_per_s, HARMFUL_S, harmful=self._harmful
+            )
+            group.create_task(load)
+            for fault in self._faults:
+                group.create_task(self._carry_out(fault))
+        ends_at = loop.time()
+        await fleet.stop()
+        broken = fleet.violations()
+        return broken + self._lost(calm_from, harmful_from, ends_at)
+
+    def _lost(
+        self, calm_from: float, harmful_from: float, ends_at: float
+    ) -> list[str]:
+        """Returns whether sound requests begin too seldom."""
+        fleet = self.fleet
+        known_at = harmful_from
+        for segment in self._harmful:
+            crashes = fleet.crashes_of(segment)[:CRASHES_ALLOWED]
+            known_at = max([known_at, *crashes])
+        try:
+            usual = fleet.sound_share(calm_from, harmful_from)
+            share = fleet.sound_share(known_at + 2 * STABLE_S, ends_at)
+        except ValueError:
+            return []
+        if share >= SOUND_SHARE * usual:
+            return []
+        return [f'{share:.2f} of sound requests began, {usual:.2f} before']
+
+    async def _carry_out(self, fault: FleetFault) -> None:
+        fleet = self.fleet
+        await asyncio.sleep(fault.at)
+        if fault.kind == 'join':
+            self._joined += 1
+            await fleet.start_host(f'h{900 + self._joined}')
+            return
+        if fault.kind == 'engine':
+            engines = list(fleet.decode_engines())
+            if engines:
+                self._rng.choice(engines).crash()
+            return
+        if len(fleet.router_by_host) < 2:
+            return
+        host = self._rng.choice(sorted(fleet.router_by_host))
+        if fault.kind == 'links':
+            await self._refuse_links(host, fault.for_s)
+            return
+        fleet.begin_fault(host)
+        await self._harm(host, fault)
+        fleet.end_fault(host)
+
+    async def _refuse_links(self, host: str, for_s: float) -> None:
+        engines = list(self.fleet.engine_by_address.values())
+        for engine in engines:
+            engine.refuse_host(host)
+        await asyncio.sleep(for_s)
+        for engine in engines:
+            engine.unreachable_hosts.discard(host)
+
+    async def _harm(self, host: str, fault: FleetFault) -> None:
+        fleet = self.fleet
+        if fault.kind == 'restart':
+            await fleet.kill_host(host)
+            await asyncio.sleep(fault.for_s)
+            await fleet.start_host(host)
+        elif fault.kind == 'freeze':
+            fleet.peers.freeze(host)
+            await asyncio.sleep(fault.for_s)
+            fleet.peers.thaw(host)
+        else:
+            fleet.cut_host(host)
+            await asyncio.sleep(fault.for_s)
+            fleet.restore_host(host)
+
+
+def play_seed(seed: int, hosts: int) -> CrashRun:
+    """Plays a seed on virtual time.
+
+    Raises:
+        AssertionError: a bound was broken.
+    """
+    run = None
+
+    async def main() -> list[str]:
+        nonlocal run
+        run = CrashRun(seed, hosts)
+        return await run.play()
+
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        broken = runner.run(main())
+    if broken:
+        raise AssertionError('; '.join(broken[:3]))
+    assert run is not None
+    return run
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Plays seeds; the exit status is 1 if one was broken."""
+    parser = argparse.ArgumentParser(
+        prog='python -m standins.crash_runs', description=__doc__
+    )
+    parser.add_argument('--seeds', type=int, default=20, help='How many.')
+    parser.add_argument('--first-seed', type=int, default=1, help='The first.')
+    parser.add_argument('--hosts', type=int, default=6, help='Entry hosts.')
+    options = parser.parse_args(arguments)
+    # Hosts that fall silent as the faults say are no errors.
+    logging.getLogger('mustardscale').setLevel(logging.CRITICAL)
+    broken = requests = crashes = 0
+    for seed in range(options.first_seed, options.first_seed + options.seeds):
+        try:
+            run = play_seed(seed, options.hosts)
+        except AssertionError as error:
+            broken += 1
+            sys.stdout.write(f'seed {seed}: {error}\n')
+            continue
+        requests += len(run.fleet.records)
+        crashes += sum(map(len, run.fleet.log.crashed_at_by_segment.values()))
+    sys.stdout.write(
+        f'{options.seeds} seeds, {options.hosts} hosts, {requests} requests, '
+        f'{crashes} engines ended; {broken} seeds broken\n'
+    )
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/test_harmful_segments.py
+++ b/tests/test_harmful_segments.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from mustardscale.endpoints.engines import EngineRole
 from mustardscale.outcomes import Outcome
 from mustardscale.quarantine.suspicions import TRIAL_DELAY_S
 from standins.crash_fleet import (
@@ -15,6 +14,7 @@
     STABLE_S,
     CrashFleet,
 )
+from standins.crash_runs import play_seed
 from tests.virtual_time import virtual_time
 
 # Requests a second to all hosts: sound ones, and ones with a harmful segment.
@@ -289,9 +289,7 @@
         async def end_engines():
             for _ in range(12):
                 await asyncio.sleep(1.0)
-                engines = sorted(fleet.engine_by_address.values(), key=id_of)
-                decodes = [e for e in engines if e.role is EngineRole.DECODE]
-                fleet.rng.choice(decodes).crash()
+                fleet.rng.choice(fleet.decode_engines()).crash()
 
         async with asyncio.TaskGroup() as group:
             group.create_task(fleet.load(SOUND_PER_S, 20.0))
@@ -329,5 +327,9 @@
         assert refused == []
 
 
-def id_of(engine):
-    return engine.id
+class TestDrawnFaults:
+    """Faults that are drawn from a seed."""
+
+    @pytest.mark.parametrize('seed', [1, 2, 3])
+    def test_harmful_segment_ends_engines_under_faults(self, seed):
+        play_seed(seed, hosts=6)
--- a/tests/test_promises_load.py
+++ b/tests/test_promises_load.py
@@ -4,11 +4,16 @@
 
 import pytest
 
-from mustardscale.endpoints.caller_requests import PlainRequest
+from mustardscale.endpoints.caller_requests import (
+    PlainRequest,
+    prompt_from_text,
+)
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.quarantine.suspicion_keys import make_keys
 from mustardscale.requests.limits import INITIAL_RETRIES
+from standins.crash_fleet import CRASHES_ALLOWED
+from standins.engine_model import CRASH_MARK
 from standins.faults import Outage
 from standins.log_model import LogModel
 from standins.memory_site import SiteLayout
@@ -134,6 +139,29 @@
         run(scenario, layout=LAYOUT)
 
 
+class TestPoisonSegment:
+    """A message of prompts that crashes each engine that runs it."""
+
+    def test_engines_stop_crashing_though_no_two_prompts_are_alike(self):
+        async def scenario(site):
+            routers = list(site.routers_by_host.values())
+            ends = []
+            for number in range(30):
+                poison = language(number)
+                poison.prompt = prompt_from_text(f'{CRASH_MARK} {number}')
+                poison.segments = ('first', 'poison')
+                sound = language(500 + number)
+                sound.segments = ('first',)
+                router = routers[number % len(routers)]
+                ends.append(await outcome_of(answer(router, poison)))
+                assert await answer(router, sound) == whole(sound)
+                await asyncio.sleep(1)
+            assert crashes(site) <= CRASHES_ALLOWED
+            assert set(ends[-20:]) == {Outcome.QUARANTINED}
+
+        run(scenario, layout=LAYOUT)
+
+
 class TestRetries:
     """All endpoints fail at once."""
 
