Play a harmful part of prompts at the platform's interface

A stand-in worker crashes as it begins to write on a part of X-Prompt-Prefix and comes back at its address under another id; requests of two kinds, no two alike, go through the HTTP front. Also tested there: which framing leaves the end of an answer to its connection.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 import multidict
@@ -31,6 +32,8 @@
         busy_s: what it tells callers to wait where it is full, '' for nothing.
         limit: a text that it states as its limit, '' for the one of its
             arrivals.
+        harmful_part: id of a part of prompts, not the last one, on which the
+            worker crashes as it begins to write, '' for none.
     """
 
     full: bool = False
@@ -41,6 +44,7 @@
     leaving: bool = False
     busy_s: str = ''
     limit: str = ''
+    harmful_part: str = ''
 
 
 class PlatformWorker:
@@ -56,6 +60,7 @@
         handles: results of prefills that it keeps.
         gap_s: seconds before each event of a stream.
         arrivals: the requests that reached it, and the limits that it stated.
+        on_crash: called with it when it crashes.
     """
 
     def __init__(self, instance: str, phase: str = '', gap_s: float = 0.0):
@@ -69,6 +74,7 @@
         self.handles: set[str] = set()
         self.gap_s = gap_s
         self.arrivals = LimitedArrivals(instance)
+        self.on_crash: Callable[[PlatformWorker], None] | None = None
         self._numbers = itertools.count(1)
 
     def server(self) -> web.Server:
@@ -159,6 +165,13 @@
             return await self._stream(request, headers)
         return web.Response(body=b'whole ' + body, headers=headers)
 
+    def _is_harmful(self, request: web.BaseRequest) -> bool:
+        parts = request.headers.get('X-Prompt-Prefix', '').split(',')[:-1]
+        ids = {part.partition(':')[0] for part in parts}
+        return bool(self.faults.harmful_part) and (
+            self.faults.harmful_part in ids
+        )
+
     def _prefill(self) -> web.Response:
         key = f'{next(self._numbers):012x}'
         self.handles.add(key)
@@ -180,5 +193,10 @@
                 request.transport.close()
                 raise ConnectionResetError
             await response.write(b'id: %d\ndata: %d\n\n' % (number, number))
+            if self._is_harmful(request) and self.on_crash is not None:
+                self.on_crash(self)
+                assert request.transport is not None
+                request.transport.abort()
+                raise ConnectionResetError
         await response.write_eof()
         return response
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from standins.platform_store import WORKERS_TOPIC
+from standins.platform_worker import WorkerFaults
 from tests.platform_site import CONFIG, PlatformSite, until
 
 EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (n, n) for n in (1, 2, 3))
@@ -98,6 +99,49 @@
         run(scenario)
 
 
+class TestHarmfulParts:
+    """A part of prompts on which each worker crashes that writes on it."""
+
+    def test_workers_stop_crashing_and_sound_requests_go_on(self):
+        async def scenario(site):
+            crashes = []
+
+            def restart(worker):
+                crashes.append(worker.instance)
+                name = f'{worker.instance}-{len(crashes)}'
+                site.restart_worker(worker.instance, name)
+
+            for worker in site.workers.values():
+                worker.faults = WorkerFaults(harmful_part='bad0')
+                worker.on_crash = restart
+            statuses = []
+            for number in range(24):
+                prefix = f'a1:200,bad0:50,{number:08x}:10'
+                status, _ = await ask_harmful(site, number, prefix)
+                statuses.append(status)
+                prefix = f'a1:200,c3:50,{number:08x}:10'
+                status, body = await ask_harmful(site, 500 + number, prefix)
+                if number > 12:
+                    assert (status, body) == (200, EVENTS)
+            assert len(crashes) <= 5
+            assert statuses[-10:] == [503] * 10
+
+        run(scenario)
+
+
+async def ask_harmful(site, number, prefix):
+    """Sends a request with a prompt's parts; returns status and body."""
+    headers = USAGE | {'X-Prompt-Prefix': prefix}
+    try:
+        status, _, body = await site.ask(
+            '/chat/x', f'r{number}', headers=headers
+        )
+    except aiohttp.ClientError:
+        return 0, b''
+    await asyncio.sleep(0.1)
+    return status, body
+
+
 class TestStreams:
     """Requests to engines."""
 
--- a/tests/test_platform_worker.py
+++ b/tests/test_platform_worker.py
@@ -96,6 +96,27 @@
     def test_without_a_length_until_the_end_of_the_connection(self):
         assert read_raw_answer(HEAD + b'\r\nbody') == b'body'
 
+    @pytest.mark.parametrize(
+        ('framing', 'expected'),
+        [
+            (b'', True),
+            (b'Content-Length: 4\r\n', False),
+            (b'Transfer-Encoding: chunked\r\n', False),
+        ],
+    )
+    def test_only_the_connection_ends_an_answer_without_framing(
+        self, framing, expected
+    ):
+        async def main():
+            body = b'4\r\nbody\r\n0\r\n\r\n' if b'chunk' in framing else b'body'
+            async with worker(HEAD + framing + b'\r\n' + body) as relay:
+                now = asyncio.get_running_loop().time()
+                answer = await relay.run(RelayCall(REQUEST, now + 5.0))
+                assert answer.ends_with_connection is expected
+                answer.close()
+
+        uvloop.run(main())
+
     def test_without_a_length_but_reset(self):
         with pytest.raises(EndpointFailedError):
             read_raw_answer(HEAD + b'\r\nbody', reset=True)
