Take no age from peers or records for a time yet to come

A negative age, or a record by a clock that runs ahead, put a survival or a trial into the future, where it would have cleared every later crash. Three cases are tested. The owner looks at a trial's time before it computes pools, and both kinds of seeded fleet runs share one command line.

--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -238,6 +238,8 @@
         Only the owner of a model's first pool decides, and only if it is not
         cut off, so that one request at a time is tried.
         """
+        if not self._suspicions.may_try(harmful):
+            return False
         board = self._blackboard
         now = asyncio.get_running_loop().time()
         first = min(
@@ -249,7 +251,6 @@
             pool.members.id == first
             and has_quorum(board, now)
             and now - pool.owned_since > TRIAL_SETTLE_S
-            and self._suspicions.may_try(harmful)
         )
 
     def _language_profiles(self) -> dict[str, Profile]:
--- a/mustardscale/quarantine/evidence_codec.py
+++ b/mustardscale/quarantine/evidence_codec.py
@@ -52,11 +52,11 @@
     return EvidenceChanges(
         [decode_crash(report, now) for report in notice.crashes[:MAX_CRASHES]],
         {
-            report.key: Survival(now - report.age_s)
+            report.key: Survival(_time_of(report.age_s, now))
             for report in notice.survivals
         },
         {
-            report.key: Trial(now - report.age_s, report.count)
+            report.key: Trial(_time_of(report.age_s, now), report.count)
             for report in notice.trials
         },
     )
@@ -80,10 +80,15 @@
     """Returns the crash in a report."""
     return Crash(
         ProcessId(report.endpoint, report.start),
-        now - report.age_s,
+        _time_of(report.age_s, now),
         {
-            item.key: now - item.sent_age_s
+            item.key: _time_of(item.sent_age_s, now)
             for item in report.keys[:MAX_CRASH_KEYS]
         },
         report.was_alive,
     )
+
+
+def _time_of(age_s: float, now: float) -> float:
+    """Returns a loop time, never one that is yet to come or no number."""
+    return now - max(0.0, age_s)
--- a/mustardscale/quarantine/quarantine_log.py
+++ b/mustardscale/quarantine/quarantine_log.py
@@ -134,11 +134,13 @@
 
     def _merge(self) -> None:
         changes = EvidenceChanges()
-        offset_s = asyncio.get_running_loop().time() - self._wall_clock()
+        now = asyncio.get_running_loop().time()
+        # The clocks of hosts differ: no time is taken for one yet to come.
+        offset_s = now - self._wall_clock()
         for record in self._records().values():
             keys = record.keys[:MAX_CRASH_KEYS]
             for crash in record.crashes[-MAX_RECORD_CRASHES:]:
-                at = crash.at + offset_s
+                at = min(now, crash.at + offset_s)
                 changes.crashes.append(
                     Crash(
                         ProcessId(crash.endpoint, crash.start),
@@ -147,7 +149,8 @@
                     )
                 )
             if record.trials:
-                trial = Trial(record.tried_at + offset_s, record.trials)
+                tried_at = min(now, record.tried_at + offset_s)
+                trial = Trial(tried_at, record.trials)
                 changes.trial_by_key |= dict.fromkeys(keys, trial)
         del changes.crashes[:-MAX_CRASHES]
         self._suspicions.merge(changes)
--- a/standins/crash_runs.py
+++ b/standins/crash_runs.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import logging
 import random
 import sys
 from collections.abc import Sequence
 
-import async_solipsism
-
 from standins.crash_fleet import (
     CRASHES_ALLOWED,
     SOUND_SHARE,
@@ -18,6 +14,7 @@
     CrashFleet,
 )
 from standins.limit_runs import FleetFault
+from standins.seed_runs import SeedRun, play_run, play_seeds
 
 CALM_S = 6.0
 HARMFUL_S = 25.0
@@ -28,7 +25,7 @@
 HOST_FAULTS = ('restart', 'freeze', 'cut', 'join', 'engine', 'links')
 
 
-class CrashRun:
+class CrashRun(SeedRun):
     """One run of a seed.
 
     Attributes:
@@ -53,7 +50,7 @@
         ]
 
     async def play(self) -> list[str]:
-        """Plays the run; returns what was broken."""
+        """See the base class."""
         fleet = self.fleet
         loop = asyncio.get_running_loop()
         await fleet.start()
@@ -75,6 +72,14 @@
         broken = fleet.violations()
         return broken + self._lost(calm_from, harmful_from, ends_at)
 
+    def counts(self) -> dict[str, int]:
+        """See the base class."""
+        crashes = self.fleet.log.crashed_at_by_segment.values()
+        return {
+            'requests': len(self.fleet.records),
+            'engines ended': sum(map(len, crashes)),
+        }
+
     def _lost(
         self, calm_from: float, harmful_from: float, ends_at: float
     ) -> list[str]:
@@ -145,47 +150,12 @@
     Raises:
         AssertionError: a bound was broken.
     """
-    run = None
-
-    async def main() -> list[str]:
-        nonlocal run
-        run = CrashRun(seed, hosts)
-        return await run.play()
-
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
-        broken = runner.run(main())
-    if broken:
-        raise AssertionError('; '.join(broken[:3]))
-    assert run is not None
-    return run
+    return play_run(lambda: CrashRun(seed, hosts))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Plays seeds; the exit status is 1 if one was broken."""
-    parser = argparse.ArgumentParser(
-        prog='python -m standins.crash_runs', description=__doc__
-    )
-    parser.add_argument('--seeds', type=int, default=20, help='How many.')
-    parser.add_argument('--first-seed', type=int, default=1, help='The first.')
-    parser.add_argument('--hosts', type=int, default=6, help='Entry hosts.')
-    options = parser.parse_args(arguments)
-    # Hosts that fall silent as the faults say are no errors.
-    logging.getLogger('mustardscale').setLevel(logging.CRITICAL)
-    broken = requests = crashes = 0
-    for seed in range(options.first_seed, options.first_seed + options.seeds):
-        try:
-            run = play_seed(seed, options.hosts)
-        except AssertionError as error:
-            broken += 1
-            sys.stdout.write(f'seed {seed}: {error}\n')
-            continue
-        requests += len(run.fleet.records)
-        crashes += sum(map(len, run.fleet.log.crashed_at_by_segment.values()))
-    sys.stdout.write(
-        f'{options.seeds} seeds, {options.hosts} hosts, {requests} requests, '
-        f'{crashes} engines ended; {broken} seeds broken\n'
-    )
-    return 1 if broken else 0
+    return play_seeds('standins.crash_runs', __doc__, play_seed, arguments)
 
 
 if __name__ == '__main__':
--- a/standins/limit_runs.py
+++ b/standins/limit_runs.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import dataclasses
-import logging
 import random
 import sys
 from collections.abc import Sequence
 
-import async_solipsism
-
 from mustardscale.outcomes import Outcome
 from standins.limited_fleet import LimitedFleet
+from standins.seed_runs import SeedRun, play_run, play_seeds
 
 ENDPOINTS = 4
 # Load in a run, seconds; faults begin in it and end with it.
@@ -57,7 +54,7 @@
     per_s: float | None
 
 
-class LimitRun:
+class LimitRun(SeedRun):
     """One run of a seed.
 
     Attributes:
@@ -96,7 +93,7 @@
         ]
 
     async def play(self) -> list[str]:
-        """Plays the run; returns what was broken."""
+        """See the base class."""
         fleet = self.fleet
         await fleet.start()
         async with asyncio.TaskGroup() as group:
@@ -108,6 +105,12 @@
         await fleet.stop()
         return fleet.violations() + self._late_refusals()
 
+    def counts(self) -> dict[str, int]:
+        """See the base class."""
+        records = self.fleet.records
+        refused = sum(r.outcome is not Outcome.COMPLETE for r in records)
+        return {'requests': len(records), 'not served': refused}
+
     async def _load(self) -> None:
         hosts = list(self.fleet.router_by_host)
         weights = [
@@ -165,50 +168,14 @@
     """Plays a seed on virtual time.
 
     Raises:
-        AssertionError: a limit was broken, or a refusal was late.
+        AssertionError: a bound was broken.
     """
-    run = None
-
-    async def main() -> list[str]:
-        nonlocal run
-        run = LimitRun(seed, hosts)
-        return await run.play()
-
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
-        broken = runner.run(main())
-    if broken:
-        raise AssertionError('; '.join(broken[:3]))
-    assert run is not None
-    return run
+    return play_run(lambda: LimitRun(seed, hosts))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Plays seeds; the exit status is 1 if one was broken."""
-    parser = argparse.ArgumentParser(
-        prog='python -m standins.limit_runs', description=__doc__
-    )
-    parser.add_argument('--seeds', type=int, default=20, help='How many.')
-    parser.add_argument('--first-seed', type=int, default=1, help='The first.')
-    parser.add_argument('--hosts', type=int, default=6, help='Entry hosts.')
-    options = parser.parse_args(arguments)
-    # Hosts that fall silent as the faults say are no errors.
-    logging.getLogger('mustardscale').setLevel(logging.CRITICAL)
-    broken = requests = refused = 0
-    for seed in range(options.first_seed, options.first_seed + options.seeds):
-        try:
-            run = play_seed(seed, options.hosts)
-        except AssertionError as error:
-            broken += 1
-            sys.stdout.write(f'seed {seed}: {error}\n')
-            continue
-        records = run.fleet.records
-        requests += len(records)
-        refused += sum(r.outcome is not Outcome.COMPLETE for r in records)
-    sys.stdout.write(
-        f'{options.seeds} seeds, {options.hosts} hosts, {requests} requests, '
-        f'{refused} not served; {broken} seeds broken\n'
-    )
-    return 1 if broken else 0
+    return play_seeds('standins.limit_runs', __doc__, play_seed, arguments)
 
 
 if __name__ == '__main__':
--- a/tests/test_harmful_segments.py
+++ b/tests/test_harmful_segments.py
@@ -295,12 +295,7 @@
             group.create_task(fleet.load(SOUND_PER_S, 20.0))
             group.create_task(end_engines())
         await fleet.stop()
-        refused = [
-            record
-            for record in fleet.records
-            if record.outcome is Outcome.QUARANTINED
-        ]
-        assert refused == []
+        assert fleet.refused_as_harmful(0.0) == 0
 
     @virtual_time
     async def test_refused_links_quarantine_nothing(self):
@@ -319,12 +314,7 @@
             group.create_task(fleet.load(SOUND_PER_S, 20.0))
             group.create_task(refuse_links())
         await fleet.stop()
-        refused = [
-            record
-            for record in fleet.records
-            if record.outcome is Outcome.QUARANTINED
-        ]
-        assert refused == []
+        assert fleet.refused_as_harmful(0.0) == 0
 
 
 class TestDrawnFaults:
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -14,6 +14,10 @@
     decode_payload,
     encode_frame,
 )
+from mustardscale.peers.suspicion_messages import (
+    SurvivalReport,
+    SuspicionNotice,
+)
 from mustardscale.quarantine.crash_evidence import CRASH_WINDOW_S, ProcessId
 from mustardscale.quarantine.evidence_codec import (
     decode_evidence,
@@ -365,6 +369,19 @@
         for host in (one, other):
             assert host.crashes(request(3, 'bad')) == 1
 
+    @virtual_time
+    @pytest.mark.parametrize('age_s', [-1e9, float('nan'), float('-inf')])
+    async def test_ages_that_cannot_be_do_not_clear_later_crashes(self, age_s):
+        host = suspicions()
+        for number in range(2):
+            await crash(host, request(number, 'bad'))
+        survival = SurvivalReport('m|segment bad', age_s)
+        notice = SuspicionNotice(survivals=(survival,))
+        host.merge(decode_evidence(notice, now()))
+        for number in range(CRASHES_OF_PROVEN_KEY):
+            await crash(host, request(10 + number, 'bad'))
+        assert host.is_quarantined(request(5, 'bad'))
+
     @virtual_time
     async def test_restarts_without_start_numbers_are_told_apart(self):
         host = suspicions()
