Log when an engine is withheld, and which host told of it

The owner now logs endpoint_changed with 'unreachable' or 'crashed' and told_by, the host that told it; its own readings log 'silent' as before. No logic is changed.

--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -440,10 +440,12 @@
             now = asyncio.get_running_loop().time()
             pool.policy.observe_release(pool.state, known, request, now)
             if request.outcome == Outcome.ENDPOINT_UNREACHABLE:
-                self._mark_unreachable(pool, find_current_engine(known))
+                self._mark_unreachable(
+                    pool, find_current_engine(known), 'unreachable', sender
+                )
             if request.outcome == Outcome.ENDPOINT_FAILED:
                 pool.state.reservations_by_request_id[request_id] = known
-                self.handle_crash(pool, find_current_engine(known))
+                self.handle_crash(pool, find_current_engine(known), sender)
                 del pool.state.reservations_by_request_id[request_id]
             if request.outcome == Outcome.COMPLETE and request.finished:
                 process = self._process(pool, find_current_engine(known))
@@ -473,19 +475,37 @@
             release = build_expiry_release(pool, held)
             pool.policy.observe_release(pool.state, held, release, now)
 
-    def _mark_unreachable(self, pool: OwnedPool, engine_id: str) -> None:
+    def _mark_unreachable(
+        self, pool: OwnedPool, engine_id: str, change: str, sender: str
+    ) -> None:
         """Withholds new work from an engine until its next report is read."""
         entry = self._blackboard.endpoints_by_id.get(engine_id)
-        if entry is not None and entry.unreachable_since is None:
-            entry.unreachable_since = asyncio.get_running_loop().time()
-            self._refresh_engines(pool)
+        if entry is None or entry.unreachable_since is not None:
+            return
+        entry.unreachable_since = asyncio.get_running_loop().time()
+        self._blackboard.events.emit(
+            EventKind.ENDPOINT_CHANGED,
+            endpoint=engine_id,
+            change=change,
+            service=entry.service,
+            role=entry.role or '',
+            told_by=sender,
+        )
+        self._refresh_engines(pool)
 
-    def handle_crash(self, pool: OwnedPool, engine_id: str) -> None:
+    def handle_crash(
+        self, pool: OwnedPool, engine_id: str, sender: str = ''
+    ) -> None:
         """Counts a crash against the requests that the engine was running.
 
         One crash shows several times: as broken streams and as a new start
         number in the engine's report. All signs of one process within
         CRASH_WINDOW_S count as one crash.
+
+        Args:
+            pool: the pool of the engine.
+            engine_id: id of the engine.
+            sender: the host that told of it, '' for this host's own reading.
         """
         now = asyncio.get_running_loop().time()
         process = self._process(pool, engine_id)
@@ -498,7 +518,7 @@
             if now - at < CRASH_WINDOW_S
         }
         pool.crashed_at_by_process[process] = now
-        self._mark_unreachable(pool, engine_id)
+        self._mark_unreachable(pool, engine_id, 'crashed', sender)
         in_flight = find_reservations_on(pool, engine_id)
         self._suspicions.record_crash(
             process,
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -105,6 +105,7 @@
             'version',
             'list_version',
             'busy_s',
+            'told_by',
         ),
     ),
     EventKind.ENDPOINT_CRASHED: EventRule(
