Call endpoints through another host where this one has lost its links

Cause: a host knew one way to an endpoint, its own connection, and took a failure of it for the endpoint's. Evidence: refused connections to all workers at the cut hosts only, while the other hosts served all of their plain requests.

Now a host that fails to connect asks another one whether it reaches the endpoint. If so, calls to it go through that host until a direct try in the background succeeds; a host that has lost several endpoints and reached none since takes all links as lost. A host whose links work sends nothing more than before. The first host keeps the request with its attempts, permits, retry budget, quarantines and deadline; the other one makes the call itself, never passes it on, and tells what the endpoint states. It forwards 64 calls and 8 MiB of bodies at a time, refuses beyond that, and closes an answer when its host gives it up, falls silent or restarts. A lost reply counts as 'may have run', a connection that was not made as 'not run'. Hosts of earlier releases are not asked.

Weighed: a TCP tunnel (an end of the other host would look like the end of an answer without length), moving the whole request to the other host (attempts, permits and budgets would be counted twice), leaving the balancer's rotation (open connections stay, and half of a data centre that is not ready counts as ready).

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -101,6 +101,8 @@
         met_at: loop time at which its present process was heard first.
         grants_permits: whether its version may own rate limits.
         keeps_versions: whether it keeps the software versions of streams.
+        forwards: whether its process has said that it calls endpoints for
+            others.
         gone_at: loop time at which its process was found to have ended.
     """
 
@@ -124,6 +126,7 @@
     met_at: float = -math.inf
     grants_permits: bool = True
     keeps_versions: bool = True
+    forwards: bool = False
     gone_at: float = -math.inf
 
     @property
--- a/mustardscale/exceptions.py
+++ b/mustardscale/exceptions.py
@@ -42,6 +42,13 @@
     """The connection was refused: nothing listens at the address."""
 
 
+class EndpointOutOfReachError(EndpointUnreachableError):
+    """No host that was asked has links to the endpoints.
+
+    This shows nothing of the endpoint's own state.
+    """
+
+
 class EndpointFailedError(MustardscaleError):
     """The connection was lost after bytes of the request may have left.
 
@@ -78,7 +85,11 @@
     """A peer could not be reached or did not answer in time."""
 
 
-class PeerGoneError(PeerUnavailableError):
+class PeerNotReachedError(PeerUnavailableError):
+    """No connection to the peer was made, so nothing was sent to it."""
+
+
+class PeerGoneError(PeerNotReachedError):
     """Nothing listens at the peer's address: its process has ended."""
 
 
--- /dev/null
+++ b/mustardscale/forwarding/forward_server.py
@@ -0,0 +1,390 @@
+"""Calls endpoints for hosts that have lost their links to them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+from collections.abc import AsyncIterator, Iterator
+
+import msgspec
+
+from mustardscale.active_requests import ActiveRequests
+from mustardscale.background_tasks import BackgroundTasks
+from mustardscale.blackboard import Blackboard, EndpointEntry
+from mustardscale.controller import Controller
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointGoneError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeError,
+)
+from mustardscale.forwarding.forwarded_calls import (
+    pack_handle,
+    pack_headers,
+    unpack_call,
+    unpack_handle,
+)
+from mustardscale.forwarding.forwarding_endpoint import (
+    ForwardingControl,
+    ForwardingEndpoint,
+)
+from mustardscale.forwarding.link_monitor import LinkMonitor, ReadStart
+from mustardscale.peers.forward_messages import (
+    NO_LIMIT,
+    ForwardCall,
+    ForwardClose,
+    ForwardKind,
+    ForwardOutcome,
+    ForwardPart,
+    ForwardRead,
+    ForwardReply,
+)
+from mustardscale.peers.peer_calls import PeerCalls
+from mustardscale.peers.peer_messages import Acknowledgement
+from mustardscale.relay.relay_endpoint import EndpointAnswer, RelayClients
+from mustardscale.reporting.event_log import EventKind
+from mustardscale.reporting.metrics import Metrics
+
+# Requests forwarded at the same time at most, and the bytes of their bodies.
+MAX_OPEN_CALLS = 64
+MAX_OPEN_BYTES = 8 * 1024 * 1024
+# Time that a call for the next part waits for it, seconds.
+READ_WAIT_S = 2.0
+# Bytes in one part at most.
+MAX_PART_BYTES = 262_144
+# Time without a call for the next part after which an answer is closed,
+# seconds. A caller may be slow to take what was read before.
+UNREAD_TIMEOUT_S = 30.0
+# Time after a request's deadline at which its answer is closed, seconds.
+DEADLINE_MARGIN_S = 0.5
+EXPIRY_INTERVAL_S = 0.25
+_SENDING_KINDS = (ForwardKind.RUN, ForwardKind.PREFILL)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _OpenAnswer:
+    """An answer that another host reads.
+
+    Attributes:
+        sender: the host.
+        incarnation: start number of its process when it asked.
+        answer: the endpoint's answer.
+        chunks: its content.
+        ends_at: loop time at which it is closed.
+        read_at: loop time of the last call for a part.
+        next_chunk: the part that is being read.
+        rest: bytes that were read and not yet passed on.
+    """
+
+    sender: str
+    incarnation: int
+    answer: EndpointAnswer
+    chunks: AsyncIterator[bytes]
+    ends_at: float
+    read_at: float
+    next_chunk: asyncio.Future[bytes] | None = None
+    rest: bytes = b''
+
+    def close(self) -> None:
+        """Closes the answer."""
+        if self.next_chunk is not None:
+            self.next_chunk.cancel()
+        self.answer.close()
+
+
+class ForwardServer(Controller):
+    """Serves the calls that other hosts have forwarded here."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        calls: PeerCalls,
+        clients: RelayClients,
+        monitor: LinkMonitor,
+        active: ActiveRequests,
+        metrics: Metrics,
+    ):
+        self._board = board
+        self._clients = clients
+        self._monitor = monitor
+        self._active = active
+        self._metrics = metrics
+        self._background = BackgroundTasks()
+        self._numbers = itertools.count(1)
+        self._open_by_number: dict[int, _OpenAnswer] = {}
+        self._open_calls = 0
+        self._open_bytes = 0
+        monitor.find_direct = self._find_direct
+        calls.handle(ForwardCall, self._on_call)
+        calls.handle(ForwardRead, self._on_read)
+        calls.handle(ForwardClose, self._on_close)
+        metrics.add_gauge('forwarded_calls_open', lambda: self._open_calls)
+
+    async def run(self) -> None:
+        """Closes answers that nobody reads any more."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            for number, opened in list(self._open_by_number.items()):
+                if self._is_abandoned(opened, now):
+                    self._end(number)
+            self._monitor.links.retain_only(set(self._board.endpoints_by_id))
+
+    def _is_abandoned(self, opened: _OpenAnswer, now: float) -> bool:
+        sender = self._board.hosts_by_id.get(opened.sender)
+        return (
+            now > opened.ends_at
+            or now - opened.read_at > UNREAD_TIMEOUT_S
+            or sender is None
+            or sender.silent
+            or sender.incarnation != opened.incarnation
+        )
+
+    def _end(self, number: int) -> None:
+        opened = self._open_by_number.pop(number, None)
+        if opened is not None:
+            opened.close()
+            self._leave()
+
+    def _leave(self) -> None:
+        self._open_calls -= 1
+        self._active.leave()
+
+    def _find_direct(self, endpoint_id: str) -> ReadStart | None:
+        """Returns what asks an endpoint directly, None if it is gone."""
+        client = self._clients.relay(endpoint_id)
+        if not isinstance(client, ForwardingEndpoint):
+            return None
+        return client.direct.read_start
+
+    async def _on_call(self, sender: str, call: ForwardCall) -> ForwardReply:
+        entry = self._board.endpoints_by_id.get(call.endpoint)
+        if entry is None:
+            return ForwardReply(ForwardOutcome.UNREACHED, 'not listed')
+        reply = await self._make_reply(sender, entry, call)
+        self._metrics.count(f'forwarded_calls_{reply.outcome.value}')
+        if call.kind in _SENDING_KINDS:
+            self._board.events.emit(
+                EventKind.CALL_FORWARDED,
+                call.request.id,
+                endpoint=call.endpoint,
+                call=call.kind.value,
+                sender=sender,
+                outcome=reply.outcome.value,
+                detail=reply.detail,
+            )
+        return self._add_notices(entry, reply)
+
+    async def _make_reply(
+        self, sender: str, entry: EndpointEntry, call: ForwardCall
+    ) -> ForwardReply:
+        """Makes the call and returns how it ended."""
+        now = asyncio.get_running_loop().time()
+        sends = call.kind in _SENDING_KINDS
+        if sends and not entry.takes_work(now):
+            return ForwardReply(
+                ForwardOutcome.UNREACHED,
+                'the endpoint takes no calls',
+                in_touch=True,
+            )
+        if (
+            self._monitor.links.is_cut_off
+            and entry.id in self._monitor.links.lost_by_id
+        ):
+            self._monitor.try_directly(entry.id)
+            return ForwardReply(ForwardOutcome.UNREACHED, 'links lost here')
+        try:
+            return await self._call(sender, entry, call)
+        except EndpointUnreachableError as error:
+            self._monitor.suspect(entry.id)
+            return ForwardReply(
+                ForwardOutcome.UNREACHED,
+                str(error),
+                gone=isinstance(error, EndpointGoneError),
+                in_touch=await self._monitor.is_in_touch(entry.id, now),
+            )
+        except EndpointRefusedError as error:
+            return ForwardReply(ForwardOutcome.REFUSED, error.reason)
+        except EndpointFailedError as error:
+            if error.crashed:
+                self._monitor.suspect(entry.id)
+            outcome = ForwardOutcome.FAILED
+            in_touch = True
+            if not sends:
+                outcome = ForwardOutcome.UNREACHED
+                in_touch = await self._monitor.is_in_touch(entry.id, now)
+            return ForwardReply(
+                outcome, str(error), error.crashed, in_touch=in_touch
+            )
+
+    async def _call(
+        self, sender: str, entry: EndpointEntry, call: ForwardCall
+    ) -> ForwardReply:
+        """Makes a call over this host's own links."""
+        client = self._clients.relay(entry.id)
+        if not isinstance(client, ForwardingEndpoint):
+            raise EndpointUnreachableError('the endpoint is gone')
+        if call.kind is ForwardKind.REPORT:
+            return await self._report(entry.id)
+        if call.kind is ForwardKind.START:
+            start = await client.direct.read_start()
+            return ForwardReply(ForwardOutcome.DONE, start=start)
+        if call.kind is ForwardKind.FREE:
+            handle = unpack_handle(call.handle)
+            if handle is not None:
+                await client.direct.free(handle)
+            return ForwardReply(ForwardOutcome.DONE)
+        return await self._send(sender, client, call)
+
+    async def _report(self, engine_id: str) -> ForwardReply:
+        control = self._clients.control(engine_id)
+        if not isinstance(control, ForwardingControl):
+            raise EndpointUnreachableError('the engine is gone')
+        report = await control.direct.report()
+        self._monitor.record_reached(engine_id)
+        return ForwardReply(
+            ForwardOutcome.DONE, report=msgspec.json.encode(report)
+        )
+
+    async def _send(
+        self, sender: str, client: ForwardingEndpoint, call: ForwardCall
+    ) -> ForwardReply:
+        """Sends a request to run or to prefill, if there is room for it."""
+        size = len(call.request.body)
+        if (
+            self._board.draining
+            or self._open_calls >= MAX_OPEN_CALLS
+            or self._open_bytes + size > MAX_OPEN_BYTES
+        ):
+            return ForwardReply(ForwardOutcome.OVERLOADED)
+        try:
+            self._active.enter()
+        except OutcomeError as error:
+            return ForwardReply(ForwardOutcome.OVERLOADED, error.detail)
+        self._open_calls += 1
+        kept_open = False
+        try:
+            with self._count_bytes(size):
+                relayed = unpack_call(call.request, call.handle)
+                if call.kind is ForwardKind.PREFILL:
+                    handle = await client.direct.prefill(relayed)
+                    return ForwardReply(
+                        ForwardOutcome.DONE, handle=pack_handle(handle)
+                    )
+                answer = await client.direct.run(relayed)
+            kept_open = True
+            return self._open(sender, answer, relayed.deadline_at)
+        finally:
+            if not kept_open:
+                self._leave()
+
+    @contextlib.contextmanager
+    def _count_bytes(self, size: int) -> Iterator[None]:
+        """Counts the bytes of a body while it is sent."""
+        self._open_bytes += size
+        try:
+            yield
+        finally:
+            self._open_bytes -= size
+
+    def _open(
+        self, sender: str, answer: EndpointAnswer, deadline_at: float
+    ) -> ForwardReply:
+        """Keeps an answer open for its host to read."""
+        number = next(self._numbers)
+        host = self._board.hosts_by_id.get(sender)
+        self._open_by_number[number] = _OpenAnswer(
+            sender,
+            host.incarnation if host is not None else 0,
+            answer,
+            answer.chunks(),
+            deadline_at + DEADLINE_MARGIN_S,
+            asyncio.get_running_loop().time(),
+        )
+        return ForwardReply(
+            ForwardOutcome.DONE,
+            status=answer.head.status,
+            headers=pack_headers(answer.head.headers),
+            framing=answer.framing.value,
+            stream=number,
+        )
+
+    def _add_notices(
+        self, entry: EndpointEntry, reply: ForwardReply
+    ) -> ForwardReply:
+        """Adds what the endpoint has stated of itself to this host."""
+        now = asyncio.get_running_loop().time()
+        notice = entry.notice
+        limit_per_s = NO_LIMIT
+        if (
+            notice.rate_limit is not None
+            and notice.rate_limit.per_s is not None
+        ):
+            limit_per_s = notice.rate_limit.per_s
+        return dataclasses.replace(
+            reply,
+            leaving=notice.leaving,
+            busy_s=max(0.0, notice.busy_until - now),
+            limit_per_s=limit_per_s,
+        )
+
+    async def _on_read(self, sender: str, read: ForwardRead) -> ForwardPart:
+        opened = self._open_by_number.get(read.stream)
+        if opened is None or opened.sender != sender:
+            return ForwardPart(failed=True, detail='the answer was closed')
+        opened.read_at = asyncio.get_running_loop().time()
+        if opened.rest:
+            return _next_part(opened)
+        try:
+            return await self._read(read.stream, opened)
+        except asyncio.CancelledError:
+            # The other host has given the answer up, or has ended.
+            self._end(read.stream)
+            raise
+
+    async def _read(self, number: int, opened: _OpenAnswer) -> ForwardPart:
+        """Waits for the next part of an answer."""
+        if opened.next_chunk is None:
+            opened.next_chunk = asyncio.ensure_future(_next(opened.chunks))
+        chunk = opened.next_chunk
+        await asyncio.wait([chunk], timeout=READ_WAIT_S)
+        if not chunk.done():
+            return ForwardPart()
+        if chunk.cancelled():
+            return ForwardPart(failed=True, detail='the answer was closed')
+        opened.next_chunk = None
+        error = chunk.exception()
+        if error is None and chunk.result():
+            opened.rest = chunk.result()
+            return _next_part(opened)
+        self._end(number)
+        if error is None:
+            return ForwardPart(ended=True)
+        crashed = isinstance(error, EndpointFailedError) and error.crashed
+        return ForwardPart(failed=True, detail=str(error), crashed=crashed)
+
+    async def _on_close(
+        self, sender: str, close: ForwardClose
+    ) -> Acknowledgement:
+        opened = self._open_by_number.get(close.stream)
+        if opened is not None and opened.sender == sender:
+            self._end(close.stream)
+        return Acknowledgement()
+
+
+async def _next(chunks: AsyncIterator[bytes]) -> bytes:
+    """Returns the next bytes that are not empty, none at the end."""
+    async for data in chunks:
+        if data:
+            return data
+    return b''
+
+
+def _next_part(opened: _OpenAnswer) -> ForwardPart:
+    """Takes a part from the bytes that were read."""
+    data = opened.rest[:MAX_PART_BYTES]
+    opened.rest = opened.rest[MAX_PART_BYTES:]
+    return ForwardPart(data)
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -22,6 +22,7 @@
 from mustardscale.hosts.quorum import Quorum
 from mustardscale.hosts.stated_limits import StatedLimits, merge_statement
 from mustardscale.hosts.stream_copies import StreamCopies
+from mustardscale.peers.forward_messages import ForwardCall
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat
 
@@ -134,6 +135,13 @@
         ]
         await asyncio.gather(*(self._exchange(host) for host in hosts))
 
+    async def meet(self, host: str) -> None:
+        """Exchanges a heartbeat with a host that hubs tell of."""
+        if host not in self._in_flight:
+            task = asyncio.create_task(self._exchange(host))
+            self._in_flight[host] = task
+            await task
+
     def heartbeat(self, peer: str) -> Heartbeat:
         """Returns the heartbeat of this host to a peer."""
         now = asyncio.get_running_loop().time()
@@ -164,6 +172,7 @@
             capacity=board.capacity,
             streams=self._copies.statuses(now) if self._copies else (),
             rate_limits=self._stated_limits.list_for(known, now),
+            forwards=self._calls.handles(ForwardCall),
         )
 
     def _unheard_hosts(self) -> tuple[str, ...]:
@@ -296,6 +305,7 @@
         host.capacity = heartbeat.capacity
         host.grants_permits = heartbeat.grants_permits
         host.keeps_versions = heartbeat.keeps_versions
+        host.forwards = heartbeat.forwards
         self._merge_leaving(heartbeat, now)
         for statement in heartbeat.rate_limits:
             merge_statement(self._blackboard, statement, now)
--- a/mustardscale/peers/peer_calls.py
+++ b/mustardscale/peers/peer_calls.py
@@ -7,7 +7,11 @@
 from typing import Any, TypeVar, cast
 
 from mustardscale.blackboard import Blackboard
-from mustardscale.exceptions import MustardscaleError, PeerUnavailableError
+from mustardscale.exceptions import (
+    MustardscaleError,
+    PeerNotReachedError,
+    PeerUnavailableError,
+)
 from mustardscale.peers.peer_messages import PeerReply, PeerRequest
 from mustardscale.peers.peer_transport import PeerTransport
 
@@ -29,6 +33,10 @@
         """Declares the handler of a request type."""
         self._handler_by_type[request_type] = handler
 
+    def handles(self, request_type: type) -> bool:
+        """Returns whether a request type has a handler."""
+        return request_type in self._handler_by_type
+
     async def dispatch(self, sender: str, request: PeerRequest) -> PeerReply:
         """Hands a request to its handler."""
         handler = self._handler_by_type.get(type(request))
@@ -48,13 +56,14 @@
         """Calls a host.
 
         Raises:
+            PeerNotReachedError: nothing was sent.
             PeerUnavailableError: no reply came; the host may have acted.
         """
         if host == self._blackboard.host:
             return await self._call_self(request, timeout_s)
         entry = self._blackboard.hosts_by_id.get(host)
         if entry is None:
-            raise PeerUnavailableError(f'host {host} is not known')
+            raise PeerNotReachedError(f'host {host} is not known')
         reply = await self._transport.call(
             host, entry.address, request, timeout_s
         )
--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -12,6 +12,7 @@
     PeerCallError,
     PeerFrameError,
     PeerGoneError,
+    PeerNotReachedError,
     PeerUnavailableError,
 )
 from mustardscale.outcomes import Outcome
@@ -67,7 +68,7 @@
             PeerUnavailableError: no usable reply came.
         """
         if len(self._future_by_call) >= self._limits.calls:
-            raise PeerUnavailableError('too many calls in flight')
+            raise PeerNotReachedError('too many calls in flight')
         call_id = next(self._call_ids)
         data = _encode_request(call_id, request)
         future: asyncio.Future[Frame] = (
@@ -171,7 +172,7 @@
         """Returns the open connection, connecting if there is none.
 
         Raises:
-            PeerUnavailableError: the attempt failed, or the last one failed
+            PeerNotReachedError: the attempt failed, or the last one failed
                 a short time ago.
             PeerGoneError: this attempt was refused. An earlier refusal says
                 nothing of a process that may have started since.
@@ -185,13 +186,13 @@
                 return self._connection
             wait_s = self._retry_at - asyncio.get_running_loop().time()
             if wait_s > 0:
-                raise PeerUnavailableError(
+                raise PeerNotReachedError(
                     f'{self._host} failed; next attempt in {wait_s:.3f} s'
                 )
             connection = await self._attempt()
             if self._closing:
                 await connection.close()
-                raise PeerUnavailableError('this host is shutting down')
+                raise PeerNotReachedError('this host is shutting down')
             self._connection = connection
             return connection
 
@@ -221,7 +222,7 @@
             detail = f'no connection to {self._host}: {error!r}'
             if isinstance(error, ConnectionRefusedError):
                 raise PeerGoneError(detail) from error
-            raise PeerUnavailableError(detail) from error
+            raise PeerNotReachedError(detail) from error
         self._failures = 0
         return connection
 
@@ -253,7 +254,7 @@
         return encode_frame(Frame(FrameKind.REQUEST, call_id, request))
     except PeerFrameError as error:
         log.exception('request not sent', extra={'code': int(error.outcome)})
-        raise PeerUnavailableError(f'not sent: {error}') from error
+        raise PeerNotReachedError(f'not sent: {error}') from error
 
 
 def _reply_of(frame: Frame, request: PeerRequest) -> PeerReply:
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -36,6 +36,11 @@
     versionNotice @28 :VersionNotice;
     versionLookup @29 :VersionLookup;
     versionReply @30 :VersionReply;
+    forwardCall @31 :ForwardCall;
+    forwardReply @32 :ForwardReply;
+    forwardRead @33 :ForwardRead;
+    forwardPart @34 :ForwardPart;
+    forwardClose @35 :ForwardClose;
   }
 }
 
@@ -136,6 +141,7 @@
   rateLimits @22 :List(RateLimitStatement);
   grantsPermits @23 :Bool;
   keepsVersions @24 :Bool;
+  forwards @25 :Bool;
 }
 
 struct RateLimitStatement {
@@ -372,3 +378,83 @@
   version @1 :Text;
   keepS @2 :Float64;
 }
+
+enum ForwardKind {
+  run @0;
+  prefill @1;
+  free @2;
+  start @3;
+  report @4;
+}
+
+enum ForwardOutcome {
+  done @0;
+  unreached @1;
+  overloaded @2;
+  refused @3;
+  failed @4;
+}
+
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardedRequest {
+  id @0 :Text;
+  host @1 :Text;
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(HeaderField);
+  body @5 :Data;
+  deadlineS @6 :Float64;
+  resumeAfter @7 :Text;
+}
+
+struct ForwardedHandle {
+  engine @0 :Text;
+  source @1 :Text;
+  key @2 :Text;
+  keepS @3 :Float64;
+}
+
+struct ForwardCall {
+  kind @0 :ForwardKind;
+  endpoint @1 :Text;
+  request @2 :ForwardedRequest;
+  handle @3 :ForwardedHandle;
+}
+
+struct ForwardReply {
+  outcome @0 :ForwardOutcome;
+  detail @1 :Text;
+  crashed @2 :Bool;
+  gone @3 :Bool;
+  inTouch @4 :Bool;
+  status @5 :Int64;
+  headers @6 :List(HeaderField);
+  framing @7 :Text;
+  stream @8 :Int64;
+  handle @9 :ForwardedHandle;
+  start @10 :Int64;
+  report @11 :Data;
+  leaving @12 :Bool;
+  busyS @13 :Float64;
+  limitPerS @14 :Float64;
+}
+
+struct ForwardRead {
+  stream @0 :Int64;
+}
+
+struct ForwardPart {
+  data @0 :Data;
+  ended @1 :Bool;
+  failed @2 :Bool;
+  detail @3 :Text;
+  crashed @4 :Bool;
+}
+
+struct ForwardClose {
+  stream @0 :Int64;
+}
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -17,6 +17,13 @@
     DirectoryRemove,
     DirectoryReply,
 )
+from mustardscale.peers.forward_messages import (
+    ForwardCall,
+    ForwardClose,
+    ForwardPart,
+    ForwardRead,
+    ForwardReply,
+)
 from mustardscale.peers.rate_limit_messages import (
     PermitReply,
     PermitRequest,
@@ -95,6 +102,8 @@
         grants_permits: whether the sender answers a PermitRequest; hosts of
             earlier versions close the connection at it.
         keeps_versions: the same of a VersionNotice and a VersionLookup.
+        forwards: the same of a ForwardCall; hosts of the own interface
+            have no handler for it.
     """
 
     host: str
@@ -122,6 +131,7 @@
     rate_limits: tuple[RateLimitStatement, ...] = ()
     grants_permits: bool = True
     keeps_versions: bool = True
+    forwards: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -424,6 +434,9 @@
     | PermitRequest
     | VersionNotice
     | VersionLookup
+    | ForwardCall
+    | ForwardRead
+    | ForwardClose
 )
 PeerReply = (
     Heartbeat
@@ -439,6 +452,8 @@
     | StreamFetchReply
     | PermitReply
     | VersionReply
+    | ForwardReply
+    | ForwardPart
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -459,4 +474,7 @@
     PermitRequest: PermitReply,
     VersionNotice: Acknowledgement,
     VersionLookup: VersionReply,
+    ForwardCall: ForwardReply,
+    ForwardRead: ForwardPart,
+    ForwardClose: Acknowledgement,
 }
--- a/mustardscale/peers/tcp_peers.py
+++ b/mustardscale/peers/tcp_peers.py
@@ -5,7 +5,10 @@
 import asyncio
 import random
 
-from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.exceptions import (
+    PeerNotReachedError,
+    PeerUnavailableError,
+)
 from mustardscale.peers.peer_connections import OutboundPeer, split_address
 from mustardscale.peers.peer_messages import PeerReply, PeerRequest
 from mustardscale.peers.peer_server import PeerServer
@@ -53,7 +56,7 @@
     ) -> PeerReply:
         """Sends a request and returns the reply; see PeerTransport."""
         if self._closing:
-            raise PeerUnavailableError('this host is shutting down')
+            raise PeerNotReachedError('this host is shutting down')
         peer = self._peer(host, address)
         try:
             async with asyncio.timeout(timeout_s):
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -22,6 +22,10 @@
 from mustardscale.configuration.routes import Route, ServiceSpec
 from mustardscale.controller import Controller, RunningControllers
 from mustardscale.exceptions import OutcomeError
+from mustardscale.forwarding.forward_server import ForwardServer
+from mustardscale.forwarding.forwarders import Forwarders
+from mustardscale.forwarding.forwarding_connector import ForwardingConnector
+from mustardscale.forwarding.link_monitor import LinkMonitor
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.host_list_copy import HostListCopy
 from mustardscale.hosts.host_registration import HostRegistration
@@ -104,10 +108,19 @@
         self._rng = rng
         self._running = RunningControllers()
         self._calls = calls = PeerCalls(board, edges.transport)
-        self._clients = clients = RelayClients(board, edges.connector)
         self._budgets = RetryBudgets(options.allowance)
         suspicions = Suspicions(board)
         self.heartbeats = HeartbeatController(board, calls, options.times, rng)
+        forwarders = Forwarders(
+            board, calls, self.metrics, self.heartbeats.meet, rng
+        )
+        monitor = LinkMonitor(board, forwarders, rng)
+        self._clients = clients = RelayClients(
+            board, ForwardingConnector(edges.connector, monitor)
+        )
+        forward_server = ForwardServer(
+            board, calls, clients, monitor, self.active, self.metrics
+        )
         copies = StreamCopies(
             board, calls, self.heartbeats.hubs, edges.tails, rng
         )
@@ -184,6 +197,7 @@
             SuspicionExpiry(suspicions),
             sharing,
             permits,
+            forward_server,
             self.versions,
             *([version_log] if version_log is not None else []),
             *self._quarantine_controllers(suspicions),
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -39,6 +39,8 @@
     ORDERS_CHANGED = 'orders_changed'
     POOL_DECIDED = 'pool_decided'
     ATTEMPT_FAILED = 'attempt_failed'
+    LINK_CHANGED = 'link_changed'
+    CALL_FORWARDED = 'call_forwarded'
     STREAM_RESUMED = 'stream_resumed'
     ANSWER_ENDED = 'answer_ended'
     VERSION_FOUND = 'version_found'
@@ -162,6 +164,16 @@
         ('endpoint', 'cause', 'detail', 'runs', 'arrivals'),
         rate_per_s=50.0,
     ),
+    EventKind.LINK_CHANGED: EventRule(
+        "This host's own link to an endpoint was lost, replaced by a way "
+        'through another host, or restored.',
+        ('endpoint', 'change', 'lost_s', 'lost', 'cut_off'),
+    ),
+    EventKind.CALL_FORWARDED: EventRule(
+        'A call to an endpoint went through another host.',
+        ('endpoint', 'call', 'via', 'sender', 'outcome', 'detail'),
+        rate_per_s=50.0,
+    ),
     EventKind.STREAM_RESUMED: EventRule(
         'A stream went on at another endpoint.',
         ('endpoint', 'version', 'after', 'runs'),
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,6 +28,7 @@
     ('pools',),
     ('orders', 'claims', 'directory'),
     ('requests', 'relay'),
+    ('forwarding',),
     ('callers',),
     ('operators', 'replay'),
     ('commands', 'router_options', 'relay_options'),
