Ask another host before a lost connection counts as a crash

Cause: the check whether the process runs used the same lost links.

The check now asks other hosts, too, when the endpoint does not answer at once. That nobody reaches it counts only from a host that reaches another endpoint after the loss; if no such host is found, nothing is concluded. It waits 1.2 s at most, 0.5 s before; a refused connection is still told within two round trips.

--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -33,7 +33,7 @@
     ForwardedReply,
     Forwarders,
 )
-from mustardscale.forwarding.link_monitor import LinkMonitor
+from mustardscale.forwarding.link_monitor import SIGN_TIMEOUT_S, LinkMonitor
 from mustardscale.peers.forward_messages import (
     ForwardCall,
     ForwardClose,
@@ -53,6 +53,8 @@
 # The other host answers sooner, without data if there are none.
 READ_TIMEOUT_S = 4.0
 FREE_TIMEOUT_S = 1.0
+# Time after which the other hosts are asked for a sign of life, too, seconds.
+OTHERS_AFTER_S = 0.05
 # Body above which a request is not forwarded, bytes. It fits a frame.
 MAX_BODY_BYTES = 786_432
 
@@ -151,8 +153,45 @@
         await self._send(lambda: self.direct.free(handle), forward)
 
     async def read_start(self) -> int:
-        """See the base class."""
-        return await self.direct.read_start()
+        """See the base class.
+
+        Other hosts are asked, too, if the endpoint does not answer this one at
+        once: a link that this host has lost shows nothing of the process.
+
+        Raises:
+            EndpointOutOfReachError: neither this host nor one that it asked has
+                links to the endpoints.
+        """
+        began_at = asyncio.get_running_loop().time()
+        direct = asyncio.ensure_future(self.direct.read_start())
+        try:
+            await asyncio.wait([direct], timeout=OTHERS_AFTER_S)
+            if direct.done() and _is_answer(direct):
+                return direct.result()
+            return await self._read_start_elsewhere(direct, began_at)
+        finally:
+            direct.cancel()
+            await asyncio.gather(direct, return_exceptions=True)
+
+    async def _read_start_elsewhere(
+        self, direct: asyncio.Future[int], began_at: float
+    ) -> int:
+        call = ForwardCall(ForwardKind.START, self._entry.id)
+        try:
+            forwarded = await self._ask(call, 2 * SIGN_TIMEOUT_S)
+        except EndpointOutOfReachError:
+            await asyncio.wait([direct])
+            if not _is_answer(direct) and not await self._monitor.is_in_touch(
+                self._entry.id, began_at
+            ):
+                raise
+            return direct.result()
+        except EndpointUnreachableError:
+            await asyncio.wait([direct])
+            if _is_answer(direct):
+                return direct.result()
+            raise
+        return forwarded.reply.start
 
     async def _send(
         self,
@@ -276,3 +315,9 @@
     async def close(self) -> None:
         """See the base class."""
         await self.direct.close()
+
+
+def _is_answer(direct: asyncio.Future[int]) -> bool:
+    """Returns whether an endpoint answered, also if it refused."""
+    error = direct.exception()
+    return error is None or isinstance(error, EndpointRefusedError)
--- a/mustardscale/relay/crash_watch.py
+++ b/mustardscale/relay/crash_watch.py
@@ -8,12 +8,15 @@
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
-from mustardscale.exceptions import MustardscaleError
+from mustardscale.exceptions import (
+    EndpointOutOfReachError,
+    MustardscaleError,
+)
 from mustardscale.quarantine.crash_evidence import ProcessId
 from mustardscale.quarantine.suspicions import AFTERMATH_S, Suspicions
 from mustardscale.relay.relay_endpoint import RelayClients
 
-ALIVE_CHECK_TIMEOUT_S = 0.5
+ALIVE_CHECK_TIMEOUT_S = 1.2
 # Time after which an endpoint that seemed to have crashed is checked once more,
 # seconds. A process that crashed has no successor yet.
 SECOND_CHECK_AFTER_S = 0.5
@@ -171,13 +174,19 @@
         return ProcessId(endpoint_id, entry.notice.start if entry else 0)
 
     async def _is_alive(self, endpoint_id: str) -> bool:
-        """Returns whether an endpoint's process is still running."""
+        """Returns whether an endpoint's process is still running.
+
+        Lost links of this host count for nothing: without a host that has links
+        the process is taken as running.
+        """
         client = self._clients.relay(endpoint_id)
         if client is None:
             return False
         try:
             async with asyncio.timeout(ALIVE_CHECK_TIMEOUT_S):
                 await client.read_start()
+        except EndpointOutOfReachError:
+            return True
         except (MustardscaleError, TimeoutError):
             return False
         return True
