Withhold an engine from all hosts only if its owner does not reach it either way

Two ways to the same fault, that what one host reaches was taken for the engine's state: the owner read no reports over its own lost links, and a report of a cut host (1010) marked the engine for all until its next reading.

The owner now reads reports through another host where its links are lost, and reads an engine's report at once when a host tells that it did not reach it; it withholds the engine if that reading fails, too. Orders are never forwarded: who gives them is judged by the host that sends them.

--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
+import msgspec
+
 from mustardscale.blackboard import EndpointEntry
 from mustardscale.endpoints.engines import (
     CacheEvent,
@@ -34,12 +36,14 @@
     Forwarders,
 )
 from mustardscale.forwarding.link_monitor import SIGN_TIMEOUT_S, LinkMonitor
+from mustardscale.json_content import decode_json
 from mustardscale.peers.forward_messages import (
     ForwardCall,
     ForwardClose,
     ForwardKind,
     ForwardPart,
     ForwardRead,
+    ForwardReply,
 )
 from mustardscale.relay.endpoint_listener import EndpointListener
 from mustardscale.relay.relay_endpoint import (
@@ -53,6 +57,7 @@
 # The other host answers sooner, without data if there are none.
 READ_TIMEOUT_S = 4.0
 FREE_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 0.9
 # Time after which the other hosts are asked for a sign of life, too, seconds.
 OTHERS_AFTER_S = 0.05
 # Body above which a request is not forwarded, bytes. It fits a frame.
@@ -289,8 +294,8 @@
 class ForwardingControl(EngineControl):
     """Control client of one engine.
 
-    Orders never go through another host: who gives them is told by the host
-    that sends them.
+    Reports come through another host where links are lost. Orders never do:
+    who gives them is told by the host that sends them.
     """
 
     def __init__(
@@ -302,7 +307,30 @@
 
     async def report(self) -> LoadReport:
         """See the base class."""
-        return await self.direct.report()
+        endpoint_id = self._entry.id
+        if self._monitor.links.is_forwarded(endpoint_id):
+            self._monitor.try_directly(endpoint_id)
+            return await self._forward_report()
+        try:
+            report = await self.direct.report()
+        except EndpointUnreachableError:
+            if not await self._monitor.is_forwarded_after(endpoint_id):
+                raise
+            return await self._forward_report()
+        except EndpointFailedError as error:
+            if error.crashed:
+                self._monitor.suspect(endpoint_id)
+            raise
+        self._monitor.record_reached(endpoint_id)
+        return report
+
+    async def _forward_report(self) -> LoadReport:
+        call = ForwardCall(ForwardKind.REPORT, self._entry.id)
+        forwarded = await self._monitor.forwarders.call(
+            self._entry, call, REPORT_TIMEOUT_S
+        )
+        raise_failure(forwarded.reply, forwarded.host)
+        return decode_report(forwarded.reply)
 
     async def order(self, order: EngineOrder) -> None:
         """See the base class."""
@@ -317,6 +345,18 @@
         await self.direct.close()
 
 
+def decode_report(reply: ForwardReply) -> LoadReport:
+    """Returns the load report in a reply.
+
+    Raises:
+        EndpointFailedError: it cannot be read.
+    """
+    try:
+        return decode_json(reply.report, LoadReport)
+    except msgspec.MsgspecError as error:
+        raise EndpointFailedError(f'forwarded report: {error}') from error
+
+
 def _is_answer(direct: asyncio.Future[int]) -> bool:
     """Returns whether an endpoint answered, also if it refused."""
     error = direct.exception()
--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -8,6 +8,7 @@
 import math
 import random
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.controller import Controller, pause
 from mustardscale.endpoints.endpoint_clients import ControlClients
@@ -79,6 +80,9 @@
         self._report_interval_s = report_interval_s
         self._poll_state_by_id: dict[str, _PollState] = {}
         self._in_flight: dict[str, asyncio.Task[None]] = {}
+        self._background = BackgroundTasks()
+        self._checking: set[str] = set()
+        pool_owner.check_engine = self.check
 
     async def run(self) -> None:
         """Polls the engines of the owned pools, less often in idle ones."""
@@ -95,6 +99,38 @@
         finally:
             for task in self._in_flight.values():
                 task.cancel()
+            self._background.cancel()
+
+    def check(self, pool: OwnedPool, engine_id: str, sender: str) -> None:
+        """Reads an engine's report at once since a host did not reach it.
+
+        That host may have lost its own links, so its word alone does not count.
+
+        Args:
+            pool: the pool of the engine.
+            engine_id: id of the engine.
+            sender: the host.
+        """
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        now = asyncio.get_running_loop().time()
+        if entry is None or entry.busy(now) or engine_id in self._checking:
+            return
+        self._checking.add(engine_id)
+        self._background.start(self._check(pool, engine_id, sender))
+
+    async def _check(
+        self, pool: OwnedPool, engine_id: str, sender: str
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        poll_state = self._poll_state_by_id.setdefault(
+            engine_id, _PollState(now)
+        )
+        try:
+            await self._poll(pool, engine_id, poll_state, True)
+        finally:
+            self._checking.discard(engine_id)
+        if poll_state.failed:
+            self._pool_owner.mark_unreachable(pool, engine_id, sender)
 
     def _start_polls(self, pool: OwnedPool) -> None:
         now = asyncio.get_running_loop().time()
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import random
+from collections.abc import Callable
 
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.configuration.config_records import Profile, ServiceKind
@@ -76,6 +77,8 @@
 # seconds. A harmful one ends its engine as it begins to write.
 CLEARED_AFTER_S = 2.0
 
+EngineCheck = Callable[[OwnedPool, str, str], None]
+
 _STAGE_ORDER = {stage: number for number, stage in enumerate(StreamStage)}
 
 
@@ -85,6 +88,7 @@
     Attributes:
         owned_by_id: the pools that this host owns now.
         pools_acquired: notified when this host becomes the owner of a pool.
+        check_engine: called with an engine that a host did not reach.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         self._settle_s = settle_s
         self.owned_by_id: dict[str, OwnedPool] = {}
         self.pools_acquired = Signal()
+        self.check_engine: EngineCheck = self.mark_unreachable
         self._admission_arrived = Signal()
         self._profiles_digest = 0
         self._profile_by_service: dict[str, Profile] = {}
@@ -440,9 +445,7 @@
             now = asyncio.get_running_loop().time()
             pool.policy.observe_release(pool.state, known, request, now)
             if request.outcome == Outcome.ENDPOINT_UNREACHABLE:
-                self._mark_unreachable(
-                    pool, find_current_engine(known), 'unreachable', sender
-                )
+                self.check_engine(pool, find_current_engine(known), sender)
             if request.outcome == Outcome.ENDPOINT_FAILED:
                 pool.state.reservations_by_request_id[request_id] = known
                 self.handle_crash(pool, find_current_engine(known), sender)
@@ -475,10 +478,21 @@
             release = build_expiry_release(pool, held)
             pool.policy.observe_release(pool.state, held, release, now)
 
-    def _mark_unreachable(
-        self, pool: OwnedPool, engine_id: str, change: str, sender: str
+    def mark_unreachable(
+        self,
+        pool: OwnedPool,
+        engine_id: str,
+        sender: str,
+        change: str = 'unreachable',
     ) -> None:
-        """Withholds new work from an engine until its next report is read."""
+        """Withholds new work from an engine until its next report is read.
+
+        Args:
+            pool: the pool of the engine.
+            engine_id: id of the engine.
+            sender: the host that told of it, '' for this host's own reading.
+            change: what became of the engine, for the log.
+        """
         entry = self._blackboard.endpoints_by_id.get(engine_id)
         if entry is None or entry.unreachable_since is not None:
             return
@@ -518,7 +532,7 @@
             if now - at < CRASH_WINDOW_S
         }
         pool.crashed_at_by_process[process] = now
-        self._mark_unreachable(pool, engine_id, 'crashed', sender)
+        self.mark_unreachable(pool, engine_id, sender, 'crashed')
         in_flight = find_reservations_on(pool, engine_id)
         self._suspicions.record_crash(
             process,
