Find other lost links at once, and ask more hosts for a way

When another host reaches an endpoint that this one lost, it now tries two further links at once and checks those that fail, so that one lost request suffices. Six hosts are asked, those that failed in the last 2 s last instead of not at all: a host that is overloaded with requests still tells whether it reaches an endpoint.

--- a/mustardscale/commands/command_explain.py
+++ b/mustardscale/commands/command_explain.py
@@ -28,6 +28,7 @@
         EventKind.ENDPOINT_CHANGED,
         EventKind.RATE_LIMIT_CHANGED,
         EventKind.ENDPOINT_CRASHED,
+        EventKind.LINK_CHANGED,
         EventKind.QUARANTINE_CHANGED,
         EventKind.ORDERS_CHANGED,
         EventKind.READINESS_CHANGED,
--- a/mustardscale/forwarding/forward_server.py
+++ b/mustardscale/forwarding/forward_server.py
@@ -96,7 +96,11 @@
 
 
 class ForwardServer(Controller):
-    """Serves the calls that other hosts have forwarded here."""
+    """Serves the calls that other hosts have forwarded here.
+
+    Attributes:
+        open_calls: requests that are being forwarded now.
+    """
 
     def __init__(
         self,
@@ -115,13 +119,13 @@
         self._background = BackgroundTasks()
         self._numbers = itertools.count(1)
         self._open_by_number: dict[int, _OpenAnswer] = {}
-        self._open_calls = 0
+        self.open_calls = 0
         self._open_bytes = 0
         monitor.find_direct = self._find_direct
         calls.handle(ForwardCall, self._on_call)
         calls.handle(ForwardRead, self._on_read)
         calls.handle(ForwardClose, self._on_close)
-        metrics.add_gauge('forwarded_calls_open', lambda: self._open_calls)
+        metrics.add_gauge('forwarded_calls_open', lambda: self.open_calls)
 
     async def run(self) -> None:
         """Closes answers that nobody reads any more."""
@@ -150,7 +154,7 @@
             self._leave()
 
     def _leave(self) -> None:
-        self._open_calls -= 1
+        self.open_calls -= 1
         self._active.leave()
 
     def _find_direct(self, endpoint_id: str) -> ReadStart | None:
@@ -256,7 +260,7 @@
         size = len(call.request.body)
         if (
             self._board.draining
-            or self._open_calls >= MAX_OPEN_CALLS
+            or self.open_calls >= MAX_OPEN_CALLS
             or self._open_bytes + size > MAX_OPEN_BYTES
         ):
             return ForwardReply(ForwardOutcome.OVERLOADED)
@@ -264,7 +268,7 @@
             self._active.enter()
         except OutcomeError as error:
             return ForwardReply(ForwardOutcome.OVERLOADED, error.detail)
-        self._open_calls += 1
+        self.open_calls += 1
         kept_open = False
         try:
             with self._count_bytes(size):
--- a/mustardscale/forwarding/forwarders.py
+++ b/mustardscale/forwarding/forwarders.py
@@ -28,11 +28,13 @@
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
 
-# Other hosts that are asked for one call at most.
-MAX_ASKED_HOSTS = 3
-# Time for which a host is not asked again, seconds: one that reaches no
-# endpoint either, and one that forwards as much as it may or does not answer.
-OUT_OF_TOUCH_S = 0.5
+# Other hosts that are asked for one call at most. A third of them may have lost
+# their links, too.
+MAX_ASKED_HOSTS = 6
+# Time for which other hosts are asked before one, seconds: one that does not
+# answer or has no links to the endpoints either, and one that forwards as much
+# as it may.
+OUT_OF_TOUCH_S = 2.0
 OVERLOADED_S = 0.2
 # Hosts that a host knows to forward calls before it meets no others.
 ENOUGH_FORWARDERS = 8
@@ -138,8 +140,8 @@
     def _choose(self, endpoint: EndpointEntry) -> list[str]:
         """Returns the hosts to ask, in order.
 
-        Hosts in the endpoint's data centre come first; among them large ones
-        more often than small ones.
+        Hosts in the endpoint's data centre come first, among them large ones
+        more often than small ones. Hosts that failed lately come last.
         """
         now = asyncio.get_running_loop().time()
         forwarding = [
@@ -153,18 +155,18 @@
             host.id: self._rng.random() ** (1.0 / max(0.01, host.capacity))
             for host in forwarding
         }
-        ranked = sorted(
-            (
-                host
-                for host in forwarding
-                if self._avoided_until_by_host.get(host.id, now) <= now
-            ),
+        forwarding.sort(
             key=lambda host: (
                 host.data_centre != endpoint.data_centre,
                 -weight_by_id[host.id],
-            ),
+            )
         )
-        return _spread(ranked)[:MAX_ASKED_HOSTS]
+        avoided = [h for h in forwarding if self._is_avoided(h.id, now)]
+        preferred = [h for h in forwarding if not self._is_avoided(h.id, now)]
+        return [*_spread(preferred), *_spread(avoided)][:MAX_ASKED_HOSTS]
+
+    def _is_avoided(self, host: str, now: float) -> bool:
+        return self._avoided_until_by_host.get(host, now) > now
 
     def _meet_others(self) -> None:
         """Meets some hosts of which only hubs tell, to learn if they forward.
--- a/mustardscale/forwarding/link_monitor.py
+++ b/mustardscale/forwarding/link_monitor.py
@@ -110,8 +110,28 @@
         link.is_forwarded = reached
         if not reached:
             link.nobody_at = now
+        elif not self.links.is_cut_off:
+            # The endpoint runs, so this host may have lost other links, too.
+            self._background.start(self._try_others(endpoint_id))
         return reached
 
+    async def _try_others(self, endpoint_id: str) -> None:
+        """Tries the links to some other endpoints, and checks those lost."""
+        names = self._draw_others(endpoint_id)
+        await asyncio.gather(
+            *(self._try(name) for name in names if name not in self._trying)
+        )
+
+    def _draw_others(self, endpoint_id: str) -> list[str]:
+        """Returns some endpoints other than one that are not leaving."""
+        now = asyncio.get_running_loop().time()
+        others = [
+            entry.id
+            for entry in self._board.endpoints_by_id.values()
+            if entry.id != endpoint_id and not entry.leaving(now)
+        ]
+        return self._rng.sample(others, min(MAX_WITNESSES, len(others)))
+
     def suspect(self, endpoint_id: str) -> None:
         """Checks a link after a connection over it was lost."""
         if endpoint_id not in self._trying:
@@ -159,15 +179,9 @@
         """
         if self.links.reached_at > since:
             return True
-        now = asyncio.get_running_loop().time()
-        others = [
-            entry.id
-            for entry in self._board.endpoints_by_id.values()
-            if entry.id != endpoint_id and not entry.leaving(now)
-        ]
-        if not others:
+        witnesses = self._draw_others(endpoint_id)
+        if not witnesses:
             return True
-        witnesses = self._rng.sample(others, min(MAX_WITNESSES, len(others)))
         answers = await asyncio.gather(
             *(self._answers_directly(name) for name in witnesses)
         )
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -84,6 +84,7 @@
         pool_owner: admission to the pools owned here.
         permit_owner: permits of the rate limits owned here.
         versions: the software versions of streams.
+        forward_server: calls endpoints for other hosts.
     """
 
     def __init__(
@@ -118,7 +119,7 @@
         self._clients = clients = RelayClients(
             board, ForwardingConnector(edges.connector, monitor)
         )
-        forward_server = ForwardServer(
+        self.forward_server = ForwardServer(
             board, calls, clients, monitor, self.active, self.metrics
         )
         copies = StreamCopies(
@@ -197,7 +198,7 @@
             SuspicionExpiry(suspicions),
             sharing,
             permits,
-            forward_server,
+            self.forward_server,
             self.versions,
             *([version_log] if version_log is not None else []),
             *self._quarantine_controllers(suspicions),
--- a/standins/cut_fleet.py
+++ b/standins/cut_fleet.py
@@ -15,7 +15,11 @@
     ServiceSpec,
 )
 from mustardscale.endpoints.engines import EngineControl
-from mustardscale.exceptions import EndpointGoneError, OutcomeError
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointGoneError,
+    OutcomeError,
+)
 from mustardscale.hosts.host_list import ListedHost, ListedKind
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.relay.endpoint_listener import EndpointListener
@@ -49,10 +53,14 @@
         alive: whether its process runs.
         ran: ids of the requests that it ran.
         running: number of requests that it runs.
+        work_s: seconds that a request takes.
+        loses_answers: whether it runs requests and gives no answer.
     """
 
     id: str
     alive: bool = True
+    work_s: float = WORK_S
+    loses_answers: bool = False
     ran: list[str] = dataclasses.field(default_factory=list)
     running: int = 0
 
@@ -82,9 +90,11 @@
         self._model.ran.append(call.request.id)
         self._model.running += 1
         try:
-            await asyncio.sleep(WORK_S)
+            await asyncio.sleep(self._model.work_s)
         finally:
             self._model.running -= 1
+        if self._model.loses_answers:
+            raise EndpointFailedError('the answer is lost')
         return _PlainAnswer()
 
     async def prefill(self, call: RelayCall) -> PrefillHandle:
