Wait for the check of a lost connection before a repeat, and ask less of endpoints

A repeat right after a lost connection went over another link of the same host and was lost, too. Calls now wait, 0.1 s at most, while a lost connection is being checked; where no connection was lost nothing waits.

--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -206,6 +206,7 @@
         """Calls the endpoint directly, or through another host if need be."""
         endpoint_id = self._entry.id
         monitor = self._monitor
+        await monitor.settle()
         now = asyncio.get_running_loop().time()
         if monitor.links.is_forwarded(endpoint_id):
             monitor.try_directly(endpoint_id)
--- a/mustardscale/forwarding/link_monitor.py
+++ b/mustardscale/forwarding/link_monitor.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import Blackboard
@@ -56,6 +57,8 @@
         self._background = BackgroundTasks()
         self._check_by_endpoint: dict[str, asyncio.Task[bool]] = {}
         self._trying: set[str] = set()
+        # Checks of links over which a connection was lost.
+        self._suspicions: set[asyncio.Task[object]] = set()
 
     def record_reached(self, endpoint_id: str) -> None:
         """Records that an endpoint answered this host directly."""
@@ -112,9 +115,24 @@
             link.nobody_at = now
         elif not self.links.is_cut_off:
             # The endpoint runs, so this host may have lost other links, too.
-            self._background.start(self._try_others(endpoint_id))
+            self._start_suspicion(self._try_others(endpoint_id))
         return reached
 
+    def _start_suspicion(self, check: Coroutine[Any, Any, None]) -> None:
+        task = self._background.start(check)
+        self._suspicions.add(task)
+        task.add_done_callback(self._suspicions.discard)
+
+    async def settle(self) -> None:
+        """Waits shortly for the checks that a lost connection has started.
+
+        A repeat over another link would be lost, too, if this host is cut off.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + QUICK_CHECK_S
+        while self._suspicions and (left_s := ends_at - loop.time()) > 0:
+            await asyncio.wait(self._suspicions, timeout=left_s)
+
     async def _try_others(self, endpoint_id: str) -> None:
         """Tries the links to some other endpoints, and checks those lost."""
         names = self._draw_others(endpoint_id)
@@ -135,7 +153,7 @@
     def suspect(self, endpoint_id: str) -> None:
         """Checks a link after a connection over it was lost."""
         if endpoint_id not in self._trying:
-            self._background.start(self._try(endpoint_id))
+            self._start_suspicion(self._try(endpoint_id))
 
     def try_directly(self, endpoint_id: str) -> None:
         """Tries a lost link again in the background, at intervals."""
@@ -147,8 +165,13 @@
     async def _try(self, endpoint_id: str) -> None:
         self._trying.add(endpoint_id)
         try:
-            if not await self._answers_directly(endpoint_id):
+            if await self._answers_directly(endpoint_id):
+                return
+            link = self.links.lost_by_id.get(endpoint_id)
+            if link is None or not link.is_forwarded:
                 await self.start_check(endpoint_id)
+            else:
+                link.tried_at = asyncio.get_running_loop().time()
         finally:
             self._trying.discard(endpoint_id)
 
