--- a/mustardscale/forwarding/link_monitor.py
+++ b/mustardscale/forwarding/link_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -128,10 +129,10 @@
 
         A repeat over another link would be lost, too, if this host is cut off.
         """
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + QUICK_CHECK_S
-        while self._suspicions and (left_s := ends_at - loop.time()) > 0:
-            await asyncio.wait(self._suspicions, timeout=left_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(QUICK_CHECK_S):
+                while self._suspicions:
+                    await asyncio.wait(self._suspicions)
 
     async def _try_others(self, endpoint_id: str) -> None:
         """Tries the links to some other endpoints, and checks those lost."""
--- a/tests/test_membership_gone.py
+++ b/tests/test_membership_gone.py
@@ -23,6 +23,9 @@
     def handle(self, request_type, handler):
         pass
 
+    def handles(self, request_type):
+        return False
+
     async def call(self, host, request, reply_type, timeout_s):
         if self.error is not None:
             raise self.error
