--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults limits crashes versions soak bench load clean
+.PHONY: test run up faults limits crashes versions cuts soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -48,6 +48,9 @@
 versions: $(STAMP)
 	$(PY) -m standins.version_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
 
+cuts: $(STAMP)
+	$(PY) -m standins.cut_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
+
 soak: $(STAMP)
 	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
 
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -8,6 +8,7 @@
 from standins.crash_fleet import SERVICE, STABLE_S
 from standins.cut_fleet import BOOK, READ, SERVED_SHARE, CutFleet
 from standins.cut_links import CutMode
+from standins.cut_runs import play_seed
 from tests.virtual_time import virtual_time
 
 RATE_PER_S = 40.0
@@ -165,6 +166,14 @@
         await fleet.stop()
 
 
+class TestDrawnCuts:
+    """Drawn cuts, overlapping and beside other faults."""
+
+    @pytest.mark.parametrize('seed', range(1, 5))
+    def test_seed(self, seed):
+        play_seed(seed, 6)
+
+
 class TestNoWay:
     """Requests that no host can bring to an endpoint."""
 
