--- a/standins/crash_runs.py
+++ b/standins/crash_runs.py
@@ -117,7 +117,7 @@
             await self._refuse_links(host, fault.for_s)
             return
         fleet.begin_fault(host)
-        await self._harm(host, fault)
+        await fleet.harm(host, fault.kind, fault.for_s)
         fleet.end_fault(host)
 
     async def _refuse_links(self, host: str, for_s: float) -> None:
@@ -128,21 +128,6 @@
         for engine in engines:
             engine.unreachable_hosts.discard(host)
 
-    async def _harm(self, host: str, fault: FleetFault) -> None:
-        fleet = self.fleet
-        if fault.kind == 'restart':
-            await fleet.kill_host(host)
-            await asyncio.sleep(fault.for_s)
-            await fleet.start_host(host)
-        elif fault.kind == 'freeze':
-            fleet.peers.freeze(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.peers.thaw(host)
-        else:
-            fleet.cut_host(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.restore_host(host)
-
 
 def play_seed(seed: int, hosts: int) -> CrashRun:
     """Plays a seed on virtual time.
--- a/standins/cut_runs.py
+++ b/standins/cut_runs.py
@@ -142,25 +142,10 @@
         elif len(fleet.router_by_host) > 1:
             host = self._rng.choice(sorted(fleet.router_by_host))
             fleet.begin_fault(host)
-            await self._harm(host, fault)
+            await fleet.harm(host, fault.kind, fault.for_s)
             fleet.end_fault(host)
         self._harmed.append((began_at, loop.time() + STABLE_S))
 
-    async def _harm(self, host: str, fault: FleetFault) -> None:
-        fleet = self.fleet
-        if fault.kind == 'restart':
-            await fleet.kill_host(host)
-            await asyncio.sleep(fault.for_s)
-            await fleet.start_host(host)
-        elif fault.kind == 'freeze':
-            fleet.peers.freeze(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.peers.thaw(host)
-        else:
-            fleet.cut_host(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.restore_host(host)
-
     def _judged(self, at_cut_hosts: bool) -> list[FirstTry]:
         """Returns the first tries that count, of cut hosts or of the others.
 
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -169,6 +169,28 @@
         for other in list(self.router_by_host):
             self.peers.restore(host, other)
 
+    async def harm(self, host: str, kind: str, for_s: float) -> None:
+        """Harms a host for a time.
+
+        Args:
+            host: id of the host.
+            kind: 'restart', 'freeze', or anything else for a cut from its
+                peers.
+            for_s: how long, seconds.
+        """
+        if kind == 'restart':
+            await self.kill_host(host)
+            await asyncio.sleep(for_s)
+            await self.start_host(host)
+        elif kind == 'freeze':
+            self.peers.freeze(host)
+            await asyncio.sleep(for_s)
+            self.peers.thaw(host)
+        else:
+            self.cut_host(host)
+            await asyncio.sleep(for_s)
+            self.restore_host(host)
+
     def is_up(self, host: str) -> bool:
         """Returns whether a host runs."""
         return host in self.router_by_host
--- a/standins/limit_runs.py
+++ b/standins/limit_runs.py
@@ -134,19 +134,10 @@
         if len(fleet.router_by_host) < 2:
             return
         host = self._rng.choice(sorted(fleet.router_by_host))
-        if fault.kind in ('kill', 'restart'):
+        if fault.kind == 'kill':
             await fleet.kill_host(host)
-            if fault.kind == 'restart':
-                await asyncio.sleep(fault.for_s)
-                await fleet.start_host(host)
-        elif fault.kind == 'freeze':
-            fleet.peers.freeze(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.peers.thaw(host)
         else:
-            fleet.cut_host(host)
-            await asyncio.sleep(fault.for_s)
-            fleet.restore_host(host)
+            await fleet.harm(host, fault.kind, fault.for_s)
 
     def _late_refusals(self) -> list[str]:
         """Returns refusals that came late, or without a time to return."""
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -75,7 +75,9 @@
         assert not fleet.false_outcomes()
         await fleet.stop()
 
-    @pytest.mark.parametrize('mode', [CutMode.HANG, CutMode.REFUSED])
+    @pytest.mark.parametrize(
+        'mode', [CutMode.HANG, CutMode.REFUSED, CutMode.RESET]
+    )
     @virtual_time
     async def test_callers_of_many_cut_hosts_are_served(self, mode):
         fleet = CutFleet(195, decode_engines=12, plain_endpoints=8)
