Close a forwarded answer whose reply was lost, and name link checks plainly

An answer whose first reply never arrived ran on at its endpoint until 30 s had passed without a call for a part, since its host does not know its number. It is closed after 2 s now; a new test loses the reply and failed on the timeout of before by its bound. A host that hubs tell of with another incarnation is met again before it is asked, as its new process may be of an earlier release.

Renamed: reaches_others, check_lost_connection, wait_for_link_checks, unreached_at, which were named after the users' pages or other parts of the code.

--- a/mustardscale/forwarding/endpoint_links.py
+++ b/mustardscale/forwarding/endpoint_links.py
@@ -14,7 +14,7 @@
 LOST_BEFORE_CUT_OFF = 2
 # Time for which it counts that no host reached an endpoint, seconds. Until then
 # a host that is cut off sends it nothing and tries it in the background.
-NOBODY_REACHES_S = 2.0
+UNREACHED_S = 2.0
 # Interval between tries to reach a lost endpoint directly, seconds.
 DIRECT_TRY_INTERVAL_S = 0.4
 
@@ -27,13 +27,13 @@
         lost_at: loop time of the first failed try.
         tried_at: loop time of the last one.
         is_forwarded: whether another host reaches the endpoint.
-        nobody_at: loop time at which no host was found to reach it.
+        unreached_at: loop time at which no host was found to reach it.
     """
 
     lost_at: float
     tried_at: float
     is_forwarded: bool = False
-    nobody_at: float = -math.inf
+    unreached_at: float = -math.inf
 
 
 class EndpointLinks:
@@ -86,13 +86,13 @@
     def is_out_of_reach(self, endpoint_id: str, now: float) -> bool:
         """Returns whether neither this host nor another reaches an endpoint.
 
-        This is known for NOBODY_REACHES_S, and only where this host is cut off:
+        This is known for UNREACHED_S, and only where this host is cut off:
         otherwise the endpoint may have just started.
         """
         if not self.is_cut_off:
             return False
         link = self.lost_by_id.get(endpoint_id)
-        return link is not None and now - link.nobody_at < NOBODY_REACHES_S
+        return link is not None and now - link.unreached_at < UNREACHED_S
 
     def needs_direct_try(self, endpoint_id: str, now: float) -> bool:
         """Returns whether the link should be tried again in the background."""
--- a/mustardscale/forwarding/forward_server.py
+++ b/mustardscale/forwarding/forward_server.py
@@ -58,6 +58,9 @@
 # Time without a call for the next part after which an answer is closed,
 # seconds. A caller may be slow to take what was read before.
 UNREAD_TIMEOUT_S = 30.0
+# The same before the first call for a part, which follows the reply at once
+# unless the reply was lost.
+FIRST_READ_TIMEOUT_S = 2.0
 # Time after a request's deadline at which its answer is closed, seconds.
 DEADLINE_MARGIN_S = 0.5
 EXPIRY_INTERVAL_S = 0.25
@@ -74,7 +77,8 @@
         answer: the endpoint's answer.
         chunks: its content.
         ends_at: loop time at which it is closed.
-        read_at: loop time of the last call for a part.
+        read_at: loop time of the last call for a part, or of the reply.
+        was_read: whether a part was called for.
         next_chunk: the part that is being read.
         rest: bytes that were read and not yet passed on.
     """
@@ -87,6 +91,7 @@
     read_at: float
     next_chunk: asyncio.Future[bytes] | None = None
     rest: bytes = b''
+    was_read: bool = False
 
     def close(self) -> None:
         """Closes the answer."""
@@ -139,9 +144,10 @@
 
     def _is_abandoned(self, opened: _OpenAnswer, now: float) -> bool:
         sender = self._board.hosts_by_id.get(opened.sender)
+        unread_s = UNREAD_TIMEOUT_S if opened.was_read else FIRST_READ_TIMEOUT_S
         return (
             now > opened.ends_at
-            or now - opened.read_at > UNREAD_TIMEOUT_S
+            or now - opened.read_at > unread_s
             or sender is None
             or sender.silent
             or sender.incarnation != opened.incarnation
@@ -192,7 +198,7 @@
             return ForwardReply(
                 ForwardOutcome.UNREACHED,
                 'the endpoint takes no calls',
-                in_touch=True,
+                reaches_others=True,
             )
         if (
             self._monitor.links.is_cut_off
@@ -203,25 +209,32 @@
         try:
             return await self._call(sender, entry, call)
         except EndpointUnreachableError as error:
-            self._monitor.suspect(entry.id)
+            self._monitor.check_lost_connection(entry.id)
             return ForwardReply(
                 ForwardOutcome.UNREACHED,
                 str(error),
                 gone=isinstance(error, EndpointGoneError),
-                in_touch=await self._monitor.is_in_touch(entry.id, now),
+                reaches_others=await self._monitor.reaches_others(
+                    entry.id, now
+                ),
             )
         except EndpointRefusedError as error:
             return ForwardReply(ForwardOutcome.REFUSED, error.reason)
         except EndpointFailedError as error:
             if error.crashed:
-                self._monitor.suspect(entry.id)
+                self._monitor.check_lost_connection(entry.id)
             outcome = ForwardOutcome.FAILED
-            in_touch = True
+            reaches_others = True
             if not sends:
                 outcome = ForwardOutcome.UNREACHED
-                in_touch = await self._monitor.is_in_touch(entry.id, now)
+                reaches_others = await self._monitor.reaches_others(
+                    entry.id, now
+                )
             return ForwardReply(
-                outcome, str(error), error.crashed, in_touch=in_touch
+                outcome,
+                str(error),
+                error.crashed,
+                reaches_others=reaches_others,
             )
 
     async def _call(
@@ -340,6 +353,7 @@
         if opened is None or opened.sender != sender:
             return ForwardPart(failed=True, detail='the answer was closed')
         opened.read_at = asyncio.get_running_loop().time()
+        opened.was_read = True
         if opened.rest:
             return _next_part(opened)
         try:
--- a/mustardscale/forwarding/forwarders.py
+++ b/mustardscale/forwarding/forwarders.py
@@ -122,7 +122,10 @@
                 detail = f'{host} is overloaded'
                 self._avoid(host, OVERLOADED_S)
                 continue
-            if reply.outcome is ForwardOutcome.UNREACHED and not reply.in_touch:
+            if (
+                reply.outcome is ForwardOutcome.UNREACHED
+                and not reply.reaches_others
+            ):
                 detail = f'{host} has no links to the endpoints either'
                 self._avoid(host, OUT_OF_TOUCH_S)
                 continue
--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -35,7 +35,7 @@
     ForwardedReply,
     Forwarders,
 )
-from mustardscale.forwarding.link_monitor import SIGN_TIMEOUT_S, LinkMonitor
+from mustardscale.forwarding.link_monitor import LIVENESS_TIMEOUT_S, LinkMonitor
 from mustardscale.json_content import decode_json
 from mustardscale.peers.forward_messages import (
     ForwardCall,
@@ -58,7 +58,7 @@
 READ_TIMEOUT_S = 4.0
 FREE_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.9
-# Time after which the other hosts are asked for a sign of life, too, seconds.
+# Time after which the other hosts are asked for the start number, too, seconds.
 OTHERS_AFTER_S = 0.05
 # Body above which a request is not forwarded, bytes. It fits a frame.
 MAX_BODY_BYTES = 786_432
@@ -183,10 +183,12 @@
     ) -> int:
         call = ForwardCall(ForwardKind.START, self._entry.id)
         try:
-            forwarded = await self._ask(call, 2 * SIGN_TIMEOUT_S)
+            forwarded = await self._ask(call, 2 * LIVENESS_TIMEOUT_S)
         except EndpointOutOfReachError:
             await asyncio.wait([direct])
-            if not _is_answer(direct) and not await self._monitor.is_in_touch(
+            if not _is_answer(
+                direct
+            ) and not await self._monitor.reaches_others(
                 self._entry.id, began_at
             ):
                 raise
@@ -206,7 +208,7 @@
         """Calls the endpoint directly, or through another host if need be."""
         endpoint_id = self._entry.id
         monitor = self._monitor
-        await monitor.settle()
+        await monitor.wait_for_link_checks()
         now = asyncio.get_running_loop().time()
         if monitor.links.is_forwarded(endpoint_id):
             monitor.try_directly(endpoint_id)
@@ -225,7 +227,7 @@
                 raise
         except EndpointFailedError as error:
             if error.crashed:
-                monitor.suspect(endpoint_id)
+                monitor.check_lost_connection(endpoint_id)
             raise
         return await forward()
 
@@ -320,7 +322,7 @@
             return await self._forward_report()
         except EndpointFailedError as error:
             if error.crashed:
-                self._monitor.suspect(endpoint_id)
+                self._monitor.check_lost_connection(endpoint_id)
             raise
         self._monitor.record_reached(endpoint_id)
         return report
--- a/mustardscale/forwarding/link_monitor.py
+++ b/mustardscale/forwarding/link_monitor.py
@@ -25,11 +25,11 @@
 )
 from mustardscale.reporting.event_log import EventKind
 
-# Time after which an endpoint that was asked for a sign of life is given up,
+# Time after which an endpoint that was asked for its start number is given up,
 # seconds.
-SIGN_TIMEOUT_S = 0.4
+LIVENESS_TIMEOUT_S = 0.4
 # Other endpoints that are asked whether this host has links to any.
-MAX_WITNESSES = 2
+MAX_OTHERS = 2
 # Time for which a call waits to learn whether another host reaches its
 # endpoint, seconds.
 QUICK_CHECK_S = 0.1
@@ -59,7 +59,7 @@
         self._check_by_endpoint: dict[str, asyncio.Task[bool]] = {}
         self._trying: set[str] = set()
         # Checks of links over which a connection was lost.
-        self._suspicions: set[asyncio.Task[object]] = set()
+        self._link_checks: set[asyncio.Task[object]] = set()
 
     def record_reached(self, endpoint_id: str) -> None:
         """Records that an endpoint answered this host directly."""
@@ -100,7 +100,7 @@
         call = ForwardCall(ForwardKind.START, endpoint_id)
         try:
             forwarded = await self.forwarders.call(
-                entry, call, 2 * SIGN_TIMEOUT_S
+                entry, call, 2 * LIVENESS_TIMEOUT_S
             )
             reached = forwarded.reply.outcome is ForwardOutcome.DONE
         except (EndpointUnreachableError, EndpointFailedError):
@@ -113,26 +113,26 @@
             self._log(endpoint_id, 'forwarded', now - link.lost_at)
         link.is_forwarded = reached
         if not reached:
-            link.nobody_at = now
+            link.unreached_at = now
         elif not self.links.is_cut_off:
             # The endpoint runs, so this host may have lost other links, too.
-            self._start_suspicion(self._try_others(endpoint_id))
+            self._start_link_check(self._try_others(endpoint_id))
         return reached
 
-    def _start_suspicion(self, check: Coroutine[Any, Any, None]) -> None:
+    def _start_link_check(self, check: Coroutine[Any, Any, None]) -> None:
         task = self._background.start(check)
-        self._suspicions.add(task)
-        task.add_done_callback(self._suspicions.discard)
+        self._link_checks.add(task)
+        task.add_done_callback(self._link_checks.discard)
 
-    async def settle(self) -> None:
+    async def wait_for_link_checks(self) -> None:
         """Waits shortly for the checks that a lost connection has started.
 
         A repeat over another link would be lost, too, if this host is cut off.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(QUICK_CHECK_S):
-                while self._suspicions:
-                    await asyncio.wait(self._suspicions)
+                while self._link_checks:
+                    await asyncio.wait(self._link_checks)
 
     async def _try_others(self, endpoint_id: str) -> None:
         """Tries the links to some other endpoints, and checks those lost."""
@@ -149,12 +149,12 @@
             for entry in self._board.endpoints_by_id.values()
             if entry.id != endpoint_id and not entry.leaving(now)
         ]
-        return self._rng.sample(others, min(MAX_WITNESSES, len(others)))
+        return self._rng.sample(others, min(MAX_OTHERS, len(others)))
 
-    def suspect(self, endpoint_id: str) -> None:
+    def check_lost_connection(self, endpoint_id: str) -> None:
         """Checks a link after a connection over it was lost."""
         if endpoint_id not in self._trying:
-            self._start_suspicion(self._try(endpoint_id))
+            self._start_link_check(self._try(endpoint_id))
 
     def try_directly(self, endpoint_id: str) -> None:
         """Tries a lost link again in the background, at intervals."""
@@ -182,7 +182,7 @@
         if read_start is None:
             return False
         try:
-            async with asyncio.timeout(SIGN_TIMEOUT_S):
+            async with asyncio.timeout(LIVENESS_TIMEOUT_S):
                 await read_start()
         except EndpointRefusedError:
             return True
@@ -190,11 +190,11 @@
             return False
         return True
 
-    async def is_in_touch(self, endpoint_id: str, since: float) -> bool:
+    async def reaches_others(self, endpoint_id: str, since: float) -> bool:
         """Returns whether this host has links to endpoints other than one.
 
         Only then its failure to reach that one shows something of it. Without
-        any other endpoint to ask the host takes itself as in touch.
+        any other endpoint to ask, the answer is yes.
 
         Args:
             endpoint_id: the endpoint that it does not reach.
@@ -203,11 +203,11 @@
         """
         if self.links.reached_at > since:
             return True
-        witnesses = self._draw_others(endpoint_id)
-        if not witnesses:
+        others = self._draw_others(endpoint_id)
+        if not others:
             return True
         answers = await asyncio.gather(
-            *(self._answers_directly(name) for name in witnesses)
+            *(self._answers_directly(name) for name in others)
         )
         return any(answers)
 
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -366,6 +366,9 @@
             or host.incarnation != heard.incarnation
             or host.draining != heard.draining
         )
+        if host.incarnation != heard.incarnation:
+            # Its new process may be of an earlier release.
+            host.forwards = False
         host.incarnation = heard.incarnation
         host.draining = heard.draining
         if changed and now - told_at <= self._times.dead_after_s:
--- a/mustardscale/peers/forward_messages.py
+++ b/mustardscale/peers/forward_messages.py
@@ -117,8 +117,8 @@
         detail: what happened, for logs.
         crashed: whether the endpoint closed the connection without an answer.
         gone: whether the connection was refused.
-        in_touch: whether the other host reaches other endpoints, so that its
-            failure to reach this one counts.
+        reaches_others: whether the other host reaches other endpoints, so that
+            its failure to reach this one counts.
         status: status of the answer to a request.
         headers: its header fields.
         framing: what marks the end of its content.
@@ -135,7 +135,7 @@
     detail: str = ''
     crashed: bool = False
     gone: bool = False
-    in_touch: bool = False
+    reaches_others: bool = False
     status: int = 0
     headers: tuple[HeaderField, ...] = ()
     framing: str = ''
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -430,7 +430,7 @@
   detail @1 :Text;
   crashed @2 :Bool;
   gone @3 :Bool;
-  inTouch @4 :Bool;
+  reachesOthers @4 :Bool;
   status @5 :Int64;
   headers @6 :List(HeaderField);
   framing @7 :Text;
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,10 +4,16 @@
 
 import pytest
 
+from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.forwarding.endpoint_links import EndpointLinks
 from mustardscale.forwarding.forward_server import MAX_OPEN_CALLS
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.peers.forward_messages import ForwardCall
+from mustardscale.peers.forward_messages import (
+    ForwardCall,
+    ForwardedRequest,
+    ForwardKind,
+    ForwardReply,
+)
 from standins.crash_fleet import SERVICE
 from standins.cut_fleet import BOOK, READ, CutFleet
 from standins.cut_links import CutMode
@@ -182,6 +188,27 @@
         assert running(fleet) == 0
         await fleet.stop()
 
+    @virtual_time
+    async def test_an_answer_that_nobody_reads_is_closed(self):
+        fleet, name = await start_cut()
+        other = next(h for h in fleet.router_by_host if h != name)
+        fleet.peers.lose_replies(other, name, 1.0)
+        router = fleet.router_by_host[name]
+        engine = fleet.decode_engines()[0]
+        call = ForwardCall(
+            ForwardKind.RUN, engine.id, ForwardedRequest('r1', deadline_s=30.0)
+        )
+        asking = asyncio.create_task(
+            router._calls.call(other, call, ForwardReply, 1.0)
+        )
+        await asyncio.sleep(0.5)
+        assert running(fleet) == 1
+        with pytest.raises(PeerUnavailableError):
+            await asking
+        await asyncio.sleep(2.0)
+        assert running(fleet) == 0
+        await fleet.stop()
+
 
 class TestBounds:
     """What one host takes on for others."""
