Send no request for another host over links that were not tried while cut off

Cause: a cut host that was asked to send a request for another cut one refused only for endpoints whose link it had found lost itself. Over the other links it sent the request, lost it, and the first host could not tell whether it had run. Of six failed requests that were traced four were lost in this way while their host had long known that it was cut.

Change: a host that takes itself as cut off sends no request for others. It still asks for start numbers and reports over links that it has not tried.

--- a/mustardscale/forwarding/forward_server.py
+++ b/mustardscale/forwarding/forward_server.py
@@ -200,10 +200,9 @@
                 'the endpoint takes no calls',
                 reaches_others=True,
             )
-        if (
-            self._monitor.links.is_cut_off
-            and entry.id in self._monitor.links.lost_by_id
-        ):
+        # A link that was not tried may be asked, but carries no request.
+        links = self._monitor.links
+        if links.is_cut_off and (sends or entry.id in links.lost_by_id):
             self._monitor.try_directly(entry.id)
             return ForwardReply(ForwardOutcome.UNREACHED, 'links lost here')
         try:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -140,6 +140,18 @@
         assert running(fleet) == 0
         await fleet.stop()
 
+    @virtual_time
+    async def test_a_host_that_is_cut_off_itself_sends_no_request(self):
+        fleet, name = await start_cut(mode=CutMode.RESET)
+        second = next(iter(fleet.router_by_host))
+        fleet.links.cut(second, CutMode.RESET)
+        for route in (SERVICE, READ):
+            await fleet.try_once(second, route)
+        await asyncio.sleep(0.1)
+        tries = [await fleet.try_once(name, BOOK) for _ in range(20)]
+        assert {one.outcome for one in tries} == {Outcome.COMPLETE}
+        await fleet.stop()
+
     @virtual_time
     async def test_a_draining_host_is_passed_over(self):
         fleet, name = await start_cut()
