Test a data centre without links, and most hosts of 195

The tests of cut hosts knew drawn hosts only, a third of 195 at most, and at 195 hosts not the way in which open connections live on. Added: all hosts of the data centre of the pool's owner, of six hosts, in four ways; 65 of 195 with open connections alive; 180 of 195 reset.

--- a/mustardscale/forwarding/forwarders.py
+++ b/mustardscale/forwarding/forwarders.py
@@ -34,7 +34,7 @@
 # Time for which other hosts are asked before one, seconds: one that does not
 # answer or has no links to the endpoints either, and one that forwards as much
 # as it may.
-OUT_OF_TOUCH_S = 2.0
+UNREACHED_RETRY_S = 2.0
 OVERLOADED_S = 0.2
 # Hosts that a host knows to forward calls before it meets no others.
 ENOUGH_FORWARDERS = 8
@@ -109,10 +109,10 @@
                 reply = await self.calls.call(host, call, ForwardReply, left_s)
             except PeerNotReachedError as error:
                 detail = str(error)
-                self._avoid(host, OUT_OF_TOUCH_S)
+                self._avoid(host, UNREACHED_RETRY_S)
                 continue
             except PeerUnavailableError as error:
-                self._avoid(host, OUT_OF_TOUCH_S)
+                self._avoid(host, UNREACHED_RETRY_S)
                 self._log(call, host, 'lost', str(error))
                 if call.kind in (ForwardKind.RUN, ForwardKind.PREFILL):
                     raise EndpointFailedError(f'{host}: {error}') from error
@@ -127,7 +127,7 @@
                 and not reply.reaches_others
             ):
                 detail = f'{host} has no links to the endpoints either'
-                self._avoid(host, OUT_OF_TOUCH_S)
+                self._avoid(host, UNREACHED_RETRY_S)
                 continue
             return ForwardedReply(host, reply)
         raise EndpointOutOfReachError(detail)
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -36,6 +36,18 @@
     return (owners + [host for host in hosts if host not in owners])[:count]
 
 
+def hosts_of_a_data_centre(fleet):
+    """Returns all hosts of the data centre of the pool's owner."""
+    [owner] = cut_hosts(fleet, 1)
+    boards = {
+        host: router.blackboard for host, router in fleet.router_by_host.items()
+    }
+    place = boards[owner].data_centre
+    return [
+        host for host, board in boards.items() if board.data_centre == place
+    ]
+
+
 async def play_cut(fleet, cut, mode, rate_per_s=RATE_PER_S):
     """Plays calm, a cut and calm; returns when the cut began and ended."""
     load = asyncio.create_task(
@@ -75,14 +87,30 @@
         assert not fleet.false_outcomes()
         await fleet.stop()
 
+    @pytest.mark.parametrize('mode', MODES)
+    @virtual_time
+    async def test_callers_of_a_cut_data_centre_are_served(self, mode):
+        fleet = CutFleet(6)
+        await fleet.start()
+        names = hosts_of_a_data_centre(fleet)
+        began_at, ended_at = await play_cut(fleet, names, mode)
+        span = (began_at + STABLE_S, ended_at)
+        others = fleet.served_share(lambda h: h not in names, *span)
+        own = fleet.served_share(names.__contains__, *span)
+        assert own >= SERVED_SHARE * others
+        assert others >= 1 - 0.02
+        assert not fleet.false_outcomes()
+        await fleet.stop()
+
     @pytest.mark.parametrize(
-        'mode', [CutMode.HANG, CutMode.REFUSED, CutMode.RESET]
+        'mode, cut',
+        [*((mode, 65) for mode in MODES), (CutMode.RESET, 180)],
     )
     @virtual_time
-    async def test_callers_of_many_cut_hosts_are_served(self, mode):
+    async def test_callers_of_many_cut_hosts_are_served(self, mode, cut):
         fleet = CutFleet(195, decode_engines=12, plain_endpoints=8)
         await fleet.start()
-        names = cut_hosts(fleet, 65)
+        names = cut_hosts(fleet, cut)
         began_at, ended_at = await play_cut(fleet, names, mode, 100.0)
         span = (began_at + STABLE_S, ended_at)
         others = fleet.served_share(lambda h: h not in names, *span)
