Give drawn cuts of large fleets room for their requests

The cause is the stand-in: 390 requests a second met the six decode engines of a fleet of six.

Now requests and endpoints grow together with the hosts (195 hosts: 80 a second, 12 decode engines, 8 plain endpoints), and a tenth of the hosts, one at least, keeps its links.

--- a/standins/cut_runs.py
+++ b/standins/cut_runs.py
@@ -18,6 +18,11 @@
 CALM_S = 4.0
 LOADED_S = 30.0
 RATE_PER_S = 40.0
+# Hosts above which there are more requests, and endpoints for them.
+HOSTS_PER_RATE = 80
+# Share of the hosts, and one host at least, that are never cut at once: what
+# they forward for the others is bounded.
+UNCUT_SHARE = 0.1
 LAST_ENDS_S = 8.0
 MAX_CUTS = 4
 CUT_FOR_S = (1.0, 12.0)
@@ -56,7 +61,10 @@
 
     def __init__(self, seed: int, hosts: int):
         rng = self._rng = random.Random(seed)
-        self.fleet = CutFleet(hosts, seed=seed)
+        scale = max(1, round(hosts / HOSTS_PER_RATE))
+        self._rate_per_s = RATE_PER_S * scale
+        self.fleet = CutFleet(hosts, 6 * scale, 4 * scale, seed)
+        self._uncut = max(1, int(UNCUT_SHARE * hosts))
         self._joined = 0
         self._cuts = [
             DrawnCut(
@@ -85,8 +93,9 @@
         fleet = self.fleet
         await fleet.start()
         async with asyncio.TaskGroup() as group:
-            rate_per_s = RATE_PER_S * max(1.0, len(fleet.router_by_host) / 20)
-            group.create_task(fleet.load_routes(rate_per_s, CALM_S + LOADED_S))
+            group.create_task(
+                fleet.load_routes(self._rate_per_s, CALM_S + LOADED_S)
+            )
             for cut in self._cuts:
                 group.create_task(self._cut(cut))
             for fault in self._faults:
@@ -111,7 +120,8 @@
         up = [
             h for h in sorted(self.fleet.router_by_host) if not self._is_cut(h)
         ]
-        hosts = self._rng.sample(up, min(cut.hosts, max(0, len(up) - 1)))
+        most = max(0, len(up) - self._uncut)
+        hosts = self._rng.sample(up, min(cut.hosts, most))
         began_at = loop.time()
         for host in hosts:
             spans = self._cut_at_by_host.setdefault(host, [])
