--- a/review/rig.py
+++ b/review/rig.py
@@ -219,6 +219,11 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    async def wait(self) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        assert self._process is not None
+        return await self._process.wait()
+
     async def end(self) -> None:
         """Ends the process and waits for its end."""
         self.send(signal.SIGCONT)
@@ -333,10 +338,14 @@
             'bounds.retry_window_s': '10',
         }
 
+    async def start_host(self, host: Host) -> None:
+        """Starts the process of an entry host."""
+        await host.start(self._directory, self.fields())
+
     async def start_hosts(self) -> None:
         """Starts the entry hosts and waits until all are ready."""
         for host in self.hosts:
-            await host.start(self._directory, self.fields())
+            await self.start_host(host)
         async with asyncio.timeout(READY_TIMEOUT_S):
             for host in self.hosts:
                 while not await host.is_ready(self.session):  # noqa: ASYNC110
--- a/review/worker.py
+++ b/review/worker.py
@@ -93,7 +93,8 @@
         self, line: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         request_id = headers['x-request-id']
-        say({'runs': request_id, 'line': line})
+        model = headers.get('x-model-name', '').encode('latin-1').hex()
+        say({'runs': request_id, 'line': line, 'model': model})
         await asyncio.sleep(self._plan['work_s'])
         fields = {
             'X-Request-Id': request_id,
