--- a/review/worker.py
+++ b/review/worker.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import sys
+import time
 from typing import Any
 
 
@@ -20,6 +21,7 @@
     def __init__(self, plan: dict[str, Any]):
         self._plan = plan
         self._handles = 0
+        self._sequence = 0
 
     async def run(self) -> None:
         """Serves until the process is ended."""
@@ -36,7 +38,12 @@
             lines = head.split('\r\n')
             pairs = (line.partition(':') for line in lines[1:] if line)
             headers = {name.lower(): value.strip() for name, _, value in pairs}
-            await reader.readexactly(int(headers.get('content-length', 0)))
+            length = int(headers.get('content-length', 0))
+            body = await reader.readexactly(length)
+            if '/mustardscale/order' in lines[0]:
+                self._take_order(json.loads(body), writer)
+                await writer.drain()
+                return
             await self._answer(lines[0], headers, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             return
@@ -54,9 +61,6 @@
             _write_whole(writer, '200 OK', {}, report)
         elif '/mustardscale/kv-handle/' in line:
             _write_whole(writer, '200 OK', {}, b'')
-        elif '/mustardscale/order' in line:
-            say({'order': line})
-            _write_whole(writer, '200 OK', {}, b'')
         elif 'x-request-id' not in headers:
             _write_whole(writer, '400 Bad', {'X-Not-Executed': '1'}, b'')
         elif headers.get('x-serving-phase') == 'prefill':
@@ -72,6 +76,18 @@
             await self._run_request(line, headers['x-request-id'], writer)
         await writer.drain()
 
+    def _take_order(
+        self, order: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> None:
+        """Changes the stage, unless the order is based on an older count."""
+        say({'order': order, 'at': time.time()})
+        if order.get('expect', self._sequence) != self._sequence:
+            _write_whole(writer, '409 Conflict', {}, b'{}')
+            return
+        self._sequence += 1
+        self._plan['phase'] = order['phase']
+        _write_whole(writer, '202 Accepted', {}, b'{}')
+
     def _report(self) -> dict[str, Any]:
         report = {'state': 'ready', 'born': self._plan['born']}
         if not self._plan['phase']:
@@ -80,7 +96,7 @@
             'phase': self._plan['phase'],
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
             'busy': False,
-            'sequence': 0,
+            'sequence': self._sequence,
             'waiting': 0,
             'running': 0,
             'kv_used': 0,
