--- a/review/rig.py
+++ b/review/rig.py
@@ -452,12 +452,18 @@
     record.add(f'trouble {is_troubled()}')
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        # A script that is ended ends its processes, too.
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await main(record)
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f'the case could not run: {error!r}')
         code = NOT_RUN
     record.add(f'exit {code}')
