Draw runs of streams through real processes, judged at the caller

Nothing is changed in the product. Every second host can run another build (--older). The start of hosts moves out of PlatformProcesses.

--- /dev/null
+++ b/standins/host_processes.py
@@ -0,0 +1,120 @@
+"""Entry hosts of the platform as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from collections.abc import Iterable, Sequence
+
+import aiohttp
+
+from standins.local_site import free_addresses
+
+READY_TIMEOUT_S = 60.0
+
+
+class HostProcesses:
+    """The processes of entry hosts; their output goes to NAME.log.
+
+    Attributes:
+        callers_by_host: 'ip:port' for callers of each host.
+        process_by_host: the processes started last.
+    """
+
+    def __init__(self, names: Sequence[str], directory: pathlib.Path):
+        """Chooses the addresses.
+
+        Args:
+            names: ids of the hosts.
+            directory: where settings and logs are kept.
+        """
+        addresses = iter(free_addresses(3 * len(names)))
+        self.callers_by_host = {name: next(addresses) for name in names}
+        self._ready_by_host = {name: next(addresses) for name in names}
+        self._peers_by_host = {name: next(addresses) for name in names}
+        self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
+        self._directory = directory
+
+    def start(
+        self, name: str, store_address: str, code: pathlib.Path | None = None
+    ) -> None:
+        """Starts a host's process.
+
+        Args:
+            name: the host.
+            store_address: 'ip:port' of the store.
+            code: folder of another build of the program, None for this one.
+        """
+        settings = {
+            'host-id': name,
+            'data-centre': 'z',
+            'region': 'r',
+            'callers-listen': self.callers_by_host[name],
+            'ready-listen': self._ready_by_host[name],
+            'peers-listen': self._peers_by_host[name],
+            'seed-addresses': ','.join(
+                address
+                for host, address in self._peers_by_host.items()
+                if host != name
+            ),
+            'store-address': store_address,
+            'prefill-share': 0.34,
+            'drain-notice-s': 0.3,
+            'drain-timeout-s': 3.0,
+        }
+        path = self._directory / f'{name}.conf'
+        path.write_text(
+            ''.join(f'{key} = {value}\n' for key, value in settings.items())
+        )
+        environment = os.environ | {'MUSTARDSCALE_BOOT': str(path)}
+        if code is not None:
+            environment['PYTHONPATH'] = str(code)
+        with (self._directory / f'{name}.log').open('ab') as output:
+            self.process_by_host[name] = subprocess.Popen(
+                [sys.executable, '-m', 'mustardscale.platform'],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+                cwd=code,
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a host's process."""
+        self.process_by_host[name].send_signal(number)
+
+    def end(self, name: str) -> None:
+        """Ends a host's process at once."""
+        process = self.process_by_host[name]
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        process.wait()
+
+    async def wait_ready(self, names: Iterable[str]) -> None:
+        """Waits until hosts say that they are ready.
+
+        Raises:
+            TimeoutError: one of them is not in time.
+        """
+        async with (
+            asyncio.timeout(READY_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            for name in names:
+                while not await self._is_ready(session, name):  # noqa: ASYNC110
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> bool:
+        url = f'http://{self._ready_by_host[name]}/mustardscale/ready'
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -2,20 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import copy
 import json
-import os
 import pathlib
-import signal
-import subprocess
-import sys
 
-import aiohttp
 from aiohttp import web
 
-from standins.local_site import free_addresses
+from standins.host_processes import HostProcesses
 from standins.loopback_proxy import LoopbackProxy
 from standins.platform_plan import CONFIG, worker_entry
 from standins.platform_store import (
@@ -26,7 +20,6 @@
 )
 from standins.platform_worker import PlatformWorker
 
-READY_TIMEOUT_S = 60.0
 EVENT_GAP_S = 0.02
 WORKER_PHASES = {
     'a1': '',
@@ -62,11 +55,10 @@
         }
         self.link_by_worker: dict[str, LoopbackProxy] = {}
         self.store_link_by_host: dict[str, LoopbackProxy] = {}
-        self.callers_by_host: dict[str, str] = {}
-        self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
-        self._ready_by_host: dict[str, str] = {}
-        self._peers_by_host: dict[str, str] = {}
         self._names = [f'h{number}' for number in range(hosts)]
+        self._hosts = HostProcesses(self._names, directory)
+        self.callers_by_host = self._hosts.callers_by_host
+        self.process_by_host = self._hosts.process_by_host
         self._directory = directory
         self._config = copy.deepcopy(CONFIG)
         self._stack = contextlib.AsyncExitStack()
@@ -84,11 +76,8 @@
 
     async def __aexit__(self, *error: object) -> None:
         """Ends the processes and the stand-ins."""
-        for process in self.process_by_host.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
+        for name in self.process_by_host:
+            self._hosts.end(name)
         await self._stack.aclose()
 
     async def _start(self) -> None:
@@ -106,12 +95,8 @@
         self.store.put(
             OPERATOR_TOPIC, 'config', json.dumps(self._config).encode()
         )
-        addresses = iter(free_addresses(3 * len(self._names)))
         for name in self._names:
             self.store_link_by_host[name] = await self._proxy(store_address)
-            self.callers_by_host[name] = next(addresses)
-            self._ready_by_host[name] = next(addresses)
-            self._peers_by_host[name] = next(addresses)
         for name in self._names:
             self.start_host(name)
         await self.wait_ready(self._names)
@@ -170,35 +155,7 @@
 
     def start_host(self, name: str) -> None:
         """Starts a host's process; its output goes to NAME.log."""
-        settings = {
-            'host-id': name,
-            'data-centre': 'z',
-            'region': 'r',
-            'callers-listen': self.callers_by_host[name],
-            'ready-listen': self._ready_by_host[name],
-            'peers-listen': self._peers_by_host[name],
-            'seed-addresses': ','.join(
-                address
-                for host, address in self._peers_by_host.items()
-                if host != name
-            ),
-            'store-address': self.store_link_by_host[name].address,
-            'prefill-share': 0.34,
-            'drain-notice-s': 0.3,
-            'drain-timeout-s': 3.0,
-        }
-        path = self._directory / f'{name}.conf'
-        path.write_text(
-            ''.join(f'{key} = {value}\n' for key, value in settings.items())
-        )
-        with (self._directory / f'{name}.log').open('ab') as output:
-            self.process_by_host[name] = subprocess.Popen(
-                [sys.executable, '-m', 'mustardscale.platform'],
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-                env=os.environ | {'MUSTARDSCALE_BOOT': str(path)},
-            )
+        self._hosts.start(name, self.store_link_by_host[name].address)
 
     async def wait_ready(self, hosts: list[str]) -> None:
         """Waits until hosts say that they are ready.
@@ -206,20 +163,4 @@
         Raises:
             TimeoutError: one of them is not in time.
         """
-        async with (
-            asyncio.timeout(READY_TIMEOUT_S),
-            aiohttp.ClientSession() as session,
-        ):
-            for name in hosts:
-                while not await self._is_ready(session, name):  # noqa: ASYNC110
-                    await asyncio.sleep(0.1)
-
-    async def _is_ready(
-        self, session: aiohttp.ClientSession, name: str
-    ) -> bool:
-        url = f'http://{self._ready_by_host[name]}/mustardscale/ready'
-        try:
-            async with session.get(url) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
+        await self._hosts.wait_ready(hosts)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import struct
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -18,6 +19,9 @@
 
 # Records by topic.
 StoreCopy = dict[str, list[bytes]]
+# What a reader of one address sees of a record, by topic and record.
+RecordView = Callable[[str, bytes], bytes]
+_VIEW_KEY: web.AppKey[RecordView] = web.AppKey('view')
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,9 +88,14 @@
         """Returns the keys that have a value."""
         return {str(item['key']) for item in self._newest(topic)}
 
-    def application(self) -> web.Application:
-        """Returns the application to serve."""
+    def application(self, view: RecordView | None = None) -> web.Application:
+        """Returns the application to serve.
+
+        Args:
+            view: what its readers see of each record, None for the record.
+        """
         application = web.Application()
+        application[_VIEW_KEY] = view or _show_all
         application.on_response_prepare.append(self._tell_era)
         for method, path, handler in (
             ('GET', '/mustardscale/log-newest', self._on_newest),
@@ -108,12 +117,17 @@
     async def _on_newest(self, request: web.Request) -> web.Response:
         topic = request.query['topic']
         end = len(self._records_by_topic[topic])
-        answer = {'items': self._newest(topic), 'has_more': False, 'end': end}
+        items = self._newest(topic, request.app.get(_VIEW_KEY, _show_all))
+        answer = {'items': items, 'has_more': False, 'end': end}
         return self._refuse(request) or web.json_response(answer)
 
-    def _newest(self, topic: str) -> list[dict[str, object]]:
+    def _newest(
+        self, topic: str, view: RecordView | None = None
+    ) -> list[dict[str, object]]:
+        show = view or _show_all
         item_by_key: dict[str, dict[str, object]] = {}
-        for offset, record in enumerate(self._records_by_topic[topic]):
+        for offset, kept in enumerate(self._records_by_topic[topic]):
+            record = show(topic, kept)
             end = 1 + record[0]
             key, value = record[1:end].decode(), record[end:]
             item_by_key[key] = {
@@ -132,7 +146,8 @@
             return web.json_response(
                 {'first_offset': self.faults.forgets_before}, status=410
             )
-        records = self._records_by_topic[request.query['topic']]
+        topic = request.query['topic']
+        records = self._records_by_topic[topic]
         if start > len(records):
             return web.json_response({'first_offset': 0}, status=410)
         wait_s = int(request.query.get('wait_ms', 0)) / 1000
@@ -148,7 +163,9 @@
                 assert request.transport is not None
                 request.transport.close()
                 break
-        body = b''.join(_LENGTH.pack(len(r)) + r for r in records[start:])
+        view = request.app.get(_VIEW_KEY, _show_all)
+        shown = [view(topic, record) for record in records[start:]]
+        body = b''.join(_LENGTH.pack(len(r)) + r for r in shown)
         return web.Response(body=_ENDS.pack(len(records), 0) + body)
 
     async def _on_append(self, request: web.Request) -> web.Response:
@@ -163,3 +180,7 @@
         stop = 1 + record[0]
         offset = self.put(topic, record[1:stop].decode(), record[stop:])
         return web.json_response({'offset': offset, 'end': offset + 1})
+
+
+def _show_all(topic: str, record: bytes) -> bytes:
+    return record
--- /dev/null
+++ b/standins/stream_callers.py
@@ -0,0 +1,261 @@
+"""Callers of streams, who note every byte that they are handed.
+
+They speak HTTP themselves, since a client library hides how an answer without
+length and chunks has ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import random
+from collections.abc import Mapping
+
+from standins.platform_plan import HOST
+from standins.stream_content import StreamText
+
+DEADLINE_MS = 8_000
+# Deadline of a plain request that may be repeated: its first attempt gets a
+# quarter of a second.
+SHORT_DEADLINE_MS = 600
+# Time after which a caller gives up, beyond its deadline, seconds.
+MARGIN_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+# Times that a caller takes a broken stream up.
+MOST_TAKES = 3
+FEWEST_EVENTS, MOST_EVENTS = 3, 30
+PAUSE_S = 0.05
+SLOW_PAUSE_S = 0.05
+SLOW_READ_BYTES = 40
+ROUTE_WEIGHTS = {'chat': 5, 'once': 3, 'read': 2, 'book': 2}
+STREAMS = ('chat', 'once')
+
+
+class AnswerEnd(enum.StrEnum):
+    """How an answer ended at its caller.
+
+    Attributes:
+        WHOLE: as a whole one.
+        BROKEN: it can be seen to be incomplete.
+        NONE: no head came.
+    """
+
+    WHOLE = 'whole'
+    BROKEN = 'broken'
+    NONE = 'none'
+
+
+@dataclasses.dataclass(slots=True)
+class Send:
+    """One send of a request, and what came of it.
+
+    Attributes:
+        id: its id.
+        host: the host that it was sent to.
+        at: loop time at which it was sent.
+        after: id of the last event that the caller had, '' for none.
+        old_protocol: whether it was sent with HTTP/1.0.
+        status: status of the answer, 0 for none.
+        headers: header fields of the answer, names in lower case.
+        body: the bytes of its content.
+        end: how it ended.
+        ended_at: loop time of its end.
+    """
+
+    id: str
+    host: str
+    at: float
+    after: str = ''
+    old_protocol: bool = False
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    end: AnswerEnd = AnswerEnd.NONE
+    ended_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request with its sends; only streams have more than one.
+
+    Attributes:
+        route: name of its route.
+        text: the stream that it asks for; a plain route takes no notice.
+        sends: the sends, in order.
+    """
+
+    route: str
+    text: StreamText
+    sends: list[Send]
+
+
+class StreamCallers:
+    """Callers that send one request after the other.
+
+    Attributes:
+        calls: the requests, in the order in which they began.
+    """
+
+    def __init__(
+        self, address_by_host: Mapping[str, str], rng: random.Random, tag: str
+    ):
+        self.calls: list[Call] = []
+        self._address_by_host = dict(address_by_host)
+        self._rng = rng
+        self._tag = tag
+        self._sends = 0
+
+    async def run(self, callers: int, until: float) -> None:
+        """Sends requests until a loop time."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(callers):
+                group.create_task(self._call_on(until))
+
+    async def _call_on(self, until: float) -> None:
+        rng = self._rng
+        while asyncio.get_running_loop().time() < until:
+            await self.ask(
+                rng.choices(*zip(*ROUTE_WEIGHTS.items(), strict=True))[0]
+            )
+            await asyncio.sleep(rng.expovariate(1 / PAUSE_S))
+
+    async def ask(self, route: str) -> Call:
+        """Sends one request, and takes its stream up where it breaks off."""
+        rng = self._rng
+        text = StreamText(
+            rng.randint(FEWEST_EVENTS, MOST_EVENTS), rng.randrange(10_000)
+        )
+        call = Call(route, text, [])
+        self.calls.append(call)
+        is_slow = rng.random() < 0.2
+        old_protocol = rng.random() < 0.25
+        last_id = ''
+        while len(call.sends) <= MOST_TAKES:
+            send = self._begin(call, last_id, old_protocol)
+            await self._exchange(call, send, is_slow)
+            send.ended_at = asyncio.get_running_loop().time()
+            last_id = find_last_id(send.body) or last_id
+            takes_up = route == 'chat' and send.end is not AnswerEnd.WHOLE
+            if not takes_up or not last_id:
+                break
+        return call
+
+    def _begin(self, call: Call, last_id: str, old_protocol: bool) -> Send:
+        self._sends += 1
+        send = Send(
+            f'{self._tag}-{self._sends}',
+            self._rng.choice(list(self._address_by_host)),
+            asyncio.get_running_loop().time(),
+            last_id,
+            old_protocol,
+        )
+        call.sends.append(send)
+        return send
+
+    async def _exchange(self, call: Call, send: Send, is_slow: bool) -> None:
+        """Sends a request and reads its answer, within the caller's time."""
+        deadline_ms = SHORT_DEADLINE_MS if call.route == 'read' else DEADLINE_MS
+        ip, _, port = self._address_by_host[send.host].rpartition(':')
+        writer = None
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + MARGIN_S):
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(
+                        ip, int(port), limit=2**20
+                    )
+                writer.write(_make_head(call, send, deadline_ms))
+                await _read_answer(reader, send, is_slow)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            if send.status:
+                send.end = AnswerEnd.BROKEN
+        finally:
+            if writer is not None:
+                writer.close()
+
+
+def _make_head(call: Call, send: Send, deadline_ms: int) -> bytes:
+    lines = [
+        f'POST {call.text.target(call.route)} '
+        f'HTTP/1.{0 if send.old_protocol else 1}',
+        f'Host: {HOST}',
+        f'X-Request-Id: {send.id}',
+        f'X-Request-Deadline: {deadline_ms}',
+        'Connection: close',
+        'Content-Length: 4',
+    ]
+    if call.route in STREAMS:
+        lines += ['X-Token-Usage: 1000,500', 'X-Length-Hint: 300']
+    if send.after:
+        lines += [
+            f'Last-Event-Id: {send.after}',
+            f'Resumes: {call.sends[0].id}',
+        ]
+    return '\r\n'.join([*lines, '', 'body']).encode()
+
+
+async def _read_answer(
+    reader: asyncio.StreamReader, send: Send, is_slow: bool
+) -> None:
+    """Reads an answer as its framing says.
+
+    Raises:
+        asyncio.IncompleteReadError: it broke off.
+        OSError: it was reset.
+    """
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    lines = head.split('\r\n')
+    pairs = (line.partition(':') for line in lines[1:] if line)
+    send.headers = {name.lower(): value.strip() for name, _, value in pairs}
+    send.status = int(lines[0].split(' ')[1])
+    if send.headers.get('transfer-encoding', '') == 'chunked':
+        while size := int(await reader.readuntil(b'\r\n'), 16):
+            await _read_exactly(reader, send, size, is_slow)
+            await reader.readexactly(2)
+        await reader.readuntil(b'\r\n')
+    elif 'content-length' in send.headers:
+        length = int(send.headers['content-length'])
+        await _read_exactly(reader, send, length, is_slow)
+    else:
+        while data := await reader.read(SLOW_READ_BYTES if is_slow else 65_536):
+            send.body += data
+            await asyncio.sleep(SLOW_PAUSE_S if is_slow else 0.0)
+    send.end = AnswerEnd.WHOLE
+
+
+async def _read_exactly(
+    reader: asyncio.StreamReader, send: Send, size: int, is_slow: bool
+) -> None:
+    left = size
+    while left:
+        data = await reader.read(
+            min(left, SLOW_READ_BYTES) if is_slow else left
+        )
+        if not data:
+            raise asyncio.IncompleteReadError(send.body, size)
+        send.body += data
+        left -= len(data)
+        await asyncio.sleep(SLOW_PAUSE_S if is_slow else 0.0)
+
+
+def split_events(body: bytes) -> tuple[list[bytes], bytes]:
+    r"""Returns the whole events of a stream, and the bytes after them.
+
+    >>> split_events(b'id: 1\n\nid: 2\n\nid')
+    ([b'id: 1\n\n', b'id: 2\n\n'], b'id')
+    """
+    *events, rest = body.split(b'\n\n')
+    return [event + b'\n\n' for event in events], rest
+
+
+def find_last_id(body: bytes) -> str:
+    r"""Returns the id of the last whole event, '' if there is none.
+
+    >>> find_last_id(b'id: 1\n\nid: 12\ndata: x\n\nid: 13')
+    '12'
+    """
+    for event in reversed(split_events(body)[0]):
+        for line in event.splitlines():
+            if line.startswith(b'id: '):
+                return line[4:].decode()
+    return ''
--- /dev/null
+++ b/standins/stream_judge.py
@@ -0,0 +1,223 @@
+"""Judges what callers of streams were handed against what workers made."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping
+
+from standins.stream_callers import (
+    STREAMS,
+    AnswerEnd,
+    Call,
+    Send,
+    split_events,
+)
+from standins.stream_content import plain_body
+
+# Workers to which one send may go, by route.
+MOST_RUNS_BY_ROUTE = {'chat': 2, 'once': 1, 'read': 2, 'book': 1}
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
+
+
+class StreamPromise(enum.StrEnum):
+    """What is promised to a caller.
+
+    Attributes:
+        COMPLETE: an answer that looks whole is whole.
+        IN_ORDER: no event is missing or comes twice, and ids never go back.
+        ONE_RUN: pieces of two runs are joined only where the second one goes
+            on after the last event of the first.
+        UNCHANGED: each byte is one that a worker made for this request.
+        ATTEMPTS: no more runs than the route allows.
+        NOT_RUN: a status that says so is true.
+    """
+
+    COMPLETE = 'complete'
+    IN_ORDER = 'in order'
+    ONE_RUN = 'one run'
+    UNCHANGED = 'unchanged'
+    ATTEMPTS = 'attempts'
+    NOT_RUN = 'not run'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerRun:
+    """One run of a request, as its worker said.
+
+    Attributes:
+        name: its name, which stands in its events.
+        request: id of the send.
+        after: id after which it goes on, '' for none.
+        framing: how the end of its answer is marked.
+        cut: how it ends early, '' if it does not.
+    """
+
+    name: str
+    request: str
+    after: str = ''
+    framing: str = ''
+    cut: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamViolation:
+    """One broken promise.
+
+    Attributes:
+        promise: the promise.
+        send: id of the send.
+        host: the host that was asked.
+        detail: what was seen.
+    """
+
+    promise: StreamPromise
+    send: str
+    host: str
+    detail: str
+
+
+class StreamJudge:
+    """Compares calls with the runs of the workers."""
+
+    def __init__(self, runs: Iterable[WorkerRun]):
+        self._run_by_name: dict[str, WorkerRun] = {}
+        self._count_by_request: collections.Counter[str] = collections.Counter()
+        for run in runs:
+            self._run_by_name[run.name] = run
+            self._count_by_request[run.request] += 1
+
+    def judge(self, calls: Iterable[Call]) -> list[StreamViolation]:
+        """Returns the promises that were broken."""
+        violations: list[StreamViolation] = []
+        for call in calls:
+            for send in call.sends:
+                violations += self._judge_runs(call, send)
+            if call.route in STREAMS:
+                violations += self._judge_stream(call)
+            else:
+                violations += _judge_plain(call.sends[0])
+        return violations
+
+    def _judge_runs(self, call: Call, send: Send) -> list[StreamViolation]:
+        count = self._count_by_request[send.id]
+        broken = []
+        if count > MOST_RUNS_BY_ROUTE[call.route]:
+            broken.append(
+                _violate(StreamPromise.ATTEMPTS, send, f'{count} runs')
+            )
+        if send.status in NOT_RUN and count:
+            broken.append(
+                _violate(StreamPromise.NOT_RUN, send, f'{send.status}, {count}')
+            )
+        return broken
+
+    def _judge_stream(self, call: Call) -> list[StreamViolation]:
+        reading = _StreamReading(call, self._run_by_name)
+        for send in call.sends:
+            if 200 <= send.status < 300:
+                violation = reading.read(send)
+                if violation is not None:
+                    return [violation]
+        return []
+
+
+class _StreamReading:
+    """Reads a stream over all sends of its call.
+
+    Attributes:
+        position: number of events so far.
+    """
+
+    def __init__(self, call: Call, run_by_name: Mapping[str, WorkerRun]):
+        self.position = 0
+        self._call = call
+        self._run_by_name = run_by_name
+        self._run = ''
+        self._last_id = ''
+        self._sends = {send.id for send in call.sends}
+
+    def read(self, send: Send) -> StreamViolation | None:
+        """Reads one send; returns what it broke."""
+        events, rest = split_events(send.body)
+        for event in events:
+            violation = self._read_event(send, event)
+            if violation is not None:
+                return violation
+        if rest and (send.end is AnswerEnd.WHOLE or not self._may_begin(rest)):
+            return _violate(
+                StreamPromise.UNCHANGED, send, f'rest {rest[:80]!r}'
+            )
+        total = self._call.text.events
+        if send.end is AnswerEnd.WHOLE and self.position != total:
+            run = self._run_by_name.get(self._run)
+            return _violate(
+                StreamPromise.COMPLETE,
+                send,
+                f'{self.position} of {total} events, {run}',
+            )
+        return None
+
+    def _read_event(self, send: Send, event: bytes) -> StreamViolation | None:
+        name, number = _parse(event)
+        if number != self.position + 1:
+            return _violate(
+                StreamPromise.IN_ORDER,
+                send,
+                f'{number} of {name} after {self.position} of {self._run}',
+            )
+        if name != self._run:
+            run = self._run_by_name.get(name)
+            if (
+                run is None
+                or run.request not in self._sends
+                or run.after != self._last_id
+            ):
+                return _violate(
+                    StreamPromise.ONE_RUN,
+                    send,
+                    f'{run or name} after event {self.position} of {self._run}',
+                )
+        text = self._call.text
+        if number > text.events or event != text.event(number, name):
+            return _violate(StreamPromise.UNCHANGED, send, f'{event[:80]!r}')
+        self._run = name
+        self.position = number
+        self._last_id = str(text.ids()[number - 1])
+        return None
+
+    def _may_begin(self, rest: bytes) -> bool:
+        """Returns whether bytes begin the next event of the same run."""
+        text = self._call.text
+        if self.position == text.events:
+            return False
+        return text.event(self.position + 1, self._run).startswith(rest)
+
+
+def _parse(event: bytes) -> tuple[str, int]:
+    for line in event.decode('latin-1').splitlines():
+        fields = line.split(' ')
+        if fields[0] == 'data:' and len(fields) == 3 and fields[1].isdigit():
+            return fields[2], int(fields[1])
+    return '', 0
+
+
+def _judge_plain(send: Send) -> list[StreamViolation]:
+    if not 200 <= send.status < 300 or send.end is not AnswerEnd.WHOLE:
+        return []
+    wanted = plain_body(send.id)
+    if send.body == wanted and 'x-response-signature' in send.headers:
+        return []
+    promise = StreamPromise.UNCHANGED
+    if wanted.startswith(send.body):
+        promise = StreamPromise.COMPLETE
+    detail = f'{len(send.body)} of {len(wanted)} bytes'
+    return [_violate(promise, send, detail)]
+
+
+def _violate(
+    promise: StreamPromise, send: Send, detail: str
+) -> StreamViolation:
+    return StreamViolation(promise, send.id, send.host, detail)
--- /dev/null
+++ b/standins/stream_runs.py
@@ -0,0 +1,269 @@
+"""Runs streams through real processes under drawn troubles.
+
+Each answer is judged at its caller, byte for byte, against what workers made.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import random
+import shutil
+import signal
+import sys
+from collections.abc import Iterable, Sequence
+
+import uvloop
+
+from standins.stream_callers import (
+    STREAMS,
+    AnswerEnd,
+    Call,
+    Send,
+    StreamCallers,
+)
+from standins.stream_judge import StreamJudge, StreamViolation, WorkerRun
+from standins.stream_plan import Trouble, TroubleKind, draw_troubles
+from standins.stream_site import WORKER_PHASES, StreamSite
+from standins.stream_worker import Framing, WorkerPlan
+
+CALLERS = 16
+# Time after a cut that still counts as part of it: streams that began in it end
+# then, seconds.
+CUT_MARGIN_S = 0.5
+
+
+class StreamRun:
+    """One run of a seed.
+
+    Attributes:
+        calls: what callers sent and got.
+        runs: what the workers ran.
+        violations: the promises that were broken.
+        counts: what was counted, by name.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        cut_share: float = 0.1,
+        hosts: int = 3,
+        troubles: list[Trouble] | None = None,
+        older: pathlib.Path | None = None,
+    ):
+        """Prepares a run.
+
+        Args:
+            seed: seed of all that is drawn.
+            seconds: time of the load.
+            directory: where logs are kept.
+            cut_share: share of the answers that workers cut short.
+            hosts: number of entry hosts.
+            troubles: the troubles, None to draw them.
+            older: folder of another build, which every second host runs.
+        """
+        self.calls: list[Call] = []
+        self.runs: list[WorkerRun] = []
+        self.violations: list[StreamViolation] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._seed = seed
+        self._seconds = seconds
+        self._names = [f'h{number}' for number in range(hosts)]
+        self._troubles = troubles
+        if troubles is None:
+            self._troubles = draw_troubles(
+                seed, self._names, list(WORKER_PHASES), seconds
+            )
+        plans = {
+            name: WorkerPlan(name, phase, seed=seed, cut_share=cut_share)
+            for name, phase in WORKER_PHASES.items()
+        }
+        code = {name: older for name in self._names[1::2] if older is not None}
+        self._site = StreamSite(self._names, directory, plans, code)
+        self._began_at = 0.0
+
+    async def play(self) -> None:
+        """Plays the run and judges it."""
+        loop = asyncio.get_running_loop()
+        rng = random.Random(f'callers {self._seed}')
+        done: set[str] = set()
+        async with self._site as site:
+            callers = StreamCallers(
+                site.hosts.callers_by_host, rng, f's{self._seed}'
+            )
+            self._began_at = loop.time()
+            async with asyncio.TaskGroup() as group:
+                for trouble in self._troubles or ():
+                    group.create_task(self._carry_out(trouble))
+                group.create_task(
+                    callers.run(CALLERS, self._began_at + self._seconds)
+                )
+        self.calls = callers.calls
+        for worker in site.workers.values():
+            self.runs += worker.runs
+            done |= worker.done
+        self.violations = StreamJudge(self.runs).judge(self.calls)
+        self._count(done)
+
+    async def _carry_out(self, trouble: Trouble) -> None:
+        """Begins a trouble at its time, and ends it."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._began_at + trouble.at - loop.time())
+        site = self._site
+        kind = trouble.kind
+        for target in trouble.targets:
+            if kind is TroubleKind.WORKER_KILLED:
+                site.workers[target].send_signal(signal.SIGKILL)
+            elif kind is TroubleKind.WORKER_FROZEN:
+                site.workers[target].send_signal(signal.SIGSTOP)
+            elif kind is TroubleKind.HOST_KILLED:
+                site.hosts.send_signal(target, signal.SIGKILL)
+            elif kind is TroubleKind.HOST_STOPPED:
+                site.hosts.send_signal(target, signal.SIGTERM)
+            elif kind is TroubleKind.HOST_FROZEN:
+                site.hosts.send_signal(target, signal.SIGSTOP)
+            elif trouble.cut is not None:
+                await site.cut_host(target, trouble.cut)
+        await asyncio.sleep(trouble.for_s)
+        for target in trouble.targets:
+            if kind is TroubleKind.WORKER_FROZEN:
+                site.workers[target].send_signal(signal.SIGCONT)
+            elif kind is TroubleKind.HOST_FROZEN:
+                site.hosts.send_signal(target, signal.SIGCONT)
+            elif kind is TroubleKind.HOSTS_CUT_OFF:
+                await site.restore_host(target)
+            elif kind in (TroubleKind.HOST_KILLED, TroubleKind.HOST_STOPPED):
+                site.hosts.end(target)
+                site.start_host(target)
+
+    def _count(self, done: set[str]) -> None:
+        """Counts calls, and sound answers without length and chunks."""
+        counts = self.counts
+        send_by_id: dict[str, Send] = {}
+        for call in self.calls:
+            counts['requests'] += 1
+            is_stream = call.route in STREAMS
+            counts['streams'] += is_stream
+            for send in call.sends:
+                send_by_id[send.id] = send
+                whole = send.end is AnswerEnd.WHOLE and send.status == 200
+                counts['streams whole'] += whole and is_stream
+                counts['plain whole'] += whole and not is_stream
+                counts['taken up'] += bool(send.after)
+        for run in self.runs:
+            answered = send_by_id.get(run.request)
+            is_unframed = run.framing != Framing.CHUNKED
+            if answered is None or run.name not in done or not is_unframed:
+                continue
+            was_cut_off = self._was_cut_off(answered)
+            place = 'at cut hosts' if was_cut_off else 'elsewhere'
+            whole = answered.end is AnswerEnd.WHOLE and answered.status == 200
+            counts[f'sound unframed {place}'] += 1
+            counts[f'sound unframed whole {place}'] += whole
+
+    def _was_cut_off(self, send: Send) -> bool:
+        """Returns whether a send's host was cut off when it ended."""
+        return any(
+            trouble.kind is TroubleKind.HOSTS_CUT_OFF
+            and send.host in trouble.targets
+            and trouble.at
+            <= send.ended_at - self._began_at
+            <= trouble.at + trouble.for_s + CUT_MARGIN_S
+            for trouble in self._troubles or ()
+        )
+
+
+def play_seed(
+    seed: int,
+    directory: pathlib.Path,
+    options: argparse.Namespace,
+) -> StreamRun:
+    """Plays a seed; keeps the logs if a promise was broken."""
+    folder = directory / f'seed-{seed}'
+    shutil.rmtree(folder, ignore_errors=True)
+
+    async def main() -> StreamRun:
+        run = StreamRun(
+            seed,
+            options.seconds,
+            folder,
+            options.cut_share,
+            older=options.older,
+        )
+        await run.play()
+        return run
+
+    run = uvloop.run(main())
+    if run.violations:
+        (folder / 'violations.txt').write_text(
+            '\n'.join(str(violation) for violation in run.violations) + '\n'
+        )
+    elif not options.keep:
+        shutil.rmtree(folder)
+    return run
+
+
+def write_line(text: str) -> None:
+    """Writes a line to the standard output at once."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def describe(counts: Iterable[tuple[str, int]]) -> str:
+    """Returns counts as text."""
+    return ', '.join(f'{count} {name}' for name, count in counts)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Plays the seeds that the arguments name."""
+    parser = argparse.ArgumentParser(
+        prog='python -m standins.stream_runs', description=__doc__
+    )
+    parser.add_argument('--seeds', type=int, default=10, help='How many.')
+    parser.add_argument('--first-seed', type=int, default=1, help='The first.')
+    parser.add_argument(
+        '--seconds', type=float, default=30.0, help='Time of a seed.'
+    )
+    parser.add_argument(
+        '--cut-share',
+        type=float,
+        default=0.1,
+        help='Share of the answers that workers cut short.',
+    )
+    parser.add_argument(
+        '--older',
+        type=pathlib.Path,
+        help='Folder of another build that every second host runs.',
+    )
+    parser.add_argument(
+        '--keep', action='store_true', help='Keep the logs of all seeds.'
+    )
+    parser.add_argument(
+        '--directory',
+        type=pathlib.Path,
+        default=pathlib.Path('build/streams'),
+        help='Where the logs of broken seeds are kept.',
+    )
+    options = parser.parse_args(arguments)
+    sums: collections.Counter[str] = collections.Counter()
+    broken = 0
+    for seed in range(options.first_seed, options.first_seed + options.seeds):
+        run = play_seed(seed, options.directory, options)
+        sums.update(run.counts)
+        broken += bool(run.violations)
+        write_line(f'seed {seed}: {describe(run.counts.items())}')
+        for violation in run.violations:
+            write_line(f'seed {seed}: {violation}')
+    write_line(
+        f'{options.seeds} seeds, {describe(sums.items())}; '
+        f'{broken} seeds broken'
+    )
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/stream_site.py
@@ -0,0 +1,273 @@
+"""Hosts and workers as processes, with links that can be cut host by host."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import pathlib
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from standins.host_processes import HostProcesses
+from standins.platform_plan import CONFIG, worker_entry
+from standins.platform_store import (
+    OPERATOR_TOPIC,
+    WORKERS_TOPIC,
+    PlatformStore,
+)
+from standins.stream_judge import WorkerRun
+from standins.stream_worker import WorkerPlan
+from standins.worker_links import LinkCut, WorkerLink
+
+# The workers of vbf-signage's kind, by id, with the stage of an engine.
+WORKER_PHASES = {
+    **{f'a{number}': '' for number in range(1, 4)},
+    **{f'p{number}': 'prefill' for number in range(1, 3)},
+    **{f'd{number}': 'decode' for number in range(1, 9)},
+}
+HEARTBEAT_S = 1.2
+LOOK_S = 0.1
+# Time after which a worker that has ended starts again, seconds.
+RESTART_AFTER_S = 1.0
+START_TIMEOUT_S = 30.0
+
+
+class WorkerProcess:
+    """One worker's process.
+
+    Attributes:
+        plan: what it is; each start has another plan.
+        address: 'ip:port' at which it listens.
+        runs: the runs that it began.
+        done: names of the runs that it ended whole.
+        sequence: number of its last entry in the list.
+        beat_at: loop time of that entry.
+    """
+
+    def __init__(self, plan: WorkerPlan):
+        self.plan = plan
+        self.address = ''
+        self.runs: list[WorkerRun] = []
+        self.done: set[str] = set()
+        self.sequence = 0
+        self.beat_at = 0.0
+        self._process: asyncio.subprocess.Process | None = None
+        self._listening = asyncio.Event()
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts the process and waits until it listens."""
+        born = int(time.time() * 1000)
+        self.plan = msgspec.structs.replace(self.plan, born=born)
+        self._listening.clear()
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'standins.stream_worker',
+            msgspec.json.encode(self.plan).decode(),
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read(self._process))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await self._listening.wait()
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        async for line in process.stdout:
+            said = json.loads(line)
+            if 'listening' in said:
+                self.address = said['listening']
+                self._listening.set()
+            elif 'done' in said:
+                self.done.add(said['done'])
+            else:
+                said['name'] = said.pop('run')
+                self.runs.append(WorkerRun(**said))
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process was started and has ended."""
+        return (
+            self._process is not None and self._process.returncode is not None
+        )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def end(self) -> None:
+        """Ends the process and reads what it has written."""
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+        if self._reading is not None:
+            await self._reading
+
+
+class StreamSite:
+    """A store, workers and hosts.
+
+    Attributes:
+        workers: the workers, by id.
+        hosts: the entry hosts.
+    """
+
+    def __init__(
+        self,
+        names: list[str],
+        directory: pathlib.Path,
+        plans: Mapping[str, WorkerPlan],
+        code_by_host: Mapping[str, pathlib.Path] | None = None,
+    ):
+        """Prepares the processes.
+
+        Args:
+            names: ids of the hosts.
+            directory: where logs are kept.
+            plans: the workers, by id.
+            code_by_host: folders of other builds that hosts run.
+        """
+        directory.mkdir(parents=True, exist_ok=True)
+        self.workers = {
+            name: WorkerProcess(plan) for name, plan in plans.items()
+        }
+        self.hosts = HostProcesses(names, directory)
+        self._store = PlatformStore()
+        self._names = names
+        self._code_by_host = dict(code_by_host or {})
+        self._links = {
+            host: {name: WorkerLink() for name in plans} for host in names
+        }
+        self._store_address_by_host: dict[str, str] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._restarting: set[str] = set()
+
+    async def __aenter__(self) -> StreamSite:
+        """Starts everything and waits until each host is ready."""
+        await self._stack.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Ends the processes."""
+        for name in self.hosts.process_by_host:
+            self.hosts.end(name)
+        await self._stack.aclose()
+        for worker in self.workers.values():
+            await worker.end()
+        for links in self._links.values():
+            for link in links.values():
+                await link.close()
+
+    async def _start(self) -> None:
+        config: dict[str, Any] = copy.deepcopy(CONFIG)
+        for route in config['routes']:
+            # A stream that may not be resumed has one attempt.
+            if route['name'] == 'once':
+                route['max_attempts'] = 1
+        self._store.put(OPERATOR_TOPIC, 'config', json.dumps(config).encode())
+        async with asyncio.TaskGroup() as group:
+            for name in self.workers:
+                group.create_task(self._start_worker(name))
+        for name in self._names:
+            self._store_address_by_host[name] = await self._serve_store(name)
+            self.start_host(name)
+        beating = asyncio.create_task(self._beat())
+        self._stack.callback(beating.cancel)
+        await self.hosts.wait_ready(self._names)
+
+    async def _serve_store(self, host: str) -> str:
+        """Serves the store to a host, whose links stand in the list."""
+
+        def view(topic: str, record: bytes) -> bytes:
+            return self._show(host, topic, record)
+
+        runner = web.AppRunner(
+            self._store.application(view), shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        ip, port = runner.addresses[0][:2]
+        return f'{ip}:{port}'
+
+    def _show(self, host: str, topic: str, record: bytes) -> bytes:
+        """Returns a record as a host reads it."""
+        end = 1 + record[0]
+        if topic != WORKERS_TOPIC or len(record) == end:
+            return record
+        entry = json.loads(record[end:])
+        name = record[1:end].decode()
+        entry['address'] = self._links[host][name].address
+        return record[:end] + json.dumps(entry).encode()
+
+    async def _start_worker(self, name: str) -> None:
+        worker = self.workers[name]
+        await worker.start()
+        for links in self._links.values():
+            await links[name].lead_to(worker.address)
+        self._list(name)
+
+    def _list(self, name: str) -> None:
+        """Writes a worker's entry."""
+        worker = self.workers[name]
+        worker.beat_at = asyncio.get_running_loop().time()
+        worker.sequence += 1
+        entry = worker_entry(worker.address, worker.plan.phase)
+        entry |= {'sequence': worker.sequence, 'born': worker.plan.born}
+        self._store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
+
+    async def _beat(self) -> None:
+        """Writes the workers' entries anew, and starts those that ended."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(LOOK_S / 5)
+                now = asyncio.get_running_loop().time()
+                for name, worker in self.workers.items():
+                    if worker.has_ended and name not in self._restarting:
+                        self._restarting.add(name)
+                        group.create_task(self._restart(name))
+                    elif (
+                        not worker.has_ended
+                        and now - worker.beat_at > HEARTBEAT_S
+                    ):
+                        self._list(name)
+
+    async def _restart(self, name: str) -> None:
+        for links in self._links.values():
+            await links[name].end()
+        await asyncio.sleep(RESTART_AFTER_S)
+        await self._start_worker(name)
+        self._restarting.discard(name)
+
+    def start_host(self, name: str) -> None:
+        """Starts a host's process."""
+        self.hosts.start(
+            name,
+            self._store_address_by_host[name],
+            self._code_by_host.get(name),
+        )
+
+    async def cut_host(self, name: str, cut: LinkCut) -> None:
+        """Cuts a host off from all workers."""
+        for link in self._links[name].values():
+            await link.cut(cut)
+
+    async def restore_host(self, name: str) -> None:
+        """Ends the cut of a host."""
+        for link in self._links[name].values():
+            await link.restore()
--- /dev/null
+++ b/standins/worker_links.py
@@ -0,0 +1,153 @@
+"""Links between hosts and a worker, which can be cut host by host."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+_CHUNK_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class LinkCut(enum.StrEnum):
+    """What a cut does to connections.
+
+    Attributes:
+        HANG: nothing passes, and new connections get no reply.
+        REFUSED: new connections are refused, open ones are reset.
+        RESET: new connections are reset once made, and open ones at once.
+        NEW_ONLY: new connections are refused, open ones live on.
+    """
+
+    HANG = 'hang'
+    REFUSED = 'refused'
+    RESET = 'reset'
+    NEW_ONLY = 'new only'
+
+
+class WorkerLink:
+    """Passes the connections of one host on to one worker.
+
+    Attributes:
+        address: 'ip:port' at which the host reaches the worker.
+    """
+
+    def __init__(self) -> None:
+        self.address = ''
+        self._target = ''
+        self._cut: LinkCut | None = None
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def lead_to(self, target: str) -> None:
+        """Leads to a worker's address, and listens unless it is cut."""
+        self._target = target
+        await self._listen()
+
+    async def end(self) -> None:
+        """Refuses new connections, since the worker's process has ended."""
+        self._target = ''
+        self._stop_listening()
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        self._stop_listening()
+        self._reset_open()
+
+    async def cut(self, cut: LinkCut) -> None:
+        """Cuts the link."""
+        self._cut = cut
+        if cut is LinkCut.HANG:
+            self._whole.clear()
+        if cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY):
+            self._stop_listening()
+        if cut in (LinkCut.REFUSED, LinkCut.RESET):
+            self._reset_open()
+
+    async def restore(self) -> None:
+        """Ends a cut."""
+        self._cut = None
+        self._whole.set()
+        await self._listen()
+
+    async def _listen(self) -> None:
+        refuses = self._cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY)
+        if self._server is not None or refuses or not self._target:
+            return
+        port = int(self.address.rpartition(':')[2] or 0)
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f'{ip}:{port}'
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _reset_open(self) -> None:
+        for writer in list(self._open):
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._cut is LinkCut.RESET:
+            _reset(writer)
+            return
+        await self._whole.wait()
+        try:
+            ip, _, port = self._target.rpartition(':')
+            far_reader, far_writer = await asyncio.open_connection(
+                ip, int(port)
+            )
+        except (OSError, ValueError):
+            _reset(writer)
+            return
+        both = {writer, far_writer}
+        self._open |= both
+        ways = [
+            asyncio.create_task(self._pass(reader, far_writer)),
+            asyncio.create_task(self._pass(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(ways)
+        finally:
+            for way in ways:
+                way.cancel()
+            self._open -= both
+            for end in both:
+                end.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Passes bytes on, and the way in which they end."""
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._whole.wait()
+                writer.write(data)
+                await writer.drain()
+            await self._whole.wait()
+        except OSError:
+            await self._whole.wait()
+            _reset(writer)
+            return
+        with contextlib.suppress(OSError, RuntimeError):
+            writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    if writer.is_closing():
+        return
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    writer.transport.abort()
