--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults limits crashes versions cuts soak bench load clean
+.PHONY: test run up faults limits crashes versions cuts streams soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -51,6 +51,9 @@
 cuts: $(STAMP)
 	$(PY) -m standins.cut_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
 
+streams: $(STAMP)
+	$(PY) -m standins.stream_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 soak: $(STAMP)
 	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
 
--- a/standins/stream_worker.py
+++ b/standins/stream_worker.py
@@ -261,6 +261,8 @@
             writer.write(framed[: len(framed) // 2])
         await writer.drain()
         await asyncio.sleep(ARRIVAL_S)
+        if writer.is_closing():
+            return
         if cut in (Cut.RESET_BETWEEN, Cut.RESET_INSIDE):
             writer.get_extra_info('socket').setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
