Log why the end of an answer was believed

answer_ended said what was concluded of a process, not from what: an answer whose check had too little time for two questions looked like one whose questions were lost. It now has the number of replies of each kind, the questions without a reply, and the last error.

--- a/mustardscale/endpoints/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -36,7 +36,7 @@
     CHECK_TIMEOUT_S,
     ProcessReply,
     ProcessState,
-    find_process_state,
+    question_process,
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -199,13 +199,16 @@
             raise EndpointFailedError(reset, crashed=True)
         check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * call.timeout_s)
         give_up_at = asyncio.get_running_loop().time() + check_s
-        state = await find_process_state(self._connect, give_up_at)
+        finding = await question_process(self._connect, give_up_at)
         log.info(
-            'answer without a length ended; its process: %s',
-            state,
+            'answer without a length ended; its process: %s, replies %s,'
+            ' unanswered %d',
+            finding.state,
+            finding.count_by_reply,
+            finding.unanswered,
             extra={'request_id': call.request_id, 'endpoint': self._address},
         )
-        if state is ProcessState.ENDED:
+        if finding.state is ProcessState.ENDED:
             raise EndpointFailedError(
                 'its process ended with the connection', crashed=True
             )
--- a/mustardscale/endpoints/process_check.py
+++ b/mustardscale/endpoints/process_check.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import dataclasses
 import enum
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 # Time after which nothing more is asked, seconds.
 CHECK_TIMEOUT_S = 1.5
@@ -49,9 +51,24 @@
     UNKNOWN = 'unknown'
 
 
-async def find_process_state(
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessFinding:
+    """What questions to a process have shown.
+
+    Attributes:
+        state: what is known of it.
+        count_by_reply: number of replies of each kind.
+        unanswered: questions that had no reply yet.
+    """
+
+    state: ProcessState
+    count_by_reply: dict[ProcessReply, int]
+    unanswered: int = 0
+
+
+async def question_process(
     ask: Callable[[], Awaitable[ProcessReply]], give_up_at: float
-) -> ProcessState:
+) -> ProcessFinding:
     """Asks a process about itself until it is clear whether it runs.
 
     Args:
@@ -60,7 +77,8 @@
     """
     loop = asyncio.get_running_loop()
     asking: set[asyncio.Future[ProcessReply]] = set()
-    refusals = 0
+    counts: collections.Counter[ProcessReply] = collections.Counter()
+    state = ProcessState.UNKNOWN
     try:
         while (left_s := give_up_at - loop.time()) > 0:
             asking.add(asyncio.ensure_future(ask()))
@@ -69,23 +87,25 @@
                 timeout=min(ASK_INTERVAL_S, left_s),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            replies = [question.result() for question in done]
-            refusals += replies.count(ProcessReply.REFUSED)
-            state = _conclude(replies, refusals)
+            counts.update(question.result() for question in done)
+            state = _conclude(counts)
             if state is not ProcessState.UNKNOWN:
-                return state
+                break
             if done:
                 left_s = give_up_at - loop.time()
                 await asyncio.sleep(max(0.0, min(ASK_PAUSE_S, left_s)))
     finally:
         for question in asking:
             question.cancel()
-    return ProcessState.UNKNOWN
+    return ProcessFinding(state, dict(counts), len(asking))
 
 
-def _conclude(replies: Iterable[ProcessReply], refusals: int) -> ProcessState:
-    if ProcessReply.SAME in replies:
+def _conclude(counts: collections.Counter[ProcessReply]) -> ProcessState:
+    if counts[ProcessReply.SAME]:
         return ProcessState.RUNS
-    if ProcessReply.OTHER in replies or refusals >= REFUSALS_OF_ENDED:
+    if (
+        counts[ProcessReply.OTHER]
+        or counts[ProcessReply.REFUSED] >= REFUSALS_OF_ENDED
+    ):
         return ProcessState.ENDED
     return ProcessState.UNKNOWN
--- a/mustardscale/relay/answer_end.py
+++ b/mustardscale/relay/answer_end.py
@@ -10,9 +10,10 @@
 from mustardscale.endpoints.process_check import (
     CHECK_TIME_SHARE,
     CHECK_TIMEOUT_S,
+    ProcessFinding,
     ProcessReply,
     ProcessState,
-    find_process_state,
+    question_process,
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -80,18 +81,22 @@
             return
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        state = await self.find_state(process, deadline_at)
-        self._metrics.count(f'unframed_answers_process_{state.value}')
+        inquiry = _Inquiry(self._blackboard, process)
+        finding = await inquiry.run(deadline_at)
+        self._metrics.count(f'unframed_answers_process_{finding.state.value}')
         self._blackboard.events.emit(
             EventKind.ANSWER_ENDED,
             process.request_id,
             endpoint=process.endpoint_id,
             start=process.start,
             events=events,
-            process=state.value,
+            process=finding.state.value,
+            replies=finding.count_by_reply,
+            unanswered=finding.unanswered,
+            detail=inquiry.last_error,
             checked_s=round(loop.time() - began_at, 4),
         )
-        if state is ProcessState.ENDED:
+        if finding.state is ProcessState.ENDED:
             raise EndpointFailedError(
                 'its process ended with the connection', crashed=True
             )
@@ -105,33 +110,56 @@
             process: the process.
             deadline_at: loop time by which its request must have ended.
         """
-        now = asyncio.get_running_loop().time()
-        check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * (deadline_at - now))
+        finding = await _Inquiry(self._blackboard, process).run(deadline_at)
+        return finding.state
+
+
+class _Inquiry:
+    """Questions to one process about itself.
+
+    Attributes:
+        last_error: why the last question that failed showed nothing.
+    """
 
-        async def ask() -> ProcessReply:
-            return await self._ask(process)
+    def __init__(self, blackboard: Blackboard, process: AnsweringProcess):
+        self.last_error = ''
+        self._blackboard = blackboard
+        self._process = process
+
+    async def run(self, deadline_at: float) -> ProcessFinding:
+        """Asks until it is clear whether the process runs.
 
-        return await find_process_state(ask, now + check_s)
+        Args:
+            deadline_at: loop time by which its request must have ended.
+        """
+        now = asyncio.get_running_loop().time()
+        check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * (deadline_at - now))
+        return await question_process(self._ask, now + check_s)
 
-    async def _ask(self, process: AnsweringProcess) -> ProcessReply:
-        """Asks a process about itself once."""
-        if self._is_replaced(process):
+    async def _ask(self) -> ProcessReply:
+        """Asks once."""
+        process = self._process
+        if self._is_replaced():
             return ProcessReply.OTHER
         try:
             start = await process.client.read_start()
-        except EndpointGoneError:
+        except EndpointGoneError as error:
+            self.last_error = str(error)
             return ProcessReply.REFUSED
         except EndpointRefusedError as error:
+            self.last_error = error.reason
             moved = error.reason == REFUSED_MOVED
             return ProcessReply.OTHER if moved else ProcessReply.NONE
-        except (EndpointUnreachableError, EndpointFailedError):
+        except (EndpointUnreachableError, EndpointFailedError) as error:
+            self.last_error = str(error)
             return ProcessReply.NONE
         if start and process.start and start != process.start:
             return ProcessReply.OTHER
         return ProcessReply.SAME
 
-    def _is_replaced(self, process: AnsweringProcess) -> bool:
+    def _is_replaced(self) -> bool:
         """Returns whether the list names a later process of the endpoint."""
+        process = self._process
         entry = self._blackboard.endpoints_by_id.get(process.endpoint_id)
         return (
             entry is not None
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -180,7 +180,16 @@
     ),
     EventKind.ANSWER_ENDED: EventRule(
         'An answer ended that only the end of its connection delimits.',
-        ('endpoint', 'start', 'events', 'process', 'checked_s'),
+        (
+            'endpoint',
+            'start',
+            'events',
+            'process',
+            'replies',
+            'unanswered',
+            'detail',
+            'checked_s',
+        ),
     ),
     EventKind.VERSION_FOUND: EventRule(
         'The software version of a stream that a caller takes up.',
--- a/tests/test_process_check.py
+++ b/tests/test_process_check.py
@@ -10,7 +10,7 @@
     CHECK_TIMEOUT_S,
     ProcessReply,
     ProcessState,
-    find_process_state,
+    question_process,
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -40,8 +40,9 @@
         return reply
 
     began_at = loop.time()
-    state = await find_process_state(ask, began_at + CHECK_TIMEOUT_S)
-    return state, loop.time() - began_at, asked
+    finding = await question_process(ask, began_at + CHECK_TIMEOUT_S)
+    assert sum(finding.count_by_reply.values()) <= asked
+    return finding.state, loop.time() - began_at, asked
 
 
 class TestQuestions:
