--- a/standins/raw_worker.py
+++ b/standins/raw_worker.py
@@ -32,12 +32,22 @@
         RESET: early, with a reset.
         GONE: early; the worker's process ends, which closes its connections
             without a reset, and nothing listens at its address any more.
+        GONE_BEHIND_PROXY: the same, but a proxy at its address goes on to
+            accept connections, and closes them.
+        GONE_IN_SILENCE: the same, but its address goes on to accept
+            connections, and nothing answers them.
     """
 
     WHOLE = 'whole'
     CLOSED = 'closed'
     RESET = 'reset'
     GONE = 'gone'
+    GONE_BEHIND_PROXY = 'gone behind a proxy'
+    GONE_IN_SILENCE = 'gone in silence'
+
+
+# Endings after which the worker's process is gone.
+GONE_ENDINGS = (Ending.GONE, Ending.GONE_BEHIND_PROXY, Ending.GONE_IN_SILENCE)
 
 
 class Check(enum.StrEnum):
@@ -48,6 +58,11 @@
     REFUSED_FULL = 'refused as full'
     RESET = 'reset'
     LOST = 'lost'
+    WITHOUT_START = 'without a start'
+
+
+# What shows that the process which answered still runs.
+CONFIRMING_CHECKS = (Check.ANSWERED, Check.SLOW)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +108,7 @@
         self.answers = list(answers)
         self.check = Check.ANSWERED
         self.ran: list[dict[str, str]] = []
+        self._gone: Ending | None = None
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -104,9 +120,14 @@
         ip, port = self._server.sockets[0].getsockname()[:2]
         return f'{ip}:{port}'
 
-    def end(self) -> None:
-        """Ends the process: nothing listens, all connections are closed."""
-        if self._server is not None:
+    def end(self, ending: Ending = Ending.GONE) -> None:
+        """Ends the process; all its connections are closed.
+
+        Args:
+            ending: what its address does from then on.
+        """
+        self._gone = ending
+        if self._server is not None and ending is Ending.GONE:
             self._server.close()
             self._server = None
         for writer in list(self._open):
@@ -117,6 +138,10 @@
     ) -> None:
         self._open.add(writer)
         try:
+            if self._gone is Ending.GONE_IN_SILENCE:
+                await reader.read()
+            if self._gone is not None:
+                return
             head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
             lines = head.split('\r\n')
             pairs = (line.partition(':') for line in lines[1:] if line)
@@ -157,9 +182,10 @@
                 b'Content-Length: 0\r\n\r\n'
             )
             return
-        body = json.dumps(
-            {'phase': 'decode', 'kv_total': 100_000, 'born': self.born}
-        ).encode()
+        report = {'phase': 'decode', 'kv_total': 100_000, 'born': self.born}
+        if check is Check.WITHOUT_START:
+            del report['born']
+        body = json.dumps(report).encode()
         writer.write(
             b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
             b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
@@ -188,8 +214,8 @@
             if not answer.in_one_burst:
                 await asyncio.sleep(ARRIVAL_S)
             _reset(writer)
-        elif answer.ending is Ending.GONE:
-            self.end()
+        elif answer.ending in GONE_ENDINGS:
+            self.end(answer.ending)
 
     def _head(self, answer: RawAnswer, request_id: str, size: int) -> bytes:
         old = answer.framing is Framing.OLD_PROTOCOL
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,6 +1,8 @@
 """Whole answers and broken ones, by framing, place and way to end."""
 
 import asyncio
+import dataclasses
+import json
 
 import aiohttp
 import pytest
@@ -10,14 +12,24 @@
 from mustardscale.endpoints.plain_endpoints import PlainCall
 from mustardscale.exceptions import EndpointFailedError
 from mustardscale.peers.peer_connections import split_address
-from standins.platform_plan import HOST
-from standins.raw_worker import Check, Ending, Framing, RawAnswer, RawWorker
+from standins.platform_plan import HOST, worker_entry
+from standins.platform_store import WORKERS_TOPIC
+from standins.raw_worker import (
+    CONFIRMING_CHECKS,
+    GONE_ENDINGS,
+    Check,
+    Ending,
+    Framing,
+    RawAnswer,
+    RawWorker,
+)
 from tests.platform_site import PlatformSite, until
 
 EVENTS = [b'id: %d\ndata: %d\n\n' % (n, n) for n in range(1, 5)]
 LONG_EVENTS = [b'id: %d\ndata: %b\n\n' % (n, b'x' * 60_000) for n in range(40)]
 EVENT_BYTES = len(EVENTS[-1])
 ENDINGS = (Ending.CLOSED, Ending.RESET, Ending.GONE)
+UNCONFIRMING_CHECKS = [c for c in Check if c not in CONFIRMING_CHECKS]
 # Bytes that are missing of an answer that ends early.
 INSIDE, ONE_LINE_END_SHORT, BETWEEN = 5, 1, EVENT_BYTES
 
@@ -29,6 +41,16 @@
         super().__init__()
         self.raw = {name: RawWorker(name) for name in names}
 
+    def list_worker(self, name, state='ready'):
+        """Lists a worker; one that answers raw with its start."""
+        super().list_worker(name, state)
+        if name in self.raw:
+            entry = worker_entry(
+                self.address_by_worker[name], self.workers[name].phase, state
+            )
+            entry['born'] = self.raw[name].born
+            self.store.put(WORKERS_TOPIC, name, json.dumps(entry).encode())
+
     async def __aenter__(self):
         """Starts the stand-ins and a host."""
         await super().__aenter__()
@@ -43,12 +65,12 @@
         return self
 
 
-async def read_answer(site, path='/once/x', slow_s=0.0):
+async def read_answer(site, path='/once/x', slow_s=0.0, deadline_ms=7000):
     """Returns status, content, and whether the caller takes it for whole."""
     headers = {
         'Host': HOST,
         'X-Request-Id': 'r1',
-        'X-Request-Deadline': '7000',
+        'X-Request-Deadline': str(deadline_ms),
         'X-Token-Usage': '1000,500',
     }
     content = b''
@@ -65,7 +87,9 @@
         return response.status, content, True
 
 
-def ask(answer, path='/once/x', check=Check.ANSWERED, slow_s=0.0):
+def ask(
+    answer, path='/once/x', check=Check.ANSWERED, slow_s=0.0, deadline_ms=7000
+):
     """Asks a site with one worker of the path's service."""
     name = 'a1' if path.startswith(('/book', '/read')) else 'd1'
 
@@ -73,7 +97,7 @@
         async with RawSite(name) as site:
             site.raw[name].answers = [answer]
             site.raw[name].check = check
-            return await read_answer(site, path, slow_s)
+            return await read_answer(site, path, slow_s, deadline_ms)
 
     return uvloop.run(main())
 
@@ -87,10 +111,8 @@
         answer = RawAnswer(EVENTS, framing, in_one_burst=in_one_burst)
         assert ask(answer) == (200, b''.join(EVENTS), True)
 
-    @pytest.mark.parametrize('check', Check)
-    def test_whole_stream_without_a_length_whatever_becomes_of_the_check(
-        self, check
-    ):
+    @pytest.mark.parametrize('check', CONFIRMING_CHECKS)
+    def test_whole_stream_without_a_length_whose_process_answers(self, check):
         answer = RawAnswer(EVENTS, Framing.NONE)
         assert ask(answer, check=check) == (200, b''.join(EVENTS), True)
 
@@ -174,6 +196,68 @@
         uvloop.run(main())
 
 
+class TestUnconfirmedEnds:
+    """Answers whose process does not show that it outlived them.
+
+    Without a length and chunks they look like answers that broke off.
+    """
+
+    @pytest.mark.parametrize('check', UNCONFIRMING_CHECKS)
+    def test_stream_whose_process_does_not_show_itself_is_not_whole(
+        self, check
+    ):
+        status, content, whole = ask(RawAnswer(EVENTS), check=check)
+        assert (status, content) == (200, b''.join(EVENTS))
+        assert not whole
+
+    @pytest.mark.parametrize('ending', GONE_ENDINGS)
+    def test_stream_of_a_killed_worker_is_not_whole(self, ending):
+        answer = RawAnswer(EVENTS, Framing.NONE, ending, BETWEEN)
+        status, content, whole = ask(answer)
+        assert (status, content) == (200, b''.join(EVENTS[:-1]))
+        assert not whole
+
+    @pytest.mark.parametrize('ending', GONE_ENDINGS)
+    def test_stream_of_a_killed_worker_goes_on_at_another_engine(self, ending):
+        async def main():
+            async with RawSite('d1', 'd2') as site:
+                first = RawAnswer(EVENTS, Framing.NONE, ending, BETWEEN)
+                rest = RawAnswer(EVENTS[-1:], Framing.NONE)
+                for worker in site.raw.values():
+                    worker.answers = [first]
+                resumed = asyncio.create_task(read_answer(site, '/chat/x'))
+                await until(lambda: any(w.ran for w in site.raw.values()))
+                for worker in site.raw.values():
+                    if not worker.ran:
+                        worker.answers = [rest]
+                assert await resumed == (200, b''.join(EVENTS), True)
+
+        uvloop.run(main())
+
+    @pytest.mark.parametrize('check', UNCONFIRMING_CHECKS)
+    def test_plain_answer_whose_process_does_not_show_itself_is_lost(
+        self, check
+    ):
+        answer = RawAnswer([b'whole', b' body'])
+        assert ask(answer, '/book/x', check)[0] == 502
+
+    @pytest.mark.parametrize('path', ['/read/x', '/book/x'])
+    @pytest.mark.parametrize('ending', GONE_ENDINGS)
+    def test_plain_answer_cut_short_with_little_time_left_is_lost(
+        self, path, ending
+    ):
+        answer = RawAnswer([b'whole', b' body'], ending=ending, missing=5)
+        answer = dataclasses.replace(answer, gap_s=0.1)
+        status, content, _ = ask(answer, path, deadline_ms=400)
+        assert status in (502, 504)
+        assert not content.startswith(b'whole')
+
+    def test_plain_answer_with_little_time_left_arrives(self):
+        answer = RawAnswer([b'whole', b' body'], gap_s=0.15)
+        whole = (200, b'whole body', True)
+        assert ask(answer, '/book/x', deadline_ms=400) == whole
+
+
 class TestCallersSide:
     """How the end of an answer is marked for callers."""
 
@@ -259,11 +343,19 @@
     """Answers of plain workers."""
 
     @pytest.mark.parametrize('framing', Framing)
-    @pytest.mark.parametrize('check', Check)
+    @pytest.mark.parametrize('check', CONFIRMING_CHECKS)
     def test_whole_answer_arrives(self, framing, check):
         answer = RawAnswer([b'whole', b' body'], framing)
         assert ask(answer, '/book/x', check) == (200, b'whole body', True)
 
+    @pytest.mark.parametrize('framing', [Framing.LENGTH, Framing.CHUNKED])
+    @pytest.mark.parametrize('check', UNCONFIRMING_CHECKS)
+    def test_framed_answer_arrives_whatever_becomes_of_a_check(
+        self, framing, check
+    ):
+        answer = RawAnswer([b'whole', b' body'], framing)
+        assert ask(answer, '/book/x', check) == (200, b'whole body', True)
+
     @pytest.mark.parametrize('ending', [Ending.RESET, Ending.GONE])
     @pytest.mark.parametrize('framing', Framing)
     @pytest.mark.parametrize('in_one_burst', [False, True])
@@ -279,13 +371,13 @@
 class TestPlainEndpointsOfTheOwnInterface:
     """Answers that reach callers of the own interface."""
 
-    def call(self, answer, check=Check.ANSWERED):
+    def call(self, answer, check=Check.ANSWERED, timeout_s=5.0):
         async def main():
             worker = RawWorker('e1', [answer])
             worker.check = check
             endpoint = HttpPlainEndpoint(await worker.start())
             headers = (('X-Request-Id', 'r1'),)
-            call = PlainCall('r1', 'GET', '/x', headers, b'', 5.0)
+            call = PlainCall('r1', 'GET', '/x', headers, b'', timeout_s)
             try:
                 return (await endpoint.call(call)).body
             finally:
@@ -311,3 +403,9 @@
         with pytest.raises(EndpointFailedError) as info:
             self.call(answer)
         assert info.value.crashed
+
+    @pytest.mark.parametrize('ending', [Ending.GONE, Ending.GONE_BEHIND_PROXY])
+    def test_answer_of_a_killed_endpoint_is_no_answer(self, ending):
+        answer = RawAnswer([b'whole', b' body'], ending=ending, missing=5)
+        with pytest.raises(EndpointFailedError):
+            self.call(answer)
--- a/tests/test_process_check.py
+++ b/tests/test_process_check.py
@@ -15,6 +15,7 @@
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointGoneError,
+    EndpointOutOfReachError,
     EndpointRefusedError,
     EndpointUnreachableError,
 )
@@ -85,7 +86,9 @@
 class TestAnswers:
     """Answers that only the end of their connection delimits."""
 
-    async def check(self, error=None, start=0, known=0, listed=None):
+    async def check(
+        self, error=None, start=0, known=0, listed=None, left_s=10.0, slow_s=0.0
+    ):
         bench = RelayBench(engines=('d',))
         endpoint = bench.endpoint('d')
         entry = bench.board.endpoints_by_id['d']
@@ -95,6 +98,7 @@
             entry.notice = EndpointNotice(listed)
 
         async def read_start():
+            await asyncio.sleep(slow_s)
             if error is not None:
                 raise error
             return start
@@ -102,7 +106,7 @@
         endpoint.read_start = read_start
         answer = FakeAnswer([event(1)], framing=AnswerFraming.CONNECTION)
         now = asyncio.get_running_loop().time()
-        await bench.context.ends.check(answer, process, now + 10.0, 1)
+        await bench.context.ends.check(answer, process, now + left_s, 1)
 
     @pytest.mark.parametrize(
         'fields',
@@ -123,15 +127,32 @@
     @pytest.mark.parametrize(
         'fields',
         [
-            {'start': 7, 'known': 7},
-            {'start': 7},
             {'known': 7},
             {'error': EndpointUnreachableError('timeout')},
             {'error': EndpointFailedError('reset', crashed=True)},
             {'error': EndpointRefusedError(REFUSED_FULL)},
+            {'error': EndpointOutOfReachError('no host has links')},
+            {'start': 7, 'known': 7, 'left_s': 0.0, 'slow_s': 60.0},
+        ],
+        ids=str,
+    )
+    @virtual_time
+    async def test_answer_that_its_process_does_not_confirm_is_broken(
+        self, fields
+    ):
+        with pytest.raises(EndpointFailedError) as info:
+            await self.check(**fields)
+        assert not info.value.crashed
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'start': 7, 'known': 7},
+            {'start': 7},
+            {'start': 7, 'known': 7, 'left_s': 0.02, 'slow_s': 0.01},
         ],
         ids=str,
     )
     @virtual_time
-    async def test_answer_is_whole_unless_its_process_has_ended(self, fields):
+    async def test_answer_is_whole_once_its_process_confirms_it(self, fields):
         await self.check(**fields)
