An answer that only its connection ends is whole only if its process confirms it

The class: a success that is concluded from the absence of a proof to the contrary.

Now the answer is whole only if the same process replies after its end, directly or through another host: one rule for streams and plain answers, direct and forwarded, on the platform and at the own interface (there: accepts a connection and keeps it). A process is asked for 50 ms at least, so that an answer at the end of its time is still confirmed. A direct refusal is no longer replaced by the vaguer error of another host, so that a process that has ended is known after two refusals.

Ruled out: believing the first refusal (breaks sound answers off at hosts whose new connections are refused while open ones live), more time before unknown counts as whole (moves the limit and keeps the rule), other streams of the process as evidence (their last bytes may have been under way).

--- a/mustardscale/endpoints/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -32,11 +32,10 @@
     PlainEndpoint,
 )
 from mustardscale.endpoints.process_check import (
-    CHECK_TIME_SHARE,
-    CHECK_TIMEOUT_S,
     ProcessReply,
-    ProcessState,
+    compute_give_up_at,
     question_process,
+    require_running,
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -73,6 +72,9 @@
 # Headers that aiohttp would add to a call that lacks them.
 _AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 
+# Time after which a connection that was accepted counts as kept, seconds.
+KEPT_S = 0.03
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -174,6 +176,7 @@
         timeout = aiohttp.ClientTimeout(
             total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
+        deadline_at = asyncio.get_running_loop().time() + call.timeout_s
         async with self._session.request(
             call.method,
             yarl.URL(f'http://{self._address}{call.path}', encoded=True),
@@ -185,21 +188,23 @@
         ) as response:
             answer = await self._read_answer(response)
             if find_framing(response) is AnswerFraming.CONNECTION:
-                await self._check_end(call, find_reset(response))
+                await self._check_end(call, find_reset(response), deadline_at)
             return answer
 
-    async def _check_end(self, call: PlainCall, reset: str) -> None:
+    async def _check_end(
+        self, call: PlainCall, reset: str, deadline_at: float
+    ) -> None:
         """Requires that an answer which its connection ends is whole.
 
         Raises:
-            EndpointFailedError: it was reset, or nothing listens at the
-                endpoint's address any more.
+            EndpointFailedError: it was reset, or nothing shows that a process
+                still serves the endpoint's address.
         """
         if reset:
             raise EndpointFailedError(reset, crashed=True)
-        check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * call.timeout_s)
-        give_up_at = asyncio.get_running_loop().time() + check_s
-        finding = await question_process(self._connect, give_up_at)
+        finding = await question_process(
+            self._connect, compute_give_up_at(deadline_at)
+        )
         log.info(
             'answer without a length ended; its process: %s, replies %s,'
             ' unanswered %d',
@@ -208,23 +213,32 @@
             finding.unanswered,
             extra={'request_id': call.request_id, 'endpoint': self._address},
         )
-        if finding.state is ProcessState.ENDED:
-            raise EndpointFailedError(
-                'its process ended with the connection', crashed=True
-            )
+        require_running(finding)
 
     async def _connect(self) -> ProcessReply:
-        """Finds out whether the endpoint accepts a connection."""
+        """Finds out whether the endpoint accepts a connection and keeps it.
+
+        What stands before a process that has ended, such as a proxy, accepts
+        it and closes it.
+        """
         ip, _, port = self._address.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await asyncio.open_connection(ip, int(port))
         except ConnectionRefusedError:
             return ProcessReply.REFUSED
         except (OSError, TimeoutError):
             return ProcessReply.NONE
-        writer.close()
-        return ProcessReply.SAME
+        try:
+            async with asyncio.timeout(KEPT_S):
+                await reader.read(1)
+        except TimeoutError:
+            return ProcessReply.SAME
+        except OSError:
+            return ProcessReply.NONE
+        finally:
+            writer.close()
+        return ProcessReply.NONE
 
     async def _read_answer(
         self, response: aiohttp.ClientResponse
--- a/mustardscale/endpoints/process_check.py
+++ b/mustardscale/endpoints/process_check.py
@@ -2,8 +2,9 @@
 
 An answer that only the end of its connection delimits looks whole when the
 process ends between two pieces of it. So the process is asked about itself
-after the answer has ended. Only what shows that it has ended counts against the
-answer: a question that is slow, refused as full or lost shows nothing.
+after the answer has ended, and the answer is whole only if the same process
+replies. Without such a reply it cannot be told from one that broke off, be it
+that the process has ended, that its replies are lost, or that time is short.
 """
 
 from __future__ import annotations
@@ -14,12 +15,18 @@
 import enum
 from collections.abc import Awaitable, Callable
 
+from mustardscale.exceptions import EndpointFailedError
+
 # Time after which nothing more is asked, seconds.
 CHECK_TIMEOUT_S = 1.5
-# Share of the time that is left for an answer in which its process is asked.
+# Share of the time that is left for an answer in which its process is asked,
+# and the time for which it is asked at least, seconds.
 CHECK_TIME_SHARE = 0.5
+MIN_CHECK_S = 0.05
 # Time after which an unanswered question is asked once more, seconds.
 ASK_INTERVAL_S = 0.25
+# Time left in which nothing more is asked, seconds.
+TOO_SHORT_S = 0.001
 # Pause after a reply that shows nothing, seconds.
 ASK_PAUSE_S = 0.1
 # Refused connections after which nothing listens any more. A single one may
@@ -44,7 +51,13 @@
 
 
 class ProcessState(enum.StrEnum):
-    """What is known of a process after an answer of it has ended."""
+    """What is known of a process after an answer of it has ended.
+
+    Attributes:
+        RUNS: it has replied, so that the answer is whole.
+        ENDED: it has ended, so that the answer may have broken off.
+        UNKNOWN: nothing was found out, so that it may have as well.
+    """
 
     RUNS = 'runs'
     ENDED = 'ended'
@@ -66,6 +79,33 @@
     unanswered: int = 0
 
 
+def compute_give_up_at(deadline_at: float) -> float:
+    """Returns the loop time until which a process is asked about itself.
+
+    Args:
+        deadline_at: loop time by which its request must have ended.
+    """
+    now = asyncio.get_running_loop().time()
+    check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * (deadline_at - now))
+    return now + max(MIN_CHECK_S, check_s)
+
+
+def require_running(finding: ProcessFinding) -> None:
+    """Requires that a process has outlived its answer.
+
+    Raises:
+        EndpointFailedError: it has not, or nothing shows that it has.
+    """
+    if finding.state is ProcessState.ENDED:
+        raise EndpointFailedError(
+            'its process ended with the connection', crashed=True
+        )
+    if finding.state is ProcessState.UNKNOWN:
+        raise EndpointFailedError(
+            'its process did not confirm the end of the answer'
+        )
+
+
 async def question_process(
     ask: Callable[[], Awaitable[ProcessReply]], give_up_at: float
 ) -> ProcessFinding:
@@ -80,7 +120,7 @@
     counts: collections.Counter[ProcessReply] = collections.Counter()
     state = ProcessState.UNKNOWN
     try:
-        while (left_s := give_up_at - loop.time()) > 0:
+        while (left_s := give_up_at - loop.time()) > TOO_SHORT_S:
             asking.add(asyncio.ensure_future(ask()))
             done, asking = await asyncio.wait(
                 asking,
--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -17,6 +17,7 @@
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
+    EndpointGoneError,
     EndpointOutOfReachError,
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -195,7 +196,10 @@
             return direct.result()
         except EndpointUnreachableError:
             await asyncio.wait([direct])
-            if _is_answer(direct):
+            if _is_answer(direct) or isinstance(
+                direct.exception(), EndpointGoneError
+            ):
+                # A refusal shows more than a connection that was not made.
                 return direct.result()
             raise
         return forwarded.reply.start
--- a/mustardscale/relay/answer_end.py
+++ b/mustardscale/relay/answer_end.py
@@ -8,12 +8,12 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.endpoints.process_check import (
-    CHECK_TIME_SHARE,
-    CHECK_TIMEOUT_S,
     ProcessFinding,
     ProcessReply,
     ProcessState,
+    compute_give_up_at,
     question_process,
+    require_running,
 )
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -75,7 +75,7 @@
 
         Raises:
             EndpointFailedError: only the end of its connection delimits the
-                answer, and the process has ended.
+                answer, and the process has ended or does not reply.
         """
         if answer.framing is not AnswerFraming.CONNECTION:
             return
@@ -96,10 +96,7 @@
             detail=inquiry.last_error,
             checked_s=round(loop.time() - began_at, 4),
         )
-        if finding.state is ProcessState.ENDED:
-            raise EndpointFailedError(
-                'its process ended with the connection', crashed=True
-            )
+        require_running(finding)
 
     async def find_state(
         self, process: AnsweringProcess, deadline_at: float
@@ -132,9 +129,9 @@
         Args:
             deadline_at: loop time by which its request must have ended.
         """
-        now = asyncio.get_running_loop().time()
-        check_s = min(CHECK_TIMEOUT_S, CHECK_TIME_SHARE * (deadline_at - now))
-        return await question_process(self._ask, now + check_s)
+        return await question_process(
+            self._ask, compute_give_up_at(deadline_at)
+        )
 
     async def _ask(self) -> ProcessReply:
         """Asks once."""
@@ -153,8 +150,8 @@
         except (EndpointUnreachableError, EndpointFailedError) as error:
             self.last_error = str(error)
             return ProcessReply.NONE
-        if start and process.start and start != process.start:
-            return ProcessReply.OTHER
+        if process.start and start != process.start:
+            return ProcessReply.OTHER if start else ProcessReply.NONE
         return ProcessReply.SAME
 
     def _is_replaced(self) -> bool:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -409,3 +409,8 @@
         answer = RawAnswer([b'whole', b' body'], ending=ending, missing=5)
         with pytest.raises(EndpointFailedError):
             self.call(answer)
+
+    def test_answer_cut_short_with_little_time_left_is_no_answer(self):
+        answer = RawAnswer([b'whole', b' body'], ending=Ending.GONE, missing=5)
+        with pytest.raises(EndpointFailedError):
+            self.call(answer, timeout_s=0.15)
