--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,19 +4,29 @@
 
 import pytest
 
-from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.blackboard import EndpointEntry
+from mustardscale.exceptions import (
+    EndpointGoneError,
+    EndpointUnreachableError,
+    PeerUnavailableError,
+)
 from mustardscale.forwarding.endpoint_links import EndpointLinks
 from mustardscale.forwarding.forward_server import MAX_OPEN_CALLS
+from mustardscale.forwarding.forwarders import ForwardedReply
+from mustardscale.forwarding.forwarding_endpoint import ForwardingEndpoint
+from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.forward_messages import (
     ForwardCall,
     ForwardedRequest,
     ForwardKind,
+    ForwardOutcome,
     ForwardReply,
 )
 from standins.crash_fleet import SERVICE
 from standins.cut_fleet import BOOK, READ, CutFleet
 from standins.cut_links import CutMode
+from tests.relay_fakes import FakeEndpoint
 from tests.virtual_time import virtual_time
 
 # Time in which a cut host has found the way through another one, seconds.
@@ -94,6 +104,66 @@
         assert not links.is_forwarded('e2')
 
 
+class FakeForwarders:
+    """Another host, whose reply is given."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    async def call(self, endpoint, call, timeout_s):
+        return ForwardedReply('h2', self.reply)
+
+
+class FakeMonitor:
+    """A monitor of which only the other host is asked."""
+
+    def __init__(self, reply):
+        self.forwarders = FakeForwarders(reply)
+
+    def record_reached(self, endpoint_id):
+        raise AssertionError('the endpoint was not reached')
+
+
+class TestQuestions:
+    """What is believed where this host and another one fail differently."""
+
+    async def ask(self, error, **reply):
+        entry = EndpointEntry('e1', ListedKind.PLAIN, 'e1:1', 'z', 'r', 's')
+        direct = FakeEndpoint('e1')
+
+        async def read_start():
+            raise error
+
+        direct.read_start = read_start
+        unreached = ForwardReply(ForwardOutcome.UNREACHED, 'reset', **reply)
+        endpoint = ForwardingEndpoint(
+            entry, direct, None, FakeMonitor(unreached)
+        )
+        await endpoint.read_start()
+
+    @virtual_time
+    async def test_a_vague_reply_does_not_hide_a_refusal_here(self):
+        with pytest.raises(EndpointGoneError):
+            await self.ask(EndpointGoneError('refused'), reaches_others=True)
+
+    @virtual_time
+    async def test_a_refusal_there_counts_where_this_host_saw_nothing(self):
+        with pytest.raises(EndpointGoneError):
+            await self.ask(
+                EndpointUnreachableError('timeout'),
+                gone=True,
+                reaches_others=True,
+            )
+
+    @virtual_time
+    async def test_no_refusal_at_all_shows_nothing(self):
+        with pytest.raises(EndpointUnreachableError) as info:
+            await self.ask(
+                EndpointUnreachableError('timeout'), reaches_others=True
+            )
+        assert not isinstance(info.value, EndpointGoneError)
+
+
 class TestHostInBetween:
     """Requests whose host in between ends or is harmed."""
 
