An unconfirmed answer is asked after until the deadline, not the first attempt's end

The first attempt at a repeatable request gets 0.25 s where the deadline is 600 ms, so that 50 to 100 ms were left for its process's reply. Now half of the time to the deadline is used, and the other half remains for a repeat. The new test failed before.

--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -233,7 +233,8 @@
             async with asyncio.timeout_at(give_up_at + ANSWER_MARGIN_S):
                 answer = await client.run(RelayCall(request, deadline_at))
                 body = await self._memory.read(answer)
-                await context.ends.check(answer, process, give_up_at)
+            # A repeat would cost more than waiting for the process's reply.
+            await context.ends.check(answer, process, deadline_at)
             is_success = answer.head.is_success
         except TimeoutError as error:
             raise EndpointFailedError('no answer in time') from error
--- a/tests/test_plain_relay.py
+++ b/tests/test_plain_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardscale.configuration.routes import RequestKind
+from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
@@ -156,3 +157,40 @@
         keys = request.suspicion_keys('service')
         assert not bench.suspicions.is_quarantined(keys)
         assert not bench.suspicions.is_suspect(keys)
+
+
+class TestUnconfirmedAnswers:
+    """Answers without a length whose process is slow to confirm them."""
+
+    def bench(self, reply_s):
+        bench = RelayBench(plain=('a', 'b'))
+        for name in 'ab':
+            endpoint = bench.endpoint(name)
+            endpoint.run_script = [
+                FakeAnswer([b'whole'], framing=AnswerFraming.CONNECTION)
+            ]
+
+            async def read_start():
+                await asyncio.sleep(reply_s)
+                return 0
+
+            endpoint.read_start = read_start
+        return bench
+
+    @virtual_time
+    async def test_confirmation_may_take_longer_than_a_first_attempt(self):
+        bench = self.bench(reply_s=0.28)
+        answer = await serve(
+            bench, REPEATABLE, request_of(timeout_s=0.6), max_attempts=2
+        )
+        assert answer.body == b'whole'
+        assert runs(bench) == 1
+
+    @virtual_time
+    async def test_time_for_a_repeat_remains(self):
+        bench = self.bench(reply_s=60.0)
+        request = request_of(timeout_s=0.6)
+        with pytest.raises(OutcomeError) as info:
+            await serve(bench, REPEATABLE, request, max_attempts=2)
+        assert outcome_class(info.value.outcome) is not OutcomeClass.NOT_RUN
+        assert runs(bench) == 2
