A stream to an HTTP/1.0 caller ends as whole only once all of it was sent

To such a caller the end of the connection is the end of the stream, and a reset is the only sign of a broken one. The connection was set to end without a reset before the last bytes were handed to the system: a caller that had stopped to read, and was cut off or whose host ended then, got a short stream with a regular end. The linger time is now set back when nothing is left in this process. The new test failed before.

--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -39,6 +39,8 @@
 # with which it sends what is left.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _SEND_ON_CLOSE = struct.pack('ii', 0, 0)
+# Interval at which a connection is looked at until all was sent, seconds.
+_SENT_LOOK_S = 0.01
 _SERVICE_UNAVAILABLE = 503
 _REPLACED_HEADERS = frozenset({'content-length', 'expect', 'host'})
 
@@ -155,9 +157,12 @@
                 log.exception('stream failed')
             _break_off(request)
             raise ConnectionResetError('the answer broke off') from error
+        await write_in_time(request, response.write_eof(), self._limits)
         if request.version < HttpVersion11:
+            await write_in_time(
+                request, _wait_until_sent(request), self._limits
+            )
             _set_linger(request, _SEND_ON_CLOSE)
-        await write_in_time(request, response.write_eof(), self._limits)
         return response
 
     def _close_if_draining(self, response: web.StreamResponse) -> None:
@@ -191,6 +196,17 @@
         transport.abort()
 
 
+async def _wait_until_sent(request: web.BaseRequest) -> None:
+    """Waits until the system has taken all that was written to a caller."""
+    transport = request.transport
+    while (  # noqa: ASYNC110
+        transport is not None
+        and not transport.is_closing()
+        and transport.get_write_buffer_size()
+    ):
+        await asyncio.sleep(_SENT_LOOK_S)
+
+
 def _set_linger(request: web.BaseRequest, linger: bytes) -> None:
     """Sets what closing a caller's connection does."""
     if request.transport is not None:
