A reply that does not name its process counts only while no other can run

Plain workers of the platform have no report: asked about themselves they answer 400 with X-Not-Executed.

A reply without a start now confirms the answer within half a second of its end and if no connection was refused meanwhile: a process that ends refuses the first question, and its successor takes longer to start. The same holds at the own interface, where a kept connection names no process, and where the list states no start. A gateway's 502, 503 or 504 without the worker's statement shows nothing.

Also: a direct refusal counts only at a host that reaches other endpoints, and a host whose link is forwarded asks the others at once (both by the review); an unconfirmed answer with a refusal starts a crash check, so that harmful requests are still found.

--- a/mustardscale/endpoints/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -233,7 +233,7 @@
             async with asyncio.timeout(KEPT_S):
                 await reader.read(1)
         except TimeoutError:
-            return ProcessReply.SAME
+            return ProcessReply.NAMELESS
         except OSError:
             return ProcessReply.NONE
         finally:
--- a/mustardscale/endpoints/process_check.py
+++ b/mustardscale/endpoints/process_check.py
@@ -5,6 +5,8 @@
 after the answer has ended, and the answer is whole only if the same process
 replies. Without such a reply it cannot be told from one that broke off, be it
 that the process has ended, that its replies are lost, or that time is short.
+An endpoint that does not say which of its processes replies is believed only
+as long as no other one can have been started.
 """
 
 from __future__ import annotations
@@ -29,6 +31,9 @@
 TOO_SHORT_S = 0.001
 # Pause after a reply that shows nothing, seconds.
 ASK_PAUSE_S = 0.1
+# Time after the end of an answer in which no process can have taken the place
+# of one that ended, unless a connection was refused meanwhile, seconds.
+REPLACED_AFTER_S = 0.5
 # Refused connections after which nothing listens any more. A single one may
 # come from an endpoint that takes no further connections.
 REFUSALS_OF_ENDED = 2
@@ -39,12 +44,14 @@
 
     Attributes:
         SAME: the same process answers.
+        NAMELESS: the endpoint answers, without saying which process it is.
         OTHER: another process answers at its address.
         REFUSED: the connection was refused.
         NONE: nothing, such as a lost connection or no reply.
     """
 
     SAME = 'same'
+    NAMELESS = 'nameless'
     OTHER = 'other'
     REFUSED = 'refused'
     NONE = 'none'
@@ -102,7 +109,8 @@
         )
     if finding.state is ProcessState.UNKNOWN:
         raise EndpointFailedError(
-            'its process did not confirm the end of the answer'
+            'its process did not confirm the end of the answer',
+            crashed=ProcessReply.REFUSED in finding.count_by_reply,
         )
 
 
@@ -116,6 +124,7 @@
         give_up_at: loop time after which nothing more is asked.
     """
     loop = asyncio.get_running_loop()
+    ended_at = loop.time()
     asking: set[asyncio.Future[ProcessReply]] = set()
     counts: collections.Counter[ProcessReply] = collections.Counter()
     state = ProcessState.UNKNOWN
@@ -128,7 +137,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             counts.update(question.result() for question in done)
-            state = _conclude(counts)
+            state = _conclude(counts, loop.time() - ended_at)
             if state is not ProcessState.UNKNOWN:
                 break
             if done:
@@ -140,7 +149,9 @@
     return ProcessFinding(state, dict(counts), len(asking))
 
 
-def _conclude(counts: collections.Counter[ProcessReply]) -> ProcessState:
+def _conclude(
+    counts: collections.Counter[ProcessReply], since_end_s: float
+) -> ProcessState:
     if counts[ProcessReply.SAME]:
         return ProcessState.RUNS
     if (
@@ -148,4 +159,10 @@
         or counts[ProcessReply.REFUSED] >= REFUSALS_OF_ENDED
     ):
         return ProcessState.ENDED
+    if (
+        counts[ProcessReply.NAMELESS]
+        and not counts[ProcessReply.REFUSED]
+        and since_end_s < REPLACED_AFTER_S
+    ):
+        return ProcessState.RUNS
     return ProcessState.UNKNOWN
--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -171,7 +171,9 @@
         began_at = asyncio.get_running_loop().time()
         direct = asyncio.ensure_future(self.direct.read_start())
         try:
-            await asyncio.wait([direct], timeout=OTHERS_AFTER_S)
+            is_forwarded = self._monitor.links.is_forwarded(self._entry.id)
+            wait_s = 0.0 if is_forwarded else OTHERS_AFTER_S
+            await asyncio.wait([direct], timeout=wait_s)
             if direct.done() and _is_answer(direct):
                 return direct.result()
             return await self._read_start_elsewhere(direct, began_at)
@@ -196,14 +198,22 @@
             return direct.result()
         except EndpointUnreachableError:
             await asyncio.wait([direct])
-            if _is_answer(direct) or isinstance(
-                direct.exception(), EndpointGoneError
-            ):
-                # A refusal shows more than a connection that was not made.
+            if _is_answer(direct) or await self._was_refused(direct, began_at):
                 return direct.result()
             raise
         return forwarded.reply.start
 
+    async def _was_refused(
+        self, direct: asyncio.Future[int], began_at: float
+    ) -> bool:
+        """Returns whether the endpoint refused a host that has links.
+
+        That shows more than the other host's connection that was not made.
+        """
+        return isinstance(
+            direct.exception(), EndpointGoneError
+        ) and await self._monitor.reaches_others(self._entry.id, began_at)
+
     async def _send(
         self,
         direct: Callable[[], Awaitable[ResultT]],
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -53,6 +53,8 @@
 DEADLINE_MARGIN_S = 0.1
 _MISDIRECTED = 421
 _BUSY = 503
+# Statuses of a gateway that got no answer of the worker behind it.
+_GATEWAY_STATUSES = frozenset({502, 503, 504})
 _RETRYABLE_STATUSES = frozenset({408, 429, 503})
 _DROPPED_HEADERS = frozenset({'content-length', 'date', 'server'})
 # Seconds, with an optional fraction. Dates are not accepted, because the clocks
@@ -202,6 +204,11 @@
                 self._notify_listener(response)
                 if response.status == _MISDIRECTED:
                     raise EndpointRefusedError(REFUSED_MOVED)
+                if (
+                    response.status in _GATEWAY_STATUSES
+                    and names.NOT_EXECUTED not in response.headers
+                ):
+                    raise EndpointFailedError(f'status {response.status}')
                 return await read_content(response, MAX_REPORT_BYTES)
         except REQUEST_ERRORS as error:
             raise make_endpoint_error(error, progress) from error
--- a/mustardscale/relay/answer_end.py
+++ b/mustardscale/relay/answer_end.py
@@ -150,9 +150,11 @@
         except (EndpointUnreachableError, EndpointFailedError) as error:
             self.last_error = str(error)
             return ProcessReply.NONE
-        if process.start and start != process.start:
-            return ProcessReply.OTHER if start else ProcessReply.NONE
-        return ProcessReply.SAME
+        if not start or not process.start:
+            return ProcessReply.NAMELESS
+        return (
+            ProcessReply.SAME if start == process.start else ProcessReply.OTHER
+        )
 
     def _is_replaced(self) -> bool:
         """Returns whether the list names a later process of the endpoint."""
--- a/standins/raw_worker.py
+++ b/standins/raw_worker.py
@@ -59,10 +59,18 @@
     RESET = 'reset'
     LOST = 'lost'
     WITHOUT_START = 'without a start'
+    LATE_WITHOUT_START = 'late, without a start'
+    OTHER_START = 'another start'
+    GATEWAY_ERROR = 'gateway error'
 
 
 # What shows that the process which answered still runs.
-CONFIRMING_CHECKS = (Check.ANSWERED, Check.SLOW)
+CONFIRMING_CHECKS = (
+    Check.ANSWERED,
+    Check.SLOW,
+    Check.REFUSED_FULL,
+    Check.WITHOUT_START,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,8 +182,11 @@
         if check is Check.RESET:
             _reset(writer)
             return
-        if check is Check.SLOW:
+        if check in (Check.SLOW, Check.LATE_WITHOUT_START):
             await asyncio.sleep(0.6)
+        if check is Check.GATEWAY_ERROR:
+            writer.write(b'HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n')
+            return
         if check is Check.REFUSED_FULL:
             writer.write(
                 b'HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n'
@@ -183,8 +194,10 @@
             )
             return
         report = {'phase': 'decode', 'kv_total': 100_000, 'born': self.born}
-        if check is Check.WITHOUT_START:
+        if check in (Check.WITHOUT_START, Check.LATE_WITHOUT_START):
             del report['born']
+        if check is Check.OTHER_START:
+            report['born'] = self.born + 1
         body = json.dumps(report).encode()
         writer.write(
             b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -414,3 +414,28 @@
         answer = RawAnswer([b'whole', b' body'], ending=Ending.GONE, missing=5)
         with pytest.raises(EndpointFailedError):
             self.call(answer, timeout_s=0.15)
+
+    def test_answer_is_not_confirmed_by_a_successor(self):
+        async def main():
+            answer = RawAnswer(
+                [b'whole', b' body'], ending=Ending.GONE, missing=5
+            )
+            worker = RawWorker('e1', [answer])
+            address = await worker.start()
+            successor = RawWorker('e1')
+            endpoint = HttpPlainEndpoint(address)
+            call = PlainCall(
+                'r1', 'GET', '/x', (('X-Request-Id', 'r1'),), b'', 5
+            )
+            calling = asyncio.create_task(endpoint.call(call))
+            await until(lambda: worker.ran)
+            await asyncio.sleep(0.06)
+            await successor.start(split_address(address)[1])
+            try:
+                with pytest.raises(EndpointFailedError):
+                    await calling
+            finally:
+                await endpoint.close()
+                successor.end()
+
+        uvloop.run(main())
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -115,10 +115,15 @@
 
 
 class FakeMonitor:
-    """A monitor of which only the other host is asked."""
+    """A monitor of a host that has links to other endpoints, or has none."""
 
-    def __init__(self, reply):
+    def __init__(self, reply, has_links):
         self.forwarders = FakeForwarders(reply)
+        self.links = EndpointLinks()
+        self.has_links = has_links
+
+    async def reaches_others(self, endpoint_id, since):
+        return self.has_links
 
     def record_reached(self, endpoint_id):
         raise AssertionError('the endpoint was not reached')
@@ -127,7 +132,7 @@
 class TestQuestions:
     """What is believed where this host and another one fail differently."""
 
-    async def ask(self, error, **reply):
+    async def ask(self, error, has_links=True, **reply):
         entry = EndpointEntry('e1', ListedKind.PLAIN, 'e1:1', 'z', 'r', 's')
         direct = FakeEndpoint('e1')
 
@@ -137,7 +142,7 @@
         direct.read_start = read_start
         unreached = ForwardReply(ForwardOutcome.UNREACHED, 'reset', **reply)
         endpoint = ForwardingEndpoint(
-            entry, direct, None, FakeMonitor(unreached)
+            entry, direct, None, FakeMonitor(unreached, has_links)
         )
         await endpoint.read_start()
 
@@ -146,6 +151,16 @@
         with pytest.raises(EndpointGoneError):
             await self.ask(EndpointGoneError('refused'), reaches_others=True)
 
+    @virtual_time
+    async def test_a_refusal_over_lost_links_shows_nothing(self):
+        with pytest.raises(EndpointUnreachableError) as info:
+            await self.ask(
+                EndpointGoneError('refused'),
+                has_links=False,
+                reaches_others=True,
+            )
+        assert not isinstance(info.value, EndpointGoneError)
+
     @virtual_time
     async def test_a_refusal_there_counts_where_this_host_saw_nothing(self):
         with pytest.raises(EndpointGoneError):
--- a/tests/test_process_check.py
+++ b/tests/test_process_check.py
@@ -23,7 +23,7 @@
 from tests.relay_fakes import FakeAnswer, RelayBench, event
 from tests.virtual_time import virtual_time
 
-SAME, OTHER, REFUSED, NONE = ProcessReply
+SAME, NAMELESS, OTHER, REFUSED, NONE = ProcessReply
 
 
 async def find(*replies, delays=()):
@@ -83,6 +83,28 @@
         assert asked < 20
 
 
+class TestNamelessReplies:
+    """Replies of an endpoint that does not say which process it is."""
+
+    @virtual_time
+    async def test_at_once_they_are_of_the_process_that_answered(self):
+        assert (await find(NAMELESS))[0] is ProcessState.RUNS
+
+    @virtual_time
+    async def test_after_a_lost_question_they_still_are(self):
+        assert (await find(NONE, NAMELESS))[0] is ProcessState.RUNS
+
+    @virtual_time
+    async def test_after_a_refusal_they_may_be_of_a_successor(self):
+        replies = (REFUSED, *[NAMELESS] * 20)
+        assert (await find(*replies))[0] is ProcessState.UNKNOWN
+
+    @virtual_time
+    async def test_late_ones_may_be_of_a_successor(self):
+        found = await find(*[NAMELESS] * 9, delays=[0.6] * 9)
+        assert found[0] is ProcessState.UNKNOWN
+
+
 class TestAnswers:
     """Answers that only the end of their connection delimits."""
 
@@ -127,7 +149,8 @@
     @pytest.mark.parametrize(
         'fields',
         [
-            {'known': 7},
+            {'known': 7, 'slow_s': 0.6},
+            {'start': 7, 'slow_s': 0.6},
             {'error': EndpointUnreachableError('timeout')},
             {'error': EndpointFailedError('reset', crashed=True)},
             {'error': EndpointRefusedError(REFUSED_FULL)},
@@ -148,7 +171,9 @@
         'fields',
         [
             {'start': 7, 'known': 7},
+            {'start': 7, 'known': 7, 'slow_s': 0.6},
             {'start': 7},
+            {'known': 7},
             {'start': 7, 'known': 7, 'left_s': 0.02, 'slow_s': 0.01},
         ],
         ids=str,
