Refuse answers with transfer codings other than chunked alone

With 'chunked' and 'identity' in two lines the HTTP library reads to the end of the connection, while the host took the answer for a chunked one and asked nobody about its end; 'chunked,' and 'chunked;q=1' passed the bytes of the chunks on as content. Such an answer is none: 502, as for an encoded one.

--- a/mustardscale/endpoints/answer_framing.py
+++ b/mustardscale/endpoints/answer_framing.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from mustardscale.endpoints.http_sessions import FinalResponse
+from mustardscale.exceptions import EndpointFailedError
 
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -30,15 +31,26 @@
 
 
 def find_framing(response: aiohttp.ClientResponse) -> AnswerFraming:
-    """Returns what marks the end of an answer's content."""
+    """Returns what marks the end of an answer's content.
+
+    Raises:
+        EndpointFailedError: the content has a transfer coding other than
+            chunked alone, so that it would be passed on as other bytes.
+    """
     if response.method == 'HEAD' or response.status in (
         _NO_CONTENT,
         _NOT_MODIFIED,
     ):
         return AnswerFraming.NONE
-    codings = response.headers.get('Transfer-Encoding', '').lower().split(',')
-    if codings[-1].strip() == 'chunked':
+    codings = [
+        coding.strip().lower()
+        for line in response.headers.getall('Transfer-Encoding', [])
+        for coding in line.split(',')
+    ]
+    if codings == ['chunked']:
         return AnswerFraming.CHUNKED
+    if codings:
+        raise EndpointFailedError(f'transfer coding {", ".join(codings)[:100]}')
     if 'Content-Length' in response.headers:
         return AnswerFraming.LENGTH
     return AnswerFraming.CONNECTION
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -150,10 +150,10 @@
         try:
             self._record_rate_limit(response, call, _is_signed(response))
             head = _check_head(response, call)
+            return WorkerAnswer(response, head, progress)
         except BaseException:
             response.close()
             raise
-        return WorkerAnswer(response, head, progress)
 
     async def prefill(self, call: RelayCall) -> PrefillHandle:
         """See the base class."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -439,3 +439,41 @@
                 successor.end()
 
         uvloop.run(main())
+
+
+class TestTransferCodings:
+    """Answers whose coding is not chunked alone."""
+
+    @pytest.mark.parametrize(
+        'lines',
+        [
+            'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity',
+            'Transfer-Encoding: chunked,',
+            'Transfer-Encoding: chunked;q=1',
+            'Transfer-Encoding: gzip',
+        ],
+    )
+    def test_they_are_no_answer(self, lines):
+        async def serve(reader, writer):
+            head = await reader.readuntil(b'\r\n\r\n')
+            if b'/mustardscale/report' not in head:
+                coded = f'HTTP/1.1 200 X\r\nX-Request-Id: r1\r\n{lines}\r\n'
+                signed = 'X-Response-Signature: s\r\n\r\n5\r\nwhole\r\n'
+                writer.write((coded + signed).encode())
+                await writer.drain()
+            writer.close()
+
+        async def main():
+            async with RawSite('a1') as site:
+                server = await asyncio.start_server(serve, '127.0.0.1', 0)
+                ip, port = server.sockets[0].getsockname()
+                site.address_by_worker['a1'] = f'{ip}:{port}'
+                site.list_worker('a1')
+                entries = site.routers[0].blackboard.endpoints_by_id
+                await until(lambda: entries['a1'].address == f'{ip}:{port}')
+                status, content, _ = await read_answer(site, '/book/x')
+                server.close()
+                assert status == 502
+                assert b'whole' not in content
+
+        uvloop.run(main())
