A stream never hands out an event that repeats or goes back

Cause: nothing compared the id of an event with the last one: not within a run, not where a run goes on after Last-Event-Id in the same answer, not at the first event after the Last-Event-Id that a caller brought. Besides, an event with an empty id made the host forget the place in the stream, so that a resumed run began at the caller's Last-Event-Id, or at the start.

What callers could see: an event twice, or events of a run that began too early, in an answer that ended as whole.

Why it works: the splitter keeps the order of ids across runs, beginning at the caller's Last-Event-Id. Numbers must rise, other ids must differ, events without an id pass. The events before the one out of order are handed out; it and what follows are discarded before they reach the caller, and the attempt counts as failed (not as a crash), which resumes the stream at another engine or breaks it off. The content of answers is now closed as a generator where it is left early.

--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
@@ -79,7 +79,7 @@
         self._stream = forwarded.reply.stream
         self._ended = False
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         read = ForwardRead(self._stream)
         while not self._ended:
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import aiohttp
 import msgspec
@@ -92,7 +92,7 @@
         self._response = response
         self._progress = progress
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         response = self._response
         try:
--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -4,6 +4,8 @@
 
 import re
 
+from mustardscale.relay.event_order import EventOrder
+
 # Maximum bytes of one event.
 MAX_EVENT_BYTES = 262_144
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
@@ -14,24 +16,37 @@
 class EventSplitter:
     r"""Collects the bytes of a stream until events are complete.
 
+    An event whose id is out of order, and what follows it, is discarded.
+
     Attributes:
         events: number of whole events so far.
-        last_id: id of the last whole event with an id.
+        out_of_order_id: id of the event that was discarded, '' if none was.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
     b'id: 1\ndata: a\n\n'
     >>> splitter.feed(b'ta: b\n\n'), splitter.last_id, splitter.events
     (b'id: 2\ndata: b\n\n', '2', 2)
+    >>> splitter.feed(b'id: 3\n\nid: 2\n\nid: 4\n\n')
+    b'id: 3\n\n'
+    >>> splitter.out_of_order_id, splitter.last_id
+    ('2', '3')
     """
 
-    __slots__ = ('_partial', 'events', 'last_id')
+    __slots__ = ('_order', '_partial', 'events', 'out_of_order_id')
 
-    def __init__(self):
+    def __init__(self, last_id: str = ''):
+        """Begins before the first event, or after the one with a given id."""
         self.events = 0
-        self.last_id = ''
+        self.out_of_order_id = ''
+        self._order = EventOrder(last_id)
         self._partial = b''
 
+    @property
+    def last_id(self) -> str:
+        """Id of the last whole event with an id, or the one begun after."""
+        return self._order.last_id
+
     @property
     def partial(self) -> bytes:
         """The bytes after the last whole event."""
@@ -43,23 +58,46 @@
         Raises:
             ValueError: an event is longer than MAX_EVENT_BYTES.
         """
+        if self.out_of_order_id:
+            return b''
         buffered = self._partial + data
         # The separator may have begun in the previous bytes.
         begin = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
         end = 0
         for match in _EVENT_END.finditer(buffered, begin):
-            self._count_event(buffered[end : match.end()])
+            event = buffered[end : match.end()]
+            if not self._check_order(event):
+                return buffered[:end]
+            self._order.record(_find_id(event))
+            self.events += 1
             end = match.end()
         self._partial = buffered[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ValueError('an event is too long')
         return buffered[:end]
 
+    def check_partial(self) -> None:
+        """Discards the bytes after the last whole event if out of order."""
+        self._check_order(self._partial)
+
     def drop_partial(self) -> None:
-        """Discards the bytes of an event that will not be completed."""
+        """Discards what was not completed; the stream goes on elsewhere."""
+        self._partial = b''
+        self.out_of_order_id = ''
+
+    def _check_order(self, event: bytes) -> bool:
+        """Returns whether an event may follow, and discards it if not."""
+        event_id = _find_id(event)
+        if self._order.allows(event_id):
+            return True
+        self.out_of_order_id = event_id
         self._partial = b''
+        return False
+
 
-    def _count_event(self, event: bytes) -> None:
-        self.events += 1
-        for match in _EVENT_ID.finditer(event):
-            self.last_id = match.group(1).decode('latin-1')
+def _find_id(event: bytes) -> str:
+    """Returns the id of an event, '' if it has none. The last line counts."""
+    event_id = ''
+    for match in _EVENT_ID.finditer(event):
+        event_id = match.group(1).decode('latin-1')
+    return event_id
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -23,6 +23,7 @@
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.retry_budget import RetryBudgets
 from mustardscale.reporting.event_log import EventLog
+from mustardscale.reporting.metrics import Metrics
 from mustardscale.versions.stream_versions import StreamVersions
 
 # Time after a deadline in which the endpoint's own answer that the deadline
@@ -44,6 +45,7 @@
         ends: checks the ends of answers.
         versions: the software versions of streams.
         active: the requests in progress.
+        metrics: the counters of this host.
     """
 
     board: Blackboard
@@ -55,6 +57,7 @@
     ends: AnswerEnds
     versions: StreamVersions
     active: ActiveRequests
+    metrics: Metrics
 
     @property
     def events(self) -> EventLog:
--- a/mustardscale/relay/relay_endpoint.py
+++ b/mustardscale/relay/relay_endpoint.py
@@ -4,7 +4,7 @@
 
 import abc
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.endpoints.answer_framing import AnswerFraming
@@ -65,7 +65,7 @@
     framing: AnswerFraming = AnswerFraming.LENGTH
 
     @abc.abstractmethod
-    def chunks(self) -> AsyncIterator[bytes]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields the content as it arrives.
 
         Raises:
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 
 from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.blackboard import RelayedRequest
@@ -45,6 +45,8 @@
 SURVIVED_AFTER_S = 2.0
 # Size assumed if the caller declares none, tokens.
 DEFAULT_SIZE = SizeEstimate(1_000, 1_000)
+# Characters of an event's id in logs at most.
+MAX_SHOWN_ID = 40
 
 
 class StreamRelay:
@@ -116,7 +118,7 @@
         self._request = request
         self._route = route
         self._service = service
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(request.resume_after)
         self._answer: EndpointAnswer | None = None
         self._outcome = Outcome.CALLER_LEFT
         # Whether the stream is kept at one software version.
@@ -233,10 +235,8 @@
             return
         while True:
             try:
-                async for data in self._read(self._require_answer()):
-                    whole_events = self._process_chunk(data)
-                    if whole_events:
-                        yield whole_events
+                async for whole_events in self._read_events():
+                    yield whole_events
                 await self._check_end()
                 break
             except EndpointFailedError as error:
@@ -248,6 +248,23 @@
         self._outcome = Outcome.COMPLETE
         self._attempts.end_call(is_success=True)
 
+    async def _read_events(self) -> AsyncIterator[bytes]:
+        """Yields the whole events of the present run.
+
+        Raises:
+            EndpointFailedError: it broke off, stalled, or an event was out of
+                order.
+            OutcomeError: an event is too long.
+            TimeoutError: the deadline has passed.
+        """
+        read = self._read(self._require_answer())
+        async with contextlib.aclosing(read) as chunks:
+            async for data in chunks:
+                whole_events = self._process_chunk(data)
+                if whole_events:
+                    yield whole_events
+                self._require_order()
+
     async def _read_error_answer(self) -> AsyncIterator[bytes]:
         """Yields the content of an answer that is no success.
 
@@ -268,10 +285,13 @@
         """Requires that an answer which its connection ends is complete.
 
         Raises:
-            EndpointFailedError: the connection ended inside an event, or the
-                engine's process has ended with it.
+            EndpointFailedError: the connection ended inside an event, the
+                engine's process has ended with it, or the bytes after the
+                last whole event are out of order.
         """
         answer = self._require_answer()
+        self._splitter.check_partial()
+        self._require_order()
         is_unframed = answer.framing is AnswerFraming.CONNECTION
         if is_unframed and self._splitter.partial:
             raise EndpointFailedError(
@@ -279,6 +299,21 @@
             )
         await self._attempts.check_end(answer, self._splitter.events)
 
+    def _require_order(self) -> None:
+        """Requires that no event of the run was out of order.
+
+        Raises:
+            EndpointFailedError: one repeats, or goes back behind, what the
+                caller has.
+        """
+        splitter = self._splitter
+        if not splitter.out_of_order_id:
+            return
+        self._context.metrics.count('events_out_of_order')
+        found = splitter.out_of_order_id[:MAX_SHOWN_ID]
+        last = splitter.last_id[:MAX_SHOWN_ID]
+        raise EndpointFailedError(f'event {found!r} came after event {last!r}')
+
     def end(self) -> None:
         """Releases the answer, the prefill result and the engine grant.
 
@@ -294,8 +329,7 @@
             self._admission.release(served, self._outcome, 0, finished)
 
     async def _next_answer(self) -> EndpointAnswer:
-        after = self._splitter.last_id or self._request.resume_after
-        answer = await self._attempts.next_answer(after)
+        answer = await self._attempts.next_answer(self._splitter.last_id)
         self._progress_at = self._context.now()
         self._wrote_since = None
         return answer
@@ -305,28 +339,32 @@
             raise OutcomeError(Outcome.INTERNAL_ERROR, 'no answer has begun')
         return self._answer
 
-    async def _read(self, answer: EndpointAnswer) -> AsyncIterator[bytes]:
+    async def _read(
+        self, answer: EndpointAnswer
+    ) -> AsyncGenerator[bytes, None]:
         """Yields an answer's content until the deadline.
 
         Raises:
             EndpointFailedError: the answer broke off or stalled.
             TimeoutError: the deadline has passed.
         """
-        chunks = answer.chunks()
-        while True:
-            stall_timeout_at = self._stall_timeout_at
-            try:
-                async with asyncio.timeout_at(
-                    min(stall_timeout_at, self._give_up_at)
-                ):
-                    data = await anext(chunks)
-            except StopAsyncIteration:
-                return
-            except TimeoutError as error:
-                if stall_timeout_at < self._give_up_at:
-                    raise EndpointFailedError('the stream stalled') from error
-                raise
-            yield data
+        async with contextlib.aclosing(answer.chunks()) as chunks:
+            while True:
+                stall_timeout_at = self._stall_timeout_at
+                try:
+                    async with asyncio.timeout_at(
+                        min(stall_timeout_at, self._give_up_at)
+                    ):
+                        data = await anext(chunks)
+                except StopAsyncIteration:
+                    return
+                except TimeoutError as error:
+                    if stall_timeout_at < self._give_up_at:
+                        raise EndpointFailedError(
+                            'the stream stalled'
+                        ) from error
+                    raise
+                yield data
 
     def _process_chunk(self, data: bytes) -> bytes:
         """Processes the next bytes of the stream and returns whole events."""
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -150,6 +150,7 @@
             AnswerEnds(board, self.metrics),
             self.versions,
             self.active,
+            self.metrics,
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
--- a/standins/crash_engines.py
+++ b/standins/crash_engines.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 
 from mustardscale.blackboard import EndpointEntry
 from mustardscale.endpoints.engines import (
@@ -203,7 +203,7 @@
         self._closed = False
         engine.running += 1
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         self._engine.begin_to_write(self._segments)
         for number in range(self._first, EVENTS + 1):
--- a/standins/cut_fleet.py
+++ b/standins/cut_fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import AsyncGenerator, Callable, Collection
 
 from mustardscale.blackboard import EndpointEntry
 from mustardscale.configuration.routes import (
@@ -69,7 +69,7 @@
     def __init__(self) -> None:
         self.head = AnswerHead(200, ())
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         yield b'ok'
 
--- a/standins/cut_links.py
+++ b/standins/cut_links.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from collections.abc import AsyncGenerator, Awaitable, Callable, Collection
 from typing import TypeVar
 
 from mustardscale.blackboard import EndpointEntry, Signal
@@ -142,7 +142,7 @@
         self._endpoint = endpoint
         self._answer = answer
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         chunks = self._answer.chunks()
         while True:
--- a/standins/limited_endpoints.py
+++ b/standins/limited_endpoints.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 
 from mustardscale.blackboard import EndpointEntry
 from mustardscale.endpoints.engines import EngineControl
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self.head = AnswerHead(200, ())
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
         yield b'ok'
 
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -193,6 +193,7 @@
             AnswerEnds(self.board, Metrics()),
             StreamVersions(self.board, PeerCalls(self.board, None), Metrics()),
             ActiveRequests(),
+            Metrics(),
         )
         for name in plain:
             self._add(name, ListedKind.PLAIN, None)
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -18,6 +18,7 @@
 )
 from mustardscale.relay.endpoint_choice import choose_endpoint
 from mustardscale.relay.endpoint_health import EndpointHealth, HealthTable
+from mustardscale.relay.event_order import EventOrder
 from mustardscale.relay.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.retry_budget import (
@@ -114,6 +115,50 @@
             splitter.feed(b'x' * (MAX_EVENT_BYTES + 1))
 
 
+class TestEventOrder:
+    """Which ids may follow the last one."""
+
+    @pytest.mark.parametrize(
+        ('last_id', 'event_id', 'follows'),
+        [
+            ('', '1', True),
+            ('9', '10', True),
+            ('1', '7', True),
+            ('2', '2', False),
+            ('10', '9', False),
+            ('2', '02', False),
+            ('5', '', True),
+            ('a', 'b', True),
+            ('b', 'a', True),
+            ('a', 'a', False),
+            ('a', '1', True),
+            ('1', 'a', True),
+            ('9' * 5_000, '9' * 5_000, False),
+        ],
+    )
+    def test_numbers_rise_and_other_ids_differ(
+        self, last_id, event_id, follows
+    ):
+        assert EventOrder(last_id).allows(event_id) is follows
+
+    def test_events_without_an_id_keep_the_place(self):
+        splitter = EventSplitter('4')
+        chunk = b'data: a\n\nid: 5\ndata: b\n\n: note\n\nid: 5\n\n'
+        assert splitter.feed(chunk) == chunk[: -len(b'id: 5\n\n')]
+        assert (splitter.last_id, splitter.out_of_order_id) == ('5', '5')
+
+    @given(st.integers(1, 60), st.integers(1, 9))
+    def test_nothing_follows_an_event_that_repeats(self, cut, size):
+        before = b''.join(b'id: %d\n\n' % number for number in (3, 4, 9))
+        stream = before + b'id: 4\n\nid: 10\n\n' + b'id: 11\n\n' * cut
+        splitter = EventSplitter('2')
+        out = b''
+        for begin in range(0, len(stream), size):
+            out += splitter.feed(stream[begin : begin + size])
+        assert out == before
+        assert splitter.partial == b''
+
+
 class TestRetryBudget:
     """Arrivals of a request after its first one."""
 
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -15,6 +15,7 @@
 )
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.relay.stream_relay import StreamRelay
+from mustardscale.reporting.event_log import EventKind
 from tests.relay_fakes import (
     SERVICE,
     STREAM,
@@ -231,6 +232,100 @@
         assert bench.endpoint('d').runs[0].resume_after == '5'
 
 
+class TestOrderOfEvents:
+    """Runs whose events repeat, or go back behind, what the caller has."""
+
+    async def collect(self, bench, request=None, kind=RESUMABLE):
+        """Returns the bytes that reach the caller and the outcome."""
+        got = b''
+        route = route_of(kind, max_attempts=2)
+        try:
+            async with bench.relay.serve(
+                request or request_of(), route, SERVICE
+            ) as stream:
+                async for part in stream.events():
+                    got += part
+        except OutcomeError as error:
+            return got, error.outcome
+        return got, Outcome.COMPLETE
+
+    @pytest.mark.parametrize('first_again', [1, 2])
+    @virtual_time
+    async def test_resumed_run_that_goes_back_is_broken_off(self, first_again):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(1), event(2), LOST]]
+        again = FakeAnswer([event(first_again), event(3)])
+        bench.endpoint('e').run_script = [again]
+        got, outcome = await self.collect(bench)
+        assert got == event(1) + event(2)
+        assert outcome is Outcome.ENDPOINT_FAILED
+        assert again.closed
+
+    @pytest.mark.parametrize('first', [4, 5])
+    @virtual_time
+    async def test_run_that_repeats_what_the_caller_brought_is_replaced(
+        self, first
+    ):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(first), event(6)]]
+        bench.endpoint('e').run_script = [[event(7), event(9)]]
+        request = request_of(resume_after='5')
+        got, outcome = await self.collect(bench, request)
+        assert got == event(7) + event(9)
+        assert outcome is Outcome.COMPLETE
+        assert bench.endpoint('e').runs[0].resume_after == '5'
+
+    @pytest.mark.parametrize('kind', [STREAM, RESUMABLE])
+    @virtual_time
+    async def test_events_before_one_that_repeats_are_handed_out(self, kind):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        chunk = event(1) + event(2) + event(2) + event(3)
+        bench.endpoint('d').run_script = [[chunk, event(4)]]
+        bench.endpoint('e').run_script = [[event(3)]]
+        got, outcome = await self.collect(bench, kind=kind)
+        if kind is STREAM:
+            assert got == event(1) + event(2)
+            assert outcome is Outcome.ENDPOINT_FAILED
+        else:
+            assert got == event(1) + event(2) + event(3)
+            assert outcome is Outcome.COMPLETE
+            assert bench.endpoint('e').runs[0].resume_after == '2'
+
+    @virtual_time
+    async def test_unfinished_last_event_that_goes_back_is_not_handed_out(self):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(1), event(2), event(1)[:-1]]]
+        bench.endpoint('e').run_script = [[event(3)]]
+        got, outcome = await self.collect(bench)
+        assert got == event(1) + event(2) + event(3)
+        assert outcome is Outcome.COMPLETE
+
+    @virtual_time
+    async def test_empty_id_does_not_lose_the_place(self):
+        unnamed = b'id:\ndata: x\n\n'
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(6), unnamed, LOST]]
+        bench.endpoint('e').run_script = [[event(7)]]
+        request = request_of(resume_after='5')
+        got, _ = await self.collect(bench, request)
+        assert got == event(6) + unnamed + event(7)
+        assert bench.endpoint('e').runs[0].resume_after == '6'
+
+    @virtual_time
+    async def test_operators_see_both_ids(self):
+        bench = StreamBench(('p', 'd'))
+        bench.endpoint('d').run_script = [[event(8), event(3)]]
+        await self.collect(bench, kind=STREAM)
+        [inputs] = [
+            inputs
+            for kind, _, _, inputs in bench.events.recorded
+            if kind is EventKind.ATTEMPT_FAILED
+        ]
+        assert inputs['detail'] == "event '3' came after event '8'"
+        counts = bench.context.metrics.counter_by_name
+        assert counts['events_out_of_order'] == 1
+
+
 class TestAnswersThatBreakOff:
     """Answers whose end does not show whether they are complete."""
 
