A forwarded answer hands on each byte once and of one answer only

Cause: the host in between numbered answers from 1 at each start, and a read named the number only. After a restart the number of an earlier answer could stand for another answer of the same sender. A part was taken from the answer when it was sent; if its reply was lost, a further read went on behind it, and nothing told the reader.

What callers could see: bytes of another answer, or bytes missing in the middle of an answer that ended as whole.

Why it works: numbers begin at the host's start number times 2**20, above all that earlier starts gave out. A read states the bytes received so far, and the host in between closes the answer if it stands elsewhere. A part states where it begins, and the reader fails on one that doesn't follow. Both fields are -1 in messages of hosts of earlier releases, and such a position is not checked.

--- a/mustardscale/forwarding/forward_server.py
+++ b/mustardscale/forwarding/forward_server.py
@@ -34,6 +34,7 @@
 from mustardscale.forwarding.link_monitor import LinkMonitor, ReadStart
 from mustardscale.peers.forward_messages import (
     NO_LIMIT,
+    NO_POSITION,
     ForwardCall,
     ForwardClose,
     ForwardKind,
@@ -64,6 +65,9 @@
 # Time after a request's deadline at which its answer is closed, seconds.
 DEADLINE_MARGIN_S = 0.5
 EXPIRY_INTERVAL_S = 0.25
+# Numbers of answers set aside for each start number of the process. A process
+# that gives out more runs for many units of the start number, milliseconds.
+NUMBERS_PER_START = 2**20
 _SENDING_KINDS = (ForwardKind.RUN, ForwardKind.PREFILL)
 
 
@@ -81,6 +85,7 @@
         was_read: whether a part was called for.
         next_chunk: the part that is being read.
         rest: bytes that were read and not yet passed on.
+        position: number of bytes that were passed on.
     """
 
     sender: str
@@ -92,6 +97,14 @@
     next_chunk: asyncio.Future[bytes] | None = None
     rest: bytes = b''
     was_read: bool = False
+    position: int = 0
+
+    def take_part(self) -> ForwardPart:
+        """Takes a part from the bytes that were read."""
+        part = ForwardPart(self.rest[:MAX_PART_BYTES], position=self.position)
+        self.rest = self.rest[MAX_PART_BYTES:]
+        self.position += len(part.data)
+        return part
 
     def close(self) -> None:
         """Closes the answer."""
@@ -122,7 +135,7 @@
         self._active = active
         self._metrics = metrics
         self._background = BackgroundTasks()
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(_first_number(board.incarnation))
         self._open_by_number: dict[int, _OpenAnswer] = {}
         self.open_calls = 0
         self._open_bytes = 0
@@ -351,10 +364,17 @@
         opened = self._open_by_number.get(read.stream)
         if opened is None or opened.sender != sender:
             return ForwardPart(failed=True, detail='the answer was closed')
+        if read.position not in (NO_POSITION, opened.position):
+            # A part was lost on its way, and is not kept.
+            self._end(read.stream)
+            return ForwardPart(
+                failed=True,
+                detail=f'read at {read.position}, not at {opened.position}',
+            )
         opened.read_at = asyncio.get_running_loop().time()
         opened.was_read = True
         if opened.rest:
-            return _next_part(opened)
+            return opened.take_part()
         try:
             return await self._read(read.stream, opened)
         except asyncio.CancelledError:
@@ -369,17 +389,17 @@
         chunk = opened.next_chunk
         await asyncio.wait([chunk], timeout=READ_WAIT_S)
         if not chunk.done():
-            return ForwardPart()
+            return ForwardPart(position=opened.position)
         if chunk.cancelled():
             return ForwardPart(failed=True, detail='the answer was closed')
         opened.next_chunk = None
         error = chunk.exception()
         if error is None and chunk.result():
             opened.rest = chunk.result()
-            return _next_part(opened)
+            return opened.take_part()
         self._end(number)
         if error is None:
-            return ForwardPart(ended=True)
+            return ForwardPart(ended=True, position=opened.position)
         crashed = isinstance(error, EndpointFailedError) and error.crashed
         return ForwardPart(failed=True, detail=str(error), crashed=crashed)
 
@@ -400,8 +420,13 @@
     return b''
 
 
-def _next_part(opened: _OpenAnswer) -> ForwardPart:
-    """Takes a part from the bytes that were read."""
-    data = opened.rest[:MAX_PART_BYTES]
-    opened.rest = opened.rest[MAX_PART_BYTES:]
-    return ForwardPart(data)
+def _first_number(incarnation: int) -> int:
+    """Returns the first number of an answer of a process.
+
+    It is above all numbers that earlier processes of the host gave out, so
+    that a number never stands for an answer of another process.
+
+    >>> _first_number(1), _first_number(2)
+    (1048577, 2097153)
+    """
+    return (incarnation * NUMBERS_PER_START + 1) % 2**63
--- a/mustardscale/forwarding/forwarding_endpoint.py
+++ b/mustardscale/forwarding/forwarding_endpoint.py
@@ -39,6 +39,7 @@
 from mustardscale.forwarding.link_monitor import LIVENESS_TIMEOUT_S, LinkMonitor
 from mustardscale.json_content import decode_json
 from mustardscale.peers.forward_messages import (
+    NO_POSITION,
     ForwardCall,
     ForwardClose,
     ForwardKind,
@@ -81,16 +82,10 @@
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """See the base class."""
-        read = ForwardRead(self._stream)
+        received = 0
         while not self._ended:
-            try:
-                part = await self._forwarders.calls.call(
-                    self._host, read, ForwardPart, READ_TIMEOUT_S
-                )
-            except PeerUnavailableError as error:
-                raise EndpointFailedError(
-                    f'the answer through {self._host} broke off: {error}'
-                ) from error
+            part = await self._read_part(received)
+            received += len(part.data)
             if part.data:
                 yield part.data
             self._ended = part.ended or part.failed
@@ -99,6 +94,30 @@
                     f'through {self._host}: {part.detail}', part.crashed
                 )
 
+    async def _read_part(self, position: int) -> ForwardPart:
+        """Reads the part that begins at a position.
+
+        Raises:
+            EndpointFailedError: it did not arrive, or begins elsewhere.
+        """
+        try:
+            part = await self._forwarders.calls.call(
+                self._host,
+                ForwardRead(self._stream, position),
+                ForwardPart,
+                READ_TIMEOUT_S,
+            )
+        except PeerUnavailableError as error:
+            raise EndpointFailedError(
+                f'the answer through {self._host} broke off: {error}'
+            ) from error
+        if part.position not in (NO_POSITION, position):
+            raise EndpointFailedError(
+                f'through {self._host}: a part at {part.position},'
+                f' not at {position}'
+            )
+        return part
+
     def close(self) -> None:
         """See the base class."""
         if self._ended:
--- a/mustardscale/peers/forward_messages.py
+++ b/mustardscale/peers/forward_messages.py
@@ -7,6 +7,8 @@
 
 # Value of a rate limit that an endpoint does not state.
 NO_LIMIT = -1.0
+# Value of a position that hosts of earlier releases do not state.
+NO_POSITION = -1
 
 
 class ForwardKind(enum.StrEnum):
@@ -156,9 +158,12 @@
 
     Attributes:
         stream: number of the answer.
+        position: bytes received so far, NO_POSITION from hosts of earlier
+            releases.
     """
 
     stream: int
+    position: int = NO_POSITION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +176,8 @@
         failed: whether it broke off.
         detail: how it broke off, for logs.
         crashed: whether the endpoint closed the connection.
+        position: number of bytes before the data or the end, NO_POSITION from
+            hosts of earlier releases.
     """
 
     data: bytes = b''
@@ -178,6 +185,7 @@
     failed: bool = False
     detail: str = ''
     crashed: bool = False
+    position: int = NO_POSITION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -445,6 +445,7 @@
 
 struct ForwardRead {
   stream @0 :Int64;
+  position @1 :Int64 = -1;
 }
 
 struct ForwardPart {
@@ -453,6 +454,7 @@
   failed @2 :Bool;
   detail @3 :Text;
   crashed @4 :Bool;
+  position @5 :Int64 = -1;
 }
 
 struct ForwardClose {
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,17 +1,25 @@
 """Tests of calls that go to an endpoint through another host."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
-from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.exceptions import EndpointFailedError, PeerUnavailableError
 from mustardscale.forwarding.endpoint_links import EndpointLinks
 from mustardscale.forwarding.forward_server import MAX_OPEN_CALLS
+from mustardscale.forwarding.forwarders import ForwardedReply
+from mustardscale.forwarding.forwarding_endpoint import ForwardedAnswer
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.forward_messages import (
+    NO_POSITION,
     ForwardCall,
+    ForwardClose,
     ForwardedRequest,
     ForwardKind,
+    ForwardOutcome,
+    ForwardPart,
+    ForwardRead,
     ForwardReply,
 )
 from standins.crash_fleet import SERVICE
@@ -222,6 +230,158 @@
         await fleet.stop()
 
 
+class TestPositions:
+    """Which part of which answer a read gets."""
+
+    async def open(self, fleet, name, other, request_id='r1'):
+        """Opens an answer at another host and returns its number."""
+        engine = fleet.decode_engines()[0]
+        request = ForwardedRequest(request_id, deadline_s=30.0)
+        call = ForwardCall(ForwardKind.RUN, engine.id, request)
+        calls = fleet.router_by_host[name]._calls
+        reply = await calls.call(other, call, ForwardReply, 1.0)
+        assert reply.stream
+        return reply.stream
+
+    async def read(self, fleet, name, other, *fields):
+        """Reads a part, waiting for data."""
+        calls = fleet.router_by_host[name]._calls
+        read = ForwardRead(*fields)
+        while True:
+            part = await calls.call(other, read, ForwardPart, 4.0)
+            if part.data or part.ended or part.failed:
+                return part
+
+    @virtual_time
+    async def test_parts_follow_each_other(self):
+        fleet, name = await start_cut()
+        other = next(h for h in fleet.router_by_host if h != name)
+        number = await self.open(fleet, name, other)
+        received = b''
+        while True:
+            part = await self.read(fleet, name, other, number, len(received))
+            assert part.position == len(received)
+            received += part.data
+            if part.ended:
+                break
+        assert received
+        await fleet.stop()
+
+    @virtual_time
+    async def test_part_whose_reply_was_lost_is_not_passed_over(self):
+        fleet, name = await start_cut()
+        other = next(h for h in fleet.router_by_host if h != name)
+        number = await self.open(fleet, name, other)
+        assert (await self.read(fleet, name, other, number, 0)).data
+        # The reply did not arrive, so the position is the same.
+        again = await self.read(fleet, name, other, number, 0)
+        assert again.failed
+        assert not again.data
+        await asyncio.sleep(ENDED_S)
+        assert running(fleet) == 0
+        await fleet.stop()
+
+    @virtual_time
+    async def test_host_of_an_earlier_release_is_served(self):
+        fleet, name = await start_cut()
+        other = next(h for h in fleet.router_by_host if h != name)
+        number = await self.open(fleet, name, other)
+        parts = 0
+        while True:
+            part = await self.read(fleet, name, other, number)
+            assert not part.failed
+            parts += 1
+            if part.ended:
+                break
+        assert parts > 2
+        await fleet.stop()
+
+    @virtual_time
+    async def test_number_of_an_earlier_start_gets_no_other_answer(self):
+        fleet, name = await start_cut()
+        other = next(h for h in fleet.router_by_host if h != name)
+        before = await self.open(fleet, name, other)
+        await fleet.kill_host(other)
+        await fleet.start_host(other)
+        await asyncio.sleep(FOUND_S)
+        after = await self.open(fleet, name, other, 'r2')
+        assert after > before
+        part = await self.read(fleet, name, other, before)
+        assert part.failed
+        assert not part.data
+        await fleet.stop()
+
+
+class ScriptedForwarders:
+    """Hosts in between that reply to reads with the given parts in order."""
+
+    def __init__(self, *parts):
+        self.calls = self
+        self.parts = list(parts)
+        self.reads = []
+        self.closed = []
+
+    async def call(self, host, read, reply_type, timeout_s):
+        self.reads.append(read)
+        return self.parts.pop(0)
+
+    def close_later(self, host, close):
+        self.closed.append(close)
+
+
+class TestReader:
+    """What a host takes from the parts that another one hands it."""
+
+    def answer(self, *parts):
+        forwarders = ScriptedForwarders(*parts)
+        reply = ForwardReply(
+            ForwardOutcome.DONE, status=200, framing='length', stream=7
+        )
+        return forwarders, ForwardedAnswer(
+            forwarders, ForwardedReply('other', reply)
+        )
+
+    @pytest.mark.parametrize('stated', [True, False])
+    @virtual_time
+    async def test_parts_that_follow_are_taken(self, stated):
+        parts = [
+            ForwardPart(b'abc', position=0),
+            ForwardPart(position=3),
+            ForwardPart(b'de', position=3),
+            ForwardPart(ended=True, position=5),
+        ]
+        if not stated:
+            parts = [
+                dataclasses.replace(part, position=NO_POSITION)
+                for part in parts
+            ]
+        forwarders, answer = self.answer(*parts)
+        assert [data async for data in answer.chunks()] == [b'abc', b'de']
+        assert forwarders.reads == [
+            ForwardRead(7, position) for position in (0, 3, 3, 5)
+        ]
+
+    @pytest.mark.parametrize(
+        'part',
+        [
+            ForwardPart(b'x', position=0),
+            ForwardPart(b'x', position=4),
+            ForwardPart(ended=True, position=9),
+        ],
+    )
+    @virtual_time
+    async def test_part_at_another_position_breaks_the_answer_off(self, part):
+        forwarders, answer = self.answer(ForwardPart(b'abc', position=0), part)
+        taken = []
+        with pytest.raises(EndpointFailedError) as caught:
+            async for data in answer.chunks():
+                taken.append(data)
+        assert not caught.value.crashed
+        assert taken == [b'abc']
+        answer.close()
+        assert forwarders.closed == [ForwardClose(7)]
+
+
 class TestBounds:
     """What one host takes on for others."""
 
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -1,8 +1,10 @@
 """Tests of the frames between entry hosts."""
 
 import dataclasses
+import pathlib
 import typing
 
+import capnp
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -16,17 +18,25 @@
     ConfigFetchReply,
     ConfigRecord,
 )
+from mustardscale.peers.forward_messages import (
+    NO_POSITION,
+    ForwardPart,
+    ForwardRead,
+)
 from mustardscale.peers.peer_codec import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
     TYPES_BY_KIND,
     Frame,
+    FrameHeader,
     FrameKind,
     decode_frame,
     decode_header,
+    decode_payload,
     encode_frame,
 )
 
+SCHEMA = pathlib.Path(peers.__file__).with_name('peer_messages.capnp')
 UNSIGNED_FIELDS = {
     'incarnation',
     'config_digest',
@@ -75,6 +85,12 @@
 )
 
 
+def decode_message(kind, envelope):
+    """Decodes a message that another schema has encoded."""
+    payload = envelope.to_bytes()
+    return decode_payload(FrameHeader(kind, 1, len(payload)), payload).message
+
+
 def _code_of(data: bytes) -> Outcome | None:
     try:
         decode_frame(data)
@@ -83,6 +99,27 @@
     return None
 
 
+# Lines of the schema that the release before parts had positions lacks.
+POSITION_LINES = (
+    '  position @1 :Int64 = -1;\n',
+    '  position @5 :Int64 = -1;\n',
+)
+SCHEMA_ID = '@0xb7d1c2f09a4e5831'
+EARLIER_SCHEMA_ID = '@0xb7d1c2f09a4e5832'
+
+
+@pytest.fixture(scope='module')
+def earlier_schema(tmp_path_factory):
+    """The schema of the release before parts had positions."""
+    text = SCHEMA.read_text().replace(SCHEMA_ID, EARLIER_SCHEMA_ID)
+    for line in POSITION_LINES:
+        assert text.count(line) == 1
+        text = text.replace(line, '')
+    path = tmp_path_factory.mktemp('schema') / 'earlier.capnp'
+    path.write_text(text)
+    return capnp.load(str(path))
+
+
 class TestRoundTrip:
     """Decoding what was encoded."""
 
@@ -108,6 +145,37 @@
         assert decode_frame(encode_frame(frame)) == frame
 
 
+class TestEarlierReleases:
+    """Messages of hosts whose schema lacks later fields, and to them."""
+
+    def test_their_messages_state_no_position(self, earlier_schema):
+        envelope = earlier_schema.Envelope.new_message()
+        envelope.init('forwardRead').stream = 7
+        assert decode_message(FrameKind.REQUEST, envelope) == ForwardRead(
+            7, NO_POSITION
+        )
+        envelope = earlier_schema.Envelope.new_message()
+        envelope.init('forwardPart').data = b'x'
+        assert decode_message(FrameKind.REPLY, envelope) == ForwardPart(
+            b'x', position=NO_POSITION
+        )
+
+    def test_they_read_messages_with_positions(self, earlier_schema):
+        part = ForwardPart(b'x', crashed=True, position=12)
+        encoded = encode_frame(Frame(FrameKind.REPLY, 1, part))
+        with earlier_schema.Envelope.from_bytes(
+            encoded[HEADER_BYTES:]
+        ) as envelope:
+            assert envelope.forwardPart.data == b'x'
+            assert envelope.forwardPart.crashed
+        read = ForwardRead(7, 12)
+        encoded = encode_frame(Frame(FrameKind.REQUEST, 1, read))
+        with earlier_schema.Envelope.from_bytes(
+            encoded[HEADER_BYTES:]
+        ) as envelope:
+            assert envelope.forwardRead.stream == 7
+
+
 class TestEncodingRefusals:
     """Messages that may not be sent."""
 
