A stream whose last data came without an id is not resumed

Last-Event-Id names no event that has no id, so that the next engine began after an earlier one, or from the start, and the caller got data twice. Such a stream breaks off; comments without data change nothing.

--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -10,6 +10,7 @@
 MAX_EVENT_BYTES = 262_144
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _MAX_EVENT_END_BYTES = 4
+_DATA = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
 _EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 
 
@@ -21,6 +22,8 @@
     Attributes:
         events: number of whole events so far.
         out_of_order_id: id of the event that was discarded, '' if none was.
+        is_resumable: whether a run that goes on after last_id repeats nothing;
+            it would repeat data that came without an id.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
@@ -33,12 +36,19 @@
     ('2', '3')
     """
 
-    __slots__ = ('_order', '_partial', 'events', 'out_of_order_id')
+    __slots__ = (
+        '_order',
+        '_partial',
+        'events',
+        'is_resumable',
+        'out_of_order_id',
+    )
 
     def __init__(self, last_id: str = ''):
         """Begins before the first event, or after the one with a given id."""
         self.events = 0
         self.out_of_order_id = ''
+        self.is_resumable = True
         self._order = EventOrder(last_id)
         self._partial = b''
 
@@ -68,8 +78,7 @@
             event = buffered[end : match.end()]
             if not self._check_order(event):
                 return buffered[:end]
-            self._order.record(_find_id(event))
-            self.events += 1
+            self._record(event)
             end = match.end()
         self._partial = buffered[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
@@ -85,6 +94,15 @@
         self._partial = b''
         self.out_of_order_id = ''
 
+    def _record(self, event: bytes) -> None:
+        event_id = _find_id(event)
+        self._order.record(event_id)
+        self.events += 1
+        if event_id:
+            self.is_resumable = True
+        elif _DATA.search(event):
+            self.is_resumable = False
+
     def _check_order(self, event: bytes) -> bool:
         """Returns whether an event may follow, and discards it if not."""
         event_id = _find_id(event)
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -406,6 +406,11 @@
         await attempts.record_failure(self.served.decode, failure, ran=True)
         if not attempts.may_run_again():
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(failure))
+        if not self._splitter.is_resumable:
+            raise OutcomeError(
+                Outcome.ENDPOINT_FAILED,
+                f'not resumed: its last data came without an id; {failure}',
+            )
         self._splitter.drop_partial()
         head = self.head
         self._require_answer().close()
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -261,6 +261,32 @@
         assert outcome is Outcome.ENDPOINT_FAILED
         assert again.closed
 
+    @pytest.mark.parametrize(
+        'begun',
+        [
+            [b'data: x\n\n'],
+            [event(1), b'data: x\n\n'],
+            [event(1), b'id\ndata\n\n'],
+        ],
+    )
+    @virtual_time
+    async def test_data_without_an_id_does_not_come_twice(self, begun):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[*begun, LOST]]
+        got, outcome = await self.collect(bench)
+        assert got == b''.join(begun)
+        assert outcome is Outcome.ENDPOINT_FAILED
+        assert not bench.endpoint('e').runs
+
+    @virtual_time
+    async def test_stream_goes_on_after_a_comment(self):
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(1), b': still here\n\n', LOST]]
+        bench.endpoint('e').run_script = [[event(2)]]
+        got, outcome = await self.collect(bench)
+        assert got == event(1) + b': still here\n\n' + event(2)
+        assert outcome is Outcome.COMPLETE
+
     @pytest.mark.parametrize('first', [4, 5])
     @virtual_time
     async def test_run_that_repeats_what_the_caller_brought_is_replaced(
