End a call at once when the parser gives up in an answer's trailers

Callers saw: a request whose answer ended in a trailer of more than 64 KiB, or in one that is no header, got its 502 only at its deadline, although the connection was closed at once.

Cause: when the parser fails after the last chunk, aiohttp closes the connection and sets the error for those who wait for a head; the reader of the content is not told.

Test failed before: test_endless_answers.py::TestReaders:: test_endless_answer_ends_before_its_deadline[trailer], with its deadline of 15 s; the other 15 kinds held.

Why it works: the connection that bounds answers gives the content the error as well if its reader still waits.

--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
 # Bytes of an answer that are no content (heads, chunk sizes, chunk extensions,
 # trailers): a fixed allowance, and so many for each byte of content. A chunk of
@@ -25,6 +26,10 @@
     """More than MAX_INTERIM_ANSWERS interim answers came before a final one."""
 
 
+class MalformedAnswerError(aiohttp.ClientError):
+    """The parser has given up on an answer."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A connection that is aborted when its answer exceeds the bounds.
 
@@ -49,6 +54,9 @@
     def data_received(self, data: bytes) -> None:
         """Parses data, and aborts if it has too many bytes but content."""
         super().data_received(data)
+        if isinstance(self._exception, HttpProcessingError):
+            # aiohttp tells only those who wait for a head.
+            self._fail_content(MalformedAnswerError(self._exception.message))
         self._received_bytes += len(data)
         content = 0 if self._payload is None else self._payload.total_bytes
         overhead = self._received_bytes - content
@@ -73,15 +81,19 @@
             return
         self.set_exception(error)
         self._violation = error
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(error)
+        self._fail_content(error)
         # Without a parser, the end of the connection is no error of the content
         # that would replace this one.
         self._parser = None
         if self.transport is not None:
             self.transport.abort()
 
+    def _fail_content(self, error: aiohttp.ClientError) -> None:
+        payload = self._payload
+        if payload is None or payload.is_eof() or payload.exception():
+            return
+        payload.set_exception(error)
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Makes connections that bound the bytes around an answer's content."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -47,6 +47,8 @@
 # Time of a call, seconds. What ends only with it has sent far more than the
 # bytes allowed.
 CALL_S = 3.0
+# Time of a call that must end long before, seconds.
+LONG_CALL_S = 15.0
 # Calls at once of most readers. Fewer read the store and the list of hosts,
 # which allow much larger answers.
 CALLS = 20
@@ -73,16 +75,16 @@
     return WorkerRelay(client, address, 'i', 0.5, listener)
 
 
-def make_relay_call():
-    return RelayCall(REQUEST, asyncio.get_running_loop().time() + CALL_S)
+def make_relay_call(seconds=CALL_S):
+    return RelayCall(REQUEST, asyncio.get_running_loop().time() + seconds)
 
 
-def run_plain(stack, address):
+def run_plain(stack, address, seconds=CALL_S):
     relay = make_relay(stack, address)
     memory = AnswerMemory(AnswerLimits())
 
     async def call():
-        return await memory.read(await relay.run(make_relay_call()))
+        return await memory.read(await relay.run(make_relay_call(seconds)))
 
     return call
 
@@ -232,6 +234,17 @@
         assert 0 < len(worker.sent_by_connection) <= calls
         assert max(worker.sent_by_connection) <= limit
 
+    @pytest.mark.parametrize('kind', endless_worker.ANSWERS)
+    def test_endless_answer_ends_before_its_deadline(self, kind):
+        def make(stack, address):
+            return run_plain(stack, address, LONG_CALL_S)
+
+        answer = endless_worker.ANSWERS[kind]
+        _, (end,) = uvloop.run(call_worker(answer, make, 1))
+        assert isinstance(end, EndpointFailedError)
+        assert not isinstance(end.__cause__, TimeoutError)
+        assert not end.crashed
+
 
 async def read_whole(pieces, make):
     """Returns what a reader makes of an answer that ends."""
