--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -267,6 +267,7 @@
             [b'data: x\n\n'],
             [event(1), b'data: x\n\n'],
             [event(1), b'id\ndata\n\n'],
+            [event(1), b'id:\ndata: x\n\n'],
         ],
     )
     @virtual_time
@@ -328,7 +329,7 @@
 
     @virtual_time
     async def test_empty_id_does_not_lose_the_place(self):
-        unnamed = b'id:\ndata: x\n\n'
+        unnamed = b'id:\n\n'
         bench = StreamBench(('p', 'd'), ('q', 'e'))
         bench.endpoint('d').run_script = [[event(6), unnamed, LOST]]
         bench.endpoint('e').run_script = [[event(7)]]
