--- a/standins/stream_judge.py
+++ b/standins/stream_judge.py
@@ -168,18 +168,13 @@
                 send,
                 f'{number} of {name} after {self.position} of {self._run}',
             )
-        if name != self._run:
-            run = self._run_by_name.get(name)
-            if (
-                run is None
-                or run.request not in self._sends
-                or run.after != self._last_id
-            ):
-                return _violate(
-                    StreamPromise.ONE_RUN,
-                    send,
-                    f'{run or name} after event {self.position} of {self._run}',
-                )
+        run = self._run_by_name.get(name)
+        if name != self._run and (run is None or not self._may_follow(run)):
+            return _violate(
+                StreamPromise.ONE_RUN,
+                send,
+                f'{run or name} after event {self.position} of {self._run}',
+            )
         text = self._call.text
         if number > text.events or event != text.event(number, name):
             return _violate(StreamPromise.UNCHANGED, send, f'{event[:80]!r}')
@@ -188,12 +183,24 @@
         self._last_id = str(text.ids()[number - 1])
         return None
 
+    def _may_follow(self, run: WorkerRun) -> bool:
+        """Returns whether a run of this call goes on after the last event."""
+        return run.request in self._sends and run.after == self._last_id
+
     def _may_begin(self, rest: bytes) -> bool:
-        """Returns whether bytes begin the next event of the same run."""
+        """Returns whether bytes begin the next event of a run that may come."""
         text = self._call.text
         if self.position == text.events:
             return False
-        return text.event(self.position + 1, self._run).startswith(rest)
+        names = {
+            run.name
+            for run in self._run_by_name.values()
+            if run.name == self._run or self._may_follow(run)
+        }
+        return any(
+            text.event(self.position + 1, name).startswith(rest)
+            for name in names
+        )
 
 
 def _parse(event: bytes) -> tuple[str, int]:
@@ -211,7 +218,7 @@
     if send.body == wanted and 'x-response-signature' in send.headers:
         return []
     promise = StreamPromise.UNCHANGED
-    if wanted.startswith(send.body):
+    if send.body != wanted and wanted.startswith(send.body):
         promise = StreamPromise.COMPLETE
     detail = f'{len(send.body)} of {len(wanted)} bytes'
     return [_violate(promise, send, detail)]
--- /dev/null
+++ b/tests/test_stream_runs.py
@@ -0,0 +1,616 @@
+"""Tests of the runs of streams: content, judge, callers, links, one seed."""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+import uvloop
+
+from standins.raw_worker import Ending, Framing, RawAnswer, RawWorker
+from standins.stream_callers import AnswerEnd, Call, Send, StreamCallers
+from standins.stream_content import StreamText, plain_body
+from standins.stream_judge import StreamJudge, StreamPromise, WorkerRun
+from standins.stream_plan import (
+    CALM_S,
+    FIRST_AT_S,
+    Trouble,
+    TroubleKind,
+    draw_troubles,
+)
+from standins.stream_runs import StreamRun
+from standins.worker_links import LinkCut, WorkerLink
+from tests.platform_site import WAIT_S
+
+HOSTS = ['h0', 'h1', 'h2']
+WORKERS = ['a1', 'd1']
+PLAN_S = 30.0
+TEXT = StreamText(9, 7)
+FIRST_RUN, SECOND_RUN = 'w.1.1', 'v.1.1'
+# Time for which nothing may come through a link that hangs, seconds.
+LOOK_S = 0.2
+# Time in which a link has begun or ended to listen, seconds.
+SETTLE_S = 0.05
+SEED_S = 8.0
+
+
+def events(first, last, run=FIRST_RUN):
+    """Returns some events of a run, the last one included."""
+    return b''.join(TEXT.event(n, run) for n in range(first, last + 1))
+
+
+def event_id(position):
+    return str(TEXT.ids()[position - 1])
+
+
+def send(body, end=AnswerEnd.WHOLE, name='r', status=200):
+    headers = {'x-response-signature': 's'}
+    return Send(name, 'h0', 0.0, '', False, status, headers, body, end)
+
+
+def run_of(name=FIRST_RUN, request='r', after=''):
+    return WorkerRun(name, request, after)
+
+
+def broken(sends, runs=None, route='chat'):
+    """Returns the promises that a call breaks, by default of one run."""
+    judge = StreamJudge([run_of()] if runs is None else runs)
+    return [v.promise for v in judge.judge([Call(route, TEXT, list(sends))])]
+
+
+class TestContent:
+    """What workers write."""
+
+    def test_ids_rise(self):
+        for seed in range(50):
+            ids = StreamText(30, seed).ids()
+            assert len(ids) == 30
+            assert ids[0] > 0
+            assert all(a < b for a, b in itertools.pairwise(ids))
+
+    def test_ids_depend_on_the_seed(self):
+        assert StreamText(30, 1).ids() == StreamText(30, 1).ids()
+        assert StreamText(30, 1).ids() != StreamText(30, 2).ids()
+
+    def test_position_is_the_number_of_events_up_to_an_id(self):
+        assert TEXT.position('') == 0
+        for number in range(1, TEXT.events + 1):
+            assert TEXT.position(event_id(number)) == number
+
+    def test_an_event_names_its_position_and_its_run(self):
+        event = TEXT.event(2, FIRST_RUN).decode()
+        assert event == f'id: {event_id(2)}\ndata: 2 {FIRST_RUN}\n\n'
+        assert b'x-weight-versions: 2\n' in TEXT.event(7, FIRST_RUN)
+
+    def test_a_target_says_which_stream_it_is(self):
+        assert StreamText.parse(TEXT.target('chat')) == TEXT
+
+
+class TestJudgeOfStreams:
+    """What counts as a broken promise in a stream."""
+
+    def test_a_whole_stream_breaks_none(self):
+        assert broken([send(events(1, 9))]) == []
+
+    @pytest.mark.parametrize('end', [AnswerEnd.WHOLE, AnswerEnd.BROKEN])
+    @pytest.mark.parametrize(
+        'body',
+        [
+            events(1, 1) + events(3, 9),
+            events(2, 9),
+            events(1, 2) + events(2, 9),
+            events(1, 1) + events(3, 3) + events(2, 2) + events(4, 9),
+            events(1, 9) + events(9, 9),
+        ],
+        ids=['missing', 'first missing', 'twice', 'out of order', 'last twice'],
+    )
+    def test_order(self, body, end):
+        assert broken([send(body, end)]) == [StreamPromise.IN_ORDER]
+
+    def test_a_second_run_that_began_anew(self):
+        body = events(1, 2) + events(3, 9, SECOND_RUN)
+        runs = [run_of(), run_of(SECOND_RUN)]
+        assert broken([send(body)], runs) == [StreamPromise.ONE_RUN]
+
+    @pytest.mark.parametrize('after', [1, 3])
+    def test_a_second_run_that_goes_on_at_another_event(self, after):
+        body = events(1, 2) + events(3, 9, SECOND_RUN)
+        runs = [run_of(), run_of(SECOND_RUN, after=event_id(after))]
+        assert broken([send(body)], runs) == [StreamPromise.ONE_RUN]
+
+    def test_a_second_run_that_goes_on_after_the_last_event(self):
+        body = events(1, 2) + events(3, 9, SECOND_RUN)
+        runs = [run_of(), run_of(SECOND_RUN, after=event_id(2))]
+        assert broken([send(body)], runs) == []
+
+    @pytest.mark.parametrize('other', ['x', 'rr'])
+    def test_a_run_of_another_request(self, other):
+        runs = [run_of(request=other)]
+        assert broken([send(events(1, 9))], runs) == [StreamPromise.ONE_RUN]
+
+    def test_a_run_that_no_worker_began(self):
+        assert broken([send(events(1, 9))], []) == [StreamPromise.ONE_RUN]
+
+    @pytest.mark.parametrize('kept', [0, 1, 8])
+    def test_whole_though_short(self, kept):
+        body = events(1, kept)
+        assert broken([send(body)]) == [StreamPromise.COMPLETE]
+        assert broken([send(body, AnswerEnd.BROKEN)]) == []
+
+    @pytest.mark.parametrize(
+        ('old', 'new'),
+        [
+            (b'id: ', b'id: 9'),
+            (b'id: ', b'iD: '),
+            (b'x-weight-versions: 2\n', b''),
+            (b'x-weight-versions: 2', b'x-weight-versions: 1'),
+        ],
+    )
+    def test_a_changed_byte(self, old, new):
+        body = events(1, 9).replace(old, new, 1)
+        assert broken([send(body)]) == [StreamPromise.UNCHANGED]
+
+    @pytest.mark.parametrize('end', [AnswerEnd.WHOLE, AnswerEnd.BROKEN])
+    def test_bytes_after_the_last_event(self, end):
+        body = events(1, 9) + b'id'
+        assert broken([send(body, end)]) == [StreamPromise.UNCHANGED]
+
+    @pytest.mark.parametrize('position', [1, 2, 9])
+    def test_half_an_event_at_the_end(self, position):
+        event = TEXT.event(position, FIRST_RUN)
+        body = events(1, position - 1) + event[:-3]
+        assert broken([send(body, AnswerEnd.BROKEN)]) == []
+        assert broken([send(body)]) == [StreamPromise.UNCHANGED]
+
+    @pytest.mark.parametrize(
+        'half',
+        [
+            TEXT.event(3, SECOND_RUN)[:-2],
+            TEXT.event(4, FIRST_RUN)[:-2],
+            b'xy',
+        ],
+        ids=['another run', 'another event', 'other bytes'],
+    )
+    def test_half_of_something_else(self, half):
+        body = events(1, 2) + half
+        runs = [run_of(), run_of(SECOND_RUN)]
+        assert broken([send(body, AnswerEnd.BROKEN)], runs) == [
+            StreamPromise.UNCHANGED
+        ]
+
+    def test_half_of_the_first_event_of_no_run(self):
+        half = TEXT.event(1, 'x.1.1')[:-2]
+        assert broken([send(half, AnswerEnd.BROKEN)]) == [
+            StreamPromise.UNCHANGED
+        ]
+
+    def test_half_of_the_first_event_of_a_run_that_goes_on(self):
+        body = events(1, 2) + TEXT.event(3, SECOND_RUN)[:-2]
+        runs = [run_of(), run_of(SECOND_RUN, after=event_id(2))]
+        assert broken([send(body, AnswerEnd.BROKEN)], runs) == []
+
+
+class TestJudgeOfTakes:
+    """Streams that their callers take up."""
+
+    def taken_up(self, second, after=2, name=SECOND_RUN):
+        """Returns what a call breaks that brought two events at first."""
+        sends = [
+            send(events(1, 2), AnswerEnd.BROKEN),
+            send(second, name='r2'),
+        ]
+        runs = [run_of(), run_of(name, 'r2', event_id(after))]
+        return broken(sends, runs)
+
+    def test_at_the_last_event(self):
+        assert self.taken_up(events(3, 9, SECOND_RUN)) == []
+
+    def test_with_a_gap_or_an_event_again(self):
+        for first in (2, 4):
+            second = events(first, 9, SECOND_RUN)
+            assert self.taken_up(second) == [StreamPromise.IN_ORDER]
+
+    def test_by_a_run_that_began_at_another_event(self):
+        second = events(3, 9, SECOND_RUN)
+        assert self.taken_up(second, after=1) == [StreamPromise.ONE_RUN]
+
+    def test_whole_though_short(self):
+        second = events(3, 8, SECOND_RUN)
+        assert self.taken_up(second) == [StreamPromise.COMPLETE]
+
+    def test_the_first_run_goes_on(self):
+        sends = [
+            send(events(1, 2), AnswerEnd.BROKEN),
+            send(events(3, 9), name='r2'),
+        ]
+        assert broken(sends) == []
+
+
+class TestJudgeOfPlainAnswers:
+    """What counts as a broken promise in a plain answer."""
+
+    def test_a_whole_answer_breaks_none(self):
+        assert broken([send(plain_body('r'))], route='read') == []
+
+    @pytest.mark.parametrize('kept', [0, 1, 40])
+    def test_whole_though_short(self, kept):
+        body = plain_body('r')[:kept]
+        assert broken([send(body)], route='book') == [StreamPromise.COMPLETE]
+        assert broken([send(body, AnswerEnd.BROKEN)], route='book') == []
+
+    @pytest.mark.parametrize(
+        'body', [plain_body('s'), plain_body('r') + b'x', b'x']
+    )
+    def test_other_bytes(self, body):
+        assert broken([send(body)], route='read') == [StreamPromise.UNCHANGED]
+
+    def test_without_the_signature_of_the_worker(self):
+        answer = send(plain_body('r'))
+        answer.headers = {}
+        assert broken([answer], route='read') == [StreamPromise.UNCHANGED]
+
+
+class TestJudgeOfRuns:
+    """How often workers may run a request."""
+
+    @pytest.mark.parametrize(
+        ('route', 'most'),
+        [('chat', 2), ('once', 1), ('read', 2), ('book', 1)],
+    )
+    def test_attempts(self, route, most):
+        answer = send(b'', AnswerEnd.NONE, status=0)
+        runs = [run_of(f'w.1.{number}') for number in range(most + 1)]
+        assert broken([answer], runs[:most], route) == []
+        assert broken([answer], runs, route) == [StreamPromise.ATTEMPTS]
+
+    @pytest.mark.parametrize('route', ['chat', 'once', 'read', 'book'])
+    @pytest.mark.parametrize('status', [408, 421, 429, 503])
+    def test_not_run_though_it_has(self, status, route):
+        answer = send(b'', status=status)
+        assert broken([answer], [], route) == []
+        assert broken([answer], route=route) == [StreamPromise.NOT_RUN]
+
+    def test_a_failure_that_promises_nothing(self):
+        assert broken([send(b'', status=502)], route='book') == []
+
+
+class TestCallers:
+    """How callers read answers."""
+
+    async def ask(self, answers, route='once'):
+        """Returns the call of a caller whose host gives some answers."""
+        worker = RawWorker('w', answers)
+        address = await worker.start()
+        callers = StreamCallers({'h0': address}, random.Random(1), 't')
+        async with asyncio.timeout(WAIT_S):
+            call = await callers.ask(route)
+        assert callers.calls == [call]
+        worker.end()
+        return call, worker.ran
+
+    def read(self, framing, ending=Ending.WHOLE, missing=0):
+        """Returns the only send of a caller who gets one answer."""
+        pieces = [events(1, 2), events(3, 9)]
+        answer = RawAnswer(pieces, framing, ending, missing)
+        call, _ = uvloop.run(self.ask([answer]))
+        (only,) = call.sends
+        assert only.status == 200
+        assert only.headers['x-request-id'] == only.id
+        return only
+
+    @pytest.mark.parametrize('framing', list(Framing))
+    def test_a_whole_answer(self, framing):
+        only = self.read(framing)
+        assert only.end is AnswerEnd.WHOLE
+        assert only.body == events(1, 9)
+
+    @pytest.mark.parametrize('framing', [Framing.LENGTH, Framing.CHUNKED])
+    def test_a_close_before_the_end(self, framing):
+        missing = len(events(3, 9))
+        only = self.read(framing, Ending.CLOSED, missing)
+        assert only.end is AnswerEnd.BROKEN
+        assert only.body == events(1, 2)
+
+    @pytest.mark.parametrize('framing', [Framing.NONE, Framing.OLD_PROTOCOL])
+    def test_a_close_is_the_end_without_length_and_chunks(self, framing):
+        missing = len(events(3, 9))
+        only = self.read(framing, Ending.CLOSED, missing)
+        assert only.end is AnswerEnd.WHOLE
+        assert only.body == events(1, 2)
+
+    @pytest.mark.parametrize('framing', list(Framing))
+    def test_a_reset(self, framing):
+        missing = len(events(3, 9))
+        only = self.read(framing, Ending.RESET, missing)
+        assert only.end is AnswerEnd.BROKEN
+
+    def test_no_host_listens(self):
+        async def scenario():
+            worker = RawWorker('w')
+            address = await worker.start()
+            worker.end()
+            await asyncio.sleep(SETTLE_S)
+            callers = StreamCallers({'h0': address}, random.Random(1), 't')
+            return await callers.ask('chat')
+
+        (only,) = uvloop.run(scenario()).sends
+        assert only.end is AnswerEnd.NONE
+        assert only.status == 0
+
+    def test_a_broken_stream_is_taken_up_after_its_last_event(self):
+        pieces = [events(1, 3), events(4, 9)]
+        half = len(events(4, 9)) - 5
+        broken_off = RawAnswer(pieces, Framing.CHUNKED, Ending.CLOSED, half)
+        rest = RawAnswer([events(4, 9)], Framing.CHUNKED)
+        call, ran = uvloop.run(self.ask([broken_off, rest], 'chat'))
+        first, second = call.sends
+        assert (first.end, second.end) == (AnswerEnd.BROKEN, AnswerEnd.WHOLE)
+        assert ran[0].get('last-event-id') is None
+        assert ran[1]['last-event-id'] == second.after == event_id(3)
+        assert ran[1]['resumes'] == first.id
+
+    def test_a_stream_that_may_not_be_resumed_is_not_taken_up(self):
+        answer = RawAnswer([events(1, 9)], Framing.CHUNKED, Ending.CLOSED, 5)
+        call, ran = uvloop.run(self.ask([answer], 'once'))
+        assert len(call.sends) == len(ran) == 1
+
+
+class EchoServer:
+    """Returns each line, and ends connections as a line says."""
+
+    def __init__(self):
+        self._server = None
+
+    async def start(self):
+        """Starts to listen; returns 'ip:port'."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return f'{ip}:{port}'
+
+    async def _serve(self, reader, writer):
+        try:
+            while line := await reader.readline():
+                if line == b'reset\n':
+                    writer.transport.abort()
+                    return
+                if line == b'close\n':
+                    return
+                writer.write(line)
+        except OSError:
+            return
+        finally:
+            writer.close()
+
+    def close(self):
+        self._server.close()
+
+
+class LinkClient:
+    """One connection over a link."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def connect(cls, link):
+        ip, _, port = link.address.rpartition(':')
+        return cls(*await asyncio.open_connection(ip, int(port)))
+
+    def write(self, line):
+        self._writer.write(line)
+
+    async def read(self, timeout_s=WAIT_S):
+        """Returns the next line, b'' at the end of the connection."""
+        async with asyncio.timeout(timeout_s):
+            return await self._reader.readline()
+
+    async def is_silent(self):
+        """Returns whether nothing comes for a while."""
+        try:
+            await self.read(LOOK_S)
+        except TimeoutError:
+            return True
+        return False
+
+    def close(self):
+        self._writer.close()
+
+
+class TestWorkerLink:
+    """What a link does to connections when it is cut."""
+
+    def play(self, scenario):
+        """Plays a scenario with a link and a connection that is open."""
+
+        async def main():
+            server = EchoServer()
+            link = WorkerLink()
+            await link.lead_to(await server.start())
+            client = await LinkClient.connect(link)
+            client.write(b'before\n')
+            assert await client.read() == b'before\n'
+            await scenario(link, client)
+            client.close()
+            await link.close()
+            server.close()
+
+        uvloop.run(main())
+
+    async def cut(self, link, cut):
+        await link.cut(cut)
+        await asyncio.sleep(SETTLE_S)
+
+    async def assert_serves(self, link):
+        client = await LinkClient.connect(link)
+        client.write(b'new\n')
+        assert await client.read() == b'new\n'
+        client.close()
+
+    def test_hang(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.HANG)
+            new = await LinkClient.connect(link)
+            for end in (client, new):
+                end.write(b'during\n')
+            assert await client.is_silent()
+            assert await new.is_silent()
+            await link.restore()
+            assert await client.read() == b'during\n'
+            assert await new.read() == b'during\n'
+            new.close()
+
+        self.play(scenario)
+
+    def test_a_close_does_not_pass_a_link_that_hangs(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.HANG)
+            client.write(b'close\n')
+            assert await client.is_silent()
+            await link.restore()
+            assert await client.read() == b''
+
+        self.play(scenario)
+
+    def test_refused(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.REFUSED)
+            with pytest.raises(ConnectionResetError):
+                await client.read()
+            with pytest.raises(ConnectionRefusedError):
+                await LinkClient.connect(link)
+            await link.restore()
+            await self.assert_serves(link)
+
+        self.play(scenario)
+
+    def test_reset(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.RESET)
+            with pytest.raises(ConnectionResetError):
+                await client.read()
+            new = await LinkClient.connect(link)
+            with pytest.raises(ConnectionResetError):
+                await new.read()
+            await link.restore()
+            await self.assert_serves(link)
+
+        self.play(scenario)
+
+    def test_new_only(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.NEW_ONLY)
+            with pytest.raises(ConnectionRefusedError):
+                await LinkClient.connect(link)
+            client.write(b'during\n')
+            assert await client.read() == b'during\n'
+            await link.restore()
+            await self.assert_serves(link)
+            client.write(b'after\n')
+            assert await client.read() == b'after\n'
+
+        self.play(scenario)
+
+    @pytest.mark.parametrize('cut', [LinkCut.REFUSED, LinkCut.NEW_ONLY])
+    def test_a_worker_that_starts_meanwhile_does_not_end_a_cut(self, cut):
+        async def scenario(link, client):
+            await self.cut(link, cut)
+            server = EchoServer()
+            await link.lead_to(await server.start())
+            with pytest.raises(ConnectionRefusedError):
+                await LinkClient.connect(link)
+            await link.restore()
+            await self.assert_serves(link)
+            server.close()
+
+        self.play(scenario)
+
+    def test_nothing_listens_when_the_worker_has_ended(self):
+        async def scenario(link, client):
+            await link.end()
+            await asyncio.sleep(SETTLE_S)
+            with pytest.raises(ConnectionRefusedError):
+                await LinkClient.connect(link)
+
+        self.play(scenario)
+
+    def test_a_close_of_the_worker_is_passed_on_as_a_close(self):
+        async def scenario(link, client):
+            client.write(b'last\nclose\n')
+            assert await client.read() == b'last\n'
+            assert await client.read() == b''
+
+        self.play(scenario)
+
+    def test_a_reset_of_the_worker_is_passed_on_as_a_reset(self):
+        async def main():
+            pieces = [b'one', b'two']
+            answer = RawAnswer(pieces, Framing.NONE, Ending.RESET, 3)
+            worker = RawWorker('w', [answer])
+            link = WorkerLink()
+            await link.lead_to(await worker.start())
+            client = await LinkClient.connect(link)
+            client.write(b'POST /x HTTP/1.1\r\nX-Request-Id: r\r\n\r\n')
+            with pytest.raises(ConnectionResetError):
+                while await client.read():
+                    pass
+            client.close()
+            await link.close()
+            worker.end()
+
+        uvloop.run(main())
+
+
+class TestPlan:
+    """Which troubles a seed draws."""
+
+    def draw(self, seed):
+        return draw_troubles(seed, HOSTS, WORKERS, PLAN_S)
+
+    def test_a_seed_always_draws_the_same(self):
+        assert self.draw(7) == self.draw(7)
+        assert self.draw(7) != self.draw(8)
+
+    def test_all_kinds_and_cuts_come(self):
+        troubles = [t for seed in range(50) for t in self.draw(seed)]
+        assert {t.kind for t in troubles} == set(TroubleKind)
+        assert {t.cut for t in troubles} == {None, *LinkCut}
+        assert {t for one in troubles for t in one.targets} == {
+            *HOSTS,
+            *WORKERS,
+        }
+
+    def test_troubles_begin_after_the_start_and_before_the_calm(self):
+        for seed in range(50):
+            for trouble in self.draw(seed):
+                assert FIRST_AT_S <= trouble.at < PLAN_S - CALM_S
+                assert trouble.for_s > 0.0
+
+    def test_cuts_leave_a_host_and_come_on_two_of_three_seeds(self):
+        for seed in range(50):
+            cuts = [t for t in self.draw(seed) if t.cut is not None]
+            assert bool(cuts) == bool(seed % 3)
+            for trouble in cuts:
+                assert trouble.kind is TroubleKind.HOSTS_CUT_OFF
+                assert 0 < len(set(trouble.targets)) < len(HOSTS)
+
+
+class TestSeed:
+    """One short seed with real processes."""
+
+    def test_troubles_of_hosts_and_workers_break_no_promise(self, tmp_path):
+        cut_off = TroubleKind.HOSTS_CUT_OFF
+        troubles = [
+            Trouble(TroubleKind.WORKER_KILLED, ('d1',), 1.0, 0.5),
+            Trouble(cut_off, ('h0', 'h2'), 1.5, 3.0, LinkCut.NEW_ONLY),
+            Trouble(TroubleKind.WORKER_KILLED, ('a1',), 2.0, 0.5),
+            Trouble(TroubleKind.HOST_KILLED, ('h1',), 5.0, 1.0),
+        ]
+        run = StreamRun(3, SEED_S, tmp_path, 0.3, troubles=troubles)
+        uvloop.run(run.play())
+        assert run.violations == []
+        assert run.counts['streams whole'] > 10
+        assert run.counts['plain whole'] > 10
+        assert run.counts['taken up'] > 0
+        assert run.counts['sound unframed whole at cut hosts'] > 0
+        assert run.counts['sound unframed whole elsewhere'] > 0
