--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from standins.local_site import free_addresses
+from standins.reserved_ports import address_of, reserve_port
 
 READY_TIMEOUT_S = 60.0
 
@@ -32,7 +32,9 @@
             names: ids of the hosts.
             directory: where settings and logs are kept.
         """
-        addresses = iter(free_addresses(3 * len(names)))
+        # Kept while hosts are down, since they start again at the same ports.
+        self._reserved = [reserve_port() for _ in range(3 * len(names))]
+        addresses = map(address_of, self._reserved)
         self.callers_by_host = {name: next(addresses) for name in names}
         self._ready_by_host = {name: next(addresses) for name in names}
         self._peers_by_host = {name: next(addresses) for name in names}
@@ -95,6 +97,13 @@
             process.kill()
         process.wait()
 
+    def close(self) -> None:
+        """Ends all processes and frees their ports."""
+        for name in self.process_by_host:
+            self.end(name)
+        for bound in self._reserved:
+            bound.close()
+
     async def wait_ready(self, names: Iterable[str]) -> None:
         """Waits until hosts say that they are ready.
 
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -76,8 +76,7 @@
 
     async def __aexit__(self, *error: object) -> None:
         """Ends the processes and the stand-ins."""
-        for name in self.process_by_host:
-            self._hosts.end(name)
+        self._hosts.close()
         await self._stack.aclose()
 
     async def _start(self) -> None:
--- a/standins/stream_site.py
+++ b/standins/stream_site.py
@@ -164,8 +164,7 @@
 
     async def __aexit__(self, *error: object) -> None:
         """Ends the processes."""
-        for name in self.hosts.process_by_host:
-            self.hosts.end(name)
+        self.hosts.close()
         await self._stack.aclose()
         for worker in self.workers.values():
             await worker.end()
--- a/standins/worker_links.py
+++ b/standins/worker_links.py
@@ -8,6 +8,8 @@
 import socket
 import struct
 
+from standins.reserved_ports import address_of, reserve_port
+
 _CHUNK_BYTES = 65_536
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -84,9 +86,9 @@
         if self._server is not None or refuses or not self._target:
             return
         if self._reserved is None:
-            self._reserved = _bind_free_port()
+            self._reserved = reserve_port()
+        self.address = address_of(self._reserved)
         ip, port = self._reserved.getsockname()
-        self.address = f'{ip}:{port}'
         self._server = await asyncio.start_server(
             self._serve, ip, port, reuse_address=True
         )
@@ -148,14 +150,6 @@
             writer.write_eof()
 
 
-def _bind_free_port() -> socket.socket:
-    """Returns a socket with a free port, at which others may listen."""
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind(('127.0.0.1', 0))
-    return bound
-
-
 def _reset(writer: asyncio.StreamWriter) -> None:
     if writer.is_closing():
         return
