Test endless answers at a host beside requests to sound workers

20 endless answers at once of a plain worker, a decode engine, a prefill engine and in reports, beside 20 and more requests to sound workers: the first end within the stated limits in bytes, the others are served. Streams whose callers read nothing hold no more than their sockets and one event.

--- a/standins/endless_worker.py
+++ b/standins/endless_worker.py
@@ -5,14 +5,18 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import socket
+from typing import Any
 
 # Bytes that are sent in one write.
 WRITE_BYTES = 16_384
 # Size of a connection's send buffer, so that few bytes are under way unread.
 SEND_BUFFER_BYTES = 65_536
 
-_HEAD = b'X-Request-Id: r1\r\nX-Response-Signature: s\r\n'
+# Stands for the id of the request that is answered.
+_ID = b'REQUEST-ID'
+_HEAD = b'X-Request-Id: ' + _ID + b'\r\nX-Response-Signature: s\r\n'
 _OK = b'HTTP/1.1 200 OK\r\n' + _HEAD
 _FAILED = b'HTTP/1.1 500 X\r\n' + _HEAD
 _CHUNKED = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -85,12 +89,17 @@
 
     Attributes:
         answer: what it answers.
+        report: what it says of itself when asked, None to answer that without
+            an end as well.
         sent_by_connection: bytes that each of its callers has taken.
         open: connections that their callers have not closed.
     """
 
-    def __init__(self, answer: EndlessAnswer):
+    def __init__(
+        self, answer: EndlessAnswer, report: dict[str, Any] | None = None
+    ):
         self.answer = answer
+        self.report = report
         self.sent_by_connection: list[int] = []
         self.open = 0
         self._server: asyncio.Server | None = None
@@ -112,20 +121,47 @@
         raw = writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         writer.transport.set_write_buffer_limits(high=0)
-        self.open += 1
-        connection = len(self.sent_by_connection)
-        self.sent_by_connection.append(0)
         try:
             with contextlib.suppress(
                 ConnectionError, asyncio.IncompleteReadError
             ):
-                await reader.readuntil(b'\r\n\r\n')
-                writer.write(self.answer.begin)
-                while not writer.is_closing():
-                    writer.write(self.answer.repeated)
-                    await writer.drain()
-                    sent = len(self.answer.repeated)
-                    self.sent_by_connection[connection] += sent
+                head = await reader.readuntil(b'\r\n\r\n')
+                if self.report is not None and b'/report ' in head:
+                    await self._send_report(self.report, writer)
+                else:
+                    await self._send_endless(_find_id(head), writer)
         finally:
-            self.open -= 1
             writer.close()
+
+    async def _send_report(
+        self, report: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> None:
+        body = json.dumps(report).encode()
+        length = b'Content-Length: %d\r\n\r\n' % len(body)
+        writer.write(b'HTTP/1.1 200 OK\r\n' + length + body)
+        await writer.drain()
+
+    async def _send_endless(
+        self, request_id: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = len(self.sent_by_connection)
+        self.sent_by_connection.append(0)
+        self.open += 1
+        try:
+            writer.write(self.answer.begin.replace(_ID, request_id))
+            while not writer.is_closing():
+                writer.write(self.answer.repeated)
+                await writer.drain()
+                sent = len(self.answer.repeated)
+                self.sent_by_connection[connection] += sent
+        finally:
+            self.open -= 1
+
+
+def _find_id(head: bytes) -> bytes:
+    """Returns the id of a request, which its answer repeats."""
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name.lower() == b'x-request-id':
+            return value.strip()
+    return _ID
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -27,18 +27,21 @@
 from mustardscale.hosts import http_host_list
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.hosts.http_host_list import HttpHostList
-from mustardscale.platform import store_client, worker_control, worker_relay
+from mustardscale.platform import store_client
 from mustardscale.platform.http_client import make_client
 from mustardscale.platform.store_client import StoreClient
 from mustardscale.platform.worker_connector import DEFAULT_ENGINE_SPEC
-from mustardscale.platform.worker_control import WorkerControl
-from mustardscale.platform.worker_relay import WorkerRelay
+from mustardscale.platform.worker_control import MAX_REPORT_BYTES, WorkerControl
+from mustardscale.platform.worker_relay import MAX_HANDLE_BYTES, WorkerRelay
 from mustardscale.relay.answer_memory import AnswerLimits, AnswerMemory
 from mustardscale.relay.endpoint_listener import EndpointListener
+from mustardscale.relay.event_splitter import MAX_EVENT_BYTES
 from mustardscale.relay.relay_endpoint import PrefillHandle, RelayCall
 from mustardscale.relay.relay_messages import RelayRequest
 from standins import endless_worker
 from standins.endless_worker import EndlessWorker
+from standins.platform_plan import HOST
+from tests.platform_site import PlatformSite
 from tests.relay_fakes import RelayBench
 
 # Bytes that the sockets of one connection may hold on loopback: the caller's
@@ -54,6 +57,10 @@
 CALLS = 20
 STORE_CALLS = 4
 CLOSED_WITHIN_S = 5.0
+# Time for which callers read nothing, seconds.
+UNREAD_S = 1.0
+SHORT_DEADLINE = {'X-Request-Deadline': '2000'}
+LONG_PROMPT = {'X-Token-Usage': '8000,500'}
 
 ERRORS = (
     EndpointFailedError,
@@ -182,11 +189,11 @@
 # By reader: how it is made, the bytes of content it takes, its calls at once.
 READERS = {
     'plain answer': (run_plain, AnswerLimits().per_answer_bytes, CALLS),
-    'prefill': (run_prefill, worker_relay.MAX_HANDLE_BYTES, CALLS),
-    'start number': (read_start, worker_relay.MAX_REPORT_BYTES, CALLS),
-    'control': (free_prefill, worker_relay.MAX_REPORT_BYTES, CALLS),
-    'report': (read_report, worker_control.MAX_REPORT_BYTES, CALLS),
-    'order': (send_order, worker_control.MAX_REPORT_BYTES, CALLS),
+    'prefill': (run_prefill, MAX_HANDLE_BYTES, CALLS),
+    'start number': (read_start, MAX_REPORT_BYTES, CALLS),
+    'control': (free_prefill, MAX_REPORT_BYTES, CALLS),
+    'report': (read_report, MAX_REPORT_BYTES, CALLS),
+    'order': (send_order, MAX_REPORT_BYTES, CALLS),
     'store': (read_store, store_client.MAX_ANSWER_BYTES, STORE_CALLS),
     'store, newest': (read_newest, store_client.MAX_ANSWER_BYTES, STORE_CALLS),
     'store, append': (
@@ -303,3 +310,159 @@
         length = b'Content-Length: %d\r\n\r\n' % len(content)
         answer = self.read(self.HEAD + length + content, make=call_own_plain)
         assert answer.body == content
+
+
+# By worker, the sound one of its service, which is not listed beside it.
+OTHER_WORKER = {'a1': 'a2', 'd1': 'd2'}
+
+
+def make_report(name):
+    """Returns what a worker says of itself."""
+    phase = 'prefill' if name == 'p1' else 'decode'
+    return {'phase': phase, 'kv_total': 100_000, 'born': 1}
+
+
+class EndlessSite(PlatformSite):
+    """A site of sound workers, of which one may send without an end."""
+
+    def __init__(self, name, kind):
+        super().__init__()
+        answer = (endless_worker.ANSWERS | endless_worker.STREAMS)[kind]
+        self.endless = EndlessWorker(answer, make_report(name))
+        self._name = name
+
+    async def __aenter__(self):
+        """Starts the stand-ins and a host."""
+        await super().__aenter__()
+        address = await self.endless.start()
+        self._stack.callback(self.endless.end)
+        self.address_by_worker[self._name] = address
+        self.list_worker(self._name)
+        if self._name in OTHER_WORKER:
+            self.unlist_worker(OTHER_WORKER[self._name])
+        await self.add_host('h0')
+        return self
+
+    async def ask_many(self, path, prefix, **fields):
+        """Sends requests at once; returns the status of each."""
+        answers = await asyncio.gather(
+            *(
+                self.ask(path, f'{prefix}{number}', **fields)
+                for number in range(CALLS)
+            ),
+            return_exceptions=True,
+        )
+        return [
+            answer if isinstance(answer, BaseException) else answer[0]
+            for answer in answers
+        ]
+
+    async def until_closed(self):
+        async with asyncio.timeout(CLOSED_WITHIN_S):
+            while self.endless.open:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def most_sent(self):
+        return max(self.endless.sent_by_connection, default=0)
+
+
+class TestSites:
+    """Many endless answers at once beside requests to sound workers."""
+
+    def run(self, name, kind, path, sound_path, **fields):
+        """Returns the statuses of endless and sound requests, and the site."""
+
+        async def main():
+            async with EndlessSite(name, kind) as site:
+                statuses, sound = await asyncio.gather(
+                    site.ask_many(path, 'endless', **fields),
+                    site.ask_many(sound_path, 'sound'),
+                )
+                await site.until_closed()
+                sound += await site.ask_many(sound_path, 'later')
+            return statuses, sound, site
+
+        return uvloop.run(main())
+
+    @pytest.mark.parametrize(
+        'kind',
+        [
+            'fields',
+            'interim answers',
+            'no length',
+            'chunk extension',
+            'trailer',
+        ],
+    )
+    def test_plain_answers(self, kind):
+        statuses, sound, site = self.run('a1', kind, '/book/x', '/chat/x')
+        assert set(statuses) == {502}
+        assert set(sound) == {200}
+        content = AnswerLimits().per_answer_bytes
+        limit = content + MAX_OVERHEAD_BYTES + SOCKET_BUFFER_BYTES
+        assert site.most_sent() <= limit
+
+    @pytest.mark.parametrize('kind', ['fields', 'chunk extension', 'event'])
+    def test_streams_that_do_not_begin(self, kind):
+        statuses, sound, site = self.run('d1', kind, '/once/x', '/book/x')
+        assert 200 not in statuses
+        assert set(sound) == {200}
+        limit = MAX_EVENT_BYTES + MAX_OVERHEAD_BYTES + SOCKET_BUFFER_BYTES
+        assert site.most_sent() <= limit
+
+    @pytest.mark.parametrize('kind', ['chunk extension', 'no length'])
+    def test_prefills(self, kind):
+        statuses, sound, site = self.run(
+            'p1', kind, '/once/x', '/book/x', headers=LONG_PROMPT
+        )
+        assert site.endless.sent_by_connection
+        # Engines of the other stage compute the prompts instead.
+        assert set(statuses) == {200}
+        assert set(sound) == {200}
+        limit = MAX_HANDLE_BYTES + MAX_OVERHEAD_BYTES + SOCKET_BUFFER_BYTES
+        assert site.most_sent() <= limit
+
+    @pytest.mark.parametrize('kind', ['events', 'comments'])
+    def test_streams_behind_callers_that_do_not_read(self, kind):
+        async def main():
+            async with EndlessSite('d1', kind) as site:
+                async with contextlib.AsyncExitStack() as stack:
+                    for number in range(CALLS):
+                        await stack.enter_async_context(
+                            site.session.post(
+                                site.url('/once/x'),
+                                headers={
+                                    'Host': HOST,
+                                    'X-Request-Id': f'r{number}',
+                                    'X-Request-Deadline': '5000',
+                                },
+                                data=b'body',
+                            )
+                        )
+                    sound = await site.ask_many(
+                        '/book/x', 'sound', headers=SHORT_DEADLINE
+                    )
+                    await asyncio.sleep(UNREAD_S)
+                    sent = site.most_sent()
+                await site.until_closed()
+            return sound, sent
+
+        sound, sent = uvloop.run(main())
+        assert set(sound) == {200}
+        # Two connections hold what is unread: the worker's and the caller's.
+        assert sent <= 2 * SOCKET_BUFFER_BYTES + MAX_EVENT_BYTES
+
+    @pytest.mark.parametrize('kind', ['chunk extension', 'no length'])
+    def test_reports(self, kind):
+        async def main():
+            async with EndlessSite('d1', kind) as site:
+                site.endless.report = None
+                await asyncio.sleep(UNREAD_S)
+                sound = await site.ask_many('/book/x', 'sound')
+            return sound, site
+
+        sound, site = uvloop.run(main())
+        assert set(sound) == {200}
+        assert site.endless.sent_by_connection
+        limit = MAX_REPORT_BYTES + MAX_OVERHEAD_BYTES + SOCKET_BUFFER_BYTES
+        assert site.most_sent() <= limit
