Merge the splitting of many small events in one step

Together with the order of events: rising numbers and events without ids are recorded in one step, anything else event by event, so that the cut is where it was. In place of the test of the last id, whose ids repeat, many events at once must be like one after the other (hypothesis): bytes, events, last id, order, and whether the stream may go on.

--- a/mustardscale/relay/event_order.py
+++ b/mustardscale/relay/event_order.py
@@ -37,6 +37,24 @@
             return int(event_id) > int(self.last_id)
         return event_id != self.last_id
 
+    def allows_all(self, event_ids: list[bytes]) -> bool:
+        """Returns whether events may follow that all have rising numbers.
+
+        >>> EventOrder('9').allows_all([b'10', b'12'])
+        True
+        >>> EventOrder('9').allows_all([b'12', b'10'])
+        False
+        """
+        if not all(map(bytes.isdigit, event_ids)):
+            return False
+        if max(map(len, event_ids)) > MAX_NUMBER_DIGITS:
+            return False
+        if self.last_id and not _is_number(self.last_id):
+            return False
+        numbers = list(map(int, event_ids))
+        last = int(self.last_id) if self.last_id else -1
+        return numbers[0] > last and numbers == sorted(set(numbers))
+
     def record(self, event_id: str) -> None:
         """Moves on to an event. One without an id ('') keeps the place."""
         if event_id:
--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import re
 
 from mustardscale.relay.event_order import EventOrder
@@ -73,17 +74,52 @@
         buffered = self._partial + data
         # The separator may have begun in the previous bytes.
         begin = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
-        end = 0
-        for match in _EVENT_END.finditer(buffered, begin):
-            event = buffered[end : match.end()]
-            if not self._check_order(event):
+        ends = [match.end() for match in _EVENT_END.finditer(buffered, begin)]
+        end = ends[-1] if ends else 0
+        whole_events = buffered[:end]
+        if not self._record_all(whole_events, ends):
+            end = self._record_each(whole_events, ends)
+            if self.out_of_order_id:
                 return buffered[:end]
-            self._record(event)
-            end = match.end()
         self._partial = buffered[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ValueError('an event is too long')
-        return buffered[:end]
+        return whole_events
+
+    def _record_all(self, block: bytes, ends: list[int]) -> bool:
+        """Records events in one step, since an engine may send very many.
+
+        Returns:
+            False, with nothing recorded, unless all ids are rising numbers.
+        """
+        ids = list(_EVENT_ID.finditer(block))
+        last_end = 0
+        if ids:
+            texts = [match.group(1) for match in ids]
+            if not self._order.allows_all(texts):
+                return False
+            self._order.record(texts[-1].decode())
+            self.is_resumable = True
+            last_end = ends[bisect.bisect_left(ends, ids[-1].end())]
+        if _DATA.search(block, last_end):
+            self.is_resumable = False
+        self.events += len(ends)
+        return True
+
+    def _record_each(self, block: bytes, ends: list[int]) -> int:
+        """Records events up to one that is out of order.
+
+        Returns:
+            The number of bytes that were recorded.
+        """
+        begin = 0
+        for end in ends:
+            event = block[begin:end]
+            if not self._check_order(event):
+                break
+            self._record(event)
+            begin = end
+        return begin
 
     def check_partial(self) -> None:
         """Discards the bytes after the last whole event if out of order."""
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -1,6 +1,7 @@
 """Unit tests of routes, events, retry budget, endpoint choice, fingerprint."""
 
 import random
+import sys
 
 import pytest
 from hypothesis import given
@@ -102,6 +103,63 @@
         assert splitter.events == len(events)
         assert splitter.last_id == (str(len(events)) if events else '')
 
+    @given(
+        st.lists(
+            st.sampled_from(
+                [
+                    b'id: 1',
+                    b'id:2',
+                    b'id: 3',
+                    b'id:',
+                    b'data: id: 3',
+                    b'xid: 4',
+                    b'data',
+                    b': note',
+                    b'id: a',
+                ]
+            ),
+            max_size=12,
+        ),
+        st.sampled_from([b'\n', b'\r\n', b'\r']),
+        st.integers(min_value=1, max_value=200),
+    )
+    def test_many_events_at_once_are_like_one_after_the_other(
+        self, lines, line_end, size
+    ):
+        stream = b''.join(line + 2 * line_end for line in lines)
+        at_once, one_by_one = EventSplitter(), EventSplitter()
+        out = b''
+        for position in range(0, len(stream), size):
+            out += at_once.feed(stream[position : position + size])
+        out_one_by_one = b''
+        for line in lines:
+            out_one_by_one += one_by_one.feed(line + 2 * line_end)
+        assert out == out_one_by_one
+        for name in ('events', 'last_id', 'is_resumable', 'out_of_order_id'):
+            assert getattr(at_once, name) == getattr(one_by_one, name)
+
+    @pytest.mark.parametrize('event', [b'id: %d\n\n', b'data: %d\n\n'])
+    def test_work_does_not_grow_with_the_number_of_events(self, event):
+        def count_calls(events):
+            stream = b''.join(event % number for number in range(events))
+            calls = []
+
+            def record(frame, what, argument):
+                # The collector of memory may call others' functions.
+                if what == 'call' and 'relay' in frame.f_code.co_filename:
+                    calls.append(frame)
+
+            splitter = EventSplitter()
+            sys.setprofile(record)
+            try:
+                splitter.feed(stream)
+            finally:
+                sys.setprofile(None)
+            assert splitter.events == events
+            return len(calls)
+
+        assert count_calls(10_000) == count_calls(1)
+
     def test_id_of_a_partial_event_is_ignored(self):
         splitter = EventSplitter()
         splitter.feed(b'id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata')
