Say what an operator sees of an answer without an end; steady its tests

The tests at a host failed in 3 of 5 runs on a machine with a load of about 30: sound requests, 20 at once, were refused with 503, and engines' reports timed out, since stand-in, callers and host share one event loop.

--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -61,7 +61,11 @@
         content = 0 if self._payload is None else self._payload.total_bytes
         overhead = self._received_bytes - content
         if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BYTE * content:
-            self._abort(OverheadTooLargeError(f'{overhead} bytes around it'))
+            self._abort(
+                OverheadTooLargeError(
+                    f'{overhead} bytes beside {content} bytes of content'
+                )
+            )
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues a head that was parsed, and aborts if there are too many."""
--- a/standins/endless_worker.py
+++ b/standins/endless_worker.py
@@ -11,6 +11,9 @@
 
 # Bytes that are sent in one write.
 WRITE_BYTES = 16_384
+# Time between two writes, in which the other connections of a test go on,
+# seconds.
+PAUSE_S = 0.001
 # Size of a connection's send buffer, so that few bytes are under way unread.
 SEND_BUFFER_BYTES = 65_536
 
@@ -78,7 +81,10 @@
 # Streams that never end.
 STREAMS = {
     'event': EndlessAnswer(_EVENTS + b'data: ', _FILL),
-    'events': EndlessAnswer(_EVENTS, _repeat(b'data: x\n\n')),
+    'events': EndlessAnswer(
+        _EVENTS, _repeat(b'data: ' + b'x' * 1_000 + b'\n\n')
+    ),
+    'small events': EndlessAnswer(_EVENTS, _repeat(b'data: x\n\n')),
     'comments': EndlessAnswer(_EVENTS, _repeat(b': x\n')),
 }
 ANSWERS = HEADS | BODIES | OVERHEADS
@@ -152,6 +158,7 @@
             while not writer.is_closing():
                 writer.write(self.answer.repeated)
                 await writer.drain()
+                await asyncio.sleep(PAUSE_S)
                 sent = len(self.answer.repeated)
                 self.sent_by_connection[connection] += sent
         finally:
