--- a/standins/worker_links.py
+++ b/standins/worker_links.py
@@ -45,6 +45,7 @@
         self._cut: LinkCut | None = None
         self._whole = asyncio.Event()
         self._whole.set()
+        self._listening = asyncio.Lock()
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -81,17 +82,26 @@
         self._whole.set()
         await self._listen()
 
+    @property
+    def _refuses(self) -> bool:
+        """Whether new connections are refused."""
+        is_cut = self._cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY)
+        return is_cut or not self._target
+
     async def _listen(self) -> None:
-        refuses = self._cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY)
-        if self._server is not None or refuses or not self._target:
-            return
-        if self._reserved is None:
-            self._reserved = reserve_port()
-        self.address = address_of(self._reserved)
-        ip, port = self._reserved.getsockname()
-        self._server = await asyncio.start_server(
-            self._serve, ip, port, reuse_address=True
-        )
+        # A worker's start and the end of a cut may come together.
+        async with self._listening:
+            if self._server is not None or self._refuses:
+                return
+            if self._reserved is None:
+                self._reserved = reserve_port()
+            self.address = address_of(self._reserved)
+            ip, port = self._reserved.getsockname()
+            self._server = await asyncio.start_server(
+                self._serve, ip, port, reuse_address=True
+            )
+            if self._refuses:
+                self._stop_listening()
 
     def _stop_listening(self) -> None:
         if self._server is not None:
--- a/tests/test_stream_runs.py
+++ b/tests/test_stream_runs.py
@@ -463,6 +463,32 @@
 
         self.play(scenario)
 
+    def test_a_start_and_the_end_of_a_cut_at_once(self):
+        async def scenario(link, client):
+            target = link._target
+            await self.cut(link, LinkCut.NEW_ONLY)
+            await link.end()
+            await asyncio.gather(
+                *(link.lead_to(target) for _ in range(5)),
+                *(link.restore() for _ in range(5)),
+            )
+            await self.assert_serves(link)
+
+        self.play(scenario)
+
+    def test_a_cut_while_it_begins_to_listen_holds(self):
+        async def scenario(link, client):
+            target = link._target
+            await link.end()
+            starting = asyncio.create_task(link.lead_to(target))
+            await asyncio.sleep(0)
+            await link.cut(LinkCut.REFUSED)
+            await starting
+            with pytest.raises(ConnectionRefusedError):
+                await LinkClient.connect(link)
+
+        self.play(scenario)
+
     def test_a_close_does_not_pass_a_link_that_hangs(self):
         async def scenario(link, client):
             await self.cut(link, LinkCut.HANG)
