--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -178,7 +178,7 @@
         )
         assert ask(answer, slow_s=0.2)[2] is False
 
-    @pytest.mark.parametrize('ending', [Ending.RESET, Ending.GONE])
+    @pytest.mark.parametrize('ending', [Ending.RESET, *GONE_ENDINGS])
     def test_broken_stream_is_resumed_at_another_engine(self, ending):
         async def main():
             async with RawSite('d1', 'd2') as site:
@@ -217,23 +217,6 @@
         assert (status, content) == (200, b''.join(EVENTS[:-1]))
         assert not whole
 
-    @pytest.mark.parametrize('ending', GONE_ENDINGS)
-    def test_stream_of_a_killed_worker_goes_on_at_another_engine(self, ending):
-        async def main():
-            async with RawSite('d1', 'd2') as site:
-                first = RawAnswer(EVENTS, Framing.NONE, ending, BETWEEN)
-                rest = RawAnswer(EVENTS[-1:], Framing.NONE)
-                for worker in site.raw.values():
-                    worker.answers = [first]
-                resumed = asyncio.create_task(read_answer(site, '/chat/x'))
-                await until(lambda: any(w.ran for w in site.raw.values()))
-                for worker in site.raw.values():
-                    if not worker.ran:
-                        worker.answers = [rest]
-                assert await resumed == (200, b''.join(EVENTS), True)
-
-        uvloop.run(main())
-
     @pytest.mark.parametrize('check', UNCONFIRMING_CHECKS)
     def test_plain_answer_whose_process_does_not_show_itself_is_lost(
         self, check
