Data right after an event with an id, in the same block, is data without an id

The search for data began behind the line end that goes before its field, so a stream whose events id and data came in one read counted as resumable, and the data could come twice.

--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -93,15 +93,16 @@
             False, with nothing recorded, unless all ids are rising numbers.
         """
         ids = list(_EVENT_ID.finditer(block))
-        last_end = 0
+        searched_from = 0
         if ids:
             texts = [match.group(1) for match in ids]
             if not self._order.allows_all(texts):
                 return False
             self._order.record(texts[-1].decode())
             self.is_resumable = True
-            last_end = ends[bisect.bisect_left(ends, ids[-1].end())]
-        if _DATA.search(block, last_end):
+            # With the line end that goes before the first field.
+            searched_from = ends[bisect.bisect_left(ends, ids[-1].end())] - 1
+        if _DATA.search(block, searched_from):
             self.is_resumable = False
         self.events += len(ends)
         return True
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -138,6 +138,14 @@
         for name in ('events', 'last_id', 'is_resumable', 'out_of_order_id'):
             assert getattr(at_once, name) == getattr(one_by_one, name)
 
+    @pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+    def test_data_right_after_an_event_with_an_id_is_not_resumable(
+        self, line_end
+    ):
+        splitter = EventSplitter()
+        splitter.feed(b'id: 1%bdata%b' % (2 * line_end, 2 * line_end))
+        assert not splitter.is_resumable
+
     @pytest.mark.parametrize('event', [b'id: %d\n\n', b'data: %d\n\n'])
     def test_work_does_not_grow_with_the_number_of_events(self, event):
         def count_calls(events):
