--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -197,13 +197,17 @@
 
 
 async def _wait_until_sent(request: web.BaseRequest) -> None:
-    """Waits until the system has taken all that was written to a caller."""
-    transport = request.transport
-    while (  # noqa: ASYNC110
-        transport is not None
-        and not transport.is_closing()
-        and transport.get_write_buffer_size()
-    ):
+    """Waits until the system has taken all that was written to a caller.
+
+    Raises:
+        ConnectionResetError: the connection was closed before.
+    """
+    while True:
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError('the caller left')
+        if not transport.get_write_buffer_size():
+            return
         await asyncio.sleep(_SENT_LOOK_S)
 
 
