Answers of the own interface's plain endpoints share one bound on memory

Each was bounded (8 MiB) and all together were not: 100 endless ones at once could take 800 MiB (reckoned), and the process with them the requests of its other callers. All answers that one process's connector reads now have 64 MiB together; one that goes beyond fails, its connection is closed.

--- a/mustardscale/endpoints/http_connector.py
+++ b/mustardscale/endpoints/http_connector.py
@@ -9,7 +9,10 @@
 from mustardscale.endpoints.endpoint_clients import EndpointConnector
 from mustardscale.endpoints.engines import Engine
 from mustardscale.endpoints.http_engine import HttpEngine
-from mustardscale.endpoints.http_plain import HttpPlainEndpoint
+from mustardscale.endpoints.http_plain import (
+    AnswersInMemory,
+    HttpPlainEndpoint,
+)
 from mustardscale.endpoints.plain_endpoints import PlainEndpoint
 
 # Limit of connections; 0 means unlimited. The limits on requests in progress
@@ -25,6 +28,7 @@
             limit=_UNLIMITED, limit_per_host=_UNLIMITED
         )
         self._session = aiohttp.ClientSession(connector=connector)
+        self._plain_answers = AnswersInMemory()
 
     def engine(self, endpoint: EndpointEntry) -> Engine:
         """Creates the client of an engine."""
@@ -32,7 +36,9 @@
 
     def plain(self, endpoint: EndpointEntry) -> PlainEndpoint:
         """Creates the client of a plain service's endpoint."""
-        return HttpPlainEndpoint(endpoint.address)
+        return HttpPlainEndpoint(
+            endpoint.address, in_memory=self._plain_answers
+        )
 
     def engine_url(self, endpoint: EndpointEntry) -> str:
         """Returns the URL at which other engines reach an engine."""
--- a/mustardscale/endpoints/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -20,11 +20,11 @@
 from mustardscale.endpoints.http_sessions import (
     CONNECT_TIMEOUT_S,
     REQUEST_ERRORS,
+    AnswerTooLargeError,
     ConnectionLostError,
     SendProgress,
     describe_error,
     make_session,
-    read_content,
 )
 from mustardscale.endpoints.plain_endpoints import (
     PlainAnswer,
@@ -85,10 +85,12 @@
     Attributes:
         header_bytes: total size of the names and values of all headers.
         body_bytes: size of the content.
+        all_answers_bytes: content of all answers that are being read.
     """
 
     header_bytes: int = 32 * 1024
     body_bytes: int = 8 * 1024 * 1024
+    all_answers_bytes: int = 64 * 1024 * 1024
 
 
 def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
@@ -107,20 +109,41 @@
     return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
+class AnswersInMemory:
+    """The content of the answers that are being read, of all endpoints.
+
+    Attributes:
+        used_bytes: its size.
+    """
+
+    __slots__ = ('used_bytes',)
+
+    def __init__(self) -> None:
+        self.used_bytes = 0
+
+
 class HttpPlainEndpoint(PlainEndpoint):
     """Client of the endpoint of a plain service at one address."""
 
-    __slots__ = ('_address', '_limits', '_session')
+    __slots__ = ('_address', '_in_memory', '_limits', '_session')
 
-    def __init__(self, address: str, limits: PlainLimits | None = None):
+    def __init__(
+        self,
+        address: str,
+        limits: PlainLimits | None = None,
+        in_memory: AnswersInMemory | None = None,
+    ):
         """Opens a session; an event loop must be running.
 
         Args:
             address: 'ip:port' of the endpoint.
             limits: maximum sizes of calls and answers.
+            in_memory: the answers that count together, None for those of this
+                endpoint alone.
         """
         self._address = address
         self._limits = limits or PlainLimits()
+        self._in_memory = in_memory or AnswersInMemory()
         self._session = make_session(
             max_header_bytes=self._limits.header_bytes,
             skip_auto_headers=_AUTOMATIC_HEADERS,
@@ -246,9 +269,35 @@
         headers = _answer_headers(response)
         if _header_bytes(headers) > self._limits.header_bytes:
             raise EndpointFailedError("the answer's headers are too large")
-        body = await read_content(response, self._limits.body_bytes)
+        body = await self._read_body(response)
         return PlainAnswer(response.status, headers, body)
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        """Reads an answer's content.
+
+        Raises:
+            AnswerTooLargeError: it, or that of all answers together, is longer
+                than allowed.
+        """
+        limits = self._limits
+        content = bytearray()
+        try:
+            async for chunk in response.content.iter_any():
+                content += chunk
+                self._in_memory.used_bytes += len(chunk)
+                if len(content) > limits.body_bytes:
+                    raise AnswerTooLargeError(
+                        f'answer above {limits.body_bytes} bytes'
+                    )
+                if self._in_memory.used_bytes > limits.all_answers_bytes:
+                    raise AnswerTooLargeError(
+                        f'answers above {limits.all_answers_bytes} bytes'
+                        ' together'
+                    )
+            return bytes(content)
+        finally:
+            self._in_memory.used_bytes -= len(content)
+
 
 def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
     headers = end_to_end_headers(response.headers.items())
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,7 +14,11 @@
 from mustardscale.endpoints.engines import EngineOrder, EngineRole
 from mustardscale.endpoints.http_connector import HttpConnector
 from mustardscale.endpoints.http_engine import MAX_BODY_BYTES
-from mustardscale.endpoints.http_plain import PlainLimits
+from mustardscale.endpoints.http_plain import (
+    AnswersInMemory,
+    HttpPlainEndpoint,
+    PlainLimits,
+)
 from mustardscale.endpoints.plain_endpoints import PlainCall
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -386,6 +390,53 @@
         return max(self.endless.sent_by_connection, default=0)
 
 
+class TestOwnPlainAnswers:
+    """Answers of the own interface's plain endpoints, all together."""
+
+    def test_they_share_one_bound_on_memory(self):
+        limits = PlainLimits(
+            body_bytes=1024 * 1024, all_answers_bytes=4 * 1024 * 1024
+        )
+        in_memory = AnswersInMemory()
+        peak = 0
+
+        async def watch():
+            nonlocal peak
+            while True:
+                peak = max(peak, in_memory.used_bytes)
+                await asyncio.sleep(0)
+
+        def make(stack, address):
+            endpoint = HttpPlainEndpoint(address, limits, in_memory)
+            stack.push_async_callback(endpoint.close)
+            call = PlainCall('r1', 'GET', '/x', (), b'', CALL_S)
+            return lambda: endpoint.call(call)
+
+        async def main():
+            watching = asyncio.create_task(watch())
+            answer = endless_worker.ANSWERS['no length']
+            _, ends = await call_worker(answer, make, CALLS)
+            watching.cancel()
+            return ends
+
+        ends = uvloop.run(main())
+        assert {type(end) for end in ends} == {EndpointFailedError}
+        assert any('together' in str(end) for end in ends)
+        assert 0 < peak <= limits.all_answers_bytes + limits.body_bytes
+        assert in_memory.used_bytes == 0
+
+    def test_endpoints_of_one_connector_count_together(self):
+        async def main():
+            connector = HttpConnector()
+            first = connector.plain(make_entry('127.0.0.1:1'))
+            second = connector.plain(make_entry('127.0.0.1:2'))
+            assert first._in_memory is second._in_memory
+            for client in (first, second, connector):
+                await client.close()
+
+        uvloop.run(main())
+
+
 class TestSites:
     """Many endless answers at once beside requests to sound workers."""
 
