--- a/mustardscale/relay/relay_endpoint.py
+++ b/mustardscale/relay/relay_endpoint.py
@@ -58,11 +58,12 @@
 
     Attributes:
         head: status and headers.
-        framing: what marks the end of the content.
+        framing: what marks the end of the content; unless an answer says
+            so, nothing but the end of its connection.
     """
 
     head: AnswerHead
-    framing: AnswerFraming = AnswerFraming.LENGTH
+    framing: AnswerFraming = AnswerFraming.CONNECTION
 
     @abc.abstractmethod
     def chunks(self) -> AsyncGenerator[bytes, None]:
--- a/standins/crash_engines.py
+++ b/standins/crash_engines.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncGenerator, Callable
 
 from mustardscale.blackboard import EndpointEntry
+from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.endpoints.engines import (
     EngineControl,
     EngineOrder,
@@ -194,6 +195,8 @@
 class _EventAnswer(EndpointAnswer):
     """A stream of events that has begun."""
 
+    framing = AnswerFraming.CHUNKED
+
     def __init__(self, engine: CrashEngine, call: RelayCall, host: str):
         self.head = AnswerHead(200, ())
         self._engine = engine
--- a/standins/cut_fleet.py
+++ b/standins/cut_fleet.py
@@ -14,6 +14,7 @@
     RouteTarget,
     ServiceSpec,
 )
+from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.endpoints.engines import EngineControl
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -66,6 +67,8 @@
 
 
 class _PlainAnswer(EndpointAnswer):
+    framing = AnswerFraming.LENGTH
+
     def __init__(self) -> None:
         self.head = AnswerHead(200, ())
 
--- a/standins/limited_endpoints.py
+++ b/standins/limited_endpoints.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncGenerator, Callable
 
 from mustardscale.blackboard import EndpointEntry
+from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.endpoints.engines import EngineControl
 from mustardscale.relay.endpoint_listener import EndpointListener
 from mustardscale.relay.relay_endpoint import (
@@ -37,6 +38,8 @@
 
 
 class _WholeAnswer(EndpointAnswer):
+    framing = AnswerFraming.LENGTH
+
     def __init__(self) -> None:
         self.head = AnswerHead(200, ())
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -65,11 +65,13 @@
         return self
 
 
-async def read_answer(site, path='/once/x', slow_s=0.0, deadline_ms=7000):
+async def read_answer(
+    site, path='/once/x', slow_s=0.0, deadline_ms=7000, request_id='r1'
+):
     """Returns status, content, and whether the caller takes it for whole."""
     headers = {
         'Host': HOST,
-        'X-Request-Id': 'r1',
+        'X-Request-Id': request_id,
         'X-Request-Deadline': str(deadline_ms),
         'X-Token-Usage': '1000,500',
     }
--- a/tests/test_forwarding_http.py
+++ b/tests/test_forwarding_http.py
@@ -6,7 +6,10 @@
 import pytest
 import uvloop
 
+from mustardscale.endpoints.bounded_connections import MAX_OVERHEAD_BYTES
 from mustardscale.forwarding.forwarding_endpoint import MAX_BODY_BYTES
+from mustardscale.relay.answer_memory import AnswerLimits
+from standins.endless_worker import ANSWERS, EndlessWorker
 from standins.platform_plan import HOST
 from standins.raw_worker import Ending, Framing, RawAnswer
 from tests.platform_site import until
@@ -17,6 +20,7 @@
     RawSite,
     read_answer,
 )
+from tests.test_endless_answers import SOCKET_BUFFER_BYTES
 
 BIG_EVENTS = [b'id: %d\ndata: %b\n\n' % (n, b'x' * 120_000) for n in range(30)]
 
@@ -142,3 +146,54 @@
         answered, ran = uvloop.run(main())
         assert answered == status
         assert ran == (['r1'] if status == 200 else [])
+
+
+class EndlessCutSite(CutSite):
+    """A cut site with one worker that sends without an end."""
+
+    def __init__(self, kind):
+        super().__init__('a1')
+        self.endless = EndlessWorker(ANSWERS[kind])
+
+    async def __aenter__(self):
+        """Starts the site, and the endless worker in a sound one's place."""
+        await super().__aenter__()
+        self._stack.callback(self.endless.end)
+        address = await self.endless.start()
+        self.address_by_worker['a1'] = address
+        self.list_worker('a1')
+        for router in self.routers:
+            endpoints = router.blackboard.endpoints_by_id
+            await until(lambda e=endpoints: e['a1'].address == address)
+        return self
+
+
+class TestEndlessAnswers:
+    """Endless answers that go through another host."""
+
+    @pytest.mark.parametrize(
+        'kind', ['fields', 'no length', 'chunk extension', 'trailer']
+    )
+    def test_they_are_closed_within_the_limits_of_both_hosts(self, kind):
+        async def main():
+            async with EndlessCutSite(kind) as site:
+                statuses = await asyncio.gather(
+                    *(
+                        read_answer(site, '/book/x', request_id=f'r{number}')
+                        for number in range(10)
+                    )
+                )
+                async with asyncio.timeout(5.0):
+                    while site.endless.open:  # noqa: ASYNC110
+                        await asyncio.sleep(0.01)
+                opened = [
+                    router.forward_server.open_calls for router in site.routers
+                ]
+                return statuses, opened, site.endless.sent_by_connection
+
+        statuses, opened, sent = uvloop.run(main())
+        assert all(status >= 500 for status, _, _ in statuses)
+        assert not any(opened)
+        assert sent
+        limits = AnswerLimits().per_answer_bytes + MAX_OVERHEAD_BYTES
+        assert max(sent) <= limits + SOCKET_BUFFER_BYTES
