Draw streams on builds of the history, with more kinds of wrong workers, links and callers

The drawn run showed no short stream on the last untouched build, and `--older` ended with a timeout for the default folder: the settings of hosts that run in another folder were named by a relative path. A rig that does not show what the users see is a weak proof that it is gone.

Change, in the stand-ins and their tests only: - `--build COMMIT`, `--beside COMMIT` and `--production COMMIT` take builds from the repository's history (all hosts, every second one, all at first and then replaced in turn); folders are absolute; - further bytes after framed answers (the same answer, the one before it, one without its id, a part, noise; at once or up to 0.1 s late), answers with a length; - runs that do not go on after Last-Event-Id: anew, from the event named, 500, 404, 204, 206, 503, 200 without a signature; - events with CR, CRLF, comments, two data lines, the id last; - workers that are back after 0.02 to 1 s, behind links that meanwhile refuse, reset, or hold connections for the next process; links that hang and are then reset; two plain workers that do not state their start; - callers that leave in the middle and come back at another host; `--hosts` and `--callers`; - broken promises are counted by kind of answer.

--- a/standins/stream_callers.py
+++ b/standins/stream_callers.py
@@ -13,7 +13,12 @@
 from collections.abc import Mapping
 
 from standins.platform_plan import HOST
-from standins.stream_content import StreamText
+from standins.stream_content import (
+    TAKEN_UP,
+    EventForm,
+    StreamText,
+    split_events,
+)
 
 DEADLINE_MS = 8_000
 # Deadline of a plain request that may be repeated: its first attempt gets a
@@ -28,10 +33,21 @@
 PAUSE_S = 0.05
 SLOW_PAUSE_S = 0.05
 SLOW_READ_BYTES = 40
+# Shares of callers who read slowly, speak HTTP/1.0, and leave in the middle of
+# a stream.
+SLOW_SHARE = 0.2
+OLD_PROTOCOL_SHARE = 0.25
+LEAVING_SHARE = 0.1
+# Bytes after which such a caller leaves at most.
+MOST_BYTES_READ = 600
 ROUTE_WEIGHTS = {'chat': 5, 'once': 3, 'read': 2, 'book': 2}
 STREAMS = ('chat', 'once')
 
 
+class _LeftError(Exception):
+    """The caller has left."""
+
+
 class AnswerEnd(enum.StrEnum):
     """How an answer ended at its caller.
 
@@ -61,6 +77,8 @@
         body: the bytes of its content.
         end: how it ended.
         ended_at: loop time of its end.
+        leaves_after: bytes of content after which the caller leaves, 0 if it
+            does not.
     """
 
     id: str
@@ -73,6 +91,7 @@
     body: bytes = b''
     end: AnswerEnd = AnswerEnd.NONE
     ended_at: float = 0.0
+    leaves_after: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,15 +143,20 @@
         """Sends one request, and takes its stream up where it breaks off."""
         rng = self._rng
         text = StreamText(
-            rng.randint(FEWEST_EVENTS, MOST_EVENTS), rng.randrange(10_000)
+            rng.randint(FEWEST_EVENTS, MOST_EVENTS),
+            rng.randrange(10_000),
+            rng.choice(list(EventForm)),
         )
         call = Call(route, text, [])
         self.calls.append(call)
-        is_slow = rng.random() < 0.2
-        old_protocol = rng.random() < 0.25
+        is_slow = rng.random() < SLOW_SHARE
+        old_protocol = rng.random() < OLD_PROTOCOL_SHARE
+        leaves = route in STREAMS and rng.random() < LEAVING_SHARE
         last_id = ''
         while len(call.sends) <= MOST_TAKES:
             send = self._begin(call, last_id, old_protocol)
+            if leaves and not last_id:
+                send.leaves_after = rng.randint(1, MOST_BYTES_READ)
             await self._exchange(call, send, is_slow)
             send.ended_at = asyncio.get_running_loop().time()
             last_id = find_last_id(send.body) or last_id
@@ -166,7 +190,12 @@
                     )
                 writer.write(_make_head(call, send, deadline_ms))
                 await _read_answer(reader, send, is_slow)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            _LeftError,
+        ):
             if send.status:
                 send.end = AnswerEnd.BROKEN
         finally:
@@ -175,9 +204,11 @@
 
 
 def _make_head(call: Call, send: Send, deadline_ms: int) -> bytes:
+    target = call.text.target(call.route)
+    if send.after:
+        target += TAKEN_UP
     lines = [
-        f'POST {call.text.target(call.route)} '
-        f'HTTP/1.{0 if send.old_protocol else 1}',
+        f'POST {target} HTTP/1.{0 if send.old_protocol else 1}',
         f'Host: {HOST}',
         f'X-Request-Id: {send.id}',
         f'X-Request-Deadline: {deadline_ms}',
@@ -202,6 +233,7 @@
     Raises:
         asyncio.IncompleteReadError: it broke off.
         OSError: it was reset.
+        _LeftError: the caller has left.
     """
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     lines = head.split('\r\n')
@@ -218,7 +250,7 @@
         await _read_exactly(reader, send, length, is_slow)
     else:
         while data := await reader.read(SLOW_READ_BYTES if is_slow else 65_536):
-            send.body += data
+            _take(send, data)
             await asyncio.sleep(SLOW_PAUSE_S if is_slow else 0.0)
     send.end = AnswerEnd.WHOLE
 
@@ -233,19 +265,20 @@
         )
         if not data:
             raise asyncio.IncompleteReadError(send.body, size)
-        send.body += data
+        _take(send, data)
         left -= len(data)
         await asyncio.sleep(SLOW_PAUSE_S if is_slow else 0.0)
 
 
-def split_events(body: bytes) -> tuple[list[bytes], bytes]:
-    r"""Returns the whole events of a stream, and the bytes after them.
+def _take(send: Send, data: bytes) -> None:
+    """Adds bytes to what a caller has.
 
-    >>> split_events(b'id: 1\n\nid: 2\n\nid')
-    ([b'id: 1\n\n', b'id: 2\n\n'], b'id')
+    Raises:
+        _LeftError: it leaves now.
     """
-    *events, rest = body.split(b'\n\n')
-    return [event + b'\n\n' for event in events], rest
+    send.body += data
+    if 0 < send.leaves_after <= len(send.body):
+        raise _LeftError
 
 
 def find_last_id(body: bytes) -> str:
--- a/standins/stream_content.py
+++ b/standins/stream_content.py
@@ -7,13 +7,41 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import random
+import re
 import urllib.parse
 
 # Steps between the ids of two events at most.
 _LARGEST_STEP = 5
 # Events of a stream at which the version of the weights rises.
 _WEIGHTS_CHANGE_EACH = 7
+# Ends the target of a send that takes a stream up.
+TAKEN_UP = '&taken-up=1'
+_EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+
+
+class EventForm(enum.StrEnum):
+    """How the events of a stream are written.
+
+    Attributes:
+        PLAIN: a line with the id, then one with the data.
+        CRLF: the same, with lines that end with CR and LF.
+        CR: the same, with lines that end with CR.
+        COMMENT: with a comment between the two lines.
+        MORE_DATA: with a second line of data.
+        ID_LAST: the id after the data.
+    """
+
+    PLAIN = 'plain'
+    CRLF = 'crlf'
+    CR = 'cr'
+    COMMENT = 'comment'
+    MORE_DATA = 'more-data'
+    ID_LAST = 'id-last'
+
+
+_LINE_END_BY_FORM = {EventForm.CRLF: '\r\n', EventForm.CR: '\r'}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +51,7 @@
     Attributes:
         events: how many there are.
         seed: where their ids come from.
+        form: how they are written.
 
     >>> text = StreamText(3, 7)
     >>> StreamText.parse(text.target('chat')) == text
@@ -33,16 +62,23 @@
 
     events: int
     seed: int
+    form: EventForm = EventForm.PLAIN
 
     @classmethod
     def parse(cls, target: str) -> StreamText:
         """Reads what a request's target says."""
         query = urllib.parse.parse_qs(target.partition('?')[2])
-        return cls(int(query['events'][0]), int(query['seed'][0]))
+        return cls(
+            int(query['events'][0]),
+            int(query['seed'][0]),
+            EventForm(query['form'][0]),
+        )
 
     def target(self, route: str) -> str:
         """Returns the target of a request to a route."""
-        return f'/{route}/x?events={self.events}&seed={self.seed}'
+        return (
+            f'/{route}/x?events={self.events}&seed={self.seed}&form={self.form}'
+        )
 
     def ids(self) -> list[int]:
         """Returns the ids of the events, which rise by different steps."""
@@ -58,12 +94,32 @@
 
     def event(self, position: int, run: str) -> bytes:
         """Returns an event of a run; the first one has position 1."""
-        event_id = self.ids()[position - 1]
-        text = f'id: {event_id}\ndata: {position} {run}\n\n'
+        lines = [f'id: {self.ids()[position - 1]}', f'data: {position} {run}']
+        if self.form is EventForm.COMMENT:
+            lines.insert(1, f': comment {position}')
+        elif self.form is EventForm.MORE_DATA:
+            lines.append('data: more')
+        elif self.form is EventForm.ID_LAST:
+            lines.reverse()
         if position % _WEIGHTS_CHANGE_EACH == 0:
             number = position // _WEIGHTS_CHANGE_EACH + 1
-            text = f'x-weight-versions: {number}\n{text}'
-        return text.encode()
+            lines.insert(0, f'x-weight-versions: {number}')
+        line_end = _LINE_END_BY_FORM.get(self.form, '\n')
+        return line_end.join([*lines, '', '']).encode()
+
+
+def split_events(body: bytes) -> tuple[list[bytes], bytes]:
+    r"""Returns the whole events of a stream, and the bytes after them.
+
+    >>> split_events(b'id: 1\n\nid: 2\n\nid')
+    ([b'id: 1\n\n', b'id: 2\n\n'], b'id')
+    >>> split_events(b'id: 1\r\n\r\nid: 2\r\n\r')
+    ([b'id: 1\r\n\r\n'], b'id: 2\r\n\r')
+    """
+    ends = [match.end() for match in _EVENT_END.finditer(body)]
+    begins = [0, *ends]
+    events = [body[a:b] for a, b in zip(begins, ends, strict=False)]
+    return events, body[begins[-1] :]
 
 
 def plain_body(request_id: str) -> bytes:
--- a/standins/stream_judge.py
+++ b/standins/stream_judge.py
@@ -12,9 +12,8 @@
     AnswerEnd,
     Call,
     Send,
-    split_events,
 )
-from standins.stream_content import plain_body
+from standins.stream_content import plain_body, split_events
 
 # Workers to which one send may go, by route.
 MOST_RUNS_BY_ROUTE = {'chat': 2, 'once': 1, 'read': 2, 'book': 1}
@@ -53,6 +52,7 @@
         after: id after which it goes on, '' for none.
         framing: how the end of its answer is marked.
         cut: how it ends early, '' if it does not.
+        odd: how it does not go on as asked, '' if it does.
     """
 
     name: str
@@ -60,6 +60,7 @@
     after: str = ''
     framing: str = ''
     cut: str = ''
+    odd: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/stream_plan.py
+++ b/standins/stream_plan.py
@@ -12,6 +12,8 @@
 FIRST_AT_S = 1.0
 # Time at the end without new troubles, seconds.
 CALM_S = 3.0
+# Time from the stop of a host that is replaced to its next start, seconds.
+REPLACED_S = 1.0
 
 
 class TroubleKind(enum.StrEnum):
@@ -65,6 +67,15 @@
     return troubles
 
 
+def draw_replacements(hosts: Sequence[str], seconds: float) -> list[Trouble]:
+    """Returns the stops of all hosts, one after the other."""
+    step_s = (seconds - CALM_S) / (len(hosts) + 1)
+    return [
+        Trouble(TroubleKind.HOST_STOPPED, (host,), step_s * number, REPLACED_S)
+        for number, host in enumerate(hosts, 1)
+    ]
+
+
 def _draw(
     rng: random.Random,
     kind: TroubleKind,
--- a/standins/stream_runs.py
+++ b/standins/stream_runs.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import collections
+import dataclasses
 import pathlib
 import random
 import shutil
@@ -17,6 +18,7 @@
 
 import uvloop
 
+from standins.builds import check_out
 from standins.stream_callers import (
     STREAMS,
     AnswerEnd,
@@ -25,16 +27,46 @@
     StreamCallers,
 )
 from standins.stream_judge import StreamJudge, StreamViolation, WorkerRun
-from standins.stream_plan import Trouble, TroubleKind, draw_troubles
+from standins.stream_plan import (
+    Trouble,
+    TroubleKind,
+    draw_replacements,
+    draw_troubles,
+)
 from standins.stream_site import WORKER_PHASES, StreamSite
-from standins.stream_worker import Framing, WorkerPlan
+from standins.stream_worker import UNFRAMED, WorkerPlan
 
 CALLERS = 16
+HOSTS = 3
+# Plain workers that do not state the start of their process.
+NAMELESS_WORKERS = ('a2', 'a3')
 # Time after a cut that still counts as part of it: streams that began in it end
 # then, seconds.
 CUT_MARGIN_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostBuilds:
+    """Folders of the builds that hosts run, None for this one.
+
+    Attributes:
+        first: the build of the first, the third and so on.
+        second: the build of the second, the fourth and so on.
+        are_replaced: whether hosts start again with this build, and all are
+            stopped and started one after the other.
+    """
+
+    first: pathlib.Path | None = None
+    second: pathlib.Path | None = None
+    are_replaced: bool = False
+
+    def assign(self, names: Sequence[str]) -> dict[str, pathlib.Path]:
+        """Returns the folder of each host that runs another build."""
+        builds = (self.first, self.second)
+        named = {name: builds[n % 2] for n, name in enumerate(names)}
+        return {name: code for name, code in named.items() if code is not None}
+
+
 class StreamRun:
     """One run of a seed.
 
@@ -51,9 +83,10 @@
         seconds: float,
         directory: pathlib.Path,
         cut_share: float = 0.1,
-        hosts: int = 3,
+        hosts: int = HOSTS,
+        callers: int = CALLERS,
         troubles: list[Trouble] | None = None,
-        older: pathlib.Path | None = None,
+        builds: HostBuilds | None = None,
     ):
         """Prepares a run.
 
@@ -63,8 +96,9 @@
             directory: where logs are kept.
             cut_share: share of the answers that workers cut short.
             hosts: number of entry hosts.
+            callers: number of callers.
             troubles: the troubles, None to draw them.
-            older: folder of another build, which every second host runs.
+            builds: the builds of the hosts, None for this one.
         """
         self.calls: list[Call] = []
         self.runs: list[WorkerRun] = []
@@ -72,18 +106,33 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._seed = seed
         self._seconds = seconds
+        self._callers = callers
         self._names = [f'h{number}' for number in range(hosts)]
-        self._troubles = troubles
         if troubles is None:
-            self._troubles = draw_troubles(
+            troubles = draw_troubles(
                 seed, self._names, list(WORKER_PHASES), seconds
             )
+        self._troubles = list(troubles)
         plans = {
-            name: WorkerPlan(name, phase, seed=seed, cut_share=cut_share)
+            name: WorkerPlan(
+                name,
+                phase,
+                seed=seed,
+                cut_share=cut_share,
+                states_start=name not in NAMELESS_WORKERS,
+            )
             for name, phase in WORKER_PHASES.items()
         }
-        code = {name: older for name in self._names[1::2] if older is not None}
-        self._site = StreamSite(self._names, directory, plans, code)
+        self._builds = builds or HostBuilds()
+        self._site = StreamSite(
+            self._names,
+            directory,
+            plans,
+            random.Random(f'workers {seed}'),
+            self._builds.assign(self._names),
+        )
+        if self._builds.are_replaced:
+            self._troubles += draw_replacements(self._names, seconds)
         self._began_at = 0.0
 
     async def play(self) -> None:
@@ -97,10 +146,10 @@
             )
             self._began_at = loop.time()
             async with asyncio.TaskGroup() as group:
-                for trouble in self._troubles or ():
+                for trouble in self._troubles:
                     group.create_task(self._carry_out(trouble))
                 group.create_task(
-                    callers.run(CALLERS, self._began_at + self._seconds)
+                    callers.run(self._callers, self._began_at + self._seconds)
                 )
         self.calls = callers.calls
         for worker in site.workers.values():
@@ -108,6 +157,7 @@
             done |= worker.done
         self.violations = StreamJudge(self.runs).judge(self.calls)
         self._count(done)
+        self._count_violations()
 
     async def _carry_out(self, trouble: Trouble) -> None:
         """Begins a trouble at its time, and ends it."""
@@ -138,6 +188,8 @@
                 await site.restore_host(target)
             elif kind in (TroubleKind.HOST_KILLED, TroubleKind.HOST_STOPPED):
                 site.hosts.end(target)
+                if self._builds.are_replaced:
+                    site.replace_build(target)
                 site.start_host(target)
 
     def _count(self, done: set[str]) -> None:
@@ -156,15 +208,29 @@
                 counts['taken up'] += bool(send.after)
         for run in self.runs:
             answered = send_by_id.get(run.request)
-            is_unframed = run.framing != Framing.CHUNKED
+            is_unframed = run.framing in UNFRAMED
             if answered is None or run.name not in done or not is_unframed:
                 continue
+            if run.odd or answered.leaves_after:
+                continue
             was_cut_off = self._was_cut_off(answered)
             place = 'at cut hosts' if was_cut_off else 'elsewhere'
             whole = answered.end is AnswerEnd.WHOLE and answered.status == 200
             counts[f'sound unframed {place}'] += 1
             counts[f'sound unframed whole {place}'] += whole
 
+    def _count_violations(self) -> None:
+        """Counts broken promises, of streams and of plain answers."""
+        streams = {
+            send.id
+            for call in self.calls
+            if call.route in STREAMS
+            for send in call.sends
+        }
+        for violation in self.violations:
+            kind = 'streams' if violation.send in streams else 'plain'
+            self.counts[f'{kind} broken ({violation.promise})'] += 1
+
     def _was_cut_off(self, send: Send) -> bool:
         """Returns whether a send's host was cut off when it ended."""
         return any(
@@ -173,17 +239,17 @@
             and trouble.at
             <= send.ended_at - self._began_at
             <= trouble.at + trouble.for_s + CUT_MARGIN_S
-            for trouble in self._troubles or ()
+            for trouble in self._troubles
         )
 
 
 def play_seed(
     seed: int,
-    directory: pathlib.Path,
     options: argparse.Namespace,
+    builds: HostBuilds,
 ) -> StreamRun:
     """Plays a seed; keeps the logs if a promise was broken."""
-    folder = directory / f'seed-{seed}'
+    folder = options.directory.resolve() / f'seed-{seed}'
     shutil.rmtree(folder, ignore_errors=True)
 
     async def main() -> StreamRun:
@@ -192,7 +258,9 @@
             options.seconds,
             folder,
             options.cut_share,
-            older=options.older,
+            hosts=options.hosts,
+            callers=options.callers,
+            builds=builds,
         )
         await run.play()
         return run
@@ -218,8 +286,26 @@
     return ', '.join(f'{count} {name}' for name, count in counts)
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Plays the seeds that the arguments name."""
+def find_builds(options: argparse.Namespace) -> HostBuilds:
+    """Returns the builds that the options name.
+
+    Raises:
+        ValueError: the repository does not have one of them.
+    """
+    directory = options.directory / 'builds'
+    first = check_out(options.build, directory) if options.build else None
+    second = first
+    if options.beside:
+        second = check_out(options.beside, directory)
+    elif options.older is not None:
+        second = options.older.resolve()
+    if options.production:
+        first = second = check_out(options.production, directory)
+    return HostBuilds(first, second, bool(options.production))
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog='python -m standins.stream_runs', description=__doc__
     )
@@ -235,6 +321,24 @@
         help='Share of the answers that workers cut short.',
     )
     parser.add_argument(
+        '--hosts', type=int, default=HOSTS, help='Entry hosts of a seed.'
+    )
+    parser.add_argument(
+        '--callers', type=int, default=CALLERS, help='Callers of a seed.'
+    )
+    parser.add_argument(
+        '--build', help='Commit whose build the hosts run, not this one.'
+    )
+    other = parser.add_mutually_exclusive_group()
+    other.add_argument(
+        '--beside', help='Commit whose build every second host runs.'
+    )
+    other.add_argument(
+        '--production',
+        help='Commit whose build the hosts run at first; they are replaced by '
+        'this one in turn.',
+    )
+    other.add_argument(
         '--older',
         type=pathlib.Path,
         help='Folder of another build that every second host runs.',
@@ -248,11 +352,21 @@
         default=pathlib.Path('build/streams'),
         help='Where the logs of broken seeds are kept.',
     )
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Plays the seeds that the arguments name."""
+    parser = make_parser()
     options = parser.parse_args(arguments)
+    try:
+        builds = find_builds(options)
+    except ValueError as error:
+        parser.error(str(error))
     sums: collections.Counter[str] = collections.Counter()
     broken = 0
     for seed in range(options.first_seed, options.first_seed + options.seeds):
-        run = play_seed(seed, options.directory, options)
+        run = play_seed(seed, options, builds)
         sums.update(run.counts)
         broken += bool(run.violations)
         write_line(f'seed {seed}: {describe(run.counts.items())}')
--- a/standins/stream_site.py
+++ b/standins/stream_site.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import pathlib
+import random
 import signal
 import sys
 import time
@@ -25,7 +26,7 @@
 )
 from standins.stream_judge import WorkerRun
 from standins.stream_worker import WorkerPlan
-from standins.worker_links import LinkCut, WorkerLink
+from standins.worker_links import EndedWorker, LinkCut, WorkerLink
 
 # The workers of vbf-signage's kind, by id, with the stage of an engine.
 WORKER_PHASES = {
@@ -35,8 +36,10 @@
 }
 HEARTBEAT_S = 1.2
 LOOK_S = 0.1
-# Time after which a worker that has ended starts again, seconds.
-RESTART_AFTER_S = 1.0
+# Time after which a worker that has ended starts again, seconds. One that does
+# not state its start comes back late enough to be told from the one before.
+FIRST_RESTART_S, LAST_RESTART_S = 0.02, 1.0
+NAMELESS_RESTART_S = 0.7
 START_TIMEOUT_S = 30.0
 
 
@@ -127,6 +130,7 @@
         names: list[str],
         directory: pathlib.Path,
         plans: Mapping[str, WorkerPlan],
+        rng: random.Random,
         code_by_host: Mapping[str, pathlib.Path] | None = None,
     ):
         """Prepares the processes.
@@ -135,6 +139,7 @@
             names: ids of the hosts.
             directory: where logs are kept.
             plans: the workers, by id.
+            rng: draws how workers that have ended come back.
             code_by_host: folders of other builds that hosts run.
         """
         directory.mkdir(parents=True, exist_ok=True)
@@ -144,6 +149,7 @@
         self.hosts = HostProcesses(names, directory)
         self._store = PlatformStore()
         self._names = names
+        self._rng = rng
         self._code_by_host = dict(code_by_host or {})
         self._links = {
             host: {name: WorkerLink() for name in plans} for host in names
@@ -247,9 +253,13 @@
                         self._list(name)
 
     async def _restart(self, name: str) -> None:
+        ended = self._rng.choice(list(EndedWorker))
+        after_s = self._rng.uniform(FIRST_RESTART_S, LAST_RESTART_S)
+        if not self.workers[name].plan.states_start:
+            after_s = max(after_s, NAMELESS_RESTART_S)
         for links in self._links.values():
-            await links[name].end()
-        await asyncio.sleep(RESTART_AFTER_S)
+            await links[name].end(ended)
+        await asyncio.sleep(after_s)
         await self._start_worker(name)
         self._restarting.discard(name)
 
@@ -261,6 +271,10 @@
             self._code_by_host.get(name),
         )
 
+    def replace_build(self, name: str) -> None:
+        """Lets a host's next processes run this build."""
+        self._code_by_host.pop(name, None)
+
     async def cut_host(self, name: str, cut: LinkCut) -> None:
         """Cuts a host off from all workers."""
         for link in self._links[name].values():
--- a/standins/stream_worker.py
+++ b/standins/stream_worker.py
@@ -20,10 +20,13 @@
 import msgspec
 import uvloop
 
-from standins.stream_content import StreamText, plain_body
+from standins.stream_content import TAKEN_UP, StreamText, plain_body
 
 # Time for which bytes are left to arrive before the answer is cut, seconds.
 ARRIVAL_S = 0.02
+# Time after an answer in which further bytes come at the latest, seconds.
+LATEST_EXTRA_S = 0.1
+NOISE_BYTES = 200
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -31,10 +34,15 @@
     """What marks the end of an answer."""
 
     CHUNKED = 'chunked'
+    LENGTH = 'length'
     CONNECTION = 'connection'
     OLD_PROTOCOL = 'http/1.0'
 
 
+# Framings in which only the end of the connection marks that of the answer.
+UNFRAMED = (Framing.CONNECTION, Framing.OLD_PROTOCOL)
+
+
 class Cut(enum.StrEnum):
     """How an answer ends early.
 
@@ -57,6 +65,51 @@
     KILLED_INSIDE = 'killed inside'
 
 
+class Extra(enum.StrEnum):
+    """Bytes after a whole answer.
+
+    Attributes:
+        AGAIN: the same answer.
+        EARLIER: the answer before it.
+        NO_ID: the same answer without the id of its request.
+        PART: half of the same answer.
+        NOISE: bytes that are no answer.
+    """
+
+    AGAIN = 'again'
+    EARLIER = 'earlier'
+    NO_ID = 'no id'
+    PART = 'part'
+    NOISE = 'noise'
+
+
+class OddRun(enum.StrEnum):
+    """What a worker does that does not go on after Last-Event-Id.
+
+    Attributes:
+        ANEW: it begins with the first event.
+        REPEATED: it begins with the event that is named.
+        FAILED: it answers 500.
+        MISSING: it answers 404.
+        NO_CONTENT: it answers 204.
+        PARTIAL: it answers 206.
+        FULL: it answers 503, without saying that it has not run.
+        UNSIGNED: it answers 200 without a signature.
+    """
+
+    ANEW = 'anew'
+    REPEATED = 'repeated'
+    FAILED = '500 Failed'
+    MISSING = '404 Missing'
+    NO_CONTENT = '204 No Content'
+    PARTIAL = '206 Partial'
+    FULL = '503 Full'
+    UNSIGNED = 'unsigned'
+
+
+# Those that answer a caller who takes a stream up with a success, or with a
+# failure of the worker's own, are left to streams that the hosts resume.
+ODD_RUNS_FOR_CALLERS = (OddRun.ANEW, OddRun.REPEATED)
 # An answer whose end only its connection marks is whole by the protocol when
 # its worker closes between two events and runs on.
 CUTS_WITHOUT_CHUNKS = (
@@ -67,6 +120,7 @@
     Cut.KILLED_BETWEEN,
     Cut.KILLED_INSIDE,
 )
+CUTS_WITH_LENGTH = tuple(cut for cut in Cut if cut is not Cut.IN_CHUNK)
 CUTS_OF_PLAIN = (Cut.RESET_BETWEEN, Cut.KILLED_BETWEEN)
 
 
@@ -80,6 +134,9 @@
         seed: seed of what it draws.
         cut_share: share of the answers that end early.
         unframed_share: share of the answers without length and chunks.
+        extra_share: share of the framed answers that bytes come after.
+        odd_share: share of the runs that do not go on where they are asked to.
+        states_start: whether it states the start of its process.
         gap_s: seconds before each event or half of a plain answer.
     """
 
@@ -89,6 +146,9 @@
     seed: int = 0
     cut_share: float = 0.1
     unframed_share: float = 0.4
+    extra_share: float = 0.1
+    odd_share: float = 0.2
+    states_start: bool = True
     gap_s: float = 0.03
 
 
@@ -101,6 +161,7 @@
         self._runs = 0
         self._orders = 0
         self._phase = plan.phase
+        self._last_answer = b''
 
     async def serve(self) -> None:
         """Serves until the process is ended."""
@@ -138,6 +199,10 @@
         name = self._plan.name
         if headers.get('x-expect-instance', name) != name:
             _write_whole(writer, '421 Misdirected', b'')
+        elif (
+            target.startswith('/mustardscale/') and not self._plan.states_start
+        ):
+            _write_whole(writer, '400 No Id', b'', 'X-Not-Executed: 1\r\n')
         elif target.startswith('/mustardscale/report'):
             _write_whole(writer, '200 OK', json.dumps(self._report()).encode())
         elif target.startswith('/mustardscale/order'):
@@ -187,7 +252,8 @@
         request_id = headers['x-request-id']
         run = f'{self._plan.name}.{self._plan.born}.{self._runs}'
         after = headers.get('last-event-id', '')
-        parts = self._make_parts(target, request_id, run, after)
+        odd = self._draw_odd(after, target)
+        parts = self._make_parts(target, request_id, run, after, odd)
         framing = self._draw_framing()
         cut = self._draw_cut(framing, len(parts))
         say(
@@ -197,45 +263,104 @@
                 'after': after,
                 'framing': framing,
                 'cut': cut or '',
+                'odd': odd or '',
             }
         )
+        if odd is not None and odd.value[0].isdigit():
+            _write_whole(
+                writer, odd.value, b'', f'X-Request-Id: {request_id}\r\n'
+            )
+            return
+        signature = '' if odd is OddRun.UNSIGNED else run
+        head = self._make_head(request_id, signature, framing, parts)
+        writer.write(head)
+        kept = self._rng.randrange(len(parts)) if cut else len(parts)
+        for part in parts[:kept]:
+            await asyncio.sleep(self._plan.gap_s)
+            writer.write(_frame(part, framing))
+            await writer.drain()
+        if cut:
+            await self._cut(writer, cut, parts[kept], framing)
+            return
+        last = b'0\r\n\r\n' if framing is Framing.CHUNKED else b''
+        writer.write(last)
+        await writer.drain()
+        say({'done': run})
+        framed = [_frame(part, framing) for part in parts]
+        await self._add(writer, b''.join([head, *framed, last]), framing)
+
+    def _make_head(
+        self,
+        request_id: str,
+        signature: str,
+        framing: Framing,
+        parts: list[bytes],
+    ) -> bytes:
         lines = [
             f'HTTP/1.{0 if framing is Framing.OLD_PROTOCOL else 1} 200 OK',
             f'X-Request-Id: {request_id}',
-            f'X-Response-Signature: {run}',
         ]
+        if signature:
+            lines.append(f'X-Response-Signature: {signature}')
         if self._phase:
             lines.append('Content-Type: text/event-stream')
         if framing is Framing.CHUNKED:
             lines.append('Transfer-Encoding: chunked')
-        writer.write('\r\n'.join([*lines, '', '']).encode())
-        kept = self._rng.randrange(len(parts)) if cut else len(parts)
-        for part in parts[:kept]:
-            await asyncio.sleep(self._plan.gap_s)
-            writer.write(_frame(part, framing))
-            await writer.drain()
-        if cut:
-            await self._cut(writer, cut, parts[kept], framing)
-        else:
-            if framing is Framing.CHUNKED:
-                writer.write(b'0\r\n\r\n')
-            await writer.drain()
-            say({'done': run})
+        elif framing is Framing.LENGTH:
+            lines.append(f'Content-Length: {sum(map(len, parts))}')
+        return '\r\n'.join([*lines, '', '']).encode()
 
     def _make_parts(
-        self, target: str, request_id: str, run: str, after: str
+        self,
+        target: str,
+        request_id: str,
+        run: str,
+        after: str,
+        odd: OddRun | None,
     ) -> list[bytes]:
         if not self._phase:
             body = plain_body(request_id)
             return [body[: len(body) // 2], body[len(body) // 2 :]]
         text = StreamText.parse(target)
         first = text.position(after) + 1
+        if odd is OddRun.ANEW:
+            first = 1
+        elif odd is OddRun.REPEATED:
+            first -= 1
         return [text.event(n, run) for n in range(first, text.events + 1)]
 
+    def _draw_odd(self, after: str, target: str) -> OddRun | None:
+        if not after or self._rng.random() >= self._plan.odd_share:
+            return None
+        if target.endswith(TAKEN_UP):
+            return self._rng.choice(ODD_RUNS_FOR_CALLERS)
+        return self._rng.choice(list(OddRun))
+
+    async def _add(
+        self, writer: asyncio.StreamWriter, answer: bytes, framing: Framing
+    ) -> None:
+        """Writes bytes after a whole answer, at once or late."""
+        earlier, self._last_answer = self._last_answer, answer
+        if framing in UNFRAMED or self._rng.random() >= self._plan.extra_share:
+            return
+        extra = self._rng.choice(list(Extra))
+        added = {
+            Extra.AGAIN: answer,
+            Extra.EARLIER: earlier,
+            Extra.NO_ID: answer.replace(b'X-Request-Id', b'X-Other', 1),
+            Extra.PART: answer[: len(answer) // 2],
+            Extra.NOISE: self._rng.randbytes(NOISE_BYTES),
+        }[extra]
+        if self._rng.random() < 0.5:
+            await asyncio.sleep(self._rng.uniform(0.001, LATEST_EXTRA_S))
+        writer.write(added)
+        await writer.drain()
+        await asyncio.sleep(ARRIVAL_S)
+
     def _draw_framing(self) -> Framing:
         if self._rng.random() >= self._plan.unframed_share:
-            return Framing.CHUNKED
-        return self._rng.choice((Framing.CONNECTION, Framing.OLD_PROTOCOL))
+            return self._rng.choice((Framing.CHUNKED, Framing.LENGTH))
+        return self._rng.choice(UNFRAMED)
 
     def _draw_cut(self, framing: Framing, parts: int) -> Cut | None:
         if not parts or self._rng.random() >= self._plan.cut_share:
@@ -244,6 +369,8 @@
             return self._rng.choice(CUTS_OF_PLAIN)
         if framing is Framing.CHUNKED:
             return self._rng.choice(list(Cut))
+        if framing is Framing.LENGTH:
+            return self._rng.choice(CUTS_WITH_LENGTH)
         return self._rng.choice(CUTS_WITHOUT_CHUNKS)
 
     async def _cut(
@@ -279,9 +406,12 @@
 
 
 def _write_whole(
-    writer: asyncio.StreamWriter, status: str, content: bytes
+    writer: asyncio.StreamWriter, status: str, content: bytes, fields: str = ''
 ) -> None:
-    head = f'HTTP/1.1 {status}\r\nContent-Length: {len(content)}\r\n\r\n'
+    length = f'Content-Length: {len(content)}\r\n'
+    if status == OddRun.NO_CONTENT:
+        length = ''
+    head = f'HTTP/1.1 {status}\r\n{fields}{length}\r\n'
     writer.write(head.encode() + content)
 
 
--- a/standins/worker_links.py
+++ b/standins/worker_links.py
@@ -22,12 +22,28 @@
         REFUSED: new connections are refused, open ones are reset.
         RESET: new connections are reset once made, and open ones at once.
         NEW_ONLY: new connections are refused, open ones live on.
+        HANG_THEN_RESET: as HANG, and all are reset when the cut ends.
     """
 
     HANG = 'hang'
     REFUSED = 'refused'
     RESET = 'reset'
     NEW_ONLY = 'new only'
+    HANG_THEN_RESET = 'hang then reset'
+
+
+class EndedWorker(enum.StrEnum):
+    """What new connections meet while a worker's process has ended.
+
+    Attributes:
+        REFUSED: they are refused.
+        RESET: they are made, and reset.
+        HANG: they are made, and lead to its next process.
+    """
+
+    REFUSED = 'refused'
+    RESET = 'reset'
+    HANG = 'hang'
 
 
 class WorkerLink:
@@ -40,6 +56,8 @@
     def __init__(self) -> None:
         self.address = ''
         self._target = ''
+        self._ended: EndedWorker | None = None
+        self._has_worker = asyncio.Event()
         # Keeps the port from other processes while the link does not listen.
         self._reserved: socket.socket | None = None
         self._cut: LinkCut | None = None
@@ -52,12 +70,17 @@
     async def lead_to(self, target: str) -> None:
         """Leads to a worker's address, and listens unless it is cut."""
         self._target = target
+        self._ended = None
+        self._has_worker.set()
         await self._listen()
 
-    async def end(self) -> None:
-        """Refuses new connections, since the worker's process has ended."""
+    async def end(self, ended: EndedWorker = EndedWorker.REFUSED) -> None:
+        """Leads nowhere, since the worker's process has ended."""
         self._target = ''
-        self._stop_listening()
+        self._ended = ended
+        self._has_worker.clear()
+        if ended is EndedWorker.REFUSED:
+            self._stop_listening()
 
     async def close(self) -> None:
         """Ends all connections."""
@@ -69,7 +92,7 @@
     async def cut(self, cut: LinkCut) -> None:
         """Cuts the link."""
         self._cut = cut
-        if cut is LinkCut.HANG:
+        if cut in (LinkCut.HANG, LinkCut.HANG_THEN_RESET):
             self._whole.clear()
         if cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY):
             self._stop_listening()
@@ -78,6 +101,8 @@
 
     async def restore(self) -> None:
         """Ends a cut."""
+        if self._cut is LinkCut.HANG_THEN_RESET:
+            self._reset_open()
         self._cut = None
         self._whole.set()
         await self._listen()
@@ -86,7 +111,11 @@
     def _refuses(self) -> bool:
         """Whether new connections are refused."""
         is_cut = self._cut in (LinkCut.REFUSED, LinkCut.NEW_ONLY)
-        return is_cut or not self._target
+        refused = not self._target and self._ended in (
+            None,
+            EndedWorker.REFUSED,
+        )
+        return is_cut or refused
 
     async def _listen(self) -> None:
         # A worker's start and the end of a cut may come together.
@@ -119,6 +148,8 @@
             _reset(writer)
             return
         await self._whole.wait()
+        if self._ended is EndedWorker.HANG:
+            await self._has_worker.wait()
         try:
             ip, _, port = self._target.rpartition(':')
             far_reader, far_writer = await asyncio.open_connection(
--- a/tests/test_stream_runs.py
+++ b/tests/test_stream_runs.py
@@ -1,26 +1,48 @@
 """Tests of the runs of streams: content, judge, callers, links, one seed."""
 
 import asyncio
+import dataclasses
 import itertools
+import pathlib
 import random
 import socket
+import subprocess
 
 import pytest
 import uvloop
 
+from standins.builds import check_out
 from standins.raw_worker import Ending, Framing, RawAnswer, RawWorker
-from standins.stream_callers import AnswerEnd, Call, Send, StreamCallers
-from standins.stream_content import StreamText, plain_body
+from standins.stream_callers import (
+    AnswerEnd,
+    Call,
+    Send,
+    StreamCallers,
+    find_last_id,
+)
+from standins.stream_content import (
+    EventForm,
+    StreamText,
+    plain_body,
+    split_events,
+)
 from standins.stream_judge import StreamJudge, StreamPromise, WorkerRun
 from standins.stream_plan import (
     CALM_S,
     FIRST_AT_S,
     Trouble,
     TroubleKind,
+    draw_replacements,
     draw_troubles,
 )
-from standins.stream_runs import StreamRun
-from standins.worker_links import LinkCut, WorkerLink
+from standins.stream_runs import HostBuilds, StreamRun
+from standins.stream_worker import (
+    Extra,
+    OddRun,
+    StreamWorker,
+    WorkerPlan,
+)
+from standins.worker_links import EndedWorker, LinkCut, WorkerLink
 from tests.platform_site import WAIT_S
 
 HOSTS = ['h0', 'h1', 'h2']
@@ -83,8 +105,25 @@
         assert event == f'id: {event_id(2)}\ndata: 2 {FIRST_RUN}\n\n'
         assert b'x-weight-versions: 2\n' in TEXT.event(7, FIRST_RUN)
 
-    def test_a_target_says_which_stream_it_is(self):
-        assert StreamText.parse(TEXT.target('chat')) == TEXT
+    @pytest.mark.parametrize('form', list(EventForm))
+    def test_a_target_says_which_stream_it_is(self, form):
+        text = dataclasses.replace(TEXT, form=form)
+        assert StreamText.parse(text.target('chat')) == text
+
+    @pytest.mark.parametrize('form', list(EventForm))
+    def test_events_of_each_form_are_split_and_have_their_id(self, form):
+        text = dataclasses.replace(TEXT, form=form)
+        made = [text.event(n, FIRST_RUN) for n in range(1, 10)]
+        assert split_events(b''.join(made)) == (made, b'')
+        assert [find_last_id(event) for event in made] == [
+            str(number) for number in text.ids()
+        ]
+        half = made[1][:-1]
+        assert split_events(made[0] + half) == ([made[0]], half)
+
+    def test_forms_differ(self):
+        texts = [dataclasses.replace(TEXT, form=form) for form in EventForm]
+        assert len({text.event(1, FIRST_RUN) for text in texts}) == len(texts)
 
 
 class TestJudgeOfStreams:
@@ -108,6 +147,21 @@
     def test_order(self, body, end):
         assert broken([send(body, end)]) == [StreamPromise.IN_ORDER]
 
+    @pytest.mark.parametrize('form', list(EventForm))
+    def test_events_of_each_form(self, form):
+        text = dataclasses.replace(TEXT, form=form)
+        made = [text.event(n, FIRST_RUN) for n in range(1, 10)]
+
+        def judge(body):
+            call = Call('chat', text, [send(b''.join(body))])
+            return [v.promise for v in StreamJudge([run_of()]).judge([call])]
+
+        assert judge(made) == []
+        assert judge(made[:3] + made[2:]) == [StreamPromise.IN_ORDER]
+        assert judge(made[:8]) == [StreamPromise.COMPLETE]
+        if form is not EventForm.PLAIN:
+            assert judge([events(1, 9)]) == [StreamPromise.UNCHANGED]
+
     def test_a_second_run_that_began_anew(self):
         body = events(1, 2) + events(3, 9, SECOND_RUN)
         runs = [run_of(), run_of(SECOND_RUN)]
@@ -350,6 +404,23 @@
         assert ran[1]['last-event-id'] == second.after == event_id(3)
         assert ran[1]['resumes'] == first.id
 
+    def test_a_caller_who_leaves_takes_the_stream_up(self):
+        async def scenario():
+            answers = [RawAnswer([events(1, 9)]), RawAnswer([events(3, 9)])]
+            worker = RawWorker('w', answers)
+            address = await worker.start()
+            callers = StreamCallers({'h0': address}, random.Random(1), 't')
+            call = Call('chat', TEXT, [])
+            first = callers._begin(call, '', False)
+            first.leaves_after = len(events(1, 2))
+            await callers._exchange(call, first, True)
+            worker.end()
+            return first
+
+        first = uvloop.run(scenario())
+        assert first.end is AnswerEnd.BROKEN
+        assert len(first.body) < len(events(1, 9))
+
     def test_a_stream_that_may_not_be_resumed_is_not_taken_up(self):
         answer = RawAnswer([events(1, 9)], Framing.CHUNKED, Ending.CLOSED, 5)
         call, ran = uvloop.run(self.ask([answer], 'once'))
@@ -561,6 +632,43 @@
 
         self.play(scenario)
 
+    def test_hang_then_reset(self):
+        async def scenario(link, client):
+            await self.cut(link, LinkCut.HANG_THEN_RESET)
+            client.write(b'during\n')
+            assert await client.is_silent()
+            await link.restore()
+            with pytest.raises(ConnectionResetError):
+                await client.read()
+            await self.assert_serves(link)
+
+        self.play(scenario)
+
+    def test_connections_are_reset_once_made_when_the_worker_has_ended(self):
+        async def scenario(link, client):
+            target = link._target
+            await link.end(EndedWorker.RESET)
+            new = await LinkClient.connect(link)
+            with pytest.raises(ConnectionResetError):
+                await new.read()
+            await link.lead_to(target)
+            await self.assert_serves(link)
+
+        self.play(scenario)
+
+    def test_connections_wait_for_the_next_process_of_the_worker(self):
+        async def scenario(link, client):
+            target = link._target
+            await link.end(EndedWorker.HANG)
+            new = await LinkClient.connect(link)
+            new.write(b'waits\n')
+            assert await new.is_silent()
+            await link.lead_to(target)
+            assert await new.read() == b'waits\n'
+            new.close()
+
+        self.play(scenario)
+
     def test_nobody_else_gets_its_port_while_it_does_not_listen(self):
         async def scenario(link, client):
             await self.cut(link, LinkCut.REFUSED)
@@ -630,6 +738,175 @@
                 assert trouble.kind is TroubleKind.HOSTS_CUT_OFF
                 assert 0 < len(set(trouble.targets)) < len(HOSTS)
 
+    def test_replacements_stop_each_host_once_and_in_turn(self):
+        stops = draw_replacements(HOSTS, PLAN_S)
+        assert [stop.targets for stop in stops] == [(host,) for host in HOSTS]
+        assert {stop.kind for stop in stops} == {TroubleKind.HOST_STOPPED}
+        ends = [stop.at + stop.for_s for stop in stops]
+        assert all(a < b.at for a, b in zip(ends, stops[1:], strict=False))
+        assert ends[-1] < PLAN_S - CALM_S
+
+
+class WorkerAnswers:
+    """The answers of a worker of the drawn run, as bytes."""
+
+    def __init__(self, said, **plan):
+        self.runs = []
+        self._said = said
+        self._worker = StreamWorker(
+            WorkerPlan('d1', 'decode', 7, cut_share=0.0, gap_s=0.0, **plan)
+        )
+
+    async def ask(self, fields='', target=None):
+        """Returns all bytes that come until the worker closes."""
+        server = await asyncio.start_server(self._worker._serve, '127.0.0.1', 0)
+        ip, port = server.sockets[0].getsockname()[:2]
+        reader, writer = await asyncio.open_connection(ip, port)
+        writer.write(
+            f'POST {target or TEXT.target("chat")} HTTP/1.1\r\n'
+            f'X-Request-Id: r\r\n{fields}\r\n'.encode()
+        )
+        async with asyncio.timeout(WAIT_S):
+            answer = await reader.read(-1)
+        writer.close()
+        server.close()
+        return answer
+
+
+class TestWorker:
+    """What workers of the drawn run do wrong."""
+
+    @pytest.fixture
+    def said(self, monkeypatch):
+        """What the worker says, by line."""
+        said = []
+        monkeypatch.setattr('standins.stream_worker.say', said.append)
+        return said
+
+    def test_further_bytes_come_after_a_whole_framed_answer(self, said):
+        async def scenario():
+            worker = WorkerAnswers(said, unframed_share=0.0, extra_share=1.0)
+            return [await worker.ask() for _ in range(40)]
+
+        answers = uvloop.run(scenario())
+        ran = [line for line in said if 'run' in line]
+        assert len(ran) == len(answers) == sum('done' in one for one in said)
+        longer = [
+            answer
+            for answer, run in zip(answers, ran, strict=True)
+            if not answer.endswith(
+                (
+                    TEXT.event(9, run['run']),
+                    TEXT.event(9, run['run']) + b'\r\n0\r\n\r\n',
+                )
+            )
+            or answer.count(b'HTTP/1.1 200 OK') > 1
+        ]
+        # The first answer has none before it that could come again.
+        assert len(longer) >= len(answers) - 1
+        assert len(Extra) == 5
+
+    def test_an_answer_that_its_connection_ends_has_no_further_bytes(
+        self, said
+    ):
+        async def scenario():
+            worker = WorkerAnswers(said, unframed_share=1.0, extra_share=1.0)
+            return [await worker.ask() for _ in range(10)]
+
+        answers = uvloop.run(scenario())
+        ran = [line['run'] for line in said if 'run' in line]
+        for answer, run in zip(answers, ran, strict=True):
+            assert answer.partition(b'\r\n\r\n')[2] == events(1, 9, run)
+
+    def odd_runs(self, said, target):
+        """Returns how some runs go on after event 3, and their answers."""
+
+        async def scenario():
+            worker = WorkerAnswers(said, odd_share=1.0, extra_share=0.0)
+            fields = f'Last-Event-Id: {event_id(3)}\r\n'
+            return [await worker.ask(fields, target) for _ in range(80)]
+
+        answers = uvloop.run(scenario())
+        ran = [line for line in said if 'run' in line]
+        return [
+            (run['odd'], run['run'], answer)
+            for run, answer in zip(ran, answers, strict=True)
+        ]
+
+    def test_a_run_that_does_not_go_on_as_asked(self, said):
+        odd_runs = self.odd_runs(said, None)
+        assert {odd for odd, _, _ in odd_runs} == set(OddRun)
+        for odd, run, answer in odd_runs:
+            status = odd[:3] if odd[0].isdigit() else '200'
+            assert answer.startswith(f'HTTP/1.1 {status} '.encode()) or (
+                answer.startswith(b'HTTP/1.0 200 ')
+            )
+            signed = b'X-Response-Signature' in answer
+            assert signed == (odd in (OddRun.ANEW, OddRun.REPEATED))
+            assert (TEXT.event(1, run) in answer) == (odd == OddRun.ANEW)
+            assert (TEXT.event(3, run) in answer) == signed
+
+    def test_a_caller_gets_no_odd_status(self, said):
+        target = TEXT.target('chat') + '&taken-up=1'
+        odd_runs = self.odd_runs(said, target)
+        assert {odd for odd, _, _ in odd_runs} == {
+            OddRun.ANEW,
+            OddRun.REPEATED,
+        }
+
+
+class TestBuilds:
+    """Earlier builds of the hosts, from the repository's history."""
+
+    @pytest.fixture
+    def repository(self, tmp_path, monkeypatch):
+        """A repository of two commits, of which the first is tagged."""
+        folder = tmp_path / 'repository'
+        package = folder / 'mustardscale'
+        package.mkdir(parents=True)
+
+        def git(*arguments):
+            subprocess.run(
+                [
+                    *('git', '-C', str(folder), '-c', 'user.name=n'),
+                    *('-c', 'user.email=e', *arguments),
+                ],
+                check=True,
+                capture_output=True,
+            )
+
+        git('init')
+        for text in ('first', 'second'):
+            (package / '__init__.py').write_text(text)
+            git('add', '.')
+            git('commit', '--message', text)
+            git('tag', text)
+        monkeypatch.setattr('standins.builds.ROOT', folder)
+        return folder
+
+    @pytest.mark.parametrize('commit', ['first', 'second'])
+    def test_a_folder_has_the_package_of_its_commit(
+        self, repository, tmp_path, commit
+    ):
+        folder = check_out(commit, tmp_path / 'builds')
+        assert folder.is_absolute()
+        assert (folder / 'mustardscale/__init__.py').read_text() == commit
+        assert check_out(commit, tmp_path / 'builds') == folder
+
+    def test_an_unknown_commit(self, repository, tmp_path):
+        with pytest.raises(ValueError, match='name a commit'):
+            check_out('none', tmp_path / 'builds')
+
+    def test_hosts_run_two_builds_in_turn(self):
+        first, second = pathlib.Path('first'), pathlib.Path('second')
+        assert HostBuilds().assign(HOSTS) == {}
+        assert HostBuilds(None, second).assign(HOSTS) == {'h1': second}
+        assert HostBuilds(first, second).assign(HOSTS) == {
+            'h0': first,
+            'h1': second,
+            'h2': first,
+        }
+
 
 class TestSeed:
     """One short seed with real processes."""
