--- a/standins/stream_site.py
+++ b/standins/stream_site.py
@@ -38,7 +38,7 @@
 LOOK_S = 0.1
 # Time after which a worker that has ended starts again, seconds. One that does
 # not state its start comes back late enough to be told from the one before.
-FIRST_RESTART_S, LAST_RESTART_S = 0.02, 1.0
+FIRST_RESTART_S, LAST_RESTART_S = 0.02, 3.0
 NAMELESS_RESTART_S = 0.7
 START_TIMEOUT_S = 30.0
 
