Log the version of the weights before and after a stream goes on

`stream_resumed` now has `weights` (what the head of the new run states) and `weights_before` (what the stream stated last, in its head or in an event). Nothing is decided from it yet.

--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -254,6 +254,7 @@
         settings.prefill_share,
         AnswerLimits(settings.max_answer_bytes, settings.max_all_answers_bytes),
         settings.report_interval_s,
+        weights_field=names.WEIGHT_VERSIONS,
     )
     return RelayRouter(board, options, edges, rng)
 
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -46,6 +46,8 @@
         versions: the software versions of streams.
         active: the requests in progress.
         metrics: the counters of this host.
+        weights_field: name under which engines state the version of their
+            weights, '' if they do not.
     """
 
     board: Blackboard
@@ -58,6 +60,7 @@
     versions: StreamVersions
     active: ActiveRequests
     metrics: Metrics
+    weights_field: str = ''
 
     @property
     def events(self) -> EventLog:
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -33,6 +33,7 @@
     SizeEstimate,
 )
 from mustardscale.relay.stream_attempts import StreamAttempts
+from mustardscale.relay.weights_order import WeightsOrder
 from mustardscale.reporting.event_log import EventKind
 
 # Times without a whole event after which a stream counts as stalled, as shares
@@ -119,6 +120,7 @@
         self._route = route
         self._service = service
         self._splitter = EventSplitter(request.resume_after)
+        self._weights = WeightsOrder(context.weights_field)
         self._answer: EndpointAnswer | None = None
         self._outcome = Outcome.CALLER_LEFT
         # Whether the stream is kept at one software version.
@@ -257,6 +259,7 @@
             OutcomeError: an event is too long.
             TimeoutError: the deadline has passed.
         """
+        self._weights.begin(self.head)
         read = self._read(self._require_answer())
         async with contextlib.aclosing(read) as chunks:
             async for data in chunks:
@@ -374,6 +377,7 @@
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(error)) from error
         served = self.served
         if whole_events:
+            self._weights.record(whole_events)
             if not self._is_pinned:
                 self._begin_version()
             self._progress_at = self._context.now()
@@ -433,6 +437,8 @@
             version=self.version,
             after=self._splitter.last_id,
             runs=attempts.progress.runs,
+            weights=self._weights.read(answer.head),
+            weights_before=self._weights.version,
         )
 
 
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -32,6 +32,8 @@
         report_interval_s: seconds between readings of an engine's report.
         settle_s: seconds for which a new owner of a pool collects what hosts
             hold before it grants.
+        weights_field: name under which engines state the version of their
+            weights, in heads and in events; '' if they do not.
     """
 
     seed_addresses: tuple[str, ...] = ()
@@ -44,6 +46,7 @@
     answers: AnswerLimits = dataclasses.field(default_factory=AnswerLimits)
     report_interval_s: float = 0.9
     settle_s: float = 0.25
+    weights_field: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -151,6 +151,7 @@
             self.versions,
             self.active,
             self.metrics,
+            options.weights_field,
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -176,7 +176,14 @@
     ),
     EventKind.STREAM_RESUMED: EventRule(
         'A stream went on at another endpoint.',
-        ('endpoint', 'version', 'after', 'runs'),
+        (
+            'endpoint',
+            'version',
+            'after',
+            'runs',
+            'weights',
+            'weights_before',
+        ),
     ),
     EventKind.ANSWER_ENDED: EventRule(
         'An answer ended that only the end of its connection delimits.',
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -42,6 +42,7 @@
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.versions.stream_versions import StreamVersions
 
+WEIGHTS = 'X-Weights'
 ENGINE = EngineSpec(48, 100_000, 1, 1e12, event_tokens=10)
 
 
@@ -59,8 +60,11 @@
         gap_s=0.0,
         media_type='text/event-stream',
         framing=AnswerFraming.LENGTH,
+        weights='',
     ):
         headers = (('X-Sign', 's'), ('Content-Type', media_type))
+        if weights:
+            headers += ((WEIGHTS, weights),)
         self.head = AnswerHead(status, headers)
         self.framing = framing
         self.closed = False
@@ -194,6 +198,7 @@
             StreamVersions(self.board, PeerCalls(self.board, None), Metrics()),
             ActiveRequests(),
             Metrics(),
+            WEIGHTS,
         )
         for name in plain:
             self._add(name, ListedKind.PLAIN, None)
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -37,7 +37,7 @@
     """Engines and an admission that returns the given grants in order."""
 
     def __init__(self, *grants, slack=50.0):
-        super().__init__(engines=('p', 'q', 'd', 'e'), slack=slack)
+        super().__init__(engines=('p', 'q', 'd', 'e', 'f'), slack=slack)
         self.admission = FakeAdmission(grants)
         self.relay = StreamRelay(self.context, self.admission)
 
@@ -232,6 +232,76 @@
         assert bench.endpoint('d').runs[0].resume_after == '5'
 
 
+class TestWeights:
+    """Streams that go on at engines whose weights have another version."""
+
+    async def collect(self, before, after, begun=(), attempts=2):
+        """Returns what a caller gets of two runs, and the outcome.
+
+        Args:
+            before: version in the head of the first run.
+            after: version in the head of the second one.
+            begun: what the first one brings before it breaks off.
+            attempts: runs that the route allows.
+        """
+        bench = StreamBench(('p', 'd'), ('q', 'e'), ('p', 'f'))
+        first = FakeAnswer([event(1), *begun, LOST], weights=before)
+        bench.endpoint('d').run_script = [first]
+        bench.endpoint('e').run_script = [
+            FakeAnswer([event(8), event(9)], weights=after)
+        ]
+        bench.endpoint('f').run_script = [
+            FakeAnswer([event(8), event(9)], weights=before)
+        ]
+        got = b''
+        route = route_of(RESUMABLE, max_attempts=attempts)
+        try:
+            async with bench.relay.serve(
+                request_of(), route, SERVICE
+            ) as stream:
+                async for part in stream.events():
+                    got += part
+        except OutcomeError as error:
+            return got, error.outcome, bench
+        return got, Outcome.COMPLETE, bench
+
+    @virtual_time
+    async def test_operators_see_both_versions(self):
+        _, _, bench = await self.collect('3', '4')
+        (told,) = [
+            inputs
+            for kind, _, _, inputs in bench.events.recorded
+            if kind is EventKind.STREAM_RESUMED
+        ]
+        assert (told['weights'], told['weights_before']) == (4, 3)
+
+    @pytest.mark.parametrize(
+        ('before', 'after'),
+        [
+            ('3', '3'),
+            ('3', '4'),
+            ('', '1'),
+            ('3', ''),
+            ('3', 'none'),
+            ('3', '9' * 40),
+        ],
+    )
+    @virtual_time
+    async def test_the_same_newer_or_unstated_weights_go_on(
+        self, before, after
+    ):
+        got, outcome, _ = await self.collect(before, after)
+        assert got == event(1) + event(8) + event(9)
+        assert outcome is Outcome.COMPLETE
+
+    @virtual_time
+    async def test_an_engine_may_go_back_within_its_run(self):
+        back = b'x-weights: 2\nid: 2\ndata: x\n\n'
+        got, outcome, _ = await self.collect('3', '2', [back])
+        assert got == event(1) + back + event(8) + event(9)
+        assert outcome is Outcome.COMPLETE
+
+
 class TestOrderOfEvents:
     """Runs whose events repeat, or go back behind, what the caller has."""
 
