A stream does not go on with older weights than it has

Cause: the head of the answer that goes on was compared by status and media type only.

Evidence: the judge of the drawn run now compares the versions on both sides of a joint, and workers have weights of two versions.

Change: a run that states older weights than the stream has (in its head, or in an event handed out) counts as failed before anything of it is handed on, so the next attempt follows, or the stream visibly breaks off. Within a run an engine may go back, since its own events say so.

--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -254,12 +254,12 @@
         """Yields the whole events of the present run.
 
         Raises:
-            EndpointFailedError: it broke off, stalled, or an event was out of
-                order.
+            EndpointFailedError: it broke off, stalled, an event was out of
+                order, or its weights are older than the stream's.
             OutcomeError: an event is too long.
             TimeoutError: the deadline has passed.
         """
-        self._weights.begin(self.head)
+        self._require_weights()
         read = self._read(self._require_answer())
         async with contextlib.aclosing(read) as chunks:
             async for data in chunks:
@@ -302,6 +302,18 @@
             )
         await self._attempts.check_end(answer, self._splitter.events)
 
+    def _require_weights(self) -> None:
+        """Requires that the run's weights are not older than the stream's.
+
+        Raises:
+            EndpointFailedError: they are.
+        """
+        try:
+            self._weights.begin(self.head)
+        except EndpointFailedError:
+            self._context.metrics.count('streams_weights_older')
+            raise
+
     def _require_order(self) -> None:
         """Requires that no event of the run was out of order.
 
--- a/mustardscale/relay/weights_order.py
+++ b/mustardscale/relay/weights_order.py
@@ -1,9 +1,10 @@
-"""The version of the weights that write a stream."""
+"""Keeps a stream from going on with older weights."""
 
 from __future__ import annotations
 
 import re
 
+from mustardscale.exceptions import EndpointFailedError
 from mustardscale.relay.relay_messages import AnswerHead
 
 # Digits of a version that is read. More are taken for no version.
@@ -24,6 +25,10 @@
     >>> order.record(b'id: 1\n\nweights: 4\nid: 2\n\n')
     >>> order.version
     4
+    >>> order.begin(AnswerHead(200, (('weights', '3'),)))
+    Traceback (most recent call last):
+      ...
+    mustardscale.exceptions.EndpointFailedError: weights of version 3 after 4
     """
 
     __slots__ = ('_field', '_line', 'version')
@@ -43,8 +48,19 @@
         )
 
     def begin(self, head: AnswerHead) -> None:
-        """Begins a run."""
-        self.version = self.read(head) or self.version
+        """Begins a run.
+
+        Raises:
+            EndpointFailedError: it states an older version than the stream has.
+        """
+        version = self.read(head)
+        if not version:
+            return
+        if version < self.version:
+            raise EndpointFailedError(
+                f'weights of version {version} after {self.version}'
+            )
+        self.version = version
 
     def record(self, events: bytes) -> None:
         """Records the version that whole events of the run state."""
--- a/standins/stream_content.py
+++ b/standins/stream_content.py
@@ -92,8 +92,14 @@
         """Returns the number of events up to an id, 0 for none."""
         return self.ids().index(int(last_id)) + 1 if last_id else 0
 
-    def event(self, position: int, run: str) -> bytes:
-        """Returns an event of a run; the first one has position 1."""
+    def event(self, position: int, run: str, weights: int = 0) -> bytes:
+        """Returns an event.
+
+        Args:
+            position: its number; the first one has 1.
+            run: the run that makes it.
+            weights: version of the weights before the first event, from 0.
+        """
         lines = [f'id: {self.ids()[position - 1]}', f'data: {position} {run}']
         if self.form is EventForm.COMMENT:
             lines.insert(1, f': comment {position}')
@@ -102,12 +108,17 @@
         elif self.form is EventForm.ID_LAST:
             lines.reverse()
         if position % _WEIGHTS_CHANGE_EACH == 0:
-            number = position // _WEIGHTS_CHANGE_EACH + 1
-            lines.insert(0, f'x-weight-versions: {number}')
+            version = find_version(position, weights)
+            lines.insert(0, f'x-weight-versions: {version}')
         line_end = _LINE_END_BY_FORM.get(self.form, '\n')
         return line_end.join([*lines, '', '']).encode()
 
 
+def find_version(position: int, weights: int) -> int:
+    """Returns the version of the weights that make an event, from 1."""
+    return weights + position // _WEIGHTS_CHANGE_EACH + 1
+
+
 def split_events(body: bytes) -> tuple[list[bytes], bytes]:
     r"""Returns the whole events of a stream, and the bytes after them.
 
--- a/standins/stream_judge.py
+++ b/standins/stream_judge.py
@@ -29,6 +29,7 @@
         IN_ORDER: no event is missing or comes twice, and ids never go back.
         ONE_RUN: pieces of two runs are joined only where the second one goes
             on after the last event of the first.
+        WEIGHTS: within an answer, no run goes on with older weights.
         UNCHANGED: each byte is one that a worker made for this request.
         ATTEMPTS: no more runs than the route allows.
         NOT_RUN: a status that says so is true.
@@ -37,6 +38,7 @@
     COMPLETE = 'complete'
     IN_ORDER = 'in order'
     ONE_RUN = 'one run'
+    WEIGHTS = 'weights'
     UNCHANGED = 'unchanged'
     ATTEMPTS = 'attempts'
     NOT_RUN = 'not run'
@@ -53,6 +55,7 @@
         framing: how the end of its answer is marked.
         cut: how it ends early, '' if it does not.
         odd: how it does not go on as asked, '' if it does.
+        weights: version of its weights before the first event, from 0.
     """
 
     name: str
@@ -61,6 +64,7 @@
     framing: str = ''
     cut: str = ''
     odd: str = ''
+    weights: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,10 +142,12 @@
         self._run_by_name = run_by_name
         self._run = ''
         self._last_id = ''
+        self._weights_of_send = 0
         self._sends = {send.id for send in call.sends}
 
     def read(self, send: Send) -> StreamViolation | None:
         """Reads one send; returns what it broke."""
+        self._weights_of_send = 0
         events, rest = split_events(send.body)
         for event in events:
             violation = self._read_event(send, event)
@@ -176,8 +182,17 @@
                 send,
                 f'{run or name} after event {self.position} of {self._run}',
             )
+        assert run is not None
+        if run.weights < self._weights_of_send:
+            return _violate(
+                StreamPromise.WEIGHTS,
+                send,
+                f'{run} after {self._weights_of_send} of {self._run}',
+            )
+        self._weights_of_send = run.weights
         text = self._call.text
-        if number > text.events or event != text.event(number, name):
+        wanted = text.event(number, name, run.weights)
+        if number > text.events or event != wanted:
             return _violate(StreamPromise.UNCHANGED, send, f'{event[:80]!r}')
         self._run = name
         self.position = number
@@ -193,14 +208,16 @@
         text = self._call.text
         if self.position == text.events:
             return False
-        names = {
-            run.name
+        runs = [
+            run
             for run in self._run_by_name.values()
             if run.name == self._run or self._may_follow(run)
-        }
+        ]
         return any(
-            text.event(self.position + 1, name).startswith(rest)
-            for name in names
+            text.event(self.position + 1, run.name, run.weights).startswith(
+                rest
+            )
+            for run in runs
         )
 
 
--- a/standins/stream_worker.py
+++ b/standins/stream_worker.py
@@ -20,7 +20,12 @@
 import msgspec
 import uvloop
 
-from standins.stream_content import TAKEN_UP, StreamText, plain_body
+from standins.stream_content import (
+    TAKEN_UP,
+    StreamText,
+    find_version,
+    plain_body,
+)
 
 # Time for which bytes are left to arrive before the answer is cut, seconds.
 ARRIVAL_S = 0.02
@@ -162,6 +167,7 @@
         self._orders = 0
         self._phase = plan.phase
         self._last_answer = b''
+        self._weights = self._rng.choices((0, 1), (0.8, 0.2))[0]
 
     async def serve(self) -> None:
         """Serves until the process is ended."""
@@ -264,6 +270,7 @@
                 'framing': framing,
                 'cut': cut or '',
                 'odd': odd or '',
+                'weights': self._weights,
             }
         )
         if odd is not None and odd.value[0].isdigit():
@@ -273,6 +280,8 @@
             return
         signature = '' if odd is OddRun.UNSIGNED else run
         head = self._make_head(request_id, signature, framing, parts)
+        if self._phase:
+            head = self._state_weights(head, target, after)
         writer.write(head)
         kept = self._rng.randrange(len(parts)) if cut else len(parts)
         for part in parts[:kept]:
@@ -327,7 +336,16 @@
             first = 1
         elif odd is OddRun.REPEATED:
             first -= 1
-        return [text.event(n, run) for n in range(first, text.events + 1)]
+        return [
+            text.event(n, run, self._weights)
+            for n in range(first, text.events + 1)
+        ]
+
+    def _state_weights(self, head: bytes, target: str, after: str) -> bytes:
+        """Returns a head that states the version of the weights."""
+        position = StreamText.parse(target).position(after)
+        version = find_version(position, self._weights)
+        return head[:-2] + f'X-Weight-Versions: {version}\r\n\r\n'.encode()
 
     def _draw_odd(self, after: str, target: str) -> OddRun | None:
         if not after or self._rng.random() >= self._plan.odd_share:
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -265,6 +265,19 @@
             return got, error.outcome, bench
         return got, Outcome.COMPLETE, bench
 
+    @virtual_time
+    async def test_a_stream_does_not_go_on_with_older_weights(self):
+        got, outcome, bench = await self.collect('3', '2')
+        assert (got, outcome) == (event(1), Outcome.ENDPOINT_FAILED)
+        failed = [
+            inputs['detail']
+            for kind, _, _, inputs in bench.events.recorded
+            if kind is EventKind.ATTEMPT_FAILED
+        ]
+        assert failed[-1] == 'weights of version 2 after 3'
+        counts = bench.context.metrics.counter_by_name
+        assert counts['streams_weights_older'] == 1
+
     @virtual_time
     async def test_operators_see_both_versions(self):
         _, _, bench = await self.collect('3', '4')
@@ -275,6 +288,20 @@
         ]
         assert (told['weights'], told['weights_before']) == (4, 3)
 
+    @virtual_time
+    async def test_nor_with_weights_older_than_an_event_stated(self):
+        changed = b'x-weights: 4\nid: 2\ndata: x\n\n'
+        got, outcome, _ = await self.collect('3', '3', [changed])
+        assert got == event(1) + changed
+        assert outcome is Outcome.ENDPOINT_FAILED
+
+    @virtual_time
+    async def test_another_engine_goes_on_if_an_attempt_is_left(self):
+        got, outcome, bench = await self.collect('3', '2', attempts=3)
+        assert got == event(1) + event(8) + event(9)
+        assert outcome is Outcome.COMPLETE
+        assert bench.endpoint('f').runs[0].resume_after == '1'
+
     @pytest.mark.parametrize(
         ('before', 'after'),
         [
--- a/tests/test_stream_runs.py
+++ b/tests/test_stream_runs.py
@@ -178,6 +178,23 @@
         runs = [run_of(), run_of(SECOND_RUN, after=event_id(2))]
         assert broken([send(body)], runs) == []
 
+    @pytest.mark.parametrize(('before', 'after'), [(0, 0), (0, 1), (1, 0)])
+    def test_weights_of_a_second_run(self, before, after):
+        body = b''.join(
+            [
+                *(TEXT.event(n, FIRST_RUN, before) for n in (1, 2)),
+                *(TEXT.event(n, SECOND_RUN, after) for n in range(3, 10)),
+            ]
+        )
+        runs = [
+            dataclasses.replace(run_of(), weights=before),
+            dataclasses.replace(
+                run_of(SECOND_RUN, after=event_id(2)), weights=after
+            ),
+        ]
+        wanted = [StreamPromise.WEIGHTS] if after < before else []
+        assert broken([send(body)], runs) == wanted
+
     @pytest.mark.parametrize('other', ['x', 'rr'])
     def test_a_run_of_another_request(self, other):
         runs = [run_of(request=other)]
