--- a/standins/stream_runs.py
+++ b/standins/stream_runs.py
@@ -211,7 +211,7 @@
             is_unframed = run.framing in UNFRAMED
             if answered is None or run.name not in done or not is_unframed:
                 continue
-            if run.odd or answered.leaves_after:
+            if run.odd or answered.leaves_after or self._is_older(run):
                 continue
             was_cut_off = self._was_cut_off(answered)
             place = 'at cut hosts' if was_cut_off else 'elsewhere'
@@ -219,6 +219,14 @@
             counts[f'sound unframed {place}'] += 1
             counts[f'sound unframed whole {place}'] += whole
 
+    def _is_older(self, run: WorkerRun) -> bool:
+        """Returns whether a run goes on with older weights than one before."""
+        return any(
+            other.weights > run.weights
+            for other in self.runs
+            if other.request == run.request
+        )
+
     def _count_violations(self) -> None:
         """Counts broken promises, of streams and of plain answers."""
         streams = {
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -385,6 +385,16 @@
         assert got == event(1) + b': still here\n\n' + event(2)
         assert outcome is Outcome.COMPLETE
 
+    @virtual_time
+    async def test_a_comment_alone_may_come_twice_and_no_event_does(self):
+        comment = b': still here\n\n'
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[event(1), comment, LOST]]
+        bench.endpoint('e').run_script = [[comment, event(2)]]
+        got, outcome = await self.collect(bench)
+        assert got == event(1) + comment + comment + event(2)
+        assert outcome is Outcome.COMPLETE
+
     @pytest.mark.parametrize('first', [4, 5])
     @virtual_time
     async def test_run_that_repeats_what_the_caller_brought_is_replaced(
