--- a/bench/stream_ablation.py
+++ b/bench/stream_ablation.py
@@ -3,8 +3,8 @@
     python -m bench.stream_ablation --seeds 3 --check joint --check ends
 
 A check is switched off in a copy of the tree under build/, as in
-bench.ablation. Then the tests that are named for it must fail, or seeds of the drawn streams
-must break a promise.
+bench.ablation. Then the tests that are named for it must fail, or seeds of the
+drawn streams must break a promise.
 """
 
 from __future__ import annotations
