An event's id that is not ASCII is sent and compared as it came

What callers would see: in a stream whose ids are not ASCII, events come twice.

Cause, found by reading: ids of events were decoded as Latin-1, while a caller's Last-Event-Id is decoded as UTF-8 and headers are sent in UTF-8. So a run was asked to go on after another id than the engine had given, which the engine takes for none, and an event with the id that the caller had brought was not seen to repeat. On the users' platform ids are numbers, so it isn't what they saw; it is the same class, the joint of two runs.

Now ids are UTF-8. A stream whose last id isn't valid UTF-8 can't be resumed, since no header can carry it unchanged, and visibly breaks off.

--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -13,6 +13,8 @@
 _MAX_EVENT_END_BYTES = 4
 _DATA = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
 _EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
+# Bytes that are not UTF-8 are decoded as surrogates.
+_SURROGATE = re.compile('[\ud800-\udfff]')
 
 
 class EventSplitter:
@@ -136,7 +138,8 @@
         self._order.record(event_id)
         self.events += 1
         if event_id:
-            self.is_resumable = True
+            # An id that is not UTF-8 cannot be sent as it came.
+            self.is_resumable = _SURROGATE.search(event_id) is None
         elif _DATA.search(event):
             self.is_resumable = False
 
@@ -154,5 +157,5 @@
     """Returns the id of an event, '' if it has none. The last line counts."""
     event_id = ''
     for match in _EVENT_ID.finditer(event):
-        event_id = match.group(1).decode('latin-1')
+        event_id = match.group(1).decode('utf-8', 'surrogateescape')
     return event_id
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -385,6 +385,35 @@
         assert got == event(1) + b': still here\n\n' + event(2)
         assert outcome is Outcome.COMPLETE
 
+    @virtual_time
+    async def test_an_id_that_is_not_ascii_is_sent_as_it_came(self):
+        named = 'id: é\ndata: x\n\n'.encode()
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[named, LOST]]
+        bench.endpoint('e').run_script = [[event(2)]]
+        got, outcome = await self.collect(bench)
+        assert (got, outcome) == (named + event(2), Outcome.COMPLETE)
+        assert bench.endpoint('e').runs[0].resume_after == 'é'
+
+    @virtual_time
+    async def test_an_id_that_is_not_ascii_does_not_come_twice(self):
+        named = 'id: é\ndata: x\n\n'.encode()
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[named]]
+        bench.endpoint('e').run_script = [[event(2)]]
+        request = request_of(resume_after='é')
+        got, _ = await self.collect(bench, request)
+        assert got == event(2)
+
+    @virtual_time
+    async def test_a_stream_is_not_resumed_after_an_id_that_is_not_utf_8(self):
+        named = 'id: é\ndata: x\n\n'.encode('latin-1')
+        bench = StreamBench(('p', 'd'), ('q', 'e'))
+        bench.endpoint('d').run_script = [[named, LOST]]
+        got, outcome = await self.collect(bench)
+        assert (got, outcome) == (named, Outcome.ENDPOINT_FAILED)
+        assert not bench.endpoint('e').runs
+
     @virtual_time
     async def test_a_comment_alone_may_come_twice_and_no_event_does(self):
         comment = b': still here\n\n'
