Headers that are not ASCII pass as the same bytes

Cause: header fields were decoded as Latin-1 and written in UTF-8, in requests and in answers. Now they are UTF-8 both ways.

The three new tests failed before.

--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -226,9 +226,10 @@
 
     Raises:
         OutcomeError: MALFORMED_REQUEST, if the request id or the Host header
-            is missing or comes more than once.
+            is missing or comes more than once, or a header is not UTF-8.
     """
     headers = request.headers
+    decoded = _decode_headers(request)
     request_id = headers.get(names.REQUEST_ID, '')
     host = headers.get('Host', '')
     if not request_id or len(headers.getall(names.REQUEST_ID)) > 1:
@@ -242,7 +243,7 @@
         host=host.partition(':')[0],
         method=request.method,
         target=request.raw_path,
-        headers=_select_forwarded_headers(request),
+        headers=_select_forwarded_headers(decoded),
         body=body,
         arrived_at=arrived_at,
         timeout_s=_parse_milliseconds(headers.get(names.REQUEST_DEADLINE)),
@@ -255,12 +256,27 @@
     )
 
 
-def _select_forwarded_headers(request: web.BaseRequest) -> Headers:
+def _decode_headers(request: web.BaseRequest) -> Headers:
+    """Returns the headers as text that is sent on as the same bytes.
+
+    Raises:
+        OutcomeError: MALFORMED_REQUEST, a header is not UTF-8.
+    """
+    pairs = []
+    for octets, value in request.raw_headers:
+        name = octets.decode('latin-1')
+        try:
+            pairs.append((name, value.decode()))
+        except UnicodeDecodeError as error:
+            raise OutcomeError(
+                Outcome.MALFORMED_REQUEST,
+                f'header {name} is not UTF-8; encode it so, or leave it out',
+            ) from error
+    return tuple(pairs)
+
+
+def _select_forwarded_headers(pairs: Headers) -> Headers:
     """Returns the headers that are forwarded to the worker."""
-    pairs = [
-        (name.decode('latin-1'), value.decode('latin-1'))
-        for name, value in request.raw_headers
-    ]
     dropped = set(HOP_BY_HOP_HEADERS)
     for name, value in pairs:
         if name.lower() == 'connection':
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -363,10 +363,21 @@
     return AnswerHead(response.status, _select_answer_headers(response))
 
 
+def _is_text(value: bytes) -> bool:
+    """Returns whether a header's value can be handed on as the same bytes."""
+    try:
+        value.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def _select_answer_headers(response: aiohttp.ClientResponse) -> Headers:
+    """Returns the headers for the caller, without those that are not UTF-8."""
     pairs = (
-        (name.decode('latin-1'), value.decode('latin-1'))
+        (name.decode('latin-1'), value.decode())
         for name, value in response.raw_headers
+        if _is_text(value)
     )
     return tuple(
         pair
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,7 @@
 import pytest
 import uvloop
 
+from standins.platform_plan import HOST
 from standins.platform_store import WORKERS_TOPIC
 from standins.platform_worker import WorkerFaults
 from tests.platform_site import CONFIG, PlatformSite, until
@@ -60,6 +61,38 @@
 
         run(scenario)
 
+    def test_a_header_that_is_not_ascii_passes_as_the_same_bytes(self):
+        async def scenario(site):
+            name = {'X-Model-Name': 'modèle-1'}
+            status, _, _ = await site.ask('/book/x', 'r1', headers=name)
+            assert status == 200
+            (worker,) = [w for w in site.workers.values() if w.ran]
+            assert worker.headers['r1']['X-Model-Name'] == 'modèle-1'
+
+        run(scenario)
+
+    @pytest.mark.parametrize('field', ['X-Model-Name', 'Last-Event-Id'])
+    def test_a_header_that_is_not_utf_8_is_refused_by_its_name(self, field):
+        async def scenario(site):
+            ip, _, port = site.fronts[0].address.rpartition(':')
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            lines = [
+                b'POST /book/x HTTP/1.1',
+                b'Host: ' + HOST.encode(),
+                b'X-Request-Id: r1',
+                field.encode() + b': ' + 'modèle-1'.encode('latin-1'),
+                b'Connection: close',
+                b'Content-Length: 0',
+            ]
+            writer.write(b'\r\n'.join([*lines, b'', b'']))
+            answer = await reader.read(-1)
+            writer.close()
+            assert answer.startswith(b'HTTP/1.1 400 ')
+            assert f'header {field} is not UTF-8'.encode() in answer
+            assert not any(w.ran for w in site.workers.values())
+
+        run(scenario)
+
     def test_non_idempotent_request_runs_once_when_the_answer_is_lost(self):
         async def scenario(site):
             for name in ('a1', 'a2'):
