A stream to an HTTP/1.0 caller ends with its connection, also if it asks to keep it

Cause: only the end of the connection ends such an answer, and nothing made the server close it: it keeps what the caller asks to keep.

Change: the connection is closed after the answer.

--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -141,8 +141,10 @@
         if request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         else:
-            # Only a reset tells a broken answer from a whole one, also when
-            # this process ends.
+            # Only the end of the connection ends the answer, whatever the
+            # caller asked for, and only a reset tells a broken answer from a
+            # whole one, also when this process ends.
+            response.force_close()
             _set_linger(request, _RESET_ON_CLOSE)
         self._close_if_draining(response)
         await write_in_time(request, response.prepare(request), self._limits)
--- a/tests/test_old_callers.py
+++ b/tests/test_old_callers.py
@@ -11,6 +11,7 @@
 from mustardscale.peers.peer_connections import split_address
 from mustardscale.platform.front_http import FrontServer
 from mustardscale.relay.relay_messages import AnswerHead
+from tests.platform_site import WAIT_S
 
 EVENT = b'id: %d\ndata: ' + b'x' * 2_000 + b'\n\n'
 # Events that are written after the caller's window is full. They stay below
@@ -44,20 +45,37 @@
             yield event
 
 
+class ShortAnswer:
+    """A stream of two events."""
+
+    head = LongAnswer.head
+
+    def __init__(self, transport):
+        self.sent = EVENT % 1 + EVENT % 2
+
+    async def events(self):
+        yield EVENT % 1
+        yield EVENT % 2
+
+
 class StreamingFront(FrontServer):
-    """A front that answers each request with a long stream."""
+    """A front that answers each request with a stream of one kind."""
+
+    def __init__(self, make_answer, *options):
+        super().__init__(*options)
+        self._make_answer = make_answer
 
     async def _handle(self, request):
         self.transport = request.transport
-        self.answer = LongAnswer(request.transport)
+        self.answer = self._make_answer(request.transport)
         return await self._stream(request, self.answer)
 
 
-def make_front():
+def make_front(make_answer=LongAnswer):
     router = types.SimpleNamespace(
         blackboard=types.SimpleNamespace(draining=False)
     )
-    return StreamingFront(router, CallerLimits(), 0.5)
+    return StreamingFront(make_answer, router, CallerLimits(), 0.5)
 
 
 async def read_on(caller):
@@ -96,3 +114,32 @@
 
         is_whole, was_reset = uvloop.run(main())
         assert (is_whole, was_reset) == (not is_cut, is_cut)
+
+
+class TestOldCallersThatKeepTheConnection:
+    """Callers of HTTP/1.0 who ask for their connection to be kept."""
+
+    @pytest.mark.parametrize('requests', [1, 2])
+    def test_a_stream_ends_with_its_connection_and_no_other_one_follows(
+        self, requests
+    ):
+        async def main():
+            front = make_front(ShortAnswer)
+            await front.start('127.0.0.1', 0)
+            reader, writer = await asyncio.open_connection(
+                *split_address(front.address)
+            )
+            for number in range(requests):
+                writer.write(
+                    b'GET / HTTP/1.0\r\nHost: a\r\nX-Request-Id: r%d\r\n'
+                    b'Connection: keep-alive\r\n\r\n' % number
+                )
+            async with asyncio.timeout(WAIT_S):
+                answer = await reader.read(-1)
+            writer.close()
+            sent = front.answer.sent
+            await front.stop()
+            return answer.partition(b'\r\n\r\n')[2], sent
+
+        content, sent = uvloop.run(main())
+        assert content == sent
