A run that brought nothing does not make a stream's weights; older engines are not asked

Now what the head of a later run states counts from its first event on; a host keeps for half a minute what engines stated and leaves older ones out of the admission of a stream that goes on; the event is told after the check.

Left as it is: a caller who takes a stream up at another host may get older weights there (both heads state them); a run whose head states no version, but an older one in its first event, is not seen.

--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -22,6 +22,7 @@
 from mustardscale.relay.relay_endpoint import RelayClients, RelayEndpoint
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.retry_budget import RetryBudgets
+from mustardscale.relay.weights_order import EngineWeights
 from mustardscale.reporting.event_log import EventLog
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.versions.stream_versions import StreamVersions
@@ -48,6 +49,7 @@
         metrics: the counters of this host.
         weights_field: name under which engines state the version of their
             weights, '' if they do not.
+        engine_weights: the versions that engines stated.
     """
 
     board: Blackboard
@@ -61,6 +63,9 @@
     active: ActiveRequests
     metrics: Metrics
     weights_field: str = ''
+    engine_weights: EngineWeights = dataclasses.field(
+        default_factory=EngineWeights
+    )
 
     @property
     def events(self) -> EventLog:
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -96,6 +96,8 @@
         served: the entry of the request on the blackboard.
         progress: counts and state of the attempts so far.
         deadline_at: loop time by which the request must have ended.
+        weights_version: version of the weights below which no engine may go
+            on, 0 for none.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         self._version_waits = 0
         self.served = served
         self.progress = AttemptProgress()
+        self.weights_version = 0
         self.deadline_at = compute_deadline(request, route)
 
     @property
@@ -266,7 +269,12 @@
             served,
             self._profile,
             self._service.name,
-            [*progress.excluded, *unavailable, *self._other_engines()],
+            [
+                *progress.excluded,
+                *unavailable,
+                *self._other_engines(),
+                *self._older_engines(),
+            ],
             self.deadline_at,
         )
         served.prefill = grant.prefill
@@ -296,6 +304,13 @@
             self._context.board, self._service.name, self._pinned_version
         )
 
+    def _older_engines(self) -> list[str]:
+        """Returns the engines whose weights are older than the stream's."""
+        context = self._context
+        return context.engine_weights.find_older(
+            self.weights_version, context.now()
+        )
+
     def _refuse_if_version_gone(self) -> None:
         """Refuses a stream if no engine of its version takes new work.
 
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -190,6 +190,7 @@
                 with self._context.active.watch(timeout):
                     await self._pin_version()
                     self._answer = await self._next_answer()
+                    self._weights.begin(self.head)
         except TimeoutError as error:
             ran = self._attempts.progress.runs > 0
             raise self._context.timeout_error(ran) from error
@@ -254,12 +255,11 @@
         """Yields the whole events of the present run.
 
         Raises:
-            EndpointFailedError: it broke off, stalled, an event was out of
-                order, or its weights are older than the stream's.
+            EndpointFailedError: it broke off, stalled, or an event was out of
+                order.
             OutcomeError: an event is too long.
             TimeoutError: the deadline has passed.
         """
-        self._require_weights()
         read = self._read(self._require_answer())
         async with contextlib.aclosing(read) as chunks:
             async for data in chunks:
@@ -302,18 +302,6 @@
             )
         await self._attempts.check_end(answer, self._splitter.events)
 
-    def _require_weights(self) -> None:
-        """Requires that the run's weights are not older than the stream's.
-
-        Raises:
-            EndpointFailedError: they are.
-        """
-        try:
-            self._weights.begin(self.head)
-        except EndpointFailedError:
-            self._context.metrics.count('streams_weights_older')
-            raise
-
     def _require_order(self) -> None:
         """Requires that no event of the run was out of order.
 
@@ -344,7 +332,14 @@
             self._admission.release(served, self._outcome, 0, finished)
 
     async def _next_answer(self) -> EndpointAnswer:
-        answer = await self._attempts.next_answer(self._splitter.last_id)
+        attempts = self._attempts
+        attempts.weights_version = self._weights.version
+        answer = await attempts.next_answer(self._splitter.last_id)
+        self._context.engine_weights.record(
+            self.served.decode,
+            self._weights.read(answer.head),
+            self._context.now(),
+        )
         self._progress_at = self._context.now()
         self._wrote_since = None
         return answer
@@ -415,6 +410,34 @@
     async def _resume(self, failure: EndpointFailedError) -> None:
         """Resumes a broken stream at another engine.
 
+        Raises:
+            OutcomeError: the stream cannot be resumed.
+        """
+        weights_before = self._weights.version
+        answer = await self._take_up(failure)
+        while True:
+            try:
+                self._weights.begin(answer.head)
+                break
+            except EndpointFailedError as error:
+                self._context.metrics.count('streams_weights_older')
+                answer.close()
+                answer = await self._take_up(error)
+        self._answer = answer
+        self._context.events.emit(
+            EventKind.STREAM_RESUMED,
+            self._request.id,
+            endpoint=self.served.decode,
+            version=self.version,
+            after=self._splitter.last_id,
+            runs=self._attempts.progress.runs,
+            weights=self._weights.read(answer.head),
+            weights_before=weights_before,
+        )
+
+    async def _take_up(self, failure: EndpointFailedError) -> EndpointAnswer:
+        """Returns the answer of another engine after a run has failed.
+
         Raises:
             OutcomeError: the stream cannot be resumed.
         """
@@ -441,17 +464,7 @@
                 Outcome.ENDPOINT_FAILED,
                 f'not resumed: status {answer.head.status}',
             )
-        self._answer = answer
-        self._context.events.emit(
-            EventKind.STREAM_RESUMED,
-            self._request.id,
-            endpoint=self.served.decode,
-            version=self.version,
-            after=self._splitter.last_id,
-            runs=attempts.progress.runs,
-            weights=self._weights.read(answer.head),
-            weights_before=self._weights.version,
-        )
+        return answer
 
 
 def first_event_s(stream: RelayedStream) -> float:
--- a/mustardscale/relay/weights_order.py
+++ b/mustardscale/relay/weights_order.py
@@ -7,18 +7,57 @@
 from mustardscale.exceptions import EndpointFailedError
 from mustardscale.relay.relay_messages import AnswerHead
 
+# Time for which the version that an engine stated counts, seconds.
+KNOWN_S = 30.0
+# Engines whose version is known at most.
+MAX_ENGINES = 10_000
 # Digits of a version that is read. More are taken for no version.
 _MAX_DIGITS = 18
 
 
+class EngineWeights:
+    """The versions of the weights that engines stated to this host.
+
+    >>> weights = EngineWeights()
+    >>> weights.record('e', 2, now=0.0)
+    >>> weights.find_older(3, now=1.0), weights.find_older(2, now=1.0)
+    (['e'], [])
+    >>> weights.find_older(3, now=KNOWN_S + 1.0)
+    []
+    """
+
+    __slots__ = ('_stated_by_id',)
+
+    def __init__(self) -> None:
+        # Version and loop time by engine, the one stated last at the end.
+        self._stated_by_id: dict[str, tuple[int, float]] = {}
+
+    def record(self, engine_id: str, version: int, now: float) -> None:
+        """Records what an engine states, 0 if it states nothing."""
+        self._stated_by_id.pop(engine_id, None)
+        if version:
+            self._stated_by_id[engine_id] = version, now
+        if len(self._stated_by_id) > MAX_ENGINES:
+            del self._stated_by_id[next(iter(self._stated_by_id))]
+
+    def find_older(self, version: int, now: float) -> list[str]:
+        """Returns the engines that stated an older version lately."""
+        return [
+            engine_id
+            for engine_id, (stated, at) in self._stated_by_id.items()
+            if stated < version and now - at <= KNOWN_S
+        ]
+
+
 class WeightsOrder:
     r"""The version of the weights that wrote a stream so far.
 
     Engines state it in the head of an answer, and as a first line of each event
     at which it changes. Within a run an engine may change it to any other one.
+    What the head of a later run states counts from its first event on.
 
     Attributes:
-        version: the version stated last, 0 if none was.
+        version: the version stated last to the caller, 0 if none was.
 
     >>> order = WeightsOrder('Weights')
     >>> order.begin(AnswerHead(200, (('weights', '3'),)))
@@ -31,7 +70,7 @@
     mustardscale.exceptions.EndpointFailedError: weights of version 3 after 4
     """
 
-    __slots__ = ('_field', '_line', 'version')
+    __slots__ = ('_field', '_line', '_of_run', 'version')
 
     def __init__(self, field: str):
         """Prepares the order.
@@ -41,6 +80,8 @@
                 do not.
         """
         self.version = 0
+        # What the head of the run states until its first event, 0 if nothing.
+        self._of_run = 0
         self._field = field.lower()
         name = re.escape(self._field.encode())
         self._line = re.compile(
@@ -54,16 +95,19 @@
             EndpointFailedError: it states an older version than the stream has.
         """
         version = self.read(head)
-        if not version:
-            return
-        if version < self.version:
+        if version and version < self.version:
             raise EndpointFailedError(
                 f'weights of version {version} after {self.version}'
             )
-        self.version = version
+        self._of_run = version
+        if not self.version:
+            # The caller gets the head of the first run.
+            self.version = version
 
     def record(self, events: bytes) -> None:
         """Records the version that whole events of the run state."""
+        self.version = self._of_run or self.version
+        self._of_run = 0
         if not self._field or self._field.encode() not in events:
             return
         for match in self._line.finditer(events):
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -278,6 +278,39 @@
         counts = bench.context.metrics.counter_by_name
         assert counts['streams_weights_older'] == 1
 
+    @virtual_time
+    async def test_a_run_without_events_does_not_count(self):
+        bench = StreamBench(('p', 'd'), ('q', 'e'), ('p', 'f'))
+        bench.endpoint('d').run_script = [
+            FakeAnswer([event(1), LOST], weights='3')
+        ]
+        bench.endpoint('e').run_script = [FakeAnswer([LOST], weights='4')]
+        bench.endpoint('f').run_script = [FakeAnswer([event(8)], weights='3')]
+        got = await bench.read(kind=RESUMABLE, max_attempts=3)
+        assert got == event(1) + event(8)
+
+    @virtual_time
+    async def test_engines_known_to_have_older_weights_are_not_asked(self):
+        bench = StreamBench(('p', 'e'), ('p', 'd'), ('q', 'f'))
+        bench.endpoint('e').run_script = [FakeAnswer([event(1)], weights='2')]
+        assert await bench.read() == event(1)
+        bench.endpoint('d').run_script = [
+            FakeAnswer([event(1), LOST], weights='3')
+        ]
+        bench.endpoint('f').run_script = [FakeAnswer([event(8)], weights='3')]
+        got = await bench.read(
+            kind=RESUMABLE, max_attempts=2, request=request_of('r2')
+        )
+        assert got == event(1) + event(8)
+        excluded = [call[1] for call in bench.admission.admit_calls]
+        assert excluded == [(), (), ('d', 'e')]
+
+    @virtual_time
+    async def test_a_refused_run_is_not_told_as_going_on(self):
+        _, _, bench = await self.collect('3', '2')
+        kinds = [kind for kind, _, _, _ in bench.events.recorded]
+        assert EventKind.STREAM_RESUMED not in kinds
+
     @virtual_time
     async def test_operators_see_both_versions(self):
         _, _, bench = await self.collect('3', '4')
