A stream is not resumed after an id that no header can carry unchanged

Found by the review: ids with outer spaces are stripped on their way, so that the next run goes on after another id; ids with control characters end the stream with an error of the HTTP client. Only those that aren't UTF-8 were left out. Now all of them make the stream visibly break off. Five cases of test_a_stream_is_not_resumed_after_an_id_that_no_header_carries are new.

--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -13,8 +13,9 @@
 _MAX_EVENT_END_BYTES = 4
 _DATA = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
 _EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
-# Bytes that are not UTF-8 are decoded as surrogates.
-_SURROGATE = re.compile('[\ud800-\udfff]')
+# Ids that no header can carry unchanged: control characters, outer spaces, and
+# bytes that are not UTF-8, which are decoded as surrogates.
+_UNSENDABLE = re.compile('[\x00-\x1f\x7f\ud800-\udfff]|^ | $')
 
 
 class EventSplitter:
@@ -138,8 +139,7 @@
         self._order.record(event_id)
         self.events += 1
         if event_id:
-            # An id that is not UTF-8 cannot be sent as it came.
-            self.is_resumable = _SURROGATE.search(event_id) is None
+            self.is_resumable = _UNSENDABLE.search(event_id) is None
         elif _DATA.search(event):
             self.is_resumable = False
 
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -438,9 +438,14 @@
         got, _ = await self.collect(bench, request)
         assert got == event(2)
 
+    @pytest.mark.parametrize(
+        'event_id', [b'\xe9', b' 5', b'5 ', b'a\tb', b'\x01', b'\x7f']
+    )
     @virtual_time
-    async def test_a_stream_is_not_resumed_after_an_id_that_is_not_utf_8(self):
-        named = 'id: é\ndata: x\n\n'.encode('latin-1')
+    async def test_a_stream_is_not_resumed_after_an_id_that_no_header_carries(
+        self, event_id
+    ):
+        named = b'id: %b\ndata: x\n\n' % event_id
         bench = StreamBench(('p', 'd'), ('q', 'e'))
         bench.endpoint('d').run_script = [[named, LOST]]
         got, outcome = await self.collect(bench)
