--- a/bench/stream_ablation.py
+++ b/bench/stream_ablation.py
@@ -382,10 +382,12 @@
     options = make_parser().parse_args(arguments)
     ablation = Ablation(options)
     rows = []
+    missed = 0
     for check in CHECKS:
         if options.check and check.name not in options.check:
             continue
         found = ablation.play(check)
+        missed += not found.tests and not found.broken
         rows.append(
             [
                 check.name,
@@ -399,7 +401,7 @@
         sys.stdout.flush()
     headers = ['check', 'what it does', 'test that fails', 'seeds', 'broken']
     sys.stdout.write(tabulate.tabulate(rows, headers, 'github') + '\n')
-    return 0
+    return 1 if missed else 0
 
 
 if __name__ == '__main__':
--- a/standins/stream_callers.py
+++ b/standins/stream_callers.py
@@ -33,10 +33,11 @@
 PAUSE_S = 0.05
 SLOW_PAUSE_S = 0.05
 SLOW_READ_BYTES = 40
-# Shares of callers who read slowly, speak HTTP/1.0, and leave in the middle of
-# a stream.
+# Shares of callers who read slowly, speak HTTP/1.0, ask to keep their
+# connection, and leave in the middle of a stream.
 SLOW_SHARE = 0.2
 OLD_PROTOCOL_SHARE = 0.25
+KEEPING_SHARE = 0.5
 LEAVING_SHARE = 0.1
 # Bytes after which such a caller leaves at most.
 MOST_BYTES_READ = 600
@@ -77,6 +78,7 @@
         body: the bytes of its content.
         end: how it ended.
         ended_at: loop time of its end.
+        keeps: whether the caller asks to keep its connection.
         leaves_after: bytes of content after which the caller leaves, 0 if it
             does not.
     """
@@ -91,6 +93,7 @@
     body: bytes = b''
     end: AnswerEnd = AnswerEnd.NONE
     ended_at: float = 0.0
+    keeps: bool = False
     leaves_after: int = 0
 
 
@@ -155,6 +158,7 @@
         last_id = ''
         while len(call.sends) <= MOST_TAKES:
             send = self._begin(call, last_id, old_protocol)
+            send.keeps = rng.random() < KEEPING_SHARE
             if leaves and not last_id:
                 send.leaves_after = rng.randint(1, MOST_BYTES_READ)
             await self._exchange(call, send, is_slow)
@@ -212,7 +216,7 @@
         f'Host: {HOST}',
         f'X-Request-Id: {send.id}',
         f'X-Request-Deadline: {deadline_ms}',
-        'Connection: close',
+        f'Connection: {"keep-alive" if send.keeps else "close"}',
         'Content-Length: 4',
     ]
     if call.route in STREAMS:
--- a/standins/stream_content.py
+++ b/standins/stream_content.py
@@ -92,13 +92,13 @@
         """Returns the number of events up to an id, 0 for none."""
         return self.ids().index(int(last_id)) + 1 if last_id else 0
 
-    def event(self, position: int, run: str, weights: int = 0) -> bytes:
+    def event(self, position: int, run: str, offset: int = 0) -> bytes:
         """Returns an event.
 
         Args:
             position: its number; the first one has 1.
             run: the run that makes it.
-            weights: version of the weights before the first event, from 0.
+            offset: version of the weights before the first event, from 0.
         """
         lines = [f'id: {self.ids()[position - 1]}', f'data: {position} {run}']
         if self.form is EventForm.COMMENT:
@@ -108,15 +108,15 @@
         elif self.form is EventForm.ID_LAST:
             lines.reverse()
         if position % _WEIGHTS_CHANGE_EACH == 0:
-            version = find_version(position, weights)
+            version = find_version(position, offset)
             lines.insert(0, f'x-weight-versions: {version}')
         line_end = _LINE_END_BY_FORM.get(self.form, '\n')
         return line_end.join([*lines, '', '']).encode()
 
 
-def find_version(position: int, weights: int) -> int:
+def find_version(position: int, offset: int) -> int:
     """Returns the version of the weights that make an event, from 1."""
-    return weights + position // _WEIGHTS_CHANGE_EACH + 1
+    return offset + position // _WEIGHTS_CHANGE_EACH + 1
 
 
 def split_events(body: bytes) -> tuple[list[bytes], bytes]:
--- a/standins/stream_judge.py
+++ b/standins/stream_judge.py
@@ -31,6 +31,7 @@
             on after the last event of the first.
         WEIGHTS: within an answer, no run goes on with older weights.
         UNCHANGED: each byte is one that a worker made for this request.
+        SIGNED: a stream bears the signature of the run that began it.
         ATTEMPTS: no more runs than the route allows.
         NOT_RUN: a status that says so is true.
     """
@@ -40,6 +41,7 @@
     ONE_RUN = 'one run'
     WEIGHTS = 'weights'
     UNCHANGED = 'unchanged'
+    SIGNED = 'signed'
     ATTEMPTS = 'attempts'
     NOT_RUN = 'not run'
 
@@ -55,7 +57,8 @@
         framing: how the end of its answer is marked.
         cut: how it ends early, '' if it does not.
         odd: how it does not go on as asked, '' if it does.
-        weights: version of its weights before the first event, from 0.
+        weights_offset: version of its weights before the first event, from 0.
+        at: Unix time at which it began, seconds.
     """
 
     name: str
@@ -64,7 +67,8 @@
     framing: str = ''
     cut: str = ''
     odd: str = ''
-    weights: int = 0
+    weights_offset: int = 0
+    at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,12 +146,14 @@
         self._run_by_name = run_by_name
         self._run = ''
         self._last_id = ''
-        self._weights_of_send = 0
+        self._offset_of_send = 0
+        self._is_begun = False
         self._sends = {send.id for send in call.sends}
 
     def read(self, send: Send) -> StreamViolation | None:
         """Reads one send; returns what it broke."""
-        self._weights_of_send = 0
+        self._offset_of_send = 0
+        self._is_begun = False
         events, rest = split_events(send.body)
         for event in events:
             violation = self._read_event(send, event)
@@ -183,15 +189,21 @@
                 f'{run or name} after event {self.position} of {self._run}',
             )
         assert run is not None
-        if run.weights < self._weights_of_send:
+        if run.weights_offset < self._offset_of_send:
             return _violate(
                 StreamPromise.WEIGHTS,
                 send,
-                f'{run} after {self._weights_of_send} of {self._run}',
+                f'{run} after {self._offset_of_send} of {self._run}',
             )
-        self._weights_of_send = run.weights
+        self._offset_of_send = run.weights_offset
+        signature = send.headers.get('x-response-signature', '')
+        if not self._is_begun and not self._may_sign(signature, run, send):
+            return _violate(
+                StreamPromise.SIGNED, send, f'{signature!r} of {run}'
+            )
+        self._is_begun = True
         text = self._call.text
-        wanted = text.event(number, name, run.weights)
+        wanted = text.event(number, name, run.weights_offset)
         if number > text.events or event != wanted:
             return _violate(StreamPromise.UNCHANGED, send, f'{event[:80]!r}')
         self._run = name
@@ -199,6 +211,17 @@
         self._last_id = str(text.ids()[number - 1])
         return None
 
+    def _may_sign(self, signature: str, run: WorkerRun, send: Send) -> bool:
+        """Returns whether a signature may stand before events of a run.
+
+        The run that is named may have ended before its first event.
+        """
+        signer = self._run_by_name.get(signature)
+        return signer is not None and (
+            signer.name == run.name
+            or (signer.request == send.id and signer.after == run.after)
+        )
+
     def _may_follow(self, run: WorkerRun) -> bool:
         """Returns whether a run of this call goes on after the last event."""
         return run.request in self._sends and run.after == self._last_id
@@ -214,9 +237,9 @@
             if run.name == self._run or self._may_follow(run)
         ]
         return any(
-            text.event(self.position + 1, run.name, run.weights).startswith(
-                rest
-            )
+            text.event(
+                self.position + 1, run.name, run.weights_offset
+            ).startswith(rest)
             for run in runs
         )
 
--- a/standins/stream_runs.py
+++ b/standins/stream_runs.py
@@ -193,7 +193,7 @@
                 site.start_host(target)
 
     def _count(self, done: set[str]) -> None:
-        """Counts calls, and sound answers without length and chunks."""
+        """Counts calls, and sound answers by what marks their end."""
         counts = self.counts
         send_by_id: dict[str, Send] = {}
         for call in self.calls:
@@ -208,23 +208,23 @@
                 counts['taken up'] += bool(send.after)
         for run in self.runs:
             answered = send_by_id.get(run.request)
-            is_unframed = run.framing in UNFRAMED
-            if answered is None or run.name not in done or not is_unframed:
+            if answered is None or run.name not in done:
                 continue
             if run.odd or answered.leaves_after or self._is_older(run):
                 continue
             was_cut_off = self._was_cut_off(answered)
             place = 'at cut hosts' if was_cut_off else 'elsewhere'
             whole = answered.end is AnswerEnd.WHOLE and answered.status == 200
-            counts[f'sound unframed {place}'] += 1
-            counts[f'sound unframed whole {place}'] += whole
+            kind = 'unframed' if run.framing in UNFRAMED else 'framed'
+            counts[f'sound {kind} {place}'] += 1
+            counts[f'sound {kind} whole {place}'] += whole
 
     def _is_older(self, run: WorkerRun) -> bool:
         """Returns whether a run goes on with older weights than one before."""
         return any(
-            other.weights > run.weights
+            other.weights_offset > run.weights_offset
             for other in self.runs
-            if other.request == run.request
+            if other.request == run.request and other.at < run.at
         )
 
     def _count_violations(self) -> None:
--- a/standins/stream_worker.py
+++ b/standins/stream_worker.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import sys
+import time
 from typing import Any
 
 import msgspec
@@ -112,8 +113,8 @@
     UNSIGNED = 'unsigned'
 
 
-# Those that answer a caller who takes a stream up with a success, or with a
-# failure of the worker's own, are left to streams that the hosts resume.
+# A worker's own answer to a caller who takes a stream up is passed on, so that
+# the others are drawn only for streams that hosts resume.
 ODD_RUNS_FOR_CALLERS = (OddRun.ANEW, OddRun.REPEATED)
 # An answer whose end only its connection marks is whole by the protocol when
 # its worker closes between two events and runs on.
@@ -167,7 +168,7 @@
         self._orders = 0
         self._phase = plan.phase
         self._last_answer = b''
-        self._weights = self._rng.choices((0, 1), (0.8, 0.2))[0]
+        self._weights_offset = self._rng.choices((0, 1), (0.8, 0.2))[0]
 
     async def serve(self) -> None:
         """Serves until the process is ended."""
@@ -270,7 +271,8 @@
                 'framing': framing,
                 'cut': cut or '',
                 'odd': odd or '',
-                'weights': self._weights,
+                'weights_offset': self._weights_offset,
+                'at': time.time(),
             }
         )
         if odd is not None and odd.value[0].isdigit():
@@ -337,14 +339,14 @@
         elif odd is OddRun.REPEATED:
             first -= 1
         return [
-            text.event(n, run, self._weights)
+            text.event(n, run, self._weights_offset)
             for n in range(first, text.events + 1)
         ]
 
     def _state_weights(self, head: bytes, target: str, after: str) -> bytes:
         """Returns a head that states the version of the weights."""
         position = StreamText.parse(target).position(after)
-        version = find_version(position, self._weights)
+        version = find_version(position, self._weights_offset)
         return head[:-2] + f'X-Weight-Versions: {version}\r\n\r\n'.encode()
 
     def _draw_odd(self, after: str, target: str) -> OddRun | None:
--- a/tests/test_stream_runs.py
+++ b/tests/test_stream_runs.py
@@ -37,7 +37,6 @@
 )
 from standins.stream_runs import HostBuilds, StreamRun
 from standins.stream_worker import (
-    Extra,
     OddRun,
     StreamWorker,
     WorkerPlan,
@@ -66,8 +65,8 @@
     return str(TEXT.ids()[position - 1])
 
 
-def send(body, end=AnswerEnd.WHOLE, name='r', status=200):
-    headers = {'x-response-signature': 's'}
+def send(body, end=AnswerEnd.WHOLE, name='r', status=200, signature=FIRST_RUN):
+    headers = {'x-response-signature': signature}
     return Send(name, 'h0', 0.0, '', False, status, headers, body, end)
 
 
@@ -187,9 +186,9 @@
             ]
         )
         runs = [
-            dataclasses.replace(run_of(), weights=before),
+            dataclasses.replace(run_of(), weights_offset=before),
             dataclasses.replace(
-                run_of(SECOND_RUN, after=event_id(2)), weights=after
+                run_of(SECOND_RUN, after=event_id(2)), weights_offset=after
             ),
         ]
         wanted = [StreamPromise.WEIGHTS] if after < before else []
@@ -262,6 +261,34 @@
         assert broken([send(body, AnswerEnd.BROKEN)], runs) == []
 
 
+class TestJudgeOfSignatures:
+    """Whose signature a stream bears."""
+
+    def signed(self, signature, runs=None):
+        answer = send(events(1, 9))
+        answer.headers = {'x-response-signature': signature}
+        return broken([answer], runs)
+
+    def test_that_of_its_run(self):
+        assert self.signed(FIRST_RUN) == []
+
+    def test_none(self):
+        answer = send(events(1, 9))
+        answer.headers = {}
+        assert broken([answer]) == [StreamPromise.SIGNED]
+
+    def test_that_of_no_run(self):
+        assert self.signed('x') == [StreamPromise.SIGNED]
+
+    def test_that_of_another_request(self):
+        runs = [run_of(), run_of(SECOND_RUN, 'other')]
+        assert self.signed(SECOND_RUN, runs) == [StreamPromise.SIGNED]
+
+    def test_that_of_a_run_that_brought_nothing(self):
+        runs = [run_of(), run_of(SECOND_RUN)]
+        assert self.signed(SECOND_RUN, runs) == []
+
+
 class TestJudgeOfTakes:
     """Streams that their callers take up."""
 
@@ -269,7 +296,7 @@
         """Returns what a call breaks that brought two events at first."""
         sends = [
             send(events(1, 2), AnswerEnd.BROKEN),
-            send(second, name='r2'),
+            send(second, name='r2', signature=name),
         ]
         runs = [run_of(), run_of(name, 'r2', event_id(after))]
         return broken(sends, runs)
@@ -821,7 +848,6 @@
         ]
         # The first answer has none before it that could come again.
         assert len(longer) >= len(answers) - 1
-        assert len(Extra) == 5
 
     def test_an_answer_that_its_connection_ends_has_no_further_bytes(
         self, said
