A test finds an answer that doesn't say what ends it

Cause: every fake answer states its framing, and so does every answer of the HTTP clients, so no test reached the default of EndpointAnswer.

Now a fake answer leaves its framing open: whole if its process answers, broken off if it doesn't.

--- a/bench/stream_ablation.py
+++ b/bench/stream_ablation.py
@@ -138,8 +138,7 @@
         'relay/relay_endpoint.py',
         'framing: AnswerFraming = AnswerFraming.CONNECTION',
         'framing: AnswerFraming = AnswerFraming.LENGTH',
-        'test_broken_answers',
-        'test_forwarding_http',
+        'test_stream_relay',
     ),
     _check(
         'plain-time',
--- a/tests/test_stream_relay.py
+++ b/tests/test_stream_relay.py
@@ -33,6 +33,14 @@
 FULL = EndpointRefusedError('full')
 
 
+class UnstatedAnswer(FakeAnswer):
+    """An answer that leaves open what marks its end."""
+
+    def __init__(self, chunks):
+        super().__init__(chunks)
+        del self.framing
+
+
 class StreamBench(RelayBench):
     """Engines and an admission that returns the given grants in order."""
 
@@ -523,6 +531,22 @@
         ]
         assert await bench.read() == event(1)
 
+    @virtual_time
+    async def test_answer_that_does_not_say_what_ends_it_is_checked(self):
+        bench = StreamBench(('p', 'd'))
+        bench.endpoint('d').run_script = [UnstatedAnswer([event(1)])]
+        bench.endpoint('d').alive = False
+        assert await bench.fail() is Outcome.ENDPOINT_FAILED
+        assert bench.admission.releases[-1][2] is False
+
+    @virtual_time
+    async def test_answer_that_does_not_say_what_ends_it_is_whole_if_confirmed(
+        self,
+    ):
+        bench = StreamBench(('p', 'd'))
+        bench.endpoint('d').run_script = [UnstatedAnswer([event(1)])]
+        assert await bench.read() == event(1)
+
     @pytest.mark.parametrize(
         'answer',
         [
