Tests for the checks of the own interface's streams

Streams over HTTP/1.0 are read too: a whole one ends with its end mark, a broken one with an error; found by no check of its own.

Ruled out as checks, by reading: an engine's end that comes before tokens that wait already only cuts what the engine sent after its own end; the callers' server states the end of each stream, so a lost connection never looks like one.

--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -11,6 +11,7 @@
 from mustardscale.outcomes import Outcome
 from tests.callers_client import (
     CHAT,
+    chat_head,
     code,
     served,
     stream_events,
@@ -90,6 +91,58 @@
         served(test)
 
 
+class TestResumedStream:
+    """Requests that would join two answers, or look whole without a start."""
+
+    def test_key_of_another_request_is_refused(self):
+        async def test(client):
+            headers = {'Last-Event-ID': 'r:1:6', 'Idempotency-Key': 'r:2'}
+            _, _, body = await client.chat(stream=True, headers=headers)
+            assert code(body) == Outcome.MALFORMED_REQUEST
+            assert not client.service.language_requests
+
+        served(test)
+
+    def test_key_of_the_same_request_is_taken(self):
+        async def test(client):
+            headers = {'Last-Event-ID': 'r:1:6', 'Idempotency-Key': 'r:1'}
+            _, _, body = await client.chat(stream=True, headers=headers)
+            assert stream_events(body)[0][0] == 'r:1:8'
+
+        served(test)
+
+    def test_whole_answer_is_not_resumed(self):
+        async def test(client):
+            headers = {'Last-Event-ID': 'r:1:6'}
+            _, _, body = await client.chat(headers=headers)
+            assert code(body) == Outcome.MALFORMED_REQUEST
+            assert not client.service.language_requests
+
+        served(test)
+
+
+class TestStreamOverHttp10:
+    """Streams that only the end of the connection delimits."""
+
+    def test_whole_stream_ends_with_its_end_mark(self):
+        async def test(client):
+            assert stream_events(await _read_http10(client))[-1][2] == '[DONE]'
+
+        served(test)
+
+    @pytest.mark.parametrize(
+        'script', [[('a',), OutcomeError(Outcome.ENDPOINT_FAILED)], [('a',)]]
+    )
+    def test_broken_stream_ends_with_an_error(self, script):
+        async def test(client):
+            client.service.script = script
+            body = await _read_http10(client)
+            assert stream_events(body)[-1][1] == 'error'
+            assert b'[DONE]' not in body
+
+        served(test)
+
+
 class TestWholeAnswer:
     """Answers that are not streamed."""
 
@@ -191,3 +244,15 @@
             assert b'"code":4000' in await reader.read()
 
         served(test)
+
+
+async def _read_http10(client):
+    """Returns the content of a stream over HTTP/1.0."""
+    body = json.dumps({**CHAT, 'stream': True}).encode()
+    head = chat_head(len(body)).replace(b'HTTP/1.1', b'HTTP/1.0')
+    reader, writer = await client.raw(head + body)
+    head, _, content = (await reader.read()).partition(b'\r\n\r\n')
+    writer.close()
+    assert b'Transfer-Encoding' not in head
+    assert b'Content-Length' not in head
+    return content
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -20,6 +20,7 @@
     StreamTag,
     TokenEvent,
 )
+from mustardscale.endpoints.event_stream import EventStreamDecoder
 from mustardscale.endpoints.http_engine import HttpEngine
 from mustardscale.exceptions import (
     EndpointFailedError,
@@ -218,6 +219,30 @@
         asyncio.run(check())
 
 
+class TestEventStream:
+    """Lines that arrive in parts."""
+
+    def test_line_counts_once_and_only_when_it_is_whole(self):
+        decoder = EventStreamDecoder()
+        assert decoder.feed(b'data: a') == []
+        assert decoder.feed(b'\n\ndata: b') == [b'a']
+        assert decoder.feed(b'\n\n') == [b'b']
+
+    def test_end_mark_without_the_end_of_its_line_does_not_count(self):
+        last = (
+            b'{"request_id":"a","attempt":1,"index":0,"finish_reason":"stop"}'
+        )
+
+        async def answer(request):
+            return web.Response(body=b'data: ' + last)
+
+        async def check(engine):
+            with pytest.raises(EndpointFailedError):
+                await read_texts(engine.resume('a', 1, 0))
+
+        _run_against(answer, check)
+
+
 class TestErrors:
     """Answers that do not conform to the interface, and missing ones."""
 
--- a/tests/test_token_assembler.py
+++ b/tests/test_token_assembler.py
@@ -83,3 +83,26 @@
         assembler.add(_event(0, 2, 'stop'))
         assert assembler.add(_event(2, 4)) == ()
         assert not assembler.has_gap
+
+    def test_tokens_and_ends_of_another_request_are_dropped(self):
+        assembler = TokenAssembler('a', 1)
+        assembler.add(_event(0, 2))
+        assert assembler.add(TokenEvent('b', 1, 2, ('x',), 'stop')) == ()
+        assert assembler.finish_reason == ''
+        assert assembler.dropped == 1
+        assert assembler.add(_event(2, 4, 'stop')) == ANSWER[2:4]
+
+    def test_tokens_before_the_first_are_dropped(self):
+        assembler = TokenAssembler('a', 1)
+        assert assembler.add(TokenEvent('a', 1, -1, ('x', 'y'))) == ()
+        assert assembler.dropped == 1
+        assert assembler.add(_event(0, 2)) == ANSWER[:2]
+
+    def test_a_second_end_does_not_shorten_an_answer(self):
+        assembler = TokenAssembler('a', 1)
+        assert assembler.add(_event(6, 8, 'stop')) == ()
+        assert assembler.add(_event(2, 3, 'stop')) == ()
+        assert assembler.add(_event(0, 2)) == ANSWER[:3]
+        assert assembler.finish_reason == ''
+        assert assembler.add(_event(3, 6)) == ANSWER[3:8]
+        assert assembler.finish_reason == 'stop'
