An end mark counts only right after the last token

Cause, found by reading: the check before callers compared the place of events with tokens, not that of an end mark without tokens. If the last tokens before such a mark were missing, a caller took a short answer for a whole one, streamed and not. Not seen at a host: the assembler lets no end through before its tokens. It matters where that check fails.

Ruled out: ends of sound answers at other places; next_tokens, trim_event and _make_rest_event all place the end after the last token (read), and the tests of callers, chat options, caller limits, the daemon and kept answers pass.

The new test failed twice of two cases before (streamed: '[DONE]' after 'ab'; whole: 'stop' with 'ab' of 'abc') and passes now.

--- a/mustardscale/callers/checked_answer.py
+++ b/mustardscale/callers/checked_answer.py
@@ -68,7 +68,8 @@
     def _take(self, event: TokenEvent) -> None:
         """Checks and counts the next tokens."""
         expected = self.last_index + 1
-        if event.texts and event.index != expected:
+        counts = event.texts or event.finish_reason
+        if counts and event.index != expected:
             raise OutcomeError(
                 Outcome.INTERNAL_ERROR,
                 f'token {event.index} came in place of token {expected}',
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -91,6 +91,29 @@
         served(test)
 
 
+class TestEndMark:
+    """Ends that leave tokens out."""
+
+    @pytest.mark.parametrize('stream', [False, True])
+    def test_end_after_missing_tokens_is_no_end_of_a_whole_answer(self, stream):
+        async def test(client):
+            client.service.script = [('a', 'b'), ('c',), 'stop']
+            serve = client.service.serve_language
+
+            async def lose_a_token(request):
+                async for event in serve(request):
+                    if event.index != 2:
+                        yield event
+
+            client.service.serve_language = lose_a_token
+            _, _, body = await client.chat(stream=stream)
+            assert b'[DONE]' not in body
+            problem = stream_events(body)[-1][2] if stream else body
+            assert json.loads(problem).get('code') == Outcome.INTERNAL_ERROR
+
+        served(test)
+
+
 class TestResumedStream:
     """Requests that would join two answers, or look whole without a start."""
 
