Show that connections to numeric addresses wait for a thread

Cause of most late connections on loopback: aiohttp connects with sock_connect, and uvloop's sock_connect looks numeric addresses up too, without a kind of socket, which it does in its pool of threads. So a connection attempt waits for a thread within its limit of 0.3 s, also while other look-ups hold the threads.

The new test takes all threads; it fails (EndpointUnreachableError, cause ConnectionTimeoutError).

--- a/tests/test_platform_worker.py
+++ b/tests/test_platform_worker.py
@@ -34,6 +34,19 @@
 MAX_ATTEMPTS = 10
 
 
+class BusyThreadsLoop(uvloop.Loop):
+    """A loop whose threads are all taken, so that they find no address.
+
+    Of a numeric address whose kind of socket is known it asks no thread.
+    """
+
+    async def getaddrinfo(self, host, port, *, type=0, **options):
+        """See the base class."""
+        if type != socket.SOCK_STREAM:
+            await asyncio.Event().wait()
+        return await super().getaddrinfo(host, port, type=type, **options)
+
+
 class RepeatingRelay(WorkerRelay):
     """Repeats calls whose connection was not made within the limit.
 
@@ -291,6 +304,14 @@
         )
         uvloop.run(main())
 
+    def test_worker_is_reached_while_all_threads_are_taken(self):
+        async def main():
+            async with worker(HEAD + b'Content-Length: 4\r\n\r\nbody') as relay:
+                return await read(relay)
+
+        with asyncio.Runner(loop_factory=BusyThreadsLoop) as runner:
+            assert runner.run(main()) == b'body'
+
 
 class TestParsing:
     """Random bytes in place of an answer, or around one."""
