Show streams of two versions at hosts that are out of step

Stand-ins: a link to the platform that keeps all bytes back, hosts that are set aside, engines that start again under their ids, with a list that lags.

--- a/standins/crash_engines.py
+++ b/standins/crash_engines.py
@@ -125,12 +125,15 @@
         self._interrupted = asyncio.Event()
 
     def crash(self) -> None:
+        """Ends the process with all that it runs; another takes its place."""
+        if self.alive:
+            self.end()
+            self._on_crash(self)
+
+    def end(self) -> None:
         """Ends the process with all that it runs."""
-        if not self.alive:
-            return
         self.alive = False
         self._interrupted.set()
-        self._on_crash(self)
 
     def refuse_host(self, host: str) -> None:
         """Resets a host's connections and refuses new ones."""
--- a/standins/crash_fleet.py
+++ b/standins/crash_fleet.py
@@ -145,11 +145,17 @@
         return CrashConnector(host, self.engine_by_address.get)
 
     def _start_engine(
-        self, address: str, role: EngineRole, service: str
+        self,
+        address: str,
+        role: EngineRole,
+        service: str,
+        engine_id: str = '',
+        list_lag_s: float = 0.0,
     ) -> None:
+        """Starts an engine, under a new id unless one is given."""
         self._starts += 1
         engine = CrashEngine(
-            f'{address}/{self._starts}',
+            engine_id or f'{address}/{self._starts}',
             address,
             role,
             service,
@@ -161,15 +167,23 @@
             self.version_by_address.get(address, ''),
         )
         self.engine_by_address[address] = engine
+        if list_lag_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(list_lag_s, self._list, engine)
+        else:
+            self._list(engine)
+
+    def _list(self, engine: CrashEngine) -> None:
+        """Writes the entry of an engine."""
         self.listed[engine.id] = ListedHost(
             engine.id,
             ListedKind.ENGINE,
-            address,
+            engine.address,
             DATA_CENTRES[0],
             REGION,
-            service=service,
-            model=service,
-            role=role,
+            service=engine.service,
+            model=engine.service,
+            role=engine.role,
             start=engine.start,
             version=engine.version,
         )
@@ -188,8 +202,36 @@
             ended.service,
         )
 
+    def add_engine(self, address: str, version: str) -> CrashEngine:
+        """Starts another decode engine of a version."""
+        self.version_by_address[address] = version
+        self._start_engine(address, EngineRole.DECODE, SERVICE)
+        return self.engine_by_address[address]
+
+    def restart_in_place(
+        self, engine: CrashEngine, version: str, list_lag_s: float = 0.0
+    ) -> None:
+        """Starts an engine again at once, under its id and address.
+
+        Args:
+            engine: the process that ends.
+            version: software version of its successor.
+            list_lag_s: seconds after which the list knows of that.
+        """
+        self.version_by_address[engine.address] = version
+        engine.end()
+        self._start_engine(
+            engine.address, engine.role, engine.service, engine.id, list_lag_s
+        )
+
+    def remove_engine(self, engine: CrashEngine) -> None:
+        """Ends an engine for good, with its entry."""
+        engine.end()
+        del self.engine_by_address[engine.address]
+        self._unlist(engine.id)
+
     def _unlist(self, engine_id: str) -> None:
-        del self.listed[engine_id]
+        self.listed.pop(engine_id, None)
         self.list_changed.notify()
 
     def decode_engines(self) -> list[CrashEngine]:
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -11,6 +11,7 @@
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.configuration.route_source import RouteSource
 from mustardscale.configuration.routes import RouteTable
+from mustardscale.exceptions import LogUnavailableError, PeerUnavailableError
 from mustardscale.hosts.host_list import HostList, ListedHost
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.relay.relay_endpoint import RelayConnector
@@ -21,7 +22,11 @@
 )
 from mustardscale.relay_router import RelayRouter
 from standins.log_model import LogModel
-from standins.memory_keyed_log import KeyedStreams, MemoryKeyedLog
+from standins.memory_keyed_log import (
+    KeyedStreams,
+    MemoryKeyedLog,
+    StoreLink,
+)
 from standins.memory_log import MemoryLogClient
 from standins.memory_peers import MemoryPeerNetwork
 
@@ -41,14 +46,26 @@
     Attributes:
         entry_by_id: the entries.
         changed: notified when an endpoint came or went.
+        link: the host's link to the list.
     """
 
-    def __init__(self, entry_by_id: dict[str, ListedHost], changed: Signal):
+    def __init__(
+        self,
+        entry_by_id: dict[str, ListedHost],
+        changed: Signal,
+        link: StoreLink,
+    ):
         self.entry_by_id = entry_by_id
         self.changed = changed
+        self.link = link
 
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
+        if self.link.is_silent:
+            try:
+                await self.link.travel()
+            except LogUnavailableError as error:
+                raise PeerUnavailableError(str(error)) from error
         return list(self.entry_by_id.values())
 
     async def wait_changed(self, timeout_s: float) -> None:
@@ -123,7 +140,7 @@
         )
         return RelayEdges(
             MemoryLogClient(self._log),
-            FleetList(self.listed, self.list_changed),
+            FleetList(self.listed, self.list_changed, client.link),
             FixedRoutes(self._table),
             self.peers.transport(host),
             self.connector(host),
@@ -169,6 +186,20 @@
         for other in list(self.router_by_host):
             self.peers.restore(host, other)
 
+    def set_aside(self, host: str) -> None:
+        """Keeps back all between a host and the platform and its peers.
+
+        Engines and callers reach it.
+        """
+        self.keyed_log_by_host[host].link.keep_back()
+        self.cut_host(host)
+
+    def bring_back(self, host: str) -> None:
+        """Ends that a host is set aside."""
+        self.keyed_log_by_host[host].link.release()
+        self.restore_host(host)
+        self.list_changed.notify()
+
     async def harm(self, host: str, kind: str, for_s: float) -> None:
         """Harms a host for a time.
 
