Log the age of what a host knows of software versions

version_found says how old the readings of the versions' stream (read_age_s) and of the engines' list (list_age_s) are, so that a sole version that was concluded from an old reading can be told from one that was not. No change of logic.

--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -86,6 +86,10 @@
         """Returns whether the list can be read at present."""
         return True
 
+    def age_s(self) -> float:
+        """Returns the seconds since nothing newer was known to be there."""
+        return 0.0
+
     async def wait_changed(self, timeout_s: float) -> None:
         """Waits for a change, or for timeout_s if changes are not reported."""
         await asyncio.sleep(timeout_s)
--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -148,7 +148,7 @@
             self._behind_since.setdefault(tail.stream, now)
             self._reader_ahead.notify()
         elif now - reported.read_at <= MAX_READ_AGE_S:
-            tail.note_covered(reported.regained_at)
+            tail.note_covered(reported.regained_at, reported.read_at)
 
     def wait_s(self) -> float:
         """See the base class."""
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -75,6 +75,7 @@
             infinity if it always could.
         current: whether the last read succeeded, or peers tell what is new.
         read_at: loop time at which nothing newer was known to be there.
+        proved_at: the same, also by a peer's reading, minus infinity if never.
         reading: how hosts share the reading.
     """
 
@@ -117,6 +118,7 @@
         self.regained_at = -math.inf
         self.current = False
         self.read_at = -math.inf
+        self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
 
     @property
@@ -279,18 +281,21 @@
             self._tell_changed()
         return True
 
-    def note_covered(self, regained_at: float) -> None:
+    def note_covered(self, regained_at: float, read_at: float) -> None:
         """Notes that peers keep this host up to date.
 
         Args:
             regained_at: loop time since when they can read the stream again,
                 minus infinity if they always could.
+            read_at: loop time at which they knew of nothing newer.
         """
+        self.proved_at = max(self.proved_at, read_at)
         self._note_regained()
         self.regained_at = max(self.regained_at, regained_at)
 
     def _note_read(self) -> None:
         self.read_at = asyncio.get_running_loop().time()
+        self.proved_at = self.read_at
         self._note_regained()
 
     def _note_regained(self) -> None:
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -73,6 +73,10 @@
         """See the base class."""
         return self._workers.current and self._hosts.current
 
+    def age_s(self) -> float:
+        """See the base class."""
+        return asyncio.get_running_loop().time() - self._workers.proved_at
+
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
         revisions = (self._workers.revision, self._hosts.revision)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -212,7 +212,9 @@
         stream = self._edges.versions
         if stream is None:
             return None
-        return VersionLog(self.blackboard, stream.client, stream.tail)
+        return VersionLog(
+            self.blackboard, stream.client, stream.tail, self._edges.host_list
+        )
 
     def _quarantine_controllers(
         self, suspicions: Suspicions
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -217,7 +217,15 @@
     ),
     EventKind.VERSION_FOUND: EventRule(
         'The software version of a stream that a caller takes up.',
-        ('service', 'resumes', 'version', 'source', 'listed'),
+        (
+            'service',
+            'resumes',
+            'version',
+            'source',
+            'listed',
+            'read_age_s',
+            'list_age_s',
+        ),
     ),
     EventKind.REQUEST_REFUSED: EventRule(
         'A request has not run and never will.',
--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -261,6 +261,7 @@
             version=version,
             source=source,
             listed=sorted(listed),
+            **self._describe_readings(),
         )
         if not version:
             raise OutcomeError(
@@ -270,6 +271,15 @@
             self.record(service, first_id, version, deadline_at)
         return version
 
+    def _describe_readings(self) -> dict[str, float | None]:
+        """Returns the ages of what this host knows of versions, seconds."""
+        if self._version_log is None:
+            return {}
+        return {
+            'read_age_s': _show_age(self._version_log.read_age_s()),
+            'list_age_s': _show_age(self._version_log.list_age_s()),
+        }
+
     async def _look_up(
         self, service: str, first_id: str, listed: set[str]
     ) -> tuple[str, str]:
@@ -421,3 +431,8 @@
         if record is None:
             return VersionReply(False)
         return VersionReply(True, record.version, record.expires_at - now)
+
+
+def _show_age(age_s: float) -> float | None:
+    """Returns an age as logs show it, None where nothing was ever read."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
--- a/mustardscale/versions/version_log.py
+++ b/mustardscale/versions/version_log.py
@@ -18,7 +18,7 @@
 from mustardscale.controller import Controller
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
 from mustardscale.hosts.duties import choose_host
-from mustardscale.hosts.host_list import ListedKind
+from mustardscale.hosts.host_list import HostList, ListedKind
 from mustardscale.json_content import decode_json
 from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
@@ -81,8 +81,21 @@
     """Reads and writes the records."""
 
     def __init__(
-        self, blackboard: Blackboard, client: KeyedLogClient, tail: KeyedTail
+        self,
+        blackboard: Blackboard,
+        client: KeyedLogClient,
+        tail: KeyedTail,
+        host_list: HostList,
     ):
+        """Prepares the reading.
+
+        Args:
+            blackboard: the state of this host.
+            client: writes records.
+            tail: follows them.
+            host_list: the engines that are listed.
+        """
+        self._host_list = host_list
         self._blackboard = blackboard
         self._client = client
         self._tail = tail
@@ -137,6 +150,14 @@
         recorded = any(r.service == service for r in self._records.values())
         return versions.pop() if recorded and len(versions) == 1 else ''
 
+    def read_age_s(self) -> float:
+        """Returns the seconds since no newer record was known to be there."""
+        return asyncio.get_running_loop().time() - self._tail.proved_at
+
+    def list_age_s(self) -> float:
+        """Returns the seconds since no newer engine was known to be listed."""
+        return self._host_list.age_s()
+
     def set_untold(self, untold: dict[str, tuple[str, float]]) -> None:
         """Sets the streams that only this host knows.
 
