Conclude a sole software version only from a reading that begins then

What callers saw: at a host that is cut off, events of v1 after those of v2. Cause: 'only one version has run' was concluded while 'the last read succeeded' held, which stays true while a read of up to 20 s hangs, and after a stop. No news was taken for the news that nothing changed. Change: whoever takes a stream up and has no record of it reads the versions' stream and the list of engines by calls that begin afterwards and must come back within 0.3 s. A host learns of an engine from the platform alone, so an entry stands there before a stream begins on it. One such reading serves all who ask meanwhile, and all hosts together make 500 a second at most. An answer that is older than what is known, lacks records, or follows a return from an older copy confirms nothing. A host that reads nothing asks its peers once and refuses (1016) as soon as none of them answers. Ruled out: a lease on the conclusion (a release would wait for it), confirmations in heartbeats (two hosts cut off together would confirm each other).

--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -86,6 +86,14 @@
         """Returns whether the list can be read at present."""
         return True
 
+    async def confirm(self) -> None:
+        """Makes sure that fetch() returns what a call finds that begins now.
+
+        Raises:
+            PeerUnavailableError: nothing shows what is listed now.
+        """
+        return None
+
     def age_s(self) -> float:
         """Returns the seconds since nothing newer was known to be there."""
         return 0.0
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -63,6 +63,23 @@
                     self.apply(listed)
             await self._host_list.wait_changed(self._pause_s())
 
+    async def confirm(self) -> None:
+        """Merges what a reading finds that begins now.
+
+        Raises:
+            PeerUnavailableError: the list could not be read.
+        """
+        await self._host_list.confirm()
+        listed = await self._host_list.fetch()
+        if self._host_list.version < self.version:
+            raise PeerUnavailableError('a peer has read a newer list')
+        self.version = self._host_list.version
+        self.apply(listed)
+
+    def age_s(self) -> float:
+        """Returns the seconds since nothing newer was known to be listed."""
+        return self._host_list.age_s()
+
     def _pause_s(self) -> float:
         """Returns the seconds until the list is read again without a change."""
         pause_s = spread(self._times.host_list_s, self._rng)
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -74,6 +74,8 @@
         regained_at: loop time since when the stream can be read again, minus
             infinity if it always could.
         current: whether the last read succeeded, or peers tell what is new.
+        set_back_at: loop time at which the stream last came back from an older
+            copy, minus infinity if it never did.
         read_at: loop time at which nothing newer was known to be there.
         proved_at: the same, also by a peer's reading, minus infinity if never.
         reading: how hosts share the reading.
@@ -117,6 +119,7 @@
         self.changed = Signal()
         self.regained_at = -math.inf
         self.current = False
+        self.set_back_at = -math.inf
         self.read_at = -math.inf
         self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
@@ -133,6 +136,41 @@
         finally:
             self.read_anew()
 
+    async def confirm(self) -> None:
+        """Reads what is newer by a call that begins now.
+
+        Raises:
+            LogUnavailableError: nothing shows that this was all.
+        """
+        if not self._whole:
+            raise LogUnavailableError('the stream was not read whole yet')
+        while True:
+            known = self.end_offset
+            page = await self._read_from(known)
+            if page.end_offset < self.end_offset:
+                raise LogUnavailableError('the answer is an old one')
+            if self._merge(page):
+                self._tell_changed()
+            if self.end_offset >= page.end_offset:
+                break
+            if self.end_offset == known:
+                raise LogUnavailableError('the answer lacks records')
+        now = asyncio.get_running_loop().time()
+        if now - self.set_back_at < WITHHELD_S:
+            raise LogUnavailableError('the stream came back from a copy')
+        self.proved_at = now
+
+    async def _read_from(self, offset: int) -> KeyedPage:
+        """Reads what is there after an offset, without a wait.
+
+        Raises:
+            LogUnavailableError: it can't be read.
+        """
+        try:
+            return await self._client.read(self._stream, offset, 0.0)
+        except RecordsGoneError as error:
+            raise LogUnavailableError('records are gone') from error
+
     def read_anew(self) -> None:
         """Ends a read that waits for a record."""
         if self._call is not None:
@@ -314,7 +352,7 @@
     def _note_set_back(self, page: KeyedPage) -> None:
         """Gives what the platform wrote lately the time to be back."""
         loop = asyncio.get_running_loop()
-        self.regained_at = loop.time()
+        self.regained_at = self.set_back_at = loop.time()
         self._withheld_by_key = {
             record.key: record.offset
             for record in page.records
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -73,6 +73,13 @@
         """See the base class."""
         return self._workers.current and self._hosts.current
 
+    async def confirm(self) -> None:
+        """See the base class."""
+        try:
+            await self._workers.confirm()
+        except LogUnavailableError as error:
+            raise PeerUnavailableError(str(error)) from error
+
     def age_s(self) -> float:
         """See the base class."""
         return asyncio.get_running_loop().time() - self._workers.proved_at
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -138,7 +138,10 @@
         permit_owners = PermitOwners(board)
         self.permit_owner = PermitOwner(board, calls, permit_owners)
         permits = Permits(board, calls, permit_owners, self.metrics, rng)
-        version_log = self._make_version_log()
+        host_list = HostListController(
+            board, edges.host_list, options.times, rng
+        )
+        version_log = self._make_version_log(host_list)
         self.versions = StreamVersions(board, calls, self.metrics, version_log)
         context = RelayContext(
             board,
@@ -155,9 +158,6 @@
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
-        host_list = HostListController(
-            board, edges.host_list, options.times, rng
-        )
         self._registration = HostRegistration(
             board, edges.host_list, host_list, rng
         )
@@ -207,13 +207,15 @@
             *self._order_controllers(options),
         ]
 
-    def _make_version_log(self) -> VersionLog | None:
+    def _make_version_log(
+        self, host_list: HostListController
+    ) -> VersionLog | None:
         """Returns what keeps on the platform which versions have run."""
         stream = self._edges.versions
         if stream is None:
             return None
         return VersionLog(
-            self.blackboard, stream.client, stream.tail, self._edges.host_list
+            self.blackboard, stream.client, stream.tail, host_list
         )
 
     def _quarantine_controllers(
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -223,6 +223,8 @@
             'version',
             'source',
             'listed',
+            'cause',
+            'took_s',
             'read_age_s',
             'list_age_s',
         ),
--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -16,7 +16,11 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller
-from mustardscale.exceptions import OutcomeError, PeerUnavailableError
+from mustardscale.exceptions import (
+    LogUnavailableError,
+    OutcomeError,
+    PeerUnavailableError,
+)
 from mustardscale.hosts.rendezvous import rank
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
@@ -88,6 +92,8 @@
 
     Attributes:
         records: the versions that this host keeps.
+        version_log: knows which versions have run, None without a platform
+            that keeps it.
     """
 
     def __init__(
@@ -109,7 +115,7 @@
         self._blackboard = blackboard
         self._calls = calls
         self._metrics = metrics
-        self._version_log = version_log
+        self.version_log = version_log
         self.records = VersionRecords()
         self._pending_by_id: dict[str, _PendingNotice] = {}
         self._sending: dict[str, asyncio.Task[None]] = {}
@@ -120,6 +126,8 @@
         )
         # The sole version of each service, and the loop time of that reading.
         self._sole_by_service: dict[str, tuple[str, float]] = {}
+        # Lookups that peers have answered.
+        self._answers = 0
         self._wake = asyncio.Event()
         calls.handle(VersionNotice, self._on_notice)
         calls.handle(VersionLookup, self._on_lookup)
@@ -144,8 +152,8 @@
                 if now - expired_at >= EXPIRY_INTERVAL_S:
                     expired_at = now
                     self.records.expire(now)
-                if self._version_log is not None:
-                    self._follow_log(self._version_log, now)
+                if self.version_log is not None:
+                    self._follow_log(self.version_log, now)
         finally:
             for task in self._sending.values():
                 task.cancel()
@@ -211,11 +219,11 @@
 
     def _is_sole(self, service: str, version: str, now: float) -> bool:
         """Returns whether only one version of a service has run lately."""
-        if self._version_log is None:
+        if self.version_log is None:
             return False
         known = self._sole_by_service.get(service)
         if known is None or now - known[1] > SOLE_INTERVAL_S:
-            known = self._version_log.find_sole_version(service), now
+            known = self._find_sole(service), now
             self._sole_by_service[service] = known
         return known[0] == version
 
@@ -247,10 +255,11 @@
         Raises:
             OutcomeError: VERSION_UNKNOWN, no host knows it.
         """
-        listed = find_listed_versions(self._blackboard, service)
-        if listed <= {''}:
+        if find_listed_versions(self._blackboard, service) <= {''}:
             return ''
-        version, source = await self._look_up(service, first_id, listed)
+        began_at = asyncio.get_running_loop().time()
+        version, source, cause = await self._look_up(service, first_id)
+        listed = find_listed_versions(self._blackboard, service)
         self._metrics.count(f'stream_versions_{source}')
         self._blackboard.events.emit(
             EventKind.VERSION_FOUND,
@@ -261,11 +270,13 @@
             version=version,
             source=source,
             listed=sorted(listed),
+            cause=cause,
+            took_s=round(asyncio.get_running_loop().time() - began_at, 4),
             **self._describe_readings(),
         )
         if not version:
             raise OutcomeError(
-                Outcome.VERSION_UNKNOWN, retry_after_s=RETRY_AFTER_S
+                Outcome.VERSION_UNKNOWN, cause, retry_after_s=RETRY_AFTER_S
             )
         if first_id:
             self.record(service, first_id, version, deadline_at)
@@ -273,45 +284,86 @@
 
     def _describe_readings(self) -> dict[str, float | None]:
         """Returns the ages of what this host knows of versions, seconds."""
-        if self._version_log is None:
+        if self.version_log is None:
             return {}
         return {
-            'read_age_s': _show_age(self._version_log.read_age_s()),
-            'list_age_s': _show_age(self._version_log.list_age_s()),
+            'read_age_s': _show_age(self.version_log.read_age_s()),
+            'list_age_s': _show_age(self.version_log.list_age_s()),
         }
 
     async def _look_up(
-        self, service: str, first_id: str, listed: set[str]
-    ) -> tuple[str, str]:
-        """Returns the version of a stream and who knew it."""
+        self, service: str, first_id: str
+    ) -> tuple[str, str, str]:
+        """Finds the version of a stream.
+
+        Returns:
+            The version, who knew it, and why others could not tell.
+        """
         now = asyncio.get_running_loop().time()
         known = self.records.find(first_id, now) if first_id else None
         if known is not None:
-            return known.version, 'kept'
+            return known.version, 'kept', ''
+        logged = self._find_logged(first_id)
+        if logged:
+            return logged, 'logged', ''
+        cause = await self._confirm()
         logged = self._find_logged(first_id)
         if logged:
-            return logged, 'logged'
-        sole = ''
-        if self._version_log is not None:
-            sole = self._version_log.find_sole_version(service)
-        if sole and listed == {sole}:
-            return sole, 'sole'
+            return logged, 'logged', cause
+        if not cause:
+            sole = self._find_sole(service)
+            if sole:
+                return sole, 'sole', ''
+            cause = 'several versions have run'
+        version, source = await self._ask_repeatedly(first_id)
+        return version, source, cause
+
+    async def _confirm(self) -> str:
+        """Reads anew which versions have run.
+
+        A host that is cut off, or was stopped, notices nothing of it by
+        itself. Engines are listed before a stream begins at them, so a reading
+        that begins now knows the versions of all streams that callers take up.
+
+        Returns:
+            Why that can't be told, '' if it was read.
+        """
+        if self.version_log is None:
+            return 'no platform tells which versions have run'
+        try:
+            await self.version_log.confirmation.run()
+        except LogUnavailableError as error:
+            self._metrics.count('stream_versions_unconfirmed')
+            return f'not read which versions have run: {error}'
+        return ''
+
+    def _find_sole(self, service: str) -> str:
+        """Returns the only version that has run, as far as this host knows."""
+        if self.version_log is None:
+            return ''
+        return self.version_log.find_sole_version(service)
+
+    async def _ask_repeatedly(self, first_id: str) -> tuple[str, str]:
+        """Asks peers for a version while any of them answers."""
         for number in range(LOOKUP_ROUNDS if first_id else 0):
             if number:
                 await asyncio.sleep(LOOKUP_PAUSE_S)
+            answers = self._answers
             version = await self._ask_peers(first_id)
             if version:
                 return version, 'told'
             logged = self._find_logged(first_id)
             if logged:
                 return logged, 'logged'
+            if self._answers == answers:
+                break
         return '', 'unknown'
 
     def _find_logged(self, first_id: str) -> str:
         """Returns the version of a stream that a host put on the platform."""
-        if self._version_log is None or not first_id:
+        if self.version_log is None or not first_id:
             return ''
-        return self._version_log.find_stream(first_id)
+        return self.version_log.find_stream(first_id)
 
     async def _ask_peers(self, first_id: str) -> str:
         """Returns the version that the first host to know a stream answers.
@@ -343,6 +395,7 @@
         except PeerUnavailableError as error:
             log.debug('version not learnt from %s: %s', host, error)
             return ''
+        self._answers += 1
         return reply.version if reply.found else ''
 
     def _rank_hosts(self, request_id: str) -> list[str]:
--- a/mustardscale/versions/version_log.py
+++ b/mustardscale/versions/version_log.py
@@ -16,12 +16,18 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller
-from mustardscale.exceptions import LogUnavailableError, LogUncertainError
+from mustardscale.exceptions import (
+    LogUnavailableError,
+    LogUncertainError,
+    PeerUnavailableError,
+)
 from mustardscale.hosts.duties import choose_host
-from mustardscale.hosts.host_list import HostList, ListedKind
+from mustardscale.hosts.host_list import ListedKind
+from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.json_content import decode_json
 from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.shared_call import SharedCall
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +42,11 @@
 # Time without a listed engine after which a version's record is dropped; longer
 # than any stream and its repeats, seconds.
 DROP_AFTER_S = 180.0
+# Time after which a confirmation is given up, seconds.
+CONFIRM_TIMEOUT_S = 0.3
+# Confirmations that all hosts together make, 1/s. Each takes two reads of the
+# platform, which bounds their number.
+MAX_CONFIRMATIONS_PER_S = 500.0
 # Records that are read and written at most. With more, versions are not told
 # from them.
 MAX_RECORDS = 256
@@ -78,14 +89,18 @@
 
 
 class VersionLog(Controller):
-    """Reads and writes the records."""
+    """Reads and writes the records.
+
+    Attributes:
+        confirmation: reads records and list anew, for all who ask.
+    """
 
     def __init__(
         self,
         blackboard: Blackboard,
         client: KeyedLogClient,
         tail: KeyedTail,
-        host_list: HostList,
+        host_list: HostListController,
     ):
         """Prepares the reading.
 
@@ -95,6 +110,7 @@
             tail: follows them.
             host_list: the engines that are listed.
         """
+        self.confirmation = SharedCall(self._confirm, self._compute_pause_s)
         self._host_list = host_list
         self._blackboard = blackboard
         self._client = client
@@ -128,8 +144,35 @@
                 UNTOLD_INTERVAL_S if is_telling else CHECK_INTERVAL_S
             )
 
+    async def _confirm(self) -> None:
+        """Reads records and list by calls that begin now.
+
+        Raises:
+            LogUnavailableError: one of them could not be read.
+        """
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                await asyncio.gather(
+                    self._tail.confirm(), self._host_list.confirm()
+                )
+        except PeerUnavailableError as error:
+            raise LogUnavailableError(str(error)) from error
+        except TimeoutError as error:
+            raise LogUnavailableError('no reading in time') from error
+
+    def _compute_pause_s(self) -> float:
+        """Returns the seconds between two confirmations of this host."""
+        hosts = 1 + len(self._blackboard.hosts_by_id)
+        return hosts / MAX_CONFIRMATIONS_PER_S
+
     def find_sole_version(self, service: str) -> str:
-        """Returns the only version that engines of a service have run lately.
+        """Returns the only version that is known to have run lately.
+
+        This shows nothing of what has come since the last readings; whoever
+        relies on it awaits `confirmation` first.
+
+        Args:
+            service: service of the engines.
 
         Returns:
             '' if there were several, or if it can't be told now.
--- a/tests/test_hosts_out_of_step.py
+++ b/tests/test_hosts_out_of_step.py
@@ -18,6 +18,8 @@
 # until streams of it begin, seconds.
 JOIN_AFTER_S = 0.3
 BEGIN_AFTER_S = 0.3
+# Confirmations that a host makes at most where many ask at once.
+MOST_SHARED_CALLS = 3
 # Time after which a host that is away works alone, seconds.
 ALONE_AFTER_S = 4.0
 # Time after its return in which a host has told the others of its streams,
@@ -284,6 +286,35 @@
         assert fleet.goes_on_share() >= GOES_ON_SHARE
 
 
+class TestCalls:
+    """What takings up cost the platform."""
+
+    @pytest.mark.parametrize('hosts', [6, 195])
+    @virtual_time
+    async def test_reads_grow_with_the_streams_taken_up_at_once(self, hosts):
+        fleet = await fleet_of(hosts, decode_engines=8)
+        others = other_hosts(fleet)
+        start = asyncio.Event()
+
+        async def wait(record):
+            await start.wait()
+
+        streams = 60
+        async with asyncio.TaskGroup() as group:
+            for number in range(streams):
+                first = others[number % len(others)]
+                played = fleet.play_stream([first, AWAY], [1], wait)
+                group.create_task(played)
+            await asyncio.sleep(2.0)
+            version_log = fleet.router_by_host[AWAY].versions.version_log
+            before = version_log.confirmation.count
+            start.set()
+        made = version_log.confirmation.count - before
+        await fleet.stop()
+        assert fleet.goes_on_share() >= GOES_ON_SHARE
+        assert 1 <= made <= MOST_SHARED_CALLS
+
+
 class TestRefusals:
     """What callers are told who take a stream up at such a host."""
 
--- a/tests/test_keyed_tail.py
+++ b/tests/test_keyed_tail.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from mustardscale.blackboard import Blackboard
 from mustardscale.configuration.config_sync import ConfigPeerController
 from mustardscale.configuration.route_source import ROUTES_KEY, merge_table
@@ -34,6 +36,7 @@
         self.down = False
         self.stale = 0
         self.newest_reads = 0
+        self.page_records = 1_000
         self._changed = asyncio.Event()
 
     def put_now(self, key, value):
@@ -73,7 +76,8 @@
             self._check()
             if after < self.kept_from:
                 raise RecordsGoneError(stream)
-        return KeyedPage(tuple(self.records[after:]), len(self.records))
+        records = self.records[after:][: self.page_records]
+        return KeyedPage(tuple(records), len(self.records))
 
     def _check(self):
         if self.down:
@@ -100,6 +104,61 @@
         self._task.cancel()
 
 
+class TestConfirmation:
+    """Readings that begin when they are asked for."""
+
+    @virtual_time
+    async def test_record_of_a_read_that_is_kept_back_is_not_seen(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            await asyncio.sleep(0.01)
+            # As if the answer to the waiting read were on its way.
+            scene.log.records.append(KeyedRecord('b', b'2', 2))
+            assert scene.tail.current and 'b' not in scene.tail.value_by_key
+            await scene.tail.confirm()
+            assert scene.tail.value_by_key == {'a': b'1', 'b': b'2'}
+
+    @virtual_time
+    async def test_old_answer_counts_as_a_confirmation(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            scene.log.put_now('b', b'1')
+            await asyncio.sleep(0.01)
+            scene.log.records.pop()
+            with pytest.raises(LogUnavailableError):
+                await scene.tail.confirm()
+
+    @virtual_time
+    async def test_part_of_the_records_counts_as_all(self):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            await asyncio.sleep(0.01)
+            for number in range(10):
+                scene.log.records.append(
+                    KeyedRecord(f'k{number}', b'1', number + 2)
+                )
+            scene.log.page_records = 3
+            await scene.tail.confirm()
+            assert len(scene.tail.value_by_key) == 11
+
+    @pytest.mark.parametrize('fault', ['down', 'gone', 'unread'])
+    @virtual_time
+    async def test_stream_that_is_not_read_is_confirmed(self, fault):
+        async with Scene() as scene:
+            scene.log.put_now('a', b'1')
+            await asyncio.sleep(0.01)
+            proved_at = scene.tail.proved_at
+            scene.log.down = fault == 'down'
+            scene.log.kept_from = 5 if fault == 'gone' else 0
+            tail = scene.tail
+            if fault == 'unread':
+                rng = random.Random(1)
+                tail = KeyedTail(scene.board, scene.log, 's', rng)
+            with pytest.raises(LogUnavailableError):
+                await tail.confirm()
+            assert scene.tail.proved_at == proved_at
+
+
 class TestKeyedTail:
     """The newest values, merged by offset."""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
         'controller',
         'background_tasks',
         'json_content',
+        'shared_call',
         'suspension',
     ),
     ('active_requests',),
