Use the version of a stream only once its engine's process has shown it

What callers saw: events of v2, then of v1, in streams that began at a host that had missed that an engine started again under its id, or began before the list told of it (0.2 s in the test); also within one answer. Cause: the version of the list's entry was recorded at the begin as if the process had said it. Change: a record has a witness, the process that the list named when the request was sent: start numbers only rise, so if that process still runs it has written the first event. Streams are told to other hosts, put on the platform, resumed and taken up only once it has replied; those of a sole version ask it when a second one comes, or when they are resumed. A sole version is not relied on, so that streams are told at once, where the list was not read for 3 s.

--- a/mustardscale/relay/answer_end.py
+++ b/mustardscale/relay/answer_end.py
@@ -241,9 +241,29 @@
             process: the process.
             deadline_at: loop time by which its request must have ended.
         """
+        return (await self._find(process, deadline_at)).state
+
+    async def is_same_process(
+        self, process: AnsweringProcess, deadline_at: float
+    ) -> bool:
+        """Returns whether a process says that it is the one that is named.
+
+        A process whose start number is not known must only reply.
+
+        Args:
+            process: the process.
+            deadline_at: loop time by which it must have replied.
+        """
+        finding = await self._find(process, deadline_at)
+        if not process.start:
+            return finding.state is ProcessState.RUNS
+        return ProcessReply.SAME in finding.count_by_reply
+
+    async def _find(
+        self, process: AnsweringProcess, deadline_at: float
+    ) -> ProcessFinding:
         inquiry = _Inquiry(self._blackboard, process)
-        finding = await inquiry.run(deadline_at, OutliveTimes(0.0, 0.0))
-        return finding.state
+        return await inquiry.run(deadline_at, OutliveTimes(0.0, 0.0))
 
 
 class _Inquiry:
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -19,6 +19,7 @@
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.answer_end import AnswerEnds, AnsweringProcess
 from mustardscale.relay.crash_watch import CrashWatch
+from mustardscale.relay.process_witness import ProcessWitnesses
 from mustardscale.relay.relay_endpoint import RelayClients, RelayEndpoint
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.retry_budget import RetryBudgets
@@ -51,6 +52,7 @@
         weights_field: name under which engines state the version of their
             weights, '' if they do not.
         engine_weights: the versions that engines stated.
+        witnesses: show which processes have begun streams.
     """
 
     board: Blackboard
@@ -67,6 +69,11 @@
     engine_weights: EngineWeights = dataclasses.field(
         default_factory=EngineWeights
     )
+    witnesses: ProcessWitnesses = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Makes what the other parts determine."""
+        self.witnesses = ProcessWitnesses(self.board, self.ends)
 
     @property
     def events(self) -> EventLog:
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -44,6 +44,7 @@
 from mustardscale.relay.repeated_end import NoRepeat
 from mustardscale.relay.version_pin import VersionPin
 from mustardscale.reporting.event_log import EventKind
+from mustardscale.versions.version_witness import VersionWitness
 
 # Number of attempts refused before any work was done at which the request is
 # refused.
@@ -155,6 +156,12 @@
             return self._pin.version
         return self._process.version if self._process is not None else ''
 
+    def make_witness(self) -> VersionWitness | None:
+        """Returns what shows the version of the engine that was called last."""
+        if self._process is None:
+            return None
+        return self._context.witnesses.make(self._process)
+
     def pin_version(self, version: str) -> None:
         """Keeps all further attempts at engines of a software version."""
         self._pin.version = version
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -122,8 +122,10 @@
         self._weights = WeightsOrder(context.weights_field)
         self._answer: EndpointAnswer | None = None
         self._outcome = Outcome.CALLER_LEFT
-        # Whether the stream is kept at one software version.
+        # Whether the stream is kept at one software version, and whether that
+        # was only concluded from the host list.
         self._is_pinned = False
+        self._is_listed_version = False
         self._progress_at = request.arrived_at
         self.first_event_at: float | None = None
         # Loop time of the first event of the present run, infinity once the
@@ -236,7 +238,26 @@
                 self._request.id,
                 attempts.version,
                 attempts.deadline_at,
+                attempts.make_witness(),
             )
+            self._is_listed_version = True
+
+    async def _require_shown_version(self) -> None:
+        """Requires that the version of a stream that began here is shown.
+
+        Raises:
+            OutcomeError: its engine may have run another one.
+        """
+        if not self._is_listed_version:
+            return
+        if not await self._context.versions.confirm_begun(
+            self._service.name, self._request.id, self._attempts.version
+        ):
+            raise OutcomeError(
+                Outcome.ENDPOINT_FAILED,
+                'not resumed: the version that began it is not shown',
+            )
+        self._is_listed_version = False
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yields the bytes of whole events, or those of any other answer.
@@ -500,6 +521,7 @@
         self._require_answer().close()
         try:
             async with asyncio.timeout_at(self._attempts.deadline_at):
+                await self._require_shown_version()
                 answer = await self._next_answer()
         except TimeoutError as error:
             raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -45,6 +45,7 @@
     ANSWER_ENDED = 'answer_ended'
     END_REPEATED = 'end_repeated'
     VERSION_FOUND = 'version_found'
+    VERSION_UNCONFIRMED = 'version_unconfirmed'
     REQUEST_REFUSED = 'request_refused'
     REQUEST_FAILED = 'request_failed'
     REQUEST_SERVED = 'request_served'
@@ -229,6 +230,10 @@
             'list_age_s',
         ),
     ),
+    EventKind.VERSION_UNCONFIRMED: EventRule(
+        'The process that began a stream is not shown to be the listed one.',
+        ('endpoint', 'start', 'version'),
+    ),
     EventKind.REQUEST_REFUSED: EventRule(
         'A request has not run and never will.',
         (
--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -36,6 +36,7 @@
 from mustardscale.versions.version_filter import find_listed_versions
 from mustardscale.versions.version_log import VersionLog
 from mustardscale.versions.version_records import VersionRecords
+from mustardscale.versions.version_witness import VersionWitness
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +54,9 @@
 # Interval at which it is checked whether only one version of a service runs,
 # seconds. Its streams are told once that no longer holds.
 SOLE_INTERVAL_S = 0.5
+# Age of the list of engines above which it is not relied on to tell when a
+# second version comes, seconds. Engines change their entries each second.
+MAX_LIST_AGE_S = 3.0
 # Pause before notices that were not confirmed are sent again, seconds.
 RETRY_PAUSE_S = 0.2
 # Time for which other hosts are preferred to one that did not confirm, seconds.
@@ -78,12 +82,14 @@
         begun_at: loop time at which it began here.
         expires_at: loop time after which nobody needs to know it.
         version: its version.
+        witness: shows whether the version is right, None once it did.
         confirmed: the hosts that keep it.
     """
 
     begun_at: float
     expires_at: float
     version: str
+    witness: VersionWitness | None = None
     confirmed: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -119,6 +125,8 @@
         self.records = VersionRecords()
         self._pending_by_id: dict[str, _PendingNotice] = {}
         self._sending: dict[str, asyncio.Task[None]] = {}
+        # Questions to the engines that began streams, by the stream's id.
+        self._confirming: dict[str, asyncio.Task[None]] = {}
         self._failed_at_by_host: dict[str, float] = {}
         # Streams of services of which only one version is known to run.
         self._deferred_by_service: dict[str, dict[str, _PendingNotice]] = (
@@ -155,7 +163,8 @@
                 if self.version_log is not None:
                     self._follow_log(self.version_log, now)
         finally:
-            for task in self._sending.values():
+            tasks = [*self._sending.values(), *self._confirming.values()]
+            for task in tasks:
                 task.cancel()
 
     async def _wait_woken(self) -> None:
@@ -177,28 +186,40 @@
         untold = {
             request_id: (pending.version, pending.expires_at)
             for request_id, pending in self._pending_by_id.items()
-            if not pending.confirmed and now - pending.begun_at > UNTOLD_AFTER_S
+            if pending.witness is None
+            and not pending.confirmed
+            and now - pending.begun_at > UNTOLD_AFTER_S
         }
         version_log.set_untold(untold)
 
     def record(
-        self, service: str, request_id: str, version: str, deadline_at: float
+        self,
+        service: str,
+        request_id: str,
+        version: str,
+        deadline_at: float,
+        witness: VersionWitness | None = None,
     ) -> None:
         """Keeps the version of a stream, here and at other hosts.
 
+        It is used, and told, only once it is shown to be right.
+
         Args:
             service: service of the stream.
             request_id: id of the send that brought its first event.
             version: the software version that began it, '' where versions are
                 not known, which is not kept.
             deadline_at: loop time of the stream's deadline.
+            witness: shows whether the version is right, None if it is known.
         """
         if not version:
             return
         now = asyncio.get_running_loop().time()
         keep_s = deadline_at - now + KEEP_MARGIN_S
-        kept = self.records.add(request_id, version, keep_s, now)
-        notice = _PendingNotice(now, kept.expires_at, kept.version)
+        kept = self.records.add(request_id, version, keep_s, now, witness)
+        notice = _PendingNotice(
+            now, kept.expires_at, kept.version, kept.witness
+        )
         if self._is_sole(service, version, now):
             self._add(self._deferred_by_service[service], request_id, notice)
             return
@@ -221,6 +242,8 @@
         """Returns whether only one version of a service has run lately."""
         if self.version_log is None:
             return False
+        if self.version_log.list_age_s() > MAX_LIST_AGE_S:
+            return False
         known = self._sole_by_service.get(service)
         if known is None or now - known[1] > SOLE_INTERVAL_S:
             known = self._find_sole(service), now
@@ -301,7 +324,7 @@
         """
         now = asyncio.get_running_loop().time()
         known = self.records.find(first_id, now) if first_id else None
-        if known is not None:
+        if known is not None and known.witness is None:
             return known.version, 'kept', ''
         logged = self._find_logged(first_id)
         if logged:
@@ -315,9 +338,45 @@
             if sole:
                 return sole, 'sole', ''
             cause = 'several versions have run'
+        version = await self._find_shown(first_id)
+        if version:
+            return version, 'kept', cause
         version, source = await self._ask_repeatedly(first_id)
         return version, source, cause
 
+    async def confirm_begun(
+        self, service: str, request_id: str, version: str
+    ) -> bool:
+        """Returns whether a stream that began here is shown to have a version.
+
+        Args:
+            service: service of the stream.
+            request_id: id of the send that brought its first event.
+            version: the version that it is believed to have.
+        """
+        if not version:
+            return True
+        now = asyncio.get_running_loop().time()
+        known = self.records.find(request_id, now)
+        if known is not None and known.witness is None:
+            return known.version == version
+        # Its engine has probably ended, so that asking it comes last.
+        if not await self._confirm() and self._find_sole(service) == version:
+            return True
+        return await self._find_shown(request_id) == version
+
+    async def _find_shown(self, request_id: str) -> str:
+        """Returns the version that this host keeps, if it is right."""
+        now = asyncio.get_running_loop().time()
+        record = self.records.find(request_id, now) if request_id else None
+        if record is None:
+            return ''
+        if record.witness is not None and not await self._settle(
+            request_id, record.witness
+        ):
+            return ''
+        return record.version
+
     async def _confirm(self) -> str:
         """Reads anew which versions have run.
 
@@ -419,6 +478,9 @@
             if pending.expires_at <= now or len(pending.confirmed) >= wanted:
                 del self._pending_by_id[request_id]
                 continue
+            if pending.witness is not None:
+                self._start_confirming(request_id, pending.witness)
+                continue
             for host in self._choose_hosts(request_id, now):
                 if host not in pending.confirmed:
                     ids_by_host[host].append(request_id)
@@ -428,6 +490,40 @@
                     self._tell(host, request_ids[:MAX_NOTICE_STREAMS])
                 )
 
+    def _start_confirming(
+        self, request_id: str, witness: VersionWitness
+    ) -> None:
+        """Starts to ask whether the version of a pending stream is right."""
+        if request_id not in self._confirming:
+            self._confirming[request_id] = asyncio.create_task(
+                self._confirm_pending(request_id, witness)
+            )
+
+    async def _confirm_pending(
+        self, request_id: str, witness: VersionWitness
+    ) -> None:
+        """Tells a stream to others once its version is shown."""
+        try:
+            is_confirmed = await self._settle(request_id, witness)
+        finally:
+            del self._confirming[request_id]
+        pending = self._pending_by_id.get(request_id)
+        if pending is None:
+            return
+        pending.witness = None
+        if is_confirmed:
+            self._wake.set()
+        else:
+            del self._pending_by_id[request_id]
+
+    async def _settle(self, request_id: str, witness: VersionWitness) -> bool:
+        """Returns whether the version of a stream is right, and notes it."""
+        is_confirmed = await witness.confirm()
+        if not is_confirmed:
+            self._metrics.count('stream_versions_refuted')
+        self.records.settle(request_id, is_confirmed)
+        return is_confirmed
+
     def _choose_hosts(self, request_id: str, now: float) -> list[str]:
         """Returns the hosts that are to keep a stream's version."""
         ranked = self._rank_hosts(request_id)
@@ -445,6 +541,7 @@
             StreamVersion(request_id, pending.version, pending.expires_at - now)
             for request_id in request_ids
             if (pending := self._pending_by_id.get(request_id)) is not None
+            and pending.witness is None
         )
         self._metrics.count('stream_version_notices')
         try:
@@ -479,11 +576,12 @@
     async def _on_lookup(
         self, sender: str, request: VersionLookup
     ) -> VersionReply:
+        version = await self._find_shown(request.request_id)
         now = asyncio.get_running_loop().time()
         record = self.records.find(request.request_id, now)
-        if record is None:
+        if record is None or not version:
             return VersionReply(False)
-        return VersionReply(True, record.version, record.expires_at - now)
+        return VersionReply(True, version, record.expires_at - now)
 
 
 def _show_age(age_s: float) -> float | None:
