Know a software version that came and went between two readings

What callers saw: a stream of a version that ran for under a second goes on at the version that is left. Cause: only the present list counted, and the record of a version was written within a second of its coming, by one host. Not covered: a host that copies the stream from a peer gets the newest value of each key only.

--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -94,6 +94,10 @@
         """
         return None
 
+    def take_passed(self) -> list[ListedHost]:
+        """Returns the entries that came and went between two readings."""
+        return []
+
     def age_s(self) -> float:
         """Returns the seconds since nothing newer was known to be there."""
         return 0.0
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -21,6 +21,8 @@
 # After the list can be read again, endpoints whose entries expired meanwhile
 # may return within this time, seconds. Those still missing then are removed.
 EXPIRY_GRACE_S = 2.0
+# Versions of engines that have come, at most; the oldest go.
+MAX_VERSIONS = 1_000
 # If more than this share of the endpoints is missing at once, their entries are
 # taken to have expired.
 MASS_EXPIRY_SHARE = 0.5
@@ -44,6 +46,9 @@
         self.version = 0
         self._applied: list[ListedHost] | None = None
         self._expiry_grace_ends_at = -math.inf
+        # Loop time at which an engine of a model was last found to have come
+        # with a version, by model and version.
+        self.came_at_by_version: dict[tuple[str, str], float] = {}
 
     async def run(self) -> None:
         """Reads the list at each reported change, and at an interval."""
@@ -131,6 +136,8 @@
         """Merges the list into the blackboard."""
         self._blackboard.host_list_read = True
         now = asyncio.get_running_loop().time()
+        for passed in self._host_list.take_passed():
+            self._note_version(passed, now)
         changed = self._apply_hosts(listed, now)
         if listed is not self._applied or self._expiry_grace_ends_at > 0:
             changed = self._apply_endpoints(listed, now) or changed
@@ -231,8 +238,19 @@
         self._expiry_grace_ends_at = ends_at if ends_at > now else -math.inf
         return ends_at > now
 
+    def _note_version(self, host: ListedHost, now: float) -> None:
+        """Notes the version of an engine that has come."""
+        if host.kind is not ListedKind.ENGINE or not host.version:
+            return
+        came_at_by_version = self.came_at_by_version
+        came_at_by_version.pop((host.model, host.version), None)
+        came_at_by_version[host.model, host.version] = now
+        if len(came_at_by_version) > MAX_VERSIONS:
+            del came_at_by_version[next(iter(came_at_by_version))]
+
     def _make_endpoint(self, host: ListedHost) -> EndpointEntry:
         """Makes the blackboard's entry for a listed endpoint."""
+        self._note_version(host, asyncio.get_running_loop().time())
         return EndpointEntry(
             id=host.id,
             kind=host.kind,
--- a/mustardscale/hosts/listed_entries.py
+++ b/mustardscale/hosts/listed_entries.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import re
@@ -95,6 +96,23 @@
         self._decode = decode
         self._decoded_by_key: dict[str, tuple[bytes, ListedHost]] = {}
 
+    def read_replaced(
+        self, replaced: Iterable[tuple[str, bytes]]
+    ) -> list[ListedHost]:
+        """Returns the usable entries that no reading has shown.
+
+        Args:
+            replaced: keys and contents that newer ones have replaced since.
+        """
+        hosts = []
+        for key, content in replaced:
+            known = self._decoded_by_key.get(key)
+            if known is not None and known[0] == content:
+                continue
+            with contextlib.suppress(UnusableEntryError):
+                hosts.append(self._decode(key, content))
+        return hosts
+
     def read(self, content_by_key: Mapping[str, bytes]) -> list[ListedHost]:
         """Returns the entries of a new reading that can be used."""
         self.unusable.begin()
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -79,6 +79,8 @@
         read_at: loop time at which nothing newer was known to be there.
         proved_at: the same, also by a peer's reading, minus infinity if never.
         reading: how hosts share the reading.
+        keeps_replaced: whether values that newer ones replace are kept until
+            they are taken.
     """
 
     def __init__(
@@ -123,6 +125,8 @@
         self.read_at = -math.inf
         self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
+        self.keeps_replaced = False
+        self._replaced: list[tuple[str, bytes]] = []
 
     @property
     def stream(self) -> str:
@@ -249,6 +253,9 @@
                 changed = True
             if record.value == self.value_by_key.get(record.key, b''):
                 continue
+            if self.keeps_replaced and record.key in self.value_by_key:
+                known = self.value_by_key[record.key]
+                self._replaced.append((record.key, known))
             if record.value:
                 self.value_by_key[record.key] = record.value
             else:
@@ -261,6 +268,11 @@
         self.end_offset = max(self.end_offset, last)
         return changed
 
+    def take_replaced(self) -> list[tuple[str, bytes]]:
+        """Returns keys and values that newer ones have replaced since."""
+        replaced, self._replaced = self._replaced, []
+        return replaced
+
     def present_values(self) -> dict[str, bytes]:
         """Returns the newest values, without keys that an older copy revived.
 
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -51,6 +51,8 @@
     ):
         self._client = client
         self._workers = workers
+        self._workers.keeps_replaced = True
+        self._passed: list[ListedHost] = []
         self._hosts = hosts
         self._revisions = (-1, -1)
         self._listed: list[ListedHost] = []
@@ -80,6 +82,11 @@
         except LogUnavailableError as error:
             raise PeerUnavailableError(str(error)) from error
 
+    def take_passed(self) -> list[ListedHost]:
+        """See the base class."""
+        passed, self._passed = self._passed, []
+        return passed
+
     def age_s(self) -> float:
         """See the base class."""
         return asyncio.get_running_loop().time() - self._workers.proved_at
@@ -91,6 +98,8 @@
             raise PeerUnavailableError('the store was not read yet')
         if revisions != self._revisions:
             self._revisions = revisions
+            replaced = self._workers.take_replaced()
+            self._passed += self._worker_entries.read_replaced(replaced)
             self._listed = [
                 *self._host_entries.read(self._hosts.present_values()),
                 *self._worker_entries.read(self._workers.present_values()),
--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -214,6 +214,8 @@
         """
         if not version:
             return
+        if witness is not None and self.version_log is not None:
+            self.version_log.note_begun(service, version)
         now = asyncio.get_running_loop().time()
         keep_s = deadline_at - now + KEEP_MARGIN_S
         kept = self.records.add(request_id, version, keep_s, now, witness)
--- a/mustardscale/versions/version_log.py
+++ b/mustardscale/versions/version_log.py
@@ -121,6 +121,8 @@
         # first saw its record.
         self._seen_at: dict[VersionRecord, float] = {}
         self._unreadable: set[tuple[str, bytes]] = set()
+        # Versions that began streams here and had no record then.
+        self._begun_by_name: dict[str, VersionRecord] = {}
         # Version and loop time of the expiry of each stream that only this
         # host knows, by the id of its first send.
         self._untold: dict[str, tuple[str, float]] = {}
@@ -134,9 +136,8 @@
             self._read()
             await self._write_untold()
             now = asyncio.get_running_loop().time()
-            if now - checked_at >= CHECK_INTERVAL_S and (
-                self._tail.end_offset or self._tail.current
-            ):
+            is_due = now - checked_at >= CHECK_INTERVAL_S or self._lacks_begun()
+            if is_due and (self._tail.end_offset or self._tail.current):
                 checked_at = now
                 await self._write()
             is_telling = self._untold or self._written_untold
@@ -144,6 +145,25 @@
                 UNTOLD_INTERVAL_S if is_telling else CHECK_INTERVAL_S
             )
 
+    def note_begun(self, service: str, version: str) -> None:
+        """Notes that an engine of a version has begun a stream here.
+
+        The platform is told at once, since the version may be gone before the
+        host that watches the list has seen it.
+        """
+        record = VersionRecord(service, version)
+        name = name_of(record)
+        if name not in self._records and name not in self._begun_by_name:
+            self._begun_by_name[name] = record
+            self._tail.changed.notify()
+
+    def _lacks_begun(self) -> bool:
+        """Returns whether a version that began a stream here has no record."""
+        for name in [*self._begun_by_name]:
+            if name in self._records:
+                del self._begun_by_name[name]
+        return bool(self._begun_by_name)
+
     async def _confirm(self) -> None:
         """Reads records and list by calls that begin now.
 
@@ -260,6 +280,10 @@
             record
             for record, seen_at in self._seen_at.items()
             if now - seen_at <= DROP_AFTER_S
+        } | {
+            VersionRecord(*version)
+            for version, came_at in self._host_list.came_at_by_version.items()
+            if now - came_at <= DROP_AFTER_S
         }
 
     def _read(self) -> None:
@@ -294,12 +318,15 @@
             self._seen_at[record] = now
         for record in self._records.values():
             self._seen_at.setdefault(record, now)
-        if choose_host(board, 'version log') != board.host:
-            return
-        names = {name_of(record): record for record in listed}
+        names = dict(self._begun_by_name)
+        is_writer = choose_host(board, 'version log') == board.host
+        if is_writer:
+            names |= {name_of(record): record for record in listed}
         for name, record in list(names.items())[:MAX_RECORDS]:
             if name not in self._records:
                 await self._put(name, msgspec.json.encode(record))
+        if not is_writer:
+            return
         for name, record in list(self._records.items()):
             if now - self._seen_at.get(record, now) > DROP_AFTER_S:
                 await self._put(name, b'')
--- a/tests/test_hosts_out_of_step.py
+++ b/tests/test_hosts_out_of_step.py
@@ -5,6 +5,9 @@
 import pytest
 
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
+from mustardscale.versions.version_log import VersionRecord, name_of
+from standins.crash_fleet import SERVICE
+from standins.host_fleet import VERSIONS_STREAM
 from standins.version_fleet import GOES_ON_SHARE, VersionFleet
 from tests.virtual_time import virtual_time
 
@@ -18,6 +21,9 @@
 # until streams of it begin, seconds.
 JOIN_AFTER_S = 0.3
 BEGIN_AFTER_S = 0.3
+# Time within which the platform knows a version that has begun a stream,
+# seconds.
+RECORDED_WITHIN_S = 0.05
 # Confirmations that a host makes at most where many ask at once.
 MOST_SHARED_CALLS = 3
 # Time after which a host that is away works alone, seconds.
@@ -203,6 +209,29 @@
         assert record.takes and 'v2' in record.versions
         check_order(fleet)
 
+    @pytest.mark.parametrize('offset_s', [0.0, 0.2, 0.4, 0.6, 0.8])
+    @virtual_time
+    async def test_first_stream_of_a_version_leaves_no_record_for_a_second(
+        self, offset_s
+    ):
+        fleet = await fleet_of(6)
+        await asyncio.sleep(2.0 + offset_s)
+        fleet.add_engine('lm-v2-0', 'v2')
+        for engine in fleet.decode_engines():
+            if engine.version == 'v1':
+                fleet.remove_engine(engine)
+        name = name_of(VersionRecord(SERVICE, 'v2'))
+        found = []
+
+        async def look(record):
+            await asyncio.sleep(RECORDED_WITHIN_S)
+            records = fleet.streams.records_by_stream[VERSIONS_STREAM]
+            found.append(name in {record.key for record in records})
+
+        await fleet.play_stream(['h002', 'h003'], [1], look)
+        await fleet.stop()
+        assert found == [True]
+
 
 class TestRestartUnderTheSameId:
     """An engine starts again under its id with another version."""
