Use neither of two versions that hosts tell of one stream

Until now the first record counted, whichever it was: a wrong conclusion that a host of an earlier release tells could outrun the record of the host at which the stream began.

--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -146,6 +146,9 @@
         metrics.add_gauge(
             'stream_versions_evicted', lambda: self.records.evicted
         )
+        metrics.add_gauge(
+            'stream_versions_contested', lambda: self.records.contested
+        )
 
     async def run(self) -> None:
         """Tells other hosts the versions of streams."""
@@ -219,6 +222,8 @@
         now = asyncio.get_running_loop().time()
         keep_s = deadline_at - now + KEEP_MARGIN_S
         kept = self.records.add(request_id, version, keep_s, now, witness)
+        if kept.version != version:
+            return
         notice = _PendingNotice(
             now, kept.expires_at, kept.version, kept.witness
         )
@@ -340,6 +345,8 @@
             if sole:
                 return sole, 'sole', ''
             cause = 'several versions have run'
+        if self.records.is_contested(first_id):
+            return '', 'unknown', 'hosts tell different versions of it'
         version = await self._find_shown(first_id)
         if version:
             return version, 'kept', cause
--- a/mustardscale/versions/version_records.py
+++ b/mustardscale/versions/version_records.py
@@ -8,6 +8,8 @@
 
 # Records at most; beyond them the oldest go first.
 MAX_RECORDS = 10_000
+# In place of a version of which hosts have told different ones.
+CONTESTED = ''
 # Records are kept for this long at most, seconds.
 MAX_KEEP_S = 300.0
 
@@ -20,11 +22,13 @@
         version: the software version.
         expires_at: loop time until which the stream may be taken up.
         witness: shows whether the version is right, None once it did.
+        is_own: whether the stream began at this host.
     """
 
     version: str
     expires_at: float
     witness: VersionWitness | None = None
+    is_own: bool = False
 
 
 class VersionRecords:
@@ -32,13 +36,15 @@
 
     Attributes:
         evicted: records that were dropped before their time.
+        contested: streams of which hosts have told different versions.
     """
 
-    __slots__ = ('_record_by_id', 'evicted')
+    __slots__ = ('_record_by_id', 'contested', 'evicted')
 
     def __init__(self) -> None:
         self._record_by_id: dict[str, VersionOfStream] = {}
         self.evicted = 0
+        self.contested = 0
 
     def __len__(self) -> int:
         """Returns the number of records."""
@@ -52,28 +58,55 @@
         now: float,
         witness: VersionWitness | None = None,
     ) -> VersionOfStream:
-        """Keeps a record. The version of a known stream never changes."""
+        """Keeps a record.
+
+        Where the stream began here, what other hosts say does not count. Of
+        two versions that others tell, neither is used.
+
+        Args:
+            request_id: id of the send that brought the stream's first event.
+            version: its version.
+            keep_s: seconds for which it may be taken up.
+            now: loop time.
+            witness: shows whether the version is right, where it began here.
+
+        Returns:
+            What is kept; without a version if that is contested.
+        """
         expires_at = now + min(keep_s, MAX_KEEP_S)
+        record = VersionOfStream(version, expires_at, witness, bool(witness))
         known = self._record_by_id.pop(request_id, None)
         if known is not None:
-            version = known.version
-            witness = known.witness
-            expires_at = max(expires_at, known.expires_at)
-        record = VersionOfStream(version, expires_at, witness)
+            record = self._merge(known, record)
         self._record_by_id[request_id] = record
         if len(self._record_by_id) > MAX_RECORDS:
             del self._record_by_id[next(iter(self._record_by_id))]
             self.evicted += 1
         return record
 
+    def _merge(
+        self, known: VersionOfStream, told: VersionOfStream
+    ) -> VersionOfStream:
+        """Returns what is kept of two records of one stream."""
+        kept = told if told.is_own and not known.is_own else known
+        version = kept.version
+        if known.version != told.version and not kept.is_own and version:
+            self.contested += 1
+            version = CONTESTED
+        return dataclasses.replace(
+            kept,
+            version=version,
+            expires_at=max(known.expires_at, told.expires_at),
+        )
+
     def settle(self, request_id: str, is_confirmed: bool) -> None:
         """Notes what the witness of a stream has shown."""
         record = self._record_by_id.get(request_id)
         if record is None or record.witness is None:
             return
         if is_confirmed:
-            self._record_by_id[request_id] = VersionOfStream(
-                record.version, record.expires_at
+            self._record_by_id[request_id] = dataclasses.replace(
+                record, witness=None
             )
         else:
             del self._record_by_id[request_id]
@@ -83,7 +116,12 @@
         record = self._record_by_id.get(request_id)
         if record is None or record.expires_at <= now:
             return None
-        return record
+        return None if record.version == CONTESTED else record
+
+    def is_contested(self, request_id: str) -> bool:
+        """Returns whether hosts have told different versions of a stream."""
+        record = self._record_by_id.get(request_id)
+        return record is not None and record.version == CONTESTED
 
     def expire(self, now: float) -> None:
         """Drops the records whose time has passed."""
