--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import logging
 import math
 
@@ -19,14 +18,11 @@
 from mustardscale.exceptions import (
     LogUnavailableError,
     OutcomeError,
-    PeerUnavailableError,
 )
-from mustardscale.hosts.rendezvous import rank
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import Acknowledgement
 from mustardscale.peers.version_messages import (
-    StreamVersion,
     VersionLookup,
     VersionNotice,
     VersionReply,
@@ -34,23 +30,22 @@
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.versions.version_filter import find_listed_versions
+from mustardscale.versions.version_keepers import VersionKeepers
 from mustardscale.versions.version_log import VersionLog
+from mustardscale.versions.version_notices import (
+    MAX_NOTICE_STREAMS,
+    PendingNotice,
+    VersionNotices,
+)
 from mustardscale.versions.version_records import VersionRecords
 from mustardscale.versions.version_witness import VersionWitness
 
 log = logging.getLogger(__name__)
 
-# Hosts that keep the version of a stream beside the one where it began.
-COPIES = 5
-# Hosts that are asked for it: more than keep it, since hosts may have come
-# meanwhile.
-ASKED_HOSTS = 8
-LOOKUP_TIMEOUT_S = 0.3
 # Rounds of questions, and the pause between two: the notice may be on its way,
 # seconds.
 LOOKUP_ROUNDS = 3
 LOOKUP_PAUSE_S = 0.1
-NOTICE_TIMEOUT_S = 0.5
 # Interval at which it is checked whether only one version of a service runs,
 # seconds. Its streams are told once that no longer holds.
 SOLE_INTERVAL_S = 0.5
@@ -59,13 +54,6 @@
 MAX_LIST_AGE_S = 3.0
 # Pause before notices that were not confirmed are sent again, seconds.
 RETRY_PAUSE_S = 0.2
-# Time for which other hosts are preferred to one that did not confirm, seconds.
-AVOID_S = 1.0
-# Time after which a stream that no host keeps is put on the platform, seconds.
-UNTOLD_AFTER_S = 0.1
-# Streams in one notice, and streams whose notices are not confirmed, at most.
-MAX_NOTICE_STREAMS = 500
-MAX_PENDING = 2_000
 # Time after a stream's deadline in which callers may still take it up, seconds.
 KEEP_MARGIN_S = 10.0
 EXPIRY_INTERVAL_S = 5.0
@@ -74,25 +62,6 @@
 RETRY_AFTER_S = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class _PendingNotice:
-    """A stream that other hosts are still to be told.
-
-    Attributes:
-        begun_at: loop time at which it began here.
-        expires_at: loop time after which nobody needs to know it.
-        version: its version.
-        witness: shows whether the version is right, None once it did.
-        confirmed: the hosts that keep it.
-    """
-
-    begun_at: float
-    expires_at: float
-    version: str
-    witness: VersionWitness | None = None
-    confirmed: set[str] = dataclasses.field(default_factory=set)
-
-
 class StreamVersions(Controller):
     """Records, shares and looks up the versions of streams.
 
@@ -119,29 +88,25 @@
                 that keeps it.
         """
         self._blackboard = blackboard
-        self._calls = calls
         self._metrics = metrics
         self.version_log = version_log
         self.records = VersionRecords()
-        self._pending_by_id: dict[str, _PendingNotice] = {}
-        self._sending: dict[str, asyncio.Task[None]] = {}
-        # Questions to the engines that began streams, by the stream's id.
-        self._confirming: dict[str, asyncio.Task[None]] = {}
-        self._failed_at_by_host: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._keepers = VersionKeepers(blackboard, calls, metrics)
+        self._notices = VersionNotices(
+            blackboard, calls, metrics, self._settle, self._wake
+        )
         # Streams of services of which only one version is known to run.
-        self._deferred_by_service: dict[str, dict[str, _PendingNotice]] = (
+        self._deferred_by_service: dict[str, dict[str, PendingNotice]] = (
             collections.defaultdict(dict)
         )
         # The sole version of each service, and the loop time of that reading.
         self._sole_by_service: dict[str, tuple[str, float]] = {}
-        # Lookups that peers have answered.
-        self._answers = 0
-        self._wake = asyncio.Event()
         calls.handle(VersionNotice, self._on_notice)
         calls.handle(VersionLookup, self._on_lookup)
         metrics.add_gauge('stream_versions_kept', lambda: len(self.records))
         metrics.add_gauge(
-            'stream_versions_untold', lambda: len(self._pending_by_id)
+            'stream_versions_untold', lambda: len(self._notices.pending_by_id)
         )
         metrics.add_gauge(
             'stream_versions_evicted', lambda: self.records.evicted
@@ -157,23 +122,22 @@
             while True:
                 now = asyncio.get_running_loop().time()
                 self._tell_deferred(now)
-                self._start_notices()
+                self._notices.start()
                 await self._wait_woken()
                 now = asyncio.get_running_loop().time()
                 if now - expired_at >= EXPIRY_INTERVAL_S:
                     expired_at = now
                     self.records.expire(now)
                 if self.version_log is not None:
-                    self._follow_log(self.version_log, now)
+                    untold = self._notices.find_untold(now)
+                    self.version_log.set_untold(untold)
         finally:
-            tasks = [*self._sending.values(), *self._confirming.values()]
-            for task in tasks:
-                task.cancel()
+            self._notices.cancel()
 
     async def _wait_woken(self) -> None:
         """Waits until there is something to tell, or to try again."""
         wait_s = EXPIRY_INTERVAL_S
-        if self._pending_by_id:
+        if self._notices.pending_by_id:
             wait_s = RETRY_PAUSE_S
         elif self._deferred_by_service:
             wait_s = SOLE_INTERVAL_S
@@ -184,17 +148,6 @@
             return
         self._wake.clear()
 
-    def _follow_log(self, version_log: VersionLog, now: float) -> None:
-        """Puts streams that no other host keeps on the platform."""
-        untold = {
-            request_id: (pending.version, pending.expires_at)
-            for request_id, pending in self._pending_by_id.items()
-            if pending.witness is None
-            and not pending.confirmed
-            and now - pending.begun_at > UNTOLD_AFTER_S
-        }
-        version_log.set_untold(untold)
-
     def record(
         self,
         service: str,
@@ -224,26 +177,12 @@
         kept = self.records.add(request_id, version, keep_s, now, witness)
         if kept.version != version:
             return
-        notice = _PendingNotice(
-            now, kept.expires_at, kept.version, kept.witness
-        )
+        notice = PendingNotice(now, kept.expires_at, kept.version, kept.witness)
         if self._is_sole(service, version, now):
-            self._add(self._deferred_by_service[service], request_id, notice)
-            return
-        self._add(self._pending_by_id, request_id, notice)
-        self._wake.set()
-
-    def _add(
-        self,
-        notices_by_id: dict[str, _PendingNotice],
-        request_id: str,
-        notice: _PendingNotice,
-    ) -> None:
-        """Adds a notice; beyond the limit the oldest goes."""
-        notices_by_id[request_id] = notice
-        if len(notices_by_id) > MAX_PENDING:
-            del notices_by_id[next(iter(notices_by_id))]
-            self._metrics.count('stream_versions_given_up')
+            deferred = self._deferred_by_service[service]
+            self._notices.bound(deferred, request_id, notice)
+        else:
+            self._notices.add(request_id, notice)
 
     def _is_sole(self, service: str, version: str, now: float) -> bool:
         """Returns whether only one version of a service has run lately."""
@@ -267,7 +206,7 @@
             if all(self._is_sole(service, v, now) for v in versions):
                 continue
             for request_id, notice in deferred.items():
-                self._add(self._pending_by_id, request_id, notice)
+                self._notices.add(request_id, notice)
             del self._deferred_by_service[service]
 
     async def find(
@@ -416,14 +355,14 @@
         for number in range(LOOKUP_ROUNDS if first_id else 0):
             if number:
                 await asyncio.sleep(LOOKUP_PAUSE_S)
-            answers = self._answers
-            version = await self._ask_peers(first_id)
+            answers = self._keepers.answers
+            version = await self._keepers.ask(first_id)
             if version:
                 return version, 'told'
             logged = self._find_logged(first_id)
             if logged:
                 return logged, 'logged'
-            if self._answers == answers:
+            if self._keepers.answers == answers:
                 break
         return '', 'unknown'
 
@@ -433,98 +372,6 @@
             return ''
         return self.version_log.find_stream(first_id)
 
-    async def _ask_peers(self, first_id: str) -> str:
-        """Returns the version that the first host to know a stream answers.
-
-        Returns:
-            '' if none knows it.
-        """
-        lookup = VersionLookup(first_id)
-        asking = [
-            asyncio.create_task(self._ask(host, lookup))
-            for host in self._rank_hosts(first_id)[:ASKED_HOSTS]
-        ]
-        try:
-            for answered in asyncio.as_completed(asking):
-                version = await answered
-                if version:
-                    return version
-        finally:
-            for question in asking:
-                question.cancel()
-        return ''
-
-    async def _ask(self, host: str, lookup: VersionLookup) -> str:
-        self._metrics.count('stream_version_lookups')
-        try:
-            reply = await self._calls.call(
-                host, lookup, VersionReply, LOOKUP_TIMEOUT_S
-            )
-        except PeerUnavailableError as error:
-            log.debug('version not learnt from %s: %s', host, error)
-            return ''
-        self._answers += 1
-        return reply.version if reply.found else ''
-
-    def _rank_hosts(self, request_id: str) -> list[str]:
-        """Returns the other hosts by preference for a stream."""
-        board = self._blackboard
-        hosts = [
-            host.id
-            for host in board.hosts_by_id.values()
-            if not host.silent and host.keeps_versions
-        ]
-        return rank(request_id, hosts)
-
-    def _start_notices(self) -> None:
-        """Starts to tell each pending stream to the hosts that lack it."""
-        ids_by_host: dict[str, list[str]] = collections.defaultdict(list)
-        now = asyncio.get_running_loop().time()
-        # Silent hosts count: this host may only be cut off from them.
-        hosts = self._blackboard.hosts_by_id.values()
-        wanted = min(COPIES, sum(host.keeps_versions for host in hosts))
-        for request_id, pending in list(self._pending_by_id.items()):
-            if pending.expires_at <= now or len(pending.confirmed) >= wanted:
-                del self._pending_by_id[request_id]
-                continue
-            if pending.witness is not None:
-                self._start_confirming(request_id, pending.witness)
-                continue
-            for host in self._choose_hosts(request_id, now):
-                if host not in pending.confirmed:
-                    ids_by_host[host].append(request_id)
-        for host, request_ids in ids_by_host.items():
-            if host not in self._sending:
-                self._sending[host] = asyncio.create_task(
-                    self._tell(host, request_ids[:MAX_NOTICE_STREAMS])
-                )
-
-    def _start_confirming(
-        self, request_id: str, witness: VersionWitness
-    ) -> None:
-        """Starts to ask whether the version of a pending stream is right."""
-        if request_id not in self._confirming:
-            self._confirming[request_id] = asyncio.create_task(
-                self._confirm_pending(request_id, witness)
-            )
-
-    async def _confirm_pending(
-        self, request_id: str, witness: VersionWitness
-    ) -> None:
-        """Tells a stream to others once its version is shown."""
-        try:
-            is_confirmed = await self._settle(request_id, witness)
-        finally:
-            del self._confirming[request_id]
-        pending = self._pending_by_id.get(request_id)
-        if pending is None:
-            return
-        pending.witness = None
-        if is_confirmed:
-            self._wake.set()
-        else:
-            del self._pending_by_id[request_id]
-
     async def _settle(self, request_id: str, witness: VersionWitness) -> bool:
         """Returns whether the version of a stream is right, and notes it."""
         is_confirmed = await witness.confirm()
@@ -533,44 +380,6 @@
         self.records.settle(request_id, is_confirmed)
         return is_confirmed
 
-    def _choose_hosts(self, request_id: str, now: float) -> list[str]:
-        """Returns the hosts that are to keep a stream's version."""
-        ranked = self._rank_hosts(request_id)
-        answering = [
-            host
-            for host in ranked[:ASKED_HOSTS]
-            if self._failed_at_by_host.get(host, -math.inf) + AVOID_S < now
-        ]
-        return (answering or ranked)[:COPIES]
-
-    async def _tell(self, host: str, request_ids: list[str]) -> None:
-        """Tells a host the versions of streams."""
-        now = asyncio.get_running_loop().time()
-        streams = tuple(
-            StreamVersion(request_id, pending.version, pending.expires_at - now)
-            for request_id in request_ids
-            if (pending := self._pending_by_id.get(request_id)) is not None
-            and pending.witness is None
-        )
-        self._metrics.count('stream_version_notices')
-        try:
-            await self._calls.call(
-                host, VersionNotice(streams), Acknowledgement, NOTICE_TIMEOUT_S
-            )
-        except PeerUnavailableError as error:
-            log.debug('versions not told to %s: %s', host, error)
-            failed_at = asyncio.get_running_loop().time()
-            self._failed_at_by_host[host] = failed_at
-        else:
-            self._failed_at_by_host.pop(host, None)
-            for stream in streams:
-                pending = self._pending_by_id.get(stream.request_id)
-                if pending is not None:
-                    pending.confirmed.add(host)
-        finally:
-            del self._sending[host]
-            self._wake.set()
-
     async def _on_notice(
         self, sender: str, request: VersionNotice
     ) -> Acknowledgement:
--- a/tests/test_shared_call.py
+++ b/tests/test_shared_call.py
@@ -1,6 +1,7 @@
 """Tests of calls whose results several share."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -83,3 +84,17 @@
         await asyncio.sleep(CALL_S / 2)
         leaving.cancel()
         assert await calls.shared.run() >= CALL_S / 2
+
+    @virtual_time
+    async def test_error_that_nobody_waits_for_is_reported_as_unseen(self):
+        calls = Calls()
+        calls.fails = True
+        unseen = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unseen.append(context))
+        leaving = asyncio.create_task(calls.shared.run())
+        await asyncio.sleep(CALL_S / 2)
+        leaving.cancel()
+        await asyncio.sleep(CALL_S)
+        gc.collect()
+        assert not unseen
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,12 +6,12 @@
 
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
-from mustardscale.versions.stream_versions import COPIES
 from mustardscale.versions.version_log import (
     DROP_AFTER_S,
     VersionRecord,
     name_of,
 )
+from mustardscale.versions.version_notices import COPIES
 from mustardscale.versions.version_records import MAX_RECORDS, VersionRecords
 from mustardscale.versions.version_witness import VersionWitness
 from standins.crash_fleet import SERVICE
