--- a/tests/test_review_versions.py
+++ b/tests/test_review_versions.py
@@ -1,20 +1,33 @@
 """Tests by a reviewer of the fifth incident of ORDER; see the report."""
 
 import asyncio
+import gc
+import json
 
 import pytest
 
 from mustardscale.blackboard import Blackboard
+from mustardscale.endpoints.engines import EngineRole
 from mustardscale.exceptions import EndpointUnreachableError
 from mustardscale.log.keyed_log import KeyedPage, KeyedRecord
 from mustardscale.log.stream_eras import position_of
+from mustardscale.orders.order_state import PlacedEngine
 from mustardscale.relay.answer_end import AnswerEnds, AnsweringProcess
 from mustardscale.relay.process_witness import ProcessWitnesses
 from mustardscale.reporting.metrics import Metrics
+from mustardscale.shared_call import SharedCall
+from mustardscale.versions.version_filter import find_listed_versions
+from mustardscale.versions.version_log import (
+    CONFIRM_TIMEOUT_S,
+    MAX_CONFIRMATIONS_PER_S,
+)
+from standins import crash_engines, memory_keyed_log
 from standins.crash_engines import EVENTS
-from standins.version_fleet import VersionFleet
+from standins.version_fleet import GOES_ON_SHARE, VersionFleet
 from tests.test_keyed_tail import Scene as TailScene
+from tests.test_passed_versions import SERVICE as SERVICE_OF_SCENE
 from tests.test_passed_versions import Scene as VersionScene
+from tests.test_passed_versions import entry_of
 from tests.virtual_time import virtual_time
 
 
@@ -105,7 +118,7 @@
     async def test_record_that_an_older_copy_lost_is_not_written_again(self):
         async with VersionScene() as scene:
             writer = asyncio.create_task(scene.log.run())
-            scene.workers.put_now('e2', entry('v2'))
+            scene.workers.put_now('e2', entry_of('v2'))
             await asyncio.sleep(2.0)
             assert any(b'v2' in r.value for r in scene.versions.records)
             scene.workers.put_now('e2', b'')
@@ -119,12 +132,6 @@
             assert any(b'v2' in value for value in values), values
 
 
-def entry(version):
-    from tests.test_passed_versions import entry_of
-
-    return entry_of(version)
-
-
 def raise_era(log, drop=0):
     """Makes a log tell that it came back from an older copy."""
     if drop:
@@ -309,3 +316,109 @@
         await playing
         await fleet.stop()
         assert len(fleet.streams_played[0].numbers) == EVENTS, describe(fleet)
+
+    @virtual_time
+    async def test_engine_silent_for_a_moment_ends_what_it_began(
+        self, monkeypatch
+    ):
+        """The engine runs on, and answers questions again 2 s later."""
+        fleet = await fleet_of(('v1', 'v2'), decode_engines=6)
+        loop = asyncio.get_running_loop()
+        silent_until = loop.time() + 2.0
+        plain_read = crash_engines._EngineClient.read_start
+
+        async def read_start(client):
+            if loop.time() < silent_until and client._host == 'h002':
+                raise EndpointUnreachableError('reset')
+            return await plain_read(client)
+
+        monkeypatch.setattr(
+            crash_engines._EngineClient, 'read_start', read_start
+        )
+
+        async def wait(record):
+            await asyncio.sleep(3.0)
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(8):
+                played = fleet.play_stream(['h002', 'h003'], [2], wait)
+                group.create_task(played)
+        await fleet.stop()
+        assert fleet.goes_on_share() >= GOES_ON_SHARE, describe(fleet)
+
+    @pytest.mark.parametrize('answer_s', [0.1, 0.5])
+    @virtual_time
+    async def test_crash_while_the_store_is_slow_ends_streams_of_one_version(
+        self, answer_s, monkeypatch
+    ):
+        """All hosts read all in time, but no reading takes less than 0.3 s."""
+        fleet = await fleet_of()
+        monkeypatch.setattr(memory_keyed_log, 'CALL_S', answer_s / 2)
+        await asyncio.sleep(6.0)
+        playing = asyncio.create_task(fleet.play_stream(['h002'], ()))
+        engine = await find_running(fleet)
+        await asyncio.sleep(0.25)
+        engine.crash()
+        await playing
+        await fleet.stop()
+        assert len(fleet.streams_played[0].numbers) == EVENTS
+
+
+class TestPlacedEngines:
+    """Engines that orders have given another service than their entry."""
+
+    @virtual_time
+    async def test_version_of_a_placed_engine_is_not_counted(self):
+        async with VersionScene() as scene:
+            board = scene.log._blackboard
+            entry = json.loads(entry_of('v2')) | {'service': 'other'}
+            scene.workers.put_now('e2', json.dumps(entry).encode())
+            board.orders.placed_by_engine['e2'] = PlacedEngine(
+                'e2', SERVICE_OF_SCENE, EngineRole.DECODE
+            )
+            await asyncio.sleep(0.1)
+            board.place(board.endpoints_by_id['e2'])
+            listed = find_listed_versions(board, SERVICE_OF_SCENE)
+            assert listed == {'v1', 'v2'}
+            assert await scene.find_sole() == ''
+
+
+class TestReadingsThatHang:
+    """What callers wait for while the platform answers nothing."""
+
+    @pytest.mark.parametrize('hosts', [6, 195])
+    @virtual_time
+    async def test_reading_that_hangs_is_waited_for_twice(self, hosts):
+        """Peers would answer at once, and are asked only afterwards."""
+        loop = asyncio.get_running_loop()
+
+        async def hang():
+            await asyncio.sleep(CONFIRM_TIMEOUT_S)
+
+        shared = SharedCall(hang, lambda: hosts / MAX_CONFIRMATIONS_PER_S)
+        first = asyncio.create_task(shared.run())
+        await asyncio.sleep(0.01)
+        asked_at = loop.time()
+        await shared.run()
+        await first
+        assert loop.time() - asked_at <= CONFIRM_TIMEOUT_S + 0.01
+
+    @virtual_time
+    async def test_failed_call_that_nobody_awaits_is_reported_unseen(self):
+        loop = asyncio.get_running_loop()
+        unseen = []
+        loop.set_exception_handler(lambda _, context: unseen.append(context))
+
+        async def fail():
+            await asyncio.sleep(0.1)
+            raise ConnectionError('lost')
+
+        shared = SharedCall(fail, lambda: 0.0)
+        leaving = asyncio.create_task(shared.run())
+        await asyncio.sleep(0.05)
+        leaving.cancel()
+        await asyncio.sleep(0.2)
+        shared._running = shared._next = None
+        gc.collect()
+        await asyncio.sleep(0)
+        assert not unseen
