--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -151,7 +151,7 @@
         while True:
             known = self.end_offset
             page = await self._read_from(known)
-            if page.end_offset < self.end_offset:
+            if page.end_offset < known:
                 raise LogUnavailableError('the answer is an old one')
             if self._merge(page):
                 self._tell_changed()
