Confirm nothing just after the start on a platform that came back

Found by the review: a host that starts after the platform came back from an older copy can't know when that was, and concluded at once; a shared call that fails after all who waited have left reported an unseen error. Tests: test_started_host_takes_a_platform_of_an_older_copy_as_whole, test_failed_call_that_nobody_awaits_is_reported_unseen; both failed before.

--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -203,6 +203,9 @@
             await pause(STALE_RETRY_S, self._rng)
             return
         present = {record.key for record in page.records}
+        if not self._whole and not self.end_offset and era_of(page.end_offset):
+            # When the stream came back is not known to a host that has started.
+            self.set_back_at = asyncio.get_running_loop().time()
         changed = self._merge(page)
         changed = self._drop_all_but(present) or changed
         self._whole = True
--- a/mustardscale/shared_call.py
+++ b/mustardscale/shared_call.py
@@ -48,6 +48,7 @@
         """
         if self._next is None:
             self._next = asyncio.create_task(self._run_next(self._running))
+            self._next.add_done_callback(_retrieve_error)
         return await asyncio.shield(self._next)
 
     async def _run_next(
@@ -63,3 +64,9 @@
         self._begun_at = loop.time()
         self.count += 1
         return await self._call()
+
+
+def _retrieve_error(call: asyncio.Task[ResultT]) -> None:
+    """Takes the error of a call for which nobody may wait any more."""
+    if not call.cancelled():
+        call.exception()
