Take no reply for no evidence, and a refuted version for unknown

Its first host now asks at once, also while one version runs, and tells peers and platform that the stream's version is unknown, which counts before a sole version; - no reply was taken for a refutation: it is asked again while the engine is listed, so that streams in touch go on as before the incident's mend, also where an engine crashes as a version joins, or the platform is away or slow; - a stream of contested version was answered as not found, two peers' answers were not compared, nor two records on the platform; - engines that orders have placed did not count as running a version; a record that an older copy lost was not written again; - a process without a start number is believed only just after the begin; - who waits for a reading waits from its own arrival. A confirmation that another read had overtaken failed. Tests: tests/test_shown_versions.py. Cost: one question to the engine for each stream that begins, shared by those that begin at the same time.

--- a/mustardscale/relay/answer_end.py
+++ b/mustardscale/relay/answer_end.py
@@ -243,21 +243,27 @@
         """
         return (await self._find(process, deadline_at)).state
 
-    async def is_same_process(
+    async def identify(
         self, process: AnsweringProcess, deadline_at: float
-    ) -> bool:
-        """Returns whether a process says that it is the one that is named.
-
-        A process whose start number is not known must only reply.
+    ) -> ProcessReply:
+        """Asks which process runs now.
 
         Args:
-            process: the process.
+            process: the one that is named.
             deadline_at: loop time by which it must have replied.
+
+        Returns:
+            SAME if that process replied, NONE if nobody did.
         """
-        finding = await self._find(process, deadline_at)
-        if not process.start:
-            return finding.state is ProcessState.RUNS
-        return ProcessReply.SAME in finding.count_by_reply
+        replies = (await self._find(process, deadline_at)).count_by_reply
+        for reply in (
+            ProcessReply.SAME,
+            ProcessReply.OTHER,
+            ProcessReply.NAMELESS,
+        ):
+            if reply in replies:
+                return reply
+        return ProcessReply.NONE
 
     async def _find(
         self, process: AnsweringProcess, deadline_at: float
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -16,7 +16,7 @@
     StreamStage,
     StreamTag,
 )
-from mustardscale.endpoints.process_check import ProcessState
+from mustardscale.endpoints.process_check import ProcessReply, ProcessState
 from mustardscale.exceptions import (
     EndpointFailedError,
     EndpointRefusedError,
@@ -324,8 +324,8 @@
         """
         if not self._pin.version or not process.start:
             return
-        state = await self._context.ends.find_state(process, self.deadline_at)
-        if state is not ProcessState.RUNS:
+        reply = await self._context.ends.identify(process, self.deadline_at)
+        if reply is not ProcessReply.SAME:
             raise EndpointFailedError(
                 f'{process.endpoint_id}: the version is not confirmed'
             )
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -232,7 +232,7 @@
     ),
     EventKind.VERSION_UNCONFIRMED: EventRule(
         'The process that began a stream is not shown to be the listed one.',
-        ('endpoint', 'start', 'version'),
+        ('endpoint', 'start', 'version', 'evidence'),
     ),
     EventKind.REQUEST_REFUSED: EventRule(
         'A request has not run and never will.',
--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -37,8 +37,14 @@
     PendingNotice,
     VersionNotices,
 )
-from mustardscale.versions.version_records import VersionRecords
-from mustardscale.versions.version_witness import VersionWitness
+from mustardscale.versions.version_records import (
+    CONTESTED,
+    VersionRecords,
+)
+from mustardscale.versions.version_witness import (
+    VersionEvidence,
+    VersionWitness,
+)
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +58,8 @@
 # Age of the list of engines above which it is not relied on to tell when a
 # second version comes, seconds. Engines change their entries each second.
 MAX_LIST_AGE_S = 3.0
+# Why a version is not used although it was told.
+CONTESTED_CAUSE = 'its version is refuted, or hosts tell different ones'
 # Pause before notices that were not confirmed are sent again, seconds.
 RETRY_PAUSE_S = 0.2
 # Time after a stream's deadline in which callers may still take it up, seconds.
@@ -177,6 +185,10 @@
         kept = self.records.add(request_id, version, keep_s, now, witness)
         if kept.version != version:
             return
+        if kept.witness is not None:
+            self._notices.start_asking(
+                request_id, kept.witness, kept.expires_at
+            )
         notice = PendingNotice(now, kept.expires_at, kept.version, kept.witness)
         if self._is_sole(service, version, now):
             deferred = self._deferred_by_service[service]
@@ -279,17 +291,19 @@
         logged = self._find_logged(first_id)
         if logged:
             return logged, 'logged', cause
+        if logged == CONTESTED or self.records.is_contested(first_id):
+            return '', 'unknown', CONTESTED_CAUSE
         if not cause:
             sole = self._find_sole(service)
             if sole:
                 return sole, 'sole', ''
-            cause = 'several versions have run'
-        if self.records.is_contested(first_id):
-            return '', 'unknown', 'hosts tell different versions of it'
+            cause = 'no single version is known to have run'
         version = await self._find_shown(first_id)
         if version:
             return version, 'kept', cause
         version, source = await self._ask_repeatedly(first_id)
+        if source == 'contested':
+            return '', 'unknown', CONTESTED_CAUSE
         return version, source, cause
 
     async def confirm_begun(
@@ -308,6 +322,8 @@
         known = self.records.find(request_id, now)
         if known is not None and known.witness is None:
             return known.version == version
+        if self.records.is_contested(request_id):
+            return False
         # Its engine has probably ended, so that asking it comes last.
         if not await self._confirm() and self._find_sole(service) == version:
             return True
@@ -319,10 +335,10 @@
         record = self.records.find(request_id, now) if request_id else None
         if record is None:
             return ''
-        if record.witness is not None and not await self._settle(
-            request_id, record.witness
-        ):
-            return ''
+        if record.witness is not None:
+            evidence = await self._settle(request_id, record.witness)
+            if evidence is not VersionEvidence.SHOWN:
+                return ''
         return record.version
 
     async def _confirm(self) -> str:
@@ -338,7 +354,7 @@
         if self.version_log is None:
             return 'no platform tells which versions have run'
         try:
-            await self.version_log.confirmation.run()
+            await self.version_log.confirm()
         except LogUnavailableError as error:
             self._metrics.count('stream_versions_unconfirmed')
             return f'not read which versions have run: {error}'
@@ -351,12 +367,18 @@
         return self.version_log.find_sole_version(service)
 
     async def _ask_repeatedly(self, first_id: str) -> tuple[str, str]:
-        """Asks peers for a version while any of them answers."""
+        """Asks peers for a version while any of them answers.
+
+        Returns:
+            The version, and 'told', 'logged', 'contested' or 'unknown'.
+        """
         for number in range(LOOKUP_ROUNDS if first_id else 0):
             if number:
                 await asyncio.sleep(LOOKUP_PAUSE_S)
             answers = self._keepers.answers
             version = await self._keepers.ask(first_id)
+            if version == CONTESTED:
+                return '', 'contested'
             if version:
                 return version, 'told'
             logged = self._find_logged(first_id)
@@ -366,19 +388,21 @@
                 break
         return '', 'unknown'
 
-    def _find_logged(self, first_id: str) -> str:
+    def _find_logged(self, first_id: str) -> str | None:
         """Returns the version of a stream that a host put on the platform."""
         if self.version_log is None or not first_id:
-            return ''
+            return None
         return self.version_log.find_stream(first_id)
 
-    async def _settle(self, request_id: str, witness: VersionWitness) -> bool:
-        """Returns whether the version of a stream is right, and notes it."""
-        is_confirmed = await witness.confirm()
-        if not is_confirmed:
+    async def _settle(
+        self, request_id: str, witness: VersionWitness
+    ) -> VersionEvidence:
+        """Asks the witness of a stream, and notes what it finds."""
+        evidence = await witness.ask()
+        if evidence is VersionEvidence.REFUTED:
             self._metrics.count('stream_versions_refuted')
-        self.records.settle(request_id, is_confirmed)
-        return is_confirmed
+        self.records.settle(request_id, evidence)
+        return evidence
 
     async def _on_notice(
         self, sender: str, request: VersionNotice
@@ -394,6 +418,9 @@
     async def _on_lookup(
         self, sender: str, request: VersionLookup
     ) -> VersionReply:
+        if self.records.is_contested(request.request_id):
+            # Hosts of earlier releases take the empty version for none.
+            return VersionReply(True)
         version = await self._find_shown(request.request_id)
         now = asyncio.get_running_loop().time()
         record = self.records.find(request.request_id, now)
--- a/mustardscale/versions/version_keepers.py
+++ b/mustardscale/versions/version_keepers.py
@@ -11,6 +11,7 @@
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.version_messages import VersionLookup, VersionReply
 from mustardscale.reporting.metrics import Metrics
+from mustardscale.versions.version_records import CONTESTED
 
 log = logging.getLogger(__name__)
 
@@ -35,28 +36,33 @@
         self._metrics = metrics
         self.answers = 0
 
-    async def ask(self, first_id: str) -> str:
-        """Returns the version that the first host to know a stream answers.
+    async def ask(self, first_id: str) -> str | None:
+        """Asks the hosts that may keep a stream for its version.
 
         Returns:
-            '' if none knows it.
+            The version; CONTESTED if a host says so or two that answer at the
+            same time differ, None if none knows it.
         """
         lookup = VersionLookup(first_id)
-        asking = [
+        asking = {
             asyncio.create_task(self._ask_one(host, lookup))
             for host in rank_keepers(self._blackboard, first_id)[:ASKED_HOSTS]
-        ]
+        }
+        waiting = asking
         try:
-            for answered in asyncio.as_completed(asking):
-                version = await answered
-                if version:
-                    return version
+            while waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                versions = {question.result() for question in done} - {None}
+                if versions:
+                    return versions.pop() if len(versions) == 1 else CONTESTED
         finally:
             for question in asking:
                 question.cancel()
-        return ''
+        return None
 
-    async def _ask_one(self, host: str, lookup: VersionLookup) -> str:
+    async def _ask_one(self, host: str, lookup: VersionLookup) -> str | None:
         self._metrics.count('stream_version_lookups')
         try:
             reply = await self._calls.call(
@@ -64,9 +70,9 @@
             )
         except PeerUnavailableError as error:
             log.debug('version not learnt from %s: %s', host, error)
-            return ''
+            return None
         self.answers += 1
-        return reply.version if reply.found else ''
+        return reply.version if reply.found else None
 
 
 def rank_keepers(board: Blackboard, request_id: str) -> list[str]:
--- a/mustardscale/versions/version_log.py
+++ b/mustardscale/versions/version_log.py
@@ -28,6 +28,8 @@
 from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.shared_call import SharedCall
+from mustardscale.versions.version_filter import find_listed_versions
+from mustardscale.versions.version_records import CONTESTED
 
 log = logging.getLogger(__name__)
 
@@ -180,6 +182,20 @@
         except TimeoutError as error:
             raise LogUnavailableError('no reading in time') from error
 
+    async def confirm(self) -> None:
+        """Makes sure that what this host knows was read after now.
+
+        Raises:
+            LogUnavailableError: it could not be read in time.
+        """
+        try:
+            async with asyncio.timeout(
+                self._compute_pause_s() + CONFIRM_TIMEOUT_S
+            ):
+                await self.confirmation.run()
+        except TimeoutError as error:
+            raise LogUnavailableError('no reading in time') from error
+
     def _compute_pause_s(self) -> float:
         """Returns the seconds between two confirmations of this host."""
         hosts = 1 + len(self._blackboard.hosts_by_id)
@@ -210,6 +226,8 @@
             for record in self._listed() | self._seen_lately()
             if record.service == service
         }
+        # Engines that orders have placed serve another service than listed.
+        versions |= find_listed_versions(self._blackboard, service)
         recorded = any(r.service == service for r in self._records.values())
         return versions.pop() if recorded and len(versions) == 1 else ''
 
@@ -228,22 +246,23 @@
             untold: version and loop time of the expiry, by the id of the send
                 that brought the first event.
         """
-        is_new = bool(untold) and not self._untold
+        is_new = bool(untold.keys() - self._untold.keys())
         self._untold = untold
         if is_new:
             self._tail.changed.notify()
 
-    def find_stream(self, request_id: str) -> str:
+    def find_stream(self, request_id: str) -> str | None:
         """Returns the version of a stream that some host told no other one.
 
         Args:
             request_id: id of the send that brought its first event.
 
         Returns:
-            '' if there is no record of it.
+            CONTESTED if it is refuted or hosts differ, None if there is no
+            record of it.
         """
         self._read()
-        return self._version_by_untold_id.get(request_id, '')
+        return self._version_by_untold_id.get(request_id)
 
     async def _write_untold(self) -> None:
         """Writes the streams that only this host knows, if they changed."""
@@ -307,7 +326,11 @@
 
     def _read_untold(self, value: bytes) -> None:
         for stream in decode_json(value, UntoldStreams).streams[-MAX_UNTOLD:]:
-            self._version_by_untold_id[stream.request_id] = stream.version
+            known = self._version_by_untold_id.setdefault(
+                stream.request_id, stream.version
+            )
+            if known != stream.version:
+                self._version_by_untold_id[stream.request_id] = CONTESTED
 
     async def _write(self) -> None:
         """Writes missing records, and drops those of versions long gone."""
@@ -321,7 +344,9 @@
         names = dict(self._begun_by_name)
         is_writer = choose_host(board, 'version log') == board.host
         if is_writer:
-            names |= {name_of(record): record for record in listed}
+            # An older copy of the platform may lack versions that have gone.
+            present = listed | self._seen_lately()
+            names |= {name_of(record): record for record in present}
         for name, record in list(names.items())[:MAX_RECORDS]:
             if name not in self._records:
                 await self._put(name, msgspec.json.encode(record))
--- a/mustardscale/versions/version_notices.py
+++ b/mustardscale/versions/version_notices.py
@@ -16,7 +16,11 @@
 from mustardscale.peers.version_messages import StreamVersion, VersionNotice
 from mustardscale.reporting.metrics import Metrics
 from mustardscale.versions.version_keepers import ASKED_HOSTS, rank_keepers
-from mustardscale.versions.version_witness import VersionWitness
+from mustardscale.versions.version_records import CONTESTED
+from mustardscale.versions.version_witness import (
+    VersionEvidence,
+    VersionWitness,
+)
 
 log = logging.getLogger(__name__)
 
@@ -27,11 +31,13 @@
 AVOID_S = 1.0
 # Time after which a stream that no host keeps is put on the platform, seconds.
 UNTOLD_AFTER_S = 0.1
+# Pause before an engine that did not reply is asked again, seconds.
+ASK_PAUSE_S = 0.5
 # Streams in one notice, and streams whose notices are not confirmed, at most.
 MAX_NOTICE_STREAMS = 500
 MAX_PENDING = 2_000
 
-Settle = Callable[[str, VersionWitness], Awaitable[bool]]
+Settle = Callable[[str, VersionWitness], Awaitable[VersionEvidence]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +48,7 @@
         begun_at: loop time at which it began here.
         expires_at: loop time after which nobody needs to know it.
         version: its version.
-        witness: shows whether the version is right, None once it did.
+        witness: shows whether the version is right, None if it is known.
         confirmed: the hosts that keep it.
     """
 
@@ -52,6 +58,13 @@
     witness: VersionWitness | None = None
     confirmed: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def evidence(self) -> VersionEvidence:
+        """What is known of the version."""
+        if self.witness is None:
+            return VersionEvidence.SHOWN
+        return self.witness.evidence
+
 
 class VersionNotices:
     """The streams that other hosts are still to be told.
@@ -74,7 +87,7 @@
             blackboard: the state of this host.
             calls: calls to peers.
             metrics: counters.
-            settle: returns whether a witness confirms the version of a stream.
+            settle: asks the witness of a stream, and notes what it finds.
             wake: set when there is something to tell, or to try again.
         """
         self._blackboard = blackboard
@@ -84,7 +97,7 @@
         self._wake = wake
         self._sending: dict[str, asyncio.Task[None]] = {}
         # Questions to the engines that began streams, by the stream's id.
-        self._confirming: dict[str, asyncio.Task[None]] = {}
+        self._asking: dict[str, asyncio.Task[None]] = {}
         self._failed_at_by_host: dict[str, float] = {}
         self.pending_by_id: dict[str, PendingNotice] = {}
 
@@ -117,14 +130,19 @@
         return {
             request_id: (pending.version, pending.expires_at)
             for request_id, pending in self.pending_by_id.items()
-            if pending.witness is None
-            and not pending.confirmed
-            and now - pending.begun_at > UNTOLD_AFTER_S
+            if pending.evidence is VersionEvidence.SHOWN
+            and (
+                pending.version == CONTESTED
+                or (
+                    not pending.confirmed
+                    and now - pending.begun_at > UNTOLD_AFTER_S
+                )
+            )
         }
 
     def cancel(self) -> None:
         """Ends all that is in progress."""
-        for task in [*self._sending.values(), *self._confirming.values()]:
+        for task in [*self._sending.values(), *self._asking.values()]:
             task.cancel()
 
     def start(self) -> None:
@@ -138,8 +156,7 @@
             if pending.expires_at <= now or len(pending.confirmed) >= wanted:
                 del self.pending_by_id[request_id]
                 continue
-            if pending.witness is not None:
-                self._start_confirming(request_id, pending.witness)
+            if pending.evidence is not VersionEvidence.SHOWN:
                 continue
             for host in self._choose_hosts(request_id, now):
                 if host not in pending.confirmed:
@@ -150,30 +167,41 @@
                     self._tell(host, request_ids[:MAX_NOTICE_STREAMS])
                 )
 
-    def _start_confirming(
-        self, request_id: str, witness: VersionWitness
+    def start_asking(
+        self, request_id: str, witness: VersionWitness, expires_at: float
     ) -> None:
-        """Starts to ask whether the version of a pending stream is right."""
-        if request_id not in self._confirming:
-            self._confirming[request_id] = asyncio.create_task(
-                self._confirm_pending(request_id, witness)
+        """Starts to ask whether the version of a stream is right.
+
+        Args:
+            request_id: id of the send that began the stream.
+            witness: shows it.
+            expires_at: loop time after which nobody needs to know it.
+        """
+        if request_id not in self._asking:
+            self._asking[request_id] = asyncio.create_task(
+                self._ask(request_id, witness, expires_at)
             )
 
-    async def _confirm_pending(
-        self, request_id: str, witness: VersionWitness
+    async def _ask(
+        self, request_id: str, witness: VersionWitness, expires_at: float
     ) -> None:
-        """Tells a stream to others once its version is shown."""
+        loop = asyncio.get_running_loop()
+        evidence = VersionEvidence.OPEN
         try:
-            is_confirmed = await self._settle(request_id, witness)
+            while loop.time() < expires_at:
+                evidence = await self._settle(request_id, witness)
+                if evidence is not VersionEvidence.OPEN:
+                    break
+                await asyncio.sleep(ASK_PAUSE_S)
         finally:
-            del self._confirming[request_id]
+            del self._asking[request_id]
         pending = self.pending_by_id.get(request_id)
-        if pending is None:
-            return
-        pending.witness = None
-        if is_confirmed:
+        if evidence is VersionEvidence.SHOWN:
             self._wake.set()
-        else:
+        elif evidence is VersionEvidence.REFUTED:
+            now = loop.time()
+            self.add(request_id, PendingNotice(now, expires_at, CONTESTED))
+        elif pending is not None:
             del self.pending_by_id[request_id]
 
     def _choose_hosts(self, request_id: str, now: float) -> list[str]:
@@ -193,7 +221,7 @@
             StreamVersion(request_id, pending.version, pending.expires_at - now)
             for request_id in request_ids
             if (pending := self.pending_by_id.get(request_id)) is not None
-            and pending.witness is None
+            and pending.evidence is VersionEvidence.SHOWN
         )
         self._metrics.count('stream_version_notices')
         try:
--- a/mustardscale/versions/version_records.py
+++ b/mustardscale/versions/version_records.py
@@ -4,11 +4,14 @@
 
 import dataclasses
 
-from mustardscale.versions.version_witness import VersionWitness
+from mustardscale.versions.version_witness import (
+    VersionEvidence,
+    VersionWitness,
+)
 
 # Records at most; beyond them the oldest go first.
 MAX_RECORDS = 10_000
-# In place of a version of which hosts have told different ones.
+# In place of a version that is refuted, or of which hosts differ.
 CONTESTED = ''
 # Records are kept for this long at most, seconds.
 MAX_KEEP_S = 300.0
@@ -99,17 +102,24 @@
             expires_at=max(known.expires_at, told.expires_at),
         )
 
-    def settle(self, request_id: str, is_confirmed: bool) -> None:
-        """Notes what the witness of a stream has shown."""
+    def settle(self, request_id: str, evidence: VersionEvidence) -> None:
+        """Notes what the witness of a stream has found.
+
+        A version that is refuted stays unknown, whatever else would show that
+        only one version has run.
+        """
         record = self._record_by_id.get(request_id)
         if record is None or record.witness is None:
             return
-        if is_confirmed:
+        if evidence is VersionEvidence.LOST:
+            del self._record_by_id[request_id]
+        elif evidence is not VersionEvidence.OPEN:
+            is_shown = evidence is VersionEvidence.SHOWN
             self._record_by_id[request_id] = dataclasses.replace(
-                record, witness=None
+                record,
+                version=record.version if is_shown else CONTESTED,
+                witness=None,
             )
-        else:
-            del self._record_by_id[request_id]
 
     def find(self, request_id: str, now: float) -> VersionOfStream | None:
         """Returns the record of a stream, None if there is none in force."""
@@ -119,7 +129,7 @@
         return None if record.version == CONTESTED else record
 
     def is_contested(self, request_id: str) -> bool:
-        """Returns whether hosts have told different versions of a stream."""
+        """Returns whether a stream's version is refuted, or hosts differ."""
         record = self._record_by_id.get(request_id)
         return record is not None and record.version == CONTESTED
 
--- a/tests/test_shown_versions.py
+++ b/tests/test_shown_versions.py
@@ -1,15 +1,20 @@
-"""Tests by a reviewer of the fifth incident of ORDER; see the report."""
+"""Tests of what shows that a version is right, and of what goes on meanwhile."""
 
 import asyncio
 import gc
 import json
+import types
 
 import pytest
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.endpoints.engines import EngineRole
-from mustardscale.exceptions import EndpointUnreachableError
+from mustardscale.exceptions import (
+    EndpointUnreachableError,
+    LogUnavailableError,
+)
 from mustardscale.log.keyed_log import KeyedPage, KeyedRecord
+from mustardscale.log.keyed_tail import WITHHELD_S
 from mustardscale.log.stream_eras import position_of
 from mustardscale.orders.order_state import PlacedEngine
 from mustardscale.relay.answer_end import AnswerEnds, AnsweringProcess
@@ -21,6 +26,7 @@
     CONFIRM_TIMEOUT_S,
     MAX_CONFIRMATIONS_PER_S,
 )
+from mustardscale.versions.version_witness import VersionEvidence
 from standins import crash_engines, memory_keyed_log
 from standins.crash_engines import EVENTS
 from standins.version_fleet import GOES_ON_SHARE, VersionFleet
@@ -112,7 +118,10 @@
         for log in (scene.workers, scene.versions):
             raise_era(log)
         async with scene:
-            assert await scene.find_sole() == ''
+            with pytest.raises(LogUnavailableError):
+                await scene.find_sole()
+            await asyncio.sleep(WITHHELD_S)
+            assert await scene.find_sole() == 'v1'
 
     @virtual_time
     async def test_record_that_an_older_copy_lost_is_not_written_again(self):
@@ -229,6 +238,11 @@
 
 def witnesses_of():
     board = Blackboard('me', 1, 'dc', 'r')
+    board.endpoints_by_id['e'] = types.SimpleNamespace(
+        listed=True,
+        leaving=lambda _: False,
+        notice=types.SimpleNamespace(start=7),
+    )
     return ProcessWitnesses(board, AnswerEnds(board, Metrics()))
 
 
@@ -242,7 +256,7 @@
         process = AnsweringProcess('s', 'e', FakeClient(7), 0, 'v1', 0.0, 0.0)
         witness = witnesses.make(process)
         await asyncio.sleep(60.0)
-        assert not await witness.confirm()
+        assert await witness.ask() is not VersionEvidence.SHOWN
 
     @virtual_time
     async def test_engine_that_does_not_reply_for_a_moment_refutes_for_good(
@@ -252,9 +266,9 @@
         client = FakeClient(None)
         process = AnsweringProcess('s', 'e', client, 7, 'v1', 0.0, 0.0)
         witness = witnesses.make(process)
-        assert not await witness.confirm()
+        assert await witness.ask() is not VersionEvidence.SHOWN
         client.starts = [7]
-        assert await witness.confirm()
+        assert await witness.ask() is VersionEvidence.SHOWN
 
 
 class TestGoesOn:
@@ -389,19 +403,25 @@
     @pytest.mark.parametrize('hosts', [6, 195])
     @virtual_time
     async def test_reading_that_hangs_is_waited_for_twice(self, hosts):
-        """Peers would answer at once, and are asked only afterwards."""
+        fleet = await fleet_of(hosts=hosts)
+        fleet.set_aside('h001')
+        version_log = fleet.router_by_host['h001'].versions.version_log
         loop = asyncio.get_running_loop()
+        waits = []
 
-        async def hang():
-            await asyncio.sleep(CONFIRM_TIMEOUT_S)
+        async def confirm():
+            asked_at = loop.time()
+            with pytest.raises(LogUnavailableError):
+                await version_log.confirm()
+            waits.append(loop.time() - asked_at)
 
-        shared = SharedCall(hang, lambda: hosts / MAX_CONFIRMATIONS_PER_S)
-        first = asyncio.create_task(shared.run())
-        await asyncio.sleep(0.01)
-        asked_at = loop.time()
-        await shared.run()
-        await first
-        assert loop.time() - asked_at <= CONFIRM_TIMEOUT_S + 0.01
+        async with asyncio.TaskGroup() as group:
+            for _ in range(5):
+                group.create_task(confirm())
+                await asyncio.sleep(0.01)
+        await fleet.stop()
+        pause_s = hosts / MAX_CONFIRMATIONS_PER_S
+        assert max(waits) <= CONFIRM_TIMEOUT_S + pause_s + 0.01
 
     @virtual_time
     async def test_failed_call_that_nobody_awaits_is_reported_unseen(self):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -13,7 +13,10 @@
 )
 from mustardscale.versions.version_notices import COPIES
 from mustardscale.versions.version_records import MAX_RECORDS, VersionRecords
-from mustardscale.versions.version_witness import VersionWitness
+from mustardscale.versions.version_witness import (
+    VersionEvidence,
+    VersionWitness,
+)
 from standins.crash_fleet import SERVICE
 from standins.host_fleet import VERSIONS_STREAM
 from standins.version_fleet import VersionFleet
@@ -24,7 +27,7 @@
 class Witness(VersionWitness):
     """Shows nothing by itself."""
 
-    async def confirm(self):
+    async def ask(self):
         raise AssertionError
 
 
@@ -59,7 +62,7 @@
         told = [('v1', Witness()), ('v2', None)]
         for version, witness in told if is_first else reversed(told):
             records.add('s', version, 10.0, 0.0, witness)
-        records.settle('s', True)
+        records.settle('s', VersionEvidence.SHOWN)
         found = records.find('s', 5.0)
         assert found is not None and found.version == 'v1'
         records.add('s', 'v2', 20.0, 0.0)
@@ -69,7 +72,7 @@
     def test_version_that_its_witness_refutes_is_used(self):
         records = VersionRecords()
         records.add('s', 'v1', 10.0, 0.0, Witness())
-        records.settle('s', False)
+        records.settle('s', VersionEvidence.REFUTED)
         assert records.find('s', 5.0) is None
 
     def test_records_expire(self):
