--- a/tests/test_shown_versions.py
+++ b/tests/test_shown_versions.py
@@ -1,4 +1,4 @@
-"""Tests of what shows that a version is right, and of what goes on meanwhile."""
+"""Tests of what shows a version, and of what goes on meanwhile."""
 
 import asyncio
 import gc
