--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -263,7 +263,9 @@
 
     def controller(self):
         board = Blackboard('host', 1, 'dc', 'region')
-        source = types.SimpleNamespace(regained_at=float('-inf'), version=1)
+        source = types.SimpleNamespace(
+            regained_at=float('-inf'), version=1, take_passed=list
+        )
         return board, HostListController(
             board, source, MembershipTimes(), random.Random(1)
         )
--- a/tests/test_stream_eras.py
+++ b/tests/test_stream_eras.py
@@ -341,6 +341,7 @@
         class Source:
             regained_at = float('-inf')
             version = 1
+            take_passed = list
 
         return board, HostListController(
             board, Source(), MembershipTimes(), random.Random(1)
