Learn within the bound of a record that ends no read that waits

So the record ended no read that waited, and a read may wait for 20 s; `current` was true all the while. Seen from outside only: why the store does not answer these reads is not known.

Ruled out: the grace for entries that expired (no host had regained the stream within 13.0 s and 15.0 s), a lost wake-up between tail and host list (the page came late, not the wake-up), links (none was harmed).

Change: in a mesh two hosts (the first by the rank of hubs) read the operator's and the workers' stream with waits of 0.9 s; heartbeats of a mesh say how far each host has read these streams; whoever is behind copies from any that is ahead, as beyond 12 hosts. A change is known after 0.9 s, a heartbeat (0.4 s) and a copy at most, also where a host's link to the store keeps all bytes back. A host that cannot read the store still counts as unable to: peers' reports do not make a stream current there.

--- a/mustardscale/hosts/heartbeat_hubs.py
+++ b/mustardscale/hosts/heartbeat_hubs.py
@@ -31,6 +31,8 @@
 HUB_COUNT = 5
 # Number of hubs that read the platform's streams for all hosts.
 READER_COUNT = 3
+# Number of hosts of a mesh that read urgent streams with short waits.
+MESH_READER_COUNT = 2
 
 # Number of its own views that a hub keeps, so that it can send a peer only the
 # changes since the view that the peer knows.
@@ -57,7 +59,8 @@
 
     Attributes:
         hub_ids: the present hubs; all hosts in a mesh.
-        reader_ids: the hubs that read the platform's streams for all hosts.
+        reader_ids: the hubs that read the platform's streams for all hosts; in
+            a mesh the hosts that read urgent streams with short waits.
         is_mesh: whether all pairs exchange heartbeats.
     """
 
@@ -102,9 +105,10 @@
         self._candidates = capacity_by_id
         hosts = frozenset(capacity_by_id)
         self.is_mesh = len(hosts) <= MAX_MESH_HOSTS
-        ranked = [] if self.is_mesh else rank_hosts(board, _HUBS_KEY, hosts)
+        ranked = rank_hosts(board, _HUBS_KEY, hosts)
         self.hub_ids = hosts if self.is_mesh else frozenset(ranked[:HUB_COUNT])
-        self.reader_ids = frozenset(ranked[:READER_COUNT])
+        readers = MESH_READER_COUNT if self.is_mesh else READER_COUNT
+        self.reader_ids = frozenset(ranked[:readers])
         for hub in set(self._view_by_hub) - self.hub_ids:
             del self._view_by_hub[hub]
 
@@ -128,7 +132,7 @@
 
     @property
     def is_reader(self) -> bool:
-        """Whether this host reads the platform's streams for all hosts."""
+        """Whether this host is one of the readers."""
         return self._blackboard.host in self.reader_ids
 
     def update_view(self) -> None:
--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -3,6 +3,10 @@
 Some of the hubs read the streams and report in their heartbeats how far they
 have read. The other hosts copy new records from these readers, and read a
 stream themselves only while no reader has read it recently.
+
+In a mesh each host reads the streams itself. A read that waits shows nothing
+until it ends, and a record may fail to end it. So the readers of a mesh wait
+only briefly at urgent streams, and each host copies from any one that is ahead.
 """
 
 from __future__ import annotations
@@ -109,16 +113,19 @@
                 for tail in self._tail_by_stream.values():
                     tail.read_anew()
             for stream, tail in self._tail_by_stream.items():
-                if not self._hubs.is_reader:
+                if self._hubs.is_mesh or not self._hubs.is_reader:
                     await self._catch_up(stream, tail)
             await self._reader_ahead.wait(CHECK_INTERVAL_S)
 
     def statuses(self, now: float) -> tuple[StreamStatus, ...]:
-        """Returns how far this host has read the streams, if it is a reader."""
-        if not self._hubs.is_reader:
+        """Returns how far this host has read the streams, if others need it."""
+        is_mesh = self._hubs.is_mesh
+        if not (is_mesh or self._hubs.is_reader):
             return ()
         return tuple(
-            _make_status(tail, now) for tail in self._tail_by_stream.values()
+            _make_status(tail, now)
+            for tail in self._tail_by_stream.values()
+            if tail.is_urgent or not is_mesh
         )
 
     def merge_statuses(
@@ -142,18 +149,21 @@
     def _apply_status(
         self, tail: KeyedTail, reported: _ReaderStatus, now: float
     ) -> None:
-        if self._hubs.is_reader:
+        is_mesh = self._hubs.is_mesh
+        if self._hubs.is_reader and not is_mesh:
             return
         if reported.end_offset > tail.end_offset:
             self._behind_since.setdefault(tail.stream, now)
             self._reader_ahead.notify()
-        elif now - reported.read_at <= MAX_READ_AGE_S:
+        elif not is_mesh and now - reported.read_at <= MAX_READ_AGE_S:
             tail.note_covered(reported.regained_at, reported.read_at)
 
-    def wait_s(self) -> float:
+    def wait_s(self, stream: str) -> float:
         """See the base class."""
         if self._hubs.is_mesh:
-            return LONG_POLL_S
+            is_urgent = self._tail_by_stream[stream].is_urgent
+            is_brief = is_urgent and self._hubs.is_reader
+            return READER_POLL_S if is_brief else LONG_POLL_S
         return READER_POLL_S if self._hubs.is_reader else UNCOVERED_POLL_S
 
     def is_covered(self, stream: str) -> bool:
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -38,7 +38,7 @@
     """How the hosts share the reading of streams."""
 
     @abc.abstractmethod
-    def wait_s(self) -> float:
+    def wait_s(self, stream: str) -> float:
         """Returns the seconds for which a read waits for a record."""
 
     @abc.abstractmethod
@@ -53,7 +53,7 @@
 class _ReadAlone(StreamReading):
     """Each host reads all streams itself."""
 
-    def wait_s(self) -> float:
+    def wait_s(self, stream: str) -> float:
         return LONG_POLL_S
 
     def is_covered(self, stream: str) -> bool:
@@ -79,6 +79,8 @@
         read_at: loop time at which nothing newer was known to be there.
         proved_at: the same, also by a peer's reading, minus infinity if never.
         reading: how hosts share the reading.
+        is_urgent: whether hosts must learn of a change within seconds, also
+            of one that ends no read that waits.
         keeps_replaced: whether values that newer ones replace are kept until
             they are taken.
     """
@@ -125,6 +127,7 @@
         self.read_at = -math.inf
         self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
+        self.is_urgent = False
         self.keeps_replaced = False
         self._replaced: list[tuple[str, bytes]] = []
 
@@ -225,7 +228,7 @@
 
     async def _read_more(self) -> None:
         # After an outage an answer must come at once, to know its end.
-        wait_s = self.reading.wait_s() if self.current else 0.0
+        wait_s = self.reading.wait_s(self._stream) if self.current else 0.0
         self._call = asyncio.create_task(
             self._client.read(self._stream, self.end_offset, wait_s)
         )
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -227,6 +227,8 @@
             (names.VERSIONS_TOPIC, 0.0),
         )
     }
+    for topic in (names.OPERATOR_TOPIC, names.WORKERS_TOPIC):
+        tails[topic].is_urgent = True
     edges = RelayEdges(
         StoreLog(client),
         StoreHostList(
--- a/tests/test_heartbeat_hubs.py
+++ b/tests/test_heartbeat_hubs.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from mustardscale.hosts.heartbeat_hubs import HUB_COUNT, MAX_MESH_HOSTS
+from mustardscale.hosts.heartbeat_hubs import (
+    HUB_COUNT,
+    MAX_MESH_HOSTS,
+    MESH_READER_COUNT,
+)
 from mustardscale.hosts.membership import MembershipTimes
 from mustardscale.hosts.quorum import QUORUM_LEASE_S
 from tests.test_membership import count_requests, start_site
@@ -64,6 +68,16 @@
         assert set(views(site)) == {tuple(sorted(site.routers_by_host))}
         await site.stop()
 
+    @virtual_time
+    async def test_mesh_has_no_hosts_that_read_with_short_waits(self):
+        site = await start_site(7)
+        chosen = {
+            router.heartbeats.hubs.reader_ids
+            for router in site.routers_by_host.values()
+        }
+        assert [len(readers) for readers in chosen] == [MESH_READER_COUNT]
+        await site.stop()
+
     @virtual_time
     async def test_no_host_is_lost_without_a_fault(self):
         site = await start_site(HOSTS)
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -16,13 +16,15 @@
     StreamCopies,
 )
 from mustardscale.log.keyed_log import KeyedRecord
-from mustardscale.log.keyed_tail import COPY_BYTES, KeyedTail
+from mustardscale.log.keyed_tail import COPY_BYTES, LONG_POLL_S, KeyedTail
 from mustardscale.peers.stream_messages import StreamFetch
 from tests.test_keyed_tail import FakeLog
 from tests.virtual_time import virtual_time
 
 STREAM = 'stream'
 HEARTBEAT_S = 0.4
+# Time within which a change must take effect, seconds.
+CHANGE_BOUND_S = 2.0
 # Time for a heartbeat and a copy that fails once, seconds.
 SOON_S = HEARTBEAT_S + FETCH_TIMEOUT_S + 0.1
 
@@ -61,9 +63,9 @@
         board = Blackboard(name, 1, 'dc', 'region')
         rng = random.Random(name)
         self.tail = KeyedTail(board, log, STREAM, rng)
-        self.copies = StreamCopies(
-            board, self, FakeHubs(name, fleet.hub_ids), [self.tail], rng
-        )
+        self.tail.is_urgent = True
+        hubs = FakeHubs(name, fleet.hub_ids, fleet.is_mesh)
+        self.copies = StreamCopies(board, self, hubs, [self.tail], rng)
         self._fleet = fleet
 
     def handle(self, request_type, handler):
@@ -80,7 +82,8 @@
 class Fleet:
     """Hubs and followers of one stream, with heartbeats between them."""
 
-    def __init__(self, hubs=2, followers=10):
+    def __init__(self, hubs=2, followers=10, is_mesh=False):
+        self.is_mesh = is_mesh
         self.hub_ids = [f'hub{number}' for number in range(hubs)]
         self.log = CountingLog()
         names = self.hub_ids + [f'f{number}' for number in range(followers)]
@@ -104,12 +107,13 @@
     async def _send_heartbeats(self):
         while True:
             now = asyncio.get_running_loop().time()
-            for name, hub in zip(self.hub_ids, self.hubs, strict=True):
-                if hub.mute:
+            for name, host in self.host_by_id.items():
+                if host.mute or not (self.is_mesh or host in self.hubs):
                     continue
-                statuses = hub.copies.statuses(now)
-                for follower in self.followers:
-                    follower.copies.merge_statuses(name, statuses, now)
+                statuses = host.copies.statuses(now)
+                for peer in self.host_by_id.values():
+                    if peer not in (self.hubs if not self.is_mesh else [host]):
+                        peer.copies.merge_statuses(name, statuses, now)
             await asyncio.sleep(HEARTBEAT_S)
 
     def values(self):
@@ -246,6 +250,76 @@
                 assert follower.tail.value_by_key == {'a': b'%d' % number}
 
 
+class DeafLog(CountingLog):
+    """A stream whose new records end no read that waits."""
+
+    def __init__(self, records):
+        super().__init__()
+        self.records = records
+
+
+class TestMesh:
+    """Hosts of which each reads the streams itself."""
+
+    @virtual_time
+    async def test_record_that_ends_no_read_is_known_late(self):
+        fleet = Fleet(is_mesh=True)
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            for number in range(20):
+                await asyncio.sleep(0.13 * number)
+                fleet.log.records.append(
+                    KeyedRecord('a', b'%d' % number, number + 2)
+                )
+                await asyncio.sleep(CHANGE_BOUND_S)
+                known = {'a': b'%d' % number}
+                assert all(value == known for value in fleet.values())
+
+    @virtual_time
+    async def test_record_that_a_peer_has_read_is_known_late(self):
+        fleet = Fleet(is_mesh=True)
+        fleet.log.put_now('a', b'1')
+        deaf = DeafLog(fleet.log.records)
+        for follower in fleet.followers[1:]:
+            follower.tail._client = deaf
+        async with fleet.running():
+            await asyncio.sleep(3.3)
+            for reader in fleet.hubs:
+                reader.tail._client = CountingLog()
+                reader.tail._client.down = True
+                reader.tail.read_anew()
+            fleet.log.put_now('a', b'2')
+            await asyncio.sleep(SOON_S)
+            assert all(value == {'a': b'2'} for value in fleet.values())
+
+    @virtual_time
+    async def test_only_readers_ask_often_while_nothing_changes(self):
+        fleet = Fleet(is_mesh=True)
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(5.0)
+            before = fleet.log.reads
+            await asyncio.sleep(60.0)
+            polls = len(fleet.hubs) * 60 / READER_POLL_S
+            polls += len(fleet.followers) * 60 / LONG_POLL_S
+            assert fleet.log.reads - before <= polls + len(fleet.host_by_id)
+
+    @virtual_time
+    async def test_host_without_the_store_knows_that_it_is_without(self):
+        fleet = Fleet(is_mesh=True)
+        fleet.log.put_now('a', b'1')
+        cut = fleet.followers[0]
+        async with fleet.running():
+            await asyncio.sleep(3.3)
+            cut.tail._client = CountingLog()
+            cut.tail._client.down = True
+            cut.tail.read_anew()
+            fleet.log.put_now('a', b'2')
+            await asyncio.sleep(SOON_S)
+            assert cut.tail.value_by_key == {'a': b'2'}
+            assert cut.tail.is_lost
+
+
 def make_tail(log):
     board = Blackboard('h', 1, 'dc', 'region')
     return KeyedTail(board, log, STREAM, random.Random(1))
