Show a stream of two versions of the own interface behind an old host list

What a caller would get: a stream of the own interface whose engine crashes goes on at an engine of another version, with no sign of it.

Cause: the version of a stream, and of the engines that may go on with it, is what the host list named when it was read last. While the list cannot be read, or lags, an engine that starts again under its id keeps its old version here, though its load reports show another start number. An old list is taken for one that still holds.

Evidence: the new test fails on this code (list unavailable, three of four engines of v1 begin anew as v2, 3 s before the first of four streams).

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,12 +1,15 @@
 """Tests that streams go on only at engines of the version that began them."""
 
 import asyncio
+import contextlib
 
 import pytest
 
+from mustardscale.endpoints.engines import EngineRole
 from mustardscale.exceptions import OutcomeError
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
+from standins.faults import Outage
 from standins.memory_site import SiteLayout
 from standins.version_fleet import GOES_ON_SHARE, VersionFleet
 from tests.test_memory_site import language, run, whole
@@ -128,6 +131,33 @@
         )
         run(scenario, layout=layout)
 
+    def test_stream_of_an_engine_that_began_anew_unseen_mixes_versions(self):
+        async def scenario(site):
+            router = site.routers_by_host['entry-1']
+            site.host_list.conditions.outage = Outage.HANG
+            version_by_id = {}
+            # The engines of v1 but one start again under their ids with v2.
+            decode = [
+                listed
+                for listed in site.listed_by_id().values()
+                if listed.role is EngineRole.DECODE
+            ]
+            for listed in decode:
+                version_by_id[listed.id] = 'v1'
+            for listed in decode[1:]:
+                version_by_id[listed.id] = 'v2'
+                site.engines_by_id[listed.id].kill(0.0)
+            await asyncio.sleep(3.0)
+            seen = []
+            for number in range(4):
+                with contextlib.suppress(OutcomeError):
+                    engines = await self.crash_in_stream(site, router, number)
+                    seen.append({version_by_id[name] for name in engines})
+            assert all(len(versions) == 1 for versions in seen)
+
+        layout = SiteLayout(decode_engines=4, versions=('v1',))
+        run(scenario, layout=layout)
+
     async def crash_in_stream(self, site, router, number):
         """Ends the engine of a stream; returns the engines that wrote it."""
         request = language(number, 300)
