Count hosts that a peer took off the list until they had time to return

What could go wrong: ONE, trials of quarantined requests, the lease of streams. A host that is cut off from its peers, but not from the store, takes them off the list after 15 s of silence. From then on the list names it alone, it needs no answer, and it holds a quorum at once, beside the majority that goes on without it. An (almost) empty list was taken for a proof that the others have ended.

A majority as a condition for taking off was ruled out: after the loss of most machines nobody could take them off, and no host would have a quorum again.

Change: a host counts for the quorum until 5 s after the list named it last. One that runs and can write the list is back on it within 2 s (its check) and a read. Hosts that said that they drain do not count, as before. Nor is a host forgotten (60 s of silence) while it counts.

Price: after the loss of most hosts, 5 s more until engine changes and trials go on.

Tests of orders, directory, quarantine, membership, heartbeats, suspension and lists pass.

Left: a host that is cut off for long and whose peers are cut off from the store.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -88,6 +88,7 @@
         operators_address: 'ip:port' for operators.
         incarnation: start number of its process, 0 while unknown.
         listed: whether the host list names it.
+        listed_at: loop time at which the host list last named it.
         draining: whether it takes no new requests.
         heard_at: loop time of the last heartbeat.
         told_at: loop time of the last heartbeat that a peer tells of.
@@ -113,6 +114,7 @@
     capacity: float = 1.0
     incarnation: int = 0
     listed: bool = True
+    listed_at: float = -math.inf
     draining: bool = False
     heard_at: float = -math.inf
     told_at: float = -math.inf
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -12,6 +12,7 @@
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.hosts.host_list import HostList, ListedHost, ListedKind
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.hosts.quorum import counts_as_listed
 from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
@@ -162,8 +163,10 @@
         listed_ids = {host.id for host in entries}
         for known in list(hosts_by_id.values()):
             known.listed = known.id in listed_ids
+            if known.listed:
+                known.listed_at = now
             gone = known.silent and now - known.silent_since > FORGET_AFTER_S
-            if not known.listed and gone:
+            if gone and not counts_as_listed(known, now):
                 del hosts_by_id[known.id]
                 changed = True
         return changed
--- a/mustardscale/hosts/quorum.py
+++ b/mustardscale/hosts/quorum.py
@@ -6,7 +6,7 @@
 import logging
 import math
 
-from mustardscale.blackboard import Blackboard
+from mustardscale.blackboard import Blackboard, HostEntry
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs, confirmed_live_at
 from mustardscale.peers.peer_messages import Heartbeat
 from mustardscale.suspension import suspended_s
@@ -17,11 +17,20 @@
 # majority of the listed hosts answered a heartbeat that it sent within this
 # time, seconds. This is less than the silence after which it counts as dead.
 QUORUM_LEASE_S = 2.0
+# Time within which a host that runs is back on the list after a peer has taken
+# it off, seconds. Until then its absence does not show that it has ended: a
+# host that is cut off from its peers, but not from the list, takes them off.
+BACK_ON_LIST_S = 5.0
 # A shorter suspension of the machine can not be distinguished from an error of
 # the clocks, seconds.
 MIN_SUSPENSION_S = 0.2
 
 
+def counts_as_listed(host: HostEntry, now: float) -> bool:
+    """Returns whether a host is listed, or may soon be back on the list."""
+    return host.listed or now - host.listed_at <= BACK_ON_LIST_S
+
+
 def has_quorum(board: Blackboard, now: float) -> bool:
     """Returns whether a majority of the hosts considers this one live now.
 
@@ -121,12 +130,12 @@
     def _compute_from_answers(self, now: float) -> float:
         """Returns the latest send time answered by a majority of the hosts.
 
-        Only listed hosts that are not draining count.
+        Only hosts that are listed, or were lately, and are not draining count.
         """
         answered = [
             self._answered_sent_at_by_host.get(host.id, -math.inf)
             for host in self._blackboard.hosts_by_id.values()
-            if host.listed and not host.draining
+            if counts_as_listed(host, now) and not host.draining
         ]
         needed = (len(answered) + 1) // 2
         return sorted(answered, reverse=True)[needed - 1] if needed else now
--- a/tests/test_hosts_lists.py
+++ b/tests/test_hosts_lists.py
@@ -16,6 +16,8 @@
     HostRegistration,
 )
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.hosts.quorum import Quorum, has_quorum
+from tests.test_suspension import Mesh
 from tests.virtual_time import virtual_time
 
 
@@ -275,3 +277,53 @@
         await asyncio.sleep(3.0)
         assert scene.list.announced[:2] == ['me', 'me']
         scene.stop()
+
+
+class SharedList(FakeList):
+    """A list that live hosts keep themselves, and that one host may empty."""
+
+    async def retire(self, host):
+        await super().retire(host)
+        kept = [listed for listed in self.listed if listed.id != host]
+        self.set(*kept)
+
+
+class TestEmptyList:
+    """A host that is cut off from its peers, but not from the list."""
+
+    async def cut_off(self, returns_after_s=None):
+        """Plays a minute; returns when the host held a quorum."""
+        scene = Scene()
+        scene.controller._host_list = scene.list = SharedList(
+            *map(entry_host, ('me', 'x', 'y', 'z'))
+        )
+        registration = HostRegistration(
+            scene.board, scene.list, scene.controller, scene.rng
+        )
+        scene.tasks.append(asyncio.create_task(registration.run()))
+        quorum = Quorum(scene.board, Mesh())
+        held_at = []
+        for step in range(600):
+            await asyncio.sleep(0.1)
+            quorum.update()
+            now = asyncio.get_running_loop().time()
+            if has_quorum(scene.board, now):
+                held_at.append(now)
+            known = {host.id for host in scene.list.listed}
+            gone = {'x', 'y', 'z'} - known
+            if returns_after_s is not None and gone:
+                announce = scene.list.set, *scene.list.listed
+                if step % round(returns_after_s * 10) == 0:
+                    announce[0](*announce[1:], *map(entry_host, sorted(gone)))
+        scene.stop()
+        return held_at
+
+    @virtual_time
+    async def test_host_that_took_its_peers_off_the_list_has_a_quorum(self):
+        assert await self.cut_off(returns_after_s=2.5) == []
+
+    @virtual_time
+    async def test_host_whose_peers_are_gone_never_has_a_quorum(self):
+        held_at = await self.cut_off()
+        assert held_at
+        assert RETIRE_AFTER_S < held_at[0] < RETIRE_AFTER_S + 10.0
