Wait less at urgent streams where no hub is heard

What could go wrong: DRAIN and CONFIG at sites with more than 12 hosts. A host that can rely on no reader reads the store itself, with waits of 5 s.

Change: the operator's and the workers' stream are read with waits of 1.5 s there. Price: while no reader is heard, at most 195 x 2 / 1.5 = 260 reads a second by calculation, of 2,000; none while readers are heard. Not measured at 195 hosts.

Evidence: TestUnendedReads.test_record_is_known_late_while_the_hubs_are_silent fails without the change (seen); tests of copies and of hubs pass with it.

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -45,6 +45,9 @@
 # Time for which a read by a host that can not rely on a reader waits for a
 # record, seconds.
 UNCOVERED_POLL_S = 5.0
+# The same at urgent streams, seconds. A record may fail to end the read, and
+# must take effect all the same.
+UNCOVERED_URGENT_POLL_S = 1.5
 FETCH_TIMEOUT_S = 0.5
 # Interval at which a host checks whether it has become a reader, seconds.
 CHECK_INTERVAL_S = 0.5
@@ -160,11 +163,13 @@
 
     def wait_s(self, stream: str) -> float:
         """See the base class."""
+        is_urgent = self._tail_by_stream[stream].is_urgent
         if self._hubs.is_mesh:
-            is_urgent = self._tail_by_stream[stream].is_urgent
             is_brief = is_urgent and self._hubs.is_reader
             return READER_POLL_S if is_brief else LONG_POLL_S
-        return READER_POLL_S if self._hubs.is_reader else UNCOVERED_POLL_S
+        if self._hubs.is_reader:
+            return READER_POLL_S
+        return UNCOVERED_URGENT_POLL_S if is_urgent else UNCOVERED_POLL_S
 
     def is_covered(self, stream: str) -> bool:
         """See the base class."""
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -250,6 +250,28 @@
                 assert follower.tail.value_by_key == {'a': b'%d' % number}
 
 
+class TestUnendedReads:
+    """Records that end no read that waits, while no hub is heard."""
+
+    @virtual_time
+    async def test_record_is_known_late_while_the_hubs_are_silent(self):
+        fleet = Fleet()
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(30.0)
+            for hub in fleet.hubs:
+                hub.mute = True
+            await asyncio.sleep(MAX_READ_AGE_S)
+            for number in range(20):
+                await asyncio.sleep(0.13 * number)
+                fleet.log.records.append(
+                    KeyedRecord('a', b'%d' % number, number + 2)
+                )
+                await asyncio.sleep(CHANGE_BOUND_S)
+                known = {'a': b'%d' % number}
+                assert all(value == known for value in fleet.values())
+
+
 class DeafLog(CountingLog):
     """A stream whose new records end no read that waits."""
 
