Go on with a cut stream at the only engine, which has the rest

Callers saw a resumable stream without length and chunks break off although its second run, at the only engine, had just shown that the rest is there.

Cause: whatever breaks a run excludes its engine from the further attempts. Here the run's path failed, not the engine: the same process brought a later event. Ruled out: handing on the second run's events (it is read to tell an end only, and may itself be cut).

Change: a second run that goes on raises EndpointHasRestError; its engine is excluded only while another decode engine takes work. The further run needs a retry and counts for max_attempts as before, so it reaches no further engine.

tests/test_repeated_runs.py, TestTheOnlyWorker: 2 of 2 failed before (xfail), 2 of 2 passed after. test_repeated_end, test_stream_relay, test_joined_runs, test_stream_order, test_closed_links, test_known_red, test_layers and test_naming passed once. x86_64, load about 13.

--- a/mustardscale/exceptions.py
+++ b/mustardscale/exceptions.py
@@ -61,6 +61,10 @@
         self.crashed = crashed
 
 
+class EndpointHasRestError(EndpointFailedError):
+    """An answer was cut short, and the endpoint that gave it has the rest."""
+
+
 class EndpointRefusedError(MustardscaleError):
     """The endpoint answered that it did not take the work.
 
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -19,6 +19,7 @@
 from mustardscale.endpoints.process_check import ProcessState
 from mustardscale.exceptions import (
     EndpointFailedError,
+    EndpointHasRestError,
     EndpointRefusedError,
     EndpointUnreachableError,
     MustardscaleError,
@@ -564,6 +565,31 @@
             raise
         return answer
 
+    def find_failed(self, failure: EndpointFailedError) -> str:
+        """Returns the engine that must not go on with a stream, '' if none.
+
+        An engine that has the rest of a stream goes on with it if no other
+        one can.
+        """
+        context = self._context
+        engine_id = self.served.decode
+        if not isinstance(failure, EndpointHasRestError):
+            return engine_id
+        excluded = {
+            engine_id,
+            *self.progress.excluded,
+            *self._pin.find_other_engines(),
+            *self._older_engines(),
+        }
+        engines = context.endpoints(self._service.name, ListedKind.ENGINE)
+        others = any(
+            engine.role is not EngineRole.PREFILL
+            and engine.id not in excluded
+            and context.takes_work(engine.id)
+            for engine in engines
+        )
+        return engine_id if others else ''
+
     async def record_failure(
         self, engine_id: str, error: MustardscaleError, ran: bool
     ) -> None:
--- a/mustardscale/relay/stream_end.py
+++ b/mustardscale/relay/stream_end.py
@@ -6,7 +6,11 @@
 import contextlib
 
 from mustardscale.endpoints.answer_framing import AnswerFraming
-from mustardscale.exceptions import EndpointFailedError, OutcomeError
+from mustardscale.exceptions import (
+    EndpointFailedError,
+    EndpointHasRestError,
+    OutcomeError,
+)
 from mustardscale.relay.answer_end import STREAM_OUTLIVE
 from mustardscale.relay.event_splitter import EventSplitter
 from mustardscale.relay.relay_context import RelayContext
@@ -195,6 +199,7 @@
             # The end of a process cuts its own answers only.
             await self._attempts.require_same_process()
             self._context.ends.record_cut()
+            raise EndpointHasRestError(f'another run ended: {found}')
         if found is not RepeatedEnd.SAME:
             raise EndpointFailedError(f'another run ended: {found}')
         if repeated.framing is AnswerFraming.CONNECTION:
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -508,7 +508,9 @@
             OutcomeError: the stream cannot be resumed.
         """
         attempts = self._attempts
-        await attempts.record_failure(self.served.decode, failure, ran=True)
+        await attempts.record_failure(
+            attempts.find_failed(failure), failure, ran=True
+        )
         if not self._may_resume:
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(failure))
         if not self._splitter.is_resumable:
