Take no answer for whole that ended in front of its request

Callers saw: a part of an answer as a whole 200. A worker answered a long request at once without a length or chunks, sent a part and closed its side of the connection (a reset came later, or none) while the host was still writing the request to it.

Cause: the end of the connection counted as the end of the answer wherever no reset was seen and the worker's process still replied. Whether the worker had read what it answered was not asked.

Why this works: the end of a connection acknowledges all that its sender has received before it, so a worker that read its request leaves nothing unacknowledged at that point. What the transport and the system still hold then (SIOCOUTQ) never reached it. Such an answer has failed: 502, unknown, a further attempt where the route allows it, and a stream breaks off or goes on elsewhere. The same in front of endpoints of the own interface.

Ruled out: asking aiohttp whether its task still writes the body. The system takes up to megabytes of it, and the task is done.

A request that fits into the worker's receive buffer unread is not told from one that was read.

--- a/mustardscale/endpoints/answer_framing.py
+++ b/mustardscale/endpoints/answer_framing.py
@@ -66,6 +66,24 @@
     return response.find_connection_ended_after()
 
 
+def require_request_read(response: aiohttp.ClientResponse) -> None:
+    """Requires that an answer did not end in front of its request.
+
+    An endpoint that has read a request has acknowledged it before the end of
+    the answer. One that ends its answer earlier may just have broken off, so
+    readers of an answer that the end of its connection delimits ask here.
+
+    Raises:
+        EndpointFailedError: part of the request had not arrived.
+    """
+    assert isinstance(response, ObservedResponse)
+    unsent = response.count_unsent_bytes()
+    if unsent:
+        raise EndpointFailedError(
+            f'the answer ended before {unsent} bytes of its request arrived'
+        )
+
+
 def find_reset(response: aiohttp.ClientResponse) -> str:
     """Returns the error that ended an answer's connection, '' if none did.
 
--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -14,6 +14,7 @@
 
 from mustardscale.endpoints.loop_rounds import LoopRounds
 from mustardscale.endpoints.tcp_connect import open_socket
+from mustardscale.endpoints.unsent_bytes import count_unsent_bytes
 
 # Bytes of an answer that are no content (heads, chunk sizes, chunk extensions,
 # trailers): a fixed allowance, and so many for each byte of content. A chunk of
@@ -48,11 +49,14 @@
     Attributes:
         ended_after: loop time before which the other side had not ended the
             connection, negative infinity if it has not done so yet.
+        unsent_bytes: bytes of the request that had not arrived when the other
+            side was seen to end the connection.
     """
 
     def __init__(self, loop: Any, rounds: LoopRounds):
         super().__init__(loop)
         self.ended_after = -math.inf
+        self.unsent_bytes = 0
         self._rounds = rounds
         self._is_watching = False
         self._sent_at = -math.inf
@@ -114,8 +118,10 @@
         super().resume_reading(resume_parser)
 
     def eof_received(self) -> None:
-        """Records when the other side may have ended the connection."""
+        """Records how the other side ended the connection."""
         self.ended_after = self._find_earliest_arrival()
+        if self.transport is not None:
+            self.unsent_bytes = count_unsent_bytes(self.transport)
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/mustardscale/endpoints/http_plain.py
+++ b/mustardscale/endpoints/http_plain.py
@@ -16,6 +16,7 @@
     find_ended_after,
     find_framing,
     find_reset,
+    require_request_read,
 )
 from mustardscale.endpoints.content_end import find_missing_end
 from mustardscale.endpoints.engines import REFUSED_LEAVING
@@ -240,13 +241,14 @@
         """Requires that an answer which its connection ends is whole.
 
         Raises:
-            EndpointFailedError: it was reset, or nothing shows that a process
-                still serves the endpoint's address, a while later if the
-                endpoint is leaving.
+            EndpointFailedError: it was reset, or came before its request had
+                arrived, or nothing shows that a process still serves the
+                endpoint's address, a while later if the endpoint is leaving.
         """
         reset = find_reset(response)
         if reset:
             raise EndpointFailedError(reset, crashed=True)
+        require_request_read(response)
 
         def compute_outlive_s() -> float:
             return NAMELESS_OUTLIVE_S if call.is_leaving() else 0.0
--- a/mustardscale/endpoints/http_sessions.py
+++ b/mustardscale/endpoints/http_sessions.py
@@ -68,6 +68,13 @@
             return -math.inf
         return self._read_protocol.ended_after
 
+    def count_unsent_bytes(self) -> int:
+        """Returns the bytes of its request that had not arrived at its end."""
+        if self._read_protocol is None:
+            return 0
+        unsent: int = self._read_protocol.unsent_bytes
+        return unsent
+
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -17,6 +17,7 @@
     find_ended_after,
     find_framing,
     find_reset,
+    require_request_read,
 )
 from mustardscale.endpoints.http_plain import end_to_end_headers
 from mustardscale.endpoints.http_sessions import (
@@ -125,6 +126,7 @@
             reset = find_reset(response)
             if reset:
                 raise EndpointFailedError(reset, crashed=True)
+            require_request_read(response)
             self.ended_after = find_ended_after(response)
 
     def close(self) -> None:
