Take no answer whose status is none

Callers saw: the answers of a worker in trouble with the status 000, 099, 600 or 999, handed on with its signature; with 000 and no length an empty body counted as whole. Orders, reports, calls to the store and calls of the own interface took such answers too.

Cause: the parser takes any three digits, and nothing after it asked whether they are a status. The connection now does, once for all clients: outside 100 to 599 it is aborted, as where the parser gives up, so that a call that was sent has an unknown outcome (502), and an order or an append too.

Ruled out: single checks behind each client; control calls and the store would each need their own.

--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -24,6 +24,8 @@
 # Maximum number of interim answers (1xx) before the final one.
 MAX_INTERIM_ANSWERS = 16
 _FIRST_FINAL_STATUS = 200
+# The statuses that there are (RFC 9110, section 15).
+_STATUSES = range(100, 600)
 
 
 class OverheadTooLargeError(aiohttp.ClientError):
@@ -35,7 +37,7 @@
 
 
 class MalformedAnswerError(aiohttp.ClientError):
-    """The parser has given up on an answer."""
+    """The parser has given up on an answer, or its status is none."""
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -93,12 +95,18 @@
             )
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Queues a head that was parsed, and aborts if there are too many."""
+        """Queues a head that was parsed.
+
+        Aborts if there are too many or its status is none.
+        """
         self._heads += 1
         if self._heads > MAX_INTERIM_ANSWERS + 1:
             self._abort(TooManyInterimAnswersError('no final answer came'))
             return
         message, _ = data
+        if message.code not in _STATUSES:
+            self._abort(MalformedAnswerError(f'status {message.code}'))
+            return
         is_final = message.code >= _FIRST_FINAL_STATUS
         if is_final and not message.should_close:
             # The end of the connection does not end the answer.
