Let no endpoint of the own interface switch protocols

Callers saw: 101 as the answer to a call of an endpoint of the own interface, which ends HTTP on the connection. Nobody asks for that; workers' answers of that status were refused already (tests/test_odd_heads.py).

--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -26,6 +26,8 @@
 _FIRST_FINAL_STATUS = 200
 # The statuses that there are (RFC 9110, section 15).
 _STATUSES = range(100, 600)
+# Ends HTTP on a connection, for which no client here asks.
+_SWITCHING_PROTOCOLS = 101
 
 
 class OverheadTooLargeError(aiohttp.ClientError):
@@ -37,7 +39,7 @@
 
 
 class MalformedAnswerError(aiohttp.ClientError):
-    """The parser has given up on an answer, or its status is none."""
+    """The parser has given up on an answer, or its status is unsound."""
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -97,14 +99,17 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues a head that was parsed.
 
-        Aborts if there are too many or its status is none.
+        Aborts if there are too many or its status is unsound.
         """
         self._heads += 1
         if self._heads > MAX_INTERIM_ANSWERS + 1:
             self._abort(TooManyInterimAnswersError('no final answer came'))
             return
         message, _ = data
-        if message.code not in _STATUSES:
+        is_sound = (
+            message.code in _STATUSES and message.code != _SWITCHING_PROTOCOLS
+        )
+        if not is_sound:
             self._abort(MalformedAnswerError(f'status {message.code}'))
             return
         is_final = message.code >= _FIRST_FINAL_STATUS
