Take no prefill or append for done that was answered unread

What was seen: an answer to a prefill or to an append without a length that ends while the request is still being written gave a handle, or a position, of bytes that never arrived. Callers were not seen to get other bytes by it.

Cause: read_content, by which prefills, control calls, the store and the log are read, asked for no end at all. It now asks what the streams and plain answers ask: whether the request had arrived. An append is uncertain then, a prefill has failed.

--- a/mustardscale/endpoints/http_sessions.py
+++ b/mustardscale/endpoints/http_sessions.py
@@ -18,6 +18,8 @@
 DEFAULT_HEADER_BYTES = 8190
 # Seconds after which a connection attempt fails.
 CONNECT_TIMEOUT_S = 1.0
+# Headers one of which marks the end of an answer's content.
+_FRAMING_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 # Header that names the calling host to the platform's services.
 HOST_ID_HEADER = 'X-Host-Id'
@@ -35,6 +37,10 @@
     """An answer's content is longer than allowed."""
 
 
+class RequestUnreadError(aiohttp.ClientError):
+    """An answer that its connection ends came before its request arrived."""
+
+
 # Errors that a request may raise when it gets no complete answer.
 REQUEST_ERRORS = (
     aiohttp.ClientError,
@@ -170,12 +176,19 @@
 
     Raises:
         AnswerTooLargeError: the content is longer than max_bytes.
+        RequestUnreadError: only the end of its connection delimits it, and
+            part of its request had not arrived by then.
     """
     content = bytearray()
     async for chunk in response.content.iter_any():
         content += chunk
         if len(content) > max_bytes:
             raise AnswerTooLargeError(f'answer above {max_bytes} bytes')
+    if not any(name in response.headers for name in _FRAMING_HEADERS):
+        assert isinstance(response, ObservedResponse)
+        unsent = response.count_unsent_bytes()
+        if unsent:
+            raise RequestUnreadError(f'{unsent} bytes of the request are left')
     return bytes(content)
 
 
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -5,6 +5,7 @@
 import enum
 import json
 import socket
+import unittest.mock
 
 import aiohttp
 import pytest
@@ -12,8 +13,14 @@
 
 from mustardscale.endpoints.http_plain import HttpPlainEndpoint
 from mustardscale.endpoints.plain_endpoints import PlainCall
-from mustardscale.exceptions import EndpointFailedError
+from mustardscale.exceptions import EndpointFailedError, LogUncertainError
 from mustardscale.outcomes import Outcome
+from mustardscale.platform.http_client import make_client
+from mustardscale.platform.store_client import StoreClient
+from mustardscale.platform.worker_relay import WorkerRelay
+from mustardscale.relay.endpoint_listener import EndpointListener
+from mustardscale.relay.relay_endpoint import RelayCall
+from mustardscale.relay.relay_messages import RelayRequest
 from standins.platform_plan import HOST
 from standins.raw_worker import RawWorker, _reset
 from tests.host_refusals import PersistentCaller, require_refusal
@@ -120,7 +127,7 @@
             writer.close()
 
     def _early_head(self, headers):
-        request_id = headers['x-request-id']
+        request_id = headers.get('x-request-id', '')
         return (
             f'HTTP/1.1 {self.status} X\r\nX-Request-Id: {request_id}\r\n'
             f'X-Response-Signature: {self.instance}.{request_id}\r\n'
@@ -312,3 +319,39 @@
                 assert worker.other_bytes == b''
 
         uvloop.run(main())
+
+
+class TestOtherCalls:
+    """Prefills and appends whose answers end in front of their requests."""
+
+    @pytest.mark.parametrize('end', [EarlyEnd.CLOSED, EarlyEnd.READ_ON])
+    def test_prefill_has_no_handle(self, end):
+        async def main():
+            worker = EarlyWorker('p1')
+            worker.early_end, worker.content = end, b'{"kv_handle": "k1"}'
+            address = await worker.start()
+            now = asyncio.get_running_loop().time()
+            body = b'x' * LONG_BYTES
+            request = RelayRequest('r1', HOST, 'POST', '/x', (), body, now)
+            async with make_client(connection_per_call=True) as session:
+                listener = unittest.mock.Mock(EndpointListener)
+                relay = WorkerRelay(session, address, 'p1', 1.0, listener)
+                with pytest.raises(EndpointFailedError):
+                    await relay.prefill(RelayCall(request, now + 5.0))
+            worker.end()
+
+        uvloop.run(main())
+
+    @pytest.mark.parametrize('end', [EarlyEnd.CLOSED, EarlyEnd.READ_ON])
+    def test_append_is_uncertain(self, end):
+        async def main():
+            worker = EarlyWorker('s1')
+            worker.early_end, worker.content = end, b'{"offset": 3}'
+            worker.lines = 'Store-Era: 1\r\n'
+            client = StoreClient(await worker.start())
+            with pytest.raises(LogUncertainError):
+                await client.put('t', 'k', b'x' * LONG_BYTES)
+            await client.close()
+            worker.end()
+
+        uvloop.run(main())
