--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -14,6 +14,7 @@
 
 from mustardscale.endpoints.loop_rounds import LoopRounds
 from mustardscale.endpoints.tcp_connect import open_socket
+from mustardscale.endpoints.unsent_bytes import count_unsent_bytes
 
 # Bytes of an answer that are no content (heads, chunk sizes, chunk extensions,
 # trailers): a fixed allowance, and so many for each byte of content. A chunk of
@@ -23,6 +24,10 @@
 # Maximum number of interim answers (1xx) before the final one.
 MAX_INTERIM_ANSWERS = 16
 _FIRST_FINAL_STATUS = 200
+# The statuses that there are (RFC 9110, section 15).
+_STATUSES = range(100, 600)
+# Ends HTTP on a connection, for which no client here asks.
+_SWITCHING_PROTOCOLS = 101
 
 
 class OverheadTooLargeError(aiohttp.ClientError):
@@ -34,7 +39,7 @@
 
 
 class MalformedAnswerError(aiohttp.ClientError):
-    """The parser has given up on an answer."""
+    """The parser has given up on an answer, or its status is unsound."""
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -48,11 +53,14 @@
     Attributes:
         ended_after: loop time before which the other side had not ended the
             connection, negative infinity if it has not done so yet.
+        unsent_bytes: bytes of the request that had not arrived when the other
+            side was seen to end the connection.
     """
 
     def __init__(self, loop: Any, rounds: LoopRounds):
         super().__init__(loop)
         self.ended_after = -math.inf
+        self.unsent_bytes = 0
         self._rounds = rounds
         self._is_watching = False
         self._sent_at = -math.inf
@@ -89,12 +97,21 @@
             )
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Queues a head that was parsed, and aborts if there are too many."""
+        """Queues a head that was parsed.
+
+        Aborts if there are too many or its status is unsound.
+        """
         self._heads += 1
         if self._heads > MAX_INTERIM_ANSWERS + 1:
             self._abort(TooManyInterimAnswersError('no final answer came'))
             return
         message, _ = data
+        is_sound = (
+            message.code in _STATUSES and message.code != _SWITCHING_PROTOCOLS
+        )
+        if not is_sound:
+            self._abort(MalformedAnswerError(f'status {message.code}'))
+            return
         is_final = message.code >= _FIRST_FINAL_STATUS
         if is_final and not message.should_close:
             # The end of the connection does not end the answer.
@@ -114,8 +131,10 @@
         super().resume_reading(resume_parser)
 
     def eof_received(self) -> None:
-        """Records when the other side may have ended the connection."""
+        """Records how the other side ended the connection."""
         self.ended_after = self._find_earliest_arrival()
+        if self.transport is not None:
+            self.unsent_bytes = count_unsent_bytes(self.transport)
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
