--- a/standins/crash_fleet.py
+++ b/standins/crash_fleet.py
@@ -169,10 +169,14 @@
         self.engine_by_address[address] = engine
         if list_lag_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(list_lag_s, self._list, engine)
+            loop.call_later(list_lag_s, self._list_living, engine)
         else:
             self._list(engine)
 
+    def _list_living(self, engine: CrashEngine) -> None:
+        if engine.alive:
+            self._list(engine)
+
     def _list(self, engine: CrashEngine) -> None:
         """Writes the entry of an engine."""
         self.listed[engine.id] = ListedHost(
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -61,12 +61,14 @@
 
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
-        if self.link.is_silent:
-            try:
+        try:
+            if not self.link.is_sound:
                 await self.link.travel()
-            except LogUnavailableError as error:
-                raise PeerUnavailableError(str(error)) from error
-        return list(self.entry_by_id.values())
+            entries = list(self.entry_by_id.values())
+            await self.link.travel_back()
+        except LogUnavailableError as error:
+            raise PeerUnavailableError(str(error)) from error
+        return entries
 
     async def wait_changed(self, timeout_s: float) -> None:
         """See the base class."""
@@ -186,17 +188,31 @@
         for other in list(self.router_by_host):
             self.peers.restore(host, other)
 
-    def set_aside(self, host: str) -> None:
+    def set_aside(
+        self, host: str, sends: bool = False, receives: bool = False
+    ) -> None:
         """Keeps back all between a host and the platform and its peers.
 
         Engines and callers reach it.
+
+        Args:
+            host: id of the host.
+            sends: bytes from the host pass.
+            receives: bytes to it pass.
         """
-        self.keyed_log_by_host[host].link.keep_back()
-        self.cut_host(host)
+        link = self.keyed_log_by_host[host].link
+        link.keep_back(calls=not sends, answers=not receives)
+        for other in self.router_by_host:
+            if other != host and not sends:
+                self.peers.cut(host, other, one_way=True)
+            if other != host and not receives:
+                self.peers.cut(other, host, one_way=True)
 
     def bring_back(self, host: str) -> None:
         """Ends that a host is set aside."""
-        self.keyed_log_by_host[host].link.release()
+        link = self.keyed_log_by_host[host].link
+        link.refuses = False
+        link.release()
         self.restore_host(host)
         self.list_changed.notify()
 
--- a/standins/memory_keyed_log.py
+++ b/standins/memory_keyed_log.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from mustardscale.exceptions import LogUnavailableError
+from mustardscale.exceptions import LogUnavailableError, LogUncertainError
 from mustardscale.log.keyed_log import KeyedLogClient, KeyedPage, KeyedRecord
 
 # Time of a call, and time after which one without an answer is given up,
@@ -17,42 +17,69 @@
     """One host's link to the platform.
 
     Attributes:
-        is_cut: whether calls fail at once.
+        is_cut: whether calls of keyed streams fail at once.
+        refuses: whether all calls fail at once, those of the list too.
     """
 
     def __init__(self) -> None:
         self.is_cut = False
-        self._passes = asyncio.Event()
-        self._passes.set()
+        self.refuses = False
+        self._calls_pass = asyncio.Event()
+        self._answers_pass = asyncio.Event()
+        self.release()
 
     @property
-    def is_silent(self) -> bool:
-        """Whether all bytes are kept back, both ways."""
-        return not self._passes.is_set()
+    def is_sound(self) -> bool:
+        """Whether bytes pass both ways."""
+        passes = self._calls_pass.is_set() and self._answers_pass.is_set()
+        return passes and not self.refuses
 
-    def keep_back(self) -> None:
-        """Keeps all bytes back from now on."""
-        self._passes.clear()
+    def keep_back(self, calls: bool = True, answers: bool = True) -> None:
+        """Keeps bytes back from now on.
+
+        Args:
+            calls: those from the host.
+            answers: those to it.
+        """
+        if calls:
+            self._calls_pass.clear()
+        if answers:
+            self._answers_pass.clear()
 
     def release(self) -> None:
         """Lets kept bytes through."""
-        self._passes.set()
+        self._calls_pass.set()
+        self._answers_pass.set()
 
     async def travel(self) -> None:
-        """Waits until bytes have passed.
+        """Waits until a call has passed.
 
         Raises:
-            LogUnavailableError: they did not in time.
+            LogUnavailableError: it did not in time.
         """
         await asyncio.sleep(CALL_S)
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                await self._passes.wait()
-        except TimeoutError as error:
-            raise LogUnavailableError('no answer in time') from error
-        if self.is_cut:
+        await _pass(self._calls_pass)
+        if self.is_cut or self.refuses:
             raise LogUnavailableError('no answer')
 
+    async def travel_back(self) -> None:
+        """Waits until an answer has passed, which was made before.
+
+        Raises:
+            LogUnavailableError: it did not in time.
+        """
+        await _pass(self._answers_pass)
+
+
+async def _pass(passes: asyncio.Event) -> None:
+    if passes.is_set():
+        return
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            await passes.wait()
+    except TimeoutError as error:
+        raise LogUnavailableError('no answer in time') from error
+
 
 class KeyedStreams:
     """The streams, which all hosts share.
@@ -116,7 +143,9 @@
             record.key: record
             for record in self._streams.records_by_stream.get(stream, [])
         }
-        return self._page(stream, list(by_key.values()))
+        page = self._page(stream, list(by_key.values()))
+        await self.link.travel_back()
+        return page
 
     async def read(self, stream: str, after: int, wait_s: float) -> KeyedPage:
         """See the base class."""
@@ -127,6 +156,7 @@
         # The answer is made now, and may arrive much later.
         page = self._page(stream, self._after(stream, after))
         await self._call()
+        await self.link.travel_back()
         return page
 
     async def put(
@@ -134,7 +164,12 @@
     ) -> int:
         """See the base class."""
         await self._call()
-        return self._streams.append(stream, key, value)
+        offset = self._streams.append(stream, key, value)
+        try:
+            await self.link.travel_back()
+        except LogUnavailableError as error:
+            raise LogUncertainError(str(error)) from error
+        return offset
 
     async def _call(self) -> None:
         await self.link.travel()
--- a/standins/version_fleet.py
+++ b/standins/version_fleet.py
@@ -27,6 +27,7 @@
 
     Attributes:
         host: the host that it asked.
+        at: loop time at which it did.
         outcome: how that ended.
         went_on: whether events came.
         must_go_on: whether enough engines of the stream's version served.
@@ -34,6 +35,7 @@
     """
 
     host: str
+    at: float
     outcome: Outcome = Outcome.COMPLETE
     went_on: bool = False
     must_go_on: bool = False
@@ -50,6 +52,8 @@
         takes: the times that it was taken up.
         first_id: id of the send that brought the first event.
         last_id: id of the last event.
+        begun_at: loop time of its first event, 0 before it.
+        begun_host: the host that brought it.
     """
 
     versions: set[str] = dataclasses.field(default_factory=set)
@@ -57,6 +61,8 @@
     takes: list[Take] = dataclasses.field(default_factory=list)
     first_id: str = ''
     last_id: str = ''
+    begun_at: float = 0.0
+    begun_host: str = ''
 
     @property
     def is_mixed(self) -> bool:
@@ -156,7 +162,7 @@
             resume_after=record.last_id,
             resumes=record.first_id if names_first else '',
         )
-        take = Take(host)
+        take = Take(host, loop.time())
         is_new = not record.numbers
         is_excused = self.is_excused(host, loop.time())
         if record.numbers:
@@ -168,6 +174,9 @@
             async with self.router_by_host[host].serve(request) as answer:
                 assert isinstance(answer, RelayedStream)
                 async for data in answer.events():
+                    if not record.numbers:
+                        record.begun_at = loop.time()
+                        record.begun_host = host
                     self._take_events(record, data, name)
                     take.went_on = True
                     most -= 1
--- a/standins/version_runs.py
+++ b/standins/version_runs.py
@@ -1,4 +1,7 @@
-"""Runs fleets before engines of several versions, under drawn faults."""
+"""Runs fleets before engines of several versions, under drawn faults.
+
+In each run engines are also released while a host is out of step.
+"""
 
 from __future__ import annotations
 
@@ -8,13 +11,21 @@
 from collections.abc import Sequence
 
 from standins.limit_runs import FleetFault
+from standins.release_player import ReleasePlayer
+from standins.releases import draw_release
 from standins.seed_runs import SeedRun, play_run, play_seeds
-from standins.version_fleet import GOES_ON_SHARE, StreamRecord, VersionFleet
+from standins.version_fleet import (
+    GOES_ON_SHARE,
+    StreamRecord,
+    Take,
+    VersionFleet,
+)
 
 RUN_S = 20.0
 STREAMS_PER_S = 8.0
 LONGEST_FAULT_S = 6.0
 MAX_FAULTS = 8
+MAX_RELEASES = 2
 FAULTS = (
     'kill',
     'restart',
@@ -38,6 +49,7 @@
 
     Attributes:
         fleet: the hosts and the engines.
+        releases: play releases while hosts are out of step.
     """
 
     def __init__(self, seed: int, hosts: int):
@@ -50,6 +62,14 @@
         self._joined = 0
         self._frozen: set[str] = set()
         self._harming: set[asyncio.Task[None]] = set()
+        # Drawn apart, so that seeds keep their faults.
+        drawn = random.Random(f'{seed}/release')
+        self.releases = [
+            ReleasePlayer(
+                self.fleet, draw_release(drawn, RUN_S), f'{seed}/{number}'
+            )
+            for number in range(drawn.randint(1, MAX_RELEASES))
+        ]
         self._faults = [
             FleetFault(
                 self._rng.choice(FAULTS),
@@ -70,6 +90,8 @@
         async with asyncio.TaskGroup() as group:
             for fault in self._faults:
                 group.create_task(self._carry_out(fault))
+            for release in self.releases:
+                group.create_task(release.play())
             ends_at = asyncio.get_running_loop().time() + RUN_S
             while asyncio.get_running_loop().time() < ends_at:
                 await asyncio.sleep(self._rng.expovariate(STREAMS_PER_S))
@@ -79,11 +101,17 @@
     def counts(self) -> dict[str, int]:
         """See the base class."""
         streams = self.fleet.streams_played
+        judged = self._judged_takes()
+        apart = self._takes_out_of_step()
         return {
             'streams': len(streams),
             'taken up': sum(len(record.takes) for record in streams),
             'went on': sum(t.went_on for r in streams for t in r.takes),
             'mixed': len(self.fleet.mixed()),
+            'had to go on': len(judged),
+            'of these did': sum(take.went_on for take in judged),
+            'out of step': len(apart),
+            'of these went on': sum(take.went_on for take in apart),
         }
 
     def stream_violations(self) -> list[str]:
@@ -98,12 +126,7 @@
         return broken
 
     def _share_violations(self) -> list[str]:
-        takes = [
-            take
-            for record in self.fleet.streams_played
-            for take in record.takes
-            if take.must_go_on and not take.is_excused
-        ]
+        takes = self._judged_takes()
         share = sum(take.went_on for take in takes) / max(1, len(takes))
         begun = self.fleet.begun_share()
         if len(takes) < LEAST_TAKES or share >= GOES_ON_SHARE * begun:
@@ -113,9 +136,31 @@
             f'{begun:.2f} of the new ones began'
         ]
 
+    def _judged_takes(self) -> list[Take]:
+        return [
+            take
+            for record in self.fleet.streams_played
+            if not self._is_out_of_step(record.begun_host, record.begun_at)
+            for take in record.takes
+            if take.must_go_on and not take.is_excused
+        ]
+
+    def _takes_out_of_step(self) -> list[Take]:
+        """Returns those at hosts that a release kept out of step."""
+        return [
+            take
+            for record in self.fleet.streams_played
+            for take in record.takes
+            if take.must_go_on and self._is_out_of_step(take.host, take.at)
+        ]
+
+    def _is_out_of_step(self, host: str, at: float) -> bool:
+        return any(r.is_out_of_step(host, at) for r in self.releases)
+
     async def _play_stream(self) -> None:
         # A frozen host serves nobody.
-        up = sorted(set(self.fleet.router_by_host) - self._frozen)
+        stopped = {h for r in self.releases for h in r.stopped_hosts}
+        up = sorted(set(self.fleet.router_by_host) - self._frozen - stopped)
         if not up:
             return
         hosts = self._rng.sample(up, min(len(up), self._rng.choice((2, 2, 3))))
