--- a/bench/stream_ablation.py
+++ b/bench/stream_ablation.py
@@ -4,7 +4,8 @@
 
 A check is switched off in a copy of the tree under build/, as in
 bench.ablation. Then the tests that are named for it must fail, or seeds of the
-drawn streams must break a promise.
+drawn streams must break a promise; for checks of versions, seeds of the runs of
+versions.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 SEED_MARGIN_S = 60.0
 _FAILED = re.compile(r'^FAILED (\S+)', re.MULTILINE)
 _BROKEN = re.compile(r'(\d+) seeds broken$', re.MULTILINE)
+_SEED = re.compile(r'^seed (\d+): ', re.MULTILINE)
 _KIND = re.compile(r'\d+ (?:streams|plain) broken \([^)]*\)')
 
 
@@ -38,7 +40,7 @@
     Attributes:
         tests: tests that failed, '' for none.
         broken: seeds of the drawn streams that broke a promise.
-        kinds: which promises, with counts.
+        kinds: which promises, with counts; of versions, the seeds.
     """
 
     tests: str
@@ -57,7 +59,10 @@
         folder = copy_tree(f'stream-check-{check.name}')
         check.mechanism.switch_off(folder)
         failed = self._play_tests(folder, check.tests)
-        broken, kinds = self._play_seeds(folder)
+        if check.plays_versions:
+            broken, kinds = self._play_versions(folder)
+        else:
+            broken, kinds = self._play_seeds(folder)
         return Finding(failed, broken, kinds)
 
     def _play_tests(self, folder: pathlib.Path, tests: Sequence[str]) -> str:
@@ -68,6 +73,25 @@
         )
         return ' '.join(_FAILED.findall(text))
 
+    def _play_versions(self, folder: pathlib.Path) -> tuple[int, str]:
+        """Plays the runs of versions; returns which seeds were broken."""
+        options = self._options
+        if not options.seeds:
+            return 0, ''
+        text = _run(
+            folder,
+            [
+                'standins.version_runs',
+                *('--seeds', str(options.seeds)),
+                *('--first-seed', str(options.first_seed)),
+            ],
+            options.seeds * SEED_MARGIN_S,
+        )
+        broken = _BROKEN.search(text)
+        if broken is None:
+            raise RuntimeError(f'the runs of versions failed: {text[-500:]}')
+        return int(broken.group(1)), ' '.join(_SEED.findall(text))
+
     def _play_seeds(self, folder: pathlib.Path) -> tuple[int, str]:
         options = self._options
         if not options.seeds:
--- a/bench/stream_checks.py
+++ b/bench/stream_checks.py
@@ -15,11 +15,13 @@
         name: name on the command line.
         mechanism: what it does, and how it is switched off.
         tests: files of tests that must find it.
+        plays_versions: whether the runs of versions are played without it.
     """
 
     name: str
     mechanism: Mechanism
     tests: tuple[str, ...]
+    plays_versions: bool = False
 
 
 def _check(
@@ -32,6 +34,13 @@
     )
 
 
+def _version_check(
+    name: str, what: str, path: str, line: str, off: str, *tests: str
+) -> StreamCheck:
+    check = _check(name, what, path, line, off, *tests)
+    return dataclasses.replace(check, plays_versions=True)
+
+
 CHECKS = (
     _check(
         'ends',
@@ -610,4 +619,47 @@
         'return False',
         'test_repeated_end',
     ),
+    _version_check(
+        'version-confirmed',
+        'a sole version is concluded only from a reading that begins then',
+        'versions/stream_versions.py',
+        'cause = await self._confirm()',
+        "cause = ''",
+        'test_hosts_out_of_step',
+    ),
+    _version_check(
+        'version-witness',
+        "a stream's version is used once its engine's process has shown it",
+        'relay/process_witness.py',
+        'is_same = await self._question.run()',
+        'is_same = True',
+        'test_hosts_out_of_step',
+    ),
+    _version_check(
+        'version-passed',
+        'a version that came and went between two readings counts',
+        'versions/version_log.py',
+        'if now - came_at <= DROP_AFTER_S',
+        'if False',
+        'test_passed_versions',
+        'test_hosts_out_of_step',
+    ),
+    _version_check(
+        'version-begun',
+        'a version that begins a stream is recorded at once',
+        'versions/version_log.py',
+        'self._begun_by_name[name] = record',
+        'return',
+        'test_passed_versions',
+        'test_hosts_out_of_step',
+    ),
+    _version_check(
+        'version-contested',
+        'neither of two versions that hosts tell of a stream is used',
+        'versions/version_records.py',
+        'version = CONTESTED',
+        'version = known.version',
+        'test_stream_versions',
+        'test_hosts_out_of_step',
+    ),
 )
--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from standins.builds import ROOT
 from standins.linked_host import LINKS_VARIABLE
 from standins.peer_links import PeerLinks
 from standins.reserved_ports import address_of, reserve_port
@@ -28,6 +29,7 @@
         process_by_host: the processes started last.
         links: links between the hosts, once listening. Hosts of this build that
             start after that call their peers through them.
+        links_all: whether hosts of other builds do so too.
     """
 
     def __init__(self, names: Sequence[str], directory: pathlib.Path):
@@ -44,6 +46,7 @@
         self._ready_by_host = {name: next(addresses) for name in names}
         self._peers_by_host = {name: next(addresses) for name in names}
         self.links = PeerLinks(self._peers_by_host)
+        self.links_all = False
         self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = directory
 
@@ -81,8 +84,8 @@
         environment = os.environ | {'MUSTARDSCALE_BOOT': str(path)}
         module = 'mustardscale.platform'
         if code is not None:
-            environment['PYTHONPATH'] = str(code)
-        elif self.links.are_listening:
+            environment['PYTHONPATH'] = f'{code}{os.pathsep}{ROOT}'
+        if self.links.are_listening and (code is None or self.links_all):
             module = 'standins.linked_host'
             links = self.links.map_addresses(name)
             environment[LINKS_VARIABLE] = json.dumps(links)
--- a/standins/loopback_proxy.py
+++ b/standins/loopback_proxy.py
@@ -18,6 +18,7 @@
     DELAYED = 'delayed'
     SILENT = 'silent'
     ONE_WAY = 'one_way'
+    CALLS_KEPT = 'calls_kept'
     REFUSED = 'refused'
 
 
@@ -25,7 +26,8 @@
     """Passes connections on to one address.
 
     Attributes:
-        state: what it does at present; ONE_WAY silences the answers.
+        state: what it does at present; ONE_WAY silences the answers,
+            CALLS_KEPT the calls.
         delay_s: delay of each chunk while DELAYED, seconds.
         address: 'ip:port' listened on, once started.
         has_ended: whether it listens no more since an end.
@@ -123,4 +125,5 @@
     def _is_silent(self, answers: bool) -> bool:
         if self.state is LinkState.SILENT:
             return True
-        return answers and self.state is LinkState.ONE_WAY
+        kept = LinkState.ONE_WAY if answers else LinkState.CALLS_KEPT
+        return self.state is kept
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -70,6 +70,7 @@
         on_end: called when its process ends in an answer.
         version: version of its software, which it writes into its events.
         born: start of its process, Unix milliseconds.
+        events: events of each stream.
     """
 
     def __init__(self, instance: str, phase: str = '', gap_s: float = 0.0):
@@ -88,6 +89,7 @@
         self.on_end: Callable[[], None] | None = None
         self.version = ''
         self.born = 1
+        self.events = EVENTS
         self._numbers = itertools.count(1)
 
     def server(self) -> web.Server:
@@ -191,7 +193,7 @@
         if self.phase:
             headers |= {'Content-Type': 'text/event-stream'}
             begin = int(request.headers.get('Last-Event-Id', 0)) + 1
-            parts = [self._event(n) for n in range(begin, EVENTS + 1)]
+            parts = [self._event(n) for n in range(begin, self.events + 1)]
         lines = [f'{name}: {value}' for name, value in headers.items()]
         transport.write('\r\n'.join(['HTTP/1.1 200 OK', *lines]).encode())
         transport.write(b'\r\n\r\n')
@@ -229,7 +231,7 @@
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         begin = int(request.headers.get('Last-Event-Id', 0)) + 1
-        for number in range(begin, EVENTS + 1):
+        for number in range(begin, self.events + 1):
             await asyncio.sleep(self.gap_s)
             if self.faults.breaks_after and number > self.faults.breaks_after:
                 self.faults.breaks_after = 0
