Let waits for the host list advance the virtual clock

Suspected from reading the code, not traced: waits until the end of the grace of expiry that are below the clock's resolution, so that virtual time stands still. Change: a least wait of 1 ms in the stand-in.

--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -34,6 +34,8 @@
 DATA_CENTRES = ('dc1', 'dc2', 'dc3')
 QUARANTINE_STREAM = 'quarantine'
 VERSIONS_STREAM = 'versions'
+# Waits that are shorter than its resolution don't advance the virtual clock.
+LEAST_WAIT_S = 1e-3
 # Time in which started hosts have met one another, seconds.
 MEET_S = 4.0
 # Time in which the last messages between stopped hosts have arrived, seconds.
@@ -72,7 +74,7 @@
 
     async def wait_changed(self, timeout_s: float) -> None:
         """See the base class."""
-        await self.changed.wait(timeout_s)
+        await self.changed.wait(max(timeout_s, LEAST_WAIT_S))
 
     async def announce(self, host: ListedHost) -> None:
         """See the base class."""
