Judge streams begun at hosts out of step that can tell others of them

The check of shares left out all streams that began at a host while a release kept it out of step. Only where nothing that the host tells arrives can no other host know them.

--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -122,10 +122,10 @@
         self._weights = WeightsOrder(context.weights_field)
         self._answer: EndpointAnswer | None = None
         self._outcome = Outcome.CALLER_LEFT
-        # Whether the stream is kept at one software version, and whether that
-        # was only concluded from the host list.
+        # Whether the stream is kept at one software version.
         self._is_pinned = False
-        self._is_listed_version = False
+        # Whether only the host list tells that version so far.
+        self._is_version_unshown = False
         self._progress_at = request.arrived_at
         self.first_event_at: float | None = None
         # Loop time of the first event of the present run, infinity once the
@@ -240,7 +240,7 @@
                 attempts.deadline_at,
                 attempts.make_witness(),
             )
-            self._is_listed_version = True
+            self._is_version_unshown = True
 
     async def _require_shown_version(self) -> None:
         """Requires that the version of a stream that began here is shown.
@@ -248,7 +248,7 @@
         Raises:
             OutcomeError: its engine may have run another one.
         """
-        if not self._is_listed_version:
+        if not self._is_version_unshown:
             return
         if not await self._context.versions.confirm_begun(
             self._service.name, self._request.id, self._attempts.version
@@ -257,7 +257,7 @@
                 Outcome.ENDPOINT_FAILED,
                 'not resumed: the version that began it is not shown',
             )
-        self._is_listed_version = False
+        self._is_version_unshown = False
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yields the bytes of whole events, or those of any other answer.
--- a/standins/release_player.py
+++ b/standins/release_player.py
@@ -11,6 +11,7 @@
 from standins.releases import (
     JOINING,
     RETURN_EACH_S,
+    TELLS_NOBODY,
     EngineChange,
     OutOfStep,
     Release,
@@ -86,6 +87,11 @@
             for span in self.spans
         )
 
+    def tells_nobody(self, host: str, at: float) -> bool:
+        """Returns whether the release kept all that a host tells back then."""
+        is_cut = self._release.kind in TELLS_NOBODY
+        return is_cut and self.is_out_of_step(host, at)
+
     def _is_sound(self, host: str) -> bool:
         return self._fleet.is_up(host) and not self._fleet.is_harmed(host)
 
--- a/standins/releases.py
+++ b/standins/releases.py
@@ -20,6 +20,17 @@
     RETURNING = 'returning'
 
 
+# What keeps back all that a host tells the platform and its peers, so that no
+# other host can know which version began a stream there.
+TELLS_NOBODY = (
+    OutOfStep.AWAY,
+    OutOfStep.MUTE,
+    OutOfStep.STOPPED,
+    OutOfStep.TWO_TOGETHER,
+    OutOfStep.RETURNING,
+)
+
+
 class EngineChange(enum.Enum):
     """What engines do meanwhile."""
 
--- a/standins/version_runs.py
+++ b/standins/version_runs.py
@@ -140,7 +140,10 @@
         return [
             take
             for record in self.fleet.streams_played
-            if not self._is_out_of_step(record.begun_host, record.begun_at)
+            if not any(
+                release.tells_nobody(record.begun_host, record.begun_at)
+                for release in self.releases
+            )
             for take in record.takes
             if take.must_go_on and not take.is_excused
         ]
