--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import math
 import re
@@ -168,9 +167,6 @@
                 or is busy.
         """
         self._watch = LinkWatch(address)
-        # Whether the last success stated its end. Until then, the path is
-        # watched before requests are sent, since head and end may come at once.
-        self._states_ends = False
         self._session = session
         self._address = address
         self._instance = instance
@@ -183,19 +179,7 @@
         if call.prefill is not None:
             source = f'{call.prefill.source}/{call.prefill.key}'
             headers.append((names.KV_SOURCE, source))
-        with contextlib.ExitStack() as stack:
-            if not self._states_ends:
-                self._watch.begin()
-                stack.callback(self._watch.end)
-            return self._begin_answer(call, *await self._send(call, headers))
-
-    def _begin_answer(
-        self,
-        call: RelayCall,
-        response: aiohttp.ClientResponse,
-        progress: SendProgress,
-    ) -> WorkerAnswer:
-        """Returns the answer to a request whose head has come."""
+        response, progress = await self._send(call, headers)
         try:
             self._record_rate_limit(response, call, _is_signed(response))
             head = _check_head(response, call)
@@ -203,10 +187,7 @@
         except BaseException:
             response.close()
             raise
-        is_unframed = answer.framing is AnswerFraming.CONNECTION
-        if head.is_success:
-            self._states_ends = not is_unframed
-        if is_unframed:
+        if answer.framing is AnswerFraming.CONNECTION:
             answer.watch_link(self._watch)
         return answer
 
