--- a/mustardscale/versions/stream_versions.py
+++ b/mustardscale/versions/stream_versions.py
@@ -192,7 +192,7 @@
         notice = PendingNotice(now, kept.expires_at, kept.version, kept.witness)
         if self._is_sole(service, version, now):
             deferred = self._deferred_by_service[service]
-            self._notices.bound(deferred, request_id, notice)
+            self._notices.add_to(deferred, request_id, notice)
         else:
             self._notices.add(request_id, notice)
 
--- a/mustardscale/versions/version_notices.py
+++ b/mustardscale/versions/version_notices.py
@@ -103,10 +103,10 @@
 
     def add(self, request_id: str, notice: PendingNotice) -> None:
         """Adds a stream that is to be told."""
-        self.bound(self.pending_by_id, request_id, notice)
+        self.add_to(self.pending_by_id, request_id, notice)
         self._wake.set()
 
-    def bound(
+    def add_to(
         self,
         notices_by_id: dict[str, PendingNotice],
         request_id: str,
