--- a/mustardscale/configuration/routes.py
+++ b/mustardscale/configuration/routes.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from mustardscale.configuration.customers import Customer
+
 
 class RequestKind(enum.StrEnum):
     """How often a request may run, and whether its answer is a stream.
@@ -141,9 +143,12 @@
         routes: the routes.
         services: the services.
         bounds: limits of callers' requests.
+        customers: the customers; if there are any, callers must present the
+            key of one.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     bounds: CallerBounds = CallerBounds()
+    customers: tuple[Customer, ...] = ()
--- /dev/null
+++ b/mustardscale/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers over all hosts."""
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from mustardscale.configuration.customers import Customer
 from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.quarantine.suspicion_keys import make_keys
 
@@ -47,6 +48,10 @@
             the caller takes up, '' if none.
         segments: ids of the segments of its prompt that other requests may
             share, in order.
+        credential: the caller's key, '' if it presents none. It must not be
+            logged.
+        customer: the customer that the key belongs to, None if there are no
+            customers or the route is open to all.
     """
 
     id: str
@@ -61,6 +66,8 @@
     resume_after: str = ''
     resumes: str = ''
     segments: tuple[str, ...] = ()
+    credential: str = dataclasses.field(default='', repr=False)
+    customer: Customer | None = None
 
     @property
     def path(self) -> str:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
     ('log', 'peers'),
     ('hosts',),
     ('configuration', 'rate_limits', 'quarantine', 'versions'),
+    ('quotas',),
     ('policy',),
     ('pools',),
     ('orders', 'claims', 'directory'),
