Keep customers to their quotas over all hosts

Cause: a customer's quota binds all hosts together, and nothing counted it.

Change: one host owns the quota of a customer and grants each request from a bucket of credit; a host that reaches no owner grants by its share, and the owner leaves the shares of silent hosts to them. Refusals are at once (1001) and say when there is credit behind the requests refused before. Requests that end without having run return their units. The calls to owners of rate limits are shared with quotas (rate_limits/owner_calls).

A share is now resumed without credit for the pause, and the credit of a new owner grows from when it grants.

The tests of the validity of permits name the module that has it now.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults limits crashes versions cuts streams soak bench load clean
+.PHONY: test run up faults quotas limits crashes versions cuts streams soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -39,6 +39,9 @@
 faults: $(STAMP)
 	$(PY) -m standins.fault_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) $(if $(ORDERS),--orders)
 
+quotas: $(STAMP)
+	$(PY) -m standins.quota_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
+
 limits: $(STAMP)
 	$(PY) -m standins.limit_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED) --hosts $(HOSTS)
 
--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -101,6 +101,7 @@
         silent_since: loop time at which it was declared silent.
         met_at: loop time at which its present process was heard first.
         grants_permits: whether its version may own rate limits.
+        grants_quotas: whether its version may own quotas of customers.
         keeps_versions: whether it keeps the software versions of streams.
         forwards: whether its process has said that it calls endpoints for
             others.
@@ -127,6 +128,7 @@
     silent_since: float = -math.inf
     met_at: float = -math.inf
     grants_permits: bool = True
+    grants_quotas: bool = True
     keeps_versions: bool = True
     forwards: bool = False
     gone_at: float = -math.inf
--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -304,6 +304,7 @@
         host.draining = heartbeat.draining
         host.capacity = heartbeat.capacity
         host.grants_permits = heartbeat.grants_permits
+        host.grants_quotas = heartbeat.grants_quotas
         host.keeps_versions = heartbeat.keeps_versions
         host.forwards = heartbeat.forwards
         self._merge_leaving(heartbeat, now)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -41,6 +41,8 @@
     forwardRead @33 :ForwardRead;
     forwardPart @34 :ForwardPart;
     forwardClose @35 :ForwardClose;
+    quotaRequest @36 :QuotaRequest;
+    quotaReply @37 :QuotaReply;
   }
 }
 
@@ -142,6 +144,7 @@
   grantsPermits @23 :Bool;
   keepsVersions @24 :Bool;
   forwards @25 :Bool;
+  grantsQuotas @26 :Bool;
 }
 
 struct RateLimitStatement {
@@ -152,6 +155,26 @@
   firstHand @4 :Bool;
 }
 
+struct QuotaTerms {
+  version @0 :Int64;
+  ratePerS @1 :Float64;
+  burst @2 :Float64;
+}
+
+struct QuotaRequest {
+  customer @0 :Text;
+  terms @1 :QuotaTerms;
+  amounts @2 :List(Int64);
+  returned @3 :Int64;
+}
+
+struct QuotaReply {
+  available @0 :Bool;
+  granted @1 :Int64;
+  waitS @2 :Float64;
+  terms @3 :QuotaTerms;
+}
+
 struct PermitRequest {
   statement @0 :RateLimitStatement;
   permits @1 :Int64;
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -24,6 +24,7 @@
     ForwardRead,
     ForwardReply,
 )
+from mustardscale.peers.quota_messages import QuotaReply, QuotaRequest
 from mustardscale.peers.rate_limit_messages import (
     PermitReply,
     PermitRequest,
@@ -104,6 +105,7 @@
         keeps_versions: the same of a VersionNotice and a VersionLookup.
         forwards: the same of a ForwardCall; hosts of the own interface
             have no handler for it.
+        grants_quotas: the same of a QuotaRequest.
     """
 
     host: str
@@ -132,6 +134,7 @@
     grants_permits: bool = True
     keeps_versions: bool = True
     forwards: bool = False
+    grants_quotas: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -437,6 +440,7 @@
     | ForwardCall
     | ForwardRead
     | ForwardClose
+    | QuotaRequest
 )
 PeerReply = (
     Heartbeat
@@ -454,6 +458,7 @@
     | VersionReply
     | ForwardReply
     | ForwardPart
+    | QuotaReply
 )
 
 REPLY_BY_REQUEST: dict[type, type] = {
@@ -477,4 +482,5 @@
     ForwardCall: ForwardReply,
     ForwardRead: ForwardPart,
     ForwardClose: Acknowledgement,
+    QuotaRequest: QuotaReply,
 }
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -33,6 +33,7 @@
 from mustardscale.platform.store_hosts import StoreHostList
 from mustardscale.platform.store_routes import StoreRoutes
 from mustardscale.platform.worker_connector import WorkerConnector
+from mustardscale.quotas.quota_share import QuotaTolerance
 from mustardscale.relay.answer_memory import AnswerLimits
 from mustardscale.relay.retry_budget import RetryAllowance
 from mustardscale.relay_options import (
@@ -259,6 +260,11 @@
         weights_field=names.WEIGHT_VERSIONS,
         customer_header=names.TENANT_ID,
         max_key_age_s=settings.max_key_age_ms / 1000.0,
+        quota_tolerance=QuotaTolerance(
+            settings.quota_window_s,
+            settings.quota_overrun,
+            settings.quota_slack,
+        ),
     )
     return RelayRouter(board, options, edges, rng)
 
@@ -290,6 +296,7 @@
     """Returns a router's state as JSON."""
     state = dump_state(router.blackboard, router.pool_owner)
     state['owned_rate_limits'] = sorted(router.permit_owner.owned_by_id)
+    state['owned_quotas'] = router.quota_owner.describe()
     return msgspec.json.encode(state, enc_hook=str)
 
 
--- a/mustardscale/rate_limits/permits.py
+++ b/mustardscale/rate_limits/permits.py
@@ -13,11 +13,14 @@
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.controller import Controller
 from mustardscale.endpoints.endpoint_notices import RateLimit
-from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.quorum import MIN_SUSPENSION_S, has_quorum
 from mustardscale.hosts.stated_limits import make_statement
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.rate_limit_messages import PermitReply, PermitRequest
+from mustardscale.rate_limits.owner_calls import (
+    OWNER_RETRY_S,
+    OwnerCalls,
+    PermitAge,
+)
 from mustardscale.rate_limits.permit_owner import (
     MIN_RATE_PER_S,
     PermitOwners,
@@ -25,16 +28,7 @@
 from mustardscale.rate_limits.token_bucket import TokenBucket
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.reporting.metrics import Metrics
-from mustardscale.suspension import suspended_s
-
-# Timeout of a call to the owner of a limit, seconds. The caller's request waits
-# meanwhile.
-CALL_TIMEOUT_S = 0.15
-# Time for which an owner that did not answer is not asked again, seconds.
-OWNER_RETRY_S = 0.5
-# Age at which a permit must not be used any more, seconds: the process may have
-# been paused since it asked.
-PERMIT_VALID_S = 0.3
+
 # Part of a limit that hosts use without permits while its owner cannot be
 # reached. Together with the permits of an owner that the others still reach,
 # less than one and a half times the limit is sent.
@@ -97,13 +91,14 @@
         rng: random.Random,
     ):
         self._blackboard = blackboard
-        self._calls = calls
+        self._owner_calls = OwnerCalls(
+            blackboard, calls, metrics, 'permit_calls_failed'
+        )
         self._owners = owners
         self._metrics = metrics
         self._rng = rng
         self._background = BackgroundTasks()
         self._asking_by_id: dict[str, _Asking] = {}
-        self._unavailable_until_by_host: dict[str, float] = {}
         metrics.add_gauge('rate_limited_endpoints', self._count_limited)
         metrics.add_gauge('rate_limit_oldest_seconds', self._oldest_limit_s)
 
@@ -119,7 +114,7 @@
 
     def follow_membership(self) -> None:
         """Asks all owners again, and forgets endpoints that are gone."""
-        self._unavailable_until_by_host.clear()
+        self._owner_calls.forget_failures()
         listed = self._blackboard.endpoints_by_id
         for endpoint_id, asking in list(self._asking_by_id.items()):
             if endpoint_id not in listed and not asking.waiting:
@@ -134,14 +129,11 @@
         endpoint = self._blackboard.endpoints_by_id.get(endpoint_id)
         if endpoint is None or not endpoint.notice.is_rate_limited:
             return True
-        loop = asyncio.get_running_loop()
-        asked_at, suspended_before_s = loop.time(), suspended_s()
-        if endpoint.busy(asked_at):
+        if endpoint.busy(asyncio.get_running_loop().time()):
             return False
+        age = PermitAge()
         decision = await self._ask(endpoint)
-        paused_s = suspended_s() - suspended_before_s
-        is_late = loop.time() - asked_at > PERMIT_VALID_S
-        if decision.granted and (is_late or paused_s > MIN_SUSPENSION_S):
+        if decision.granted and age.has_expired():
             decision = _Decision(False, PermitSource.EXPIRED)
         self._report_decision(endpoint, request_id, decision)
         return decision.granted
@@ -231,11 +223,7 @@
         now = asyncio.get_running_loop().time()
         owner = self._owners.find(endpoint)
         limit = endpoint.notice.rate_limit
-        unavailable_until = self._unavailable_until_by_host.get(owner, 0.0)
-        if limit is None or now < unavailable_until:
-            return None
-        if not has_quorum(self._blackboard, now):
-            # The owners that this host still reaches have no quorum either.
+        if limit is None or not self._owner_calls.may_call(owner):
             return None
         entry = self._blackboard.hosts_by_id.get(owner)
         if entry is not None and not entry.grants_permits:
@@ -244,18 +232,11 @@
         request = PermitRequest(
             make_statement(endpoint, limit, now), permits, refused
         )
-        try:
-            reply = await self._calls.call(
-                owner, request, PermitReply, CALL_TIMEOUT_S
-            )
-        except PeerUnavailableError:
-            self._metrics.count('permit_calls_failed')
-            reply = PermitReply(available=False)
-        now = asyncio.get_running_loop().time()
-        if not reply.available:
+        reply = await self._owner_calls.call(owner, request, PermitReply)
+        if reply is None:
             asking.refused += refused
-            self._unavailable_until_by_host[owner] = now + OWNER_RETRY_S
             return None
+        now = asyncio.get_running_loop().time()
         if endpoint.notice.rate_limit is limit:
             self._adopt(endpoint, reply, now)
         return reply
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -9,6 +9,7 @@
 from mustardscale.configuration.customers import Customer
 from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.quarantine.suspicion_keys import make_keys
+from mustardscale.quotas.quota_gate import QuotaDraw
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -54,7 +55,7 @@
             They are forwarded only where there are no customers.
         customer: the customer that the key belongs to, None if there are no
             customers or the caller presents no known key.
-        drawn_amount: units drawn on the customer's quota for this send.
+        draw: what this send has drawn on the customer's quota.
     """
 
     id: str
@@ -72,7 +73,7 @@
     credential: str = dataclasses.field(default='', repr=False)
     identity_headers: Headers = dataclasses.field(default=(), repr=False)
     customer: Customer | None = None
-    drawn_amount: int = 0
+    draw: QuotaDraw | None = None
 
     @property
     def path(self) -> str:
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -13,6 +13,7 @@
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.log.log_client import LogClient
 from mustardscale.peers.peer_transport import PeerTransport
+from mustardscale.quotas.quota_share import QuotaTolerance
 from mustardscale.relay.answer_memory import AnswerLimits
 from mustardscale.relay.relay_endpoint import RelayConnector
 from mustardscale.relay.retry_budget import RetryAllowance
@@ -37,6 +38,7 @@
         customer_header: header in which endpoints are told the customer's name.
         max_key_age_s: seconds after which a configuration that could not be
             confirmed admits no requests with keys, 0 for no limit.
+        quota_tolerance: by how much quotas of customers may be exceeded.
     """
 
     seed_addresses: tuple[str, ...] = ()
@@ -52,6 +54,9 @@
     weights_field: str = ''
     customer_header: str = ''
     max_key_age_s: float = 0.0
+    quota_tolerance: QuotaTolerance = dataclasses.field(
+        default_factory=QuotaTolerance
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -49,8 +49,9 @@
     Suspicions,
     add_quarantine_gauges,
 )
+from mustardscale.quotas.host_quotas import HostQuotas
 from mustardscale.quotas.quota_amounts import compute_amount
-from mustardscale.quotas.quota_gate import QuotaGate, UnlimitedQuotas
+from mustardscale.quotas.quota_owner import QuotaOwner, QuotaOwners
 from mustardscale.rate_limits.permit_owner import PermitOwner, PermitOwners
 from mustardscale.rate_limits.permits import Permits
 from mustardscale.relay.answer_end import AnswerEnds
@@ -86,6 +87,7 @@
         active: the requests in progress.
         pool_owner: admission to the pools owned here.
         permit_owner: permits of the rate limits owned here.
+        quota_owner: grants of the customers' quotas owned here.
         versions: the software versions of streams.
         forward_server: calls endpoints for other hosts.
     """
@@ -116,7 +118,6 @@
         self._identities = CallerIdentities(
             edges.routes, options.customer_header, options.max_key_age_s
         )
-        self._quotas: QuotaGate = UnlimitedQuotas()
         suspicions = Suspicions(board)
         self.heartbeats = HeartbeatController(board, calls, options.times, rng)
         forwarders = Forwarders(
@@ -145,6 +146,16 @@
         permit_owners = PermitOwners(board)
         self.permit_owner = PermitOwner(board, calls, permit_owners)
         permits = Permits(board, calls, permit_owners, self.metrics, rng)
+        quota_owners = QuotaOwners(board)
+        self.quota_owner = QuotaOwner(board, calls, quota_owners)
+        self._quotas = HostQuotas(
+            board,
+            calls,
+            quota_owners,
+            options.quota_tolerance,
+            self.metrics,
+            rng,
+        )
         host_list = HostListController(
             board, edges.host_list, options.times, rng
         )
@@ -176,6 +187,9 @@
             permit_owners.follow_membership,
             self.permit_owner.follow_membership,
             permits.follow_membership,
+            quota_owners.follow_membership,
+            self.quota_owner.follow_membership,
+            self._quotas.follow_membership,
         ]
         add_quarantine_gauges(board, self.metrics)
         self.metrics.add_gauge(
@@ -207,6 +221,7 @@
             SuspicionExpiry(suspicions),
             sharing,
             permits,
+            self.quota_owner,
             self.forward_server,
             self.versions,
             *([version_log] if version_log is not None else []),
@@ -400,11 +415,10 @@
         if customer is None or not customer.quota.is_limited:
             return
         amount = compute_amount(customer.quota, request.declared_tokens)
-        await self._quotas.acquire(customer, amount, request.id)
-        request.drawn_amount = amount
+        request.draw = await self._quotas.acquire(customer, amount, request.id)
 
     def _return_to_quota(self, request: RelayRequest) -> None:
         """Returns what was drawn for a request that has not run."""
-        if request.customer is not None and request.drawn_amount:
-            self._quotas.give_back(request.customer, request.drawn_amount)
-            request.drawn_amount = 0
+        if request.draw is not None:
+            self._quotas.give_back(request.draw)
+            request.draw = None
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -35,6 +35,7 @@
     QUARANTINE_CHANGED = 'quarantine_changed'
     RATE_LIMIT_CHANGED = 'rate_limit_changed'
     PERMIT_DECIDED = 'permit_decided'
+    QUOTA_DECIDED = 'quota_decided'
     READINESS_CHANGED = 'readiness_changed'
     ORDERS_CHANGED = 'orders_changed'
     POOL_DECIDED = 'pool_decided'
@@ -139,6 +140,12 @@
         ),
         rate_per_s=50.0,
     ),
+    EventKind.QUOTA_DECIDED: EventRule(
+        "A request was refused by its customer's quota, or granted without the"
+        " quota's owner.",
+        ('customer', 'amount', 'granted', 'source', 'owner', 'wait_s'),
+        rate_per_s=50.0,
+    ),
     EventKind.READINESS_CHANGED: EventRule(
         'The host became ready or unready.', ('ready', 'cause')
     ),
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -85,6 +85,19 @@
         ' configuration could not be confirmed; 0 for no limit.',
         0.0,
     )
+    quota_window_s: float = setting(
+        Amount(),
+        'Time over which quotas of customers are counted, in seconds.',
+        0.0,
+    )
+    quota_overrun: float = setting(
+        Amount(),
+        'Share by which a quota may be exceeded in that time.',
+        0.0,
+    )
+    quota_slack: float = setting(
+        Amount(), 'Units by which a quota may be exceeded besides.', 0.0
+    )
     max_connections: int = setting(
         Count(), "Limit of callers' connections.", 1_500
     )
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -153,6 +153,10 @@
             KeyedStream(client, versions, asyncio.get_running_loop().time),
         )
 
+    def options(self) -> RelayOptions:
+        """Returns how the hosts work."""
+        return RelayOptions()
+
     async def start(self) -> None:
         """Starts the hosts, and waits until they know one another."""
         for number in range(1, self._first_hosts + 1):
@@ -171,7 +175,7 @@
         board.engines_read_prompts = True
         edges = self.edges(host, board)
         rng = random.Random(self.rng.random())
-        router = RelayRouter(board, RelayOptions(), edges, rng)
+        router = RelayRouter(board, self.options(), edges, rng)
         await router.start()
         self.router_by_host[host] = router
 
--- a/standins/limited_endpoints.py
+++ b/standins/limited_endpoints.py
@@ -37,7 +37,9 @@
         self.arrivals = LimitedArrivals(name)
 
 
-class _WholeAnswer(EndpointAnswer):
+class OkAnswer(EndpointAnswer):
+    """A short answer of a known length."""
+
     framing = AnswerFraming.LENGTH
 
     def __init__(self) -> None:
@@ -51,7 +53,7 @@
         """See the base class."""
 
 
-class _LimitedClient(RelayEndpoint):
+class LimitedClient(RelayEndpoint):
     """The client of a limited endpoint on one host."""
 
     def __init__(
@@ -74,7 +76,7 @@
         limit_per_s = self._model.arrivals.limit_per_s
         await self._travel()
         self._listener.record_rate_limit(limit_per_s)
-        return _WholeAnswer()
+        return OkAnswer()
 
     async def _travel(self) -> None:
         """Waits until a message has arrived, without end if it is lost."""
@@ -116,7 +118,7 @@
         self, endpoint: EndpointEntry, listener: EndpointListener
     ) -> RelayEndpoint:
         """See the base class."""
-        return _LimitedClient(
+        return LimitedClient(
             self._model_by_id[endpoint.id],
             self._host,
             listener,
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -37,17 +37,15 @@
 
 KEY, SECOND_KEY, OTHER_KEY = 'banfqasnmg', 'k9m68k7b2e', 'q3w1zz81ab'
 TENANTS = [
-    {
-        'name': 'north',
-        'api_keys': [KEY, SECOND_KEY],
-        'priority': 0,
-        'unit': 'tokens',
-        'plain_tokens': 200,
-        'rate_per_s': 147_385,
-        'burst_size': 147_385,
-    },
+    {'name': 'north', 'api_keys': [KEY, SECOND_KEY], 'priority': 0},
     {'name': 'south', 'api_keys': [OTHER_KEY]},
 ]
+QUOTA = {
+    'unit': 'tokens',
+    'plain_tokens': 200,
+    'rate_per_s': 147_385,
+    'burst_size': 147_385,
+}
 
 
 def with_customers(version=4, tenants=TENANTS):
@@ -217,7 +215,9 @@
     """The operator's configuration of customers."""
 
     def test_customers_are_read(self):
-        table = decode_table(json.dumps(with_customers()).encode())
+        tenants = [TENANTS[0] | QUOTA, TENANTS[1]]
+        config = with_customers(tenants=tenants)
+        table = decode_table(json.dumps(config).encode())
         north, south = table.customers
         assert north == Customer(
             'north',
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -23,7 +23,11 @@
     PermitRequest,
     RateLimitStatement,
 )
-from mustardscale.rate_limits import permits as permits_module
+from mustardscale.rate_limits import owner_calls
+from mustardscale.rate_limits.owner_calls import (
+    CALL_TIMEOUT_S,
+    PERMIT_VALID_S,
+)
 from mustardscale.rate_limits.permit_owner import (
     HANDOVER_S,
     MIN_RATE_PER_S,
@@ -31,12 +35,7 @@
     PermitOwners,
     compute_burst,
 )
-from mustardscale.rate_limits.permits import (
-    CALL_TIMEOUT_S,
-    PERMIT_VALID_S,
-    SHARE_WITHOUT_OWNER,
-    Permits,
-)
+from mustardscale.rate_limits.permits import SHARE_WITHOUT_OWNER, Permits
 from mustardscale.relay.endpoint_listener import EndpointListener
 from mustardscale.relay.stream_attempts import MAX_REFUSALS
 from mustardscale.relay.stream_relay import StreamRelay
@@ -339,7 +338,7 @@
     async def test_a_permit_that_came_late_is_used_after_a_pause(
         self, monkeypatch
     ):
-        monkeypatch.setattr(permits_module, 'CALL_TIMEOUT_S', 60.0)
+        monkeypatch.setattr(owner_calls, 'CALL_TIMEOUT_S', 60.0)
         site = _Site(PermitReply(True, 1, 5.0), PERMIT_VALID_S + 0.01)
         site.state_limit(5.0)
         assert not await site.permits.acquire('a', 'r')
@@ -350,7 +349,7 @@
     ):
         suspensions = iter([0.0, 4.0])
         monkeypatch.setattr(
-            permits_module, 'suspended_s', lambda: next(suspensions)
+            owner_calls, 'suspended_s', lambda: next(suspensions)
         )
         site = _Site(PermitReply(True, 1, 5.0))
         site.state_limit(5.0)
