Grant part of the tolerated excess of a quota as burst

Cause: requests of a customer come in groups. What is refused below the limit is lost to them.

Change: four tenths of what the deployment's settings tolerate in a window add to the owner's burst, four tenths to the shares of hosts without an owner (half before).

Ruled out: more than that; the rest covers the overlap of two owners.

--- a/mustardscale/quotas/quota_owner.py
+++ b/mustardscale/quotas/quota_owner.py
@@ -21,6 +21,7 @@
     QuotaTerms,
 )
 from mustardscale.quotas.quota_bucket import QuotaBucket
+from mustardscale.quotas.quota_share import OWNED_EXCESS, QuotaTolerance
 
 # Time for which a new owner grants nothing, seconds: hosts may still ask the
 # one before it.
@@ -79,13 +80,16 @@
         '_backlog',
         '_backlog_at',
         '_bucket',
+        '_tolerance',
         'granted',
         'owned_since',
         'refused',
         'terms',
     )
 
-    def __init__(self, terms: QuotaTerms, now: float):
+    def __init__(
+        self, terms: QuotaTerms, tolerance: QuotaTolerance, now: float
+    ):
         """Takes over a quota without credit.
 
         The owner before may have granted all that the quota allows until now,
@@ -93,14 +97,16 @@
 
         Args:
             terms: the quota.
+            tolerance: by how much it may be exceeded.
             now: loop time.
         """
         self.terms = terms
+        self._tolerance = tolerance
         self.owned_since = now
         self.granted = 0
         self.refused = 0
         self._bucket = QuotaBucket(
-            terms.rate_per_s, terms.burst, 0.0, now + HANDOVER_S
+            terms.rate_per_s, self._capacity(), 0.0, now + HANDOVER_S
         )
         self._backlog = 0.0
         self._backlog_at = now
@@ -121,11 +127,12 @@
         if terms.version >= self.terms.version:
             self.terms = terms
         rate_per_s = self.terms.rate_per_s * heard_share
-        if (rate_per_s, self.terms.burst) != (
+        capacity = self._capacity()
+        if (rate_per_s, capacity) != (
             self._bucket.rate_per_s,
             self._bucket.capacity,
         ):
-            self._bucket.change(rate_per_s, self.terms.burst, now)
+            self._bucket.change(rate_per_s, capacity, now)
 
     def grant(self, request: QuotaRequest, now: float) -> QuotaReply:
         """Grants the first requests, as many as there is credit for."""
@@ -145,6 +152,15 @@
         """Returns the credit, which is negative after a large request."""
         return self._bucket.level(now)
 
+    def _capacity(self) -> float:
+        """Returns the units that may be granted at once.
+
+        A customer whose usual requests come in bursts is not refused what the
+        deployment tolerates.
+        """
+        excess = self._tolerance.excess(self.terms)
+        return self.terms.burst + OWNED_EXCESS * excess
+
     def _refuse(self, units: int, now: float) -> float:
         """Notes units that are refused and expected to return.
 
@@ -169,10 +185,15 @@
     """
 
     def __init__(
-        self, blackboard: Blackboard, calls: PeerCalls, owners: QuotaOwners
+        self,
+        blackboard: Blackboard,
+        calls: PeerCalls,
+        owners: QuotaOwners,
+        tolerance: QuotaTolerance,
     ):
         self._blackboard = blackboard
         self._owners = owners
+        self._tolerance = tolerance
         self.owned_by_customer: dict[str, OwnedQuota] = {}
         calls.handle(QuotaRequest, self._on_request)
 
@@ -237,7 +258,7 @@
         """Returns the credit of a customer, a new one after a change."""
         owned = self.owned_by_customer.get(customer)
         if owned is None or not self._may_keep(customer):
-            owned = OwnedQuota(terms, now)
+            owned = OwnedQuota(terms, self._tolerance, now)
             self.owned_by_customer[customer] = owned
         return owned
 
--- a/mustardscale/quotas/quota_share.py
+++ b/mustardscale/quotas/quota_share.py
@@ -13,9 +13,11 @@
 from mustardscale.peers.quota_messages import QuotaTerms
 from mustardscale.quotas.quota_bucket import MIN_CREDIT, QuotaBucket
 
-# Part of the tolerated excess that the shares of all hosts may use. The rest is
-# left for an owner that grants until it learns that others do so as well.
-SHARED_EXCESS = 0.5
+# Parts of the tolerated excess that the owner and the shares of all hosts may
+# use. The rest is left for an owner that grants until it learns that others do
+# so as well.
+OWNED_EXCESS = 0.4
+SHARED_EXCESS = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -147,7 +147,9 @@
         self.permit_owner = PermitOwner(board, calls, permit_owners)
         permits = Permits(board, calls, permit_owners, self.metrics, rng)
         quota_owners = QuotaOwners(board)
-        self.quota_owner = QuotaOwner(board, calls, quota_owners)
+        self.quota_owner = QuotaOwner(
+            board, calls, quota_owners, options.quota_tolerance
+        )
         self._quotas = HostQuotas(
             board,
             calls,
