Let a customer use all that a window of its quota allows

Cause: quotas are counted in windows, rate x window + burst.

Change: once an owner has seen a whole window, credit grows at the window's sum over its length, and the sum of the last window is checked. A new owner does not know that sum and fills at the rate first.

--- a/mustardscale/quotas/quota_owner.py
+++ b/mustardscale/quotas/quota_owner.py
@@ -22,6 +22,7 @@
 )
 from mustardscale.quotas.quota_bucket import QuotaBucket
 from mustardscale.quotas.quota_share import OWNED_EXCESS, QuotaTolerance
+from mustardscale.quotas.quota_window import QuotaWindow
 
 # Time for which a new owner grants nothing, seconds: hosts may still ask the
 # one before it.
@@ -80,7 +81,9 @@
         '_backlog',
         '_backlog_at',
         '_bucket',
+        '_heard_share',
         '_tolerance',
+        '_window',
         'granted',
         'owned_since',
         'refused',
@@ -108,6 +111,8 @@
         self._bucket = QuotaBucket(
             terms.rate_per_s, self._capacity(), 0.0, now + HANDOVER_S
         )
+        self._window = QuotaWindow(tolerance.window_s)
+        self._heard_share = 1.0
         self._backlog = 0.0
         self._backlog_at = now
 
@@ -126,7 +131,8 @@
         """
         if terms.version >= self.terms.version:
             self.terms = terms
-        rate_per_s = self.terms.rate_per_s * heard_share
+        self._heard_share = heard_share
+        rate_per_s = self._rate_per_s(now)
         capacity = self._capacity()
         if (rate_per_s, capacity) != (
             self._bucket.rate_per_s,
@@ -137,10 +143,12 @@
     def grant(self, request: QuotaRequest, now: float) -> QuotaReply:
         """Grants the first requests, as many as there is credit for."""
         self._bucket.put_back(request.returned, now)
+        self._window.add(-request.returned, now)
         granted = 0
         for amount in request.amounts:
-            if not self._bucket.take(amount, now):
+            if not self._may_add(now) or not self._bucket.take(amount, now):
                 break
+            self._window.add(amount, now)
             granted += 1
         self.granted += sum(request.amounts[:granted]) - request.returned
         wait_s = 0.0
@@ -152,6 +160,32 @@
         """Returns the credit, which is negative after a large request."""
         return self._bucket.level(now)
 
+    def _limit(self) -> float:
+        """Returns the units that may be granted within a window."""
+        terms = self.terms
+        allowed = terms.rate_per_s * self._tolerance.window_s + terms.burst
+        excess = OWNED_EXCESS * self._tolerance.excess(terms)
+        return self._heard_share * (allowed + excess)
+
+    def _may_add(self, now: float) -> bool:
+        """Returns whether the window has credit for a request."""
+        return not self._tolerance.window_s or (
+            self._window.total(now) < self._limit()
+        )
+
+    def _rate_per_s(self, now: float) -> float:
+        """Returns the rate at which credit grows.
+
+        Where quotas are counted in windows, a customer that always sends more
+        than its quota gets all that a window allows. A new owner does not know
+        what the one before has granted within the window.
+        """
+        rate_per_s = self._heard_share * self.terms.rate_per_s
+        window_s = self._tolerance.window_s
+        if not window_s or now < self.owned_since + HANDOVER_S + window_s:
+            return rate_per_s
+        return self._limit() / window_s
+
     def _capacity(self) -> float:
         """Returns the units that may be granted at once.
 
@@ -171,7 +205,9 @@
         rate_per_s = self._bucket.rate_per_s
         drained = (now - self._backlog_at) * rate_per_s
         backlog = max(0.0, self._backlog - drained)
-        wait_s = self._bucket.wait_s(now) + backlog / rate_per_s
+        window_wait_s = self._window.wait_s(self._limit(), now)
+        credit_s = max(self._bucket.wait_s(now), window_wait_s)
+        wait_s = credit_s + backlog / rate_per_s
         self._backlog = min(MAX_BACKLOG_S * rate_per_s, backlog + units)
         self._backlog_at = now
         return min(MAX_BACKLOG_S, wait_s)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -143,6 +143,31 @@
             now = HANDOVER_S + 4.0 * group
             assert self.grant(owned, [LARGE] * 10, now).granted == 10
 
+    def test_crowd_does_not_get_all_that_a_window_allows(self):
+        owned = OwnedQuota(TERMS, QuotaTolerance(8.0), now=0.0)
+        granted = 0
+        for step in range(5_000):
+            now = HANDOVER_S + step / 100
+            owned.adopt(TERMS, 1.0, now)
+            units = 50 * self.grant(owned, [50], now).granted
+            granted += units if now > 17.0 else 0
+        # A window of 8 s allows its rate and a burst.
+        assert granted == pytest.approx(34.0 * 9_000 / 8.0, rel=0.02)
+
+    def test_window_is_exceeded_after_a_burst(self):
+        owned = OwnedQuota(TERMS, QuotaTolerance(8.0), now=0.0)
+        grants = []
+        for step in range(6_000):
+            now = HANDOVER_S + step / 100
+            owned.adopt(TERMS, 1.0, now)
+            # Crowds of some seconds with pauses between them.
+            if int(now) % 10 < 6 and self.grant(owned, [50], now).granted:
+                grants.append(now)
+        for begins_at in grants:
+            ends_at = begins_at + 8.0
+            window = sum(begins_at <= at < ends_at for at in grants)
+            assert 50 * window <= 9_000 + 50
+
     def test_newer_terms_of_a_host_hold(self):
         owned = OwnedQuota(TERMS, QuotaTolerance(), now=0.0)
         owned.adopt(QuotaTerms(2, 10.0, 10.0), 1.0, now=5.0)
