Carry the priority and customer of requests to pool owners and engines

Cause: routes and customers have priorities, but neither the owner of a pool nor the engines are told.

AdmitRequest gets the priority and the customer's name as last fields, ForwardedRequest the priority; the defaults mean that none is stated, so messages of earlier releases are understood and earlier releases ignore the fields. Engines get X-Request-Priority (0 to 9). Ruled out: sending it always; a service whose requests all have the same priority is told none, so that a deployment without priorities is served as before, byte for byte.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -13,6 +13,7 @@
     EndpointNotices,
 )
 from mustardscale.endpoints.engines import (
+    NO_PRIORITY,
     EngineRole,
     LoadReport,
     StreamStage,
@@ -253,6 +254,8 @@
             host holds it.
         keys: its suspicion keys.
         version: software version of the engine that wrote the first token.
+        priority: its priority, NO_PRIORITY for none.
+        customer: name of its customer, '' if it has none.
     """
 
     id: str
@@ -279,6 +282,8 @@
     confirmed_at: float = -math.inf
     keys: tuple[str, ...] = ()
     version: str = ''
+    priority: int = NO_PRIORITY
+    customer: str = ''
 
     @property
     def emitted_tokens(self) -> int:
--- a/mustardscale/configuration/route_index.py
+++ b/mustardscale/configuration/route_index.py
@@ -4,6 +4,7 @@
 
 from mustardscale.configuration.config_records import Profile
 from mustardscale.configuration.customers import Customer
+from mustardscale.configuration.route_priorities import RoutePriorities
 from mustardscale.configuration.routes import Route, RouteTable
 
 # Callers of streams leave when no event arrives for the longest of three times:
@@ -55,6 +56,7 @@
         table: the table.
         service_by_name: the table's services.
         customer_by_key: the table's customers by the keys of their callers.
+        priorities: what is known of the priorities of requests.
         profile_by_route: profile of each route that is answered by streams,
             by the route's name.
     """
@@ -62,6 +64,7 @@
     __slots__ = (
         '_route_by_prefix_by_host',
         'customer_by_key',
+        'priorities',
         'profile_by_route',
         'service_by_name',
         'table',
@@ -74,6 +77,7 @@
         for customer in table.customers:
             for key in customer.keys:
                 self.customer_by_key.setdefault(key, customer)
+        self.priorities = RoutePriorities(table)
         self.profile_by_route = {
             route.name: build_route_profile(route)
             for route in table.routes
--- a/mustardscale/endpoints/engines.py
+++ b/mustardscale/endpoints/engines.py
@@ -17,6 +17,8 @@
 KV_BYTES_PER_TOKEN = 100_000
 # Bytes of text counted as one token before the engine has counted the tokens.
 BYTES_PER_TOKEN = 4
+# Priority of requests for which none is stated.
+NO_PRIORITY = -1
 
 REFUSED_LEAVING = 'leaving'
 REFUSED_MEMORY = 'memory'
--- a/mustardscale/peers/forward_messages.py
+++ b/mustardscale/peers/forward_messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from mustardscale.endpoints.engines import NO_PRIORITY
+
 # Value of a rate limit that an endpoint does not state.
 NO_LIMIT = -1.0
 # Value of a position that hosts of earlier releases do not state.
@@ -62,6 +64,8 @@
         body: the content.
         deadline_s: seconds left until the endpoint must stop.
         resume_after: id of the event after which the stream resumes.
+        priority: priority that the endpoint is told, NO_PRIORITY for
+            none and from hosts of earlier releases.
     """
 
     id: str = ''
@@ -72,6 +76,7 @@
     body: bytes = b''
     deadline_s: float = 0.0
     resume_after: str = ''
+    priority: int = NO_PRIORITY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -238,6 +238,8 @@
   hintTokens @12 :Int64;
   turnWithinS @13 :Float64;
   keys @14 :List(Text);
+  priority @15 :Int64 = -1;
+  customer @16 :Text;
 }
 
 struct AdmitReply {
@@ -432,6 +434,7 @@
   body @5 :Data;
   deadlineS @6 :Float64;
   resumeAfter @7 :Text;
+  priority @8 :Int64 = -1;
 }
 
 struct ForwardedHandle {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -7,7 +7,11 @@
 
 import dataclasses
 
-from mustardscale.endpoints.engines import StreamStage, StreamTag
+from mustardscale.endpoints.engines import (
+    NO_PRIORITY,
+    StreamStage,
+    StreamTag,
+)
 from mustardscale.peers.config_messages import (
     ConfigFetch,
     ConfigFetchReply,
@@ -158,6 +162,10 @@
         turn_within_s: seconds within which the grant must come, 0 for as long
             as the caller stays.
         keys: the request's suspicion keys.
+        priority: its priority, 0 is the most urgent; NO_PRIORITY where all
+            requests of the pool's service have the same one, and from hosts
+            of earlier releases.
+        customer: name of its customer, '' if it has none.
     """
 
     pool: str
@@ -175,6 +183,8 @@
     hint_tokens: int = 0
     turn_within_s: float = 0.0
     keys: tuple[str, ...] = ()
+    priority: int = NO_PRIORITY
+    customer: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -19,6 +19,7 @@
     find_reset,
     require_request_read,
 )
+from mustardscale.endpoints.engines import NO_PRIORITY
 from mustardscale.endpoints.http_plain import end_to_end_headers
 from mustardscale.endpoints.http_sessions import (
     REQUEST_ERRORS,
@@ -56,6 +57,9 @@
 # Time after a request's deadline in which the worker may still answer that the
 # deadline has passed, seconds.
 DEADLINE_MARGIN_S = 0.1
+# The least urgent priority that workers accept; a less urgent one is sent as
+# this one.
+MAX_PRIORITY = 9
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
 _MISDIRECTED = 421
@@ -274,6 +278,9 @@
         ]
         if call.resume_after:
             all_headers.append((names.LAST_EVENT_ID, call.resume_after))
+        if call.priority != NO_PRIORITY:
+            priority = min(max(call.priority, 0), MAX_PRIORITY)
+            all_headers.append((names.REQUEST_PRIORITY, str(priority)))
         progress = SendProgress()
         try:
             response = await self._session.request(
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -249,6 +249,8 @@
             excluded=tuple(query.excluded),
             hint_tokens=served.hint_tokens,
             keys=served.keys,
+            priority=served.priority,
+            customer=served.customer,
         )
 
     async def _request_until_decided(
--- a/mustardscale/relay/relay_endpoint.py
+++ b/mustardscale/relay/relay_endpoint.py
@@ -13,6 +13,7 @@
     ControlClients,
     ControlConnector,
 )
+from mustardscale.endpoints.engines import NO_PRIORITY
 from mustardscale.relay.endpoint_listener import EndpointListener
 from mustardscale.relay.relay_messages import AnswerHead, RelayRequest
 
@@ -46,12 +47,14 @@
         deadline_at: loop time at which the endpoint must stop.
         prefill: the prefill result to fetch, None to run without one.
         resume_after: id of the event after which the stream resumes.
+        priority: priority that the endpoint is told, NO_PRIORITY for none.
     """
 
     request: RelayRequest
     deadline_at: float
     prefill: PrefillHandle | None = None
     resume_after: str = ''
+    priority: int = NO_PRIORITY
 
 
 class EndpointAnswer(abc.ABC):
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -8,6 +8,7 @@
 
 from mustardscale.configuration.customers import Customer
 from mustardscale.endpoints.answer_framing import AnswerFraming
+from mustardscale.endpoints.engines import NO_PRIORITY
 from mustardscale.quarantine.suspicion_keys import make_keys
 from mustardscale.quotas.quota_gate import QuotaDraw
 
@@ -56,6 +57,8 @@
         customer: the customer that the key belongs to, None if there are no
             customers or the caller presents no known key.
         draw: what this send has drawn on the customer's quota.
+        priority: its priority, 0 is the most urgent; NO_PRIORITY where all
+            requests of its service have the same one.
     """
 
     id: str
@@ -74,6 +77,7 @@
     identity_headers: Headers = dataclasses.field(default=(), repr=False)
     customer: Customer | None = None
     draw: QuotaDraw | None = None
+    priority: int = NO_PRIORITY
 
     @property
     def path(self) -> str:
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -498,6 +498,7 @@
             self.deadline_at,
             handle,
             self._resume_after,
+            self._request.priority,
         )
 
     async def _prefill(self, grant: AdmitReply) -> PrefillHandle:
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -141,6 +141,8 @@
             max_tokens=size.max_output_tokens,
             hint_tokens=size.output_hint_tokens,
             keys=keys,
+            priority=request.priority,
+            customer=request.customer.name if request.customer else '',
         )
         self._attempts = StreamAttempts(
             context,
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -346,8 +346,10 @@
         try:
             route, service = self._find(request)
             report.route, report.service = route, service
-            self._identities.identify(
-                request, route, self.blackboard.config.routes
+            routes = self.blackboard.config.routes
+            self._identities.identify(request, route, routes)
+            request.priority = routes.priorities.find(
+                route, request.customer, service.name
             )
             await self._draw_on_quota(request)
             if service.engine is None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -105,7 +105,8 @@
 
     WORDS = re.compile(
         r'X-(Expect-Instance|Not-Executed|Response-Signature|Kv-|Token-Usage'
-        r'|Serving-Phase|Prompt-Prefix|Model-Name|Request-Deadline)'
+        r'|Serving-Phase|Prompt-Prefix|Model-Name|Request-Deadline'
+        r'|Request-Priority)'
         r'|log-(append|newest|join)|keyed\.(op|servers|status)'
         r'|/mustardscale/(report|order|kv-|ready)',
         re.IGNORECASE,
