Serve more urgent requests first and share pools by customer

Cause: in a shortage the owner of a pool knew only first-token targets, and shared by service. A less urgent stream took memory that a more urgent one waited for, and one customer's overload cost all customers of its service.

Change: waiting requests are ordered by whether they can be in time, by priority, by whether they exceed their customer's max-min share (weight: the rate of the quota), then by slack. A request that is in time and lacks memory keeps one decode engine from those after it. The forecast counts only new requests that pass a waiting one; less urgent ones are refused while they can still be in time elsewhere. Room for latency-critical requests to come is not kept for less urgent ones. The owner adds the route's priority where a host of an earlier release states none. pool_decided says priority and customer; counters by priority.

--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -10,6 +10,7 @@
 
 from mustardscale.configuration.config_records import Profile
 from mustardscale.endpoints.engines import (
+    NO_PRIORITY,
     CacheEvent,
     EngineRole,
     LoadReport,
@@ -58,6 +59,8 @@
         named_at: loop time at which its host last confirmed it, in a report or
             by the digest of the streams that it holds.
         keys: the request's suspicion keys.
+        priority: its priority, NO_PRIORITY if the owner does not know it.
+        customer: name of its customer, '' if the owner knows none.
     """
 
     stream: HeldStream
@@ -69,6 +72,8 @@
     block_hashes: tuple[int, ...] = ()
     named_at: float = dataclasses.field(default=0.0, compare=False)
     keys: tuple[str, ...] = dataclasses.field(default=(), compare=False)
+    priority: int = dataclasses.field(default=NO_PRIORITY, compare=False)
+    customer: str = dataclasses.field(default='', compare=False)
 
     @property
     def request_id(self) -> str:
@@ -258,6 +263,8 @@
         waiting_by_request_id: requests whose admission is not decided yet.
         reservations_by_request_id: grants in use.
         profile_by_service: the profile of each language service.
+        weight_by_customer: the weight of each customer in fair shares, if it
+            is not 1.
     """
 
     id: str
@@ -273,6 +280,9 @@
     profile_by_service: dict[str, Profile] = dataclasses.field(
         default_factory=dict
     )
+    weight_by_customer: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def piece_tokens(self) -> int:
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -143,6 +143,11 @@
             self._held_pieces = sum(map(self._needed_pieces, self._needs))
         return self._needs
 
+    def free_pieces(self) -> int:
+        """Returns the KV blocks that are free beside the present needs."""
+        self.needs()
+        return self.memory.pieces_total - self._held_pieces
+
     def has_memory_for_largest(self, pieces: int) -> bool:
         """Returns whether more KV blocks fit beside the largest needs."""
         return self.largest_pieces + pieces <= self.memory.pieces_total
--- a/mustardscale/policy/latency_critical_demand.py
+++ b/mustardscale/policy/latency_critical_demand.py
@@ -67,10 +67,11 @@
 class LatencyCriticalDemand:
     """Counts arrivals by service with exponential decay."""
 
-    __slots__ = ('_counted_at', '_known_ids', '_weight_by_service')
+    __slots__ = ('_counted_at', '_known_ids', '_weight_by_kind')
 
     def __init__(self):
-        self._weight_by_service: dict[str, float] = {}
+        # By service and priority.
+        self._weight_by_kind: dict[tuple[str, int], float] = {}
         self._known_ids: set[str] = set()
         self._counted_at = 0.0
 
@@ -84,13 +85,25 @@
                 continue
             self._known_ids.add(request_id)
             self._forget(now)
-            service = item.request.service
-            weight = self._weight_by_service.get(service, 0.0)
-            self._weight_by_service[service] = weight + 1.0
+            kind = (item.request.service, item.request.priority)
+            weight = self._weight_by_kind.get(kind, 0.0)
+            self._weight_by_kind[kind] = weight + 1.0
 
-    def rate_per_s(self, service: str, now: float) -> float:
-        """Returns a service's requests per second."""
-        weight = self._weight_by_service.get(service, 0.0)
+    def rate_per_s(
+        self, service: str, now: float, priority: float = math.inf
+    ) -> float:
+        """Returns a service's requests per second.
+
+        Args:
+            service: the service.
+            now: loop time.
+            priority: less urgent requests are not counted.
+        """
+        weight = sum(
+            weight
+            for (name, other), weight in self._weight_by_kind.items()
+            if name == service and other <= priority
+        )
         aged = math.exp((self._counted_at - now) / RATE_DECAY_S)
         return weight * aged / RATE_DECAY_S
 
@@ -99,6 +112,7 @@
         profile_by_service: Mapping[str, Profile],
         now: float,
         ahead: Collection[str] = (),
+        priority: float = math.inf,
     ) -> LatencyCriticalNeed:
         """Returns what the latency-critical services in use need.
 
@@ -107,11 +121,13 @@
             now: loop time.
             ahead: services that received more than their fair share. No engine
                 is left free for them.
+            priority: priority of the request that leaves engines and memory
+                free; it leaves none to less urgent ones.
         """
         in_use = {
             service: profile
             for service, profile in profile_by_service.items()
-            if self.rate_per_s(service, now) >= MIN_RATE_PER_S
+            if self.rate_per_s(service, now, priority) >= MIN_RATE_PER_S
             and service not in ahead
         }
         target_s = min(
@@ -119,7 +135,7 @@
             default=math.inf,
         )
         weight_per_s = sum(
-            self.rate_per_s(service, now) * profile.goodput_weight
+            self.rate_per_s(service, now, priority) * profile.goodput_weight
             for service, profile in in_use.items()
             if profile.first_token_s <= LATENCY_CRITICAL_FACTOR * target_s
         )
@@ -129,6 +145,6 @@
 
     def _forget(self, now: float) -> None:
         aged = math.exp((self._counted_at - now) / RATE_DECAY_S)
-        for service in self._weight_by_service:
-            self._weight_by_service[service] *= aged
+        for kind in self._weight_by_kind:
+            self._weight_by_kind[kind] *= aged
         self._counted_at = now
--- a/mustardscale/policy/local_prefill.py
+++ b/mustardscale/policy/local_prefill.py
@@ -113,6 +113,7 @@
         if (
             decode.id not in current.local_prefill_ids
             or decode.id in request.excluded
+            or decode.id in current.withheld_ids
         ):
             continue
         if current.now - tracker.local_prefill_began_at(decode.id) < min_gap_s:
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -79,6 +79,8 @@
             themselves in this round.
         lacks_memory: whether the last request for which a pairing was searched
             had none because no decode engine had enough free memory.
+        withheld_ids: decode engines that the present request leaves to more
+            urgent ones.
     """
 
     now: float
@@ -94,6 +96,7 @@
     piece_tokens: int
     local_prefill_ids: frozenset[str] = frozenset()
     lacks_memory: bool = False
+    withheld_ids: frozenset[str] = frozenset()
 
     def has_free_prefill(self) -> bool:
         """Returns whether a prefill engine is free within PREFILL_LEAD_S."""
@@ -220,6 +223,7 @@
         candidate
         for candidate in current.decodes_by_id.values()
         if candidate.id not in request.excluded
+        and candidate.id not in current.withheld_ids
         and tracker.capacities.may_fit(
             candidate, pieces, step_s, reserve_pieces
         )
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -6,15 +6,24 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import math
 import random
 from collections.abc import Collection
 
 from mustardscale.configuration.config_records import Profile
-from mustardscale.endpoints.engines import CacheEvent, LoadReport, StreamStage
+from mustardscale.endpoints.engines import (
+    NO_PRIORITY,
+    CacheEvent,
+    LoadReport,
+    StreamStage,
+)
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_messages import AdmitRequest, Release
 from mustardscale.policy.admission_forecast import (
+    MAX_PASSING_SHARE,
+    MAX_URGENT_PASSING_SHARE,
     AdmissionForecast,
     is_worth_waiting,
     may_be_admitted_in_time,
@@ -29,13 +38,16 @@
     Reservation,
 )
 from mustardscale.policy.engine_tracker import EngineTracker
-from mustardscale.policy.fair_shares import FairShares
-from mustardscale.policy.latency_critical_demand import LatencyCriticalDemand
+from mustardscale.policy.latency_critical_demand import (
+    LatencyCriticalDemand,
+    LatencyCriticalNeed,
+)
 from mustardscale.policy.local_prefill import (
     find_local_pairing,
     lacks_prefill_engine,
 )
 from mustardscale.policy.memory_booking import StreamNeed, pieces_for
+from mustardscale.policy.memory_claims import MemoryClaim, find_withheld
 from mustardscale.policy.pairing import (
     Round,
     begin_round,
@@ -43,8 +55,10 @@
     min_first_token_s,
 )
 from mustardscale.policy.pool_capacity import compute_capacity
+from mustardscale.policy.priority_shares import PriorityShares
+from mustardscale.policy.queue_passing import QueueClass, find_class
 from mustardscale.policy.urgency import (
-    AHEAD_IN_TIME,
+    IN_TIME,
     REPEATED,
     Candidate,
     accepts_late,
@@ -88,15 +102,16 @@
 class ReservingPolicy(PlacementPolicy):
     """Grants waiting requests in the order of their urgency.
 
-    Mainly the request with the least slack to its first-token target comes
-    first. Decode memory and links are reserved before a prefill.
+    Requests that can be in time come before late ones, then the more urgent
+    priority comes first, and then mainly the least slack to the first-token
+    target. Decode memory and links are reserved before a prefill.
     """
 
     def __init__(self, rng: random.Random):
         super().__init__(rng)
         self._tracker = EngineTracker()
         self._demand = LatencyCriticalDemand()
-        self._shares = FairShares()
+        self._shares = PriorityShares()
         self._forecast = AdmissionForecast()
         # Requests without a grant for lack of decode memory when a prefill
         # engine was last free.
@@ -104,21 +119,25 @@
 
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Grants the most urgent requests and refuses hopeless ones."""
-        self._forecast.observe_waiting(pool.waiting_by_request_id.values(), now)
         self._short_of_memory_ids &= pool.waiting_by_request_id.keys()
         self._demand.observe(pool.waiting_by_request_id.values(), now)
-        self._shares.observe_waiting(
-            item.request.service for item in pool.waiting_by_request_id.values()
-        )
-        ahead = self._shares.ahead()
-        latency_critical_need = self._demand.latency_critical_need(
-            pool.profile_by_service, now, ahead
+        waiting = pool.waiting_by_request_id.values()
+        self._shares.observe_waiting(waiting, now)
+        ahead_ids = self._shares.find_ahead(waiting, pool.weight_by_customer)
+        self._forecast.observe_waiting(waiting, now, ahead_ids)
+        need_by_priority = self._find_needs(pool, now)
+        current = begin_round(
+            self._tracker, pool, need_by_priority[NO_PRIORITY], now
         )
-        current = begin_round(self._tracker, pool, latency_critical_need, now)
-        decisions, kept = self._screen_waiting(current, pool, ahead)
+        decisions, kept = self._screen_waiting(current, pool, ahead_ids)
         kept.sort(key=lambda candidate: candidate.urgency)
         ungranted = _UngrantedRequests()
+        claims: list[MemoryClaim] = []
         for candidate in kept:
+            current.latency_critical_need = need_by_priority[candidate.priority]
+            current.withheld_ids = find_withheld(
+                claims, candidate.urgency, current.decodes_by_id.values()
+            )
             grant = self._grant_local_if_lightly_loaded(current, candidate)
             if grant is None and current.has_free_prefill():
                 grant = self._grant(current, candidate)
@@ -129,10 +148,52 @@
                 decisions.append(grant)
             else:
                 ungranted.add(candidate, self._prefill_s(current, candidate))
+                claims += self._claim_memory(current, candidate)
         return decisions + self._refuse_short_of_memory(
             current, pool, ungranted.candidates
         )
 
+    def _find_needs(
+        self, pool: PoolState, now: float
+    ) -> dict[int, LatencyCriticalNeed]:
+        """Returns the latency-critical need that each priority leaves free.
+
+        It is that of the requests which are as urgent or more. Requests without
+        a priority leave room for all.
+        """
+        ahead = self._shares.services_ahead()
+        priorities = {
+            item.request.priority
+            for item in pool.waiting_by_request_id.values()
+        }
+        return {
+            priority: self._demand.latency_critical_need(
+                pool.profile_by_service,
+                now,
+                ahead,
+                math.inf if priority == NO_PRIORITY else priority,
+            )
+            for priority in (NO_PRIORITY, *sorted(priorities - {NO_PRIORITY}))
+        }
+
+    def _claim_memory(
+        self, current: Round, candidate: Candidate
+    ) -> list[MemoryClaim]:
+        """Returns what an ungranted request claims of less urgent ones.
+
+        Only where requests have priorities or customers, and only for those
+        that can be in time or are repeated.
+        """
+        request = candidate.item.request
+        if (
+            not candidate.has_priority_or_customer()
+            or candidate.urgency.rank not in (REPEATED, IN_TIME)
+            or request.tag.request_id not in self._short_of_memory_ids
+        ):
+            return []
+        pieces = pieces_for(request.prompt_tokens + 1, current.piece_tokens)
+        return [MemoryClaim(candidate.urgency, pieces, request.excluded)]
+
     def _note_short_of_memory(
         self, current: Round, candidate: Candidate, grant: Grant | None
     ) -> None:
@@ -159,18 +220,34 @@
             if candidate.item.request.tag.request_id
             in self._short_of_memory_ids
         ]
-        for place, candidate in enumerate(ungranted):
+        count_by_class = collections.Counter(
+            candidate.queue_class for candidate in ungranted
+        )
+        place_by_class: collections.Counter[QueueClass] = collections.Counter()
+        for candidate in ungranted:
+            queue_class = candidate.queue_class
+            place = place_by_class[queue_class] / count_by_class[queue_class]
+            place_by_class[queue_class] += 1
+            max_share = MAX_PASSING_SHARE
+            if self._forecast.is_passed(queue_class):
+                max_share = MAX_URGENT_PASSING_SHARE
+            passing_share = self._forecast.passing_share(queue_class, place)
             admission_s = self._forecast.wait_s(
-                kept, place / len(ungranted), held
+                kept, passing_share, held, max_share
             )
-            late_s = self._forecast.wait_s(kept, 1.0, held)
+            late_s = self._forecast.wait_s(kept, 1.0, held, max_share)
             if _may_keep_waiting(current, candidate, admission_s, late_s):
                 kept += 1
                 continue
             refusal = Refusal(
                 candidate.item.request.tag.request_id,
                 Outcome.POOL_SATURATED,
-                retry_after_s(late_s),
+                # A caller that returns is in time again.
+                retry_after_s(
+                    admission_s
+                    if candidate.has_priority_or_customer()
+                    else late_s
+                ),
             )
             refusals.append(refusal)
         return refusals
@@ -253,14 +330,15 @@
         )
 
     def _screen_waiting(
-        self, current: Round, pool: PoolState, ahead: Collection[str]
+        self, current: Round, pool: PoolState, ahead_ids: Collection[str]
     ) -> tuple[list[Decision], list[Candidate]]:
         """Refuses requests that cannot be served in time.
 
         Args:
             current: the round of decisions.
             pool: the pool.
-            ahead: services that received more than their fair share.
+            ahead_ids: ids of the requests whose service or customer received
+                more than its fair share.
 
         Returns:
             The refusals, and the requests that may be granted in this round.
@@ -268,28 +346,39 @@
         refusals: list[Decision] = []
         kept: list[Candidate] = []
         waiting = pool.waiting_by_request_id.values()
-        backlog_tokens = sum(item.request.prompt_tokens for item in waiting)
+        tokens_by_priority: collections.Counter[int] = collections.Counter()
+        for item in waiting:
+            tokens_by_priority[item.request.priority] += (
+                item.request.prompt_tokens
+            )
         capacity = compute_capacity(self._tracker, current, pool)
         for item in waiting:
             service = item.request.service
             profile = pool.profile_by_service.get(service, DEFAULT_PROFILE)
             estimate_s = min_first_token_s(self._tracker, current, item.request)
             pool_occupancy_s = capacity.occupancy_s(item.request)
+            backlog_tokens = sum(
+                tokens
+                for priority, tokens in tokens_by_priority.items()
+                if priority <= item.request.priority
+            )
             refusal = find_refusal(
                 item, profile, estimate_s, current, backlog_tokens
             )
             if refusal is not None:
                 refusals.append(refusal)
             else:
+                is_ahead = item.request.tag.request_id in ahead_ids
                 urgency = compute_urgency(
                     item,
                     profile,
                     estimate_s,
                     current.now,
                     pool_occupancy_s,
-                    service in ahead,
+                    is_ahead,
                 )
-                kept.append(Candidate(urgency, item, profile))
+                queue_class = find_class(item.request, is_ahead)
+                kept.append(Candidate(urgency, item, profile, queue_class))
         return refusals, kept
 
     def _grant(self, current: Round, candidate: Candidate) -> Grant | None:
@@ -339,9 +428,7 @@
             profile = pool.profile_by_service.get(
                 stream.service, DEFAULT_PROFILE
             )
-            self._shares.charge(
-                stream.service, profile.weight, stream.prompt_tokens
-            )
+            self._shares.charge(reservation, profile.weight, now)
 
     def observe_stage(
         self,
@@ -399,7 +486,7 @@
 
 def _busy_s(current: Round, candidate: Candidate) -> float:
     """Returns the seconds for which all prefill engines may be busy."""
-    if candidate.urgency[0] >= AHEAD_IN_TIME:
+    if candidate.is_ahead():
         return current.latency_critical_need.wait_s
     left_s = candidate.item.first_token_at - current.now
     if candidate.item.request.tag.attempt > 1:
@@ -421,7 +508,7 @@
             requests pass it in the queue, seconds.
     """
     item, profile = candidate.item, candidate.profile
-    if candidate.urgency[0] == REPEATED:
+    if candidate.urgency.rank == REPEATED:
         return True
     left_s = item.first_token_at - current.now
     if candidate.is_in_time() and may_be_admitted_in_time(admission_s, left_s):
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -4,19 +4,24 @@
 
 import dataclasses
 import math
+from typing import NamedTuple
 
 from mustardscale.configuration.config_records import Profile
+from mustardscale.endpoints.engines import NO_PRIORITY
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_messages import AdmitRequest
 from mustardscale.policy.base import Refusal, WaitingRequest
 from mustardscale.policy.pairing import Round
+from mustardscale.policy.queue_passing import QueueClass
 
 # Seconds of slack added to a request's urgency for each second for which it
 # would occupy the whole pool, so that small requests come first.
 SLACK_PER_POOL_SECOND = 6.0
 # Ranks of waiting requests, the most urgent first. Requests of services that
 # received more than their fair share come last, so that late requests of other
-# services are not starved.
+# services are not starved. Where there are priorities or customers, they come
+# after those of the same priority instead: the excess of an urgent customer
+# would otherwise be served less often than requests of less urgent ones.
 REPEATED = 0
 IN_TIME = 1
 LATE = 2
@@ -28,23 +33,55 @@
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
+class Urgency(NamedTuple):
+    """Sort key of a waiting request; the smallest is decided first.
+
+    Attributes:
+        rank: whether it is repeated, in time or late.
+        priority: its priority, NO_PRIORITY for none.
+        is_ahead: whether it exceeds the share of its service or customer; only
+            where it states a priority or a customer.
+        time: seconds or loop time that decides among the others.
+    """
+
+    rank: int
+    priority: int
+    is_ahead: bool
+    time: float
+
+
 @dataclasses.dataclass(slots=True)
 class Candidate:
     """A waiting request that is not refused.
 
     Attributes:
-        urgency: sort key, rank first; the smallest is decided first.
+        urgency: sort key; the smallest is decided first.
         item: the request.
         profile: its profile.
+        queue_class: the requests that only its slack orders it among.
     """
 
-    urgency: tuple[int, float]
+    urgency: Urgency
     item: WaitingRequest
     profile: Profile
+    queue_class: QueueClass
 
     def is_in_time(self) -> bool:
         """Returns whether its first token can still be in time."""
-        return self.urgency[0] in (IN_TIME, AHEAD_IN_TIME)
+        return self.urgency.rank in (IN_TIME, AHEAD_IN_TIME)
+
+    def is_ahead(self) -> bool:
+        """Returns whether it exceeds the share of its service or customer."""
+        return self.urgency.is_ahead or self.urgency.rank >= AHEAD_IN_TIME
+
+    def has_priority_or_customer(self) -> bool:
+        """Returns whether it states a priority or a customer."""
+        return has_priority_or_customer(self.item.request)
+
+    @property
+    def priority(self) -> int:
+        """Its priority, NO_PRIORITY for none."""
+        return self.item.request.priority
 
 
 def find_refusal(
@@ -63,7 +100,8 @@
         profile: its profile.
         estimate_s: minimum seconds until its first token.
         current: the round of decisions.
-        backlog_tokens: prompt tokens of all waiting requests.
+        backlog_tokens: prompt tokens of the waiting requests that are as
+            urgent or more.
 
     Returns:
         The refusal, or None if the request may be granted.
@@ -92,6 +130,11 @@
     return None
 
 
+def has_priority_or_customer(request: AdmitRequest) -> bool:
+    """Returns whether a request states a priority or a customer."""
+    return request.priority != NO_PRIORITY or bool(request.customer)
+
+
 def accepts_late(request: AdmitRequest, profile: Profile) -> bool:
     """Returns whether a late answer is preferred to a refusal."""
     return request.tag.attempt > 1 or profile.patience_s > profile.first_token_s
@@ -104,7 +147,7 @@
     now: float,
     pool_occupancy_s: float,
     is_ahead: bool = False,
-) -> tuple[int, float]:
+) -> Urgency:
     """Returns the sort key of a request; the smallest is decided first.
 
     Args:
@@ -113,16 +156,23 @@
         estimate_s: minimum seconds until its first token.
         now: loop time.
         pool_occupancy_s: seconds for which it would occupy the whole pool.
-        is_ahead: whether its service received more than its fair share.
+        is_ahead: whether its service or customer received more than its fair
+            share.
     """
+    priority = item.request.priority
+    is_after_equals = is_ahead and has_priority_or_customer(item.request)
+    is_last = is_ahead and not is_after_equals
     if item.request.tag.attempt > 1:
-        return (REPEATED, item.first_token_at)
+        return Urgency(REPEATED, priority, False, item.first_token_at)
     slack_s = item.first_token_at - now - estimate_s
     if slack_s < 0:
-        return (AHEAD_LATE if is_ahead else LATE, item.arrived_at)
+        rank = AHEAD_LATE if is_last else LATE
+        return Urgency(rank, priority, is_after_equals, item.arrived_at)
     cost_s = SLACK_PER_POOL_SECOND * pool_occupancy_s
-    return (
-        AHEAD_IN_TIME if is_ahead else IN_TIME,
+    return Urgency(
+        AHEAD_IN_TIME if is_last else IN_TIME,
+        priority,
+        is_after_equals,
         (slack_s + cost_s) / profile.weight,
     )
 
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -209,6 +209,8 @@
         suspect=item.suspect,
         block_hashes=request.block_hashes,
         keys=request.keys,
+        priority=request.priority,
+        customer=request.customer,
     )
 
 
--- a/mustardscale/pools/pool_changes.py
+++ b/mustardscale/pools/pool_changes.py
@@ -22,13 +22,14 @@
 class PoolChangeTracker:
     """Computes what changes in a pool between two calls of its policy."""
 
-    __slots__ = ('_engines', '_held', '_profiles', '_waiting')
+    __slots__ = ('_engines', '_held', '_profiles', '_waiting', '_weights')
 
     def __init__(self):
         self._engines: dict[str, EngineState] = {}
         self._waiting: dict[str, WaitingRequest] = {}
         self._held: dict[str, Reservation] = {}
         self._profiles: dict[str, Profile] = {}
+        self._weights: dict[str, float] = {}
 
     def compute_change(self, pool: PoolState) -> PoolChange | None:
         """Returns what changed since the last call, None if nothing did."""
@@ -46,6 +47,9 @@
         profiles = None
         if self._profiles != pool.profile_by_service:
             self._profiles = profiles = dict(pool.profile_by_service)
+        weights = None
+        if self._weights != pool.weight_by_customer:
+            self._weights = weights = dict(pool.weight_by_customer)
         change = PoolChange(
             tuple(map(_make_json_safe, engines)),
             engines_gone,
@@ -57,6 +61,7 @@
             held_gone,
             held_order,
             profiles,
+            weights,
         )
         return None if change == _NO_CHANGE else change
 
@@ -188,6 +193,8 @@
         _reorder_keys(held_by_id, change.held_order)
         if change.profile_by_service is not None:
             state.profile_by_service = change.profile_by_service
+        if change.weight_by_customer is not None:
+            state.weight_by_customer = change.weight_by_customer
         for request_id in (*change.waiting_gone, *change.held_gone):
             self._discard_hashes(request_id)
 
--- a/mustardscale/pools/pool_lines.py
+++ b/mustardscale/pools/pool_lines.py
@@ -82,6 +82,7 @@
         held_gone: ids of reservations that ended.
         held_order: ids in order, if it is not the order of grants.
         profile_by_service: the profiles, if one changed.
+        weight_by_customer: the weights of customers, if one changed.
     """
 
     engines: tuple[EngineState, ...] = ()
@@ -94,6 +95,7 @@
     held_gone: tuple[str, ...] = ()
     held_order: tuple[str, ...] = ()
     profile_by_service: dict[str, Profile] | None = None
+    weight_by_customer: dict[str, float] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import math
 import random
@@ -11,7 +12,11 @@
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.configuration.config_records import Profile, ServiceKind
 from mustardscale.controller import Controller
-from mustardscale.endpoints.engines import EngineRole, StreamStage
+from mustardscale.endpoints.engines import (
+    NO_PRIORITY,
+    EngineRole,
+    StreamStage,
+)
 from mustardscale.hosts.quorum import has_quorum
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_calls import PeerCalls
@@ -35,6 +40,7 @@
     PoolState,
     WaitingRequest,
 )
+from mustardscale.policy.customer_shares import compute_weights
 from mustardscale.pools.owned_pool import (
     OwnedPool,
     build_expiry_release,
@@ -55,6 +61,7 @@
 from mustardscale.quarantine.crash_evidence import HarmfulKeys, ProcessId
 from mustardscale.quarantine.suspicions import Suspicions
 from mustardscale.reporting.event_log import EventKind
+from mustardscale.reporting.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -77,6 +84,9 @@
 # seconds. A harmful one ends its engine as it begins to write.
 CLEARED_AFTER_S = 2.0
 
+# Decisions on less urgent requests are counted under this priority.
+MAX_COUNTED_PRIORITY = 9
+
 EngineCheck = Callable[[OwnedPool, str, str], None]
 
 _STAGE_ORDER = {stage: number for number, stage in enumerate(StreamStage)}
@@ -99,18 +109,21 @@
         policy_type: type[PlacementPolicy],
         rng: random.Random,
         settle_s: float = SETTLE_S,
+        metrics: Metrics | None = None,
     ):
         self._blackboard = blackboard
         self._suspicions = suspicions
         self._policy_type = policy_type
         self._rng = rng
         self._settle_s = settle_s
+        self._metrics = metrics
         self.owned_by_id: dict[str, OwnedPool] = {}
         self.pools_acquired = Signal()
         self.check_engine: EngineCheck = self.mark_unreachable
         self._admission_arrived = Signal()
         self._profiles_digest = 0
         self._profile_by_service: dict[str, Profile] = {}
+        self._weight_by_customer: dict[str, float] = {}
         suspicions.listeners.append(self._apply_suspicions)
         calls.handle(AdmitRequest, self._on_admit)
         calls.handle(Progress, self._on_progress)
@@ -221,6 +234,7 @@
         for pool in self.owned_by_id.values():
             self._refresh_engines(pool)
             pool.state.profile_by_service = profiles
+            pool.state.weight_by_customer = self._weight_by_customer
 
     def _apply_suspicions(self) -> None:
         """Refuses waiting requests that are quarantined, and marks suspects."""
@@ -270,6 +284,9 @@
                 and entry.choice.profile in config.profiles_by_name
             }
             self._profile_by_service |= config.routes.profile_by_route
+            self._weight_by_customer = compute_weights(
+                config.routes.table.customers
+            )
         return self._profile_by_service
 
     async def _on_admit(self, sender: str, request: AdmitRequest) -> AdmitReply:
@@ -282,6 +299,7 @@
             if not self._may_try(pool, harmful):
                 return AdmitReply(Outcome.QUARANTINED)
             self._suspicions.record_trial(harmful, request_id)
+        request = self._complete_priority(request)
         loop = asyncio.get_running_loop()
         now = loop.time()
         reply: asyncio.Future[AdmitReply] = loop.create_future()
@@ -309,6 +327,18 @@
                 del pool.reply_by_request_id[request_id]
                 pool.waiting_by_request_id.pop(request_id, None)
 
+    def _complete_priority(self, request: AdmitRequest) -> AdmitRequest:
+        """Returns a request with the priority of its route if it states none.
+
+        Hosts of earlier releases, and hosts whose configuration is older or
+        newer than this one's, may state none.
+        """
+        if request.priority != NO_PRIORITY:
+            return request
+        routes = self._blackboard.config.routes
+        priority = routes.priorities.of_route(request.service)
+        return dataclasses.replace(request, priority=priority)
+
     def decide(self, pool: OwnedPool) -> None:
         """Lets the policy decide and applies its decisions."""
         now = asyncio.get_running_loop().time()
@@ -360,6 +390,7 @@
     ) -> None:
         prefill = decode = ''
         code, retry_after_s = Outcome.COMPLETE, 0.0
+        priority = item.request.priority
         if isinstance(decision, Grant):
             prefill, decode = decision.prefill, decision.decode
         else:
@@ -381,7 +412,13 @@
             held=len(pool.state.reservations_by_request_id),
             report_age_s=round(max(ages), 3) if ages else None,
             retry_after_s=retry_after_s,
+            priority=None if priority == NO_PRIORITY else priority,
+            customer=item.request.customer,
         )
+        if self._metrics is not None and priority != NO_PRIORITY:
+            name = 'granted' if code is Outcome.COMPLETE else 'refused'
+            shown = min(max(priority, 0), MAX_COUNTED_PRIORITY)
+            self._metrics.count(f'pool_{name}_priority_{shown}')
 
     async def _on_progress(
         self, sender: str, request: Progress
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -141,6 +141,7 @@
             POLICY_BY_NAME[options.policy],
             rng,
             options.settle_s,
+            self.metrics,
         )
         admission = AdmissionClient(board, calls, rng)
         permit_owners = PermitOwners(board)
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -164,6 +164,8 @@
             'held',
             'report_age_s',
             'retry_after_s',
+            'priority',
+            'customer',
         ),
         rate_per_s=100.0,
         burst=400.0,
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardscale.endpoints.engines import StreamTag
+from mustardscale.endpoints.engines import NO_PRIORITY, StreamTag
 from mustardscale.exceptions import PeerFrameError
 from mustardscale.outcomes import Outcome
 from mustardscale.peers import peer_messages as peers
@@ -20,6 +20,9 @@
 )
 from mustardscale.peers.forward_messages import (
     NO_POSITION,
+    ForwardCall,
+    ForwardedRequest,
+    ForwardKind,
     ForwardPart,
     ForwardRead,
 )
@@ -99,11 +102,15 @@
     return None
 
 
-# Lines of the schema that the release before parts had positions lacks.
+# Lines of the schema that earlier releases lack, of which the first had no
+# positions of parts.
 LATER_LINES = (
     '  position @1 :Int64 = -1;\n',
     '  position @5 :Int64 = -1;\n',
     '  linkClosed @6 :Bool;\n',
+    '  priority @15 :Int64 = -1;\n',
+    '  customer @16 :Text;\n',
+    '  priority @8 :Int64 = -1;\n',
 )
 SCHEMA_ID = '@0xb7d1c2f09a4e5831'
 EARLIER_SCHEMA_ID = '@0xb7d1c2f09a4e5832'
@@ -176,6 +183,31 @@
         ) as envelope:
             assert envelope.forwardRead.stream == 7
 
+    def test_they_state_no_priority_and_no_customer(self, earlier_schema):
+        envelope = earlier_schema.Envelope.new_message()
+        envelope.init('admitRequest').pool = 'p'
+        message = decode_message(FrameKind.REQUEST, envelope)
+        assert (message.priority, message.customer) == (NO_PRIORITY, '')
+        envelope = earlier_schema.Envelope.new_message()
+        envelope.init('forwardCall').init('request').id = 'r'
+        message = decode_message(FrameKind.REQUEST, envelope)
+        assert message.request.priority == NO_PRIORITY
+
+    def test_they_read_messages_with_priorities(self, earlier_schema):
+        request = dataclasses.replace(ADMIT, priority=2, customer='north')
+        encoded = encode_frame(Frame(FrameKind.REQUEST, 1, request))
+        with earlier_schema.Envelope.from_bytes(
+            encoded[HEADER_BYTES:]
+        ) as envelope:
+            assert envelope.admitRequest.promptTokens == ADMIT.prompt_tokens
+        request = ForwardedRequest('r', deadline_s=2.0, priority=3)
+        call = ForwardCall(ForwardKind.RUN, 'e', request)
+        encoded = encode_frame(Frame(FrameKind.REQUEST, 1, call))
+        with earlier_schema.Envelope.from_bytes(
+            encoded[HEADER_BYTES:]
+        ) as envelope:
+            assert envelope.forwardCall.request.deadlineS == 2.0
+
 
 class TestEncodingRefusals:
     """Messages that may not be sent."""
