Bound the work of claims and backlogs in a round of decisions

Cause: each request was compared with the claims of all others, and summed the backlog anew; with 200 waiting requests of three priorities a round took 15 ms.

A round has no more claims than decode engines, since each keeps one, and the backlogs are summed once for each priority. Ruled out: fewer rounds, which would delay grants. Measured: 2.8 ms of processor time for 200 waiting requests on eight engines, with priorities and without (x86_64; a trial under other load, the same code varies by 1 ms; 1.3 ms before priorities).

--- a/mustardscale/policy/memory_claims.py
+++ b/mustardscale/policy/memory_claims.py
@@ -49,6 +49,8 @@
         urgency: urgency of the request.
         engines: the decode engines.
     """
+    if not claims:
+        return frozenset()
     claims = [claim for claim in claims if claim.urgency[:-1] < urgency[:-1]]
     if not claims:
         return frozenset()
--- a/mustardscale/policy/queue_passing.py
+++ b/mustardscale/policy/queue_passing.py
@@ -52,10 +52,10 @@
         place_share: its place among the waiting requests of its class, 0 for
             the first; this share of new requests of its class passes it.
     """
+    if arrivals_by_class.keys() <= {queue_class}:
+        return place_share
     total = sum(arrivals_by_class.values())
     equal = arrivals_by_class.get(queue_class, 0.0)
-    if equal == total or not total:
-        return place_share
     before = sum(
         rate for other, rate in arrivals_by_class.items() if other < queue_class
     )
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 import random
 from collections.abc import Collection
@@ -36,6 +37,7 @@
     PoolState,
     Refusal,
     Reservation,
+    WaitingRequest,
 )
 from mustardscale.policy.engine_tracker import EngineTracker
 from mustardscale.policy.latency_critical_demand import (
@@ -148,7 +150,9 @@
                 decisions.append(grant)
             else:
                 ungranted.add(candidate, self._prefill_s(current, candidate))
-                claims += self._claim_memory(current, candidate)
+                if len(claims) < len(current.decodes_by_id):
+                    # Each claim is for one engine.
+                    claims += self._claim_memory(current, candidate)
         return decisions + self._refuse_short_of_memory(
             current, pool, ungranted.candidates
         )
@@ -346,24 +350,19 @@
         refusals: list[Decision] = []
         kept: list[Candidate] = []
         waiting = pool.waiting_by_request_id.values()
-        tokens_by_priority: collections.Counter[int] = collections.Counter()
-        for item in waiting:
-            tokens_by_priority[item.request.priority] += (
-                item.request.prompt_tokens
-            )
+        backlog_by_priority = _sum_backlogs(waiting)
         capacity = compute_capacity(self._tracker, current, pool)
         for item in waiting:
             service = item.request.service
             profile = pool.profile_by_service.get(service, DEFAULT_PROFILE)
             estimate_s = min_first_token_s(self._tracker, current, item.request)
             pool_occupancy_s = capacity.occupancy_s(item.request)
-            backlog_tokens = sum(
-                tokens
-                for priority, tokens in tokens_by_priority.items()
-                if priority <= item.request.priority
-            )
             refusal = find_refusal(
-                item, profile, estimate_s, current, backlog_tokens
+                item,
+                profile,
+                estimate_s,
+                current,
+                backlog_by_priority[item.request.priority],
             )
             if refusal is not None:
                 refusals.append(refusal)
@@ -473,6 +472,19 @@
         self._tracker.observe_cache(engine, events, now)
 
 
+def _sum_backlogs(waiting: Collection[WaitingRequest]) -> dict[int, int]:
+    """Returns the prompt tokens that requests of each priority wait for.
+
+    These are the tokens of waiting requests that are as urgent or more.
+    """
+    tokens_by_priority: collections.Counter[int] = collections.Counter()
+    for item in waiting:
+        tokens_by_priority[item.request.priority] += item.request.prompt_tokens
+    priorities = sorted(tokens_by_priority)
+    sums = itertools.accumulate(tokens_by_priority[key] for key in priorities)
+    return dict(zip(priorities, sums, strict=True))
+
+
 def _stream_need(request: AdmitRequest) -> StreamNeed:
     """Returns the memory that a request needs on a decode engine."""
     return StreamNeed(
