Count what customers ask for by request, and what they got from other pools

Cause: requests that arrive at the same loop time were counted once, since the loop's clock stands still within a round, and grants to requests that wait at another pool counted as granted but not as asked for, so that an overload was not seen where there are several pools.

Ruled out: counting admissions with a time limit as asked for, which would count one request at each pool that it tries.

--- a/mustardscale/policy/customer_shares.py
+++ b/mustardscale/policy/customer_shares.py
@@ -42,14 +42,14 @@
         '_counted_at',
         '_demand_by_customer',
         '_granted_by_customer',
-        '_seen_until',
+        '_waiting_ids',
     )
 
     def __init__(self):
         self._demand_by_customer: dict[str, float] = {}
         self._granted_by_customer: dict[str, float] = {}
         self._counted_at = 0.0
-        self._seen_until = -math.inf
+        self._waiting_ids: set[str] = set()
 
     def observe_waiting(
         self, waiting: Iterable[WaitingRequest], now: float
@@ -64,15 +64,20 @@
             now: loop time.
         """
         self._age(now)
+        # By id, as requests may arrive at the same loop time.
+        known_ids, self._waiting_ids = self._waiting_ids, set()
         for item in waiting:
             request = item.request
-            if item.arrived_at > self._seen_until and not request.turn_within_s:
+            self._waiting_ids.add(request.tag.request_id)
+            if (
+                request.tag.request_id not in known_ids
+                and not request.turn_within_s
+            ):
                 _add(
                     self._demand_by_customer,
                     request.customer,
                     _count_tokens(item),
                 )
-        self._seen_until = now
 
     def charge(self, customer: str, tokens: int, now: float) -> None:
         """Counts the tokens of a grant."""
@@ -92,10 +97,14 @@
         """
         if len(self._demand_by_customer) < MIN_CUSTOMERS:
             return set()
+        granted_by = self._granted_by_customer
+        # Grants to requests that wait at another pool were not asked for here.
+        demand_by = granted_by | {
+            customer: max(demand, granted_by.get(customer, 0.0))
+            for customer, demand in self._demand_by_customer.items()
+        }
         level = compute_fair_level(
-            self._demand_by_customer,
-            weight_by_customer,
-            sum(self._granted_by_customer.values()),
+            demand_by, weight_by_customer, sum(granted_by.values())
         )
         if level == math.inf:
             return set()
