--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from mustardscale.blackboard import Blackboard
 from mustardscale.configuration.customers import Customer, CustomerQuota
 from mustardscale.configuration.route_index import RouteIndex
 from mustardscale.configuration.routes import (
@@ -34,9 +35,14 @@
     QueueClass,
     compute_passing_share,
 )
+from mustardscale.policy.reserving import ReservingPolicy
+from mustardscale.pools.recorded_policy import RecordedPolicy
 from mustardscale.relay.relay_endpoint import RelayCall
 from mustardscale.relay.relay_messages import RelayRequest
+from mustardscale.replay.trace_reader import read_trace
+from mustardscale.replay.trace_replay import DecisionReplay
 from mustardscale.reporting.event_log import JsonEvents
+from mustardscale.traces.trace import FileTrace
 from standins.platform_plan import CONFIG
 from tests.competing_loads import (
     BATCH,
@@ -56,6 +62,7 @@
 SEEDS = range(3)
 # A less urgent kind may be served this much more often, as a share.
 MAX_INVERSION = 0.05
+MAX_TRACE_BYTES = 10_000_000
 
 
 ARRIVALS_BY_CLASS = {
@@ -404,3 +411,34 @@
             assert owner._complete_priority(request).priority == found
 
         run(scenario, copy.deepcopy(CONFIG) | {'tenants': TENANTS})
+
+
+class TestTraces:
+    """Guards against traces that lack what decisions were based on."""
+
+    def test_decisions_with_priorities_and_customers_are_replayed(
+        self, tmp_path
+    ):
+        path = tmp_path / 'trace.jsonl'
+        kinds = [StreamKind('chat', 0, 'a'), StreamKind('batch', 2, 'b')]
+
+        async def record():
+            board = Blackboard('host', 1, 'dc', 'region')
+            board.trace = FileTrace(path, MAX_TRACE_BYTES)
+            pool = CompetingPool()
+            pool.pool.weight_by_customer = {'a': 0.5, 'b': 1.5}
+            pool.policy = RecordedPolicy(ReservingPolicy(None), 'p', board)
+            for engine in pool.pool.engines_by_id.values():
+                pool.policy.observe_report(
+                    pool.pool, engine, engine.report, 0.0
+                )
+            requests = draw_burst(1, *kinds, StreamKind('chat', 0, 'c'))
+            pool.run(requests, 9.0)
+            board.trace.close()
+
+        asyncio.run(record())
+        replay = DecisionReplay()
+        replay.run(read_trace(path).lines)
+        assert replay.decisions > 100
+        assert replay.differences == []
+        assert replay.left_out == 0
