--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -141,6 +141,7 @@
             POLICY_BY_NAME[options.policy],
             rng,
             options.settle_s,
+            self.metrics,
         )
         admission = AdmissionClient(board, calls, rng)
         permit_owners = PermitOwners(board)
@@ -348,8 +349,10 @@
         try:
             route, service = self._find(request)
             report.route, report.service = route, service
-            self._identities.identify(
-                request, route, self.blackboard.config.routes
+            routes = self.blackboard.config.routes
+            self._identities.identify(request, route, routes)
+            request.priority = routes.priorities.find(
+                route, request.customer, service.name
             )
             await self._draw_on_quota(request)
             if service.engine is None:
