--- a/mustardscale/policy/customer_shares.py
+++ b/mustardscale/policy/customer_shares.py
@@ -21,9 +21,7 @@
 # overload lasts 6 to 11 s; a customer is equal again soon after it.
 USAGE_DECAY_S = 5.0
 # Tokens by which a customer may exceed its fair share: two prompts of usual
-# length. With 20,000, an overload of one customer made 0 to 21 in 100 requests
-# of the others late in a replay, with 10,000 0 to 12; with 5,000, customers
-# that ask for the same pass each other more often.
+# length. With less, customers that ask for the same pass each other often.
 ALLOWANCE_TOKENS = 10_000.0
 # A customer alone has nobody to share with.
 MIN_CUSTOMERS = 2
