Continue streams from a copy of their KV cache

Cause: a stream that may not be resumed ended with its engine, while engines can keep a copy of a run's KV cache at a second engine, which may go on with the same run.

Change: the pool's owner names a second engine with room in its grant, the host states its address with the run, and a run that breaks off goes on there once, from the copy. The setting stream-backups (off by default) switches it on for streams that may not be resumed, or for all; the service's configuration must allow it. A refusal there breaks the answer off as before; the request is never sent without its copy again. Copies count in the memory of the engines that keep them, and the reservation follows the stream.

Ruled out: asking whether the former engine has crashed before the copy is used (up to 1.2 s, a copy is kept for 0.5 s); it is found out meanwhile. Treating a stream with a copy as stalled earlier: a slow run whose copy is missing would be lost.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -253,6 +253,9 @@
             host holds it.
         keys: its suspicion keys.
         version: software version of the engine that wrote the first token.
+        wants_backup: whether the KV cache is to be copied to another engine.
+        backup: id of the engine that keeps such a copy of the present attempt,
+            '' if none does.
     """
 
     id: str
@@ -279,6 +282,8 @@
     confirmed_at: float = -math.inf
     keys: tuple[str, ...] = ()
     version: str = ''
+    wants_backup: bool = False
+    backup: str = ''
 
     @property
     def emitted_tokens(self) -> int:
@@ -301,6 +306,7 @@
             fingerprint=self.fingerprint,
             hint_tokens=self.hint_tokens,
             keys=self.keys,
+            backup=self.backup,
         )
 
 
--- a/mustardscale/configuration/routes.py
+++ b/mustardscale/configuration/routes.py
@@ -92,6 +92,9 @@
         result_keep_s: time for which an engine keeps the result of a prefill,
             seconds.
         role_change_s: duration of a change of role, seconds.
+        backups: whether an engine can keep a copy of the KV cache of a run at
+            another engine while the run goes on.
+        moves: whether the KV cache of a run can be moved to another engine.
     """
 
     slots: int
@@ -101,6 +104,8 @@
     event_tokens: int = 1
     result_keep_s: float = 0.5
     role_change_s: float = 0.0
+    backups: bool = False
+    moves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/forwarding/forwarded_calls.py
+++ b/mustardscale/forwarding/forwarded_calls.py
@@ -40,6 +40,7 @@
         request.body,
         call.deadline_at - now,
         call.resume_after,
+        call.backup,
     )
 
 
@@ -62,6 +63,7 @@
         now + request.deadline_s,
         unpack_handle(handle),
         request.resume_after,
+        request.backup,
     )
 
 
--- a/mustardscale/peers/forward_messages.py
+++ b/mustardscale/peers/forward_messages.py
@@ -62,6 +62,9 @@
         body: the content.
         deadline_s: seconds left until the endpoint must stop.
         resume_after: id of the event after which the stream resumes.
+        backup: address of the engine that keeps a copy of the run's KV cache,
+            '' for none. Hosts of earlier releases leave it out, so that their
+            runs have no copy.
     """
 
     id: str = ''
@@ -72,6 +75,7 @@
     body: bytes = b''
     deadline_s: float = 0.0
     resume_after: str = ''
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -238,6 +238,7 @@
   hintTokens @12 :Int64;
   turnWithinS @13 :Float64;
   keys @14 :List(Text);
+  wantsBackup @15 :Bool;
 }
 
 struct AdmitReply {
@@ -249,6 +250,7 @@
   prefillS @5 :Float64;
   missedTurn @6 :Bool;
   isTrial @7 :Bool;
+  backup @8 :Text;
 }
 
 struct HeldStream {
@@ -263,6 +265,7 @@
   fingerprint @8 :UInt64;
   hintTokens @9 :Int64;
   keys @10 :List(Text);
+  backup @11 :Text;
 }
 
 struct Progress {
@@ -432,6 +435,7 @@
   body @5 :Data;
   deadlineS @6 :Float64;
   resumeAfter @7 :Text;
+  backup @8 :Text;
 }
 
 struct ForwardedHandle {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -158,6 +158,7 @@
         turn_within_s: seconds within which the grant must come, 0 for as long
             as the caller stays.
         keys: the request's suspicion keys.
+        wants_backup: whether to name an engine for a copy of the KV cache.
     """
 
     pool: str
@@ -175,6 +176,7 @@
     hint_tokens: int = 0
     turn_within_s: float = 0.0
     keys: tuple[str, ...] = ()
+    wants_backup: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,6 +193,7 @@
         missed_turn: whether the request was not refused, but got no grant
             within the time that it gave.
         is_trial: whether the request may run although it is quarantined.
+        backup: id of the engine for a copy of the KV cache, '' for none.
     """
 
     outcome: int
@@ -201,6 +204,7 @@
     prefill_s: float = 0.0
     missed_turn: bool = False
     is_trial: bool = False
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,6 +223,7 @@
         fingerprint: hash of the prompt, 0 when not known.
         hint_tokens: the caller's guess of the tokens emitted, 0 for none.
         keys: the request's suspicion keys, if the owner does not know them.
+        backup: id of the engine that keeps a copy of the KV cache, '' if none.
     """
 
     tag: StreamTag
@@ -232,6 +237,7 @@
     fingerprint: int = 0
     hint_tokens: int = 0
     keys: tuple[str, ...] = ()
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -36,6 +36,7 @@
 from mustardscale.quotas.quota_share import QuotaTolerance
 from mustardscale.relay.answer_memory import AnswerLimits
 from mustardscale.relay.retry_budget import RetryAllowance
+from mustardscale.relay.stream_backups import BackupScope
 from mustardscale.relay_options import (
     KeyedStream,
     RelayEdges,
@@ -265,6 +266,7 @@
             settings.quota_overrun,
             settings.quota_slack,
         ),
+        backups=BackupScope(settings.stream_backups),
     )
     return RelayRouter(board, options, edges, rng)
 
--- a/mustardscale/platform/store_routes.py
+++ b/mustardscale/platform/store_routes.py
@@ -72,6 +72,8 @@
     stride: int = 1
     kv_hold_s: float = 0.5
     role_switch_s: float = 0.0
+    backups: bool = False
+    moves: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -188,6 +190,8 @@
             event_tokens=max(1, engine.stride),
             result_keep_s=engine.kv_hold_s,
             role_change_s=engine.role_switch_s,
+            backups=engine.backups,
+            moves=engine.moves,
         )
     return ServiceSpec(service.name, service.max_connections, spec)
 
--- a/mustardscale/platform/worker_relay.py
+++ b/mustardscale/platform/worker_relay.py
@@ -179,6 +179,8 @@
         if call.prefill is not None:
             source = f'{call.prefill.source}/{call.prefill.key}'
             headers.append((names.KV_SOURCE, source))
+        if call.backup:
+            headers.append((names.KV_BACKUP, call.backup))
         response, progress = await self._send(call, headers)
         try:
             self._record_rate_limit(response, call, _is_signed(response))
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -84,12 +84,15 @@
         by_request_id: the reservations.
         largest_pieces: KV blocks (pieces) that they need together if each
             answer has its maximum length.
+        copied_pieces: KV blocks that copies of streams on other engines take up
+            by their last reports of progress.
     """
 
     by_request_id: dict[str, Reservation] = dataclasses.field(
         default_factory=dict
     )
     largest_pieces: int = 0
+    copied_pieces: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,6 +118,8 @@
     pieces: int
     process: tuple[str, int]
     key: int
+    backup: str = ''
+    copied_pieces: int = 0
 
 
 class Reservations(MutableMapping[str, Reservation]):
@@ -176,6 +181,9 @@
             self._contribution_by_id[request_id] = contribution
             decode_share = self._share_by_decode[contribution.decode]
             decode_share.largest_pieces += contribution.pieces
+            if contribution.backup:
+                backup_share = self._share_by_decode[contribution.backup]
+                backup_share.copied_pieces += contribution.copied_pieces
             self._share_by_process[contribution.process].streams.add(
                 contribution.key
             )
@@ -205,14 +213,23 @@
         decode_share = self._share_by_decode[contribution.decode]
         del decode_share.by_request_id[request_id]
         decode_share.largest_pieces -= contribution.pieces
-        if not decode_share.by_request_id:
-            del self._share_by_decode[contribution.decode]
+        self._drop_if_empty(contribution.decode)
+        if contribution.backup:
+            backup_share = self._share_by_decode[contribution.backup]
+            backup_share.copied_pieces -= contribution.copied_pieces
+            self._drop_if_empty(contribution.backup)
         process_share = self._share_by_process[contribution.process]
         del process_share.by_request_id[request_id]
         process_share.streams.remove(contribution.key)
         if not process_share.by_request_id:
             del self._share_by_process[contribution.process]
 
+    def _drop_if_empty(self, engine_id: str) -> None:
+        """Drops the share of an engine without reservations and copies."""
+        share = self._share_by_decode[engine_id]
+        if not share.by_request_id and not share.copied_pieces:
+            del self._share_by_decode[engine_id]
+
 
 def _compute_contribution(
     held: Reservation, piece_tokens: int
@@ -224,6 +241,10 @@
         pieces_for(stream.prompt_tokens + longest, piece_tokens),
         (stream.tag.host, stream.tag.incarnation),
         stream_hash(stream.tag, stream.stage),
+        stream.backup,
+        pieces_for(stream.prompt_tokens + stream.emitted, piece_tokens)
+        if stream.backup
+        else 0,
     )
 
 
@@ -238,6 +259,7 @@
         usable: whether new work may be placed there.
         report: its last load report.
         reported_at: loop time at which the report was read.
+        version: version of its software.
     """
 
     id: str
@@ -246,6 +268,7 @@
     usable: bool = True
     report: LoadReport | None = None
     reported_at: float = 0.0
+    version: str = dataclasses.field(default='', compare=False)
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -195,7 +195,8 @@
         needs = [estimate_need(held) for held in share.by_request_id.values()]
         memory = DecodeMemory(report.pieces_total, report.piece_tokens)
         foreign = self._foreign_by_id.setdefault(engine_id, ForeignMemory())
-        foreign.observe(report, present_pieces(memory, needs), now)
+        own = present_pieces(memory, needs) + share.copied_pieces
+        foreign.observe(report, own, now)
         passed_s = now - self._reported_at_by_id.get(engine_id, now)
         self._reported_at_by_id[engine_id] = now
         if report.active > 0 and report.step_s > 0:
@@ -230,7 +231,7 @@
         streams = len(share.by_request_id)
         return EngineCapacity(
             engine_id,
-            DecodeMemory(pieces_total, pool.piece_tokens),
+            DecodeMemory(pieces_total - share.copied_pieces, pool.piece_tokens),
             share,
             self.step_s(streams),
             now,
--- a/mustardscale/pools/admission.py
+++ b/mustardscale/pools/admission.py
@@ -16,7 +16,7 @@
 from mustardscale.blackboard import Blackboard, ServedRequest
 from mustardscale.configuration.config_records import Profile
 from mustardscale.controller import Controller, pause
-from mustardscale.endpoints.engines import Prompt
+from mustardscale.endpoints.engines import Prompt, StreamTag
 from mustardscale.exceptions import OutcomeError, PeerUnavailableError
 from mustardscale.hosts.rendezvous import rank
 from mustardscale.outcomes import Outcome
@@ -249,6 +249,7 @@
             excluded=tuple(query.excluded),
             hint_tokens=served.hint_tokens,
             keys=served.keys,
+            wants_backup=served.wants_backup,
         )
 
     async def _request_until_decided(
@@ -323,6 +324,22 @@
         if stream is not None:
             self._send(served.pool, self._build_progress(served.pool, [stream]))
 
+    def report_move(self, served: ServedRequest) -> None:
+        """Reports to a pool's owner that a stream goes on at its backup.
+
+        The report waits for the release of the attempt before, which it would
+        make void otherwise.
+        """
+        self._background.start(self._report_move(served, served.tag))
+
+    async def _report_move(
+        self, served: ServedRequest, tag: StreamTag | None
+    ) -> None:
+        await self._wait_for_release(served.id)
+        is_served = self._blackboard.served_by_id.get(served.id) is served
+        if is_served and served.tag == tag:
+            self.report_takeover(served)
+
     def _find_pool_of_engine(self, engine_id: str) -> str:
         """Returns the id of an engine's pool, '' if it is not listed."""
         for pool in self._pools_by_id.values():
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -185,9 +185,16 @@
 
 
 def build_reservation(
-    item: WaitingRequest, grant: Grant, now: float
+    item: WaitingRequest, grant: Grant, now: float, backup: str = ''
 ) -> Reservation:
-    """Returns the reservation for a grant."""
+    """Returns the reservation for a grant.
+
+    Args:
+        item: the request.
+        grant: its engines.
+        now: loop time.
+        backup: id of the engine that keeps a copy of its KV cache, '' for none.
+    """
     request = item.request
     stream = HeldStream(
         tag=request.tag,
@@ -200,6 +207,7 @@
         max_tokens=request.max_tokens,
         fingerprint=request.fingerprint,
         hint_tokens=request.hint_tokens,
+        backup=backup,
     )
     return Reservation(
         stream,
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -27,6 +27,7 @@
     StreamLookup,
     StreamLookupReply,
 )
+from mustardscale.policy.backup_choice import choose_backup
 from mustardscale.policy.base import (
     Decision,
     EngineState,
@@ -199,6 +200,7 @@
                     engine_id, role or EngineRole.DECODE, entry.data_centre
                 )
             engine.role = role or engine.role
+            engine.version = entry.version
             model_ready = report is None or report.model == entry.model
             engine.usable = (
                 not entry.leaving(now)
@@ -329,7 +331,8 @@
         if item is None or reply is None or reply.done():
             return
         if isinstance(decision, Grant):
-            reservation = build_reservation(item, decision, now)
+            backup = _find_backup(pool, item, decision)
+            reservation = build_reservation(item, decision, now, backup)
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
             self._log_decision(pool, item, decision, now)
@@ -341,6 +344,7 @@
                     priority=decision.priority,
                     prefill_s=decision.prefill_s,
                     is_trial=item.is_trial,
+                    backup=backup,
                 )
             )
         else:
@@ -548,3 +552,13 @@
         return ProcessId(
             engine_id, pool.start_by_engine_id.get(engine_id, listed)
         )
+
+
+def _find_backup(pool: OwnedPool, item: WaitingRequest, grant: Grant) -> str:
+    """Returns the engine for a copy of a stream's KV cache, '' for none.
+
+    A request that may crash engines gets none: it would crash the second one.
+    """
+    if not item.request.wants_backup or item.suspect or item.is_trial:
+        return ''
+    return choose_backup(pool.state, item.request, grant.decode)
--- a/mustardscale/relay/event_order.py
+++ b/mustardscale/relay/event_order.py
@@ -38,6 +38,7 @@
         '_hashes',
         '_highest',
         '_lower_limit',
+        '_next_number',
         '_of_earlier_runs',
         'last_id',
         'previous_id',
@@ -53,6 +54,8 @@
         self._highest = -1
         # The highest number that came before the present run.
         self._lower_limit = -1
+        # The only number that may come next, None if others may.
+        self._next_number: int | None = None
         self.record(last_id)
         self.previous_id = None
         self.begin_run()
@@ -62,8 +65,15 @@
         """Whether each id that came before would be known again."""
         return len(self._hashes) <= MAX_NAMED
 
-    def begin_run(self) -> None:
-        """Begins a run that goes on after the events so far."""
+    def begin_run(self, is_same: bool = False) -> None:
+        """Begins a run that goes on after the events so far.
+
+        Args:
+            is_same: whether it goes on from the KV cache of the run before. If
+                the last number was one above the one before it, the next one
+                must be one above it, too: a later one shows a lost event.
+        """
+        self._next_number = self._find_next_number() if is_same else None
         self._lower_limit = self._highest
         self._of_earlier_runs = frozenset(self._hashes)
 
@@ -74,6 +84,8 @@
         """
         if not event_id:
             return True
+        if self._next_number is not None:
+            return event_id == str(self._next_number)
         if _is_number(event_id):
             return int(event_id) > self._find_limit()
         if event_id == self.last_id:
@@ -95,6 +107,8 @@
         if self.last_id and not _is_number(self.last_id):
             return False
         numbers = list(map(int, event_ids))
+        if self._next_number not in (None, numbers[0]):
+            return False
         rises = numbers == sorted(set(numbers))
         return rises and numbers[0] > self._find_limit()
 
@@ -102,6 +116,7 @@
         """Moves on to an event. One without an id ('') keeps the place."""
         if not event_id:
             return
+        self._next_number = None
         self.previous_id = self.last_id
         self.last_id = event_id
         if _is_number(event_id):
@@ -109,6 +124,15 @@
         elif self.is_complete:
             self._hashes.append(hash(event_id))
 
+    def _find_next_number(self) -> int | None:
+        """Returns the number that must come next, None if not known."""
+        previous = self.previous_id or '0'
+        if self.previous_id is None or not _is_number(self.last_id):
+            return None
+        if not _is_number(previous) or int(self.last_id) - int(previous) != 1:
+            return None
+        return int(self.last_id) + 1
+
     def _find_limit(self) -> int:
         """Returns the number that the next one must exceed."""
         if _is_number(self.last_id):
--- a/mustardscale/relay/event_splitter.py
+++ b/mustardscale/relay/event_splitter.py
@@ -203,9 +203,13 @@
         """Discards the bytes after the last whole event if out of order."""
         self._check_order(self._partial)
 
-    def drop_partial(self) -> None:
-        """Discards what was not completed; the stream goes on elsewhere."""
-        self._order.begin_run()
+    def drop_partial(self, is_same: bool = False) -> None:
+        """Discards what was not completed; the stream goes on elsewhere.
+
+        Args:
+            is_same: whether it goes on from the KV cache of the run before.
+        """
+        self._order.begin_run(is_same)
         self._awaits_id = self._awaits_id or not self.lacks_event
         self.lacks_event = True
         self._partial = b''
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -23,6 +23,7 @@
 from mustardscale.relay.relay_endpoint import RelayClients, RelayEndpoint
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.retry_budget import RetryBudgets
+from mustardscale.relay.stream_backups import BackupScope
 from mustardscale.relay.weights_order import EngineWeights
 from mustardscale.reporting.event_log import EventLog
 from mustardscale.reporting.metrics import Metrics
@@ -51,6 +52,7 @@
         metrics: the counters of this host.
         weights_field: name under which engines state the version of their
             weights, '' if they do not.
+        backups: which streams get a copy of their KV cache.
         engine_weights: the versions that engines stated.
         witnesses: show which processes have begun streams.
     """
@@ -66,6 +68,7 @@
     active: ActiveRequests
     metrics: Metrics
     weights_field: str = ''
+    backups: BackupScope = BackupScope.OFF
     engine_weights: EngineWeights = dataclasses.field(
         default_factory=EngineWeights
     )
--- a/mustardscale/relay/relay_endpoint.py
+++ b/mustardscale/relay/relay_endpoint.py
@@ -22,12 +22,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefillHandle:
-    """The result of a prefill that an engine keeps for a short time.
+    """KV cache that an engine keeps for a short time.
+
+    It is the result of a prefill, or the backup of a run.
 
     Attributes:
         engine_id: the engine that keeps it.
-        source: address at which a decode engine fetches the result.
-        key: name of the result at the engine that keeps it.
+        source: address at which a decode engine fetches it.
+        key: its name at the engine that keeps it; that of a backup is the id of
+            the request.
         kept_until: loop time until which the engine guarantees to keep it.
     """
 
@@ -44,14 +47,17 @@
     Attributes:
         request: the request.
         deadline_at: loop time at which the endpoint must stop.
-        prefill: the prefill result to fetch, None to run without one.
+        prefill: the KV cache to go on from, None to run without one.
         resume_after: id of the event after which the stream resumes.
+        backup: address of the engine that keeps a copy of the run's KV cache,
+            '' for none.
     """
 
     request: RelayRequest
     deadline_at: float
     prefill: PrefillHandle | None = None
     resume_after: str = ''
+    backup: str = ''
 
 
 class EndpointAnswer(abc.ABC):
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -43,6 +43,11 @@
 )
 from mustardscale.relay.relay_messages import RelayRequest
 from mustardscale.relay.repeated_end import NoRepeat
+from mustardscale.relay.stream_backups import (
+    NotContinuedError,
+    StreamBackup,
+    wants_backup,
+)
 from mustardscale.relay.version_pin import VersionPin
 from mustardscale.reporting.event_log import EventKind
 from mustardscale.versions.version_witness import VersionWitness
@@ -62,6 +67,8 @@
 PREFILL_MARGIN_S = 0.25
 DEFAULT_PREFILL_S = 0.5
 
+# Characters of an event's id in logs at most.
+MAX_SHOWN_ID = 40
 
 # Share of the retry budget that runs may use which only tell an end, so that
 # streams that broke off find a retry.
@@ -145,6 +152,11 @@
         self._resume_after = ''
         self._process: AnsweringProcess | None = None
         self._pin = VersionPin(context, service.name)
+        # The copy of the KV cache of the present run.
+        self._backup: StreamBackup | None = None
+        # Releases the attempt before the present one.
+        self._leaving: asyncio.Task[object] | None = None
+        served.wants_backup = wants_backup(context.backups, route, service)
         self.served = served
         self.progress = AttemptProgress()
         self.weights_version = 0
@@ -199,7 +211,15 @@
             except EndpointFailedError as error:
                 # A failed prefill may always be repeated.
                 ran = self._run_sent
-                await self.record_failure(self._current_engine(), error, ran)
+                if ran and error.crashed and self.has_backup:
+                    with contextlib.suppress(NotContinuedError):
+                        return await self.continue_at_backup(
+                            error, resume_after
+                        )
+                else:
+                    await self.record_failure(
+                        self._current_engine(), error, ran
+                    )
                 if ran and not self.may_run_again():
                     raise OutcomeError(
                         Outcome.ANSWER_LOST, str(error)
@@ -252,6 +272,8 @@
         self._run_sent = False
         served.prefill = ''
         served.decode = ''
+        served.backup = ''
+        self._backup = None
         served.stage = StreamStage.QUEUED
         served.attempt_base = served.relayed_tokens
         served.prompt_tokens = self._prompt.tokens + served.relayed_tokens
@@ -278,6 +300,7 @@
         )
         served.prefill = grant.prefill
         served.decode = grant.decode
+        self._name_backup(grant)
         self._is_trial = grant.is_trial
         self._require_version(grant.decode)
         self._drop_expiring_handle()
@@ -290,6 +313,20 @@
         self._run_sent = True
         return await self._run(grant.decode)
 
+    def _name_backup(self, grant: AdmitReply) -> None:
+        """Notes the engine that the owner names for a copy of the KV cache."""
+        served = self.served
+        if not served.wants_backup or grant.backup in ('', grant.decode):
+            return
+        entries_by_id = self._context.board.endpoints_by_id
+        runner = entries_by_id.get(grant.decode)
+        entry = entries_by_id.get(grant.backup)
+        if entry is None or runner is None or entry.version != runner.version:
+            return
+        if self._context.takes_work(grant.backup):
+            served.backup = grant.backup
+            self._backup = StreamBackup(grant.backup, entry.address)
+
     def _current_engine(self) -> str:
         if self._run_sent:
             return self.served.decode
@@ -492,12 +529,189 @@
             self._called_engine, self.served.id
         )
 
-    def _call(self, handle: PrefillHandle | None) -> RelayCall:
+    @property
+    def has_backup(self) -> bool:
+        """Whether the run has a copy, from which the stream may go on.
+
+        A stream that goes on from the copy of a run that may not be repeated is
+        that run still; the number of engines is limited for all others.
+        """
+        if self._backup is None:
+            return False
+        return not self._route.may_repeat or self.may_run_again()
+
+    async def continue_at_backup(
+        self, failure: EndpointFailedError, resume_after: str
+    ) -> EndpointAnswer:
+        """Goes on with a run that broke off at the engine that has its copy.
+
+        The answer of that run must be closed before. The copy is kept for half
+        a second only, so that the request is sent while it is still being found
+        out whether the engine before has crashed.
+
+        Args:
+            failure: how the run broke off.
+            resume_after: id of the last event that the caller got.
+
+        Raises:
+            NotContinuedError: the engine did not go on. If the request may not
+                be repeated, it must not be sent again.
+            OutcomeError: the request became known to crash engines.
+        """
+        began_at = self._context.now()
+        self._resume_after = resume_after
+        self._leave_engine(failure)
+        backup = self._backup or StreamBackup('', '')
+        self._begin_attempt()
+        try:
+            answer = await self._run_from_copy(backup)
+        except (EndpointRefusedError, _EngineClosedError) as error:
+            # The engine may still run the request without a copy.
+            self._record_backup(backup, began_at, str(error))
+            await self.record_failure('', error, False)
+            raise NotContinuedError(str(error)) from error
+        except (EndpointUnreachableError, EndpointFailedError) as error:
+            self._record_backup(backup, began_at, str(error))
+            await self.record_failure(backup.engine_id, error, True)
+            raise NotContinuedError(str(error)) from error
+        self._record_backup(backup, began_at)
+        return answer
+
+    def _record_backup(
+        self, backup: StreamBackup, began_at: float, failure: str = ''
+    ) -> None:
+        """Logs whether a stream went on from its copy.
+
+        Args:
+            backup: the copy.
+            began_at: loop time at which the run before had failed.
+            failure: why the stream did not go on, '' if it did.
+        """
+        found = 'missing' if failure else 'used'
+        context = self._context
+        context.metrics.count(f'stream_backups_{found}')
+        context.events.emit(
+            EventKind.BACKUP_USED,
+            self._request.id,
+            endpoint=backup.engine_id,
+            found=found,
+            after=self._resume_after[:MAX_SHOWN_ID],
+            detail=failure,
+            took_s=round(context.now() - began_at, 4),
+        )
+
+    async def _run_from_copy(self, backup: StreamBackup) -> EndpointAnswer:
+        """Sends the request to the engine that has a copy of its KV cache."""
+        context = self._context
+        engine_id = backup.engine_id
+        client = await self._permitted_client(engine_id)
+        self._require_usable(backup)
+        if context.now() >= self.deadline_at:
+            raise _EngineClosedError('the deadline has passed')
+        if not context.take_retry(self._service.name):
+            raise _EngineClosedError('the retry budget is spent')
+        process = context.find_process(self._request.id, engine_id, client)
+        self._process = process
+        answer = await self._send_from_copy(backup, client)
+        try:
+            await self._require_process(process)
+        except BaseException:
+            answer.close()
+            raise
+        return answer
+
+    async def _send_from_copy(
+        self, backup: StreamBackup, client: RelayEndpoint
+    ) -> EndpointAnswer:
+        served, progress = self.served, self.progress
+        served.prefill = served.decode = backup.engine_id
+        served.stage = StreamStage.TRANSFER
+        self._run_sent = True
+        # The run of a request that may not be repeated is still the first one.
+        runs = 1 if self._route.may_repeat else 0
+        progress.arrivals += 1
+        progress.runs += runs
+        self._begin_call(backup.engine_id)
+        copy = PrefillHandle(
+            backup.engine_id, backup.address, self._request.id, self.deadline_at
+        )
+        try:
+            return await client.run(self._call(copy))
+        except EndpointUnreachableError:
+            progress.arrivals -= 1
+            progress.runs -= runs
+            raise
+        except EndpointRefusedError:
+            progress.runs -= runs
+            raise
+
+    def _require_usable(self, backup: StreamBackup) -> None:
+        """Requires that the engine with a copy may go on with the stream.
+
+        Raises:
+            _EngineClosedError: it is another process by now, is excluded, or
+                its software or weights are not those of the stream.
+        """
+        engine_id = backup.engine_id
+        entry = self._context.board.endpoints_by_id.get(engine_id)
+        if entry is None or entry.address != backup.address:
+            raise _EngineClosedError(f'{engine_id} is gone')
+        if (
+            not self._pin.may_run(engine_id)
+            or engine_id in self.progress.excluded
+            or engine_id in self._older_engines()
+        ):
+            raise _EngineClosedError(f'{engine_id} may not run the stream')
+
+    def _leave_engine(self, failure: EndpointFailedError) -> None:
+        """Ends the attempt at an engine whose run broke off.
+
+        Whether it crashed is found out in the background.
+        """
+        engine_id = self.find_failed(failure)
+        if engine_id:
+            self.progress.excluded.append(engine_id)
+        former = dataclasses.replace(self.served)
+        if failure.crashed:
+            # The call must be open when the check begins.
+            self._context.crashes.check_for_crash(former.decode)
+        self.end_call()
+        self._leaving = self._background.start(
+            self._record_left(former, engine_id, failure, self.progress.runs)
+        )
+
+    async def _record_left(
+        self,
+        former: RelayedRequest,
+        engine_id: str,
+        failure: EndpointFailedError,
+        runs: int,
+    ) -> None:
+        """Logs a failed run and releases its grant at the pool's owner."""
+        outcome = await self._find_outcome(engine_id, failure)
+        self._emit_failure(engine_id, failure, outcome, runs)
+        self._admission.release(former, outcome, 0, finished=False)
+        self._admission.report_move(self.served)
+
+    def report_stage(self) -> None:
+        """Reports to the pool's owner that the stream reached a stage.
+
+        While the attempt before is not released yet, the report follows its
+        release: the release tells of a crash, and a later attempt makes it
+        void.
+        """
+        if self._leaving is None or self._leaving.done():
+            self._admission.report_stage(self.served)
+
+    def _call(
+        self, handle: PrefillHandle | None, backup: str = ''
+    ) -> RelayCall:
         return RelayCall(
             self._request,
             self.deadline_at,
             handle,
             self._resume_after,
+            backup,
         )
 
     async def _prefill(self, grant: AdmitReply) -> PrefillHandle:
@@ -546,7 +760,8 @@
         process = context.find_process(self._request.id, engine_id, client)
         self._process = process
         try:
-            answer = await client.run(self._call(handle))
+            backup = self._backup.address if self._backup else ''
+            answer = await client.run(self._call(handle, backup))
         except EndpointUnreachableError:
             progress.arrivals -= 1
             progress.runs -= 1
@@ -600,19 +815,35 @@
             error: how the attempt failed.
             ran: whether the engine may have begun to run the request.
         """
-        progress = self.progress
         if engine_id:
-            progress.excluded.append(engine_id)
-        outcome = Outcome.ATTEMPTS_EXHAUSTED
+            self.progress.excluded.append(engine_id)
+        outcome = await self._find_outcome(engine_id, error)
+        self.end_call()
+        self._emit_failure(engine_id, error, outcome, self.progress.runs)
+        if self.served.decode:
+            self._admission.release(self.served, outcome, 0, finished=False)
+
+    async def _find_outcome(
+        self, engine_id: str, error: MustardscaleError
+    ) -> Outcome:
+        """Returns what the pool's owner is told of a failed attempt."""
         if isinstance(error, EndpointUnreachableError):
-            outcome = Outcome.ENDPOINT_UNREACHABLE
-        elif (
+            return Outcome.ENDPOINT_UNREACHABLE
+        if (
             isinstance(error, EndpointFailedError)
             and error.crashed
             and await self._context.crashes.has_crashed(engine_id)
         ):
-            outcome = Outcome.ENDPOINT_FAILED
-        self.end_call()
+            return Outcome.ENDPOINT_FAILED
+        return Outcome.ATTEMPTS_EXHAUSTED
+
+    def _emit_failure(
+        self,
+        engine_id: str,
+        error: MustardscaleError,
+        outcome: Outcome,
+        runs: int,
+    ) -> None:
         self._context.events.emit(
             EventKind.ATTEMPT_FAILED,
             self._request.id,
@@ -620,11 +851,9 @@
             endpoint=engine_id,
             cause=type(error).__name__,
             detail=str(error),
-            runs=progress.runs,
-            arrivals=progress.arrivals,
+            runs=runs,
+            arrivals=self.progress.arrivals,
         )
-        if self.served.decode:
-            self._admission.release(self.served, outcome, 0, finished=False)
 
     def _drop_expiring_handle(self) -> None:
         """Frees a prefill result that may expire before it is used."""
--- a/mustardscale/relay/stream_end.py
+++ b/mustardscale/relay/stream_end.py
@@ -21,12 +21,13 @@
     RepeatedEnd,
     read_repeated_end,
 )
-from mustardscale.relay.stream_attempts import NotRepeatedError, StreamAttempts
+from mustardscale.relay.stream_attempts import (
+    MAX_SHOWN_ID,
+    NotRepeatedError,
+    StreamAttempts,
+)
 from mustardscale.reporting.event_log import EventKind
 
-# Characters of an event's id in logs at most.
-MAX_SHOWN_ID = 40
-
 
 class StreamEnd:
     """The end of one stream.
--- a/mustardscale/relay/stream_relay.py
+++ b/mustardscale/relay/stream_relay.py
@@ -32,8 +32,9 @@
     RelayRequest,
     SizeEstimate,
 )
-from mustardscale.relay.stream_attempts import StreamAttempts
-from mustardscale.relay.stream_end import MAX_SHOWN_ID, StreamEnd
+from mustardscale.relay.stream_attempts import MAX_SHOWN_ID, StreamAttempts
+from mustardscale.relay.stream_backups import NotContinuedError
+from mustardscale.relay.stream_end import StreamEnd
 from mustardscale.relay.weights_order import WeightsOrder
 from mustardscale.reporting.event_log import EventKind
 
@@ -378,6 +379,11 @@
         attempts = self._attempts
         attempts.weights_version = self._weights.version
         answer = await attempts.next_answer(self._splitter.last_id)
+        self._begin_run(answer)
+        return answer
+
+    def _begin_run(self, answer: EndpointAnswer) -> None:
+        """Records that a run has begun to answer."""
         self._context.engine_weights.record(
             self.served.decode,
             self._weights.read(answer.head),
@@ -385,7 +391,6 @@
         )
         self._progress_at = self._context.now()
         self._wrote_since = None
-        return answer
 
     def _require_answer(self) -> EndpointAnswer:
         if self._answer is None:
@@ -449,7 +454,7 @@
         if served.stage is StreamStage.DECODE:
             return
         served.stage = StreamStage.DECODE
-        self._admission.report_stage(served)
+        self._attempts.report_stage()
         if self.first_event_at is None:
             self.first_event_at = self._context.now()
 
@@ -508,9 +513,14 @@
             OutcomeError: the stream cannot be resumed.
         """
         attempts = self._attempts
-        await attempts.record_failure(
-            attempts.find_failed(failure), failure, ran=True
-        )
+        if attempts.has_backup and self._splitter.is_resumable:
+            continued = await self._continue_at_backup(failure)
+            if continued is not None:
+                return continued
+        else:
+            await attempts.record_failure(
+                attempts.find_failed(failure), failure, ran=True
+            )
         if not self._may_resume:
             raise OutcomeError(Outcome.ENDPOINT_FAILED, str(failure))
         if not self._splitter.is_resumable:
@@ -519,7 +529,6 @@
                 f'not resumed: no id tells how far it came; {failure}',
             )
         self._splitter.drop_partial()
-        head = self.head
         self._require_answer().close()
         try:
             async with asyncio.timeout_at(self._attempts.deadline_at):
@@ -527,14 +536,53 @@
                 answer = await self._next_answer()
         except TimeoutError as error:
             raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
-        if not answer.head.continues(head):
-            answer.close()
-            raise OutcomeError(
-                Outcome.ENDPOINT_FAILED,
-                f'not resumed: status {answer.head.status}',
-            )
+        self._require_continues(answer)
+        return answer
+
+    async def _continue_at_backup(
+        self, failure: EndpointFailedError
+    ) -> EndpointAnswer | None:
+        """Goes on from the copy of the KV cache of a run that has failed.
+
+        Returns:
+            The answer; None if the engine that has the copy did not go on.
+
+        Raises:
+            OutcomeError: the stream cannot be resumed.
+        """
+        attempts = self._attempts
+        # The engine before must not work on it any more.
+        self._require_answer().close()
+        self._splitter.drop_partial(is_same=True)
+        attempts.weights_version = self._weights.version
+        try:
+            async with asyncio.timeout_at(attempts.deadline_at):
+                await self._require_shown_version()
+                answer = await attempts.continue_at_backup(
+                    failure, self._splitter.last_id
+                )
+        except NotContinuedError:
+            return None
+        except TimeoutError as error:
+            raise OutcomeError(Outcome.DEADLINE_EXCEEDED) from error
+        self._begin_run(answer)
+        self._require_continues(answer)
         return answer
 
+    def _require_continues(self, answer: EndpointAnswer) -> None:
+        """Closes an answer that does not go on with the one that has begun.
+
+        Raises:
+            OutcomeError: it is none that does.
+        """
+        if answer.head.continues(self.head):
+            return
+        answer.close()
+        raise OutcomeError(
+            Outcome.ENDPOINT_FAILED,
+            f'not resumed: status {answer.head.status}',
+        )
+
 
 def first_event_s(stream: RelayedStream) -> float:
     """Returns the seconds from arrival to the first event, infinity if none."""
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -17,6 +17,7 @@
 from mustardscale.relay.answer_memory import AnswerLimits
 from mustardscale.relay.relay_endpoint import RelayConnector
 from mustardscale.relay.retry_budget import RetryAllowance
+from mustardscale.relay.stream_backups import BackupScope
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +40,7 @@
         max_key_age_s: seconds after which a configuration that could not be
             confirmed admits no requests with keys, 0 for no limit.
         quota_tolerance: by how much quotas of customers may be exceeded.
+        backups: which streams get a copy of their KV cache at a second engine.
     """
 
     seed_addresses: tuple[str, ...] = ()
@@ -57,6 +59,7 @@
     quota_tolerance: QuotaTolerance = dataclasses.field(
         default_factory=QuotaTolerance
     )
+    backups: BackupScope = BackupScope.OFF
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -173,6 +173,7 @@
             self.active,
             self.metrics,
             options.weights_field,
+            options.backups,
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -43,6 +43,7 @@
     LINK_CHANGED = 'link_changed'
     CALL_FORWARDED = 'call_forwarded'
     STREAM_RESUMED = 'stream_resumed'
+    BACKUP_USED = 'backup_used'
     ANSWER_ENDED = 'answer_ended'
     END_REPEATED = 'end_repeated'
     VERSION_FOUND = 'version_found'
@@ -194,6 +195,10 @@
             'weights_before',
         ),
     ),
+    EventKind.BACKUP_USED: EventRule(
+        'A stream was to go on from the copy of its KV cache.',
+        ('endpoint', 'found', 'after', 'detail', 'took_s'),
+    ),
     EventKind.ANSWER_ENDED: EventRule(
         'An answer ended that only the end of its connection delimits.',
         (
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -79,6 +79,12 @@
     retry_window_s: float = setting(
         Seconds(), 'Time over which retries are counted.', 10.0
     )
+    stream_backups: str = setting(
+        Choice('off', 'once', 'all'),
+        'Streams whose KV cache a second engine keeps a copy of: none, those'
+        ' that may not be resumed, or all.',
+        'off',
+    )
     max_key_age_ms: float = setting(
         Amount(),
         'Milliseconds after which requests with a key are refused if the'
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -14,7 +14,11 @@
 from standins.limited_arrivals import LimitedArrivals
 
 _ID = 'X-Request-Id'
+_SOURCE = 'X-Kv-Source'
+_BACKUP = 'X-Kv-Backup'
 EVENTS = 3
+# Time for which a copy is kept after its last part, seconds.
+HOLD_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +41,7 @@
             answer, between two events.
         harmful_part: id of a part of prompts, not the last one, on which the
             worker crashes as it begins to write, '' for none.
+        keeps_no_copies: whether it has no room for copies of other runs.
     """
 
     full: bool = False
@@ -50,6 +55,20 @@
     unframed: bool = False
     ends_in_answer: bool = False
     harmful_part: str = ''
+    keeps_no_copies: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class RunCopy:
+    """The KV cache of a run at another worker.
+
+    Attributes:
+        events: events that the run had made when it was last copied.
+        copied_at: loop time of the last part.
+    """
+
+    events: int
+    copied_at: float
 
 
 class PlatformWorker:
@@ -71,6 +90,10 @@
         version: version of its software, which it writes into its events.
         born: start of its process, Unix milliseconds.
         events: events of each stream.
+        address: its 'ip:port', once it listens.
+        workers_by_address: the workers that it can copy a KV cache to.
+        copies_by_id: copies of the runs of other workers, by request id.
+        continued: ids of the runs that it went on with from a copy.
     """
 
     def __init__(self, instance: str, phase: str = '', gap_s: float = 0.0):
@@ -90,6 +113,10 @@
         self.version = ''
         self.born = 1
         self.events = EVENTS
+        self.address = ''
+        self.workers_by_address: dict[str, PlatformWorker] = {}
+        self.copies_by_id: dict[str, RunCopy] = {}
+        self.continued: list[str] = []
         self._numbers = itertools.count(1)
 
     def server(self) -> web.Server:
@@ -167,7 +194,13 @@
             return self._prefill()
         if self.phase == 'prefill':
             return web.Response(status=421)
-        self.ran.append(request_id)
+        address, _, key = request.headers.get(_SOURCE, '').rpartition('/')
+        if address and address == self.address:
+            if not self._take_copy(key):
+                return web.Response(status=503, headers={'X-Not-Executed': '1'})
+            self.continued.append(request_id)
+        else:
+            self.ran.append(request_id)
         if self.faults.loses_answers:
             assert request.transport is not None
             request.transport.abort()
@@ -183,6 +216,20 @@
         await asyncio.sleep(self.work_s)
         return web.Response(body=b'whole ' + body, headers=headers)
 
+    def _take_copy(self, key: str) -> bool:
+        """Uses up a copy; returns whether there was one."""
+        copy = self.copies_by_id.pop(key, None)
+        now = asyncio.get_running_loop().time()
+        return copy is not None and now - copy.copied_at < HOLD_S
+
+    def _send_copy(self, request: web.BaseRequest, events: int) -> None:
+        """Copies the KV cache of a run to the worker that is to keep it."""
+        address = request.headers.get(_BACKUP, '')
+        keeper = self.workers_by_address.get(address)
+        if keeper is not None and not keeper.faults.keeps_no_copies:
+            now = asyncio.get_running_loop().time()
+            keeper.copies_by_id[request.headers[_ID]] = RunCopy(events, now)
+
     async def _answer_unframed(
         self, request: web.BaseRequest, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
@@ -240,6 +287,7 @@
                 request.transport.close()
                 raise ConnectionResetError
             await response.write(self._event(number))
+            self._send_copy(request, number)
             if self._is_harmful(request) and self.on_crash is not None:
                 self.on_crash(self)
                 assert request.transport is not None
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -73,6 +73,12 @@
             name: await self._serve(worker.server())
             for name, worker in self.workers.items()
         }
+        for name, worker in self.workers.items():
+            worker.address = self.address_by_worker[name]
+            worker.workers_by_address = {
+                self.address_by_worker[other]: self.workers[other]
+                for other in self.workers
+            }
         for name in self.workers:
             self.list_worker(name)
         self.configure(CONFIG)
@@ -107,7 +113,7 @@
     def configure(self, config):
         self.store.put(OPERATOR_TOPIC, 'config', json.dumps(config).encode())
 
-    async def add_host(self, name, seeds=()):
+    async def add_host(self, name, seeds=(), **fields):
         """Starts a host and waits until it is ready."""
         probe, peers = await listen(web.Server(lambda request: None))
         await probe.cleanup()
@@ -123,6 +129,7 @@
             heartbeat_s=0.1,
             dead_after_s=0.5,
             prefill_share=0.34,
+            **fields,
         )
         router = make_router(settings, NoEvents())
         await router.start()
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -160,6 +160,7 @@
         self.admit_calls = []
         self.releases = []
         self.stages = []
+        self.moves = []
 
     async def admit(self, prompt, served, profile, model, excluded, until):
         self.admit_calls.append(
@@ -168,8 +169,21 @@
         grant = self.grants.pop(0)
         if isinstance(grant, Exception):
             raise grant
-        prefill, decode = grant
-        return AdmitReply(Outcome.COMPLETE, prefill, decode, prefill_s=0.1)
+        prefill, decode, *backup = grant
+        return AdmitReply(
+            Outcome.COMPLETE,
+            prefill,
+            decode,
+            0.0,
+            0,
+            0.1,
+            False,
+            False,
+            *backup,
+        )
+
+    def report_move(self, served):
+        self.moves.append((served.tag.attempt, served.decode))
 
     def report_stage(self, served):
         self.stages.append(served.stage)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -41,6 +41,7 @@
         rng.randrange(9_000),
         rng.randrange(500),
         rng.randrange(500, 9_000),
+        backup=rng.choice(['', *DECODES]),
     )
 
 
@@ -84,6 +85,14 @@
                 )
                 for held in expected.values()
             )
+            assert share.copied_pieces == sum(
+                pieces_for(
+                    held.stream.prompt_tokens + held.stream.emitted,
+                    PIECE_TOKENS,
+                )
+                for held in held_by_id.values()
+                if held.stream.backup == decode
+            )
 
     @given(st.integers(0, 2**32))
     @settings(max_examples=100, deadline=None)
