--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -15,6 +15,7 @@
     HeldStream,
     Release,
 )
+from mustardscale.policy.backup_choice import choose_backup
 from mustardscale.policy.base import (
     EngineState,
     Grant,
@@ -184,6 +185,16 @@
     return True
 
 
+def find_backup(pool: OwnedPool, item: WaitingRequest, grant: Grant) -> str:
+    """Returns the engine for a copy of a stream's KV cache, '' for none.
+
+    A request that may crash engines gets none: it would crash the second one.
+    """
+    if not item.request.wants_backup or item.suspect or item.is_trial:
+        return ''
+    return choose_backup(pool.state, item.request, grant.decode)
+
+
 def build_reservation(
     item: WaitingRequest, grant: Grant, now: float, backup: str = ''
 ) -> Reservation:
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -27,7 +27,6 @@
     StreamLookup,
     StreamLookupReply,
 )
-from mustardscale.policy.backup_choice import choose_backup
 from mustardscale.policy.base import (
     Decision,
     EngineState,
@@ -40,6 +39,7 @@
     OwnedPool,
     build_expiry_release,
     build_reservation,
+    find_backup,
     find_current_engine,
     find_reservations_on,
     mark_suspects,
@@ -331,7 +331,7 @@
         if item is None or reply is None or reply.done():
             return
         if isinstance(decision, Grant):
-            backup = _find_backup(pool, item, decision)
+            backup = find_backup(pool, item, decision)
             reservation = build_reservation(item, decision, now, backup)
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
@@ -552,13 +552,3 @@
         return ProcessId(
             engine_id, pool.start_by_engine_id.get(engine_id, listed)
         )
-
-
-def _find_backup(pool: OwnedPool, item: WaitingRequest, grant: Grant) -> str:
-    """Returns the engine for a copy of a stream's KV cache, '' for none.
-
-    A request that may crash engines gets none: it would crash the second one.
-    """
-    if not item.request.wants_backup or item.suspect or item.is_trial:
-        return ''
-    return choose_backup(pool.state, item.request, grant.decode)
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -591,7 +591,7 @@
         context = self._context
         context.metrics.count(f'stream_backups_{found}')
         context.events.emit(
-            EventKind.BACKUP_USED,
+            EventKind.BACKUP_TRIED,
             self._request.id,
             endpoint=backup.engine_id,
             found=found,
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -43,7 +43,7 @@
     LINK_CHANGED = 'link_changed'
     CALL_FORWARDED = 'call_forwarded'
     STREAM_RESUMED = 'stream_resumed'
-    BACKUP_USED = 'backup_used'
+    BACKUP_TRIED = 'backup_tried'
     ANSWER_ENDED = 'answer_ended'
     END_REPEATED = 'end_repeated'
     VERSION_FOUND = 'version_found'
@@ -195,7 +195,7 @@
             'weights_before',
         ),
     ),
-    EventKind.BACKUP_USED: EventRule(
+    EventKind.BACKUP_TRIED: EventRule(
         'A stream was to go on from the copy of its KV cache.',
         ('endpoint', 'found', 'after', 'detail', 'took_s'),
     ),
--- a/tests/test_backup_choice.py
+++ b/tests/test_backup_choice.py
@@ -1,6 +1,7 @@
 """Tests of which engine keeps the copy of a stream, and what that takes up."""
 
 import dataclasses
+import types
 
 import pytest
 
@@ -9,8 +10,15 @@
 from mustardscale.peers.forward_messages import ForwardedHandle
 from mustardscale.peers.peer_messages import AdmitRequest, HeldStream
 from mustardscale.policy.backup_choice import choose_backup
-from mustardscale.policy.base import EngineState, PoolState, Reservation
+from mustardscale.policy.base import (
+    EngineState,
+    Grant,
+    PoolState,
+    Reservation,
+    WaitingRequest,
+)
 from mustardscale.policy.decode_capacity import DecodeCapacity
+from mustardscale.pools.owned_pool import find_backup
 from mustardscale.relay.relay_endpoint import RelayCall
 from tests.relay_fakes import request_of
 from tests.test_reserving import report
@@ -84,6 +92,25 @@
         assert not choose_backup(pool, REQUEST, 'a')
 
 
+class TestGrant:
+    """Requests that get no copy."""
+
+    @pytest.mark.parametrize(
+        ('fields', 'suspect', 'found'),
+        [
+            ({'wants_backup': True}, False, 'b'),
+            ({'wants_backup': False}, False, ''),
+            # It would crash the second engine, too.
+            ({'wants_backup': True}, True, ''),
+        ],
+    )
+    def test_grant(self, fields, suspect, found):
+        request = dataclasses.replace(REQUEST, **fields)
+        item = WaitingRequest(request, 0.0, 1.0, 9.0, suspect=suspect)
+        pool = types.SimpleNamespace(state=pool_of(engine('a'), engine('b')))
+        assert find_backup(pool, item, Grant('r', 'p', 'a')) == found
+
+
 class TestMemory:
     """The memory that copies take up counts at the engine that keeps them."""
 
--- a/tests/test_stream_backups.py
+++ b/tests/test_stream_backups.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from mustardscale.configuration.routes import RequestKind
+from mustardscale.endpoints.engines import StreamStage
 from mustardscale.exceptions import EndpointRefusedError
 from mustardscale.outcomes import Outcome
 from mustardscale.platform.store_routes import decode_table
@@ -79,7 +80,7 @@
         # The former grant is released before the stream counts at the other.
         assert bench.admission.releases[0][:2] == (1, Outcome.ENDPOINT_FAILED)
         assert bench.admission.moves == [(2, 'e')]
-        assert EventKind.BACKUP_USED in bench.kinds()
+        assert EventKind.BACKUP_TRIED in bench.kinds()
 
     @virtual_time
     async def test_engine_before_is_left_before_the_copy_is_used(self):
@@ -99,6 +100,20 @@
         await bench.read()
         assert closed == [True]
 
+    @virtual_time
+    async def test_owner_learns_of_the_crash_before_the_move(self):
+        # A report of the second attempt would make the release void.
+        bench = CopyBench(('p', 'd', 'e'))
+        bench.endpoint('d').run_script = [[event(1), LOST]]
+        bench.endpoint('d').read_start = _time_out
+        bench.endpoint('e').run_script = [
+            FakeAnswer([event(2), event(3)], gap_s=0.8)
+        ]
+        assert await bench.read() == event(1) + event(2) + event(3)
+        assert bench.admission.stages.count(StreamStage.DECODE) == 1
+        assert bench.admission.releases[0][:2] == (1, Outcome.ENDPOINT_FAILED)
+        assert bench.admission.moves == [(2, 'e')]
+
     @virtual_time
     async def test_run_lost_before_its_head_goes_on(self):
         bench = CopyBench(('p', 'd', 'e'))
@@ -176,6 +191,11 @@
         assert not call.backup
 
 
+async def _time_out():
+    """Does not answer, as an engine whose machine is gone."""
+    await asyncio.sleep(10.0)
+
+
 def _moving(entry):
     """Returns chunks during which the engine with the copy is replaced."""
 
@@ -309,6 +329,33 @@
 
         run(scenario)
 
+    def test_reservation_moves_to_the_engine_with_the_copy(self):
+        async def scenario(site):
+            router = await site.begin()
+            site.workers['d2'].faults = site.workers['d1'].faults
+            site.break_once()
+            for name in ('d1', 'd2'):
+                site.workers[name].gap_s = 0.1
+                site.workers[name].events = 8
+            asking = asyncio.create_task(
+                site.ask('/once/x', 'r1', headers=USAGE)
+            )
+            (owned,) = router.pool_owner.owned_by_id.values()
+            held = owned.state.reservations_by_request_id
+            await until(lambda: 'r1' in held)
+            begun = held['r1'].stream
+            assert {begun.decode, begun.backup} == {'d1', 'd2'}
+            assert held.decode_share(begun.backup).copied_pieces
+            await until(lambda: held['r1'].stream.tag.attempt == 2)
+            moved = held['r1'].stream
+            assert (moved.decode, moved.backup) == (begun.backup, '')
+            assert not held.decode_share(begun.decode).by_request_id
+            assert not held.decode_share(moved.decode).copied_pieces
+            status, _, body = await asking
+            assert (status, body.count(b'id: ')) == (200, 8)
+
+        run(scenario)
+
     def test_without_a_copy_the_answer_breaks_off(self):
         async def scenario(site):
             await site.begin()
