Test further ways in which a copied run breaks off

Cause: a stall, an end inside an event, a repeated event and a prompt that crashes engines had no test with copies.

Change: one test each. A prompt that crashes engines may end the engine with the copy too, as it does at streams that may be resumed; it is quarantined from then on.

--- a/tests/test_stream_backups.py
+++ b/tests/test_stream_backups.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from mustardscale.configuration.routes import RequestKind
+from mustardscale.endpoints.answer_framing import AnswerFraming
 from mustardscale.endpoints.engines import StreamStage
 from mustardscale.exceptions import EndpointRefusedError
 from mustardscale.outcomes import Outcome
@@ -38,6 +39,20 @@
 NO_COPY = EndpointRefusedError('full: 503')
 
 
+class StallingEvent(bytes):
+    """An event that does not come."""
+
+
+class StallingAnswer(FakeAnswer):
+    """An answer that may stop for good."""
+
+    async def chunks(self):
+        async for chunk in super().chunks():
+            if isinstance(chunk, StallingEvent):
+                await asyncio.sleep(60.0)
+            yield chunk
+
+
 class CopyBench(StreamBench):
     """Engines that keep copies of each other's runs."""
 
@@ -114,6 +129,24 @@
         assert bench.admission.releases[0][:2] == (1, Outcome.ENDPOINT_FAILED)
         assert bench.admission.moves == [(2, 'e')]
 
+    @pytest.mark.parametrize(
+        ('rest', 'framing'),
+        [
+            # It stalls; it ends inside an event; an event comes again.
+            ([StallingEvent()], AnswerFraming.LENGTH),
+            ([event(2)[:6]], AnswerFraming.CONNECTION),
+            ([event(1)], AnswerFraming.LENGTH),
+        ],
+    )
+    @virtual_time
+    async def test_other_ways_to_break_off(self, rest, framing):
+        bench = CopyBench(('p', 'd', 'e'))
+        first = StallingAnswer([event(1), *rest], framing=framing)
+        bench.endpoint('d').run_script = [first]
+        bench.endpoint('e').run_script = [[event(2)]]
+        assert await bench.read() == event(1) + event(2)
+        assert first.closed
+
     @virtual_time
     async def test_run_lost_before_its_head_goes_on(self):
         bench = CopyBench(('p', 'd', 'e'))
@@ -393,6 +426,36 @@
 
         run(scenario)
 
+    def test_harmful_prompts_are_kept_off_the_engines_with_copies(self):
+        async def scenario(site):
+            crashes = []
+
+            def restart(worker):
+                crashes.append(worker.instance)
+                name = f'{worker.instance}-{len(crashes)}'
+                site.restart_worker(worker.instance, name)
+
+            await site.begin()
+            for name in ('d1', 'd2'):
+                site.workers[name].faults.harmful_part = 'bad0'
+                site.workers[name].on_crash = restart
+            statuses = []
+            for number in range(12):
+                prefix = f'a1:200,bad0:50,{number:08x}:10'
+                headers = USAGE | {'X-Prompt-Prefix': prefix}
+                try:
+                    status, *_ = await site.ask(
+                        '/once/x', f'r{number}', headers=headers
+                    )
+                except aiohttp.ClientError:
+                    status = 0
+                statuses.append(status)
+                await asyncio.sleep(0.1)
+            assert len(crashes) <= 5
+            assert statuses[-4:] == [503] * 4
+
+        run(scenario)
+
     def test_spent_retry_budget_breaks_the_answer_off(self):
         async def scenario(site):
             await site.begin(retry_ratio=0.0, retry_slack=0.0)
