--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -256,6 +256,9 @@
         version: software version of the engine that wrote the first token.
         priority: its priority, NO_PRIORITY for none.
         customer: name of its customer, '' if it has none.
+        wants_backup: whether the KV cache is to be copied to another engine.
+        backup: id of the engine that keeps such a copy of the present attempt,
+            '' if none does.
     """
 
     id: str
@@ -284,6 +287,8 @@
     version: str = ''
     priority: int = NO_PRIORITY
     customer: str = ''
+    wants_backup: bool = False
+    backup: str = ''
 
     @property
     def emitted_tokens(self) -> int:
@@ -306,6 +311,7 @@
             fingerprint=self.fingerprint,
             hint_tokens=self.hint_tokens,
             keys=self.keys,
+            backup=self.backup,
         )
 
 
--- a/mustardscale/forwarding/forwarded_calls.py
+++ b/mustardscale/forwarding/forwarded_calls.py
@@ -41,6 +41,7 @@
         call.deadline_at - now,
         call.resume_after,
         call.priority,
+        call.backup,
     )
 
 
@@ -64,6 +65,7 @@
         unpack_handle(handle),
         request.resume_after,
         request.priority,
+        request.backup,
     )
 
 
--- a/mustardscale/peers/forward_messages.py
+++ b/mustardscale/peers/forward_messages.py
@@ -66,6 +66,9 @@
         resume_after: id of the event after which the stream resumes.
         priority: priority that the endpoint is told, NO_PRIORITY for
             none and from hosts of earlier releases.
+        backup: address of the engine that keeps a copy of the run's KV cache,
+            '' for none. Hosts of earlier releases leave it out, so that their
+            runs have no copy.
     """
 
     id: str = ''
@@ -77,6 +80,7 @@
     deadline_s: float = 0.0
     resume_after: str = ''
     priority: int = NO_PRIORITY
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -240,6 +240,7 @@
   keys @14 :List(Text);
   priority @15 :Int64 = -1;
   customer @16 :Text;
+  wantsBackup @17 :Bool;
 }
 
 struct AdmitReply {
@@ -251,6 +252,7 @@
   prefillS @5 :Float64;
   missedTurn @6 :Bool;
   isTrial @7 :Bool;
+  backup @8 :Text;
 }
 
 struct HeldStream {
@@ -265,6 +267,7 @@
   fingerprint @8 :UInt64;
   hintTokens @9 :Int64;
   keys @10 :List(Text);
+  backup @11 :Text;
 }
 
 struct Progress {
@@ -435,6 +438,7 @@
   deadlineS @6 :Float64;
   resumeAfter @7 :Text;
   priority @8 :Int64 = -1;
+  backup @9 :Text;
 }
 
 struct ForwardedHandle {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -166,6 +166,7 @@
             requests of the pool's service have the same one, and from hosts
             of earlier releases.
         customer: name of its customer, '' if it has none.
+        wants_backup: whether to name an engine for a copy of the KV cache.
     """
 
     pool: str
@@ -185,6 +186,7 @@
     keys: tuple[str, ...] = ()
     priority: int = NO_PRIORITY
     customer: str = ''
+    wants_backup: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,6 +203,7 @@
         missed_turn: whether the request was not refused, but got no grant
             within the time that it gave.
         is_trial: whether the request may run although it is quarantined.
+        backup: id of the engine for a copy of the KV cache, '' for none.
     """
 
     outcome: int
@@ -211,6 +214,7 @@
     prefill_s: float = 0.0
     missed_turn: bool = False
     is_trial: bool = False
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -229,6 +233,7 @@
         fingerprint: hash of the prompt, 0 when not known.
         hint_tokens: the caller's guess of the tokens emitted, 0 for none.
         keys: the request's suspicion keys, if the owner does not know them.
+        backup: id of the engine that keeps a copy of the KV cache, '' if none.
     """
 
     tag: StreamTag
@@ -242,6 +247,7 @@
     fingerprint: int = 0
     hint_tokens: int = 0
     keys: tuple[str, ...] = ()
+    backup: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/pools/owned_pool.py
+++ b/mustardscale/pools/owned_pool.py
@@ -15,6 +15,7 @@
     HeldStream,
     Release,
 )
+from mustardscale.policy.backup_choice import choose_backup
 from mustardscale.policy.base import (
     EngineState,
     Grant,
@@ -184,10 +185,27 @@
     return True
 
 
+def find_backup(pool: OwnedPool, item: WaitingRequest, grant: Grant) -> str:
+    """Returns the engine for a copy of a stream's KV cache, '' for none.
+
+    A request that may crash engines gets none: it would crash the second one.
+    """
+    if not item.request.wants_backup or item.suspect or item.is_trial:
+        return ''
+    return choose_backup(pool.state, item.request, grant.decode)
+
+
 def build_reservation(
-    item: WaitingRequest, grant: Grant, now: float
+    item: WaitingRequest, grant: Grant, now: float, backup: str = ''
 ) -> Reservation:
-    """Returns the reservation for a grant."""
+    """Returns the reservation for a grant.
+
+    Args:
+        item: the request.
+        grant: its engines.
+        now: loop time.
+        backup: id of the engine that keeps a copy of its KV cache, '' for none.
+    """
     request = item.request
     stream = HeldStream(
         tag=request.tag,
@@ -200,6 +218,7 @@
         max_tokens=request.max_tokens,
         fingerprint=request.fingerprint,
         hint_tokens=request.hint_tokens,
+        backup=backup,
     )
     return Reservation(
         stream,
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -45,6 +45,7 @@
     OwnedPool,
     build_expiry_release,
     build_reservation,
+    find_backup,
     find_current_engine,
     find_reservations_on,
     mark_suspects,
@@ -212,6 +213,7 @@
                     engine_id, role or EngineRole.DECODE, entry.data_centre
                 )
             engine.role = role or engine.role
+            engine.version = entry.version
             model_ready = report is None or report.model == entry.model
             engine.usable = (
                 not entry.leaving(now)
@@ -359,7 +361,8 @@
         if item is None or reply is None or reply.done():
             return
         if isinstance(decision, Grant):
-            reservation = build_reservation(item, decision, now)
+            backup = find_backup(pool, item, decision)
+            reservation = build_reservation(item, decision, now, backup)
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
             self._log_decision(pool, item, decision, now)
@@ -371,6 +374,7 @@
                     priority=decision.priority,
                     prefill_s=decision.prefill_s,
                     is_trial=item.is_trial,
+                    backup=backup,
                 )
             )
         else:
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -176,6 +176,7 @@
             self.active,
             self.metrics,
             options.weights_field,
+            options.backups,
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
