--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -111,6 +111,10 @@
     '  priority @15 :Int64 = -1;\n',
     '  customer @16 :Text;\n',
     '  priority @8 :Int64 = -1;\n',
+    '  wantsBackup @17 :Bool;\n',
+    '  backup @8 :Text;\n',
+    '  backup @9 :Text;\n',
+    '  backup @11 :Text;\n',
 )
 SCHEMA_ID = '@0xb7d1c2f09a4e5831'
 EARLIER_SCHEMA_ID = '@0xb7d1c2f09a4e5832'
