Tie an engine's listed version to its process

A stream of the own interface went on at an engine of another version: the host list could not be read, the engine had begun anew under its id, and the list still named the version of the former process.

An endpoint's entry now knows for which start number its version holds: the one that the list names, or, in a list without start numbers, the first that is reported. After another start number the version is unknown until a reading of the list that began later. A grant says which version the owner's list states for the decode engine, and whether its process began anew (two new fields, last, with defaults; grants of earlier builds are taken as before).

Weighed: a question to the engine before each further attempt, which adds a call and does not tell the former start number where the host never read one; and a test of the start number at the stream's host, which has none to compare with in a list without start numbers.

Not covered: a process that begins anew between the owner's last report and the send, an owner that never read a report of the former process, and the list at a host that takes a running stream over.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -171,6 +171,10 @@
         listed_role: role that the host list names.
         version: version of the software that it runs, '' where the list states
             none.
+        version_start: start number of the process whose version the list
+            states, 0 until one is known.
+        start_seen_at: loop time at which a report first showed the present
+            start number.
         notice: what its process has told this host itself.
     """
 
@@ -194,8 +198,40 @@
     listed_model: str = ''
     listed_role: EngineRole | None = None
     version: str = ''
+    version_start: int = 0
+    start_seen_at: float = -math.inf
     notice: EndpointNotice = dataclasses.field(default_factory=EndpointNotice)
 
+    def note_report(self, report: LoadReport, now: float) -> None:
+        """Records a load report that was read at a loop time."""
+        if self.report is None or self.report.start != report.start:
+            self.start_seen_at = now
+        if not self.version_start:
+            self.version_start = report.start
+        self.report = report
+        self.reported_at = now
+
+    def confirm_version(self, read_at: float) -> None:
+        """Ties the listed version to the process that reports.
+
+        Only a list without start numbers needs this, and only one whose
+        reading began after the process was seen can tell of it.
+
+        Args:
+            read_at: loop time at which the reading of the list began.
+        """
+        if self.report is not None and read_at >= self.start_seen_at:
+            self.version_start = self.report.start
+
+    @property
+    def is_version_known(self) -> bool:
+        """Whether the process that reports is the one that the list names.
+
+        A process that reports no start number is taken for that one.
+        """
+        start = self.report.start if self.report is not None else 0
+        return start in (0, self.version_start)
+
     def leaving(self, now: float) -> bool:
         """Returns whether the endpoint takes no new work."""
         told = now < self.told_leaving_until
@@ -252,7 +288,8 @@
         confirmed_at: loop time at which its home last confirmed that this
             host holds it.
         keys: its suspicion keys.
-        version: software version of the engine that wrote the first token.
+        version: software version of the engine that wrote the first token, None
+            if it is not known.
     """
 
     id: str
@@ -278,7 +315,7 @@
     previous_incarnation: int = 0
     confirmed_at: float = -math.inf
     keys: tuple[str, ...] = ()
-    version: str = ''
+    version: str | None = ''
 
     @property
     def emitted_tokens(self) -> int:
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -54,6 +54,7 @@
     async def run(self) -> None:
         """Reads the list at each reported change, and at an interval."""
         while True:
+            began_at = asyncio.get_running_loop().time()
             try:
                 listed = await self._host_list.fetch()
             except PeerUnavailableError as error:
@@ -67,6 +68,7 @@
                 if self._host_list.version >= self.version:
                     self.version = self._host_list.version
                     self.apply(listed)
+                    self._confirm_versions(listed, began_at)
             await self._host_list.wait_changed(self._pause_s())
 
     async def confirm(self) -> None:
@@ -194,6 +196,20 @@
             self._blackboard.notices.mark_unlisted(key, now)
         return changed or bool(gone)
 
+    def _confirm_versions(
+        self, listed: list[ListedHost], began_at: float
+    ) -> None:
+        """Ties versions to processes where the list states no start numbers.
+
+        Args:
+            listed: the list.
+            began_at: loop time at which its reading began.
+        """
+        for host in listed:
+            known = self._blackboard.endpoints_by_id.get(host.id)
+            if known is not None and host.version and not host.start:
+                known.confirm_version(began_at)
+
     def _apply_leaving(self, known: EndpointEntry, leaving: bool) -> bool:
         """Updates from the list whether an endpoint is leaving.
 
@@ -267,6 +283,7 @@
             listed_model=host.model,
             listed_role=host.role,
             version=host.version,
+            version_start=host.start,
             notice=self._blackboard.notices.get_or_create(host.id, host.start),
         )
 
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -249,6 +249,8 @@
   prefillS @5 :Float64;
   missedTurn @6 :Bool;
   isTrial @7 :Bool;
+  decodeVersion @8 :Text;
+  decodeBeganAnew @9 :Bool;
 }
 
 struct HeldStream {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -191,6 +191,10 @@
         missed_turn: whether the request was not refused, but got no grant
             within the time that it gave.
         is_trial: whether the request may run although it is quarantined.
+        decode_version: software version of the decode endpoint by the owner's
+            host list, '' if that states none.
+        decode_began_anew: whether the decode endpoint's process is not the one
+            whose version the owner's host list states.
     """
 
     outcome: int
@@ -201,6 +205,8 @@
     prefill_s: float = 0.0
     missed_turn: bool = False
     is_trial: bool = False
+    decode_version: str = ''
+    decode_began_anew: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/pools/engine_watch.py
+++ b/mustardscale/pools/engine_watch.py
@@ -197,8 +197,7 @@
         self._update_expired_reservations(pool, entry.id, report, now)
         if report.leaving:
             entry.leaving_until = max(entry.leaving_until, now + 1.0)
-        entry.report = report
-        entry.reported_at = now
+        entry.note_report(report, now)
         if events:
             poll_state.sequence = events[-1].sequence
             state = pool.state.engines_by_id.get(engine_id)
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -333,16 +333,7 @@
             pool.state.reservations_by_request_id[request_id] = reservation
             pool.policy.observe_grant(pool.state, reservation, now)
             self._log_decision(pool, item, decision, now)
-            reply.set_result(
-                AdmitReply(
-                    Outcome.COMPLETE,
-                    decision.prefill,
-                    decision.decode,
-                    priority=decision.priority,
-                    prefill_s=decision.prefill_s,
-                    is_trial=item.is_trial,
-                )
-            )
+            reply.set_result(self._build_grant_reply(item, decision))
         else:
             self._log_decision(pool, item, decision, now)
             reply.set_result(
@@ -351,6 +342,24 @@
                 )
             )
 
+    def _build_grant_reply(
+        self, item: WaitingRequest, grant: Grant
+    ) -> AdmitReply:
+        """Returns the reply that tells a host of a grant."""
+        decode = self._blackboard.endpoints_by_id.get(grant.decode)
+        return AdmitReply(
+            Outcome.COMPLETE,
+            grant.prefill,
+            grant.decode,
+            priority=grant.priority,
+            prefill_s=grant.prefill_s,
+            is_trial=item.is_trial,
+            decode_version=decode.version if decode is not None else '',
+            decode_began_anew=(
+                decode is not None and not decode.is_version_known
+            ),
+        )
+
     def _log_decision(
         self,
         pool: OwnedPool,
--- a/mustardscale/requests/language_attempts.py
+++ b/mustardscale/requests/language_attempts.py
@@ -124,7 +124,10 @@
             [*progress.excluded, *others],
             deadline_at,
         )
-        if grant.decode in others:
+        version = self._find_version(grant)
+        if grant.decode in others or (
+            served.emitted and version != served.version
+        ):
             raise AttemptFailedError(Outcome.NO_ENDPOINT, grant.decode, False)
         served.prefill = grant.prefill
         served.decode = grant.decode
@@ -152,7 +155,7 @@
             sampling=request.sampling,
         )
         async with contextlib.aclosing(
-            self._read(served, engine.decode(call))
+            self._read(served, engine.decode(call), version)
         ) as events:
             async for event in events:
                 yield event
@@ -166,10 +169,15 @@
 
         Raises:
             OutcomeError: ATTEMPTS_EXHAUSTED, no engine runs the version that
-                began the stream.
+                began the stream, or that version is not known.
         """
         if not served.emitted:
             return []
+        if served.version is None:
+            raise OutcomeError(
+                Outcome.ATTEMPTS_EXHAUSTED,
+                'the version that began the stream is not known',
+            )
         board = self._blackboard
         now = asyncio.get_running_loop().time()
         if not has_engine(board, model, served.version, now, excluded):
@@ -179,6 +187,29 @@
             )
         return find_other_engines(board, model, served.version)
 
+    def _find_version(self, grant: AdmitReply) -> str | None:
+        """Returns the software version of a granted decode engine.
+
+        Only the pool's owner reads the engines' start numbers, and its host
+        list may be another one than that of this host.
+
+        Returns:
+            The version, None if it is not known: the engine's process began
+            after the list was read, or the two lists differ.
+        """
+        version = self._find_listed_version(grant.decode)
+        if not version:
+            return version
+        is_other = grant.decode_version not in ('', version)
+        return None if is_other or grant.decode_began_anew else version
+
+    def _find_listed_version(self, engine_id: str) -> str | None:
+        """Returns an engine's version by the list, None if it is outdated."""
+        entry = self._blackboard.endpoints_by_id.get(engine_id)
+        if entry is None or not entry.version:
+            return ''
+        return entry.version if entry.is_version_known else None
+
     def _record(
         self, kind: TraceKind, served: ServedRequest, endpoint_id: str
     ) -> None:
@@ -282,21 +313,32 @@
         engine = self._engine(served.decode)
         tag = _require_tag(served)
         events = engine.resume(tag.request_id, tag.attempt, 0)
+        version = self._find_listed_version(served.decode)
         served.started = True
         served.stage = StreamStage.TRANSFER
         self._admission.report_takeover(served)
         self._record(TraceKind.SENT, served, served.decode)
-        async with contextlib.aclosing(self._read(served, events)) as read:
+        async with contextlib.aclosing(
+            self._read(served, events, version)
+        ) as read:
             async for event in read:
                 yield event
 
     async def _read(
-        self, served: ServedRequest, events: AsyncGenerator[TokenEvent, None]
+        self,
+        served: ServedRequest,
+        events: AsyncGenerator[TokenEvent, None],
+        version: str | None,
     ) -> AsyncGenerator[TokenEvent, None]:
         """Yields a stream's tokens in order.
 
         It attaches to the stream again when the connection breaks, unless no
         new token has come since it last did so.
+
+        Args:
+            served: the stream.
+            events: what its decode engine sends.
+            version: software version of that engine, None if it is not known.
         """
         engine = self._engine(served.decode)
         tag = _require_tag(served)
@@ -309,7 +351,7 @@
                 async for event in events:
                     ready = next_tokens(assembler, event)
                     if ready is not None:
-                        self._record_tokens(served, ready)
+                        self._record_tokens(served, ready, version)
                         yield ready
                     if assembler.finish_reason:
                         return
@@ -349,15 +391,16 @@
             Outcome.ATTEMPTS_EXHAUSTED, served.decode, True
         )
 
-    def _record_tokens(self, served: ServedRequest, event: TokenEvent) -> None:
+    def _record_tokens(
+        self, served: ServedRequest, event: TokenEvent, version: str | None
+    ) -> None:
         if event.finish_reason in ('cancelled', 'preempted'):
             raise AttemptFailedError(Outcome.ATTEMPTS_EXHAUSTED, '', True)
         if served.stage is not StreamStage.DECODE:
             served.stage = StreamStage.DECODE
             self._admission.report_stage(served)
         if not served.emitted:
-            entry = self._blackboard.endpoints_by_id.get(served.decode)
-            served.version = entry.version if entry is not None else ''
+            served.version = version
         served.emitted.extend(event.texts)
 
     def free(
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -10,6 +11,7 @@
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from standins.faults import Outage
+from standins.host_list_model import HostChange
 from standins.memory_site import SiteLayout
 from standins.version_fleet import GOES_ON_SHARE, VersionFleet
 from tests.test_memory_site import language, run, whole
@@ -96,6 +98,21 @@
         assert all(record.is_in_order for record in fleet.streams_played)
 
 
+def list_decode_engines(site):
+    """Returns the host list's entries of the engines that decode."""
+    return [
+        listed
+        for listed in site.listed_by_id().values()
+        if listed.role is EngineRole.DECODE
+    ]
+
+
+def begin_anew(site, engines):
+    """Lets engines start again at once under their ids."""
+    for listed in engines:
+        site.engines_by_id[listed.id].kill(0.0)
+
+
 class TestOwnInterface:
     """Streams of the own interface, whose host list may state versions."""
 
@@ -158,6 +175,44 @@
         layout = SiteLayout(decode_engines=4, versions=('v1',))
         run(scenario, layout=layout)
 
+    def test_stream_goes_on_at_engines_that_the_list_has_told_of_since(self):
+        seen = []
+
+        async def scenario(site):
+            site.host_list.conditions.outage = Outage.HANG
+            begin_anew(site, list_decode_engines(site))
+            await asyncio.sleep(3.0)
+            site.host_list.conditions.outage = Outage.NONE
+            await asyncio.sleep(5.0)
+            for number in range(4):
+                router = site.routers_by_host[f'entry-{number + 1}']
+                seen.append(await self.crash_in_stream(site, router, number))
+
+        run(scenario, layout=SiteLayout(decode_engines=4, versions=('v1',)))
+        assert all(len(engines) > 1 for engines in seen)
+
+    def test_stream_of_a_host_with_an_older_list_than_the_owner_is_mixed(self):
+        seen = []
+
+        async def scenario(site):
+            # The pool's owner has read the new list, this host has not.
+            site.cut_pairs.add(('entry-1', 'list'))
+            changed = list_decode_engines(site)[1:]
+            put = [dataclasses.replace(e, version='v2') for e in changed]
+            version_by_id = {e.id: 'v1' for e in list_decode_engines(site)}
+            version_by_id |= {e.id: 'v2' for e in put}
+            begin_anew(site, changed)
+            site.host_list.change(HostChange(put=put))
+            await asyncio.sleep(5.0)
+            router = site.routers_by_host['entry-1']
+            for number in range(4):
+                with contextlib.suppress(OutcomeError):
+                    engines = await self.crash_in_stream(site, router, number)
+                    seen.append({version_by_id[name] for name in engines})
+
+        run(scenario, layout=SiteLayout(decode_engines=4, versions=('v1',)))
+        assert all(len(versions) == 1 for versions in seen)
+
     async def crash_in_stream(self, site, router, number):
         """Ends the engine of a stream; returns the engines that wrote it."""
         request = language(number, 300)
