--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -253,6 +253,8 @@
   missedTurn @6 :Bool;
   isTrial @7 :Bool;
   backup @8 :Text;
+  decodeVersion @9 :Text;
+  decodeBeganAnew @10 :Bool;
 }
 
 struct HeldStream {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -204,6 +204,10 @@
             within the time that it gave.
         is_trial: whether the request may run although it is quarantined.
         backup: id of the engine for a copy of the KV cache, '' for none.
+        decode_version: software version of the decode endpoint by the owner's
+            host list, '' if that states none.
+        decode_began_anew: whether the decode endpoint's process is not the one
+            whose version the owner's host list states.
     """
 
     outcome: int
@@ -215,6 +219,8 @@
     missed_turn: bool = False
     is_trial: bool = False
     backup: str = ''
+    decode_version: str = ''
+    decode_began_anew: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -115,6 +115,8 @@
     '  backup @8 :Text;\n',
     '  backup @9 :Text;\n',
     '  backup @11 :Text;\n',
+    '  decodeVersion @9 :Text;\n',
+    '  decodeBeganAnew @10 :Bool;\n',
 )
 SCHEMA_ID = '@0xb7d1c2f09a4e5831'
 EARLIER_SCHEMA_ID = '@0xb7d1c2f09a4e5832'
