Copy orders from readers and read calm streams less often

Cause: with 65 hosts each followed the stream of orders by itself, readers read all streams with waits of 0.9 s, hosts that had just learnt of the readers read everything again with waits of 1.5 and 5 s, and a read ended for each record of a host that wrote its unchanged entry again at its start.

Change: beyond 12 hosts the orders have a tail that is copied like the other streams. The coordinator reads and appends as before, and only its own reads set OrderLog.read_at. Readers wait 9 s at streams that are not urgent, and pause for 0.2 s after a read that found records; the next read waits for so much less. A host that has just learnt of the readers relies on its own last read for 1 s (5 s) until they report. The pause between reads of the hosts' entries also follows records that change nothing.

Ruled out: waits of 0.9 s for orders at three readers (3.3 reads a second, as many as 65 hosts with waits of 20 s).

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -21,7 +21,7 @@
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.controller import Controller
 from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
+from mustardscale.hosts.heartbeat_hubs import MAX_MESH_HOSTS, HeartbeatHubs
 from mustardscale.log.keyed_log import KeyedCopy, KeyedRecord
 from mustardscale.log.keyed_tail import LONG_POLL_S, KeyedTail, StreamReading
 from mustardscale.peers.peer_calls import PeerCalls
@@ -42,12 +42,27 @@
 # MAX_READ_AGE_S, so that others can rely on the reader while nothing is
 # written.
 READER_POLL_S = 0.9
-# Time for which a read by a host that can not rely on a reader waits for a
-# record, seconds.
-UNCOVERED_POLL_S = 5.0
-# The same at urgent streams, seconds. A record may fail to end the read, and
+# The same two times at streams that are not urgent, seconds. A record ends a
+# read at once; these bound the age of one that does not.
+CALM_READ_AGE_S = 10.0
+CALM_READER_POLL_S = 9.0
+# Time without a read by a reader after one that found records, seconds. Changes
+# that come together are then read together. It is a part of READER_POLL_S.
+READER_PAUSE_S = 0.2
+# Time for which a read of an urgent stream by a host that can not rely on a
+# reader waits for a record, seconds. A record may fail to end the read, and
 # must take effect all the same.
 UNCOVERED_URGENT_POLL_S = 1.5
+# Time for which a host that has just learnt that there are readers waits for
+# their first reports instead of reading again, seconds. With the read after it,
+# it is less than the time within which a change must take effect.
+FIND_READERS_S = 1.0
+# The same at streams that are not urgent, seconds.
+FIND_CALM_READERS_S = 5.0
+# Time within which a host that starts has normally read the host list, seconds,
+# and the interval at which it checks that.
+START_S = 0.1
+START_CHECK_S = 0.01
 FETCH_TIMEOUT_S = 0.5
 # Interval at which a host checks whether it has become a reader, seconds.
 CHECK_INTERVAL_S = 0.5
@@ -104,6 +119,10 @@
         self._behind_since: dict[str, float] = {}
         self._reader_ahead = Signal()
         self._was_reader = False
+        # Loop times since when this host runs, and since when readers read the
+        # streams for the other hosts.
+        self._started_at: float | None = None
+        self._shared_since = math.inf
         for tail in self._tail_by_stream.values():
             tail.reading = self
         calls.handle(StreamFetch, self._on_fetch)
@@ -111,6 +130,7 @@
     async def run(self) -> None:
         """Copies new records as soon as a heartbeat reports them."""
         while True:
+            self._update_sharing()
             if self._hubs.is_reader != self._was_reader:
                 self._was_reader = self._hubs.is_reader
                 for tail in self._tail_by_stream.values():
@@ -158,7 +178,7 @@
         if reported.end_offset > tail.end_offset:
             self._behind_since.setdefault(tail.stream, now)
             self._reader_ahead.notify()
-        elif not is_mesh and now - reported.read_at <= MAX_READ_AGE_S:
+        elif not is_mesh and now - reported.read_at <= _max_age_s(tail):
             tail.note_covered(reported.regained_at, reported.read_at)
 
     def wait_s(self, stream: str) -> float:
@@ -168,8 +188,46 @@
             is_brief = is_urgent and self._hubs.is_reader
             return READER_POLL_S if is_brief else LONG_POLL_S
         if self._hubs.is_reader:
-            return READER_POLL_S
-        return UNCOVERED_URGENT_POLL_S if is_urgent else UNCOVERED_POLL_S
+            return READER_POLL_S if is_urgent else CALM_READER_POLL_S
+        return UNCOVERED_URGENT_POLL_S if is_urgent else LONG_POLL_S
+
+    def pause_s(self, stream: str) -> float:
+        """See the base class."""
+        is_alone = self._hubs.is_mesh or not self._hubs.is_reader
+        return 0.0 if is_alone else READER_PAUSE_S
+
+    def is_shared(self) -> bool:
+        """See the base class."""
+        self._update_sharing()
+        return not self._hubs.is_mesh
+
+    async def wait_started(self) -> None:
+        """See the base class."""
+        while True:
+            if not self._is_starting():
+                return
+            await asyncio.sleep(START_CHECK_S)
+
+    def _is_starting(self) -> bool:
+        """Returns whether this host may soon learn of many other hosts."""
+        if not self.is_shared() and not self._blackboard.host_list_read:
+            now = asyncio.get_running_loop().time()
+            if self._started_at is None:
+                self._started_at = now
+            return now - self._started_at < START_S
+        return False
+
+    def _update_sharing(self) -> None:
+        """Notes when readers begin to read the streams for other hosts."""
+        if self._hubs.is_mesh and (
+            len(self._blackboard.hosts_by_id) >= MAX_MESH_HOSTS
+        ):
+            # The host list has been read since the last heartbeat.
+            self._hubs.choose()
+        if self._hubs.is_mesh:
+            self._shared_since = math.inf
+        elif math.isinf(self._shared_since):
+            self._shared_since = asyncio.get_running_loop().time()
 
     def is_covered(self, stream: str) -> bool:
         """See the base class."""
@@ -184,20 +242,22 @@
             await asyncio.sleep(max(covered_s, MIN_WAIT_S))
 
     def _covered_s(self, stream: str) -> float:
-        """Returns the seconds for which readers still cover a stream.
+        """Returns the seconds for which this host need not read a stream.
 
-        A stream is covered while this host can rely on a reader instead of
-        reading the store. The result is 0 or less if it is not covered.
+        It relies on a reader meanwhile, or expects one soon. The result is 0 or
+        less if it must read the store.
         """
-        if self._hubs.is_mesh or self._hubs.is_reader:
+        tail = self._tail_by_stream[stream]
+        if not self.is_shared():
+            return self._unread_in_mesh_s(tail)
+        if self._hubs.is_reader:
             return 0.0
         now = asyncio.get_running_loop().time()
-        tail = self._tail_by_stream[stream]
         fresh = [
             reported
             for reader, reported in self._reported_by_stream[stream].items()
             if reader in self._hubs.reader_ids
-            and reported.read_at + MAX_READ_AGE_S > now
+            and reported.read_at + _max_age_s(tail) > now
         ]
         # A reader that is behind this host has not read recently, whatever age
         # it reports: it may have been suspended. Records that this host has
@@ -211,12 +271,29 @@
             ),
             default=tail.read_at if fresh else -math.inf,
         )
-        ends_at = read_at + MAX_READ_AGE_S
+        ends_at = max(read_at + _max_age_s(tail), self._found_until(tail))
         behind_since = self._behind_since.get(stream)
         if behind_since is not None:
             ends_at = min(ends_at, behind_since + MAX_READ_AGE_S)
         return ends_at - now
 
+    def _unread_in_mesh_s(self, tail: KeyedTail) -> float:
+        """Returns the seconds for which a stream is not read in a mesh."""
+        if self._is_starting():
+            # What this host reads first does not depend on the other hosts.
+            is_read = math.isfinite(tail.read_at)
+            return START_CHECK_S if is_read or tail.is_followed_alone else 0.0
+        return CHECK_INTERVAL_S if tail.is_followed_alone else 0.0
+
+    def _found_until(self, tail: KeyedTail) -> float:
+        """Returns the loop time until which readers must have reported.
+
+        Until then this host relies on its own last read, unless that has become
+        too old.
+        """
+        find_s = FIND_READERS_S if tail.is_urgent else FIND_CALM_READERS_S
+        return min(self._shared_since + find_s, tail.read_at + _max_age_s(tail))
+
     async def _catch_up(self, stream: str, tail: KeyedTail) -> None:
         """Copies from the readers that are ahead, until none is."""
         reported_by_reader = self._reported_by_stream[stream]
@@ -273,6 +350,11 @@
         return StreamFetchReply(True, newer.end_offset, newer.whole, entries)
 
 
+def _max_age_s(tail: KeyedTail) -> float:
+    """Returns the age of a reader's last read up to which hosts rely on it."""
+    return MAX_READ_AGE_S if tail.is_urgent else CALM_READ_AGE_S
+
+
 def _make_status(tail: KeyedTail, now: float) -> StreamStatus:
     """Returns how far this host has read a stream itself."""
     read_age_s = -1.0 if tail.is_lost else _age_s(tail.read_at, now)
--- a/mustardscale/log/keyed_log.py
+++ b/mustardscale/log/keyed_log.py
@@ -97,3 +97,7 @@
             LogUnavailableError: nothing was appended.
             LogUncertainError: the record may have been appended.
         """
+
+    async def close(self) -> None:
+        """Releases connections."""
+        return None
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -41,13 +41,25 @@
     def wait_s(self, stream: str) -> float:
         """Returns the seconds for which a read waits for a record."""
 
+    @abc.abstractmethod
+    def pause_s(self, stream: str) -> float:
+        """Returns the seconds without a read after one that found records."""
+
+    @abc.abstractmethod
+    def is_shared(self) -> bool:
+        """Returns whether readers read the streams for the other hosts."""
+
+    @abc.abstractmethod
+    async def wait_started(self) -> None:
+        """Waits until it is known whether they do, briefly at most."""
+
     @abc.abstractmethod
     def is_covered(self, stream: str) -> bool:
-        """Returns whether peers keep this host up to date."""
+        """Returns whether this host need not read the stream itself."""
 
     @abc.abstractmethod
     async def wait_uncovered(self, stream: str) -> None:
-        """Waits until they do not."""
+        """Waits until it must."""
 
 
 class _ReadAlone(StreamReading):
@@ -56,6 +68,15 @@
     def wait_s(self, stream: str) -> float:
         return LONG_POLL_S
 
+    def pause_s(self, stream: str) -> float:
+        return 0.0
+
+    def is_shared(self) -> bool:
+        return False
+
+    async def wait_started(self) -> None:
+        return None
+
     def is_covered(self, stream: str) -> bool:
         return False
 
@@ -81,6 +102,8 @@
         reading: how hosts share the reading.
         is_urgent: whether hosts must learn of a change within seconds, also
             of one that ends no read that waits.
+        is_followed_alone: whether something else follows the stream while each
+            host reads the streams itself, and the tail only while readers do.
         keeps_replaced: whether values that newer ones replace are kept until
             they are taken.
     """
@@ -100,14 +123,16 @@
             client: reads the stream.
             stream: its name.
             rng: spreads what hosts do alike.
-            pause_s: seconds between two reads that found something, so that
-                many changes at once are read together.
+            pause_s: least seconds without a read after one that found records,
+                so that many changes at once are read together.
         """
         self._blackboard = blackboard
         self._client = client
         self._stream = stream
         self._rng = rng
         self._pause_s = pause_s
+        # Seconds of the pause after the last read.
+        self._paused_s = 0.0
         self._offset_by_key: dict[str, int] = {}
         self._whole = False
         # Keys that were dropped and came back with an older copy, with their
@@ -128,6 +153,7 @@
         self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
         self.is_urgent = False
+        self.is_followed_alone = False
         self.keeps_replaced = False
         self._replaced: list[tuple[str, bytes]] = []
 
@@ -231,9 +257,14 @@
 
     async def _read_more(self) -> None:
         # After an outage an answer must come at once, to know its end.
-        wait_s = self.reading.wait_s(self._stream) if self.current else 0.0
+        wait_s = 0.0
+        if self.current:
+            # The pause counts as a part of the wait, so that the age of what
+            # is known does not grow by it.
+            wait_s = self.reading.wait_s(self._stream) - self._paused_s
+        self._paused_s = 0.0
         self._call = asyncio.create_task(
-            self._client.read(self._stream, self.end_offset, wait_s)
+            self._client.read(self._stream, self.end_offset, max(0.0, wait_s))
         )
         await asyncio.wait([self._call])
         if self._call.cancelled():
@@ -242,8 +273,12 @@
         self._note_read()
         if self._merge(page):
             self._tell_changed()
-            if self._pause_s:
-                await pause(self._pause_s, self._rng)
+        # Records that repeat what is known end reads, too: all hosts write
+        # their entries again when they start.
+        pause_s = max(self._pause_s, self.reading.pause_s(self._stream))
+        if page.records and pause_s:
+            self._paused_s = pause_s
+            await pause(pause_s, self._rng)
 
     def _merge(self, page: KeyedPage) -> bool:
         """Takes the records that are newer than what is known."""
--- a/mustardscale/orders/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -10,7 +10,8 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import LogUnavailableError, LogUncertainError
-from mustardscale.log.log_client import LogClient, LogPage
+from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.log.log_client import LogClient, LogPage, LogRecord
 from mustardscale.orders.order_state import (
     OrderRecord,
     encode_order_record,
@@ -25,6 +26,9 @@
 # Shorter wait on the coordinator, which must know the tail of the stream,
 # seconds.
 COORDINATOR_POLL_S = 1.0
+# Interval at which a host that copies the stream checks whether it must read
+# the stream itself, seconds.
+COPY_CHECK_S = 1.0
 READ_RETRY_S = 0.5
 APPEND_TIMEOUT_S = 2.0
 
@@ -40,11 +44,26 @@
     """
 
     def __init__(
-        self, blackboard: Blackboard, client: LogClient, rng: random.Random
+        self,
+        blackboard: Blackboard,
+        client: LogClient,
+        rng: random.Random,
+        tail: KeyedTail | None = None,
     ):
+        """Prepares the following.
+
+        Args:
+            blackboard: the blackboard, which has the folded orders.
+            client: reads and appends to the log.
+            rng: spreads the retries.
+            tail: follows the stream while readers read it for other hosts; None
+                if each host reads the log itself. The stream then keeps only
+                its newest record.
+        """
         self._blackboard = blackboard
         self._client = client
         self._rng = rng
+        self._tail = tail
         self._stream = orders_stream(blackboard.region)
         self._folded = asyncio.Condition()
         self.read_at = -math.inf
@@ -54,6 +73,8 @@
 
     async def run(self) -> None:
         """Reads new records as they arrive."""
+        if self._tail is not None:
+            await self._tail.reading.wait_started()
         try:
             while True:
                 try:
@@ -79,10 +100,12 @@
         loop = asyncio.get_running_loop()
         state = self._blackboard.orders
         asked_at = loop.time()
-        wait_s = COORDINATOR_POLL_S if self._is_coordinating else LONG_POLL_S
-        self._reading = asyncio.create_task(
-            self._client.read(self._stream, state.folded_offset, wait_s=wait_s)
-        )
+        copied = None if self._is_coordinating else self._shared_tail()
+        if copied is not None:
+            reading = self._next_copy(copied)
+        else:
+            reading = self._read_log()
+        self._reading = asyncio.create_task(reading)
         await asyncio.wait([self._reading])
         if self._reading.cancelled():
             return
@@ -92,7 +115,7 @@
             self.unsettled_since = None
         elif self.unsettled_since is None:
             self.unsettled_since = loop.time()
-        if state.folded_offset >= page.end_offset:
+        if copied is None and state.folded_offset >= page.end_offset:
             self.read_at = asked_at
         if changed:
             self._place_all()
@@ -108,6 +131,35 @@
         async with self._folded:
             self._folded.notify_all()
 
+    async def _read_log(self) -> LogPage:
+        wait_s = COORDINATOR_POLL_S if self._is_coordinating else LONG_POLL_S
+        return await self._client.read(
+            self._stream, self._blackboard.orders.folded_offset, wait_s=wait_s
+        )
+
+    def _shared_tail(self) -> KeyedTail | None:
+        """Returns the tail that follows the stream, None if there is none."""
+        tail = self._tail
+        if tail is None or not tail.reading.is_shared():
+            return None
+        return tail
+
+    async def _next_copy(self, tail: KeyedTail) -> LogPage:
+        """Returns what the tail has that is newer, if it comes soon."""
+        known = self._blackboard.orders.folded_offset
+        copied = tail.newer_than(known)
+        if copied is None or copied.end_offset <= known:
+            await tail.changed.wait(COPY_CHECK_S)
+            copied = tail.newer_than(known)
+        if copied is None or copied.end_offset <= known:
+            return LogPage((), known + 1, known)
+        records = tuple(
+            LogRecord(record.offset, record.value)
+            for record in copied.records
+            if record.value
+        )
+        return LogPage(records, 1, copied.end_offset, compacted=True)
+
     def _place_all(self) -> None:
         board = self._blackboard
         for endpoint in board.endpoints_by_id.values():
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -22,8 +22,10 @@
 from mustardscale.configuration.routes import CallerBounds
 from mustardscale.exceptions import SettingError
 from mustardscale.hosts.membership import MembershipTimes
+from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.operators.state_dump import dump_state
+from mustardscale.orders.order_state import orders_stream
 from mustardscale.peers.peer_connections import split_address
 from mustardscale.peers.peer_streams import PeerIdentity
 from mustardscale.peers.tcp_peers import TcpPeerTransport
@@ -218,18 +220,7 @@
     board.pool_engines = settings.pool_engines
     board.engines_read_prompts = True
     connector.follow(board)
-    tails = {
-        topic: KeyedTail(board, client, topic, rng, pause_s)
-        for topic, pause_s in (
-            (names.OPERATOR_TOPIC, 0.0),
-            (names.WORKERS_TOPIC, 0.0),
-            (names.HOSTS_TOPIC, HOSTS_READ_PAUSE_S),
-            (names.QUARANTINE_TOPIC, 0.0),
-            (names.VERSIONS_TOPIC, 0.0),
-        )
-    }
-    for topic in (names.OPERATOR_TOPIC, names.WORKERS_TOPIC):
-        tails[topic].is_urgent = True
+    tails = make_tails(board, client, rng)
     edges = RelayEdges(
         StoreLog(client),
         StoreHostList(
@@ -244,6 +235,7 @@
         tuple(tails.values()),
         KeyedStream(client, tails[names.QUARANTINE_TOPIC]),
         KeyedStream(client, tails[names.VERSIONS_TOPIC]),
+        tails[orders_topic(board)],
     )
     options = RelayOptions(
         settings.seed_addresses,
@@ -269,6 +261,32 @@
     return RelayRouter(board, options, edges, rng)
 
 
+def orders_topic(board: Blackboard) -> str:
+    """Returns the topic of the orders of a host's region."""
+    return names.STREAM_TOPIC_PREFIX + orders_stream(board.region)
+
+
+def make_tails(
+    board: Blackboard, client: KeyedLogClient, rng: random.Random
+) -> dict[str, KeyedTail]:
+    """Returns what follows the platform's topics, by topic."""
+    tails = {
+        topic: KeyedTail(board, client, topic, rng, pause_s)
+        for topic, pause_s in (
+            (names.OPERATOR_TOPIC, 0.0),
+            (names.WORKERS_TOPIC, 0.0),
+            (names.HOSTS_TOPIC, HOSTS_READ_PAUSE_S),
+            (names.QUARANTINE_TOPIC, 0.0),
+            (names.VERSIONS_TOPIC, 0.0),
+            (orders_topic(board), 0.0),
+        )
+    }
+    tails[orders_topic(board)].is_followed_alone = True
+    for topic in (names.OPERATOR_TOPIC, names.WORKERS_TOPIC):
+        tails[topic].is_urgent = True
+    return tails
+
+
 def make_retry_allowance(settings: RelaySettings) -> RetryAllowance:
     """Returns the retry budget from the settings."""
     return RetryAllowance(
--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -226,7 +226,7 @@
     The topic keeps only the newest record of its one key.
     """
 
-    def __init__(self, client: StoreClient):
+    def __init__(self, client: KeyedLogClient):
         self._client = client
         # Topics that had no records when they were last queried.
         self._empty_topics: set[str] = set()
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -23,10 +23,10 @@
     is_address,
 )
 from mustardscale.json_content import decode_json
+from mustardscale.log.keyed_log import KeyedLogClient
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.log.stream_eras import offset_of
 from mustardscale.platform import names
-from mustardscale.platform.store_client import StoreClient
 
 log = logging.getLogger(__name__)
 
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        client: StoreClient,
+        client: KeyedLogClient,
         workers: KeyedTail,
         hosts: KeyedTail,
         region: str,
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -88,6 +88,8 @@
         quarantine: where it is kept what crashes endpoints, None for nowhere.
         versions: where it is kept which software versions have run, None for
             nowhere.
+        orders: follows the stream of orders while readers read it for other
+            hosts; it is one of the tails. None if each host reads the log.
     """
 
     log: LogClient
@@ -98,3 +100,4 @@
     tails: tuple[KeyedTail, ...] = ()
     quarantine: KeyedStream | None = None
     versions: KeyedStream | None = None
+    orders: KeyedTail | None = None
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -261,7 +261,7 @@
         """Returns what gives orders to engines."""
         board = self.blackboard
         rng = random.Random(f'{board.host} {board.incarnation}')
-        order_log = OrderLog(board, self._edges.log, rng)
+        order_log = OrderLog(board, self._edges.log, rng, self._edges.orders)
         orders = OrderController(
             board,
             self._clients,
--- a/standins/host_fleet.py
+++ b/standins/host_fleet.py
@@ -153,6 +153,10 @@
             KeyedStream(client, versions, asyncio.get_running_loop().time),
         )
 
+    def address(self, host: str) -> str:
+        """Returns the address at which peers reach a host."""
+        return f'{host}:1'
+
     def options(self) -> RelayOptions:
         """Returns how the hosts work."""
         return RelayOptions()
@@ -171,7 +175,7 @@
             DATA_CENTRES[hash_of(host) % len(DATA_CENTRES)],
             REGION,
         )
-        board.address = f'{host}:1'
+        board.address = self.address(host)
         board.engines_read_prompts = True
         edges = self.edges(host, board)
         rng = random.Random(self.rng.random())
