Let hosts that start copy streams instead of reading them

Cause: each host read six streams whole at its start, also where readers had them. This was 325 of 759 calls when 65 hosts started again.

Change: a host reads the entries of hosts first, for 0.1 s at most. Up to 12 of them or a failed read end this at once. With more it chooses the hubs at once and asks readers for the other streams, one more each 0.05 s, and reads by itself what it lacks after 0.4 s. Entry hosts are known before the workers' entries. A copy of an empty stream counts as read, and the first copy of a stream in a later era withholds confirmations as a first read does.

Ruled out: asking all readers at once (three times the bytes of each stream), and ending an ask after 0.05 s (large lists on slow links never arrive).

--- a/mustardscale/hosts/host_list.py
+++ b/mustardscale/hosts/host_list.py
@@ -82,6 +82,10 @@
             PeerUnavailableError: the list could not be read.
         """
 
+    def entry_hosts(self) -> list[ListedHost]:
+        """Returns the entry hosts that are known before the list was read."""
+        return []
+
     def is_current(self) -> bool:
         """Returns whether the list can be read at present."""
         return True
--- a/mustardscale/hosts/host_list_controller.py
+++ b/mustardscale/hosts/host_list_controller.py
@@ -59,6 +59,7 @@
             except PeerUnavailableError as error:
                 log.warning('host list not read, keeping the last: %s', error)
                 self._blackboard.host_list_current = False
+                self.add_hosts(self._host_list.entry_hosts())
             else:
                 self._blackboard.host_list_current = (
                     self._host_list.is_current()
--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -2,7 +2,9 @@
 
 Some of the hubs read the streams and report in their heartbeats how far they
 have read. The other hosts copy new records from these readers, and read a
-stream themselves only while no reader has read it recently.
+stream themselves only while no reader has read it recently. A host that starts
+first reads the entries of hosts. If there are many, it asks readers for the
+other streams, and reads only those that it does not get soon.
 
 In a mesh each host reads the streams itself. A read that waits shows nothing
 until it ends, and a record may fail to end it. So the readers of a mesh wait
@@ -59,10 +61,14 @@
 FIND_READERS_S = 1.0
 # The same at streams that are not urgent, seconds.
 FIND_CALM_READERS_S = 5.0
-# Time within which a host that starts has normally read the host list, seconds,
-# and the interval at which it checks that.
+# Time for which a host that starts asks readers for a copy of a stream before
+# it reads that itself, seconds. All hosts of a site may start within 0.3 s.
+ASK_S = 0.4
+ASK_INTERVAL_S = 0.05
+# Time for which a host that starts reads only the entries of hosts, seconds. It
+# bounds the delay if the store answers slowly.
 START_S = 0.1
-START_CHECK_S = 0.01
+START_CHECK_S = 0.005
 FETCH_TIMEOUT_S = 0.5
 # Interval at which a host checks whether it has become a reader, seconds.
 CHECK_INTERVAL_S = 0.5
@@ -119,8 +125,12 @@
         self._behind_since: dict[str, float] = {}
         self._reader_ahead = Signal()
         self._was_reader = False
-        # Loop times since when this host runs, and since when readers read the
-        # streams for the other hosts.
+        self._ask_by_reader: dict[str, asyncio.Task[None]] = {}
+        self._hosts_tail = next(
+            (t for t in self._tail_by_stream.values() if t.lists_hosts), None
+        )
+        # Loop times since when this host waits for the entries of hosts, and
+        # since when readers read the streams for the other hosts.
         self._started_at: float | None = None
         self._shared_since = math.inf
         for tail in self._tail_by_stream.values():
@@ -129,16 +139,56 @@
 
     async def run(self) -> None:
         """Copies new records as soon as a heartbeat reports them."""
+        try:
+            await self._follow()
+        finally:
+            for ask in self._ask_by_reader.values():
+                ask.cancel()
+
+    async def _follow(self) -> None:
         while True:
             self._update_sharing()
             if self._hubs.is_reader != self._was_reader:
                 self._was_reader = self._hubs.is_reader
                 for tail in self._tail_by_stream.values():
                     tail.read_anew()
+            is_asking = self._is_asking()
+            if is_asking:
+                await self._ask_readers()
             for stream, tail in self._tail_by_stream.items():
                 if self._hubs.is_mesh or not self._hubs.is_reader:
                     await self._catch_up(stream, tail)
-            await self._reader_ahead.wait(CHECK_INTERVAL_S)
+            await self._reader_ahead.wait(
+                ASK_INTERVAL_S if is_asking else CHECK_INTERVAL_S
+            )
+
+    def _is_asking(self) -> bool:
+        """Returns whether this host asks readers before it reads itself."""
+        if not self.is_shared() or self._hubs.is_reader:
+            return False
+        now = asyncio.get_running_loop().time()
+        is_whole = all(tail.is_whole for tail in self._tail_by_stream.values())
+        return now < self._shared_since + ASK_S and not is_whole
+
+    async def _ask_readers(self) -> None:
+        """Copies the streams that this host has not read yet.
+
+        It asks one further reader at each interval, since one that has not
+        answered by then may be lost.
+        """
+        idle = sorted(self._hubs.reader_ids - set(self._ask_by_reader))
+        if not idle:
+            return
+        reader = self._rng.choice(idle)
+        ask = asyncio.create_task(self._ask(reader))
+        self._ask_by_reader[reader] = ask
+        ask.add_done_callback(lambda _: self._ask_by_reader.pop(reader, None))
+        await asyncio.wait([ask], timeout=ASK_INTERVAL_S)
+
+    async def _ask(self, reader: str) -> None:
+        for tail in self._tail_by_stream.values():
+            if not tail.is_whole:
+                await self._fetch(reader, tail, math.inf)
 
     def statuses(self, now: float) -> tuple[StreamStatus, ...]:
         """Returns how far this host has read the streams, if others need it."""
@@ -175,7 +225,7 @@
         is_mesh = self._hubs.is_mesh
         if self._hubs.is_reader and not is_mesh:
             return
-        if reported.end_offset > tail.end_offset:
+        if reported.end_offset > tail.end_offset or not tail.is_whole:
             self._behind_since.setdefault(tail.stream, now)
             self._reader_ahead.notify()
         elif not is_mesh and now - reported.read_at <= _max_age_s(tail):
@@ -210,12 +260,15 @@
 
     def _is_starting(self) -> bool:
         """Returns whether this host may soon learn of many other hosts."""
-        if not self.is_shared() and not self._blackboard.host_list_read:
-            now = asyncio.get_running_loop().time()
-            if self._started_at is None:
-                self._started_at = now
-            return now - self._started_at < START_S
-        return False
+        tail = self._hosts_tail
+        if self.is_shared() or tail is None or tail.is_lost:
+            return False
+        if tail.is_whole and len(tail.value_by_key) <= MAX_MESH_HOSTS:
+            return False
+        now = asyncio.get_running_loop().time()
+        if self._started_at is None:
+            self._started_at = now
+        return now - self._started_at < START_S
 
     def _update_sharing(self) -> None:
         """Notes when readers begin to read the streams for other hosts."""
@@ -228,6 +281,7 @@
             self._shared_since = math.inf
         elif math.isinf(self._shared_since):
             self._shared_since = asyncio.get_running_loop().time()
+            self._reader_ahead.notify()
 
     def is_covered(self, stream: str) -> bool:
         """See the base class."""
@@ -280,19 +334,23 @@
     def _unread_in_mesh_s(self, tail: KeyedTail) -> float:
         """Returns the seconds for which a stream is not read in a mesh."""
         if self._is_starting():
-            # What this host reads first does not depend on the other hosts.
-            is_read = math.isfinite(tail.read_at)
-            return START_CHECK_S if is_read or tail.is_followed_alone else 0.0
+            is_first = tail.lists_hosts and not tail.is_whole
+            return 0.0 if is_first else START_CHECK_S
         return CHECK_INTERVAL_S if tail.is_followed_alone else 0.0
 
     def _found_until(self, tail: KeyedTail) -> float:
         """Returns the loop time until which readers must have reported.
 
         Until then this host relies on its own last read, unless that has become
-        too old.
+        too old, or on what it has copied from a reader at its start.
         """
+        if not tail.is_whole:
+            return self._shared_since + ASK_S
         find_s = FIND_READERS_S if tail.is_urgent else FIND_CALM_READERS_S
-        return min(self._shared_since + find_s, tail.read_at + _max_age_s(tail))
+        ends_at = self._shared_since + find_s
+        if math.isfinite(tail.read_at):
+            ends_at = min(ends_at, tail.read_at + _max_age_s(tail))
+        return ends_at
 
     async def _catch_up(self, stream: str, tail: KeyedTail) -> None:
         """Copies from the readers that are ahead, until none is."""
@@ -300,23 +358,31 @@
         ahead = [
             reader
             for reader, reported in reported_by_reader.items()
-            if reported.end_offset > tail.end_offset
+            if reported.end_offset > tail.end_offset or not tail.is_whole
         ]
         self._rng.shuffle(ahead)
         for reader in ahead:
-            if reported_by_reader[reader].end_offset > tail.end_offset:
-                await self._fetch(reader, tail)
+            end_offset = reported_by_reader[reader].end_offset
+            if end_offset > tail.end_offset or not tail.is_whole:
+                await self._fetch(reader, tail, end_offset)
         known = max(
             (reported.end_offset for reported in reported_by_reader.values()),
             default=0,
         )
-        if known <= tail.end_offset:
+        if known <= tail.end_offset and tail.is_whole:
             self._behind_since.pop(stream, None)
 
-    async def _fetch(self, reader: str, tail: KeyedTail) -> None:
-        """Copies all records that a reader has reported, while it answers."""
-        end_offset = self._reported_by_stream[tail.stream][reader].end_offset
-        while tail.end_offset < end_offset:
+    async def _fetch(
+        self, reader: str, tail: KeyedTail, end_offset: float
+    ) -> None:
+        """Copies records from a reader while it has newer ones.
+
+        Args:
+            reader: the reader.
+            tail: receives the records.
+            end_offset: offset up to which records are needed.
+        """
+        while tail.end_offset < end_offset or not tail.is_whole:
             known = tail.end_offset
             try:
                 reply = await self._calls.call(
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -104,6 +104,8 @@
             of one that ends no read that waits.
         is_followed_alone: whether something else follows the stream while each
             host reads the streams itself, and the tail only while readers do.
+        lists_hosts: whether the stream has the entries of hosts, which a host
+            that starts reads first.
         keeps_replaced: whether values that newer ones replace are kept until
             they are taken.
     """
@@ -154,6 +156,7 @@
         self.reading: StreamReading = _ReadAlone()
         self.is_urgent = False
         self.is_followed_alone = False
+        self.lists_hosts = False
         self.keeps_replaced = False
         self._replaced: list[tuple[str, bytes]] = []
 
@@ -232,15 +235,19 @@
             await pause(STALE_RETRY_S, self._rng)
             return
         present = {record.key for record in page.records}
-        if not self._whole and not self.end_offset and era_of(page.end_offset):
-            # When the stream came back is not known to a host that has started.
-            self.set_back_at = asyncio.get_running_loop().time()
+        self._note_first_era(page.end_offset)
         changed = self._merge(page)
         changed = self._drop_all_but(present) or changed
         self._whole = True
         if changed:
             self._tell_changed()
 
+    def _note_first_era(self, end_offset: int) -> None:
+        """Notes that the stream may have come back just before the start."""
+        if not self._whole and not self.end_offset and era_of(end_offset):
+            # When the stream came back is not known to a host that has started.
+            self.set_back_at = asyncio.get_running_loop().time()
+
     def _drop_all_but(self, present: set[str]) -> bool:
         """Drops keys that are gone without a record that says so."""
         gone = set(self.value_by_key) - present
@@ -326,6 +333,11 @@
             if key not in self._withheld_by_key
         }
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all keys up to the offset are known."""
+        return self._whole
+
     @property
     def is_lost(self) -> bool:
         """Whether the last read of this host failed."""
@@ -361,7 +373,11 @@
     def copy(self, copied: KeyedCopy) -> bool:
         """Takes what another reader has; returns whether it is newer."""
         if copied.end_offset <= self.end_offset:
+            if not copied.end_offset:
+                # The stream is empty.
+                self._whole = True
             return False
+        self._note_first_era(copied.end_offset)
         changed = self._merge(KeyedPage(copied.records, copied.end_offset))
         self.end_offset = max(self.end_offset, copied.end_offset)
         if copied.whole:
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -282,6 +282,7 @@
         )
     }
     tails[orders_topic(board)].is_followed_alone = True
+    tails[names.HOSTS_TOPIC].lists_hosts = True
     for topic in (names.OPERATOR_TOPIC, names.WORKERS_TOPIC):
         tails[topic].is_urgent = True
     return tails
--- a/mustardscale/platform/store_hosts.py
+++ b/mustardscale/platform/store_hosts.py
@@ -91,6 +91,10 @@
         """See the base class."""
         return asyncio.get_running_loop().time() - self._workers.proved_at
 
+    def entry_hosts(self) -> list[ListedHost]:
+        """See the base class."""
+        return self._host_entries.read(self._hosts.present_values())
+
     async def fetch(self) -> list[ListedHost]:
         """See the base class."""
         revisions = (self._workers.revision, self._hosts.revision)
@@ -101,7 +105,7 @@
             replaced = self._workers.take_replaced()
             self._passed += self._worker_entries.read_replaced(replaced)
             self._listed = [
-                *self._host_entries.read(self._hosts.present_values()),
+                *self.entry_hosts(),
                 *self._worker_entries.read(self._workers.present_values()),
             ]
         return self._listed
