--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -41,13 +41,25 @@
     def wait_s(self, stream: str) -> float:
         """Returns the seconds for which a read waits for a record."""
 
+    @abc.abstractmethod
+    def pause_s(self, stream: str) -> float:
+        """Returns the seconds without a read after one that found records."""
+
+    @abc.abstractmethod
+    def is_shared(self) -> bool:
+        """Returns whether readers read the streams for the other hosts."""
+
+    @abc.abstractmethod
+    async def wait_started(self) -> None:
+        """Waits until it is known whether they do, briefly at most."""
+
     @abc.abstractmethod
     def is_covered(self, stream: str) -> bool:
-        """Returns whether peers keep this host up to date."""
+        """Returns whether this host need not read the stream itself."""
 
     @abc.abstractmethod
     async def wait_uncovered(self, stream: str) -> None:
-        """Waits until they do not."""
+        """Waits until it must."""
 
 
 class _ReadAlone(StreamReading):
@@ -56,6 +68,15 @@
     def wait_s(self, stream: str) -> float:
         return LONG_POLL_S
 
+    def pause_s(self, stream: str) -> float:
+        return 0.0
+
+    def is_shared(self) -> bool:
+        return False
+
+    async def wait_started(self) -> None:
+        return None
+
     def is_covered(self, stream: str) -> bool:
         return False
 
@@ -81,6 +102,10 @@
         reading: how hosts share the reading.
         is_urgent: whether hosts must learn of a change within seconds, also
             of one that ends no read that waits.
+        is_followed_alone: whether something else follows the stream while each
+            host reads the streams itself, and the tail only while readers do.
+        lists_hosts: whether the stream has the entries of hosts, which a host
+            that starts reads first.
         keeps_replaced: whether values that newer ones replace are kept until
             they are taken.
     """
@@ -100,14 +125,16 @@
             client: reads the stream.
             stream: its name.
             rng: spreads what hosts do alike.
-            pause_s: seconds between two reads that found something, so that
-                many changes at once are read together.
+            pause_s: least seconds without a read after one that found records,
+                so that many changes at once are read together.
         """
         self._blackboard = blackboard
         self._client = client
         self._stream = stream
         self._rng = rng
         self._pause_s = pause_s
+        # Seconds of the pause after the last read.
+        self._paused_s = 0.0
         self._offset_by_key: dict[str, int] = {}
         self._whole = False
         # Keys that were dropped and came back with an older copy, with their
@@ -128,6 +155,8 @@
         self.proved_at = -math.inf
         self.reading: StreamReading = _ReadAlone()
         self.is_urgent = False
+        self.is_followed_alone = False
+        self.lists_hosts = False
         self.keeps_replaced = False
         self._replaced: list[tuple[str, bytes]] = []
 
@@ -206,15 +235,19 @@
             await pause(STALE_RETRY_S, self._rng)
             return
         present = {record.key for record in page.records}
-        if not self._whole and not self.end_offset and era_of(page.end_offset):
-            # When the stream came back is not known to a host that has started.
-            self.set_back_at = asyncio.get_running_loop().time()
+        self._note_first_era(page.end_offset)
         changed = self._merge(page)
         changed = self._drop_all_but(present) or changed
         self._whole = True
         if changed:
             self._tell_changed()
 
+    def _note_first_era(self, end_offset: int) -> None:
+        """Notes that the stream may have come back just before the start."""
+        if not self._whole and not self.end_offset and era_of(end_offset):
+            # When the stream came back is not known to a host that has started.
+            self.set_back_at = asyncio.get_running_loop().time()
+
     def _drop_all_but(self, present: set[str]) -> bool:
         """Drops keys that are gone without a record that says so."""
         gone = set(self.value_by_key) - present
@@ -231,9 +264,14 @@
 
     async def _read_more(self) -> None:
         # After an outage an answer must come at once, to know its end.
-        wait_s = self.reading.wait_s(self._stream) if self.current else 0.0
+        wait_s = 0.0
+        if self.current:
+            # The pause counts as a part of the wait, so that the age of what
+            # is known does not grow by it.
+            wait_s = self.reading.wait_s(self._stream) - self._paused_s
+        self._paused_s = 0.0
         self._call = asyncio.create_task(
-            self._client.read(self._stream, self.end_offset, wait_s)
+            self._client.read(self._stream, self.end_offset, max(0.0, wait_s))
         )
         await asyncio.wait([self._call])
         if self._call.cancelled():
@@ -242,8 +280,12 @@
         self._note_read()
         if self._merge(page):
             self._tell_changed()
-            if self._pause_s:
-                await pause(self._pause_s, self._rng)
+        # Records that repeat what is known end reads, too: all hosts write
+        # their entries again when they start.
+        pause_s = max(self._pause_s, self.reading.pause_s(self._stream))
+        if page.records and pause_s:
+            self._paused_s = pause_s
+            await pause(pause_s, self._rng)
 
     def _merge(self, page: KeyedPage) -> bool:
         """Takes the records that are newer than what is known."""
@@ -291,6 +333,11 @@
             if key not in self._withheld_by_key
         }
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all keys up to the offset are known."""
+        return self._whole
+
     @property
     def is_lost(self) -> bool:
         """Whether the last read of this host failed."""
@@ -326,7 +373,11 @@
     def copy(self, copied: KeyedCopy) -> bool:
         """Takes what another reader has; returns whether it is newer."""
         if copied.end_offset <= self.end_offset:
+            if not copied.end_offset:
+                # The stream is empty.
+                self._whole = True
             return False
+        self._note_first_era(copied.end_offset)
         changed = self._merge(KeyedPage(copied.records, copied.end_offset))
         self.end_offset = max(self.end_offset, copied.end_offset)
         if copied.whole:
