--- a/mustardscale/hosts/membership.py
+++ b/mustardscale/hosts/membership.py
@@ -17,12 +17,14 @@
 )
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerGoneError, PeerUnavailableError
+from mustardscale.hosts.endpoint_loads import EndpointLoads
 from mustardscale.hosts.heartbeat_hubs import HeartbeatHubs
 from mustardscale.hosts.hub_view import ViewDelta
 from mustardscale.hosts.quorum import Quorum
 from mustardscale.hosts.stated_limits import StatedLimits, merge_statement
 from mustardscale.hosts.stream_copies import StreamCopies
 from mustardscale.peers.forward_messages import ForwardCall
+from mustardscale.peers.load_messages import EndpointLoad
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.peer_messages import HeardHost, Heartbeat
 
@@ -81,6 +83,7 @@
         self.hubs = HeartbeatHubs(blackboard, times.dead_after_s)
         self._quorum = Quorum(blackboard, self.hubs)
         self._copies: StreamCopies | None = None
+        self._loads: EndpointLoads | None = None
         self._leaving: tuple[str, ...] = ()
         self._leaving_at = -math.inf
         self._relayed: tuple[str, ...] = ()
@@ -92,6 +95,10 @@
         """Adds to heartbeats how far the platform's streams have been read."""
         self._copies = copies
 
+    def report_loads(self, loads: EndpointLoads) -> None:
+        """Adds to heartbeats which calls are open at plain endpoints."""
+        self._loads = loads
+
     async def run(self) -> None:
         """Exchanges heartbeats at a fixed interval."""
         try:
@@ -173,8 +180,16 @@
             streams=self._copies.statuses(now) if self._copies else (),
             rate_limits=self._stated_limits.list_for(known, now),
             forwards=self._calls.handles(ForwardCall),
+            loads=self._loads.list_own() if self._loads else (),
+            summed_loads=self._sum_loads(peer, now),
         )
 
+    def _sum_loads(self, peer: str, now: float) -> tuple[EndpointLoad, ...]:
+        """Returns the open calls that a hub tells a peer of."""
+        if self._loads is None or not self.hubs.is_hub:
+            return ()
+        return self._loads.list_sum(peer, now)
+
     def _unheard_hosts(self) -> tuple[str, ...]:
         """Returns the hosts whose heartbeats are missing, if in a mesh."""
         if not self.hubs.is_mesh:
@@ -310,6 +325,10 @@
         self._merge_leaving(heartbeat, now)
         for statement in heartbeat.rate_limits:
             merge_statement(self._blackboard, statement, now)
+        if self._loads is not None:
+            self._loads.merge(
+                heartbeat.host, heartbeat.loads, heartbeat.summed_loads, now
+            )
         if self._copies is not None:
             self._copies.merge_statuses(heartbeat.host, heartbeat.streams, now)
         if self.hubs.is_mesh:
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -145,6 +145,13 @@
   keepsVersions @24 :Bool;
   forwards @25 :Bool;
   grantsQuotas @26 :Bool;
+  loads @27 :List(EndpointLoad);
+  summedLoads @28 :List(EndpointLoad);
+}
+
+struct EndpointLoad {
+  endpointKey @0 :UInt32;
+  openCalls @1 :UInt32;
 }
 
 struct RateLimitStatement {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -24,6 +24,7 @@
     ForwardRead,
     ForwardReply,
 )
+from mustardscale.peers.load_messages import EndpointLoad
 from mustardscale.peers.quota_messages import QuotaReply, QuotaRequest
 from mustardscale.peers.rate_limit_messages import (
     PermitReply,
@@ -106,6 +107,9 @@
         forwards: the same of a ForwardCall; hosts of the own interface
             have no handler for it.
         grants_quotas: the same of a QuotaRequest.
+        loads: calls that the sender has open at plain endpoints.
+        summed_loads: calls that all hosts but the receiver have open there, by
+            the word of those that the sender hears as a hub.
     """
 
     host: str
@@ -135,6 +139,8 @@
     keeps_versions: bool = True
     forwards: bool = False
     grants_quotas: bool = True
+    loads: tuple[EndpointLoad, ...] = ()
+    summed_loads: tuple[EndpointLoad, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -265,6 +265,7 @@
             settings.quota_overrun,
             settings.quota_slack,
         ),
+        shares_loads=settings.even_load == 'on',
     )
     return RelayRouter(board, options, edges, rng)
 
@@ -297,6 +298,7 @@
     state = dump_state(router.blackboard, router.pool_owner)
     state['owned_rate_limits'] = sorted(router.permit_owner.owned_by_id)
     state['owned_quotas'] = router.quota_owner.describe()
+    state['plain_loads'] = router.describe_plain_loads()
     return msgspec.json.encode(state, enc_hook=str)
 
 
--- a/mustardscale/relay/endpoint_choice.py
+++ b/mustardscale/relay/endpoint_choice.py
@@ -43,22 +43,42 @@
     Returns:
         None if no endpoint is left.
     """
+    eligible = find_eligible(health_by_id, candidates, excluded, now)
+    if not eligible:
+        return None
+    cost_by_id = compute_costs(health_by_id, candidates, eligible, now)
+    limit = min(cost_by_id.values()) * SIMILAR_COST_FACTOR
+    return rng.choice([n for n in eligible if cost_by_id[n] <= limit])
+
+
+def find_eligible(
+    health_by_id: dict[str, EndpointHealth],
+    candidates: Sequence[str],
+    excluded: Collection[str],
+    now: float,
+) -> list[str]:
+    """Returns the endpoints left, without those in backoff if others are."""
     remaining = [name for name in candidates if name not in excluded]
     available = [
         name
         for name in remaining
         if not _is_backing_off(health_by_id, name, now)
     ]
-    eligible = available or remaining
-    if not eligible:
-        return None
+    return available or remaining
+
+
+def compute_costs(
+    health_by_id: dict[str, EndpointHealth],
+    candidates: Sequence[str],
+    eligible: Sequence[str],
+    now: float,
+) -> dict[str, float]:
+    """Returns the cost of each eligible endpoint, seconds, by its id."""
     median_s = _compute_median_s(health_by_id, candidates)
-    cost_by_id = {
+    return {
         name: _compute_cost(health_by_id.get(name), median_s, now)
         for name in eligible
     }
-    limit = min(cost_by_id.values()) * SIMILAR_COST_FACTOR
-    return rng.choice([n for n in eligible if cost_by_id[n] <= limit])
 
 
 def _is_backing_off(
--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -22,6 +22,7 @@
 from mustardscale.relay.answer_memory import AnswerLimits, AnswerMemory
 from mustardscale.relay.endpoint_choice import choose_endpoint
 from mustardscale.relay.endpoint_health import HealthTable
+from mustardscale.relay.even_load import EvenLoad, PlainLoad
 from mustardscale.relay.plain_repeat import (
     PlainRepeats,
     RepeatableCall,
@@ -80,6 +81,13 @@
         self._memory = AnswerMemory(limits or AnswerLimits())
         self._repeats = PlainRepeats(context, self._memory)
         self.health = HealthTable()
+        self._even_load: EvenLoad | None = None
+        if context.loads is not None:
+            self._even_load = EvenLoad(context, context.loads, self.health)
+
+    def describe_loads(self) -> dict[str, PlainLoad]:
+        """Returns the load of plain endpoints by id; empty where unknown."""
+        return self._even_load.describe() if self._even_load else {}
 
     async def serve(
         self, request: RelayRequest, route: Route, service: str
@@ -203,12 +211,11 @@
             for endpoint in self._context.endpoints(service, ListedKind.PLAIN)
             if not endpoint.busy(now)
         )
+        excluded = [*progress.excluded, *progress.without_permit]
+        if self._even_load is not None:
+            return self._even_load.choose(candidates, excluded, now)
         return choose_endpoint(
-            self.health.by_id,
-            candidates,
-            [*progress.excluded, *progress.without_permit],
-            now,
-            self._context.rng,
+            self.health.by_id, candidates, excluded, now, self._context.rng
         )
 
     def _may_send(self, service: str, progress: _Progress) -> bool:
@@ -239,6 +246,8 @@
         health = self.health.get_or_create(endpoint_id)
         began_at = context.now()
         health.begin(request.id, began_at)
+        if self._even_load is not None:
+            self._even_load.begin(endpoint_id)
         context.crashes.begin(endpoint_id, request.id, progress.keys)
         progress.runs += 1
         progress.arrivals += 1
@@ -272,6 +281,8 @@
             raise
         finally:
             health.end(request.id)
+            if self._even_load is not None:
+                self._even_load.end(endpoint_id)
             context.crashes.end(endpoint_id, request.id, is_success)
         now = context.now()
         if answer.head.is_server_error:
@@ -302,6 +313,12 @@
     ) -> None:
         """Records how an attempt at an endpoint failed."""
         context = self._context
+        if self._even_load is not None and isinstance(
+            error, EndpointRefusedError
+        ):
+            self._even_load.record_refusal(
+                endpoint_id, progress.excluded, context.now()
+            )
         progress.excluded.append(endpoint_id)
         health = self.health.get_or_create(endpoint_id)
         if isinstance(error, EndpointUnreachableError):
--- a/mustardscale/relay/relay_context.py
+++ b/mustardscale/relay/relay_context.py
@@ -13,6 +13,7 @@
 from mustardscale.blackboard import Blackboard, EndpointEntry
 from mustardscale.configuration.routes import Route
 from mustardscale.exceptions import OutcomeError
+from mustardscale.hosts.endpoint_loads import EndpointLoads
 from mustardscale.hosts.host_list import ListedKind
 from mustardscale.outcomes import Outcome
 from mustardscale.quarantine.suspicions import describe
@@ -52,6 +53,8 @@
         weights_field: name under which engines state the version of their
             weights, '' if they do not.
         engine_weights: the versions that engines stated.
+        loads: calls that all hosts have open at plain endpoints, None where
+            hosts do not tell each other.
         witnesses: show which processes have begun streams.
     """
 
@@ -69,6 +72,7 @@
     engine_weights: EngineWeights = dataclasses.field(
         default_factory=EngineWeights
     )
+    loads: EndpointLoads | None = None
     witnesses: ProcessWitnesses = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -26,6 +26,7 @@
 from mustardscale.forwarding.forwarders import Forwarders
 from mustardscale.forwarding.forwarding_connector import ForwardingConnector
 from mustardscale.forwarding.link_monitor import LinkMonitor
+from mustardscale.hosts.endpoint_loads import EndpointLoads
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.host_list_copy import HostListCopy
 from mustardscale.hosts.host_registration import HostRegistration
@@ -57,6 +58,7 @@
 from mustardscale.relay.answer_end import AnswerEnds
 from mustardscale.relay.caller_identity import CallerIdentities
 from mustardscale.relay.crash_watch import CrashWatch
+from mustardscale.relay.even_load import PlainLoad
 from mustardscale.relay.plain_relay import PlainRelay
 from mustardscale.relay.relay_context import RelayContext
 from mustardscale.relay.relay_endpoint import RelayClients
@@ -173,6 +175,7 @@
             self.active,
             self.metrics,
             options.weights_field,
+            loads=self._make_loads(options),
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
@@ -229,6 +232,14 @@
             *self._order_controllers(options),
         ]
 
+    def _make_loads(self, options: RelayOptions) -> EndpointLoads | None:
+        """Returns what hosts tell each other of plain endpoints, if any."""
+        if not options.shares_loads:
+            return None
+        loads = EndpointLoads()
+        self.heartbeats.report_loads(loads)
+        return loads
+
     def _make_version_log(
         self, host_list: HostListController
     ) -> VersionLog | None:
@@ -322,6 +333,10 @@
         await self._edges.routes.close()
         await self._edges.host_list.close()
 
+    def describe_plain_loads(self) -> dict[str, PlainLoad]:
+        """Returns the load of plain endpoints by id; empty where unknown."""
+        return self._plain.describe_loads()
+
     def set_allowance(self, allowance: RetryAllowance) -> None:
         """Sets the retry budget of each service."""
         self._budgets.allowance = allowance
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -98,6 +98,12 @@
     quota_slack: float = setting(
         Amount(), 'Units by which a quota may be exceeded besides.', 0.0
     )
+    even_load: str = setting(
+        Choice('off', 'on'),
+        'Whether hosts tell each other which calls are open at plain endpoints,'
+        ' and draw endpoints by that.',
+        'off',
+    )
     max_connections: int = setting(
         Count(), "Limit of callers' connections.", 1_500
     )
