--- a/mustardscale/hosts/endpoint_loads.py
+++ b/mustardscale/hosts/endpoint_loads.py
@@ -19,14 +19,14 @@
 # been lost by then.
 MAX_STATEMENT_AGE_S = 1.6
 # Largest number of open calls that a heartbeat can hold.
-MAX_OPEN_CALLS = (1 << 32) - 1
+MAX_OPEN_CALLS = (1 << 31) - 1
 
 _OpenByKey = collections.Counter[int]
 
 
 def compute_key(endpoint_id: str) -> int:
-    """Returns the digest that names an endpoint in heartbeats."""
-    return xxhash.xxh32_intdigest(endpoint_id.encode())
+    """Returns the digest that names an endpoint in heartbeats, 31 bits."""
+    return xxhash.xxh32_intdigest(endpoint_id.encode()) >> 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +134,7 @@
 def _count(loads: tuple[EndpointLoad, ...]) -> _OpenByKey:
     counts: _OpenByKey = collections.Counter()
     for load in loads:
-        counts[load.endpoint_key] += load.open_calls
+        counts[load.endpoint_key] += max(0, load.open_calls)
     return counts
 
 
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -150,8 +150,8 @@
 }
 
 struct EndpointLoad {
-  endpointKey @0 :UInt32;
-  openCalls @1 :UInt32;
+  endpointKey @0 :Int32;
+  openCalls @1 :Int32;
 }
 
 struct RateLimitStatement {
--- a/mustardscale/relay/even_load.py
+++ b/mustardscale/relay/even_load.py
@@ -77,8 +77,8 @@
 
     def record_refusal(
         self, endpoint_id: str, excluded: Collection[str], now: float
-    ) -> None:
-        """Counts a refusal, also whether another endpoint had room.
+    ) -> bool:
+        """Counts a refusal and returns whether another endpoint had room.
 
         Args:
             endpoint_id: the endpoint that refused.
@@ -90,10 +90,12 @@
         self._refused_by_id[endpoint_id] += 1
         entry = self._context.board.endpoints_by_id.get(endpoint_id)
         if entry is None:
-            return
+            return False
         open_by_id = self._count_open(entry.service, now)
-        if had_room(open_by_id, endpoint_id, excluded):
+        has_room = had_room(open_by_id, endpoint_id, excluded)
+        if has_room:
             metrics.count('plain_calls_refused_with_room')
+        return has_room
 
     def describe(self) -> dict[str, PlainLoad]:
         """Returns the load of the listed endpoints by id."""
--- a/mustardscale/relay/plain_relay.py
+++ b/mustardscale/relay/plain_relay.py
@@ -313,10 +313,11 @@
     ) -> None:
         """Records how an attempt at an endpoint failed."""
         context = self._context
+        inputs: dict[str, bool] = {}
         if self._even_load is not None and isinstance(
             error, EndpointRefusedError
         ):
-            self._even_load.record_refusal(
+            inputs['had_room'] = self._even_load.record_refusal(
                 endpoint_id, progress.excluded, context.now()
             )
         progress.excluded.append(endpoint_id)
@@ -334,6 +335,7 @@
             detail=str(error),
             runs=progress.runs,
             arrivals=progress.arrivals,
+            **inputs,
         )
 
     def _compute_refusal(
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -266,3 +266,4 @@
             bench.endpoint('a').run_script = [EndpointRefusedError('full')]
             await self.serve(relay)
         assert counters['plain_calls_refused_with_room'] == 1
+        assert bench.events.recorded[-1][3]['had_room']
