--- a/mustardscale/endpoints/engines.py
+++ b/mustardscale/endpoints/engines.py
@@ -243,6 +243,7 @@
             an order, and refuses new work meanwhile.
         run_ids: ids of the requests that it runs, None if the engine does not
             report them.
+        run_tokens: tokens that each of these has made, None if not known.
     """
 
     role: EngineRole
@@ -265,6 +266,7 @@
     reads_prompts: bool = False
     drains_itself: bool = False
     run_ids: tuple[str, ...] | None = None
+    run_tokens: tuple[int, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/platform/worker_control.py
+++ b/mustardscale/platform/worker_control.py
@@ -175,6 +175,7 @@
         reads_prompts=True,
         drains_itself=True,
         run_ids=_get_run_ids(worker_report),
+        run_tokens=_get_run_tokens(worker_report, spec.event_tokens),
     )
 
 
@@ -182,3 +183,13 @@
     if worker_report.active_runs is None:
         return None
     return tuple(str(row[0]) for row in worker_report.active_runs if row)
+
+
+def _get_run_tokens(
+    worker_report: WorkerReport, event_tokens: int
+) -> tuple[int, ...] | None:
+    """Returns the tokens that each run has made, None if a row lacks them."""
+    rows = [row for row in worker_report.active_runs or () if row]
+    if not all(len(row) > 2 and isinstance(row[2], int) for row in rows):
+        return None
+    return tuple(row[2] * event_tokens for row in rows)
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Collection
 
 from mustardscale.endpoints.engines import EngineRole, LoadReport, StreamStage
 from mustardscale.policy.base import DecodeShare, PoolState, Reservation
@@ -17,6 +18,7 @@
     present_pieces,
 )
 from mustardscale.policy.output_lengths import OutputLengths
+from mustardscale.policy.step_speeds import StepSpeeds
 
 # Memory of a decode engine before its first report, in KV blocks (pieces).
 DEFAULT_PIECES = 64
@@ -176,9 +178,12 @@
 
     Attributes:
         lengths: the learnt output lengths.
+        learns_speeds: whether each engine's own step time is learnt.
     """
 
-    def __init__(self):
+    def __init__(self, learns_speeds: bool = False):
+        self.learns_speeds = learns_speeds
+        self._speeds = StepSpeeds()
         self.lengths = OutputLengths()
         self._foreign_by_id: dict[str, ForeignMemory] = {}
         self._reported_at_by_id: dict[str, float] = {}
@@ -198,8 +203,13 @@
         foreign.observe(report, present_pieces(memory, needs), now)
         passed_s = now - self._reported_at_by_id.get(engine_id, now)
         self._reported_at_by_id[engine_id] = now
-        if report.active > 0 and report.step_s > 0:
-            self._step_fit.observe(report.active, report.step_s)
+        step_s = report.step_s
+        if self.learns_speeds:
+            step_s = self._speeds.observe(
+                engine_id, report, self.step_s(report.active), now
+            )
+        if report.active > 0 and step_s > 0:
+            self._step_fit.observe(report.active, step_s)
         elif not pool.reservations_by_request_id:
             # An idle engine reports no steps: without decay, steps that were
             # slow once would keep all requests away for ever.
@@ -232,16 +242,28 @@
             engine_id,
             DecodeMemory(pieces_total, pool.piece_tokens),
             share,
-            self.step_s(streams),
+            self.step_s(streams, engine_id),
             now,
             streams,
             share.largest_pieces,
-            step_s=self.step_s(streams + 1),
+            step_s=self.step_s(streams + 1, engine_id),
         )
 
-    def step_s(self, streams: int) -> float:
-        """Returns the expected time of a decode step with so many streams."""
-        return self._step_fit.value(streams)
+    def step_s(self, streams: int, engine_id: str = '') -> float:
+        """Returns the expected time of a decode step, seconds.
+
+        Args:
+            streams: number of streams in the batch.
+            engine_id: id of the engine, '' for the mean of the pool.
+        """
+        return self._step_fit.value(streams) * self._speeds.factor(engine_id)
+
+    def min_first_step_s(self, engine_ids: Collection[str]) -> float:
+        """Returns the step time of a single stream on the fastest engine."""
+        return min(
+            (self.step_s(1, engine_id) for engine_id in engine_ids),
+            default=self.step_s(1),
+        )
 
     def may_fit(
         self,
@@ -292,7 +314,7 @@
     def place(self, capacity: EngineCapacity, need: StreamNeed) -> None:
         """Adds a stream that was granted in this round to an engine."""
         capacity.place(need)
-        capacity.step_s = self.step_s(capacity.streams + 1)
+        capacity.step_s = self.step_s(capacity.streams + 1, capacity.id)
 
 
 def needed_pieces(need: StreamNeed, piece_tokens: int) -> int:
--- a/mustardscale/policy/engine_tracker.py
+++ b/mustardscale/policy/engine_tracker.py
@@ -64,8 +64,9 @@
         kv_bytes_per_token: size of the KV cache of a token, bytes.
     """
 
-    def __init__(self):
-        self.capacities = DecodeCapacity()
+    def __init__(self, learns_speeds: bool = False):
+        self.capacities = DecodeCapacity(learns_speeds)
+        self._start_by_id: dict[str, int] = {}
         self.links = LinkSchedule(DEFAULT_LINK_BYTES_PER_S)
         self.kv_bytes_per_token = KV_BYTES_PER_TOKEN
         self._prefixes = PrefixIndex()
@@ -140,7 +141,13 @@
 
     def rate(self, engine_id: str) -> float:
         """Returns a prefill engine's rate, tokens a second."""
-        return self._rate_by_id.get(engine_id, DEFAULT_PREFILL_TOKENS_PER_S)
+        known = self._rate_by_id.get(engine_id)
+        if known is not None:
+            return known
+        if not self.capacities.learns_speeds or not self._rate_by_id:
+            return DEFAULT_PREFILL_TOKENS_PER_S
+        # Other engines of the model say more than the default.
+        return sum(self._rate_by_id.values()) / len(self._rate_by_id)
 
     def min_transfer_s(self, tokens: int) -> float:
         """Returns the time of a KV transfer on the fastest link, seconds."""
@@ -265,6 +272,7 @@
         now: float,
     ) -> None:
         """Updates speeds and the memory in use by a load report."""
+        self._forget_earlier_process(engine.id, report.start)
         self.links.set_rate(engine.id, report.link_bytes_per_s)
         self.kv_bytes_per_token = report.kv_bytes_per_token
         if engine.role is not EngineRole.PREFILL:
@@ -273,6 +281,14 @@
             self._engines_reporting_rate.add(engine.id)
             self._rate_by_id[engine.id] = report.prefill_tokens_per_s
 
+    def _forget_earlier_process(self, engine_id: str, start: int) -> None:
+        """Forgets the rate that an engine had before it was restarted."""
+        if not self.capacities.learns_speeds:
+            return
+        if self._start_by_id.setdefault(engine_id, start) != start:
+            self._start_by_id[engine_id] = start
+            self._rate_by_id.pop(engine_id, None)
+
     def observe_cache(
         self, engine: EngineState, events: list[CacheEvent], now: float
     ) -> None:
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -25,6 +25,9 @@
 
 # A prefill is only granted if its engine is free within this time, seconds.
 PREFILL_LEAD_S = 0.04
+# Pairings whose transfers end within this time of the earliest are chosen by
+# their decode engine's step time, seconds. It is a few steps of a stream.
+SIMILAR_START_S = 0.04
 # Longest time for which a prefill result may wait for its transfer, seconds.
 MAX_TRANSFER_WAIT_S = 0.35
 # Time for which a prefill engine keeps a result at least, seconds.
@@ -148,7 +151,7 @@
         latency_critical_need,
         {},
         UNLIMITED_PIECES,
-        tracker.capacities.step_s(1),
+        tracker.capacities.min_first_step_s(decode_ids),
         pool.piece_tokens,
         _local_prefill_ids(pool),
     )
@@ -239,6 +242,8 @@
         if _all_busy_until(current, pairing) <= current.now + busy_s
     ]
     pairings.sort(key=lambda item: item.transfer_done_at)
+    if tracker.capacities.learns_speeds and pairings:
+        _prefer_fast_steps(pairings)
     unfit: set[str] = set()
     for pairing in pairings:
         decode = pairing.decode
@@ -251,6 +256,26 @@
     return None
 
 
+def _prefer_fast_steps(pairings: list[Pairing]) -> None:
+    """Sorts pairings that are about as early by the step time.
+
+    Without this, the engine that comes first by its id gets all streams while
+    links are free. The step time grows with an engine's streams, and is that of
+    the engine's own speed, so that the load is even by speed.
+
+    Args:
+        pairings: the pairings, the earliest first.
+    """
+    latest = pairings[0].transfer_done_at + SIMILAR_START_S
+    pairings.sort(
+        key=lambda item: (
+            max(latest, item.transfer_done_at),
+            item.decode.step_s,
+            item.transfer_done_at,
+        )
+    )
+
+
 def _local_prefill_ids(pool: PoolState) -> frozenset[str]:
     """Returns the decode engines that compute prompts themselves."""
     return frozenset(
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -92,9 +92,9 @@
     first. Decode memory and links are reserved before a prefill.
     """
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, rng: random.Random, learns_speeds: bool = False):
         super().__init__(rng)
-        self._tracker = EngineTracker()
+        self._tracker = EngineTracker(learns_speeds)
         self._demand = LatencyCriticalDemand()
         self._shares = FairShares()
         self._forecast = AdmissionForecast()
@@ -307,7 +307,9 @@
             self._tracker, current, request, profile, need, busy_s
         )
         if pairing is None or (
-            pairing.transfer_done_at + current.step_s > item.first_token_at
+            pairing.transfer_done_at
+            + self._tracker.capacities.step_s(1, pairing.decode.id)
+            > item.first_token_at
             and not accepts_late(request, profile)
         ):
             return None
--- a/mustardscale/pools/pool_owner.py
+++ b/mustardscale/pools/pool_owner.py
@@ -96,7 +96,7 @@
         blackboard: Blackboard,
         calls: PeerCalls,
         suspicions: Suspicions,
-        policy_type: type[PlacementPolicy],
+        policy_type: Callable[[random.Random], PlacementPolicy],
         rng: random.Random,
         settle_s: float = SETTLE_S,
     ):
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 from collections.abc import AsyncIterator
 
@@ -38,7 +39,7 @@
 from mustardscale.orders.role_balance import RoleBalance
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.peer_calls import PeerCalls
-from mustardscale.policy import POLICY_BY_NAME
+from mustardscale.policy import make_policy
 from mustardscale.pools.admission import AdmissionClient
 from mustardscale.pools.engine_drain import EngineDrains
 from mustardscale.pools.engine_watch import EngineWatch
@@ -140,7 +141,11 @@
             board,
             calls,
             suspicions,
-            POLICY_BY_NAME[options.policy],
+            functools.partial(
+                make_policy,
+                options.policy,
+                learns_speeds=options.shares_loads,
+            ),
             rng,
             options.settle_s,
         )
