Place streams by load and speed, and test whole hosts

Cause: sorted by the step time alone, placement filled fast engines while a slow one got no stream (0 of 16).

The option is now named like the setting.

--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -265,7 +265,7 @@
             settings.quota_overrun,
             settings.quota_slack,
         ),
-        shares_loads=settings.even_load == 'on',
+        even_load=settings.even_load == 'on',
     )
     return RelayRouter(board, options, edges, rng)
 
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -117,6 +117,7 @@
         failed_pieces: KV blocks for the prompt and the first token of the
             smallest request that did not fit in this round.
         step_s: expected time of a decode step with one more stream, seconds.
+        speed_factor: its step time as a multiple of the pool's.
     """
 
     id: str
@@ -128,8 +129,15 @@
     largest_pieces: int
     failed_pieces: int = UNLIMITED_PIECES
     step_s: float = 0.0
+    speed_factor: float = 1.0
     _needs: list[StreamNeed] | None = None
     _held_pieces: int = 0
+
+    @property
+    def next_load(self) -> float:
+        """Number of streams with one more, by the engine's speed."""
+        return (self.streams + 1) * self.speed_factor
+
     _placed: list[StreamNeed] = dataclasses.field(default_factory=list)
 
     def needs(self) -> list[StreamNeed]:
@@ -247,6 +255,7 @@
             streams,
             share.largest_pieces,
             step_s=self.step_s(streams + 1, engine_id),
+            speed_factor=self._speeds.factor(engine_id),
         )
 
     def step_s(self, streams: int, engine_id: str = '') -> float:
--- a/mustardscale/policy/local_prefill.py
+++ b/mustardscale/policy/local_prefill.py
@@ -53,7 +53,7 @@
     need: StreamNeed,
     lightly_loaded: bool = False,
 ) -> Pairing | None:
-    """Returns the decode engine with the fewest streams for a local prefill.
+    """Returns the decode engine with the least load for a local prefill.
 
     Args:
         tracker: the state of the engines.
@@ -75,7 +75,7 @@
     min_gap_s = MIN_GAP_WITHOUT_PREFILL_S if no_prefill_engine else MIN_GAP_S
     decodes = sorted(
         _usable(tracker, current, request, need, min_gap_s),
-        key=lambda decode: (decode.streams, decode.id),
+        key=lambda decode: (decode.next_load, decode.id),
     )
     epsilon = overbooking_bound(profile)
     for decode in decodes:
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -26,7 +26,7 @@
 # A prefill is only granted if its engine is free within this time, seconds.
 PREFILL_LEAD_S = 0.04
 # Pairings whose transfers end within this time of the earliest are chosen by
-# their decode engine's step time, seconds. It is a few steps of a stream.
+# their decode engine's load, seconds. It is a few steps of a stream.
 SIMILAR_START_S = 0.04
 # Longest time for which a prefill result may wait for its transfer, seconds.
 MAX_TRANSFER_WAIT_S = 0.35
@@ -243,7 +243,7 @@
     ]
     pairings.sort(key=lambda item: item.transfer_done_at)
     if tracker.capacities.learns_speeds and pairings:
-        _prefer_fast_steps(pairings)
+        _prefer_even_load(pairings)
     unfit: set[str] = set()
     for pairing in pairings:
         decode = pairing.decode
@@ -256,12 +256,12 @@
     return None
 
 
-def _prefer_fast_steps(pairings: list[Pairing]) -> None:
-    """Sorts pairings that are about as early by the step time.
+def _prefer_even_load(pairings: list[Pairing]) -> None:
+    """Sorts pairings that are about as early by the load, by speed.
 
     Without this, the engine that comes first by its id gets all streams while
-    links are free. The step time grows with an engine's streams, and is that of
-    the engine's own speed, so that the load is even by speed.
+    links are free. Sorted by the step time, fast engines would be filled up
+    while slow ones are idle.
 
     Args:
         pairings: the pairings, the earliest first.
@@ -270,7 +270,7 @@
     pairings.sort(
         key=lambda item: (
             max(latest, item.transfer_done_at),
-            item.decode.step_s,
+            item.decode.next_load,
             item.transfer_done_at,
         )
     )
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -39,7 +39,7 @@
         max_key_age_s: seconds after which a configuration that could not be
             confirmed admits no requests with keys, 0 for no limit.
         quota_tolerance: by how much quotas of customers may be exceeded.
-        shares_loads: whether hosts tell each other which calls are open at
+        even_load: whether hosts tell each other which calls are open at
             plain endpoints, and choose by that.
     """
 
@@ -59,7 +59,7 @@
     quota_tolerance: QuotaTolerance = dataclasses.field(
         default_factory=QuotaTolerance
     )
-    shares_loads: bool = False
+    even_load: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -144,7 +144,7 @@
             functools.partial(
                 make_policy,
                 options.policy,
-                learns_speeds=options.shares_loads,
+                learns_speeds=options.even_load,
             ),
             rng,
             options.settle_s,
@@ -239,7 +239,7 @@
 
     def _make_loads(self, options: RelayOptions) -> EndpointLoads | None:
         """Returns what hosts tell each other of plain endpoints, if any."""
-        if not options.shares_loads:
+        if not options.even_load:
             return None
         loads = EndpointLoads()
         self.heartbeats.report_loads(loads)
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -100,8 +100,8 @@
     )
     even_load: str = setting(
         Choice('off', 'on'),
-        'Whether hosts tell each other which calls are open at plain endpoints,'
-        ' and draw endpoints by that.',
+        'Whether hosts tell each other which calls are open at plain endpoints'
+        ' and draw by that, and pools learn the speed of each engine.',
         'off',
     )
     max_connections: int = setting(
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from mustardscale.configuration.routes import RequestKind
@@ -26,6 +28,7 @@
     HealthChooser,
     LoadChooser,
 )
+from standins.quota_fleet import Demand, QuotaFleet, make_customer
 from tests.relay_fakes import RelayBench, request_of, route_of
 from tests.test_heartbeat_hubs import HOSTS, TIMES
 from tests.test_membership import start_site
@@ -208,6 +211,36 @@
         await site.stop()
 
 
+class EvenFleet(QuotaFleet):
+    """Relaying hosts with the setting on."""
+
+    def options(self):
+        return dataclasses.replace(super().options(), even_load=True)
+
+
+class TestHosts:
+    """Whole relaying hosts."""
+
+    @virtual_time
+    async def test_setting_reaches_heartbeats_policy_and_state_dump(self):
+        fleet = EvenFleet(HOSTS, (make_customer('north', 0.0),), 1)
+        await fleet.start()
+        hosts = dict.fromkeys(fleet.router_by_host, 1.0)
+        await fleet.load(Demand('north', 20.0), 5.0, hosts)
+        loads = [
+            load
+            for router in fleet.router_by_host.values()
+            for load in router.describe_plain_loads().values()
+        ]
+        assert sum(load.sent for load in loads) == len(fleet.records) > 50
+        msgspec.json.encode(loads)
+        router = next(iter(fleet.router_by_host.values()))
+        assert 'plain_load_largest_over_mean' in router.metrics.gauge_by_name
+        policy = router.pool_owner._new_policy('pool')
+        assert policy._tracker.capacities.learns_speeds
+        await fleet.stop()
+
+
 class TestRelay:
     """The relay with the setting off and on."""
 
