Show engines' learnt speeds, and scale local prefills by them

Cause: the time of a local prefill was the same for all decode engines, and nothing showed what a pool's owner has learnt.

--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -298,6 +298,10 @@
     state = dump_state(router.blackboard, router.pool_owner)
     state['owned_rate_limits'] = sorted(router.permit_owner.owned_by_id)
     state['owned_quotas'] = router.quota_owner.describe()
+    state['engine_speeds'] = {
+        pool_id: pool.policy.describe_speeds()
+        for pool_id, pool in router.pool_owner.owned_by_id.items()
+    }
     state['plain_loads'] = router.describe_plain_loads()
     return msgspec.json.encode(state, enc_hook=str)
 
--- a/mustardscale/policy/base.py
+++ b/mustardscale/policy/base.py
@@ -340,6 +340,24 @@
 Decision = Grant | Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpeeds:
+    """What a policy has learnt of the speeds of engines.
+
+    Attributes:
+        prefill_tokens_per_s_by_id: rate of each prefill engine.
+        step_factor_by_id: step time of each decode engine as a multiple of the
+            pool's.
+    """
+
+    prefill_tokens_per_s_by_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    step_factor_by_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 class PlacementPolicy(abc.ABC):
     """Decides which waiting requests run on which engines.
 
@@ -356,6 +374,10 @@
     def decide(self, pool: PoolState, now: float) -> list[Decision]:
         """Decides on waiting requests; the others keep waiting."""
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """Returns what has been learnt of the engines' speeds."""
+        return EngineSpeeds()
+
     def observe_grant(
         self, pool: PoolState, reservation: Reservation, now: float
     ) -> None:
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -255,7 +255,7 @@
             streams,
             share.largest_pieces,
             step_s=self.step_s(streams + 1, engine_id),
-            speed_factor=self._speeds.factor(engine_id),
+            speed_factor=self.speed_factor(engine_id),
         )
 
     def step_s(self, streams: int, engine_id: str = '') -> float:
@@ -267,6 +267,14 @@
         """
         return self._step_fit.value(streams) * self._speeds.factor(engine_id)
 
+    def speed_factor(self, engine_id: str) -> float:
+        """Returns an engine's step time as a multiple of the pool's."""
+        return self._speeds.factor(engine_id)
+
+    def describe_factors(self) -> dict[str, float]:
+        """Returns the learnt step factors by engine."""
+        return self._speeds.list_factors()
+
     def min_first_step_s(self, engine_ids: Collection[str]) -> float:
         """Returns the step time of a single stream on the fastest engine."""
         return min(
--- a/mustardscale/policy/engine_tracker.py
+++ b/mustardscale/policy/engine_tracker.py
@@ -14,7 +14,12 @@
     StreamStage,
 )
 from mustardscale.peers.peer_messages import AdmitRequest, Release
-from mustardscale.policy.base import EngineState, PoolState, Reservation
+from mustardscale.policy.base import (
+    EngineSpeeds,
+    EngineState,
+    PoolState,
+    Reservation,
+)
 from mustardscale.policy.decode_capacity import DecodeCapacity
 from mustardscale.policy.link_schedule import LinkSchedule
 from mustardscale.policy.prefill_timeline import PrefillTimeline
@@ -116,9 +121,17 @@
         )
         return LOCAL_PREFILL_RATE_SHARE * mean
 
-    def local_prefill_s(self, prompt_tokens: int) -> float:
-        """Returns the expected time of a local prefill, seconds."""
-        return PREFILL_BASE_S + prompt_tokens / self.local_prefill_rate()
+    def local_prefill_s(self, prompt_tokens: int, engine_id: str = '') -> float:
+        """Returns the expected time of a local prefill, seconds.
+
+        Args:
+            prompt_tokens: length of the prompt.
+            engine_id: id of the decode engine, '' for the mean of the pool. An
+                engine with slow steps is taken to compute prompts as slowly.
+        """
+        factor = self.capacities.speed_factor(engine_id)
+        computing_s = prompt_tokens / self.local_prefill_rate()
+        return PREFILL_BASE_S + computing_s * factor
 
     def local_prefill_began_at(self, engine_id: str) -> float:
         """Returns when a decode engine was last granted a local prefill.
@@ -169,7 +182,9 @@
         if stream.prefill == stream.decode:
             self._local_prefill_began_at_by_id[stream.decode] = now
             self._timeline(stream.decode).add(
-                request_id, self.local_prefill_s(stream.prompt_tokens), now
+                request_id,
+                self.local_prefill_s(stream.prompt_tokens, stream.decode),
+                now,
             )
             return
         if stream.stage is not StreamStage.TRANSFER:
@@ -281,6 +296,12 @@
             self._engines_reporting_rate.add(engine.id)
             self._rate_by_id[engine.id] = report.prefill_tokens_per_s
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """Returns what has been learnt of the engines' speeds."""
+        return EngineSpeeds(
+            dict(self._rate_by_id), self.capacities.describe_factors()
+        )
+
     def _forget_earlier_process(self, engine_id: str, start: int) -> None:
         """Forgets the rate that an engine had before it was restarted."""
         if not self.capacities.learns_speeds:
--- a/mustardscale/policy/local_prefill.py
+++ b/mustardscale/policy/local_prefill.py
@@ -83,7 +83,7 @@
             continue
         if not tracker.capacities.fits(decode, need, epsilon):
             continue
-        seconds = tracker.local_prefill_s(request.prompt_tokens)
+        seconds = tracker.local_prefill_s(request.prompt_tokens, decode.id)
         done_at = current.now + seconds
         engine = PrefillAvailability(
             decode.id, current.now, tracker.local_prefill_rate()
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -21,6 +21,7 @@
 )
 from mustardscale.policy.base import (
     Decision,
+    EngineSpeeds,
     EngineState,
     Grant,
     PlacementPolicy,
@@ -328,6 +329,10 @@
             pairing.prefill_done_at - current.now,
         )
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """See the base class."""
+        return self._tracker.describe_speeds()
+
     def observe_grant(
         self,
         pool: PoolState,
--- a/mustardscale/policy/step_speeds.py
+++ b/mustardscale/policy/step_speeds.py
@@ -52,6 +52,14 @@
         known = self._speed_by_id.get(engine_id)
         return known.factor if known is not None else 1.0
 
+    def list_factors(self) -> dict[str, float]:
+        """Returns the factors that have been learnt by engine."""
+        return {
+            engine_id: known.factor
+            for engine_id, known in self._speed_by_id.items()
+            if known.samples
+        }
+
     def observe(
         self, engine_id: str, report: LoadReport, pool_step_s: float, now: float
     ) -> float:
--- a/mustardscale/pools/recorded_policy.py
+++ b/mustardscale/pools/recorded_policy.py
@@ -8,6 +8,7 @@
 from mustardscale.policy import POLICY_BY_NAME
 from mustardscale.policy.base import (
     Decision,
+    EngineSpeeds,
     EngineState,
     PlacementPolicy,
     PoolState,
@@ -74,6 +75,10 @@
         )
         return decisions
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """See the base class."""
+        return self._policy.describe_speeds()
+
     def observe_grant(
         self, pool: PoolState, reservation: Reservation, now: float
     ) -> None:
--- a/tests/test_step_speeds.py
+++ b/tests/test_step_speeds.py
@@ -184,5 +184,18 @@
         assert sum(placed.values()) == 16
         assert 'd0' not in placed
 
+    def test_slow_steps_mean_slow_local_prefills(self):
+        tracker = EngineTracker(True)
+        engine = Engine('d0')
+        pool = PoolScenario().pool
+        for number in range(8):
+            sample = engine.report(0.05)
+            state = EngineState('d0', EngineRole.DECODE, 'dc1', report=sample)
+            tracker.observe_report(pool, state, sample, REPORT_S * number)
+        found = tracker.describe_speeds().step_factor_by_id
+        assert found['d0'] > 1.2
+        slow_s = tracker.local_prefill_s(5_000, 'd0')
+        assert slow_s > 1.2 * tracker.local_prefill_s(5_000, 'd1') - 0.01
+
     def test_off_placement_is_as_before(self):
         assert self.place(False) == {'d0': 16}
