--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -259,6 +259,7 @@
             settings.quota_slack,
         ),
         backups=BackupScope(settings.stream_backups),
+        even_load=settings.even_load == 'on',
     )
     return RelayRouter(board, options, edges, rng)
 
@@ -318,6 +319,11 @@
     state = dump_state(router.blackboard, router.pool_owner)
     state['owned_rate_limits'] = sorted(router.permit_owner.owned_by_id)
     state['owned_quotas'] = router.quota_owner.describe()
+    state['engine_speeds'] = {
+        pool_id: pool.policy.describe_speeds()
+        for pool_id, pool in router.pool_owner.owned_by_id.items()
+    }
+    state['plain_loads'] = router.describe_plain_loads()
     return msgspec.json.encode(state, enc_hook=str)
 
 
--- a/mustardscale/policy/engine_tracker.py
+++ b/mustardscale/policy/engine_tracker.py
@@ -14,7 +14,12 @@
     StreamStage,
 )
 from mustardscale.peers.peer_messages import AdmitRequest, Release
-from mustardscale.policy.base import EngineState, PoolState, Reservation
+from mustardscale.policy.base import (
+    EngineSpeeds,
+    EngineState,
+    PoolState,
+    Reservation,
+)
 from mustardscale.policy.decode_capacity import DecodeCapacity
 from mustardscale.policy.link_schedule import LinkSchedule
 from mustardscale.policy.prefill_timeline import PrefillTimeline
@@ -64,8 +69,9 @@
         kv_bytes_per_token: size of the KV cache of a token, bytes.
     """
 
-    def __init__(self):
-        self.capacities = DecodeCapacity()
+    def __init__(self, learns_speeds: bool = False):
+        self.capacities = DecodeCapacity(learns_speeds)
+        self._start_by_id: dict[str, int] = {}
         self.links = LinkSchedule(DEFAULT_LINK_BYTES_PER_S)
         self.kv_bytes_per_token = KV_BYTES_PER_TOKEN
         self._prefixes = PrefixIndex()
@@ -115,9 +121,17 @@
         )
         return LOCAL_PREFILL_RATE_SHARE * mean
 
-    def local_prefill_s(self, prompt_tokens: int) -> float:
-        """Returns the expected time of a local prefill, seconds."""
-        return PREFILL_BASE_S + prompt_tokens / self.local_prefill_rate()
+    def local_prefill_s(self, prompt_tokens: int, engine_id: str = '') -> float:
+        """Returns the expected time of a local prefill, seconds.
+
+        Args:
+            prompt_tokens: length of the prompt.
+            engine_id: id of the decode engine, '' for the mean of the pool. An
+                engine with slow steps is taken to compute prompts as slowly.
+        """
+        factor = self.capacities.speed_factor(engine_id)
+        computing_s = prompt_tokens / self.local_prefill_rate()
+        return PREFILL_BASE_S + computing_s * factor
 
     def local_prefill_began_at(self, engine_id: str) -> float:
         """Returns when a decode engine was last granted a local prefill.
@@ -140,7 +154,13 @@
 
     def rate(self, engine_id: str) -> float:
         """Returns a prefill engine's rate, tokens a second."""
-        return self._rate_by_id.get(engine_id, DEFAULT_PREFILL_TOKENS_PER_S)
+        known = self._rate_by_id.get(engine_id)
+        if known is not None:
+            return known
+        if not self.capacities.learns_speeds or not self._rate_by_id:
+            return DEFAULT_PREFILL_TOKENS_PER_S
+        # Other engines of the model say more than the default.
+        return sum(self._rate_by_id.values()) / len(self._rate_by_id)
 
     def min_transfer_s(self, tokens: int) -> float:
         """Returns the time of a KV transfer on the fastest link, seconds."""
@@ -162,7 +182,9 @@
         if stream.prefill == stream.decode:
             self._local_prefill_began_at_by_id[stream.decode] = now
             self._timeline(stream.decode).add(
-                request_id, self.local_prefill_s(stream.prompt_tokens), now
+                request_id,
+                self.local_prefill_s(stream.prompt_tokens, stream.decode),
+                now,
             )
             return
         if stream.stage is not StreamStage.TRANSFER:
@@ -265,6 +287,7 @@
         now: float,
     ) -> None:
         """Updates speeds and the memory in use by a load report."""
+        self._forget_earlier_process(engine.id, report.start)
         self.links.set_rate(engine.id, report.link_bytes_per_s)
         self.kv_bytes_per_token = report.kv_bytes_per_token
         if engine.role is not EngineRole.PREFILL:
@@ -273,6 +296,20 @@
             self._engines_reporting_rate.add(engine.id)
             self._rate_by_id[engine.id] = report.prefill_tokens_per_s
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """Returns what has been learnt of the engines' speeds."""
+        return EngineSpeeds(
+            dict(self._rate_by_id), self.capacities.describe_factors()
+        )
+
+    def _forget_earlier_process(self, engine_id: str, start: int) -> None:
+        """Forgets the rate that an engine had before it was restarted."""
+        if not self.capacities.learns_speeds:
+            return
+        if self._start_by_id.setdefault(engine_id, start) != start:
+            self._start_by_id[engine_id] = start
+            self._rate_by_id.pop(engine_id, None)
+
     def observe_cache(
         self, engine: EngineState, events: list[CacheEvent], now: float
     ) -> None:
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -25,6 +25,9 @@
 
 # A prefill is only granted if its engine is free within this time, seconds.
 PREFILL_LEAD_S = 0.04
+# Pairings whose transfers end within this time of the earliest are chosen by
+# their decode engine's load, seconds. It is a few steps of a stream.
+SIMILAR_START_S = 0.04
 # Longest time for which a prefill result may wait for its transfer, seconds.
 MAX_TRANSFER_WAIT_S = 0.35
 # Time for which a prefill engine keeps a result at least, seconds.
@@ -151,7 +154,7 @@
         latency_critical_need,
         {},
         UNLIMITED_PIECES,
-        tracker.capacities.step_s(1),
+        tracker.capacities.min_first_step_s(decode_ids),
         pool.piece_tokens,
         _local_prefill_ids(pool),
     )
@@ -195,6 +198,7 @@
     profile: Profile,
     need: StreamNeed,
     busy_s: float,
+    first_token_at: float = math.inf,
 ) -> Pairing | None:
     """Returns the pairing with the earliest first token.
 
@@ -205,6 +209,7 @@
         profile: the profile of its service.
         need: the memory that it needs on a decode engine.
         busy_s: seconds for which all prefill engines may be busy afterwards.
+        first_token_at: loop time at which the first token is due.
 
     Returns:
         The pairing, or None if no engines can be used now.
@@ -243,6 +248,8 @@
         if _all_busy_until(current, pairing) <= current.now + busy_s
     ]
     pairings.sort(key=lambda item: item.transfer_done_at)
+    if tracker.capacities.learns_speeds and pairings:
+        _prefer_even_load(pairings, first_token_at)
     unfit: set[str] = set()
     for pairing in pairings:
         decode = pairing.decode
@@ -255,6 +262,28 @@
     return None
 
 
+def _prefer_even_load(pairings: list[Pairing], first_token_at: float) -> None:
+    """Sorts pairings that are about as early by the load, by speed.
+
+    Without this, the engine that comes first by its id gets all streams while
+    links are free. Sorted by the step time, fast engines would be filled up
+    while slow ones are idle.
+
+    Args:
+        pairings: the pairings, the earliest first.
+        first_token_at: loop time at which the first token is due.
+    """
+    earliest = pairings[0].transfer_done_at
+    latest = max(earliest, min(earliest + SIMILAR_START_S, first_token_at))
+    pairings.sort(
+        key=lambda item: (
+            max(latest, item.transfer_done_at),
+            item.decode.next_load,
+            item.transfer_done_at,
+        )
+    )
+
+
 def _local_prefill_ids(pool: PoolState) -> frozenset[str]:
     """Returns the decode engines that compute prompts themselves."""
     return frozenset(
--- a/mustardscale/policy/reserving.py
+++ b/mustardscale/policy/reserving.py
@@ -31,6 +31,7 @@
 )
 from mustardscale.policy.base import (
     Decision,
+    EngineSpeeds,
     EngineState,
     Grant,
     PlacementPolicy,
@@ -109,9 +110,9 @@
     target. Decode memory and links are reserved before a prefill.
     """
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, rng: random.Random, learns_speeds: bool = False):
         super().__init__(rng)
-        self._tracker = EngineTracker()
+        self._tracker = EngineTracker(learns_speeds)
         self._demand = LatencyCriticalDemand()
         self._shares = PriorityShares()
         self._forecast = AdmissionForecast()
@@ -392,10 +393,18 @@
         need = _stream_need(request)
         busy_s = _busy_s(current, candidate)
         pairing = find_pairing(
-            self._tracker, current, request, profile, need, busy_s
+            self._tracker,
+            current,
+            request,
+            profile,
+            need,
+            busy_s,
+            item.first_token_at,
         )
         if pairing is None or (
-            pairing.transfer_done_at + current.step_s > item.first_token_at
+            pairing.transfer_done_at
+            + self._tracker.capacities.step_s(1, pairing.decode.id)
+            > item.first_token_at
             and not accepts_late(request, profile)
         ):
             return None
@@ -414,6 +423,10 @@
             pairing.prefill_done_at - current.now,
         )
 
+    def describe_speeds(self) -> EngineSpeeds:
+        """See the base class."""
+        return self._tracker.describe_speeds()
+
     def observe_grant(
         self,
         pool: PoolState,
--- a/mustardscale/relay_options.py
+++ b/mustardscale/relay_options.py
@@ -41,6 +41,8 @@
             confirmed admits no requests with keys, 0 for no limit.
         quota_tolerance: by how much quotas of customers may be exceeded.
         backups: which streams get a copy of their KV cache at a second engine.
+        even_load: whether hosts tell each other which calls are open at
+            plain endpoints, and choose by that.
     """
 
     seed_addresses: tuple[str, ...] = ()
@@ -60,6 +62,7 @@
         default_factory=QuotaTolerance
     )
     backups: BackupScope = BackupScope.OFF
+    even_load: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 from collections.abc import AsyncIterator
 
@@ -26,6 +27,7 @@
 from mustardscale.forwarding.forwarders import Forwarders
 from mustardscale.forwarding.forwarding_connector import ForwardingConnector
 from mustardscale.forwarding.link_monitor import LinkMonitor
+from mustardscale.hosts.endpoint_loads import EndpointLoads
 from mustardscale.hosts.host_list_controller import HostListController
 from mustardscale.hosts.host_list_copy import HostListCopy
 from mustardscale.hosts.host_registration import HostRegistration
@@ -37,7 +39,7 @@
 from mustardscale.orders.role_balance import RoleBalance
 from mustardscale.outcomes import Outcome, OutcomeClass, outcome_class
 from mustardscale.peers.peer_calls import PeerCalls
-from mustardscale.policy import POLICY_BY_NAME
+from mustardscale.policy import make_policy
 from mustardscale.pools.admission import AdmissionClient
 from mustardscale.pools.engine_drain import EngineDrains
 from mustardscale.pools.engine_watch import EngineWatch
@@ -57,6 +59,7 @@
 from mustardscale.relay.answer_end import AnswerEnds
 from mustardscale.relay.caller_identity import CallerIdentities
 from mustardscale.relay.crash_watch import CrashWatch
+from mustardscale.relay.even_load import PlainLoad
 from mustardscale.relay.plain_relay import PlainRelay
 from mustardscale.relay.relay_context import RelayContext
 from mustardscale.relay.relay_endpoint import RelayClients
@@ -138,7 +141,11 @@
             board,
             calls,
             suspicions,
-            POLICY_BY_NAME[options.policy],
+            functools.partial(
+                make_policy,
+                options.policy,
+                learns_speeds=options.even_load,
+            ),
             rng,
             options.settle_s,
             self.metrics,
@@ -177,6 +184,7 @@
             self.metrics,
             options.weights_field,
             options.backups,
+            loads=self._make_loads(options),
         )
         self._plain = PlainRelay(context, options.answers)
         self._streams = StreamRelay(context, admission)
@@ -233,6 +241,14 @@
             *self._order_controllers(options),
         ]
 
+    def _make_loads(self, options: RelayOptions) -> EndpointLoads | None:
+        """Returns what hosts tell each other of plain endpoints, if any."""
+        if not options.even_load:
+            return None
+        loads = EndpointLoads()
+        self.heartbeats.report_loads(loads)
+        return loads
+
     def _make_version_log(
         self, host_list: HostListController
     ) -> VersionLog | None:
@@ -326,6 +342,10 @@
         await self._edges.routes.close()
         await self._edges.host_list.close()
 
+    def describe_plain_loads(self) -> dict[str, PlainLoad]:
+        """Returns the load of plain endpoints by id; empty where unknown."""
+        return self._plain.describe_loads()
+
     def set_allowance(self, allowance: RetryAllowance) -> None:
         """Sets the retry budget of each service."""
         self._budgets.allowance = allowance
