--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -26,6 +26,8 @@
 
     Attributes:
         callers_by_host: 'ip:port' for callers of each host.
+        ready_by_host: 'ip:port' for readiness of each host.
+        peers_by_host: 'ip:port' for peers of each host.
         process_by_host: the processes started last.
         links: links between the hosts, once listening. Hosts of this build that
             start after that call their peers through them.
@@ -43,9 +45,9 @@
         self._reserved = [reserve_port() for _ in range(3 * len(names))]
         addresses = map(address_of, self._reserved)
         self.callers_by_host = {name: next(addresses) for name in names}
-        self._ready_by_host = {name: next(addresses) for name in names}
-        self._peers_by_host = {name: next(addresses) for name in names}
-        self.links = PeerLinks(self._peers_by_host)
+        self.ready_by_host = {name: next(addresses) for name in names}
+        self.peers_by_host = {name: next(addresses) for name in names}
+        self.links = PeerLinks(self.peers_by_host)
         self.links_all = False
         self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = directory
@@ -65,11 +67,11 @@
             'data-centre': 'z',
             'region': 'r',
             'callers-listen': self.callers_by_host[name],
-            'ready-listen': self._ready_by_host[name],
-            'peers-listen': self._peers_by_host[name],
+            'ready-listen': self.ready_by_host[name],
+            'peers-listen': self.peers_by_host[name],
             'seed-addresses': ','.join(
                 address
-                for host, address in self._peers_by_host.items()
+                for host, address in self.peers_by_host.items()
                 if host != name
             ),
             'store-address': store_address,
@@ -135,7 +137,7 @@
     async def _is_ready(
         self, session: aiohttp.ClientSession, name: str
     ) -> bool:
-        url = f'http://{self._ready_by_host[name]}/mustardscale/ready'
+        url = f'http://{self.ready_by_host[name]}/mustardscale/ready'
         try:
             async with session.get(url) as response:
                 return response.status == 200
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -43,6 +43,8 @@
         link_by_worker: the proxy before each worker.
         store_link_by_host: the proxy between each host and the store.
         callers_by_host: 'ip:port' for callers of each host.
+        ready_by_host: 'ip:port' for readiness of each host.
+        peers_by_host: 'ip:port' for peers of each host.
         process_by_host: the processes started last.
     """
 
@@ -58,6 +60,8 @@
         self._names = [f'h{number}' for number in range(hosts)]
         self._hosts = HostProcesses(self._names, directory)
         self.callers_by_host = self._hosts.callers_by_host
+        self.ready_by_host = self._hosts.ready_by_host
+        self.peers_by_host = self._hosts.peers_by_host
         self.process_by_host = self._hosts.process_by_host
         self._directory = directory
         self._config = copy.deepcopy(CONFIG)
