Bound what one connection makes the HTTP library keep

Cause: the library bounds a line and the number of headers, but parses on after an error and keeps what it reports of it; it reads 256 KiB at once, keeps 32 requests ahead and reads a body 512 KiB ahead of its reader; chunks of one byte cost it several microseconds each. Bodies were counted only as they were read, and held until their time-out. ReadyServer and the operators' server had no limits, and the platform's front end served connections beyond its limit.

Change: BoundedReads reads 16 KiB at a time into one buffer. BoundedRequests counts a head's bytes as they arrive, drops all after a parser error, pauses the transport with two requests ahead, and fails a body that is mostly chunk framing. BodyMemory reserves a declared length before any of it is kept, refuses at once with 503 and Retry-After when there is no room, and refuses a body without progress for 1 s when another needs its memory (408: not run). A body alone always has room. All four HTTP ports use this.

Ruled out: an asyncio.BufferedProtocol as the HTTP connection itself (uvloop uses its buffer only where it is no asyncio.Protocol); one request ahead, which pauses the transport for each request and delays the notice that a caller left.

--- a/mustardscale/callers/caller_bodies.py
+++ b/mustardscale/callers/caller_bodies.py
@@ -1,66 +1,33 @@
-"""Reads bodies within their size and time, and bounds the memory of all."""
+"""Reads bodies within their size, their time and the memory of all."""
 
 from __future__ import annotations
 
 import asyncio
+import io
 
 from aiohttp import http_exceptions, web
 
+from mustardscale.callers.body_memory import ArrivingBody, BodyMemory
 from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 
-_RESERVED_KEY = web.RequestKey('reserved_bytes', int)
-# Seconds after which a refused caller may come back.
-RETRY_AFTER_S = 1.0
-
-
-class BodyMemory:
-    """Counts the bytes of bodies from their arrival to the request's end.
-
-    Attributes:
-        used: bytes reserved now.
-    """
-
-    __slots__ = ('_max_bytes', 'used')
-
-    def __init__(self, max_bytes: int):
-        self._max_bytes = max_bytes
-        self.used = 0
-
-    def reserve(self, request: web.BaseRequest, size: int) -> None:
-        """Reserves memory for a request, besides what it has.
-
-        Args:
-            request: the HTTP request.
-            size: bytes.
-
-        Raises:
-            OutcomeError: HOST_OVERLOADED.
-        """
-        if self.used + size > self._max_bytes:
-            raise host_overloaded('the bodies of all callers take its memory')
-        self.used += size
-        request[_RESERVED_KEY] = request.get(_RESERVED_KEY, 0) + size
-
-    def release(self, request: web.BaseRequest) -> None:
-        """Frees all that was reserved for a request."""
-        self.used -= request.get(_RESERVED_KEY, 0)
-        request[_RESERVED_KEY] = 0
-
 
 class BodyReader:
     """Reads the bodies of callers' requests."""
 
-    __slots__ = ('_limits', '_memory')
+    __slots__ = ('_limits', '_memory', '_refusals')
 
-    def __init__(self, limits: CallerLimits):
+    def __init__(self, limits: CallerLimits, refusals: CallerRefusals):
         self._limits = limits
-        self._memory = BodyMemory(limits.all_bodies_bytes)
+        self._refusals = refusals
+        self._memory = BodyMemory(limits.all_bodies_bytes, refusals)
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Sets the limits of bodies that come from now on."""
         self._limits = limits
+        self._memory.set_max(limits.all_bodies_bytes)
 
     async def read(self, request: web.BaseRequest) -> bytes:
         """Reads a body; it is counted until release() is called.
@@ -71,15 +38,12 @@
         """
         if (request.content_length or 0) > self._limits.body_bytes:
             raise self._too_large()
-        timeout_s = self._limits.body_timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._read_chunks(request)
+            async with asyncio.timeout(self._limits.body_timeout_s) as timeout:
+                return await self._read_in_time(request, timeout)
         except TimeoutError as error:
-            raise OutcomeError(
-                Outcome.REQUEST_TOO_SLOW,
-                f'the body did not arrive within {timeout_s} s',
-            ) from error
+            self._refusals.bodies_too_slow += 1
+            raise self._too_slow() from error
         except (
             web.RequestPayloadError,
             http_exceptions.HttpProcessingError,
@@ -90,14 +54,29 @@
         """Ends the count of a request's body."""
         self._memory.release(request)
 
-    async def _read_chunks(self, request: web.BaseRequest) -> bytes:
-        body = bytearray()
-        async for chunk in request.content.iter_any():
-            self._memory.reserve(request, len(chunk))
-            body += chunk
-            if len(body) > self._limits.body_bytes:
-                raise self._too_large()
-        return bytes(body)
+    async def _read_in_time(
+        self, request: web.BaseRequest, timeout: asyncio.Timeout
+    ) -> bytes:
+        now = asyncio.get_running_loop().time
+        body = ArrivingBody(request, timeout, now())
+        declared = request.content_length
+        # Returns its buffer without a copy, unlike a bytearray.
+        content = io.BytesIO()
+        try:
+            self._memory.begin(body, declared or 0)
+            async for chunk in request.content.iter_any():
+                if declared is None:
+                    self._memory.reserve(request, len(chunk))
+                size = content.tell() + len(chunk)
+                if size > self._limits.body_bytes:
+                    raise self._too_large()
+                content.write(chunk)
+                body.note_arrived(size, now())
+        finally:
+            self._memory.end(body)
+        if body.is_refused:
+            raise self._too_slow()
+        return content.getvalue()
 
     def _too_large(self) -> OutcomeError:
         return OutcomeError(
@@ -105,7 +84,9 @@
             f'the body exceeds {self._limits.body_bytes} bytes',
         )
 
-
-def host_overloaded(detail: str) -> OutcomeError:
-    """Returns the refusal of a caller that this host has no room for."""
-    return OutcomeError(Outcome.HOST_OVERLOADED, detail, RETRY_AFTER_S)
+    def _too_slow(self) -> OutcomeError:
+        return OutcomeError(
+            Outcome.REQUEST_TOO_SLOW,
+            f'the body did not arrive within {self._limits.body_timeout_s} s,'
+            ' or made no progress while others waited for its memory',
+        )
--- a/mustardscale/callers/caller_connections.py
+++ b/mustardscale/callers/caller_connections.py
@@ -9,6 +9,9 @@
 
 from aiohttp import http_exceptions, web
 
+from mustardscale.callers.bounded_reads import READ_BYTES, BoundedReads
+from mustardscale.callers.bounded_requests import BoundedRequests
+from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.callers.problem_details import problem_response
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
@@ -58,7 +61,7 @@
     keepalive_timeout_s: float = 75.0
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedRequests):
     """One connection; answers unreadable and slow requests with a code.
 
     Attributes:
@@ -80,13 +83,10 @@
     ):
         super().__init__(
             server,
-            loop=loop,
-            keepalive_timeout=limits.keepalive_timeout_s,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            lingering_time=LINGERING_S,
-            auto_decompress=False,
-            access_log=None,  # type: ignore[arg-type]
+            loop,
+            limits.header_bytes,
+            limits.keepalive_timeout_s,
+            LINGERING_S,
         )
         self._caller_server = server
         self.refused = False
@@ -98,6 +98,8 @@
         super().connection_made(transport)
         surplus = self._caller_server.count_opened()
         self.refused = surplus > 0
+        if self.refused:
+            self.refusals.connections += 1
         if surplus > REFUSED_CONNECTIONS:
             assert isinstance(transport, asyncio.WriteTransport)
             transport.abort()
@@ -112,11 +114,16 @@
         super().data_received(data)
         if self._request_count != count:
             self._stop_header_timer()
-        elif self._header_timer is None and self._waiter is not None:
+        elif self._header_timer is None and self.awaits_head:
             self._header_timer = self._loop.call_later(
                 self._header_timeout_s, self._refuse_slow_headers
             )
 
+    @property
+    def refusals(self) -> CallerRefusals:
+        """The refusals of all connections."""
+        return self._caller_server.refusals
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the request in progress."""
         self._caller_server.count_closed()
@@ -147,9 +154,27 @@
     def _refuse_slow_headers(self) -> None:
         """Cuts a connection whose headers did not arrive in time."""
         self._header_timer = None
-        if self.transport is None or self._waiter is None:
+        if self.transport is None or not self.awaits_head:
             return
-        self.transport.write(_slow_headers_answer())
+        self.refusals.heads_too_slow += 1
+        self._refuse_head(Outcome.REQUEST_TOO_SLOW)
+
+    def on_large_head(self) -> None:
+        """Refuses a head; one behind an earlier request ends after it."""
+        self.refusals.heads_too_large += 1
+        if self.awaits_head:
+            self._refuse_head(Outcome.REQUEST_TOO_LARGE)
+        else:
+            self.close()
+
+    def on_large_framing(self) -> None:
+        """Counts a body that is mostly framing."""
+        self.refusals.framings_too_large += 1
+
+    def _refuse_head(self, outcome: Outcome) -> None:
+        """Answers a request that has not been parsed, and closes."""
+        if self.transport is not None:
+            self.transport.write(_unparsed_answer(outcome))
         self.force_close()
 
     def _stop_header_timer(self) -> None:
@@ -164,12 +189,20 @@
 
     Attributes:
         open_connections: connections that are open.
+        refusals: callers that were refused or cut off.
     """
 
-    def __init__(self, handler: RequestHandler, limits: CallerLimits):
+    def __init__(
+        self,
+        handler: RequestHandler,
+        limits: CallerLimits,
+        refusals: CallerRefusals | None = None,
+    ):
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self._read_buffer = memoryview(bytearray(READ_BYTES))
         self.open_connections = 0
+        self.refusals = refusals or CallerRefusals()
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Sets the limits of connections that are opened from now on."""
@@ -184,9 +217,25 @@
         """Counts the end of a connection."""
         self.open_connections -= 1
 
-    def __call__(self) -> CallerConnection:
+    def __call__(self) -> BoundedReads:  # type: ignore[override]
         """Returns the protocol of a new connection."""
-        return CallerConnection(self, self._loop, self._limits)
+        connection = CallerConnection(self, self._loop, self._limits)
+        return BoundedReads(connection, self._read_buffer)
+
+
+def is_refused(request: web.BaseRequest) -> bool:
+    """Returns whether a request came on a connection that is one too many."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.refused
+
+
+def end_refused(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Ends a connection after its answer if it is refused or still sends."""
+    is_whole = request.content.is_eof()
+    if not is_whole and isinstance(request.protocol, CallerConnection):
+        request.protocol.drop_rest()
+    if not is_whole or is_refused(request):
+        response.force_close()
 
 
 def check_header_size(request: web.BaseRequest, limits: CallerLimits) -> None:
@@ -239,6 +288,8 @@
             await writing
     except TimeoutError as error:
         log.info('caller cut off: it does not read its answer')
+        if isinstance(request.protocol, CallerConnection):
+            request.protocol.refusals.answers_unread += 1
         if request.transport is not None:
             request.transport.abort()
         raise ConnectionResetError('the caller does not read') from error
@@ -255,13 +306,14 @@
     return Outcome.INTERNAL_ERROR
 
 
-def _slow_headers_answer() -> bytes:
+def _unparsed_answer(outcome: Outcome) -> bytes:
     """Returns an HTTP answer for a request that has not been parsed yet."""
-    response = problem_response(OutcomeError(Outcome.REQUEST_TOO_SLOW))
+    response = problem_response(OutcomeError(outcome))
     body = response.body
     assert isinstance(body, bytes)
     return (
-        b'HTTP/1.1 408 REQUEST_TOO_SLOW\r\nConnection: close\r\n'
+        b'HTTP/1.1 %d %b\r\nConnection: close\r\n'
         b'Content-Type: application/problem+json\r\n'
-        b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+        b'Content-Length: %d\r\n\r\n%b'
+        % (response.status, outcome.name.encode(), len(body), body)
     )
--- a/mustardscale/callers/callers_http.py
+++ b/mustardscale/callers/callers_http.py
@@ -7,14 +7,17 @@
 from aiohttp import web
 
 from mustardscale.callers import caller_headers
-from mustardscale.callers.caller_bodies import BodyReader, host_overloaded
+from mustardscale.callers.body_memory import host_overloaded
+from mustardscale.callers.caller_bodies import BodyReader
 from mustardscale.callers.caller_connections import (
-    CallerConnection,
     CallerLimits,
     CallerServer,
     check_header_size,
+    end_refused,
+    is_refused,
     write_in_time,
 )
+from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.callers.chat_handler import ChatHandler
 from mustardscale.callers.plain_handler import PLAIN_PREFIX, PlainHandler
 from mustardscale.callers.problem_details import (
@@ -34,7 +37,11 @@
 
 
 class CallersServer:
-    """Serves callers on one address."""
+    """Serves callers on one address.
+
+    Attributes:
+        refusals: callers that were refused or cut off.
+    """
 
     def __init__(
         self, service: RequestService, limits: CallerLimits, grace_s: float
@@ -49,14 +56,15 @@
         self._service = service
         self._limits = limits
         self._grace_s = grace_s
-        self._bodies = BodyReader(limits)
+        self.refusals = CallerRefusals()
+        self._bodies = BodyReader(limits, self.refusals)
         self._chat = ChatHandler(service, limits, self._bodies)
         self._plain = PlainHandler(service, self._bodies)
         self._runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Starts to listen and returns the port."""
-        server = CallerServer(self._handle, self._limits)
+        server = CallerServer(self._handle, self._limits, self.refusals)
         self._runner = web.ServerRunner(server, shutdown_timeout=self._grace_s)
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, port, backlog=_LISTEN_BACKLOG)
@@ -95,7 +103,7 @@
 
     async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
         """Finds out who calls and what is called."""
-        if _is_refused(request):
+        if is_refused(request):
             raise host_overloaded('it has too many connections')
         check_header_size(request, self._limits)
         token = caller_headers.bearer_token(request.headers)
@@ -114,11 +122,8 @@
         self, request: web.BaseRequest, response: web.StreamResponse
     ) -> None:
         """Sends a whole answer, unless the caller does not read it."""
-        if (
-            not request.content.is_eof()
-            or not self._service.is_ready()
-            or _is_refused(request)
-        ):
+        end_refused(request, response)
+        if not self._service.is_ready():
             response.force_close()
 
         async def send() -> None:
@@ -126,9 +131,3 @@
             await response.write_eof()
 
         await write_in_time(request, send(), self._limits)
-
-
-def _is_refused(request: web.BaseRequest) -> bool:
-    """Returns whether a request came on a connection that is one too many."""
-    connection = request.protocol
-    return isinstance(connection, CallerConnection) and connection.refused
--- a/mustardscale/operators/operators_http.py
+++ b/mustardscale/operators/operators_http.py
@@ -8,8 +8,13 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.typedefs import Handler
 
+from mustardscale.callers.caller_connections import (
+    CallerLimits,
+    CallerServer,
+    end_refused,
+    is_refused,
+)
 from mustardscale.callers.problem_details import problem_response
 from mustardscale.callers.service_api import RequestService
 from mustardscale.exceptions import OutcomeError
@@ -17,6 +22,8 @@
 
 log = logging.getLogger(__name__)
 
+Page = Callable[[], web.Response]
+
 LIVENESS_PATH = '/livez'
 READINESS_PATH = '/readyz'
 METRICS_PATH = '/metrics'
@@ -30,7 +37,13 @@
 STOP_GRACE_S = 1.0
 
 _OPEN_PATHS = frozenset({LIVENESS_PATH, READINESS_PATH})
-_MAX_BODY_BYTES = 4_096
+# Probes, scrapers and operators; more than one of each is unusual.
+_LIMITS = CallerLimits(connections=128)
+_GET, _POST = 'GET', 'POST'
+# Methods that are answered like another, without the content.
+_ALSO = {_GET: 'HEAD'}
+_NOT_FOUND = 404
+_METHOD_NOT_ALLOWED = 405
 _SCHEME = 'Bearer '
 
 
@@ -58,25 +71,20 @@
         self._token = token.encode()
         self._metrics = metrics
         self._drain = drain
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
+        self._page_by_path: dict[str, tuple[str, Page]] = {
+            LIVENESS_PATH: (_GET, self._liveness),
+            READINESS_PATH: (_GET, self._readiness),
+            METRICS_PATH: (_GET, self._show_metrics),
+            STATUS_PATH: (_GET, self._show_status),
+            DUMP_PATH: (_GET, self._show_dump),
+            DRAIN_PATH: (_POST, self._begin_drain),
+        }
 
     async def start(self, host: str, port: int) -> int:
         """Starts to listen and returns the port."""
-        application = web.Application(
-            middlewares=[self._guard], client_max_size=_MAX_BODY_BYTES
-        )
-        application.add_routes(
-            [
-                web.get(LIVENESS_PATH, self._liveness),
-                web.get(READINESS_PATH, self._readiness),
-                web.get(METRICS_PATH, self._show_metrics),
-                web.get(STATUS_PATH, self._show_status),
-                web.get(DUMP_PATH, self._show_dump),
-                web.post(DRAIN_PATH, self._begin_drain),
-            ]
-        )
-        self._runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=STOP_GRACE_S
+        self._runner = web.ServerRunner(
+            CallerServer(self._handle, _LIMITS), shutdown_timeout=STOP_GRACE_S
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -87,16 +95,29 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    @web.middleware
-    async def _guard(
-        self, request: web.Request, handler: Handler
-    ) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers a request, and ends a connection that is one too many."""
+        if is_refused(request):
+            response = problem_response(OutcomeError(Outcome.HOST_OVERLOADED))
+        else:
+            response = self._answer(request)
+        end_refused(request, response)
+        return response
+
+    def _answer(self, request: web.BaseRequest) -> web.Response:
         """Checks the token, before it is known whether the path exists."""
         if request.path not in _OPEN_PATHS and not self._is_allowed(request):
             return problem_response(OutcomeError(Outcome.UNAUTHENTICATED))
-        return await handler(request)
-
-    def _is_allowed(self, request: web.Request) -> bool:
+        method, show = self._page_by_path.get(request.path, ('', None))
+        if show is None:
+            return web.Response(status=_NOT_FOUND)
+        if request.method not in (method, _ALSO.get(method)):
+            return web.Response(
+                status=_METHOD_NOT_ALLOWED, headers={'Allow': method}
+            )
+        return show()
+
+    def _is_allowed(self, request: web.BaseRequest) -> bool:
         """Compares the token in constant time."""
         given = request.headers.get('Authorization', '')
         if not given.startswith(_SCHEME):
@@ -104,31 +125,31 @@
         token = given.removeprefix(_SCHEME).encode(errors='surrogateescape')
         return hmac.compare_digest(token, self._token)
 
-    async def _liveness(self, request: web.Request) -> web.Response:
+    def _liveness(self) -> web.Response:
         """Answers as long as the event loop runs."""
         return web.Response(text='live\n')
 
-    async def _readiness(self, request: web.Request) -> web.Response:
+    def _readiness(self) -> web.Response:
         """Tells the balancer whether new requests are taken."""
         if self._service.is_ready():
             return web.Response(text='ready\n')
         return web.Response(status=503, text='not ready\n')
 
-    async def _show_metrics(self, request: web.Request) -> web.Response:
+    def _show_metrics(self) -> web.Response:
         """Shows the metrics."""
         body = self._metrics().encode()
         headers = {'Content-Type': METRICS_CONTENT_TYPE}
         return web.Response(body=body, headers=headers)
 
-    async def _show_status(self, request: web.Request) -> web.Response:
+    def _show_status(self) -> web.Response:
         """Shows the summary."""
         return _json_response(self._service.status())
 
-    async def _show_dump(self, request: web.Request) -> web.Response:
+    def _show_dump(self) -> web.Response:
         """Shows the whole state."""
         return _json_response(self._service.dump())
 
-    async def _begin_drain(self, request: web.Request) -> web.Response:
+    def _begin_drain(self) -> web.Response:
         """Begins the graceful stop."""
         log.info('drain asked for by an operator')
         self._drain()
--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -10,14 +10,18 @@
 
 from aiohttp import HttpVersion11, web
 
+from mustardscale.callers.body_memory import host_overloaded
 from mustardscale.callers.caller_bodies import BodyReader
 from mustardscale.callers.caller_connections import (
     CallerLimits,
     CallerServer,
     check_header_size,
+    end_refused,
+    is_refused,
     write_chunk,
     write_in_time,
 )
+from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.callers.problem_details import problem_of, problem_response
 from mustardscale.endpoints.http_plain import HOP_BY_HOP_HEADERS
 from mustardscale.exceptions import OutcomeError
@@ -42,6 +46,8 @@
 # Interval at which a connection is looked at until all was sent, seconds.
 _SENT_LOOK_S = 0.01
 _SERVICE_UNAVAILABLE = 503
+# Probes, scrapers and operators; more than one of each is unusual.
+_READY_LIMITS = CallerLimits(connections=128)
 _REPLACED_HEADERS = frozenset({'content-length', 'expect', 'host'})
 # Headers that the system states itself, with the caller's value.
 _RESTATED_HEADERS = frozenset(
@@ -50,7 +56,11 @@
 
 
 class FrontServer:
-    """Serves the requests of clients on one address."""
+    """Serves the requests of clients on one address.
+
+    Attributes:
+        refusals: clients that were refused or cut off.
+    """
 
     def __init__(
         self, router: RelayRouter, limits: CallerLimits, close_timeout_s: float
@@ -66,13 +76,14 @@
         self._router = router
         self._limits = limits
         self._close_timeout_s = close_timeout_s
-        self._bodies = BodyReader(limits)
+        self.refusals = CallerRefusals()
+        self._bodies = BodyReader(limits, self.refusals)
         self._server: CallerServer | None = None
         self._runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Starts listening."""
-        self._server = CallerServer(self._handle, self._limits)
+        self._server = CallerServer(self._handle, self._limits, self.refusals)
         self._runner = web.ServerRunner(
             self._server, shutdown_timeout=self._close_timeout_s
         )
@@ -119,6 +130,8 @@
 
     async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = asyncio.get_running_loop().time()
+        if is_refused(request):
+            raise host_overloaded('it has too many connections')
         check_header_size(request, self._limits)
         body = await self._bodies.read(request)
         relayed = make_relay_request(request, body, arrived_at)
@@ -179,8 +192,7 @@
         self, request: web.BaseRequest, response: web.StreamResponse
     ) -> None:
         """Sends an answer that is complete in memory."""
-        if not request.content.is_eof():
-            response.force_close()
+        end_refused(request, response)
         self._close_if_draining(response)
 
         async def send() -> None:
@@ -410,7 +422,7 @@
     async def start(self, host: str, port: int) -> None:
         """Starts listening."""
         self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None)
+            CallerServer(self._handle, _READY_LIMITS)
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -421,7 +433,14 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
+        response = self._answer(request)
+        end_refused(request, response)
+        return response
+
+    def _answer(self, request: web.BaseRequest) -> web.Response:
         path = request.path
+        if is_refused(request):
+            return web.Response(status=_SERVICE_UNAVAILABLE)
         if path == names.READY_PATH:
             ready = self._is_ready()
             return web.Response(status=200 if ready else _SERVICE_UNAVAILABLE)
