Fit the limits of callers to the machine, and show refusals

Cause: the limits on connections, bodies and answers were the same on machines of 128 and of 552 MB, and an answer counted only while it was read from its endpoint, so that callers that read nothing made the process keep 4 MiB each.

HeldAnswers counts whole answers until they are sent, and cuts off those unread for 1 s, the oldest first, when another needs the memory. CallerRefusals counts refusals by cause: gauges mustardscale_callers_refused_*, and the event callers_refused once a second while there are any.

Ruled out: refusing an answer for want of memory, since its request has run.

--- a/mustardscale/callers/caller_connections.py
+++ b/mustardscale/callers/caller_connections.py
@@ -32,6 +32,9 @@
 # Bytes that a connection with nothing to send takes without waiting.
 _SMALL_CHUNK_BYTES = 16_384
 
+# Memory of whole answers that are being sent, in bytes.
+DEFAULT_ANSWERS_BYTES = 67_108_864
+
 # How the HTTP library's message about the number of headers begins.
 _TOO_MANY_HEADERS = 'Too many headers'
 
@@ -43,6 +46,7 @@
     Attributes:
         connections: connections of all callers together.
         all_bodies_bytes: size of the bodies of all requests in progress.
+        all_answers_bytes: size of all whole answers that are being sent.
         header_bytes: size of all headers, and of the request line.
         body_bytes: size of a body.
         header_timeout_s: seconds for a request's headers to arrive.
@@ -53,6 +57,7 @@
 
     connections: int = 2_000
     all_bodies_bytes: int = 268_435_456
+    all_answers_bytes: int = DEFAULT_ANSWERS_BYTES
     header_bytes: int = 16_384
     body_bytes: int = 2_097_152
     header_timeout_s: float = 10.0
--- a/mustardscale/callers/callers_http.py
+++ b/mustardscale/callers/callers_http.py
@@ -19,6 +19,7 @@
 )
 from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.callers.chat_handler import ChatHandler
+from mustardscale.callers.held_answers import HeldAnswers, body_size
 from mustardscale.callers.plain_handler import PLAIN_PREFIX, PlainHandler
 from mustardscale.callers.problem_details import (
     REQUEST_ID_KEY,
@@ -58,6 +59,7 @@
         self._grace_s = grace_s
         self.refusals = CallerRefusals()
         self._bodies = BodyReader(limits, self.refusals)
+        self._answers = HeldAnswers(limits.all_answers_bytes, self.refusals)
         self._chat = ChatHandler(service, limits, self._bodies)
         self._plain = PlainHandler(service, self._bodies)
         self._runner: web.ServerRunner | None = None
@@ -130,4 +132,5 @@
             await response.prepare(request)
             await response.write_eof()
 
-        await write_in_time(request, send(), self._limits)
+        with self._answers.hold(request, body_size(response)):
+            await write_in_time(request, send(), self._limits)
--- a/mustardscale/daemon.py
+++ b/mustardscale/daemon.py
@@ -17,7 +17,10 @@
 import msgspec
 
 import mustardscale
-from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.callers.caller_connections import (
+    DEFAULT_ANSWERS_BYTES,
+    CallerLimits,
+)
 from mustardscale.callers.callers_http import CallersServer
 from mustardscale.endpoints.http_connector import HttpConnector
 from mustardscale.exceptions import SettingError
@@ -35,6 +38,7 @@
 from mustardscale.router import Router
 from mustardscale.router_options import Edges, RouterOptions
 from mustardscale.settings.daemon_settings import Settings, public_settings
+from mustardscale.settings.host_limits import HostLimits, fit_to_host
 from mustardscale.settings.setting_sources import load_settings
 from mustardscale.traces.trace import FileTrace, NoTrace, TraceSink
 
@@ -57,15 +61,26 @@
         settings = self.settings
         self._router = make_router(settings)
         await self._router.start()
+        fitted = fit_to_host(
+            HostLimits(
+                settings.max_connections,
+                settings.max_all_bodies_bytes,
+                DEFAULT_ANSWERS_BYTES,
+            ),
+            settings.memory_mb,
+            settings.max_fds,
+        )
         limits = CallerLimits(
-            connections=settings.max_connections,
-            all_bodies_bytes=settings.max_all_bodies_bytes,
+            connections=fitted.connections,
+            all_bodies_bytes=fitted.all_bodies_bytes,
+            all_answers_bytes=fitted.all_answers_bytes,
             header_bytes=settings.max_header_bytes,
             body_bytes=settings.max_body_bytes,
             body_timeout_s=settings.body_timeout_s,
             write_timeout_s=settings.stream_write_timeout_s,
         )
         self._callers = CallersServer(self._router, limits, CLOSE_TIMEOUT_S)
+        self._callers.refusals.add_gauges(self._router.metrics)
         self._operators = OperatorsServer(
             self._router,
             settings.operators_token,
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -19,6 +19,7 @@
 import mustardscale
 from mustardscale.blackboard import Blackboard
 from mustardscale.callers.caller_connections import CallerLimits
+from mustardscale.callers.caller_refusals import CallerRefusals
 from mustardscale.configuration.routes import CallerBounds
 from mustardscale.exceptions import SettingError
 from mustardscale.hosts.membership import MembershipTimes
@@ -46,6 +47,7 @@
 from mustardscale.reporting.json_logging import LogOutput, configure_logging
 from mustardscale.reporting.prometheus_text import prometheus_text
 from mustardscale.settings.daemon_settings import public_settings
+from mustardscale.settings.host_limits import HostLimits, fit_to_host
 from mustardscale.settings.relay_settings import RelaySettings
 from mustardscale.settings.setting_sources import load_settings_of
 
@@ -61,6 +63,8 @@
 # Heartbeats announce new hosts sooner, and many entries come at the same time
 # because all hosts start together.
 HOSTS_READ_PAUSE_S = 1.0
+# Interval at which the counts of refused callers are checked, seconds.
+REFUSALS_CHECK_S = 1.0
 # Interval at which readiness is checked, seconds.
 READINESS_CHECK_S = 0.25
 
@@ -92,6 +96,7 @@
             make_caller_limits(settings, CallerBounds()),
             CLOSE_TIMEOUT_S,
         )
+        self._front.refusals.add_gauges(self._router.metrics)
         await self._router.start()
         await self._ready.start(*split_address(settings.ready_listen))
         await self._front.start(*split_address(settings.callers_listen))
@@ -99,6 +104,7 @@
             asyncio.create_task(self._follow_bounds()),
             asyncio.create_task(self._follow_readiness()),
             asyncio.create_task(self._follow_settings()),
+            asyncio.create_task(self._follow_refusals()),
         ]
         self._reload = asyncio.Event()
         loop = asyncio.get_running_loop()
@@ -160,6 +166,15 @@
                 )
             await asyncio.sleep(READINESS_CHECK_S)
 
+    async def _follow_refusals(self) -> None:
+        """Tells once a while which callers were refused, by cause."""
+        seen = CallerRefusals()
+        while True:
+            await asyncio.sleep(REFUSALS_CHECK_S)
+            new_by_cause = self._front.refusals.take_new(seen)
+            if new_by_cause:
+                self.events.emit(EventKind.CALLERS_REFUSED, causes=new_by_cause)
+
     async def _follow_settings(self) -> None:
         """Reloads the settings at SIGHUP and when the file has changed."""
         last_text = read_settings_text()
@@ -255,7 +270,14 @@
         ),
         make_retry_allowance(settings),
         settings.prefill_share,
-        AnswerLimits(settings.max_answer_bytes, settings.max_all_answers_bytes),
+        AnswerLimits(
+            settings.max_answer_bytes,
+            # One answer alone must have room.
+            max(
+                settings.max_answer_bytes,
+                fit_relay_limits(settings).all_answers_bytes,
+            ),
+        ),
         settings.report_interval_s,
         weights_field=names.WEIGHT_VERSIONS,
         customer_header=names.TENANT_ID,
@@ -280,9 +302,11 @@
     settings: RelaySettings, bounds: CallerBounds
 ) -> CallerLimits:
     """Returns the limits on callers from settings and configuration."""
+    limits = fit_relay_limits(settings)
     return CallerLimits(
-        connections=settings.max_connections,
-        all_bodies_bytes=settings.max_all_bodies_bytes,
+        connections=limits.connections,
+        all_bodies_bytes=limits.all_bodies_bytes,
+        all_answers_bytes=limits.all_answers_bytes,
         header_bytes=bounds.header_bytes,
         body_bytes=bounds.body_bytes,
         header_timeout_s=bounds.header_timeout_s,
@@ -292,6 +316,16 @@
     )
 
 
+def fit_relay_limits(settings: RelaySettings) -> HostLimits:
+    """Returns the limits of the settings, fitted to the machine."""
+    wanted = HostLimits(
+        settings.max_connections,
+        settings.max_all_bodies_bytes,
+        settings.max_all_answers_bytes,
+    )
+    return fit_to_host(wanted, settings.memory_mb, settings.max_fds)
+
+
 def render_state(router: RelayRouter) -> bytes:
     """Returns a router's state as JSON."""
     state = dump_state(router.blackboard, router.pool_owner)
--- a/mustardscale/platform/front_http.py
+++ b/mustardscale/platform/front_http.py
@@ -22,6 +22,7 @@
     write_in_time,
 )
 from mustardscale.callers.caller_refusals import CallerRefusals
+from mustardscale.callers.held_answers import HeldAnswers, body_size
 from mustardscale.callers.problem_details import problem_of, problem_response
 from mustardscale.endpoints.http_plain import HOP_BY_HOP_HEADERS
 from mustardscale.exceptions import OutcomeError
@@ -78,6 +79,7 @@
         self._close_timeout_s = close_timeout_s
         self.refusals = CallerRefusals()
         self._bodies = BodyReader(limits, self.refusals)
+        self._answers = HeldAnswers(limits.all_answers_bytes, self.refusals)
         self._server: CallerServer | None = None
         self._runner: web.ServerRunner | None = None
 
@@ -102,6 +104,7 @@
         """Sets the limits for new requests and new connections."""
         self._limits = limits
         self._bodies.set_limits(limits)
+        self._answers.set_max(limits.all_answers_bytes)
         if self._server is not None:
             self._server.set_limits(limits)
 
@@ -199,7 +202,8 @@
             await response.prepare(request)
             await response.write_eof()
 
-        await write_in_time(request, send(), self._limits)
+        with self._answers.hold(request, body_size(response)):
+            await write_in_time(request, send(), self._limits)
 
 
 def _break_off(request: web.BaseRequest) -> None:
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -47,6 +47,7 @@
     END_REPEATED = 'end_repeated'
     VERSION_FOUND = 'version_found'
     VERSION_UNCONFIRMED = 'version_unconfirmed'
+    CALLERS_REFUSED = 'callers_refused'
     REQUEST_REFUSED = 'request_refused'
     REQUEST_FAILED = 'request_failed'
     REQUEST_SERVED = 'request_served'
@@ -241,6 +242,11 @@
         'The process that began a stream is not shown to be the listed one.',
         ('endpoint', 'start', 'version', 'evidence'),
     ),
+    EventKind.CALLERS_REFUSED: EventRule(
+        'Callers were refused or cut off before their requests were read; how'
+        ' many by cause.',
+        ('causes',),
+    ),
     EventKind.REQUEST_REFUSED: EventRule(
         'A request has not run and never will.',
         (
--- a/mustardscale/settings/daemon_settings.py
+++ b/mustardscale/settings/daemon_settings.py
@@ -10,6 +10,7 @@
 
 from mustardscale.settings.setting_options import (
     Address,
+    Amount,
     Choice,
     Count,
     Option,
@@ -94,6 +95,18 @@
     seed: int = setting(
         Count(minimum=0), 'Seed of the random number generator.', 0
     )
+    memory_mb: float = setting(
+        Amount(),
+        'Memory of the machine in MB, to which the limits of callers are'
+        ' fitted; 0 if unknown.',
+        0.0,
+    )
+    max_fds: float = setting(
+        Amount(),
+        'Descriptors that the process may open, to which the number of'
+        ' connections is fitted; 0 if unknown.',
+        0.0,
+    )
     max_connections: int = setting(
         Count(), "Limit of callers' connections.", 2_000
     )
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -98,6 +98,18 @@
     quota_slack: float = setting(
         Amount(), 'Units by which a quota may be exceeded besides.', 0.0
     )
+    memory_mb: float = setting(
+        Amount(),
+        'Memory of the machine in MB, to which the limits of callers are'
+        ' fitted; 0 if unknown.',
+        0.0,
+    )
+    max_fds: float = setting(
+        Amount(),
+        'Descriptors that the process may open, to which the number of'
+        ' connections is fitted; 0 if unknown.',
+        0.0,
+    )
     max_connections: int = setting(
         Count(), "Limit of callers' connections.", 1_500
     )
@@ -111,8 +123,8 @@
     )
     max_all_answers_bytes: int = setting(
         Count(),
-        'Memory for all answers of plain endpoints that are being read, in'
-        ' bytes.',
+        'Memory for all answers of plain endpoints that are being read, and'
+        ' for those that are being sent, in bytes.',
         16_777_216,
     )
     body_timeout_s: float = setting(
