--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -12,6 +12,7 @@
 from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_codec import (
     HEADER_BYTES,
+    MAX_FRAME_BYTES,
     Frame,
     FrameKind,
     Hello,
@@ -24,6 +25,9 @@
 CONNECTION_LOST = (OSError, EOFError)
 
 _NONCE_BYTES = 16
+# Payload of a greeting. Whoever has not been greeted yet gets no room for a
+# whole frame of 1 MiB.
+_MAX_GREETING_BYTES = 4_096
 
 
 class GreetingError(MustardscaleError):
@@ -117,20 +121,28 @@
         self._queued_bytes = 0
         writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
 
-    async def receive(self, idle_s: float) -> Frame:
+    async def receive(
+        self, idle_s: float, max_bytes: int = MAX_FRAME_BYTES
+    ) -> Frame:
         """Receives the next frame.
 
         Args:
             idle_s: seconds to wait for the header.
+            max_bytes: size of the payload.
 
         Raises:
             TimeoutError: no header came in time.
-            PeerFrameError: the frame is damaged or did not end in time.
+            PeerFrameError: the frame is damaged, too large or did not end in
+                time.
             OSError, EOFError: the connection is lost.
         """
         async with asyncio.timeout(idle_s):
             data = await self._reader.readexactly(HEADER_BYTES)
         header = decode_header(data)
+        if header.length > max_bytes:
+            raise PeerFrameError(
+                Outcome.PEER_FRAME_TOO_LARGE, f'{header.length} payload bytes'
+            )
         try:
             async with asyncio.timeout(self._limits.frame_s):
                 payload = await self._reader.readexactly(header.length)
@@ -240,7 +252,7 @@
 
 
 async def _receive_hello(stream: FrameStream, connect_s: float) -> Hello:
-    frame = await stream.receive(connect_s)
+    frame = await stream.receive(connect_s, _MAX_GREETING_BYTES)
     if not isinstance(frame.message, Hello):
         raise PeerFrameError(
             Outcome.PEER_FRAME_MALFORMED, f'{frame.kind.name} before a greeting'
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -144,6 +144,15 @@
             with pytest.raises(PeerUnavailableError, match='in place of'):
                 await pair.call('0', host='c')
 
+    @virtual_time
+    async def test_large_frame_in_place_of_a_greeting_is_refused(self):
+        async with Pair() as pair:
+            stream = await connect(pair)
+            hello = Hello('x' * 10_000, 1)
+            stream.send(encode_frame(Frame(FrameKind.HELLO, 0, hello)))
+            with pytest.raises((ConnectionError, EOFError)):
+                await stream.receive(10)
+
     @virtual_time
     async def test_caller_without_the_key_cannot_reach_the_handler(self):
         async with Pair((b'k', b'k')) as pair:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -199,6 +199,13 @@
         settings = self.read(tmp_path, self.filled_in(**strict))
         assert settings.max_key_age_ms == 5000
 
+    def test_machine_is_told_where_the_platform_says(self, tmp_path):
+        settings = self.read(tmp_path, self.filled_in())
+        assert (settings.memory_mb, settings.max_fds) == (0, 0)
+        machine = {'limits.memory_mb': '128', 'limits.max_fds': '1638'}
+        settings = self.read(tmp_path, self.filled_in(**machine))
+        assert (settings.memory_mb, settings.max_fds) == (128, 1638)
+
     def test_the_template_gives_whole_settings(self, tmp_path):
         settings = self.read(tmp_path, self.filled_in())
         assert settings.host_id == 'h1'
