--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -136,6 +136,25 @@
 
         asyncio.run(run())
 
+    def test_operators_see_refusals(self, tmp_path, monkeypatch):
+        async def run():
+            async with platform_host(tmp_path, monkeypatch) as site:
+                callers = site.callers_by_host['h0']
+                await attack(callers, ATTACKS['empty lines without end'], 1)
+                metrics = f'http://{site.ready_by_host["h0"]}/metrics'
+                async with (
+                    aiohttp.ClientSession() as session,
+                    session.get(metrics) as answer,
+                ):
+                    text = await answer.text()
+                assert 'mustardscale_callers_refused_heads_too_large' in text
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    output = tmp_path / 'h0.log'
+                    while 'callers_refused' not in output.read_text():  # noqa: ASYNC110
+                        await asyncio.sleep(0.1)
+
+        asyncio.run(run())
+
 
 @pytest.fixture
 def daemon(tmp_path):
