Reword what a first reader stumbled on, and mend what the read showed

Mended by that read: units of a share were lost when a grant had expired; returns that came while a call to the owner failed were lost; the wait after a refusal was too short for quotas below one unit a second; an owner whose configuration was behind dropped a quota that a sender's newer version has, and waited for the handover again; a stalled body counted as too slow besides; tasks of a drawn run were not kept. The rest is wording.

--- a/mustardscale/blackboard.py
+++ b/mustardscale/blackboard.py
@@ -215,8 +215,8 @@
     def confirm_version(self, read_at: float) -> None:
         """Ties the listed version to the process that reports.
 
-        Only a list without start numbers needs this, and only one whose
-        reading began after the process was seen can tell of it.
+        Needed for lists without start numbers. A list that was read earlier may
+        describe the previous process, so it is ignored.
 
         Args:
             read_at: loop time at which the reading of the list began.
--- a/mustardscale/callers/body_memory.py
+++ b/mustardscale/callers/body_memory.py
@@ -60,7 +60,7 @@
 class BodyMemory:
     """Counts the bytes of bodies from their arrival to the request's end.
 
-    A body alone has room whatever its size; others bound that themselves.
+    A single body is always admitted; BodyReader limits its size.
 
     Attributes:
         used: bytes reserved now.
--- a/mustardscale/callers/bounded_requests.py
+++ b/mustardscale/callers/bounded_requests.py
@@ -9,18 +9,17 @@
 
 from mustardscale.callers.bounded_reads import READ_BYTES
 
-# Requests of a connection that may wait for earlier answers. With one, the
-# transport would be paused for each request, and a caller's leaving be noticed
-# later.
+# Requests of a connection that may wait for earlier answers. With one, reading
+# would pause during each request, and a disconnect would be noticed late.
 _REQUESTS_AHEAD = 2
 # Headers of a request at most.
 MAX_HEADERS = 128
 # Bytes around the name and the value of a header, and a few empty lines.
 _HEADER_FRAMING_BYTES = 4
 _HEAD_SLACK_BYTES = 512
-# A body's chunks may have this many bytes of framing beyond the size of one
-# read and of the headers, and one more for so many bytes of content. Chunks of
-# one byte cost the parser several microseconds each.
+# A body may have one byte of chunk framing per this many bytes of content,
+# besides an allowance of one read and the header size. Parsing one-byte chunks
+# costs several microseconds each.
 _CONTENT_PER_FRAMING_BYTE = 8
 
 
@@ -125,11 +124,11 @@
         self._is_dropping = True
 
     def on_large_head(self) -> None:
-        """Closes the connection, since a request's head exceeds its size."""
+        """Closes the connection, since a request's head exceeds its limit."""
         self.force_close()
 
     def on_large_framing(self) -> None:
-        """Is called when a body's framing exceeds its size."""
+        """Called when a body's framing exceeds its limit, for subclasses."""
 
     def _begin_request(self) -> None:
         self._head_bytes = 0
--- a/mustardscale/callers/caller_bodies.py
+++ b/mustardscale/callers/caller_bodies.py
@@ -40,9 +40,12 @@
             raise self._too_large()
         try:
             async with asyncio.timeout(self._limits.body_timeout_s) as timeout:
-                return await self._read_in_time(request, timeout)
+                now = asyncio.get_running_loop().time()
+                body = ArrivingBody(request, timeout, now)
+                return await self._read_in_time(request, body)
         except TimeoutError as error:
-            self._refusals.bodies_too_slow += 1
+            if not body.is_refused:
+                self._refusals.bodies_too_slow += 1
             raise self._too_slow() from error
         except (
             web.RequestPayloadError,
@@ -55,10 +58,9 @@
         self._memory.release(request)
 
     async def _read_in_time(
-        self, request: web.BaseRequest, timeout: asyncio.Timeout
+        self, request: web.BaseRequest, body: ArrivingBody
     ) -> bytes:
         now = asyncio.get_running_loop().time
-        body = ArrivingBody(request, timeout, now())
         declared = request.content_length
         # Returns its buffer without a copy, unlike a bytearray.
         content = io.BytesIO()
--- a/mustardscale/configuration/route_source.py
+++ b/mustardscale/configuration/route_source.py
@@ -38,9 +38,9 @@
         """
 
     def confirmed_at(self) -> float:
-        """Returns the loop time at which no newer table was known to exist.
+        """Returns when the table was last confirmed to be the newest.
 
-        The default is infinity, for sources that are never behind.
+        It is a loop time; infinity for sources that are never behind.
         """
         return math.inf
 
--- a/mustardscale/hosts/endpoint_loads.py
+++ b/mustardscale/hosts/endpoint_loads.py
@@ -1,4 +1,4 @@
-"""Calls that all hosts have open at plain endpoints, by heartbeats.
+"""Counts the open calls of all hosts at plain endpoints, from heartbeats.
 
 Each host sees few of the calls to an endpoint. So hosts tell each other in
 their heartbeats how many calls they have open there. In a mesh every host tells
@@ -66,7 +66,7 @@
         return _list_loads(self._own)
 
     def list_sum(self, peer: str, now: float) -> tuple[EndpointLoad, ...]:
-        """Returns the open calls of all hosts but a peer, by their words."""
+        """Returns the open calls of all hosts except a peer."""
         self._expire(now)
         total = self._peers_total + self._own
         known = self._statement_by_peer.get(peer)
--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -44,8 +44,8 @@
 # MAX_READ_AGE_S, so that others can rely on the reader while nothing is
 # written.
 READER_POLL_S = 0.9
-# The same two times at streams that are not urgent, seconds. A record ends a
-# read at once; these bound the age of one that does not.
+# MAX_READ_AGE_S and READER_POLL_S for streams that are not urgent, seconds. A
+# new record normally ends a read at once; these bound the delay if it does not.
 CALM_READ_AGE_S = 10.0
 CALM_READER_POLL_S = 9.0
 # Time without a read by a reader after one that found records, seconds. Changes
@@ -262,7 +262,7 @@
             await asyncio.sleep(START_CHECK_S)
 
     def _is_starting(self) -> bool:
-        """Returns whether this host may soon learn of many other hosts."""
+        """Returns whether this host still waits for the entries of hosts."""
         tail = self._hosts_tail
         if self.is_shared() or tail is None or tail.is_lost:
             return False
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -51,7 +51,7 @@
 
     @abc.abstractmethod
     async def wait_started(self) -> None:
-        """Waits until it is known whether they do, briefly at most."""
+        """Waits briefly until it is known whether reading is shared."""
 
     @abc.abstractmethod
     def is_covered(self, stream: str) -> bool:
@@ -59,7 +59,7 @@
 
     @abc.abstractmethod
     async def wait_uncovered(self, stream: str) -> None:
-        """Waits until it must."""
+        """Waits until this host must read the stream itself."""
 
 
 class _ReadAlone(StreamReading):
@@ -102,8 +102,8 @@
         reading: how hosts share the reading.
         is_urgent: whether hosts must learn of a change within seconds, also
             of one that ends no read that waits.
-        is_followed_alone: whether something else follows the stream while each
-            host reads the streams itself, and the tail only while readers do.
+        is_followed_alone: whether another component reads the stream while
+            reading is not shared; the tail then reads only while it is shared.
         lists_hosts: whether the stream has the entries of hosts, which a host
             that starts reads first.
         keeps_replaced: whether values that newer ones replace are kept until
--- a/mustardscale/orders/order_log.py
+++ b/mustardscale/orders/order_log.py
@@ -100,9 +100,9 @@
         loop = asyncio.get_running_loop()
         state = self._blackboard.orders
         asked_at = loop.time()
-        copied = None if self._is_coordinating else self._shared_tail()
-        if copied is not None:
-            reading = self._next_copy(copied)
+        tail = None if self._is_coordinating else self._shared_tail()
+        if tail is not None:
+            reading = self._next_copy(tail)
         else:
             reading = self._read_log()
         self._reading = asyncio.create_task(reading)
@@ -115,7 +115,8 @@
             self.unsettled_since = None
         elif self.unsettled_since is None:
             self.unsettled_since = loop.time()
-        if copied is None and state.folded_offset >= page.end_offset:
+        # A copy does not show that this host has read the log itself.
+        if tail is None and state.folded_offset >= page.end_offset:
             self.read_at = asked_at
         if changed:
             self._place_all()
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -212,8 +212,8 @@
         backup: id of the engine for a copy of the KV cache, '' for none.
         decode_version: software version of the decode endpoint by the owner's
             host list, '' if that states none.
-        decode_began_anew: whether the decode endpoint's process is not the one
-            whose version the owner's host list states.
+        decode_began_anew: whether the decode endpoint's process was restarted
+            since the owner's host list stated its version.
     """
 
     outcome: int
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -128,7 +128,7 @@
 
         Args:
             idle_s: seconds to wait for the header.
-            max_bytes: size of the payload.
+            max_bytes: largest payload that is accepted.
 
         Raises:
             TimeoutError: no header came in time.
--- a/mustardscale/platform/names.py
+++ b/mustardscale/platform/names.py
@@ -50,7 +50,7 @@
 )
 # Headers, in lower case, by which a caller identifies itself. They are only
 # forwarded where the configuration has no customers.
-IDENTITY_HEADERS = frozenset({'x-credential', 'x-tenant-id'})
+IDENTITY_HEADERS = frozenset({CREDENTIAL.lower(), TENANT_ID.lower()})
 # Headers, in lower case, that are forwarded even if a caller lists them in
 # the Connection header.
 NEVER_HOP_BY_HOP_HEADERS = frozenset(
--- a/mustardscale/platform/store_routes.py
+++ b/mustardscale/platform/store_routes.py
@@ -208,7 +208,7 @@
             rate_per_s=max(0.0, tenant.rate_per_s),
             burst=max(0.0, tenant.burst_size),
             unit=unit,
-            plain_tokens=tenant.plain_tokens,
+            plain_tokens=max(0, tenant.plain_tokens),
         ),
     )
 
--- a/mustardscale/policy/admission_forecast.py
+++ b/mustardscale/policy/admission_forecast.py
@@ -32,10 +32,9 @@
 # passing in the queue. A burst that exceeds the pool's rate is assumed to end
 # soon.
 MAX_PASSING_SHARE = 0.6
-# The same for a request whose class is passed by more urgent ones. In replays
-# of a burst of two priorities, 0.6 kept the less urgent ones until they were
-# late (median 1.9 s), 0.8 for 0.6 s with as many in time; 0.9 refused requests
-# that could have been in time.
+# The same for a request that more urgent classes pass. A lower value keeps
+# requests waiting until they are late; a higher one refuses requests that could
+# be in time.
 MAX_URGENT_PASSING_SHARE = 0.8
 # Factor by which a forecast may exceed the time that a request has left. The
 # forecast is no more accurate than that, and a refusal is final.
--- a/mustardscale/policy/customer_shares.py
+++ b/mustardscale/policy/customer_shares.py
@@ -3,9 +3,10 @@
 Load: one customer sends many times its usual for some seconds, and the others
 send a few requests a second as ever. Requests of the customer that received
 more than its fair share are decided after those of the others of the same
-priority, so that its excess costs itself first. As many of its requests as fit
-into its share are decided among the others'. If all were once it has a part of
-its share left, it would take the memory in batches while the others wait.
+priority, so that its excess costs itself first. Those of its requests that fit
+into the rest of its share keep their normal place. If any remaining share kept
+the place of all of them, it would take the memory in batches while the others
+wait.
 """
 
 from __future__ import annotations
--- a/mustardscale/policy/decode_capacity.py
+++ b/mustardscale/policy/decode_capacity.py
@@ -135,7 +135,7 @@
 
     @property
     def next_load(self) -> float:
-        """Number of streams with one more, by the engine's speed."""
+        """Number of streams with one more, times the engine's step factor."""
         return (self.streams + 1) * self.speed_factor
 
     _placed: list[StreamNeed] = dataclasses.field(default_factory=list)
--- a/mustardscale/policy/memory_claims.py
+++ b/mustardscale/policy/memory_claims.py
@@ -23,8 +23,8 @@
     """Memory that a request waits for.
 
     Attributes:
-        urgency: its urgency; it claims nothing of requests that differ from it
-            only in time.
+        urgency: its urgency; the claim does not bind requests that differ only
+            in their time.
         pieces: KV blocks (pieces) that it needs at first.
         excluded: ids of engines that it may not use.
     """
--- a/mustardscale/policy/pairing.py
+++ b/mustardscale/policy/pairing.py
@@ -263,7 +263,7 @@
 
 
 def _prefer_even_load(pairings: list[Pairing], first_token_at: float) -> None:
-    """Sorts pairings that are about as early by the load, by speed.
+    """Sorts pairings that end at about the same time by their load.
 
     Without this, the engine that comes first by its id gets all streams while
     links are free. Sorted by the step time, fast engines would be filled up
--- a/mustardscale/policy/priority_shares.py
+++ b/mustardscale/policy/priority_shares.py
@@ -78,7 +78,7 @@
         waiting: Collection[WaitingRequest],
         weight_by_customer: Mapping[str, float],
     ) -> set[str]:
-        """Returns the ids of requests whose party got more than its share.
+        """Returns the ids of requests that exceed their share.
 
         Args:
             waiting: the requests.
--- a/mustardscale/policy/step_speeds.py
+++ b/mustardscale/policy/step_speeds.py
@@ -6,17 +6,17 @@
 
 from mustardscale.endpoints.engines import LoadReport
 
-# Weight of a new sample in a learnt factor at least. Reports come once a second
-# and show momentary spells too late, so that about five of them are averaged.
+# Minimum weight of a new sample. Reports come once a second, too late to follow
+# short slowdowns, so about five are averaged.
 MIN_SAMPLE_WEIGHT = 0.2
 # Bounds of a factor. An engine that makes no tokens at all is found to have
 # failed by other means.
 MIN_FACTOR = 0.25
 MAX_FACTOR = 4.0
-# Time between two reports that are compared at most, seconds.
+# Maximum time between two reports that are compared, seconds.
 MAX_SAMPLE_S = 5.0
-# Time in which the factor of an engine without streams returns to 1 by all but
-# 1/e, seconds. Otherwise an engine that was slow once might get none again.
+# Time constant with which the factor of an idle engine returns to 1, seconds.
+# Otherwise an engine that was slow once might get none again.
 IDLE_FADE_S = 10.0
 
 
--- a/mustardscale/policy/urgency.py
+++ b/mustardscale/policy/urgency.py
@@ -37,11 +37,14 @@
     """Sort key of a waiting request; the smallest is decided first.
 
     Attributes:
-        rank: whether it is repeated, in time or late.
+        rank: REPEATED, IN_TIME, LATE, or AHEAD_IN_TIME or AHEAD_LATE for
+            requests without priority and customer that exceed their service's
+            share.
         priority: its priority, NO_PRIORITY for none.
         is_ahead: whether it exceeds the share of its service or customer; only
             where it states a priority or a customer.
-        time: seconds or loop time that decides among the others.
+        time: order among requests that are equal otherwise: weighted slack in
+            seconds, or a loop time for repeated and late ones.
     """
 
     rank: int
@@ -58,7 +61,8 @@
         urgency: sort key; the smallest is decided first.
         item: the request.
         profile: its profile.
-        queue_class: the requests that only its slack orders it among.
+        queue_class: class of requests within which only slack decides the
+            order.
     """
 
     urgency: Urgency
--- a/mustardscale/quotas/host_quotas.py
+++ b/mustardscale/quotas/host_quotas.py
@@ -188,6 +188,9 @@
             return decision
         if decision.source is QuotaSource.OWNER:
             self._add_returned(customer, account, amount)
+        elif account.share is not None:
+            now = asyncio.get_running_loop().time()
+            account.share.put_back(amount, now)
         return _Decision(False, QuotaSource.EXPIRED)
 
     async def _serve_waiting(self, customer: str, account: _Account) -> None:
@@ -220,7 +223,7 @@
             if not _answer(waiter, decision) and granted:
                 self._add_returned(customer, account, waiter.amount)
             if not granted:
-                wait_s += waiter.amount / max(1.0, account.terms.rate_per_s)
+                wait_s += waiter.amount / account.terms.rate_per_s
 
     async def _call_owner(
         self, customer: str, account: _Account, amounts: tuple[int, ...]
@@ -275,8 +278,9 @@
         await asyncio.sleep(RETURN_DELAY_S)
         if not account.returned:
             return
+        returned = account.returned
         if await self._call_owner(customer, account, ()) is None:
-            account.returned = 0
+            account.returned = max(0, account.returned - returned)
 
     def _report(
         self,
--- a/mustardscale/quotas/quota_owner.py
+++ b/mustardscale/quotas/quota_owner.py
@@ -1,8 +1,8 @@
 """Grants requests of customers within their quotas.
 
 One host owns the quota of a customer and grants requests to all hosts, so that
-these together keep to it, whichever host the requests come to. The owner
-follows from the hosts that are live.
+these together keep to it, whichever host the requests come to. The owner is
+computed from the set of live hosts.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 from mustardscale.quotas.quota_window import QuotaWindow
 
 # Time for which a new owner grants nothing, seconds: hosts may still ask the
-# one before it.
+# previous owner.
 HANDOVER_S = 1.0
 # Longest time after which a refused caller is asked to return, seconds. Callers
 # of streams wait about this long at most, a third of their time.
@@ -57,7 +57,7 @@
         return owner
 
     def follow_membership(self) -> None:
-        """Forgets the owners, who follow from the hosts that are live."""
+        """Forgets the owners, since they depend on which hosts are live."""
         self._owner_by_customer.clear()
 
 
@@ -95,7 +95,7 @@
     ):
         """Takes over a quota without credit.
 
-        The owner before may have granted all that the quota allows until now,
+        The previous owner may have granted all that the quota allows until now,
         and hosts use their shares until this one grants.
 
         Args:
@@ -117,11 +117,11 @@
         self._backlog_at = now
 
     def is_open(self, now: float) -> bool:
-        """Returns whether no host asks the owner before any more."""
+        """Returns whether the handover is over, so that it may grant."""
         return now >= self.owned_since + HANDOVER_S
 
     def adopt(self, terms: QuotaTerms, heard_share: float, now: float) -> None:
-        """Applies the newest terms and leaves the shares of silent hosts.
+        """Applies the newest terms, less the shares of hosts not heard.
 
         Args:
             terms: the quota as a host knows it.
@@ -189,8 +189,8 @@
     def _capacity(self) -> float:
         """Returns the units that may be granted at once.
 
-        A customer whose usual requests come in bursts is not refused what the
-        deployment tolerates.
+        Includes part of the tolerated excess, so that usual bursts are not
+        refused.
         """
         excess = self._tolerance.excess(self.terms)
         return self.terms.burst + OWNED_EXCESS * excess
@@ -249,8 +249,10 @@
         now = asyncio.get_running_loop().time()
         table = board.config.routes.table
         limited = {c.name: c for c in table.customers if c.quota.is_limited}
-        for name in list(self.owned_by_customer):
-            if name not in limited or not self._may_keep(name):
+        for name, owned in list(self.owned_by_customer.items()):
+            # Another host may know a newer version that has the quota.
+            is_limited = name in limited or owned.terms.version > table.version
+            if not is_limited or not self._may_keep(name):
                 del self.owned_by_customer[name]
         if not has_quorum(board, now):
             return
@@ -279,7 +281,7 @@
     def _may_keep(self, customer: str) -> bool:
         """Returns whether this host has been the only owner all the while.
 
-        A host that lost its quorum meanwhile may have had a substitute.
+        While this host had no quorum, another one may have owned the quota.
         """
         board = self._blackboard
         owned = self.owned_by_customer[customer]
--- a/mustardscale/quotas/quota_share.py
+++ b/mustardscale/quotas/quota_share.py
@@ -1,8 +1,8 @@
 """What a host that reaches no owner of a quota may grant by itself.
 
-Load: many hosts lose the owner of a quota at the same moment while its customer
+It addresses the case that many hosts lose the owner at once while the customer
 sends far more than its quota. The shares of all hosts add up to the quota, and
-the credit with which they start to what the deployment tolerates beyond it.
+their initial credit to part of the excess that the deployment tolerates.
 """
 
 from __future__ import annotations
@@ -28,7 +28,8 @@
     a fixed number of units.
 
     Attributes:
-        window_s: length of a window, seconds.
+        window_s: length of a window, seconds; 0 if usage is limited by rate and
+            burst only.
         overrun: the share.
         slack: the number of units.
     """
--- a/mustardscale/rate_limits/owner_calls.py
+++ b/mustardscale/rate_limits/owner_calls.py
@@ -39,7 +39,7 @@
 
 
 class OwnerCalls:
-    """Calls owners, and leaves out for a time those that did not answer."""
+    """Calls owners, and skips for a while those that failed to grant."""
 
     __slots__ = (
         '_blackboard',
@@ -83,7 +83,7 @@
     async def call(
         self, owner: str, request: PeerRequest, reply_type: type[ReplyType]
     ) -> ReplyType | None:
-        """Returns an owner's reply, None if it grants nothing to anyone."""
+        """Returns an owner's reply, None if none came or it may not grant."""
         try:
             reply = await self._calls.call(
                 owner, request, reply_type, CALL_TIMEOUT_S
--- a/mustardscale/relay/relay_messages.py
+++ b/mustardscale/relay/relay_messages.py
@@ -56,7 +56,7 @@
             They are forwarded only where there are no customers.
         customer: the customer that the key belongs to, None if there are no
             customers or the caller presents no known key.
-        draw: what this send has drawn on the customer's quota.
+        draw: units drawn on the customer's quota, None if none were.
         priority: its priority, 0 is the most urgent; NO_PRIORITY where all
             requests of its service have the same one.
     """
--- a/mustardscale/relay/stream_attempts.py
+++ b/mustardscale/relay/stream_attempts.py
@@ -533,8 +533,8 @@
     def has_backup(self) -> bool:
         """Whether the run has a copy, from which the stream may go on.
 
-        A stream that goes on from the copy of a run that may not be repeated is
-        that run still; the number of engines is limited for all others.
+        Going on from the copy of a run that may not be repeated continues that
+        run, so the limit on the number of runs does not apply to it.
         """
         if self._backup is None:
             return False
--- a/mustardscale/settings/relay_settings.py
+++ b/mustardscale/settings/relay_settings.py
@@ -93,7 +93,8 @@
     )
     quota_window_s: float = setting(
         Amount(),
-        'Time over which quotas of customers are counted, in seconds.',
+        'Time over which quotas of customers are counted, in seconds; 0 for no'
+        ' window.',
         0.0,
     )
     quota_overrun: float = setting(
--- a/standins/quota_runs.py
+++ b/standins/quota_runs.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Sequence
 
+from mustardscale.background_tasks import BackgroundTasks
 from mustardscale.outcomes import Outcome
 from standins.limit_runs import HOST_FAULTS, LONGEST_FAULT_S, FleetFault
 from standins.quota_fleet import Demand, QuotaFleet, make_customer
@@ -22,7 +23,7 @@
 USUAL_SHARE = 0.55
 CROWD_SHARES = (2.0, 4.0)
 CROWD_S = (4.0, 10.0)
-# Share of the hosts that a wide cut takes from their peers.
+# Share of the hosts that a wide network partition isolates.
 WIDE_CUT_SHARE = 0.35
 # A refused request must not have waited for longer, seconds. Its host may ask
 # an owner that does not answer.
@@ -46,6 +47,7 @@
         self._crowded = self._rng.choice(customers).name
         self._crowd_share = self._rng.choice(CROWD_SHARES)
         self._joined = 0
+        self._background = BackgroundTasks()
         self._first_hosts: list[str] = []
         self._skewed = self._rng.random() < 0.5
         self._faults = [
@@ -120,10 +122,10 @@
         elif fault.kind == 'wide cut':
             count = math.ceil(WIDE_CUT_SHARE * len(hosts))
             for host in self._rng.sample(hosts, count):
-                await self._harm_beside(host, 'cut', fault.for_s)
+                await self._start_fault(host, 'cut', fault.for_s)
         elif fault.kind == 'all restart':
             for host in hosts:
-                await self._harm_beside(host, 'restart', fault.for_s)
+                await self._start_fault(host, 'restart', fault.for_s)
         elif len(hosts) > 1:
             host = self._rng.choice(hosts)
             if fault.kind == 'kill':
@@ -131,16 +133,14 @@
             else:
                 await fleet.harm(host, fault.kind, fault.for_s)
 
-    async def _harm_beside(self, host: str, kind: str, for_s: float) -> None:
-        """Starts to harm a host, which ends beside what follows."""
+    async def _start_fault(self, host: str, kind: str, for_s: float) -> None:
+        """Starts a fault at a host without waiting for its end."""
         fleet = self.fleet
         if kind == 'restart':
             if not fleet.is_up(host):
                 return
             await fleet.kill_host(host)
-            asyncio.get_running_loop().create_task(
-                self._start_later(host, for_s)
-            )
+            self._background.start(self._start_later(host, for_s))
         else:
             fleet.cut_host(host)
             asyncio.get_running_loop().call_later(
