Play a large configuration before hosts with narrow links (failing)

No stand-in had a link with a rate, so no test could show what a version of 1,400 routes (317 kB) costs a host at 5 Mbit/s. RatedFleet plays it in virtual time, `make configs` with 65 processes behind a relay.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Not empty: fault runs also change what engines shall serve.
 ORDERS ?=
 
-.PHONY: test run up faults quotas limits crashes versions cuts streams soak bench load clean
+.PHONY: test run up faults quotas limits crashes versions cuts streams configs soak bench load clean
 
 # Installs the package and its development tools into the virtual environment.
 $(STAMP): pyproject.toml
@@ -57,6 +57,9 @@
 streams: $(STAMP)
 	$(PY) -m standins.stream_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED)
 
+configs: $(STAMP)
+	$(PY) -m standins.config_runs --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 soak: $(STAMP)
 	$(PY) -m standins.soak --seeds $(SEEDS) --first-seed $(FIRST_SEED) --minutes $(MINUTES) --hosts $(HOSTS)
 
--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -9,13 +9,13 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import aiohttp
 
 from standins.builds import ROOT
 from standins.linked_host import LINKS_VARIABLE
-from standins.peer_links import PeerLinks
+from standins.peer_links import HostLinks, PeerLinks
 from standins.reserved_ports import address_of, reserve_port
 
 READY_TIMEOUT_S = 60.0
@@ -32,6 +32,7 @@
         links: links between the hosts, once listening. Hosts of this build that
             start after that call their peers through them.
         links_all: whether hosts of other builds do so too.
+        relayed: links through a relay, in place of these.
     """
 
     def __init__(self, names: Sequence[str], directory: pathlib.Path):
@@ -49,11 +50,16 @@
         self.peers_by_host = {name: next(addresses) for name in names}
         self.links = PeerLinks(self.peers_by_host)
         self.links_all = False
+        self.relayed: HostLinks | None = None
         self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = directory
 
     def start(
-        self, name: str, store_address: str, code: pathlib.Path | None = None
+        self,
+        name: str,
+        store_address: str,
+        code: pathlib.Path | None = None,
+        options: Mapping[str, object] | None = None,
     ) -> None:
         """Starts a host's process.
 
@@ -61,6 +67,7 @@
             name: the host.
             store_address: 'ip:port' of the store.
             code: folder of another build of the program, None for this one.
+            options: settings besides, or in place of, those of all hosts.
         """
         settings = {
             'host-id': name,
@@ -78,6 +85,7 @@
             'prefill-share': 0.34,
             'drain-notice-s': 0.3,
             'drain-timeout-s': 3.0,
+            **(options or {}),
         }
         path = self._directory / f'{name}.conf'
         path.write_text(
@@ -87,10 +95,10 @@
         module = 'mustardscale.platform'
         if code is not None:
             environment['PYTHONPATH'] = f'{code}{os.pathsep}{ROOT}'
-        if self.links.are_listening and (code is None or self.links_all):
+        links = self._links_of(code)
+        if links is not None:
             module = 'standins.linked_host'
-            links = self.links.map_addresses(name)
-            environment[LINKS_VARIABLE] = json.dumps(links)
+            environment[LINKS_VARIABLE] = json.dumps(links.map_addresses(name))
         with (self._directory / f'{name}.log').open('ab') as output:
             self.process_by_host[name] = subprocess.Popen(
                 [sys.executable, '-m', module],
@@ -101,6 +109,13 @@
                 cwd=code,
             )
 
+    def _links_of(self, code: pathlib.Path | None) -> HostLinks | None:
+        """Returns the links of hosts of a build, None for none."""
+        if self.relayed is not None:
+            return self.relayed
+        is_linked = code is None or self.links_all
+        return self.links if self.links.are_listening and is_linked else None
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a host's process."""
         self.process_by_host[name].send_signal(number)
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -21,7 +21,16 @@
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class _Call:
+class PeerCall:
+    """One call between two hosts.
+
+    Attributes:
+        source: host that calls.
+        target: host that is called.
+        future: the reply.
+        task: what carries the call, and runs its handler.
+    """
+
     source: str
     target: str
     future: asyncio.Future[PeerReply]
@@ -40,7 +49,7 @@
         self._thawed_by_host: dict[str, asyncio.Event] = {}
         self._handler_by_host: dict[str, PeerHandler] = {}
         self._dead_hosts: set[str] = set()
-        self._calls: set[_Call] = set()
+        self._calls: set[PeerCall] = set()
         self._background: set[asyncio.Task[None]] = set()
 
     def transport(self, host: str) -> MemoryPeerTransport:
@@ -114,7 +123,9 @@
         """
         if source in self._dead_hosts:
             raise PeerUnavailableError('this host is dead')
-        call = _Call(source, target, asyncio.get_running_loop().create_future())
+        call = PeerCall(
+            source, target, asyncio.get_running_loop().create_future()
+        )
         self._calls.add(call)
         call.task = self._spawn(self._serve(call, request))
         call.task.add_done_callback(lambda _: self._calls.discard(call))
@@ -124,8 +135,8 @@
             if not call.future.done() or call.future.cancelled():
                 self._spawn(self._cancel_after_travel(call))
 
-    async def _serve(self, call: _Call, request: PeerRequest) -> None:
-        if not await self._travel(call.source, call.target):
+    async def _serve(self, call: PeerCall, request: PeerRequest) -> None:
+        if not await self._travel(call.source, call.target, call, request):
             return
         reply: PeerReply | PeerUnavailableError
         handler = self._handler_by_host.get(call.target)
@@ -136,39 +147,66 @@
         await self._return(call, reply)
 
     async def _return(
-        self, call: _Call, reply: PeerReply | PeerUnavailableError
+        self, call: PeerCall, reply: PeerReply | PeerUnavailableError
     ) -> None:
         pair = (call.target, call.source)
         if self._rng.random() < self._loss_by_pair.get(pair, 0.0):
             return
-        if not await self._travel(*pair):
+        message = None if isinstance(reply, PeerUnavailableError) else reply
+        if not await self._travel(*pair, call, message):
             return
         if isinstance(reply, PeerUnavailableError):
             _fail(call, reply)
         elif not call.future.done():
             call.future.set_result(reply)
 
-    async def _travel(self, source: str, target: str) -> bool:
-        """Waits for a message to arrive; returns whether it does."""
+    async def _travel(
+        self,
+        source: str,
+        target: str,
+        call: PeerCall,
+        message: PeerRequest | PeerReply | None = None,
+    ) -> bool:
+        """Waits for a message to arrive; returns whether it does.
+
+        Args:
+            source: host that sends it.
+            target: host to which it goes.
+            call: the call that it belongs to.
+            message: its content, None for a notice without any.
+        """
         await self._wait_thawed(source)
         if (source, target) in self._cut_pairs:
             return False
+        await self._carry(source, target, call, message)
         await asyncio.sleep(
             self._latency_by_pair.get((source, target), self._latency_s)
         )
         await self._wait_thawed(target)
         return (source, target) not in self._cut_pairs
 
+    async def _carry(
+        self,
+        source: str,
+        target: str,
+        call: PeerCall,
+        message: PeerRequest | PeerReply | None,
+    ) -> None:
+        """Waits until the links of both hosts have carried a message.
+
+        These links have no limit.
+        """
+
     async def _wait_thawed(self, host: str) -> None:
         while (event := self._thawed_by_host.get(host)) is not None:
             await event.wait()
 
-    async def _reset(self, call: _Call) -> None:
-        if await self._travel(call.target, call.source):
+    async def _reset(self, call: PeerCall) -> None:
+        if await self._travel(call.target, call.source, call):
             _fail(call, PeerUnavailableError('connection lost'))
 
-    async def _cancel_after_travel(self, call: _Call) -> None:
-        if await self._travel(call.source, call.target):
+    async def _cancel_after_travel(self, call: PeerCall) -> None:
+        if await self._travel(call.source, call.target, call):
             _cancel_handler(call)
 
     def _spawn(self, job: Coroutine[None, None, None]) -> asyncio.Task[None]:
@@ -229,11 +267,11 @@
         return PeerCallError(Outcome.INTERNAL_ERROR, repr(error))
 
 
-def _cancel_handler(call: _Call) -> None:
+def _cancel_handler(call: PeerCall) -> None:
     if call.task is not None:
         call.task.cancel()
 
 
-def _fail(call: _Call, error: PeerUnavailableError) -> None:
+def _fail(call: PeerCall, error: PeerUnavailableError) -> None:
     if not call.future.done():
         call.future.set_exception(error)
--- a/standins/peer_links.py
+++ b/standins/peer_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import contextlib
 from collections.abc import Mapping
@@ -89,7 +90,15 @@
             far_writer.close()
 
 
-class PeerLinks:
+class HostLinks(abc.ABC):
+    """Leads the connections of hosts to their peers elsewhere."""
+
+    @abc.abstractmethod
+    def map_addresses(self, host: str) -> dict[str, str]:
+        """Returns where a host is led to, by the address of the peer."""
+
+
+class PeerLinks(HostLinks):
     """The links between all entry hosts.
 
     Attributes:
@@ -123,7 +132,7 @@
             await link.close()
 
     def map_addresses(self, host: str) -> dict[str, str]:
-        """Returns the links of a host, by the address of the peer."""
+        """See the base class."""
         return {
             self._address_by_host[called]: link.address
             for (caller, called), link in self._links.items()
--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -115,7 +115,7 @@
 
     def edges(self, host: str, board: Blackboard) -> RelayEdges:
         """See the base class."""
-        client = CountingLog(self.store)
+        client = self.make_log(host)
         self.keyed_log_by_host[host] = client
         rng = random.Random(self.rng.random())
         tails = make_tails(board, client, rng)
@@ -137,6 +137,10 @@
             tails[ORDERS_TOPIC],
         )
 
+    def make_log(self, host: str) -> CountingLog:
+        """Returns a host's access to the store."""
+        return CountingLog(self.store)
+
     async def start(self) -> None:
         """Starts the hosts within START_S."""
         for number in range(1, self._first_hosts + 1):
