Copy streams between hosts in small compressed parts

Callers of hosts at 5 Mbit/s were answered by configurations that were seconds old, or by none: 404 for routes that had come, 200 for ones that had gone, 503 after a start.

Cause: a copy of a stream was one message of any size with a fixed 0.5 s. 317 kB need 0.51 s on such a link that carries nothing else, so each call was given up, its bytes still filled the link, and the next reader was asked for the same. Hosts got further behind the more they asked.

A copy is now encoded once, compressed relative to the values that the asking host has, and fetched in parts of 16 KiB, each with the 0.5 s for itself. Hosts of earlier builds get and send entries as before.

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -22,12 +22,17 @@
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.controller import Controller
 from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.copy_parts import (
+    PART_BYTES,
+    CopyReceiver,
+    CopySender,
+)
 from mustardscale.hosts.heartbeat_hubs import MAX_MESH_HOSTS, HeartbeatHubs
-from mustardscale.log.keyed_log import KeyedCopy, KeyedRecord
+from mustardscale.log.copy_encoding import CopyError, KnownValuesError
+from mustardscale.log.keyed_log import KeyedCopy
 from mustardscale.log.keyed_tail import LONG_POLL_S, KeyedTail, StreamReading
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.stream_messages import (
-    StreamEntry,
     StreamFetch,
     StreamFetchReply,
     StreamStatus,
@@ -67,9 +72,8 @@
 # bounds the delay if the store answers slowly.
 START_S = 0.1
 START_CHECK_S = 0.005
+# Time after which the call for one part of a copy is given up, seconds.
 FETCH_TIMEOUT_S = 0.5
-# Bytes of values from which a copy is logged.
-LOGGED_COPY_BYTES = 16_384
 # Interval at which a host checks whether it has become a reader, seconds.
 CHECK_INTERVAL_S = 0.5
 # Shortest wait until readers no longer cover a stream, seconds. A wait as short
@@ -127,6 +131,9 @@
         self._was_reader = False
         self._ask_by_reader: dict[str, asyncio.Task[None]] = {}
         self._asked_at_by_reader: dict[str, float] = {}
+        self._sender = CopySender()
+        # Loop time at which the last part of a copy came.
+        self._part_at = -math.inf
         self._hosts_tail = next(
             (t for t in self._tail_by_stream.values() if t.lists_hosts), None
         )
@@ -169,7 +176,8 @@
             return False
         now = asyncio.get_running_loop().time()
         is_whole = all(tail.is_whole for tail in self._tail_by_stream.values())
-        return now < self._shared_since + ASK_S and not is_whole
+        is_early = now < self._shared_since + ASK_S
+        return not is_whole and (is_early or self._is_copying(ASK_S))
 
     async def _ask_readers(self) -> None:
         """Copies the streams that this host has not read yet.
@@ -178,7 +186,7 @@
         answered by then may be lost.
         """
         idle = sorted(self._hubs.reader_ids - set(self._ask_by_reader))
-        if not idle:
+        if not idle or self._is_copying(ASK_INTERVAL_S):
             return
         self._rng.shuffle(idle)
         reader = min(idle, key=lambda r: self._asked_at_by_reader.get(r, 0.0))
@@ -188,6 +196,11 @@
         ask.add_done_callback(lambda _: self._ask_by_reader.pop(reader, None))
         await asyncio.wait([ask], timeout=ASK_INTERVAL_S)
 
+    def _is_copying(self, within_s: float) -> bool:
+        """Returns whether a part of a copy has come within some seconds."""
+        now = asyncio.get_running_loop().time()
+        return bool(self._ask_by_reader) and now - self._part_at < within_s
+
     async def _ask(self, reader: str) -> None:
         for tail in self._tail_by_stream.values():
             if not tail.is_whole:
@@ -348,7 +361,10 @@
         too old, or on what it has copied from a reader at its start.
         """
         if not tail.is_whole:
-            return self._shared_since + ASK_S
+            began_at = self._shared_since
+            if self._is_copying(ASK_S):
+                began_at = max(began_at, self._part_at)
+            return began_at + ASK_S
         find_s = FIND_READERS_S if tail.is_urgent else FIND_CALM_READERS_S
         ends_at = self._shared_since + find_s
         if math.isfinite(tail.read_at):
@@ -361,7 +377,8 @@
         ahead = [
             reader
             for reader, reported in reported_by_reader.items()
-            if reported.end_offset > tail.end_offset or not tail.is_whole
+            if (reported.end_offset > tail.end_offset or not tail.is_whole)
+            and not self._is_silent(reader)
         ]
         self._rng.shuffle(ahead)
         for reader in ahead:
@@ -375,6 +392,10 @@
         if known <= tail.end_offset and tail.is_whole:
             self._behind_since.pop(stream, None)
 
+    def _is_silent(self, reader: str) -> bool:
+        host = self._blackboard.hosts_by_id.get(reader)
+        return host is not None and host.silent
+
     async def _fetch(
         self, reader: str, tail: KeyedTail, end_offset: float
     ) -> None:
@@ -385,61 +406,72 @@
             tail: receives the records.
             end_offset: offset up to which records are needed.
         """
-        loop = asyncio.get_running_loop()
+        is_relative = tail.is_whole
         while tail.end_offset < end_offset or not tail.is_whole:
-            known = tail.end_offset
-            began_at = loop.time()
             try:
+                copied = await self._fetch_copy(reader, tail, is_relative)
+            except KnownValuesError:
+                # This host may have read the stream while the parts came.
+                if not is_relative:
+                    return
+                is_relative = False
+                continue
+            if copied is None or not tail.copy(copied):
+                return
+
+    async def _fetch_copy(
+        self, reader: str, tail: KeyedTail, is_relative: bool
+    ) -> KeyedCopy | None:
+        """Fetches all parts of a copy; returns None if that fails.
+
+        Raises:
+            KnownValuesError: the copy refers to other values than are known.
+        """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        known_offset = tail.end_offset
+        receiver = CopyReceiver(tail, is_relative)
+        try:
+            while not receiver.is_whole:
                 reply = await self._calls.call(
                     reader,
-                    StreamFetch(tail.stream, known),
+                    receiver.next_request(),
                     StreamFetchReply,
                     FETCH_TIMEOUT_S,
                 )
-            except PeerUnavailableError as error:
-                self._blackboard.events.emit(
-                    EventKind.STREAM_COPY_FAILED,
-                    stream=tail.stream,
-                    sender=reader,
-                    known_offset=known,
-                    took_s=round(loop.time() - began_at, 3),
-                    detail=str(error),
-                )
-                return
-            if not reply.available or not tail.copy(_make_copy(reply)):
-                return
-            self._report_copy(reader, tail, reply, loop.time() - began_at)
-
-    def _report_copy(
-        self,
-        reader: str,
-        tail: KeyedTail,
-        reply: StreamFetchReply,
-        took_s: float,
-    ) -> None:
-        size = sum(len(entry.value) for entry in reply.entries)
-        if size >= LOGGED_COPY_BYTES:
+                receiver.add(reply)
+                self._part_at = loop.time()
+            copied = receiver.result()
+        except KnownValuesError:
+            raise
+        except (PeerUnavailableError, CopyError) as error:
+            self._blackboard.events.emit(
+                EventKind.STREAM_COPY_FAILED,
+                stream=tail.stream,
+                sender=reader,
+                known_offset=known_offset,
+                took_s=round(loop.time() - began_at, 3),
+                detail=str(error),
+            )
+            return None
+        if sum(len(record.value) for record in copied.records) >= PART_BYTES:
             self._blackboard.events.emit(
                 EventKind.STREAM_COPIED,
                 stream=tail.stream,
                 sender=reader,
-                offset=tail.end_offset,
-                bytes=size,
-                took_s=round(took_s, 3),
+                offset=copied.end_offset,
+                bytes=receiver.received_bytes,
+                took_s=round(loop.time() - began_at, 3),
             )
+        return copied
 
     async def _on_fetch(
         self, sender: str, request: StreamFetch
     ) -> StreamFetchReply:
         tail = self._tail_by_stream.get(request.stream)
-        newer = tail.newer_than(request.after) if tail is not None else None
-        if newer is None:
+        if tail is None:
             return StreamFetchReply(False)
-        entries = tuple(
-            StreamEntry(record.key, record.value, record.offset)
-            for record in newer.records
-        )
-        return StreamFetchReply(True, newer.end_offset, newer.whole, entries)
+        return self._sender.reply_to(tail, request)
 
 
 def _max_age_s(tail: KeyedTail) -> float:
@@ -461,11 +493,3 @@
 def _age_s(at: float, now: float) -> float:
     """Returns the seconds since a loop time, negative if it never was."""
     return now - at if math.isfinite(at) else -1.0
-
-
-def _make_copy(reply: StreamFetchReply) -> KeyedCopy:
-    records = tuple(
-        KeyedRecord(entry.key, entry.value, entry.offset)
-        for entry in reply.entries
-    )
-    return KeyedCopy(records, reply.end_offset, reply.whole)
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -11,6 +11,7 @@
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import LogUnavailableError
+from mustardscale.log.earlier_values import EarlierValues
 from mustardscale.log.keyed_log import (
     KeyedCopy,
     KeyedLogClient,
@@ -159,6 +160,7 @@
         self.lists_hosts = False
         self.keeps_replaced = False
         self._replaced: list[tuple[str, bytes]] = []
+        self._earlier = EarlierValues()
 
     @property
     def stream(self) -> str:
@@ -293,7 +295,8 @@
             self._note_set_back(page)
         changed = False
         for record in page.records:
-            if record.offset <= self._offset_by_key.get(record.key, 0):
+            known_offset = self._offset_by_key.get(record.key, 0)
+            if record.offset <= known_offset:
                 continue
             self._offset_by_key[record.key] = record.offset
             if record.offset > self._withheld_by_key.get(record.key, math.inf):
@@ -301,9 +304,11 @@
                 changed = True
             if record.value == self.value_by_key.get(record.key, b''):
                 continue
-            if self.keeps_replaced and record.key in self.value_by_key:
+            if record.key in self.value_by_key:
                 known = self.value_by_key[record.key]
-                self._replaced.append((record.key, known))
+                self._earlier.add(record.key, known_offset, known)
+                if self.keeps_replaced:
+                    self._replaced.append((record.key, known))
             if record.value:
                 self.value_by_key[record.key] = record.value
             else:
@@ -343,12 +348,23 @@
         """Whether the last read of this host failed."""
         return self._lost_at is not None
 
-    def newer_than(self, after: int) -> KeyedCopy | None:
+    def value_at(self, key: str, offset: int) -> bytes:
+        """Returns the value that a key had at an offset, b'' if unknown."""
+        if 0 < self._offset_by_key.get(key, 0) <= offset:
+            return self.value_by_key.get(key, b'')
+        return self._earlier.find(key, offset)
+
+    def newer_than(
+        self, after: int, max_bytes: int = COPY_BYTES
+    ) -> KeyedCopy | None:
         """Returns what a reader lacks that has come up to an offset.
 
+        Args:
+            after: offset up to which the reader has read.
+            max_bytes: bytes of values at most, about.
+
         Returns:
-            At most about COPY_BYTES of values, the oldest first; None where
-            that cannot be told.
+            The oldest records; None where that cannot be told.
         """
         if not self._whole:
             return None
@@ -361,7 +377,7 @@
             ),
             key=lambda record: record.offset,
         )
-        count = _count_within(records, COPY_BYTES)
+        count = _count_within(records, max_bytes)
         if count == len(records):
             return KeyedCopy(tuple(records), self.end_offset, whole)
         if whole:
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -213,6 +213,10 @@
 struct StreamFetch {
   stream @0 :Text;
   after @1 :Int64;
+  partBytes @2 :Int64;
+  digest @3 :UInt64;
+  position @4 :Int64;
+  isRelative @5 :Bool;
 }
 
 struct StreamFetchReply {
@@ -220,6 +224,10 @@
   endOffset @1 :Int64;
   whole @2 :Bool;
   entries @3 :List(StreamEntry);
+  part @4 :Data;
+  digest @5 :UInt64;
+  position @6 :Int64;
+  copyBytes @7 :Int64;
 }
 
 struct HeardHost {
--- a/mustardscale/peers/stream_messages.py
+++ b/mustardscale/peers/stream_messages.py
@@ -46,10 +46,20 @@
     Attributes:
         stream: name of the stream.
         after: offset up to which the sender has read.
+        part_bytes: size of a part of an encoded copy at most, bytes; 0 from
+            hosts that take entries only.
+        digest: hash of the encoded copy of which a part is wanted, 0 for a
+            new one.
+        position: where the part begins.
+        is_relative: whether the copy may refer to values that the sender knows.
     """
 
     stream: str
     after: int
+    part_bytes: int = 0
+    digest: int = 0
+    position: int = 0
+    is_relative: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,10 +70,18 @@
         available: whether the host can tell.
         end_offset: offset up to which the entries go.
         whole: whether all keys that are not among the entries were dropped.
-        entries: the entries by offset.
+        entries: the entries by offset; none if there is a part.
+        part: a part of the encoded copy.
+        digest: hash of that copy.
+        position: where the part begins.
+        copy_bytes: size of that copy, bytes; 0 if there are entries.
     """
 
     available: bool
     end_offset: int = 0
     whole: bool = False
     entries: tuple[StreamEntry, ...] = ()
+    part: bytes = b''
+    digest: int = 0
+    position: int = 0
+    copy_bytes: int = 0
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,7 @@
         'shared_call',
         'suspension',
     ),
-    ('active_requests',),
+    ('active_requests', 'compression'),
     ('traces', 'reporting', 'settings'),
     ('endpoints',),
     ('log', 'peers'),
