Give answers of the store time as long as they go on

A host with a narrow link could never read a large configuration itself: 1 MB in base64 takes 2.2 s at 5 Mbit/s, and a call to the store had 2.0 s in all. It was given up, and begun anew.

A call now ends when nothing comes for 2.0 s, and after 10 s in any case. What it read counts as old as the beginning of the answer, not its end: else a version or a revoked key could look confirmed for as long as the answer took.

--- a/mustardscale/endpoints/http_sessions.py
+++ b/mustardscale/endpoints/http_sessions.py
@@ -170,10 +170,17 @@
 
 
 async def read_content(
-    response: aiohttp.ClientResponse, max_bytes: int
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    on_chunk: Callable[[], None] | None = None,
 ) -> bytes:
     """Reads the whole content of an answer.
 
+    Args:
+        response: the answer.
+        max_bytes: size of the content at most.
+        on_chunk: called when a part of the content has come.
+
     Raises:
         AnswerTooLargeError: the content is longer than max_bytes.
         RequestUnreadError: only the end of its connection delimits it, and
@@ -181,6 +188,8 @@
     """
     content = bytearray()
     async for chunk in response.content.iter_any():
+        if on_chunk is not None:
+            on_chunk()
         content += chunk
         if len(content) > max_bytes:
             raise AnswerTooLargeError(f'answer above {max_bytes} bytes')
--- a/mustardscale/log/keyed_log.py
+++ b/mustardscale/log/keyed_log.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import math
 
 from mustardscale.exceptions import MustardscaleError
 
@@ -35,10 +36,13 @@
     Attributes:
         records: the records.
         end_offset: offset of the newest record of the stream, 0 if none.
+        answered_at: loop time at which the answer began to come; it may take
+            long. Infinity if it came at once.
     """
 
     records: tuple[KeyedRecord, ...]
     end_offset: int
+    answered_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -196,7 +196,7 @@
         now = asyncio.get_running_loop().time()
         if now - self.set_back_at < WITHHELD_S:
             raise LogUnavailableError('the stream came back from a copy')
-        self.proved_at = now
+        self.proved_at = min(page.answered_at, now)
 
     async def _read_from(self, offset: int) -> KeyedPage:
         """Reads what is there after an offset, without a wait.
@@ -232,7 +232,7 @@
 
     async def _read_all(self) -> None:
         page = await self._client.newest(self._stream)
-        self._note_read()
+        self._note_read(page)
         if page.end_offset < self.end_offset:
             await pause(STALE_RETRY_S, self._rng)
             return
@@ -279,7 +279,7 @@
         if self._call.cancelled():
             return
         page = self._call.result()
-        self._note_read()
+        self._note_read(page)
         if self._merge(page):
             self._tell_changed()
         # Records that repeat what is known end reads, too: all hosts write
@@ -416,8 +416,9 @@
         self._note_regained()
         self.regained_at = max(self.regained_at, regained_at)
 
-    def _note_read(self) -> None:
-        self.read_at = asyncio.get_running_loop().time()
+    def _note_read(self, page: KeyedPage) -> None:
+        now = asyncio.get_running_loop().time()
+        self.read_at = min(page.answered_at, now)
         self.proved_at = self.read_at
         self._note_regained()
 
--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import dataclasses
+import math
 import struct
 from collections.abc import Iterator
 from urllib.parse import quote
@@ -40,7 +42,10 @@
     make_url,
 )
 
+# Time for which a call goes on while nothing comes, seconds.
 CALL_TIMEOUT_S = 2.0
+# Time of an answer at most, seconds. A large one takes long on a narrow link.
+MAX_ANSWER_S = 10.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Maximum number of digits of an era. A position holds the era and the offset,
 # and a longer era would not leave enough digits for the offset.
@@ -79,11 +84,13 @@
         status: HTTP status.
         content: body.
         era: the era of the store in the header, 0 if there is none.
+        began_at: loop time at which its head had come.
     """
 
     status: int
     content: bytes
     era: int
+    began_at: float
 
 
 class StoreClient(KeyedLogClient):
@@ -113,6 +120,7 @@
         query = f'{names.NEWEST_PATH}?topic={quote(stream)}&part=0'
         after = ''
         end = None
+        began_at = math.inf
         while True:
             reply = await self._get(query + after, 0.0)
             if reply.status != 200:
@@ -125,6 +133,7 @@
                 # A record that is appended between two pages may be on
                 # neither of them, so the end is that of the first page.
                 end = position_of(reply.era, answer.end)
+                began_at = reply.began_at
             if era_of(end) != reply.era:
                 raise LogUnavailableError('the store was set back meanwhile')
             records += [
@@ -136,7 +145,7 @@
                 for item in answer.items
             ]
             if not answer.has_more or not answer.items:
-                return KeyedPage(tuple(records), end)
+                return KeyedPage(tuple(records), end, began_at)
             after = f'&after={quote(answer.items[-1].key)}'
 
     async def read(self, stream: str, after: int, wait_s: float) -> KeyedPage:
@@ -161,7 +170,9 @@
                 _split_records(reply.content), start=first
             )
         ]
-        return KeyedPage(tuple(records), position_of(reply.era, end))
+        return KeyedPage(
+            tuple(records), position_of(reply.era, end), reply.began_at
+        )
 
     async def put(
         self, stream: str, key: str, value: bytes, after: int | None = None
@@ -206,16 +217,28 @@
             raise LogUnavailableError(str(error)) from error
 
     async def _get(self, query: str, wait_s: float) -> _Answer:
+        loop = asyncio.get_running_loop()
+        limit = asyncio.timeout(CALL_TIMEOUT_S + wait_s)
+
+        def extend_limit() -> None:
+            limit.reschedule(loop.time() + CALL_TIMEOUT_S)
+
         try:
-            async with self._session.get(
-                make_url(self._address, query),
-                timeout=make_timeout(CALL_TIMEOUT_S + wait_s),
-                trace_request_ctx=SendProgress(),
-            ) as response:
-                content = await read_content(response, MAX_ANSWER_BYTES)
+            async with (
+                limit,
+                self._session.get(
+                    make_url(self._address, query),
+                    timeout=make_timeout(MAX_ANSWER_S + wait_s),
+                    trace_request_ctx=SendProgress(),
+                ) as response,
+            ):
+                began_at = loop.time()
+                content = await read_content(
+                    response, MAX_ANSWER_BYTES, extend_limit
+                )
                 era = _read_era(response)
                 self._eras.note(era)
-                return _Answer(response.status, content, era)
+                return _Answer(response.status, content, era, began_at)
         except REQUEST_ERRORS as error:
             raise LogUnavailableError(describe_error(error)) from error
 
--- a/standins/rated_fleet.py
+++ b/standins/rated_fleet.py
@@ -9,7 +9,7 @@
 from mustardscale.exceptions import LogUnavailableError
 from mustardscale.log.keyed_log import KeyedPage
 from mustardscale.platform import names
-from mustardscale.platform.store_client import CALL_TIMEOUT_S
+from mustardscale.platform.store_client import MAX_ANSWER_S
 from mustardscale.relay_options import RelayEdges
 from standins.host_fleet import hash_of
 from standins.large_config import LargeConfig
@@ -40,7 +40,7 @@
     async def newest(self, stream: str) -> KeyedPage:
         """See the base class."""
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(MAX_ANSWER_S):
                 page = await super().newest(stream)
                 # Values are encoded in base64.
                 size = sum(
@@ -55,7 +55,7 @@
     async def read(self, stream: str, after: int, wait_s: float) -> KeyedPage:
         """See the base class."""
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+            async with asyncio.timeout(MAX_ANSWER_S + wait_s):
                 page = await super().read(stream, after, wait_s)
                 size = sum(
                     len(record.value) + _RECORD_BYTES for record in page.records
--- a/tests/test_keyed_tail.py
+++ b/tests/test_keyed_tail.py
@@ -1,6 +1,7 @@
 """Tests of following a keyed stream, and of routes that come by one."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -26,6 +27,8 @@
 from tests.relay_fakes import RecordingEventLog
 from tests.virtual_time import virtual_time
 
+SLOW_ANSWER_S = 3.0
+
 
 class FakeLog(KeyedLogClient):
     """A stream in memory that can be down, stale or without history."""
@@ -159,6 +162,31 @@
             assert scene.tail.proved_at == proved_at
 
 
+class SlowLog(FakeLog):
+    """A stream whose answers take long to come."""
+
+    async def newest(self, stream):
+        answered_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(SLOW_ANSWER_S)
+        page = await super().newest(stream)
+        return dataclasses.replace(page, answered_at=answered_at)
+
+
+class TestSlowAnswers:
+    """Answers during which the stream goes on."""
+
+    @virtual_time
+    async def test_slow_answer_looks_newer_than_it_is(self):
+        board = Blackboard('me', 1, 'dc', 'r')
+        tail = KeyedTail(board, SlowLog(), 's', random.Random(1))
+        task = asyncio.create_task(tail.run())
+        await asyncio.sleep(SLOW_ANSWER_S + 0.1)
+        task.cancel()
+        assert tail.is_whole
+        now = asyncio.get_running_loop().time()
+        assert now - tail.proved_at >= SLOW_ANSWER_S
+
+
 class TestKeyedTail:
     """The newest values, merged by offset."""
 
