Deny unknown routes and keys only by a confirmed configuration

Callers with proper requests got 404 or 401, which tell them not to come again, from hosts that were behind by the version that had brought the route or key.

Cause: a host denied by whatever table it had, of any age, although it knew since when it could not confirm that this was the newest one.

A host whose configuration was not confirmed within 3 s, the time in which a change must take effect, now answers 503 (1008) with Retry-After 1 s where it knows no route or key. Known routes and keys are served as before, and a request without a key still gets 401.

--- a/mustardscale/configuration/route_source.py
+++ b/mustardscale/configuration/route_source.py
@@ -18,13 +18,22 @@
 from mustardscale.configuration.config_state import ROUTES_KIND
 from mustardscale.configuration.routes import RouteTable
 from mustardscale.controller import Controller, pause
-from mustardscale.exceptions import LogUnavailableError
+from mustardscale.exceptions import LogUnavailableError, OutcomeError
+from mustardscale.outcomes import Outcome
 from mustardscale.reporting.event_log import EventKind
 
 log = logging.getLogger(__name__)
 
 ROUTES_KEY = ConfigKey(ROUTES_KIND, 'all')
 RETRY_S = 0.2
+# Time within which a change must take effect, seconds. A table that was not
+# confirmed for so long may lack what its source has.
+CHANGE_BOUND_S = 3.0
+
+
+# Time after which a caller may return that was refused because this host could
+# not confirm its configuration, seconds.
+UNCONFIRMED_RETRY_AFTER_S = 1.0
 
 
 class RouteSource(abc.ABC):
@@ -45,6 +54,25 @@
         """
         return math.inf
 
+    def is_confirmed_within(self, max_age_s: float) -> bool:
+        """Returns whether the table was confirmed that many seconds ago."""
+        now = asyncio.get_running_loop().time()
+        return now - self.confirmed_at() <= max_age_s
+
+    def require_confirmed(self) -> None:
+        """Checks that what the table lacks does not exist.
+
+        Raises:
+            OutcomeError: CONFIG_UNAVAILABLE.
+        """
+        if not self.is_confirmed_within(CHANGE_BOUND_S):
+            raise OutcomeError(
+                Outcome.CONFIG_UNAVAILABLE,
+                'this host may lack a newer version of the configuration; '
+                f'its own was {self.describe_age()}',
+                retry_after_s=UNCONFIRMED_RETRY_AFTER_S,
+            )
+
     def read_age_s(self) -> float | None:
         """Returns the seconds since the table was confirmed, for logs.
 
--- a/mustardscale/relay/caller_identity.py
+++ b/mustardscale/relay/caller_identity.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 
 from mustardscale.configuration.route_index import RouteIndex
-from mustardscale.configuration.route_source import RouteSource
+from mustardscale.configuration.route_source import (
+    UNCONFIRMED_RETRY_AFTER_S,
+    RouteSource,
+)
 from mustardscale.configuration.routes import Route
 from mustardscale.exceptions import OutcomeError
 from mustardscale.outcomes import Outcome
 from mustardscale.relay.relay_messages import RelayRequest
 
-# Time after which a caller may return that was refused because this host could
-# not confirm its configuration, seconds.
-UNCONFIRMED_RETRY_AFTER_S = 1.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerIdentities:
@@ -40,7 +38,7 @@
         Raises:
             OutcomeError: UNAUTHENTICATED, the route requires a key and the
                 caller presents none that is known; CONFIG_UNAVAILABLE, the key
-                may have been revoked.
+                may be new, or may have been revoked.
         """
         if not routes.table.customers:
             request.headers += request.identity_headers
@@ -48,6 +46,8 @@
         request.customer = routes.customer_by_key.get(request.credential)
         if request.customer is None:
             if not route.is_public:
+                if request.credential:
+                    self.source.require_confirmed()
                 raise OutcomeError(
                     Outcome.UNAUTHENTICATED,
                     'the key is missing or unknown in version '
@@ -66,8 +66,7 @@
         """
         if not self.max_key_age_s:
             return
-        now = asyncio.get_running_loop().time()
-        if now - self.source.confirmed_at() > self.max_key_age_s:
+        if not self.source.is_confirmed_within(self.max_key_age_s):
             raise OutcomeError(
                 Outcome.CONFIG_UNAVAILABLE,
                 'this host cannot tell whether the key is still valid',
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -431,6 +431,7 @@
             raise OutcomeError(Outcome.CONFIG_UNAVAILABLE, retry_after_s=1.0)
         route = routes.find(request.host, request.path)
         if route is None:
+            self._edges.routes.require_confirmed()
             raise OutcomeError(
                 Outcome.UNKNOWN_SERVICE,
                 f'no route of version {routes.table.version} matches, '
