Compress the list of hosts that hosts copy from one another

The list is compressed where the asking host says that it takes that. test_list_of_a_large_site_fills_a_narrow_link failed without (134,736 bytes/s; a tenth of such a link, 62,500, is allowed).

--- a/mustardscale/hosts/host_list_copy.py
+++ b/mustardscale/hosts/host_list_copy.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mustardscale.blackboard import Blackboard
+from mustardscale.compression import CompressionError, compress, decompress
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.hosts.host_list import HostList, ListedKind
@@ -23,6 +24,8 @@
 
 INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 0.5
+# Size of a peer's list at most, bytes.
+MAX_LIST_BYTES = 16 * 1024 * 1024
 
 
 class HostListCopy(Controller):
@@ -68,7 +71,7 @@
                 await self._ask()
 
     async def _ask(self) -> None:
-        request = HostListFetch(self._controller.version)
+        request = HostListFetch(self._controller.version, takes_compressed=True)
         peers = [
             host
             for host in self._blackboard.live_hosts()
@@ -98,8 +101,11 @@
 
     def _merge_reply(self, reply: HostListFetchReply) -> None:
         try:
-            raws = decode_json(reply.content, list[msgspec.Raw])
-        except msgspec.MsgspecError as error:
+            content = reply.content
+            if reply.is_compressed:
+                content = decompress(content, MAX_LIST_BYTES)
+            raws = decode_json(content, list[msgspec.Raw])
+        except (CompressionError, msgspec.MsgspecError) as error:
             log.warning('unreadable host list from a peer: %s', error)
             return
         # The peer has checked the addresses.
@@ -121,4 +127,7 @@
         ]
         # This host may not be on the list yet.
         listed.append(own_entry(self._blackboard))
-        return HostListFetchReply(version, msgspec.json.encode(listed))
+        content = msgspec.json.encode(listed)
+        if request.takes_compressed:
+            content = compress(content)
+        return HostListFetchReply(version, content, request.takes_compressed)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -399,11 +399,13 @@
 
 struct HostListFetch {
   version @0 :Int64;
+  takesCompressed @1 :Bool;
 }
 
 struct HostListFetchReply {
   version @0 :Int64;
   content @1 :Data;
+  isCompressed @2 :Bool;
 }
 
 struct StreamVersion {
--- a/mustardscale/peers/peer_messages.py
+++ b/mustardscale/peers/peer_messages.py
@@ -423,9 +423,11 @@
 
     Attributes:
         version: version of the list that the sender has, 0 if it has none.
+        takes_compressed: whether the content may be compressed.
     """
 
     version: int
+    takes_compressed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -436,10 +438,12 @@
         version: its version.
         content: its entries as JSON; only the entry hosts if the asking
             host's list is as new.
+        is_compressed: whether the content is compressed.
     """
 
     version: int
     content: bytes = b''
+    is_compressed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_hosts_lists.py
+++ b/tests/test_hosts_lists.py
@@ -17,9 +17,13 @@
 )
 from mustardscale.hosts.membership import MembershipTimes
 from mustardscale.hosts.quorum import Quorum, has_quorum
+from mustardscale.peers.peer_messages import HostListFetch, HostListFetchReply
 from tests.test_suspension import Mesh
 from tests.virtual_time import virtual_time
 
+# A tenth of the narrowest links of hosts, 5 Mbit/s.
+LIST_BYTES_PER_S = 62_500
+
 
 def endpoint(name, leaving=False):
     return ListedHost(
@@ -162,6 +166,7 @@
     def __init__(self):
         self.handler = None
         self.asked = []
+        self.received_bytes = 0
         self.peer = None
 
     def handle(self, request_type, handler):
@@ -169,7 +174,9 @@
 
     async def call(self, host, request, reply_type, timeout_s):
         self.asked.append(host)
-        return await self.peer.handler('me', request)
+        reply = await self.peer.handler('me', request)
+        self.received_bytes += len(reply.content)
+        return reply
 
     async def call_address(self, address, request, reply_type, timeout_s):
         return await self.call(address, request, reply_type, timeout_s)
@@ -199,6 +206,50 @@
         there.stop()
         here.stop()
 
+    @virtual_time
+    async def test_list_of_a_large_site_fills_a_narrow_link(self):
+        hosts = [entry_host(f'host-{number}') for number in range(195)]
+        there, here = Scene(*hosts), Scene()
+        here.list.current = False
+        calls, theirs = FakeCalls(), FakeCalls()
+        self.copy(there, theirs)
+        self.copy(here, calls, ('x:1',))
+        calls.peer = theirs
+        await asyncio.sleep(10.0)
+        assert len(here.board.hosts_by_id) >= len(hosts)
+        assert calls.received_bytes / 10.0 <= LIST_BYTES_PER_S
+        there.stop()
+        here.stop()
+
+    @virtual_time
+    async def test_damaged_list_changes_nothing(self):
+        here = Scene(endpoint('b'))
+        await asyncio.sleep(0.01)
+        here.list.current = False
+        calls, theirs = FakeCalls(), FakeCalls()
+        self.copy(here, calls, ('x:1',))
+        calls.peer = theirs
+
+        async def answer(sender, request):
+            return HostListFetchReply(9, b'damaged', is_compressed=True)
+
+        theirs.handler = answer
+        await asyncio.sleep(1.0)
+        assert calls.asked
+        assert here.known() == {'b'}
+        here.stop()
+
+    @virtual_time
+    async def test_hosts_of_earlier_builds_get_the_list_as_it_is(self):
+        there = Scene(entry_host('x'))
+        theirs = FakeCalls()
+        self.copy(there, theirs)
+        await asyncio.sleep(0.01)
+        reply = await theirs.handler('old', HostListFetch(0))
+        assert not reply.is_compressed
+        assert b'"x"' in reply.content
+        there.stop()
+
     @virtual_time
     async def test_a_copied_list_names_the_host_that_sent_it(self):
         there, here = Scene(endpoint('a')), Scene()
