Fetch copies of streams in a module of its own

StreamCopies decides whom to ask and when a host relies on readers; how a copy comes part by part is now CopyFetcher. No change of behaviour.

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -21,15 +21,9 @@
 
 from mustardscale.blackboard import Blackboard, Signal
 from mustardscale.controller import Controller
-from mustardscale.exceptions import PeerUnavailableError
-from mustardscale.hosts.copy_parts import (
-    PART_BYTES,
-    CopyReceiver,
-    CopySender,
-)
+from mustardscale.hosts.copy_fetcher import CopyFetcher
+from mustardscale.hosts.copy_parts import CopySender
 from mustardscale.hosts.heartbeat_hubs import MAX_MESH_HOSTS, HeartbeatHubs
-from mustardscale.log.copy_encoding import CopyError, KnownValuesError
-from mustardscale.log.keyed_log import KeyedCopy
 from mustardscale.log.keyed_tail import LONG_POLL_S, KeyedTail, StreamReading
 from mustardscale.peers.peer_calls import PeerCalls
 from mustardscale.peers.stream_messages import (
@@ -37,7 +31,6 @@
     StreamFetchReply,
     StreamStatus,
 )
-from mustardscale.reporting.event_log import EventKind
 
 # Maximum age of a reader's last read at which other hosts rely on it instead of
 # reading the store, seconds. Together with a heartbeat interval, it is less
@@ -72,8 +65,6 @@
 # bounds the delay if the store answers slowly.
 START_S = 0.1
 START_CHECK_S = 0.005
-# Time after which the call for one part of a copy is given up, seconds.
-FETCH_TIMEOUT_S = 0.5
 # Interval at which a host checks whether it has become a reader, seconds.
 CHECK_INTERVAL_S = 0.5
 # Shortest wait until readers no longer cover a stream, seconds. A wait as short
@@ -132,8 +123,7 @@
         self._ask_by_reader: dict[str, asyncio.Task[None]] = {}
         self._asked_at_by_reader: dict[str, float] = {}
         self._sender = CopySender()
-        # Loop time at which the last part of a copy came.
-        self._part_at = -math.inf
+        self._fetcher = CopyFetcher(blackboard, calls)
         self._hosts_tail = next(
             (t for t in self._tail_by_stream.values() if t.lists_hosts), None
         )
@@ -199,12 +189,14 @@
     def _is_copying(self, within_s: float) -> bool:
         """Returns whether a part of a copy has come within some seconds."""
         now = asyncio.get_running_loop().time()
-        return bool(self._ask_by_reader) and now - self._part_at < within_s
+        return (
+            bool(self._ask_by_reader) and now - self._fetcher.part_at < within_s
+        )
 
     async def _ask(self, reader: str) -> None:
         for tail in self._tail_by_stream.values():
             if not tail.is_whole:
-                await self._fetch(reader, tail, math.inf)
+                await self._fetcher.fetch(reader, tail, math.inf)
 
     def statuses(self, now: float) -> tuple[StreamStatus, ...]:
         """Returns how far this host has read the streams, if others need it."""
@@ -365,7 +357,7 @@
         if not tail.is_whole:
             began_at = self._shared_since
             if self._is_copying(ASK_S):
-                began_at = max(began_at, self._part_at)
+                began_at = max(began_at, self._fetcher.part_at)
             return began_at + ASK_S
         find_s = FIND_READERS_S if tail.is_urgent else FIND_CALM_READERS_S
         ends_at = self._shared_since + find_s
@@ -386,7 +378,7 @@
         for reader in ahead:
             end_offset = reported_by_reader[reader].end_offset
             if end_offset > tail.end_offset or not tail.is_whole:
-                await self._fetch(reader, tail, end_offset)
+                await self._fetcher.fetch(reader, tail, end_offset)
         known = max(
             (reported.end_offset for reported in reported_by_reader.values()),
             default=0,
@@ -398,75 +390,6 @@
         host = self._blackboard.hosts_by_id.get(reader)
         return host is not None and host.silent
 
-    async def _fetch(
-        self, reader: str, tail: KeyedTail, end_offset: float
-    ) -> None:
-        """Copies records from a reader while it has newer ones.
-
-        Args:
-            reader: the reader.
-            tail: receives the records.
-            end_offset: offset up to which records are needed.
-        """
-        is_relative = tail.is_whole
-        while tail.end_offset < end_offset or not tail.is_whole:
-            try:
-                copied = await self._fetch_copy(reader, tail, is_relative)
-            except KnownValuesError:
-                # This host may have read the stream while the parts came.
-                if not is_relative:
-                    return
-                is_relative = False
-                continue
-            if copied is None or not tail.copy(copied):
-                return
-
-    async def _fetch_copy(
-        self, reader: str, tail: KeyedTail, is_relative: bool
-    ) -> KeyedCopy | None:
-        """Fetches all parts of a copy; returns None if that fails.
-
-        Raises:
-            KnownValuesError: the copy refers to other values than are known.
-        """
-        loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        known_offset = tail.end_offset
-        receiver = CopyReceiver(tail, is_relative)
-        try:
-            while not receiver.is_whole:
-                reply = await self._calls.call(
-                    reader,
-                    receiver.next_request(),
-                    StreamFetchReply,
-                    FETCH_TIMEOUT_S,
-                )
-                receiver.add(reply)
-                self._part_at = loop.time()
-            copied = receiver.result()
-        except KnownValuesError:
-            raise
-        except (PeerUnavailableError, CopyError) as error:
-            self._blackboard.events.emit(
-                EventKind.STREAM_COPY_FAILED,
-                stream=tail.stream,
-                sender=reader,
-                known_offset=known_offset,
-                took_s=round(loop.time() - began_at, 3),
-                detail=str(error),
-            )
-            return None
-        if sum(len(record.value) for record in copied.records) >= PART_BYTES:
-            self._blackboard.events.emit(
-                EventKind.STREAM_COPIED,
-                stream=tail.stream,
-                sender=reader,
-                offset=copied.end_offset,
-                bytes=receiver.received_bytes,
-                took_s=round(loop.time() - began_at, 3),
-            )
-        return copied
-
     async def _on_fetch(
         self, sender: str, request: StreamFetch
     ) -> StreamFetchReply:
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -9,9 +9,9 @@
 
 from mustardscale.blackboard import Blackboard
 from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.copy_fetcher import FETCH_TIMEOUT_S
 from mustardscale.hosts.stream_copies import (
     CALM_READER_POLL_S,
-    FETCH_TIMEOUT_S,
     MAX_READ_AGE_S,
     READER_POLL_S,
     StreamCopies,
