Let no old answer of the store confirm a stream

A store that answers from a copy that is behind gave a page with an end before what the host knows. Its records were ignored, but the reading counted: the host, and all that rely on it as a reader, took the stream as confirmed just now, and went on denying routes and admitting keys by it.

Only a page that reaches what the host knows now counts as a reading. test_old_answer_confirms_the_stream failed before (0 s old after 60 s of such answers).

--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -421,9 +421,10 @@
         self.proved_at = max(self.proved_at, read_at)
 
     def _note_read(self, page: KeyedPage) -> None:
-        now = asyncio.get_running_loop().time()
-        self.read_at = min(page.answered_at, now)
-        self.note_proved(self.read_at)
+        if page.end_offset >= self.end_offset:
+            now = asyncio.get_running_loop().time()
+            self.read_at = min(page.answered_at, now)
+            self.note_proved(self.read_at)
         self._note_regained()
 
     def _note_regained(self) -> None:
--- a/tests/test_keyed_tail.py
+++ b/tests/test_keyed_tail.py
@@ -187,6 +187,40 @@
         assert now - tail.proved_at >= SLOW_ANSWER_S
 
 
+class OldAnswersLog(FakeLog):
+    """A stream whose answers may be older than ones before."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_old = False
+
+    async def read(self, stream, after, wait_s):
+        if self.is_old:
+            await asyncio.sleep(1.0)
+            return KeyedPage((), after - 1)
+        return await super().read(stream, after, wait_s)
+
+
+class TestOldAnswers:
+    """Answers that the store gives from a copy that is behind."""
+
+    @virtual_time
+    async def test_old_answer_confirms_the_stream(self):
+        log = OldAnswersLog()
+        log.put_now('a', b'1')
+        board = Blackboard('me', 1, 'dc', 'r')
+        tail = KeyedTail(board, log, 's', random.Random(1))
+        task = asyncio.create_task(tail.run())
+        await asyncio.sleep(0.1)
+        log.is_old = True
+        tail.read_anew()
+        await asyncio.sleep(60.0)
+        task.cancel()
+        assert tail.value_by_key == {'a': b'1'}
+        now = asyncio.get_running_loop().time()
+        assert now - tail.proved_at >= 60.0
+
+
 class TestKeyedTail:
     """The newest values, merged by offset."""
 
