Encode a copy anew where keys were dropped without a record

A reader keeps encoded copies by what they were made of, but not by the offset at which keys were last found to be gone. A host that asked after that could have got a copy from before, and kept keys that are gone.

--- a/mustardscale/hosts/copy_parts.py
+++ b/mustardscale/hosts/copy_parts.py
@@ -46,6 +46,7 @@
     is_relative: bool
     end_offset: int
     revision: int
+    dropped_offset: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +104,7 @@
             request.is_relative,
             tail.end_offset,
             tail.revision,
+            tail.dropped_offset,
         )
         if key in self._kept_by_key:
             return self._kept_by_key[key]
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -91,6 +91,8 @@
     Attributes:
         value_by_key: the newest value of each key.
         end_offset: offset up to which the stream was read.
+        dropped_offset: offset at which keys were last found to be gone without
+            a record, 0 if never.
         revision: rises when values changed.
         changed: wakes when values changed.
         regained_at: loop time since when the stream can be read again, minus
@@ -141,12 +143,11 @@
         # Keys that were dropped and came back with an older copy, with their
         # offsets there.
         self._withheld_by_key: dict[str, int] = {}
-        # Offset at which keys were last found to be gone without a record.
-        self._dropped_at = 0
         self._call: asyncio.Task[KeyedPage] | None = None
         self._lost_at: float | None = None
         self.value_by_key: dict[str, bytes] = {}
         self.end_offset = 0
+        self.dropped_offset = 0
         self.revision = 0
         self.changed = Signal()
         self.regained_at = -math.inf
@@ -256,7 +257,7 @@
         for key in gone:
             del self.value_by_key[key]
         # Whoever is behind may have keys that this host has never known.
-        self._dropped_at = self.end_offset
+        self.dropped_offset = self.end_offset
         return bool(gone)
 
     def _is_set_back(self, end_offset: int) -> bool:
@@ -368,7 +369,7 @@
         """
         if not self._whole:
             return None
-        whole = after < self._dropped_at
+        whole = after < self.dropped_offset
         records = sorted(
             (
                 KeyedRecord(key, self.value_by_key.get(key, b''), offset)
--- a/tests/test_copy_parts.py
+++ b/tests/test_copy_parts.py
@@ -142,6 +142,18 @@
         assert len(fetch(CopySender(), sending, receiver)) > 1
         assert receiver.result().records == tuple(records)
 
+    def test_copy_lacks_what_was_dropped_since_it_was_encoded(self):
+        sending = make_tail(KeyedRecord('k', noise(1), 7))
+        sending.dropped_offset = 0
+        receiving = make_tail(KeyedRecord('gone', b'v', 3))
+        sender = CopySender()
+        fetch(sender, sending, CopyReceiver(receiving, is_relative=False))
+        sending.dropped_offset = 7
+        receiver = CopyReceiver(receiving, is_relative=False)
+        fetch(sender, sending, receiver)
+        assert receiving.copy(receiver.result())
+        assert set(receiving.value_by_key) == {'k'}
+
     def test_sender_keeps_few_copies(self):
         sender = CopySender()
         sending = make_tail(KeyedRecord('k', noise(1), 100))
