Name and describe the copying of streams in the field's terms

What a reader of the diff stumbled on: base values of a copy, complete copies, the age of a configuration computed in one place, the grace in a class of its own, texts of events and docs that did not say what the code does. A received copy is now compared with its hash.

--- a/mustardscale/compression.py
+++ b/mustardscale/compression.py
@@ -1,4 +1,4 @@
-"""Compresses what hosts send one another, also relative to known bytes."""
+"""Compresses messages between hosts, also relative to bytes that both have."""
 
 from __future__ import annotations
 
@@ -13,33 +13,41 @@
     """Content can't be decompressed."""
 
 
-def compress(plain: bytes, known: bytes = b'') -> bytes:
+def compress(plain: bytes, base: bytes = b'') -> bytes:
     """Compresses bytes with Zstandard.
 
     Args:
         plain: the bytes.
-        known: bytes that the receiver has, to which the result may refer.
+        base: bytes that the receiver has, to which the result may refer.
+
+    Returns:
+        The compressed bytes.
     """
     compressor = zstandard.ZstdCompressor(
-        level=_LEVEL, dict_data=_make_dictionary(known)
+        level=_LEVEL, dict_data=_make_dictionary(base)
     )
     return compressor.compress(plain)
 
 
-def decompress(content: bytes, max_bytes: int, known: bytes = b'') -> bytes:
-    """Returns the bytes that were compressed.
+def decompress(content: bytes, max_bytes: int, base: bytes = b'') -> bytes:
+    """Decompresses bytes.
 
     Args:
         content: the result of compress().
-        max_bytes: size of the bytes at most.
-        known: what compress() was given.
+        max_bytes: limit of the decompressed size, bytes.
+        base: the same bytes that compress() was given. Other bytes are not
+            detected here; the caller must compare them.
+
+    Returns:
+        The decompressed bytes.
 
     Raises:
-        CompressionError: the content is damaged, too large, or made relative
-            to other bytes.
+        CompressionError: the content is not a valid frame, or exceeds
+            max_bytes.
     """
-    decompressor = zstandard.ZstdDecompressor(dict_data=_make_dictionary(known))
+    decompressor = zstandard.ZstdDecompressor(dict_data=_make_dictionary(base))
     try:
+        # max_output_size has no effect on a frame that states its size.
         if zstandard.frame_content_size(content) > max_bytes:
             raise CompressionError('the content is too large')
         return decompressor.decompress(content, max_output_size=max_bytes)
@@ -47,9 +55,9 @@
         raise CompressionError(str(error)) from error
 
 
-def _make_dictionary(known: bytes) -> zstandard.ZstdCompressionDict | None:
-    if not known:
+def _make_dictionary(base: bytes) -> zstandard.ZstdCompressionDict | None:
+    if not base:
         return None
     return zstandard.ZstdCompressionDict(
-        known, dict_type=zstandard.DICT_TYPE_RAWCONTENT
+        base, dict_type=zstandard.DICT_TYPE_RAWCONTENT
     )
--- a/mustardscale/configuration/config_copy.py
+++ b/mustardscale/configuration/config_copy.py
@@ -23,7 +23,7 @@
 # Limit of the encoded entries in one part, bytes. The other half of the frame
 # is left for the envelope around them.
 PART_BYTES = MAX_FRAME_BYTES // 2
-# Size of the record in a part at most, bytes. One entry may exceed a part.
+# Decompressed size of the record in a part at most, bytes.
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 
 
--- a/mustardscale/configuration/config_sync.py
+++ b/mustardscale/configuration/config_sync.py
@@ -15,6 +15,7 @@
     encode_record,
 )
 from mustardscale.configuration.config_state import RecordStatus
+from mustardscale.configuration.copy_grace import CopyGrace
 from mustardscale.controller import Controller, pause
 from mustardscale.exceptions import (
     LogUnavailableError,
@@ -115,7 +116,8 @@
     """Copies the configuration from peers with a later folded offset.
 
     A host needs this if it cannot reach the log, starts while the log is
-    unavailable, or finds that the log dropped records before it read them.
+    unavailable, or finds that the log dropped records before it read them. It
+    gives the log some time to bring what peers already have.
     """
 
     def __init__(
@@ -137,44 +139,27 @@
         self._blackboard = blackboard
         self._calls = calls
         self._rng = rng
-        self._grace_s = grace_s
-        # The offset that this host waits for, and the loop time since when.
-        self._awaited_offset = 0
-        self._awaited_since = math.inf
+        self._grace = CopyGrace(grace_s)
         calls.handle(ConfigFetch, self._on_fetch)
 
     async def run(self) -> None:
         """Copies from one random peer with a later offset at a time."""
         while True:
-            await self._blackboard.config_changed.wait(self._wait_s())
+            left_s = self._grace.left_s()
+            wait_s = min(left_s, RETRY_S) if left_s > 0 else RETRY_S
+            await self._blackboard.config_changed.wait(max(wait_s, MIN_WAIT_S))
             peers = self.hosts_ahead()
-            self._await_offset(peers)
-            if peers and self._left_s() <= 0:
+            self._update_grace(peers)
+            if peers and self._grace.left_s() <= 0:
                 await self._fetch(self._rng.choice(peers))
 
-    def _wait_s(self) -> float:
-        """Returns the seconds until this host looks again."""
-        left_s = self._left_s()
-        return min(max(left_s, MIN_WAIT_S), RETRY_S) if left_s > 0 else RETRY_S
-
-    def _left_s(self) -> float:
-        """Returns the seconds for which the log may still bring the offset."""
-        now = asyncio.get_running_loop().time()
-        return self._awaited_since + self._grace_s - now
-
-    def _await_offset(self, peers: Sequence[str]) -> None:
-        """Notes which offset of peers this host waits for."""
+    def _update_grace(self, peers: Sequence[str]) -> None:
         board = self._blackboard
         if not peers:
-            self._awaited_since = math.inf
-        elif (
-            math.isinf(self._awaited_since)
-            or board.config.folded_offset >= self._awaited_offset
-        ):
-            self._awaited_since = asyncio.get_running_loop().time()
-            self._awaited_offset = max(
-                board.hosts_by_id[peer].config_offset for peer in peers
-            )
+            self._grace.end()
+            return
+        offset = max(board.hosts_by_id[peer].config_offset for peer in peers)
+        self._grace.update(board.config.folded_offset, offset)
 
     def hosts_ahead(self) -> list[str]:
         """Returns the live hosts whose heartbeats reported a later offset."""
--- a/mustardscale/configuration/route_source.py
+++ b/mustardscale/configuration/route_source.py
@@ -27,10 +27,8 @@
 ROUTES_KEY = ConfigKey(ROUTES_KIND, 'all')
 RETRY_S = 0.2
 # Time within which a change must take effect, seconds. A table that was not
-# confirmed for so long may lack what its source has.
+# confirmed for longer denies no unknown routes and keys.
 CHANGE_BOUND_S = 3.0
-
-
 # Time after which a caller may return that was refused because this host could
 # not confirm its configuration, seconds.
 UNCONFIRMED_RETRY_AFTER_S = 1.0
@@ -54,38 +52,36 @@
         """
         return math.inf
 
-    def is_confirmed_within(self, max_age_s: float) -> bool:
-        """Returns whether the table was confirmed that many seconds ago."""
+    def age_s(self) -> float:
+        """Returns the seconds since the table was confirmed to be the newest.
+
+        Returns:
+            0 for sources that are never behind, infinity if it never was.
+        """
         now = asyncio.get_running_loop().time()
-        return now - self.confirmed_at() <= max_age_s
+        return max(0.0, now - self.confirmed_at())
 
-    def require_confirmed(self) -> None:
-        """Checks that what the table lacks does not exist.
+    def require_recent_for_denial(self) -> None:
+        """Checks that the table is recent enough to deny what it lacks.
 
         Raises:
-            OutcomeError: CONFIG_UNAVAILABLE.
+            OutcomeError: CONFIG_UNAVAILABLE, it was not confirmed for
+                CHANGE_BOUND_S.
         """
-        if not self.is_confirmed_within(CHANGE_BOUND_S):
+        if self.age_s() > CHANGE_BOUND_S:
             raise OutcomeError(
                 Outcome.CONFIG_UNAVAILABLE,
-                'this host may lack a newer version of the configuration; '
-                f'its own was {self.describe_age()}',
+                'this host may lack a newer configuration; '
+                f'{self.describe_age()}',
                 retry_after_s=UNCONFIRMED_RETRY_AFTER_S,
             )
 
-    def read_age_s(self) -> float | None:
-        """Returns the seconds since the table was confirmed, for logs.
-
-        Returns:
-            None if it never was, or need not be.
-        """
-        age_s = asyncio.get_running_loop().time() - self.confirmed_at()
-        return round(age_s, 3) if math.isfinite(age_s) else None
-
     def describe_age(self) -> str:
         """Returns in words when the table was last confirmed."""
-        age_s = self.read_age_s()
-        return 'not confirmed' if age_s is None else f'confirmed {age_s} s ago'
+        age_s = self.age_s()
+        if math.isinf(age_s):
+            return 'its own was never confirmed'
+        return f'its own was confirmed {age_s:.3f} s ago'
 
     async def close(self) -> None:
         """Releases connections."""
@@ -160,6 +156,11 @@
                     routes=len(table.routes),
                     services=len(table.services),
                     customers=len(table.customers),
-                    read_age_s=self._source.read_age_s(),
+                    read_age_s=_show_age(self._source.age_s()),
                 )
             await board.config_changed.wait(60.0)
+
+
+def _show_age(age_s: float) -> float | None:
+    """Returns an age for a log line, None if it is infinite."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
--- a/mustardscale/hosts/copy_fetcher.py
+++ b/mustardscale/hosts/copy_fetcher.py
@@ -8,7 +8,7 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.exceptions import PeerUnavailableError
 from mustardscale.hosts.copy_parts import PART_BYTES, CopyReceiver
-from mustardscale.log.copy_encoding import CopyError, KnownValuesError
+from mustardscale.log.copy_encoding import BaseMismatchError, CopyError
 from mustardscale.log.keyed_log import KeyedCopy
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.peers.peer_calls import PeerCalls
@@ -23,16 +23,16 @@
     """Fetches what readers have and this host lacks.
 
     Attributes:
-        part_at: loop time at which the last part of a copy came, minus infinity
-            if none has.
+        last_part_at: loop time at which the last part of a copy came, minus
+            infinity if none has.
     """
 
-    __slots__ = ('_blackboard', '_calls', 'part_at')
+    __slots__ = ('_blackboard', '_calls', 'last_part_at')
 
     def __init__(self, blackboard: Blackboard, calls: PeerCalls):
         self._blackboard = blackboard
         self._calls = calls
-        self.part_at = -math.inf
+        self.last_part_at = -math.inf
 
     async def fetch(
         self, reader: str, tail: KeyedTail, end_offset: float
@@ -48,7 +48,7 @@
         while tail.end_offset < end_offset or not tail.is_whole:
             try:
                 copied = await self._fetch_copy(reader, tail, is_relative)
-            except KnownValuesError:
+            except BaseMismatchError:
                 if not is_relative:
                     return
                 is_relative = False
@@ -62,17 +62,17 @@
         """Fetches all parts of a copy; returns None if that fails.
 
         Raises:
-            KnownValuesError: the copy refers to other values than are known.
+            BaseMismatchError: the copy was compressed against other values.
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         known_offset = tail.end_offset
         receiver = CopyReceiver(tail, is_relative)
         try:
-            while not receiver.is_whole:
+            while not receiver.is_complete:
                 receiver.add(await self._fetch_part(reader, receiver))
             copied = receiver.result()
-        except KnownValuesError:
+        except BaseMismatchError:
             raise
         except (PeerUnavailableError, CopyError) as error:
             self._blackboard.events.emit(
@@ -106,5 +106,5 @@
         reply = await self._calls.call(
             reader, receiver.next_request(), StreamFetchReply, FETCH_TIMEOUT_S
         )
-        self.part_at = asyncio.get_running_loop().time()
+        self.last_part_at = asyncio.get_running_loop().time()
         return reply
--- a/mustardscale/hosts/copy_parts.py
+++ b/mustardscale/hosts/copy_parts.py
@@ -26,6 +26,7 @@
     StreamFetchReply,
 )
 
+# Size of a part that this host asks for at most, bytes.
 PART_BYTES = 16_384
 # Size of a part that a host sends at most, whatever it is asked for, bytes.
 MAX_PART_BYTES = 262_144
@@ -33,13 +34,22 @@
 KEPT_COPIES = 16
 # Bytes of values in a copy at most; the rest comes with the next one.
 _MAX_VALUE_BYTES = MAX_COPY_BYTES // 2
-# Times that a copy begins anew, because the sender no longer keeps it.
+# Restarts of a copy at most, because its sender no longer keeps it.
 MAX_RESTARTS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CopyKey:
-    """What determines an encoded copy."""
+    """What determines an encoded copy.
+
+    Attributes:
+        stream: name of the stream.
+        after: offset up to which the receiver has read.
+        is_relative: whether it may refer to what the receiver has.
+        end_offset: offset up to which the sender has read.
+        revision: the sender's number of changes of values.
+        dropped_offset: offset at which the sender last found keys to be gone.
+    """
 
     stream: str
     after: int
@@ -70,7 +80,15 @@
     def reply_to(
         self, tail: KeyedTail, request: StreamFetch
     ) -> StreamFetchReply:
-        """Returns what is newer than the asking host knows."""
+        """Returns what is newer than the asking host knows.
+
+        Args:
+            tail: the stream.
+            request: what is asked for.
+
+        Returns:
+            A part of an encoded copy, or entries for hosts that take no parts.
+        """
         if not request.part_bytes:
             return _reply_with_entries(tail, request)
         part_bytes = min(request.part_bytes, MAX_PART_BYTES)
@@ -112,13 +130,14 @@
         if newer is None:
             return None
 
-        def find_known(known_key: str) -> bytes:
+        def find_base(known_key: str) -> bytes:
             if not request.is_relative:
                 return b''
             return tail.value_at(known_key, request.after)
 
-        content = encode_copy(newer, find_known)
+        content = encode_copy(newer, find_base)
         kept = _KeptCopy(xxhash.xxh3_64_intdigest(content), content)
+        # Small copies are as cheap to encode again as to keep.
         value_bytes = sum(len(record.value) for record in newer.records)
         if len(content) > part_bytes or value_bytes > PART_BYTES:
             self._keep(key, kept)
@@ -138,12 +157,12 @@
     """
 
     __slots__ = (
+        '_base_by_key',
         '_content',
         '_copy',
         '_copy_bytes',
         '_digest',
         '_is_relative',
-        '_known_by_key',
         '_known_offset',
         '_restarts',
         '_stream',
@@ -161,7 +180,7 @@
         self._stream = tail.stream
         self._known_offset = tail.end_offset
         # The tail may go on meanwhile.
-        self._known_by_key = dict(tail.value_by_key) if is_relative else {}
+        self._base_by_key = dict(tail.value_by_key) if is_relative else {}
         self._is_relative = is_relative
         self._content = bytearray()
         self._digest = 0
@@ -170,8 +189,8 @@
         self._copy: KeyedCopy | None = None
 
     @property
-    def is_whole(self) -> bool:
-        """Whether all parts are there."""
+    def is_complete(self) -> bool:
+        """Whether all parts were received."""
         if self._copy is not None:
             return True
         return bool(self._digest) and len(self._content) == self._copy_bytes
@@ -191,11 +210,12 @@
         """Adds a part.
 
         Raises:
-            CopyError: the sender has nothing that is newer, or the part does
-                not go on from the last one.
+            CopyError: the sender can not provide newer records, the part does
+                not follow the last one, or the copy is too large or was
+                restarted too often.
         """
         if not reply.available:
-            raise CopyError('the sender can not tell what is newer')
+            raise CopyError('the sender can not provide newer records')
         if not reply.copy_bytes:
             self._add_entries(reply)
             return
@@ -221,24 +241,27 @@
         """Begins anew with a copy that the sender has made since."""
         if self._digest:
             self._restarts += 1
-        if self._restarts > MAX_RESTARTS or reply.copy_bytes > MAX_COPY_BYTES:
-            raise CopyError('the copy comes to no end')
+        if self._restarts > MAX_RESTARTS:
+            raise CopyError('the copy was restarted too often')
+        if reply.copy_bytes > MAX_COPY_BYTES:
+            raise CopyError(f'the copy exceeds {MAX_COPY_BYTES} bytes')
         self._digest = reply.digest
         self._copy_bytes = reply.copy_bytes
         self._content.clear()
 
     def result(self) -> KeyedCopy:
-        """Returns the copy; valid only once it is whole.
+        """Returns the copy; valid only once it is complete.
 
         Raises:
-            KnownValuesError: the copy refers to other values than are known.
+            BaseMismatchError: it was compressed against other values.
             CopyError: it is damaged.
         """
         if self._copy is not None:
             return self._copy
-        return decode_copy(
-            bytes(self._content), lambda key: self._known_by_key.get(key, b'')
-        )
+        content = bytes(self._content)
+        if xxhash.xxh3_64_intdigest(content) != self._digest:
+            raise CopyError('the copy has another hash than its sender says')
+        return decode_copy(content, lambda key: self._base_by_key.get(key, b''))
 
 
 def _reply_with_entries(
--- a/mustardscale/hosts/host_list_copy.py
+++ b/mustardscale/hosts/host_list_copy.py
@@ -24,7 +24,7 @@
 
 INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 0.5
-# Size of a peer's list at most, bytes.
+# Decompressed size of a peer's list at most, bytes.
 MAX_LIST_BYTES = 16 * 1024 * 1024
 
 
--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -187,10 +187,15 @@
         await asyncio.wait([ask], timeout=ASK_INTERVAL_S)
 
     def _is_copying(self, within_s: float) -> bool:
-        """Returns whether a part of a copy has come within some seconds."""
+        """Returns whether a host that starts gets a copy, part by part.
+
+        Args:
+            within_s: seconds within which the last part must have come.
+        """
         now = asyncio.get_running_loop().time()
         return (
-            bool(self._ask_by_reader) and now - self._fetcher.part_at < within_s
+            bool(self._ask_by_reader)
+            and now - self._fetcher.last_part_at < within_s
         )
 
     async def _ask(self, reader: str) -> None:
@@ -357,7 +362,7 @@
         if not tail.is_whole:
             began_at = self._shared_since
             if self._is_copying(ASK_S):
-                began_at = max(began_at, self._fetcher.part_at)
+                began_at = max(began_at, self._fetcher.last_part_at)
             return began_at + ASK_S
         find_s = FIND_READERS_S if tail.is_urgent else FIND_CALM_READERS_S
         ends_at = self._shared_since + find_s
@@ -387,6 +392,7 @@
             self._behind_since.pop(stream, None)
 
     def _is_silent(self, reader: str) -> bool:
+        """Returns whether a reader no longer answers heartbeats."""
         host = self._blackboard.hosts_by_id.get(reader)
         return host is not None and host.silent
 
--- a/mustardscale/log/copy_encoding.py
+++ b/mustardscale/log/copy_encoding.py
@@ -1,4 +1,4 @@
-"""Encodes copies of streams, compressed relative to what the receiver knows."""
+"""Encodes copies of streams, compressed relative to what the receiver has."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
     """A copy can't be decoded."""
 
 
-class KnownValuesError(CopyError):
-    """A copy refers to other values than the receiver knows."""
+class BaseMismatchError(CopyError):
+    """A copy was compressed against other values than this host has."""
 
 
 class _Record(msgspec.Struct, array_like=True):
@@ -47,60 +47,58 @@
     """A copy, compressed relative to known values.
 
     Attributes:
-        known_keys: keys of these values; none for a copy that needs none.
-        known_digest: hash of these values.
+        base_keys: keys of these values; none for a copy that needs none.
+        base_digest: hash of these values.
         content: the compressed copy.
     """
 
-    known_keys: list[str]
-    known_digest: int
+    base_keys: list[str]
+    base_digest: int
     content: bytes
 
 
-def encode_copy(copy: KeyedCopy, find_known: Callable[[str], bytes]) -> bytes:
+def encode_copy(copy: KeyedCopy, find_base: Callable[[str], bytes]) -> bytes:
     """Encodes a copy.
 
     Args:
         copy: the copy.
-        find_known: returns the value of a key that the receiver knows, b'' for
+        find_base: returns the value of a key that the receiver knows, b'' for
             none.
     """
-    known_by_key = {
-        record.key: known
+    base_by_key = {
+        record.key: base
         for record in copy.records
-        if record.value and (known := find_known(record.key))
+        if record.value and (base := find_base(record.key))
     }
-    known = _join(known_by_key.values())
+    base = _join(base_by_key.values())
     records = [_Record(r.key, r.value, r.offset) for r in copy.records]
     plain = msgspec.msgpack.encode(_Copy(records, copy.end_offset, copy.whole))
     encoded = _EncodedCopy(
-        list(known_by_key),
-        xxhash.xxh3_64_intdigest(known),
-        compress(plain, known),
+        list(base_by_key),
+        xxhash.xxh3_64_intdigest(base),
+        compress(plain, base),
     )
     return msgspec.msgpack.encode(encoded)
 
 
-def decode_copy(
-    content: bytes, find_known: Callable[[str], bytes]
-) -> KeyedCopy:
+def decode_copy(content: bytes, find_base: Callable[[str], bytes]) -> KeyedCopy:
     """Decodes a copy.
 
     Args:
         content: the encoded copy.
-        find_known: returns the value of a key that this host knew when it asked
+        find_base: returns the value of a key that this host knew when it asked
             for the copy, b'' for none.
 
     Raises:
-        KnownValuesError: the copy refers to other values.
+        BaseMismatchError: the copy refers to other values.
         CopyError: it is damaged or too large.
     """
     try:
         encoded = msgspec.msgpack.decode(content, type=_EncodedCopy)
-        known = _join(map(find_known, encoded.known_keys))
-        if xxhash.xxh3_64_intdigest(known) != encoded.known_digest:
-            raise KnownValuesError('other values are known here')
-        plain = decompress(encoded.content, MAX_COPY_BYTES, known)
+        base = _join(map(find_base, encoded.base_keys))
+        if xxhash.xxh3_64_intdigest(base) != encoded.base_digest:
+            raise BaseMismatchError('this host has other base values')
+        plain = decompress(encoded.content, MAX_COPY_BYTES, base)
         copy = msgspec.msgpack.decode(plain, type=_Copy)
     except (msgspec.MsgspecError, CompressionError) as error:
         raise CopyError(str(error)) from error
--- a/mustardscale/log/keyed_log.py
+++ b/mustardscale/log/keyed_log.py
@@ -36,8 +36,8 @@
     Attributes:
         records: the records.
         end_offset: offset of the newest record of the stream, 0 if none.
-        answered_at: loop time at which the answer began to come; it may take
-            long. Infinity if it came at once.
+        answered_at: loop time at which the head of the answer came; the answer
+            itself may take long. Infinity for clients that do not measure it.
     """
 
     records: tuple[KeyedRecord, ...]
--- a/mustardscale/platform/entry.py
+++ b/mustardscale/platform/entry.py
@@ -100,7 +100,6 @@
             CLOSE_TIMEOUT_S,
         )
         self._front.refusals.add_gauges(self._router.metrics)
-        add_config_gauges(self._router)
         await self._router.start()
         await self._ready.start(*split_address(settings.ready_listen))
         await self._front.start(*split_address(settings.callers_listen))
@@ -290,17 +289,6 @@
     return router
 
 
-def add_config_gauges(router: RelayRouter) -> None:
-    """Adds gauges of the configuration in force."""
-    config = router.blackboard.config
-    router.metrics.add_gauge(
-        'config_version', lambda: config.routes.table.version
-    )
-    router.metrics.add_gauge(
-        'config_read_age_seconds', router.config_read_age_s
-    )
-
-
 def orders_topic(board: Blackboard) -> str:
     """Returns the topic of the orders of a host's region."""
     return names.STREAM_TOPIC_PREFIX + orders_stream(board.region)
--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -42,9 +42,11 @@
     make_url,
 )
 
-# Time for which a call goes on while nothing comes, seconds.
+# Time without any data after which a call is given up, seconds, besides the
+# wait of a read that waits for records.
 CALL_TIMEOUT_S = 2.0
-# Time of an answer at most, seconds. A large one takes long on a narrow link.
+# Time of a call at most, seconds, besides that wait. A large answer takes
+# several seconds on a narrow link.
 MAX_ANSWER_S = 10.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Maximum number of digits of an era. A position holds the era and the offset,
@@ -84,13 +86,13 @@
         status: HTTP status.
         content: body.
         era: the era of the store in the header, 0 if there is none.
-        began_at: loop time at which its head had come.
+        answered_at: loop time at which its head had come.
     """
 
     status: int
     content: bytes
     era: int
-    began_at: float
+    answered_at: float
 
 
 class StoreClient(KeyedLogClient):
@@ -120,7 +122,7 @@
         query = f'{names.NEWEST_PATH}?topic={quote(stream)}&part=0'
         after = ''
         end = None
-        began_at = math.inf
+        answered_at = math.inf
         while True:
             reply = await self._get(query + after, 0.0)
             if reply.status != 200:
@@ -133,7 +135,7 @@
                 # A record that is appended between two pages may be on
                 # neither of them, so the end is that of the first page.
                 end = position_of(reply.era, answer.end)
-                began_at = reply.began_at
+                answered_at = reply.answered_at
             if era_of(end) != reply.era:
                 raise LogUnavailableError('the store was set back meanwhile')
             records += [
@@ -145,7 +147,7 @@
                 for item in answer.items
             ]
             if not answer.has_more or not answer.items:
-                return KeyedPage(tuple(records), end, began_at)
+                return KeyedPage(tuple(records), end, answered_at)
             after = f'&after={quote(answer.items[-1].key)}'
 
     async def read(self, stream: str, after: int, wait_s: float) -> KeyedPage:
@@ -171,7 +173,7 @@
             )
         ]
         return KeyedPage(
-            tuple(records), position_of(reply.era, end), reply.began_at
+            tuple(records), position_of(reply.era, end), reply.answered_at
         )
 
     async def put(
@@ -232,13 +234,13 @@
                     trace_request_ctx=SendProgress(),
                 ) as response,
             ):
-                began_at = loop.time()
+                answered_at = loop.time()
                 content = await read_content(
                     response, MAX_ANSWER_BYTES, extend_limit
                 )
                 era = _read_era(response)
                 self._eras.note(era)
-                return _Answer(response.status, content, era, began_at)
+                return _Answer(response.status, content, era, answered_at)
         except REQUEST_ERRORS as error:
             raise LogUnavailableError(describe_error(error)) from error
 
--- a/mustardscale/relay/caller_identity.py
+++ b/mustardscale/relay/caller_identity.py
@@ -47,18 +47,18 @@
         if request.customer is None:
             if not route.is_public:
                 if request.credential:
-                    self.source.require_confirmed()
+                    self.source.require_recent_for_denial()
                 raise OutcomeError(
                     Outcome.UNAUTHENTICATED,
                     'the key is missing or unknown in version '
-                    f'{routes.table.version}, {self.source.describe_age()}',
+                    f'{routes.table.version}; {self.source.describe_age()}',
                 )
             return
         if not route.is_public:
-            self._require_confirmed()
+            self._require_recent_for_key()
         request.headers += ((self.customer_header, request.customer.name),)
 
-    def _require_confirmed(self) -> None:
+    def _require_recent_for_key(self) -> None:
         """Checks that the configuration is recent enough to accept keys.
 
         Raises:
@@ -66,7 +66,7 @@
         """
         if not self.max_key_age_s:
             return
-        if not self.source.is_confirmed_within(self.max_key_age_s):
+        if self.source.age_s() > self.max_key_age_s:
             raise OutcomeError(
                 Outcome.CONFIG_UNAVAILABLE,
                 'this host cannot tell whether the key is still valid',
--- a/mustardscale/relay_router.py
+++ b/mustardscale/relay_router.py
@@ -17,6 +17,7 @@
 from mustardscale.blackboard import Blackboard
 from mustardscale.configuration.config_sync import ConfigPeerController
 from mustardscale.configuration.route_source import (
+    UNCONFIRMED_RETRY_AFTER_S,
     RouteController,
     RouteReporter,
 )
@@ -208,6 +209,10 @@
             self._quotas.follow_membership,
         ]
         add_quarantine_gauges(board, self.metrics)
+        self.metrics.add_gauge(
+            'config_version', lambda: board.config.routes.table.version
+        )
+        self.metrics.add_gauge('config_read_age_seconds', edges.routes.age_s)
         self.metrics.add_gauge(
             'unusable_list_entries', lambda: edges.host_list.unusable_count
         )
@@ -354,11 +359,6 @@
         """Sets the retry budget of each service."""
         self._budgets.allowance = allowance
 
-    def config_read_age_s(self) -> float:
-        """Returns the seconds since the configuration was confirmed."""
-        now = asyncio.get_running_loop().time()
-        return max(0.0, now - self._edges.routes.confirmed_at())
-
     def is_ready(self) -> bool:
         """Returns whether callers may be sent here."""
         board = self.blackboard
@@ -428,13 +428,16 @@
         """Returns the route of a request and the service that it goes to."""
         routes = self.blackboard.config.routes
         if not routes.table.version:
-            raise OutcomeError(Outcome.CONFIG_UNAVAILABLE, retry_after_s=1.0)
+            raise OutcomeError(
+                Outcome.CONFIG_UNAVAILABLE,
+                retry_after_s=UNCONFIRMED_RETRY_AFTER_S,
+            )
         route = routes.find(request.host, request.path)
         if route is None:
-            self._edges.routes.require_confirmed()
+            self._edges.routes.require_recent_for_denial()
             raise OutcomeError(
                 Outcome.UNKNOWN_SERVICE,
-                f'no route of version {routes.table.version} matches, '
+                f'no route matches in version {routes.table.version}; '
                 f'{self._edges.routes.describe_age()}',
             )
         target = self._rng.choices(
--- a/mustardscale/reporting/event_log.py
+++ b/mustardscale/reporting/event_log.py
@@ -97,13 +97,13 @@
         ('stream', 'era', 'known_offset', 'offset'),
     ),
     EventKind.STREAM_COPIED: EventRule(
-        'Many bytes of a stream were copied from another host.',
+        'Large values of a stream were copied from another host.',
         ('stream', 'sender', 'offset', 'bytes', 'took_s'),
         rate_per_s=5.0,
         burst=50.0,
     ),
     EventKind.STREAM_COPY_FAILED: EventRule(
-        'A stream was not copied from another host that is ahead.',
+        'An attempt to copy a stream from another host failed.',
         ('stream', 'sender', 'known_offset', 'took_s', 'detail'),
         rate_per_s=5.0,
         burst=50.0,
--- a/standins/config_callers.py
+++ b/standins/config_callers.py
@@ -20,6 +20,8 @@
 ASK_EACH_S = 1.0
 ANSWER_TIMEOUT_S = 8.0
 NO_ANSWER = 0
+# Statuses that deny a route or a key.
+DENIALS = frozenset({401, 403, 404})
 
 
 class Asked(enum.StrEnum):
@@ -59,10 +61,10 @@
         """Whether only an older version allows the answer."""
         if self.asked is Asked.DROPPED:
             return self.is_judged and self.status == 200
-        # No version refuses it; this counts at every host.
+        # Denying it counts at every host, also at one that has just started.
         if self.asked is Asked.STANDING:
-            return self.status in (401, 403, 404)
-        return self.is_judged and self.status in (401, 403, 404)
+            return self.status in DENIALS
+        return self.is_judged and self.status in DENIALS
 
 
 class ConfigCallers:
@@ -70,12 +72,12 @@
 
     Attributes:
         answers: what they answered.
-        harmed_at_by_host: Unix time until which a host was down or starting.
+        harmed_until_by_host: Unix time until which a host was down or starting.
     """
 
     def __init__(self, site: ConfigSite, rng: random.Random):
         self.answers: list[ConfigAnswer] = []
-        self.harmed_at_by_host: dict[str, float] = {}
+        self.harmed_until_by_host: dict[str, float] = {}
         self._site = site
         self._rng = rng
         # Names of routes and the times at which they came or went.
@@ -147,8 +149,8 @@
         )
 
     def _is_judged(self, name: str, sent_at: float) -> bool:
-        harmed_at = self.harmed_at_by_host.get(name, 0.0)
-        return sent_at - harmed_at > STABLE_S
+        harmed_until = self.harmed_until_by_host.get(name, 0.0)
+        return sent_at - harmed_until > STABLE_S
 
     def _choose(self, asked: Asked) -> str | None:
         if asked is Asked.STANDING:
--- a/standins/config_runs.py
+++ b/standins/config_runs.py
@@ -27,14 +27,16 @@
 from standins.builds import check_out
 from standins.config_callers import ConfigCallers
 from standins.config_site import ConfigSite
+from standins.large_config import FEW_ROUTES
 from standins.stream_runs import write_line
 
+# Time between two versions, seconds.
 VERSION_EACH_S = 2.0
+# Time between the readiness of all hosts and the first version, seconds.
 SETTLE_S = 6.0
-FEW_ROUTES = 5
+# Time for which hosts are down, or stopped, seconds.
 DOWN_S = 1.0
 STOPPED_S = 3.5
-READY_LOOK_S = 0.25
 # Time in which hosts that return must be ready, seconds.
 RECOVER_WITHIN_S = 15.0
 
@@ -69,9 +71,10 @@
             random.Random(f'{seed}/routes'),
         )
         self._callers = ConfigCallers(self._site, self._rng)
-        # Unix times at which hosts were harmed, and are ready again.
-        self._harmed_at = math.nan
+        # Unix time at which the harmed hosts were started or resumed.
+        self._returned_at = math.nan
         self._harmed: list[str] = []
+        # Seconds from then until all of them were ready.
         self._ready_after_s = math.nan
         self._first_carried: dict[str, tuple[int, int]] = {}
 
@@ -124,14 +127,14 @@
             await asyncio.sleep(STOPPED_S)
             for name in self._harmed:
                 self._site.hosts.send_signal(name, signal.SIGCONT)
-        self._harmed_at = time.time()
+        self._returned_at = time.time()
         await self._site.hosts.wait_ready(self._harmed)
-        self._ready_after_s = time.time() - self._harmed_at
+        self._ready_after_s = time.time() - self._returned_at
         self._set_harmed(time.time())
 
     def _set_harmed(self, until: float) -> None:
         for name in self._harmed:
-            self._callers.harmed_at_by_host[name] = until
+            self._callers.harmed_until_by_host[name] = until
 
     def count_broken(self) -> int:
         """Returns how many answers only an older version allows."""
@@ -180,7 +183,7 @@
         return f'{min(medians):.2f} to {max(medians):.2f} s, last {last:.2f} s'
 
     def _describe_bytes(self) -> str:
-        """Returns what the links have carried since the first version."""
+        """Returns what the links have carried since the hosts were ready."""
         sent = {
             name: total - self._first_carried.get(name, (0, 0))[0]
             for name, (total, _) in self._site.carried.items()
--- a/standins/config_site.py
+++ b/standins/config_site.py
@@ -18,7 +18,7 @@
 from standins.builds import ROOT
 from standins.host_processes import HostProcesses
 from standins.large_config import LargeConfig
-from standins.peer_links import HostLinks
+from standins.peer_links import LinkMap
 from standins.platform_plan import worker_entry
 from standins.platform_store import (
     OPERATOR_TOPIC,
@@ -26,19 +26,19 @@
     PlatformStore,
 )
 from standins.platform_worker import PlatformWorker
+from standins.rated_link import BYTES_PER_S_PER_MBIT
 from standins.rated_relay import RelayedPath, RelayPlan
 
-# The sizes of the hosts: share of a core, number of cores.
+# Settings cpu-share and cpu-speed of the hosts.
 LARGE_CPU = (0.717, 3)
 SMALL_CPU = (0.516, 1)
 WORKER_BEAT_S = 1.2
 STORE_DELAY_S = 0.004
 # Hosts whose addresses each host is given at its start.
-SEEDS = 3
-_MBIT = 125_000.0
+SEED_ADDRESSES = 3
 
 
-class RelayedLinks(HostLinks):
+class RelayedLinks(LinkMap):
     """The links between hosts that a relay process has."""
 
     def __init__(self) -> None:
@@ -125,7 +125,10 @@
     def start_host(self, name: str) -> None:
         """Starts a host's process."""
         share, cores = LARGE_CPU if name in self.large else SMALL_CPU
-        seeds = [self.hosts.peers_by_host[host] for host in self.names[:SEEDS]]
+        seeds = [
+            self.hosts.peers_by_host[host]
+            for host in self.names[:SEED_ADDRESSES]
+        ]
         self.hosts.start(
             name,
             self._store_by_host.get(name, self.store_address),
@@ -172,7 +175,8 @@
     async def _start_relay(self, large_mbit: float, small_mbit: float) -> None:
         plan = RelayPlan(
             {
-                name: _MBIT * (large_mbit if name in self.large else small_mbit)
+                name: BYTES_PER_S_PER_MBIT
+                * (large_mbit if name in self.large else small_mbit)
                 for name in self.names
             },
             list(self._paths()),
@@ -197,7 +201,7 @@
                 links.add(relayed.caller, relayed.target, address)
             else:
                 self._store_by_host[relayed.caller] = address
-        self.hosts.relayed = links
+        self.hosts.relay_links = links
         following = asyncio.create_task(self._follow(process.stdout))
         self._stack.callback(following.cancel)
 
--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -15,7 +15,7 @@
 
 from standins.builds import ROOT
 from standins.linked_host import LINKS_VARIABLE
-from standins.peer_links import HostLinks, PeerLinks
+from standins.peer_links import LinkMap, PeerLinks
 from standins.reserved_ports import address_of, reserve_port
 
 READY_TIMEOUT_S = 60.0
@@ -32,7 +32,7 @@
         links: links between the hosts, once listening. Hosts of this build that
             start after that call their peers through them.
         links_all: whether hosts of other builds do so too.
-        relayed: links through a relay, in place of these.
+        relay_links: links through a relay, in place of these.
     """
 
     def __init__(self, names: Sequence[str], directory: pathlib.Path):
@@ -50,7 +50,7 @@
         self.peers_by_host = {name: next(addresses) for name in names}
         self.links = PeerLinks(self.peers_by_host)
         self.links_all = False
-        self.relayed: HostLinks | None = None
+        self.relay_links: LinkMap | None = None
         self.process_by_host: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = directory
 
@@ -109,10 +109,10 @@
                 cwd=code,
             )
 
-    def _links_of(self, code: pathlib.Path | None) -> HostLinks | None:
+    def _links_of(self, code: pathlib.Path | None) -> LinkMap | None:
         """Returns the links of hosts of a build, None for none."""
-        if self.relayed is not None:
-            return self.relayed
+        if self.relay_links is not None:
+            return self.relay_links
         is_linked = code is None or self.links_all
         return self.links if self.links.are_listening and is_linked else None
 
--- a/standins/large_config.py
+++ b/standins/large_config.py
@@ -9,6 +9,8 @@
 from standins.platform_plan import CONFIG, route
 
 CUSTOMERS = 16
+# Routes of a small configuration.
+FEW_ROUTES = 5
 # Routes that came with one of the last versions, at most.
 MAX_ADDED = 3
 
--- a/standins/peer_links.py
+++ b/standins/peer_links.py
@@ -90,7 +90,7 @@
             far_writer.close()
 
 
-class HostLinks(abc.ABC):
+class LinkMap(abc.ABC):
     """Leads the connections of hosts to their peers elsewhere."""
 
     @abc.abstractmethod
@@ -98,7 +98,7 @@
         """Returns where a host is led to, by the address of the peer."""
 
 
-class PeerLinks(HostLinks):
+class PeerLinks(LinkMap):
     """The links between all entry hosts.
 
     Attributes:
--- a/standins/rated_fleet.py
+++ b/standins/rated_fleet.py
@@ -12,17 +12,15 @@
 from mustardscale.platform.store_client import MAX_ANSWER_S
 from mustardscale.relay_options import RelayEdges
 from standins.host_fleet import hash_of
-from standins.large_config import LargeConfig
-from standins.rated_link import carry_over
+from standins.large_config import FEW_ROUTES, LargeConfig
+from standins.rated_link import BYTES_PER_S_PER_MBIT, carry_over
 from standins.rated_peers import HostLinks, RatedPeerNetwork
 from standins.store_fleet import CountingLog, CountingStore, StoreFleet
 
-_MBIT = 125_000.0
-FEW_ROUTES = 5
 # One host in LARGE_EACH is large, as at a site of 65 with 8 of them.
 LARGE_EACH = 8
-LARGE_LINK_BYTES_PER_S = 100 * _MBIT
-SMALL_LINK_BYTES_PER_S = 5 * _MBIT
+LARGE_LINK_BYTES_PER_S = 100 * BYTES_PER_S_PER_MBIT
+SMALL_LINK_BYTES_PER_S = 5 * BYTES_PER_S_PER_MBIT
 LARGE_CAPACITY = 2.15
 SMALL_CAPACITY = 0.516
 # Bytes around the value of a record: in JSON, and raw.
--- a/standins/rated_link.py
+++ b/standins/rated_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+BYTES_PER_S_PER_MBIT = 125_000.0
 # Chunks that share a link take turns, as packets of several connections do.
 CHUNK_BYTES = 4_096
 
--- a/standins/rated_relay.py
+++ b/standins/rated_relay.py
@@ -18,7 +18,9 @@
 
 from standins.rated_link import CHUNK_BYTES, RatedLink, carry_over
 
-_TOLD_EACH_S = 1.0
+_REPORT_INTERVAL_S = 1.0
+# Time for which bytes still pass whose sender has ended, seconds.
+_DRAIN_TIMEOUT_S = 1.0
 # Receive buffer of a connection, bytes. A larger one would take what the
 # sender's link has not carried yet.
 _RECEIVE_BUFFER_BYTES = 16_384
@@ -118,7 +120,7 @@
         ]
         await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         # What one side has sent before it ended still arrives.
-        await asyncio.wait(ways, timeout=_TOLD_EACH_S)
+        await asyncio.wait(ways, timeout=_DRAIN_TIMEOUT_S)
         for way in ways:
             way.cancel()
         far_writer.close()
@@ -149,7 +151,7 @@
     relay = RatedRelay(plan)
     _tell(await relay.start())
     while True:
-        await asyncio.sleep(_TOLD_EACH_S)
+        await asyncio.sleep(_REPORT_INTERVAL_S)
         _tell(relay.carried_bytes())
 
 
--- a/tests/test_copy_parts.py
+++ b/tests/test_copy_parts.py
@@ -14,8 +14,8 @@
 )
 from mustardscale.log.copy_encoding import (
     MAX_COPY_BYTES,
+    BaseMismatchError,
     CopyError,
-    KnownValuesError,
     decode_copy,
     encode_copy,
 )
@@ -54,7 +54,7 @@
     """Fetches a copy; returns the sizes of its parts."""
     sizes = []
     number = 0
-    while not receiver.is_whole:
+    while not receiver.is_complete:
         reply = sender.reply_to(sending, receiver.next_request())
         number += 1
         if is_lost(number):
@@ -99,7 +99,7 @@
         receiving = make_tail(KeyedRecord('k', noise(3), 8))
         receiver = CopyReceiver(receiving, is_relative=True)
         fetch(CopySender(), sending, receiver)
-        with pytest.raises(KnownValuesError):
+        with pytest.raises(BaseMismatchError):
             receiver.result()
 
     def test_copy_goes_on_after_its_sender_has_read_more(self):
@@ -184,7 +184,7 @@
         receiver = CopyReceiver(make_tail(), is_relative=True)
         sending = make_tail(KeyedRecord('k', b'v', 7))
         receiver.add(CopySender().reply_to(sending, StreamFetch('s', 0)))
-        assert receiver.is_whole
+        assert receiver.is_complete
         assert receiver.result() == KeyedCopy(
             (KeyedRecord('k', b'v', 7),), 7, True
         )
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from standins.rated_fleet import FEW_ROUTES, RatedFleet
+from standins.large_config import FEW_ROUTES
+from standins.rated_fleet import RatedFleet
 from tests.virtual_time import virtual_time
 
 HOSTS = 65
