--- a/mustardscale/hosts/copy_fetcher.py
+++ b/mustardscale/hosts/copy_fetcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 
 from mustardscale.blackboard import Blackboard
@@ -12,11 +13,12 @@
 from mustardscale.log.keyed_log import KeyedCopy
 from mustardscale.log.keyed_tail import KeyedTail
 from mustardscale.peers.peer_calls import PeerCalls
-from mustardscale.peers.stream_messages import StreamFetchReply
+from mustardscale.peers.stream_messages import StreamFetch, StreamFetchReply
 from mustardscale.reporting.event_log import EventKind
 
 # Time after which the call for one part of a copy is given up, seconds.
 FETCH_TIMEOUT_S = 0.5
+MAX_PART_ATTEMPTS = 3
 
 
 class CopyFetcher:
@@ -71,6 +73,7 @@
         try:
             while not receiver.is_complete:
                 receiver.add(await self._fetch_part(reader, receiver))
+                self.last_part_at = loop.time()
             copied = receiver.result()
         except BaseMismatchError:
             raise
@@ -100,11 +103,22 @@
     ) -> StreamFetchReply:
         """Fetches the next part of a copy.
 
+        A part that does not come is asked for again, so that the parts before
+        need not be sent again, but not the first one.
+
         Raises:
             PeerUnavailableError: it did not come.
         """
-        reply = await self._calls.call(
-            reader, receiver.next_request(), StreamFetchReply, FETCH_TIMEOUT_S
+        request = receiver.next_request()
+        attempts = MAX_PART_ATTEMPTS if request.position else 1
+        for _ in range(attempts - 1):
+            with contextlib.suppress(PeerUnavailableError):
+                return await self._call(reader, request)
+        return await self._call(reader, request)
+
+    async def _call(
+        self, reader: str, request: StreamFetch
+    ) -> StreamFetchReply:
+        return await self._calls.call(
+            reader, request, StreamFetchReply, FETCH_TIMEOUT_S
         )
-        self.last_part_at = asyncio.get_running_loop().time()
-        return reply
--- a/mustardscale/hosts/copy_parts.py
+++ b/mustardscale/hosts/copy_parts.py
@@ -95,9 +95,11 @@
         kept = self._find(request.digest)
         position = request.position
         if kept is None:
-            kept, position = self._encode(tail, request, part_bytes), 0
-        if kept is None:
-            return StreamFetchReply(False)
+            kept = self._encode(tail, request, part_bytes)
+            if kept is None:
+                return StreamFetchReply(False)
+            if kept.digest != request.digest:
+                position = 0
         end = position + part_bytes
         return StreamFetchReply(
             True,
@@ -108,8 +110,9 @@
         )
 
     def _find(self, digest: int) -> _KeptCopy | None:
-        for kept in self._kept_by_key.values():
+        for key, kept in self._kept_by_key.items():
             if kept.digest == digest:
+                self._kept_by_key.move_to_end(key)
                 return kept
         return None
 
@@ -125,6 +128,7 @@
             tail.dropped_offset,
         )
         if key in self._kept_by_key:
+            self._kept_by_key.move_to_end(key)
             return self._kept_by_key[key]
         newer = tail.newer_than(request.after, _MAX_VALUE_BYTES)
         if newer is None:
--- a/mustardscale/log/earlier_values.py
+++ b/mustardscale/log/earlier_values.py
@@ -34,6 +34,7 @@
             value: the value.
         """
         if not MIN_VALUE_BYTES <= len(value) <= MAX_KEPT_BYTES:
+            self._forget(key)
             return
         self._entries.append((key, offset, value))
         self._kept_bytes += len(value)
@@ -47,3 +48,12 @@
             if kept_key == key and kept_offset <= offset:
                 return value
         return b''
+
+    def _forget(self, key: str) -> None:
+        """Removes older values, which would be found for a later offset."""
+        if not any(kept_key == key for kept_key, _, _ in self._entries):
+            return
+        self._entries = collections.deque(
+            entry for entry in self._entries if entry[0] != key
+        )
+        self._kept_bytes = sum(len(value) for _, _, value in self._entries)
--- a/tests/test_copy_parts.py
+++ b/tests/test_copy_parts.py
@@ -1,10 +1,14 @@
 """Tests of copies of streams that come in parts."""
 
+import asyncio
+import math
 import random
 
 import pytest
 
 from mustardscale.blackboard import Blackboard
+from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.hosts.copy_fetcher import CopyFetcher
 from mustardscale.hosts.copy_parts import (
     KEPT_COPIES,
     MAX_RESTARTS,
@@ -112,6 +116,20 @@
         fetch(sender, sending, receiver)
         assert receiver.result().end_offset == 7
 
+    def test_copy_that_is_no_longer_kept_begins_anew(self):
+        sending = make_tail(KeyedRecord('k', noise(1), 7))
+        sender = CopySender()
+        receiver = CopyReceiver(make_tail(), is_relative=False)
+        other = make_tail(KeyedRecord('o', noise(2), 50))
+        number = 0
+        while not receiver.is_complete:
+            receiver.add(sender.reply_to(sending, receiver.next_request()))
+            for _ in range(KEPT_COPIES):
+                number += 1
+                request = StreamFetch('o', number, PART_BYTES)
+                sender.reply_to(other, request)
+        assert receiver.received_bytes < LARGE_BYTES + PART_BYTES
+
     def test_copy_begins_anew_where_its_sender_has_restarted(self):
         sending = make_tail(KeyedRecord('k', noise(1), 7))
         receiver = CopyReceiver(make_tail(), is_relative=False)
@@ -171,6 +189,55 @@
             receiver.add(reply)
 
 
+class LossyCalls:
+    """Calls to a reader, of which some get no reply."""
+
+    def __init__(self, sending, lost=()):
+        self._sending = sending
+        self._sender = CopySender()
+        self._lost = lost
+        self.replies = []
+
+    async def call(self, host, request, reply_type, timeout_s):
+        reply = self._sender.reply_to(self._sending, request)
+        self.replies.append(reply)
+        if len(self.replies) in self._lost:
+            raise PeerUnavailableError('no reply')
+        return reply
+
+
+class TestFetcher:
+    """Copies that are fetched from a reader."""
+
+    def fetch(self, calls):
+        board = Blackboard('h', 1, 'dc', 'region')
+        fetcher = CopyFetcher(board, calls)
+        receiving = make_tail()
+
+        async def main():
+            await fetcher.fetch('reader', receiving, math.inf)
+
+        asyncio.run(main())
+        return fetcher, receiving
+
+    def test_lost_part_discards_the_parts_before(self):
+        calls = LossyCalls(make_tail(KeyedRecord('k', noise(1), 7)), (5, 6))
+        _, receiving = self.fetch(calls)
+        assert receiving.value_by_key == {'k': noise(1)}
+        sent = sum(len(reply.part) for reply in calls.replies)
+        assert sent < LARGE_BYTES + 3 * PART_BYTES
+
+    def test_reader_that_does_not_answer_is_asked_again_and_again(self):
+        calls = LossyCalls(make_tail(KeyedRecord('k', noise(1), 7)), (1,))
+        self.fetch(calls)
+        assert len(calls.replies) == 1
+
+    def test_reader_that_has_nothing_counts_as_one_that_sends_parts(self):
+        fetcher, receiving = self.fetch(LossyCalls(make_tail()))
+        assert not receiving.is_whole
+        assert fetcher.last_part_at == -math.inf
+
+
 class TestOtherBuilds:
     """Hosts that know entries only."""
 
@@ -246,3 +313,10 @@
         earlier = EarlierValues()
         earlier.add('k', 1, b'v')
         assert earlier.find('k', 1) == b''
+
+    @pytest.mark.parametrize('size', [10, MAX_KEPT_BYTES + 1])
+    def test_older_value_stands_for_one_that_is_not_kept(self, size):
+        earlier = EarlierValues()
+        earlier.add('k', 1, noise(1, MIN_VALUE_BYTES))
+        earlier.add('k', 2, noise(2, size))
+        assert earlier.find('k', 2) == b''
