Let no reader that is behind confirm a stream

A reader that has read an older copy of the store reports a fresh reading with a lower offset. Hosts that know more took that for a confirmation, denied routes by it and admitted keys.

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -241,6 +241,10 @@
         if reported.end_offset > tail.end_offset or not tail.is_whole:
             self._behind_since.setdefault(tail.stream, now)
             self._reader_ahead.notify()
+        elif reported.end_offset < tail.end_offset:
+            # A reader that is behind this host tells nothing about its own
+            # records.
+            return
         elif is_mesh:
             tail.note_proved(reported.read_at)
         elif now - reported.read_at <= _max_age_s(tail):
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -16,9 +17,9 @@
     READER_POLL_S,
     StreamCopies,
 )
-from mustardscale.log.keyed_log import KeyedRecord
+from mustardscale.log.keyed_log import KeyedCopy, KeyedRecord
 from mustardscale.log.keyed_tail import COPY_BYTES, LONG_POLL_S, KeyedTail
-from mustardscale.peers.stream_messages import StreamFetch
+from mustardscale.peers.stream_messages import StreamFetch, StreamStatus
 from tests.test_keyed_tail import FakeLog
 from tests.virtual_time import virtual_time
 
@@ -295,6 +296,22 @@
         self.records = records
 
 
+class TestReadersBehind:
+    """Readers that have read an older copy of the store."""
+
+    @pytest.mark.parametrize('is_mesh', [False, True])
+    @virtual_time
+    async def test_reader_that_is_behind_confirms_the_stream(self, is_mesh):
+        fleet = Fleet(is_mesh=is_mesh)
+        host = fleet.followers[0]
+        records = (KeyedRecord('a', b'1', 9),)
+        host.tail.copy(KeyedCopy(records, 9, True))
+        now = asyncio.get_running_loop().time()
+        status = StreamStatus(STREAM, 5, 0.0, -1.0)
+        host.copies.merge_statuses('hub0', [status], now)
+        assert host.tail.proved_at < now
+
+
 class TestMesh:
     """Hosts of which each reads the streams itself."""
 
