--- a/mustardscale/platform/store_client.py
+++ b/mustardscale/platform/store_client.py
@@ -223,7 +223,8 @@
         limit = asyncio.timeout(CALL_TIMEOUT_S + wait_s)
 
         def extend_limit() -> None:
-            limit.reschedule(loop.time() + CALL_TIMEOUT_S)
+            ends_at = limit.when() or 0.0
+            limit.reschedule(max(ends_at, loop.time() + CALL_TIMEOUT_S))
 
         try:
             async with (
