Read a stream at once where its confirmation has become old

An urgent stream whose confirmation is 1.5 s old is now read without a wait; in a mesh a host ends its long read when no reader reports any more. A read that brings an old answer is followed by a pause.

--- a/mustardscale/hosts/stream_copies.py
+++ b/mustardscale/hosts/stream_copies.py
@@ -116,6 +116,8 @@
         self._reported_by_stream: dict[str, dict[str, _ReaderStatus]] = {
             stream: {} for stream in self._tail_by_stream
         }
+        # Streams of which a reader had reported a recent reading.
+        self._reported_streams: set[str] = set()
         # Loop time since when this host is behind a reader, by stream.
         self._behind_since: dict[str, float] = {}
         self._reader_ahead = Signal()
@@ -150,6 +152,8 @@
                 self._was_reader = self._hubs.is_reader
                 for tail in self._tail_by_stream.values():
                     tail.read_anew()
+            if self._hubs.is_mesh and not self._hubs.is_reader:
+                self._end_long_reads()
             is_asking = self._is_asking()
             if is_asking:
                 await self._ask_readers()
@@ -252,14 +256,40 @@
 
     def wait_s(self, stream: str) -> float:
         """See the base class."""
-        is_urgent = self._tail_by_stream[stream].is_urgent
+        tail = self._tail_by_stream[stream]
+        is_urgent = tail.is_urgent
+        now = asyncio.get_running_loop().time()
+        if is_urgent and now - tail.proved_at >= MAX_READ_AGE_S:
+            # The answer must come at once, to confirm what is known.
+            return 0.0
         if self._hubs.is_mesh:
-            is_brief = is_urgent and self._hubs.is_reader
-            return READER_POLL_S if is_brief else LONG_POLL_S
+            is_alone = self._hubs.is_reader or not self._is_reported(tail)
+            return READER_POLL_S if is_urgent and is_alone else LONG_POLL_S
         if self._hubs.is_reader:
             return READER_POLL_S if is_urgent else CALM_READER_POLL_S
         return UNCOVERED_URGENT_POLL_S if is_urgent else LONG_POLL_S
 
+    def _is_reported(self, tail: KeyedTail) -> bool:
+        """Returns whether a reader has reported a recent reading."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            reader in self._hubs.reader_ids
+            and reported.read_at + _max_age_s(tail) > now
+            for reader, reported in self._reported_by_stream[
+                tail.stream
+            ].items()
+        )
+
+    def _end_long_reads(self) -> None:
+        """Ends long reads of urgent streams that readers no longer read."""
+        for tail in self._tail_by_stream.values():
+            is_reported = tail.is_urgent and self._is_reported(tail)
+            if is_reported:
+                self._reported_streams.add(tail.stream)
+            elif tail.stream in self._reported_streams:
+                self._reported_streams.remove(tail.stream)
+                tail.read_anew()
+
     def pause_s(self, stream: str) -> float:
         """See the base class."""
         is_alone = self._hubs.is_mesh or not self._hubs.is_reader
--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -273,8 +273,9 @@
             # is known does not grow by it.
             wait_s = self.reading.wait_s(self._stream) - self._paused_s
         self._paused_s = 0.0
+        known = self.end_offset
         self._call = asyncio.create_task(
-            self._client.read(self._stream, self.end_offset, max(0.0, wait_s))
+            self._client.read(self._stream, known, max(0.0, wait_s))
         )
         await asyncio.wait([self._call])
         if self._call.cancelled():
@@ -283,6 +284,8 @@
         self._note_read(page)
         if self._merge(page):
             self._tell_changed()
+        if page.end_offset < known:
+            await pause(STALE_RETRY_S, self._rng)
         # Records that repeat what is known end reads, too: all hosts write
         # their entries again when they start.
         pause_s = max(self._pause_s, self.reading.pause_s(self._stream))
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -27,6 +27,9 @@
 HEARTBEAT_S = 0.4
 # Time within which a change must take effect, seconds.
 CHANGE_BOUND_S = 2.0
+# Time after which an unconfirmed configuration denies nothing, seconds.
+CONFIRMED_WITHIN_S = 3.0
+LATENCY_S = 0.1
 # Time for a heartbeat and a copy that fails once, seconds.
 SOON_S = HEARTBEAT_S + FETCH_TIMEOUT_S + 0.1
 
@@ -118,6 +121,20 @@
                         peer.copies.merge_statuses(name, statuses, now)
             await asyncio.sleep(HEARTBEAT_S)
 
+    def cut_readers_from_the_store(self):
+        for reader in self.hubs:
+            reader.tail._client = CountingLog()
+            reader.tail._client.down = True
+            reader.tail.read_anew()
+
+    async def check_ages(self, hosts):
+        """Checks that hosts have a confirmed stream all the time."""
+        loop = asyncio.get_running_loop()
+        for _ in range(300):
+            await asyncio.sleep(0.1)
+            for host in hosts:
+                assert loop.time() - host.tail.proved_at <= CONFIRMED_WITHIN_S
+
     def values(self):
         return [host.tail.value_by_key for host in self.followers]
 
@@ -296,6 +313,31 @@
         self.records = records
 
 
+class LatentLog(CountingLog):
+    """A stream whose answers take a while."""
+
+    async def read(self, stream, after, wait_s):
+        await asyncio.sleep(LATENCY_S)
+        return await super().read(stream, after, wait_s)
+
+
+class TestLostReaders:
+    """Readers that can no longer read."""
+
+    @virtual_time
+    async def test_stream_looks_old_after_the_readers_lost_the_store(self):
+        fleet = Fleet()
+        latent = LatentLog()
+        latent.records = fleet.log.records
+        fleet.log.put_now('a', b'1')
+        for follower in fleet.followers:
+            follower.tail._client = latent
+        async with fleet.running():
+            await asyncio.sleep(5.0)
+            fleet.cut_readers_from_the_store()
+            await fleet.check_ages(fleet.followers)
+
+
 class TestReadersBehind:
     """Readers that have read an older copy of the store."""
 
@@ -359,6 +401,15 @@
                     age_s = loop.time() - follower.tail.proved_at
                     assert age_s <= CHANGE_BOUND_S
 
+    @virtual_time
+    async def test_stream_looks_old_after_the_readers_lost_the_store(self):
+        fleet = Fleet(is_mesh=True)
+        fleet.log.put_now('a', b'1')
+        async with fleet.running():
+            await asyncio.sleep(5.0)
+            fleet.cut_readers_from_the_store()
+            await fleet.check_ages(fleet.followers)
+
     @virtual_time
     async def test_stream_looks_confirmed_while_no_reader_reads_it(self):
         fleet = Fleet(is_mesh=True)
