Pause after an old answer of the store

Since an old answer no longer confirms a stream, and such a stream is read without a wait, each host would have asked the store ten times a second while it answers from a copy that is behind. A host now pauses for a second.

--- a/mustardscale/log/keyed_tail.py
+++ b/mustardscale/log/keyed_tail.py
@@ -28,6 +28,9 @@
 # Time after which all is read again where a read was older than what is known,
 # or records were gone, seconds.
 STALE_RETRY_S = 0.1
+# Time without a read after one that brought an old answer, seconds. All hosts
+# of a site may get such answers, and rely on no reader meanwhile.
+OLD_ANSWER_PAUSE_S = 1.0
 # Time after a return from an older copy in which keys that were dropped since
 # the copy was made are dropped again, seconds.
 WITHHELD_S = 3.0
@@ -285,7 +288,7 @@
         if self._merge(page):
             self._tell_changed()
         if page.end_offset < known:
-            await pause(STALE_RETRY_S, self._rng)
+            await pause(OLD_ANSWER_PAUSE_S, self._rng)
         # Records that repeat what is known end reads, too: all hosts write
         # their entries again when they start.
         pause_s = max(self._pause_s, self.reading.pause_s(self._stream))
--- a/tests/test_keyed_tail.py
+++ b/tests/test_keyed_tail.py
@@ -22,7 +22,7 @@
     KeyedRecord,
     RecordsGoneError,
 )
-from mustardscale.log.keyed_tail import KeyedTail
+from mustardscale.log.keyed_tail import OLD_ANSWER_PAUSE_S, KeyedTail
 from mustardscale.reporting.event_log import EventKind
 from tests.relay_fakes import RecordingEventLog
 from tests.virtual_time import virtual_time
@@ -193,10 +193,11 @@
     def __init__(self):
         super().__init__()
         self.is_old = False
+        self.old_answers = 0
 
     async def read(self, stream, after, wait_s):
         if self.is_old:
-            await asyncio.sleep(1.0)
+            self.old_answers += 1
             return KeyedPage((), after - 1)
         return await super().read(stream, after, wait_s)
 
@@ -217,6 +218,7 @@
         await asyncio.sleep(60.0)
         task.cancel()
         assert tail.value_by_key == {'a': b'1'}
+        assert log.old_answers <= 2 * 60.0 / OLD_ANSWER_PAUSE_S
         now = asyncio.get_running_loop().time()
         assert now - tail.proved_at >= 60.0
 
