Tell calls over a silent connection from those that a peer is slow to answer

Logs and metrics could not tell an owner that does not decide, an owner that has changed and a connection that carries nothing from one another.

A call that was given up now counts as peer_calls_unheard if its connection brought nothing since it began, with one line in the log.

A stand-in of the links between hosts silences open connections for good.

--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+import math
 import random
 import typing
 
@@ -53,10 +54,20 @@
 class PeerConnection:
     """An open connection that carries many calls at once."""
 
-    def __init__(self, stream: FrameStream, limits: PeerLimits):
+    def __init__(
+        self,
+        host: str,
+        stream: FrameStream,
+        limits: PeerLimits,
+        traffic: PeerTraffic,
+    ):
         self.closed = False
+        self._host = host
         self._stream = stream
         self._limits = limits
+        self._traffic = traffic
+        # Loop time of the last bytes when it was last logged that none come.
+        self._logged_received_at = -math.inf
         self._call_ids = itertools.count(1)
         self._future_by_call: dict[int, asyncio.Future[Frame]] = {}
         self._reading = asyncio.create_task(self._read())
@@ -75,6 +86,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._future_by_call[call_id] = future
+        began_at = asyncio.get_running_loop().time()
         try:
             self._stream.send(data)
             await self._stream.drain()
@@ -86,8 +98,28 @@
             if not future.done() or future.cancelled():
                 cancel = Frame(FrameKind.CANCEL, call_id)
                 self._stream.send(encode_frame(cancel))
+                self._note_unheard(began_at)
         return _reply_of(frame, request)
 
+    def _note_unheard(self, began_at: float) -> None:
+        """Counts a call that was given up if nothing came since it began.
+
+        This tells a connection that carries nothing from a peer that answers
+        other calls. It is logged once until bytes come again.
+        """
+        received_at = self._stream.received_at
+        if received_at > began_at:
+            return
+        self._traffic.calls_unheard += 1
+        if received_at == self._logged_received_at:
+            return
+        self._logged_received_at = received_at
+        log.info(
+            'call to %s given up: its connection brought nothing for %.3f s',
+            self._host,
+            asyncio.get_running_loop().time() - received_at,
+        )
+
     async def close(self) -> None:
         """Closes the connection; calls in flight fail."""
         self._reading.cancel()
@@ -237,7 +269,7 @@
         except BaseException:
             stream.close()
             raise
-        return PeerConnection(stream, self._limits)
+        return PeerConnection(self._host, stream, self._limits, self._traffic)
 
     def _back_off(self) -> None:
         delay_s = min(
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -88,12 +88,15 @@
         bytes_sent: their bytes.
         frames_received: frames received whole.
         bytes_received: their bytes.
+        calls_unheard: calls that ended without a reply, and over whose
+            connection nothing came after they began.
     """
 
     frames_sent: int = 0
     bytes_sent: int = 0
     frames_received: int = 0
     bytes_received: int = 0
+    calls_unheard: int = 0
 
     def add_gauges(self, metrics: Metrics) -> None:
         """Shows the traffic with peers among the metrics."""
@@ -105,7 +108,12 @@
 
 
 class FrameStream:
-    """Sends and receives frames on one connection."""
+    """Sends and receives frames on one connection.
+
+    Attributes:
+        received_at: loop time at which bytes last came, or at which the
+            connection was made.
+    """
 
     __slots__ = (
         '_limits',
@@ -114,6 +122,7 @@
         '_reader',
         '_traffic',
         '_writer',
+        'received_at',
     )
 
     def __init__(
@@ -129,6 +138,7 @@
         self._traffic = traffic
         self._queued: list[bytes] = []
         self._queued_bytes = 0
+        self.received_at = asyncio.get_running_loop().time()
         writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
 
     async def receive(
@@ -147,7 +157,7 @@
             OSError, EOFError: the connection is lost.
         """
         async with asyncio.timeout(idle_s):
-            data = await self._reader.readexactly(HEADER_BYTES)
+            data = await self._read(HEADER_BYTES)
         header = decode_header(data)
         if header.length > max_bytes:
             raise PeerFrameError(
@@ -155,7 +165,7 @@
             )
         try:
             async with asyncio.timeout(self._limits.frame_s):
-                payload = await self._reader.readexactly(header.length)
+                payload = await self._read(header.length)
         except TimeoutError:
             raise PeerFrameError(
                 Outcome.PEER_FRAME_MALFORMED, 'payload not received in time'
@@ -164,6 +174,19 @@
         self._traffic.bytes_received += HEADER_BYTES + header.length
         return decode_payload(header, payload)
 
+    async def _read(self, length: int) -> bytes:
+        """Reads bytes, and notes the time of each part that comes."""
+        parts: list[bytes] = []
+        missing = length
+        while missing:
+            part = await self._reader.read(missing)
+            if not part:
+                raise asyncio.IncompleteReadError(b''.join(parts), length)
+            self.received_at = asyncio.get_running_loop().time()
+            parts.append(part)
+            missing -= len(part)
+        return b''.join(parts)
+
     def send(self, data: bytes) -> None:
         """Queues an encoded frame; aborts a connection that takes nothing.
 
--- a/standins/peer_links.py
+++ b/standins/peer_links.py
@@ -5,11 +5,34 @@
 import abc
 import asyncio
 import contextlib
+import enum
 from collections.abc import Mapping
 
 _CHUNK_BYTES = 65_536
 
 
+class Silence(enum.Flag):
+    """Which bytes no longer arrive on an open connection."""
+
+    NONE = 0
+    CALLS = enum.auto()
+    REPLIES = enum.auto()
+    BOTH = CALLS | REPLIES
+
+
+class _Relay:
+    """What passes on one connection.
+
+    Attributes:
+        silence: what no longer arrives, for good.
+    """
+
+    __slots__ = ('silence',)
+
+    def __init__(self) -> None:
+        self.silence = Silence.NONE
+
+
 class PeerLink:
     """Passes the connections that one host makes on to another one.
 
@@ -34,6 +57,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._serving: set[asyncio.Task[None]] = set()
+        self._open: set[_Relay] = set()
 
     async def start(self) -> None:
         """Listens on a free port."""
@@ -41,6 +65,15 @@
         ip, port = self._server.sockets[0].getsockname()[:2]
         self.address = f'{ip}:{port}'
 
+    def silence(self, silence: Silence) -> None:
+        """Silences the open connections for good; new ones work.
+
+        Their bytes are still taken, as by a middlebox that has lost the
+        connection to the other side.
+        """
+        for relay in self._open:
+            relay.silence |= silence
+
     async def close(self) -> None:
         """Ends all connections."""
         if self._server is not None:
@@ -78,13 +111,26 @@
         except OSError:
             writer.transport.abort()
             return
+        relay = _Relay()
+        self._open.add(relay)
         ways = [
-            asyncio.create_task(_pass(reader, far_writer, self.calls_pass)),
-            asyncio.create_task(_pass(far_reader, writer, self.replies_pass)),
+            asyncio.create_task(
+                _pass(reader, far_writer, self.calls_pass, relay, Silence.CALLS)
+            ),
+            asyncio.create_task(
+                _pass(
+                    far_reader,
+                    writer,
+                    self.replies_pass,
+                    relay,
+                    Silence.REPLIES,
+                )
+            ),
         ]
         try:
             await asyncio.wait(ways)
         finally:
+            self._open.discard(relay)
             for way in ways:
                 way.cancel()
             far_writer.close()
@@ -139,6 +185,12 @@
             if caller == host
         }
 
+    def silence(
+        self, caller: str, called: str, silence: Silence = Silence.BOTH
+    ) -> None:
+        """Silences a host's open connections to another one for good."""
+        self._links[caller, called].silence(silence)
+
     def lose(self, sender: str, receiver: str) -> None:
         """Lets nothing pass that one host sends to another one."""
         self._links[sender, receiver].calls_pass.clear()
@@ -154,16 +206,23 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     may_pass: asyncio.Event,
+    relay: _Relay,
+    direction: Silence,
 ) -> None:
     """Passes bytes on while they may pass, and then the end."""
     with contextlib.suppress(OSError):
         while data := await reader.read(_CHUNK_BYTES):
             await may_pass.wait()
+            if direction in relay.silence:
+                continue
             if writer.is_closing():
                 return
             writer.write(data)
             await writer.drain()
     await may_pass.wait()
+    if direction in relay.silence:
+        # The other side does not learn of the end either.
+        await asyncio.Event().wait()
     with contextlib.suppress(OSError, RuntimeError):
         if writer.can_write_eof():
             writer.write_eof()
