Replace connections to peers that carry nothing any more

Cause: a connection to a peer counted as sound as long as it was not closed. The path acknowledges bytes in its kernel, so TCP sees nothing. A call that was given up left its connection open, and under load a call is always in flight, so that the idle time-out never came. Evidence: 115 to 145 calls at each host over connections that brought nothing, none at the owner. Ruled out: an owner that does not decide (it served its own streams) and one that has changed (no change of membership; both hosts hear each other over the connection of the other direction).

Change: with calls in flight and nothing received for 0.4 s the caller pings its peer. Unanswered for 0.4 s, it opens another connection, which new calls take once the peer has greeted on it; the calls on the old one fail if a second ping is not answered either. It works since it asks what callers depend on, an answer of the peer's program over this connection, and compares it with a new one: a slow or frozen peer answers on neither. Ruled out: keep-alive probes and TCP_USER_TIMEOUT (the path answers them), to close at the time-out of a call (it comes after most callers have left, and does not tell a slow peer).

Same cause on a related path: the serving side kept dead connections for 60 s, so that many hosts that connect anew would exceed its 256 places. It now closes what its caller has replaced.

--- a/mustardscale/endpoints/unsent_bytes.py
+++ b/mustardscale/endpoints/unsent_bytes.py
@@ -10,7 +10,7 @@
 _INT = struct.Struct('i')
 
 
-def count_unsent_bytes(transport: asyncio.Transport) -> int:
+def count_unsent_bytes(transport: asyncio.WriteTransport) -> int:
     """Returns the bytes that the other side's machine has not acknowledged.
 
     Args:
@@ -21,9 +21,13 @@
     sock = transport.get_extra_info('socket')
     if sock is None:
         return held
+    descriptor = sock.fileno()
+    if not isinstance(descriptor, int) or descriptor < 0:
+        # A simulated or a closed one.
+        return held
     try:
         # For a socket, this is what was not acknowledged (tcp(7), SIOCOUTQ).
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size))
     except OSError:
         return held
     unacknowledged: int = _INT.unpack(answer)[0]
--- a/mustardscale/peers/peer_codec.py
+++ b/mustardscale/peers/peer_codec.py
@@ -2,7 +2,7 @@
 
 Header, big-endian, HEADER_BYTES long: magic (4 bytes), frame version (1),
 kind (1), flags (2, zero), call id (8), length of the payload (4). The payload
-of a cancel frame is empty; any other holds one Envelope.
+of a cancel, ping or pong frame is empty; any other holds one Envelope.
 """
 
 from __future__ import annotations
@@ -50,12 +50,18 @@
         incarnation: start number of the sender's process.
         nonce: random bytes of the sender.
         proof: proof that the sender holds the peer key, or empty.
+        answers_pings: whether the sender answers pings; hosts of earlier
+            releases do not.
+        replaces: whether the caller opens this connection in place of one that
+            has gone silent.
     """
 
     host: str
     incarnation: int
     nonce: bytes = b''
     proof: bytes = b''
+    answers_pings: bool = False
+    replaces: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +85,8 @@
     REPLY = 3
     FAILURE = 4
     CANCEL = 5
+    PING = 6
+    PONG = 7
 
 
 Message = peers.PeerRequest | peers.PeerReply | Hello | CallFailure
@@ -89,6 +97,8 @@
     FrameKind.REPLY: typing.get_args(peers.PeerReply),
     FrameKind.FAILURE: (CallFailure,),
     FrameKind.CANCEL: (),
+    FrameKind.PING: (),
+    FrameKind.PONG: (),
 }
 _TYPE_BY_FIELD: dict[str, type] = {
     camel_case(cls.__name__): cls
@@ -104,7 +114,7 @@
 
     Attributes:
         kind: what the frame is for.
-        call_id: number of the call on its connection, 0 for hello.
+        call_id: number of the call on its connection, 0 for none.
         length: payload bytes.
     """
 
@@ -119,8 +129,8 @@
 
     Attributes:
         kind: what the frame is for.
-        call_id: number of the call on its connection, 0 for hello.
-        message: the content, None for a cancel frame.
+        call_id: number of the call on its connection, 0 for none.
+        message: the content, None where the kind has none.
     """
 
     kind: FrameKind
--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -3,31 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
-import math
 import random
-import typing
 
 from mustardscale.exceptions import (
-    PeerCallError,
     PeerFrameError,
     PeerGoneError,
     PeerNotReachedError,
-    PeerUnavailableError,
-)
-from mustardscale.outcomes import Outcome
-from mustardscale.peers.peer_codec import (
-    CallFailure,
-    Frame,
-    FrameKind,
-    encode_frame,
-)
-from mustardscale.peers.peer_messages import (
-    REPLY_BY_REQUEST,
-    PeerReply,
-    PeerRequest,
 )
+from mustardscale.peers.call_connection import CallConnection
+from mustardscale.peers.connection_liveness import Liveness
 from mustardscale.peers.peer_streams import (
     CONNECTION_LOST,
     FrameStream,
@@ -40,6 +25,9 @@
 
 log = logging.getLogger(__name__)
 
+# Raised by an attempt to connect.
+_NOT_CONNECTED = (PeerFrameError, GreetingError, *CONNECTION_LOST)
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits 'ip:port'.
@@ -51,128 +39,14 @@
     return host.strip('[]'), int(port)
 
 
-class PeerConnection:
-    """An open connection that carries many calls at once."""
-
-    def __init__(
-        self,
-        host: str,
-        stream: FrameStream,
-        limits: PeerLimits,
-        traffic: PeerTraffic,
-    ):
-        self.closed = False
-        self._host = host
-        self._stream = stream
-        self._limits = limits
-        self._traffic = traffic
-        # Loop time of the last bytes when it was last logged that none come.
-        self._logged_received_at = -math.inf
-        self._call_ids = itertools.count(1)
-        self._future_by_call: dict[int, asyncio.Future[Frame]] = {}
-        self._reading = asyncio.create_task(self._read())
-
-    async def call(self, request: PeerRequest) -> PeerReply:
-        """Sends a request and returns the reply.
-
-        Raises:
-            PeerUnavailableError: no usable reply came.
-        """
-        if len(self._future_by_call) >= self._limits.calls:
-            raise PeerNotReachedError('too many calls in flight')
-        call_id = next(self._call_ids)
-        data = _encode_request(call_id, request)
-        future: asyncio.Future[Frame] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._future_by_call[call_id] = future
-        began_at = asyncio.get_running_loop().time()
-        try:
-            self._stream.send(data)
-            await self._stream.drain()
-            frame = await future
-        except OSError as error:
-            raise PeerUnavailableError(f'connection lost: {error}') from error
-        finally:
-            del self._future_by_call[call_id]
-            if not future.done() or future.cancelled():
-                cancel = Frame(FrameKind.CANCEL, call_id)
-                self._stream.send(encode_frame(cancel))
-                self._note_unheard(began_at)
-        return _reply_of(frame, request)
-
-    def _note_unheard(self, began_at: float) -> None:
-        """Counts a call that was given up if nothing came since it began.
-
-        This tells a connection that carries nothing from a peer that answers
-        other calls. It is logged once until bytes come again.
-        """
-        received_at = self._stream.received_at
-        if received_at > began_at:
-            return
-        self._traffic.calls_unheard += 1
-        if received_at == self._logged_received_at:
-            return
-        self._logged_received_at = received_at
-        log.info(
-            'call to %s given up: its connection brought nothing for %.3f s',
-            self._host,
-            asyncio.get_running_loop().time() - received_at,
-        )
-
-    async def close(self) -> None:
-        """Closes the connection; calls in flight fail."""
-        self._reading.cancel()
-        await asyncio.gather(self._reading, return_exceptions=True)
-        # Again, for a reader that was cancelled before it began.
-        self._end('closed')
-
-    async def _read(self) -> None:
-        reason = 'closed'
-        try:
-            await self._dispatch()
-        except PeerFrameError as error:
-            reason = str(error)
-            log.warning(
-                'connection closed: %s',
-                error,
-                extra={'code': int(error.outcome)},
-            )
-        except CONNECTION_LOST as error:
-            reason = repr(error)
-        finally:
-            self._end(reason)
-
-    async def _dispatch(self) -> None:
-        while True:
-            try:
-                frame = await self._stream.receive(self._limits.idle_s)
-            except TimeoutError:
-                if self._future_by_call:
-                    continue
-                return
-            if frame.kind not in (FrameKind.REPLY, FrameKind.FAILURE):
-                raise PeerFrameError(
-                    Outcome.PEER_FRAME_MALFORMED,
-                    f'{frame.kind.name} in place of a reply',
-                )
-            future = self._future_by_call.get(frame.call_id)
-            # The call may have been given up since.
-            if future is not None and not future.done():
-                future.set_result(frame)
-
-    def _end(self, reason: str) -> None:
-        self.closed = True
-        self._stream.close()
-        for future in self._future_by_call.values():
-            if not future.done():
-                future.set_exception(
-                    PeerUnavailableError(f'connection lost: {reason}')
-                )
-
-
 class OutboundPeer:
-    """One peer: its connection and when to try to connect again."""
+    """One peer: its connection and when to try to connect again.
+
+    A connection that goes silent is replaced, so that new calls do not go over
+    it. Its calls in flight fail only if the peer, which answers on the new
+    connection, then does not answer a ping on it: a peer that was slow or
+    frozen does.
+    """
 
     def __init__(
         self,
@@ -189,7 +63,10 @@
         self._limits = limits
         self._rng = rng
         self._address = ''
-        self._connection: PeerConnection | None = None
+        self._connection: CallConnection | None = None
+        self._replacing: asyncio.Task[None] | None = None
+        # Connections that were replaced while calls were in flight.
+        self._replaced: list[CallConnection] = []
         self._connecting = asyncio.Lock()
         self._failures = 0
         self._retry_at = 0.0
@@ -200,7 +77,7 @@
         """Whether a connection is open."""
         return self._connection is not None and not self._connection.closed
 
-    async def connect(self, address: str) -> PeerConnection:
+    async def connect(self, address: str) -> CallConnection:
         """Returns the open connection, connecting if there is none.
 
         Raises:
@@ -228,12 +105,73 @@
             self._connection = connection
             return connection
 
+    def check(self) -> None:
+        """Replaces the connection if it is silent, and ends replaced ones."""
+        for replaced in list(self._replaced):
+            self._check_replaced(replaced)
+        connection = self._connection
+        if connection is None or connection.closed:
+            return
+        is_silent = connection.check() is Liveness.SILENT
+        if is_silent and self._may_replace(connection):
+            self._replacing = asyncio.create_task(self._replace(connection))
+
+    def _may_replace(self, connection: CallConnection) -> bool:
+        if self._replacing is not None or self._closing:
+            return False
+        # Silence is uncertain without pings, and each one costs a connection.
+        return connection.answers_pings or not self._replaced
+
+    def _check_replaced(self, replaced: CallConnection) -> None:
+        is_silent = replaced.check_replaced() is Liveness.SILENT
+        if is_silent and replaced.answers_pings:
+            replaced.abort('silent')
+        elif replaced.is_unused:
+            replaced.abort('replaced')
+        if replaced.closed:
+            self._replaced.remove(replaced)
+
+    async def _replace(self, silent: CallConnection) -> None:
+        """Opens a connection in place of a silent one."""
+        try:
+            async with asyncio.timeout(self._limits.connect_s):
+                connection = await self._open(replaces=True)
+        except _NOT_CONNECTED as error:
+            log.info('%s is silent and not reached: %r', self._host, error)
+            await asyncio.sleep(self._limits.backoff_s)
+        else:
+            self._take_over(silent, connection)
+        finally:
+            self._replacing = None
+
+    def _take_over(
+        self, silent: CallConnection, connection: CallConnection
+    ) -> None:
+        """Lets new calls go over a connection in place of a silent one."""
+        if self._connection is not silent or silent.closed:
+            connection.abort('not needed')
+            return
+        log.warning(
+            'the connection to %s was silent and is replaced', self._host
+        )
+        self._traffic.connections_replaced += 1
+        self._connection = connection
+        self._replaced.append(silent)
+        # Its last ping was sent before the peer answered on the new one.
+        silent.restart_ping()
+
     async def close(self) -> None:
         """Closes the connection; no other is opened."""
         self._closing = True
         await self._disconnect()
 
     async def _disconnect(self) -> None:
+        if self._replacing is not None:
+            self._replacing.cancel()
+            await asyncio.gather(self._replacing, return_exceptions=True)
+        for replaced in self._replaced:
+            await replaced.close()
+        self._replaced.clear()
         if self._connection is not None:
             await self._connection.close()
             self._connection = None
@@ -244,11 +182,11 @@
         self._failures = 0
         self._retry_at = 0.0
 
-    async def _attempt(self) -> PeerConnection:
+    async def _attempt(self) -> CallConnection:
         try:
             async with asyncio.timeout(self._limits.connect_s):
                 connection = await self._open()
-        except (PeerFrameError, GreetingError, *CONNECTION_LOST) as error:
+        except _NOT_CONNECTED as error:
             self._back_off()
             log.info('no connection to %s: %r', self._host, error)
             detail = f'no connection to {self._host}: {error!r}'
@@ -258,18 +196,22 @@
         self._failures = 0
         return connection
 
-    async def _open(self) -> PeerConnection:
+    async def _open(self, replaces: bool = False) -> CallConnection:
         ip, port = split_address(self._address)
         reader, writer = await asyncio.open_connection(ip, port)
         stream = FrameStream(reader, writer, self._limits, self._traffic)
         try:
-            await greet_server(
-                stream, self._identity, self._host, self._limits.connect_s
+            peer = await greet_server(
+                stream,
+                self._identity,
+                self._host,
+                self._limits.connect_s,
+                replaces,
             )
         except BaseException:
             stream.close()
             raise
-        return PeerConnection(self._host, stream, self._limits, self._traffic)
+        return CallConnection(peer, stream, self._limits, self._traffic)
 
     def _back_off(self) -> None:
         delay_s = min(
@@ -279,24 +221,3 @@
         self._failures += 1
         now = asyncio.get_running_loop().time()
         self._retry_at = now + delay_s * self._rng.uniform(0.5, 1.0)
-
-
-def _encode_request(call_id: int, request: PeerRequest) -> bytes:
-    try:
-        return encode_frame(Frame(FrameKind.REQUEST, call_id, request))
-    except PeerFrameError as error:
-        log.exception('request not sent', extra={'code': int(error.outcome)})
-        raise PeerNotReachedError(f'not sent: {error}') from error
-
-
-def _reply_of(frame: Frame, request: PeerRequest) -> PeerReply:
-    message = frame.message
-    if isinstance(message, CallFailure):
-        try:
-            outcome = Outcome(message.outcome)
-        except ValueError:
-            outcome = Outcome.INTERNAL_ERROR
-        raise PeerCallError(outcome, message.detail)
-    if type(message) is not REPLY_BY_REQUEST[type(request)]:
-        raise PeerUnavailableError(f'reply of type {type(message).__name__}')
-    return typing.cast(PeerReply, message)
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -51,6 +51,8 @@
   incarnation @1 :UInt64;
   nonce @2 :Data;
   proof @3 :Data;
+  answersPings @4 :Bool;
+  replaces @5 :Bool;
 }
 
 struct CallFailure {
--- a/mustardscale/peers/peer_server.py
+++ b/mustardscale/peers/peer_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import typing
+from collections.abc import Callable
 
 from mustardscale.exceptions import (
     OutcomeError,
@@ -16,6 +17,7 @@
     CallFailure,
     Frame,
     FrameKind,
+    Hello,
     encode_frame,
 )
 from mustardscale.peers.peer_messages import PeerReply, PeerRequest
@@ -32,6 +34,8 @@
 
 log = logging.getLogger(__name__)
 
+_PONG = encode_frame(Frame(FrameKind.PONG, 0))
+
 
 class PeerServer:
     """Accepts connections and runs the handler for each call."""
@@ -49,7 +53,9 @@
         self._traffic = traffic
         self._server: asyncio.Server | None = None
         self._closing = False
-        self._stream_by_task: dict[asyncio.Task[None], FrameStream] = {}
+        self._connection_by_task: dict[
+            asyncio.Task[None], _InboundConnection
+        ] = {}
 
     async def start(self, host: str, port: int) -> str:
         """Listens and returns the address as 'ip:port'."""
@@ -62,10 +68,10 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
-        tasks = list(self._stream_by_task)
-        for task, stream in self._stream_by_task.items():
+        tasks = list(self._connection_by_task)
+        for task, connection in self._connection_by_task.items():
             # A task that has not begun yet would not close its stream.
-            stream.close()
+            connection.close()
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
@@ -76,28 +82,77 @@
         if self._closing:
             stream.close()
             return
-        if len(self._stream_by_task) >= self._limits.connections:
+        if not self._has_place():
             log.warning('connection limit reached')
             stream.close()
             return
         connection = _InboundConnection(
-            stream, self._identity, self._handler, self._limits
+            stream,
+            self._identity,
+            self._handler,
+            self._limits,
+            self._mark_replaced,
         )
         task = asyncio.create_task(connection.run())
-        self._stream_by_task[task] = stream
-        task.add_done_callback(self._stream_by_task.pop)
+        self._connection_by_task[task] = connection
+        task.add_done_callback(self._connection_by_task.pop)
+
+    def _has_place(self) -> bool:
+        """Returns whether one more connection fits, and makes room for it."""
+        open_connections = [
+            connection
+            for connection in self._connection_by_task.values()
+            if not connection.closed
+        ]
+        if len(open_connections) < self._limits.connections:
+            return True
+        replaced = [c for c in open_connections if c.replaced_at is not None]
+        if not replaced:
+            return False
+        min(replaced, key=lambda c: c.received_at).close()
+        return True
+
+    def _mark_replaced(self, successor: _InboundConnection) -> None:
+        """Marks what a caller's new connection takes the place of."""
+        for connection in self._connection_by_task.values():
+            if connection.is_followed_by(successor):
+                connection.replaced_at = asyncio.get_running_loop().time()
+
+    def close_replaced(self) -> None:
+        """Closes replaced connections over which nothing comes any more.
+
+        Their caller closes them too, which a silent path does not pass on.
+        """
+        oldest = (
+            asyncio.get_running_loop().time() - self._limits.replaced_idle_s
+        )
+        for connection in self._connection_by_task.values():
+            replaced_at = connection.replaced_at
+            if replaced_at is None:
+                continue
+            if max(replaced_at, connection.received_at) < oldest:
+                connection.close()
 
 
 class _InboundConnection:
-    """One accepted connection and the handlers that it started."""
+    """One accepted connection and the handlers that it started.
+
+    Attributes:
+        closed: whether it was closed by this host.
+        replaced_at: loop time at which its caller opened another one in its
+            place, None if it did not.
+    """
 
     __slots__ = (
+        '_caller',
+        '_greeted',
         '_handler',
-        '_host',
         '_identity',
         '_limits',
         '_stream',
         '_task_by_call',
+        'closed',
+        'replaced_at',
     )
 
     def __init__(
@@ -106,20 +161,58 @@
         identity: PeerIdentity,
         handler: PeerHandler,
         limits: PeerLimits,
+        greeted: Callable[[_InboundConnection], None],
     ):
+        """Prepares the connection.
+
+        Args:
+            stream: the frames.
+            identity: who this host is.
+            handler: serves the calls.
+            limits: bounds of connections.
+            greeted: called once the caller is known.
+        """
+        self.closed = False
+        self.replaced_at: float | None = None
         self._stream = stream
         self._identity = identity
         self._handler = handler
         self._limits = limits
-        self._host = ''
+        self._greeted = greeted
+        self._caller: Hello | None = None
         self._task_by_call: dict[int, asyncio.Task[None]] = {}
 
+    @property
+    def received_at(self) -> float:
+        """Loop time at which bytes last came."""
+        return self._stream.received_at
+
+    @property
+    def _host(self) -> str:
+        """Id of the caller, '' until it is known."""
+        return self._caller.host if self._caller is not None else ''
+
+    def is_followed_by(self, successor: _InboundConnection) -> bool:
+        """Returns whether a connection takes the place of this one."""
+        mine, other = self._caller, successor._caller
+        if successor is self or mine is None or other is None:
+            return False
+        return mine.host == other.host and (
+            other.replaces or mine.incarnation < other.incarnation
+        )
+
+    def close(self) -> None:
+        """Closes the connection; its handlers are cancelled."""
+        self.closed = True
+        self._stream.close()
+
     async def run(self) -> None:
         """Serves until the connection is lost, idle or damaged."""
         try:
-            self._host = await greet_caller(
+            self._caller = await greet_caller(
                 self._stream, self._identity, self._limits.connect_s
             )
+            self._greeted(self)
             while True:
                 # Heartbeats keep the connection of a live caller busy.
                 frame = await self._stream.receive(2 * self._limits.idle_s)
@@ -154,6 +247,9 @@
             if task is not None:
                 task.cancel()
             return
+        if frame.kind is FrameKind.PING:
+            self._stream.send(_PONG)
+            return
         if frame.kind is not FrameKind.REQUEST:
             raise _malformed(f'{frame.kind.name} from a caller')
         if frame.call_id in self._task_by_call:
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -9,8 +9,10 @@
 import hmac
 import secrets
 
+from mustardscale.endpoints.unsent_bytes import count_unsent_bytes
 from mustardscale.exceptions import MustardscaleError, PeerFrameError
 from mustardscale.outcomes import Outcome
+from mustardscale.peers.connection_liveness import Transfer
 from mustardscale.peers.peer_codec import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
@@ -51,6 +53,14 @@
             serving side closes after twice this time without a frame.
         backoff_s: seconds before the second connection attempt.
         backoff_limit_s: seconds between attempts at most.
+        check_s: interval at which open connections are checked, seconds.
+        ping_after_s: seconds without bytes, with calls in flight, after which
+            the peer is pinged.
+        ping_timeout_s: seconds after which a ping counts as unanswered.
+        unheard_s: the same for a peer that does not answer pings, seconds from
+            when one would have been sent.
+        replaced_idle_s: seconds without bytes after which the serving side
+            closes a connection in whose place the caller has opened another.
     """
 
     connections: int = 256
@@ -62,6 +72,11 @@
     idle_s: float = 30.0
     backoff_s: float = 0.05
     backoff_limit_s: float = 1.0
+    check_s: float = 0.1
+    ping_after_s: float = 0.4
+    ping_timeout_s: float = 0.4
+    unheard_s: float = 1.0
+    replaced_idle_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +105,9 @@
         bytes_received: their bytes.
         calls_unheard: calls that ended without a reply, and over whose
             connection nothing came after they began.
+        pings_sent: pings sent.
+        connections_replaced: connections that went silent, and in whose place
+            others were opened.
     """
 
     frames_sent: int = 0
@@ -97,6 +115,8 @@
     frames_received: int = 0
     bytes_received: int = 0
     calls_unheard: int = 0
+    pings_sent: int = 0
+    connections_replaced: int = 0
 
     def add_gauges(self, metrics: Metrics) -> None:
         """Shows the traffic with peers among the metrics."""
@@ -113,6 +133,7 @@
     Attributes:
         received_at: loop time at which bytes last came, or at which the
             connection was made.
+        sent_bytes: bytes of the frames sent.
     """
 
     __slots__ = (
@@ -123,6 +144,7 @@
         '_traffic',
         '_writer',
         'received_at',
+        'sent_bytes',
     )
 
     def __init__(
@@ -139,6 +161,7 @@
         self._queued: list[bytes] = []
         self._queued_bytes = 0
         self.received_at = asyncio.get_running_loop().time()
+        self.sent_bytes = 0
         writer.transport.set_write_buffer_limits(high=limits.drain_bytes)
 
     async def receive(
@@ -157,7 +180,8 @@
             OSError, EOFError: the connection is lost.
         """
         async with asyncio.timeout(idle_s):
-            data = await self._read(HEADER_BYTES)
+            data = await self._reader.readexactly(HEADER_BYTES)
+        self.received_at = asyncio.get_running_loop().time()
         header = decode_header(data)
         if header.length > max_bytes:
             raise PeerFrameError(
@@ -165,7 +189,7 @@
             )
         try:
             async with asyncio.timeout(self._limits.frame_s):
-                payload = await self._read(header.length)
+                payload = await self._read_payload(header.length)
         except TimeoutError:
             raise PeerFrameError(
                 Outcome.PEER_FRAME_MALFORMED, 'payload not received in time'
@@ -174,8 +198,8 @@
         self._traffic.bytes_received += HEADER_BYTES + header.length
         return decode_payload(header, payload)
 
-    async def _read(self, length: int) -> bytes:
-        """Reads bytes, and notes the time of each part that comes."""
+    async def _read_payload(self, length: int) -> bytes:
+        """Reads a payload, and notes the time of each part that comes."""
         parts: list[bytes] = []
         missing = length
         while missing:
@@ -201,6 +225,7 @@
         self._queued_bytes += len(data)
         if self._queued_bytes >= self._limits.drain_bytes:
             self._flush()
+        self.sent_bytes += len(data)
         self._traffic.frames_sent += 1
         self._traffic.bytes_sent += len(data)
 
@@ -224,6 +249,11 @@
         """
         await self._writer.drain()
 
+    def measure_transfer(self) -> Transfer:
+        """Returns what has passed on the connection so far."""
+        unsent = self._queued_bytes + count_unsent_bytes(self._writer.transport)
+        return Transfer(self.received_at, self.sent_bytes, unsent)
+
     def close(self) -> None:
         """Closes the connection at once, after a try to write the queue."""
         self._flush()
@@ -231,21 +261,26 @@
 
 
 async def greet_server(
-    stream: FrameStream, identity: PeerIdentity, host: str, connect_s: float
-) -> None:
-    """Opens a connection as the caller.
+    stream: FrameStream,
+    identity: PeerIdentity,
+    host: str,
+    connect_s: float,
+    replaces: bool = False,
+) -> Hello:
+    """Opens a connection as the caller, and returns the peer's greeting.
 
     Args:
         stream: the connection.
         identity: who calls.
         host: id of the host that must answer, '' for any.
         connect_s: seconds until the greeting is given up.
+        replaces: whether the connection replaces one that has gone silent.
 
     Raises:
         GreetingError: another host answered, or one without the peer key.
         TimeoutError, PeerFrameError, OSError, EOFError: no usable answer.
     """
-    hello = Hello(identity.host, identity.incarnation, _nonce())
+    hello = _make_hello(identity, replaces)
     _send_hello(stream, hello)
     answer = await _receive_hello(stream, connect_s)
     if host and answer.host != host:
@@ -253,31 +288,39 @@
     _check_proof(answer, _proof(identity.key, b'server', hello, answer))
     proof = _proof(identity.key, b'caller', hello, answer)
     _send_hello(stream, dataclasses.replace(hello, proof=proof))
+    return answer
 
 
 async def greet_caller(
     stream: FrameStream, identity: PeerIdentity, connect_s: float
-) -> str:
-    """Answers a caller's greeting and returns the caller's host id.
+) -> Hello:
+    """Answers a caller's greeting and returns it.
 
     Raises:
         GreetingError: the caller does not hold the peer key.
         TimeoutError, PeerFrameError, OSError, EOFError: no usable greeting.
     """
     hello = await _receive_hello(stream, connect_s)
-    answer = Hello(identity.host, identity.incarnation, _nonce())
+    answer = _make_hello(identity)
     proof = _proof(identity.key, b'server', hello, answer)
     _send_hello(stream, dataclasses.replace(answer, proof=proof))
     second = await _receive_hello(stream, connect_s)
     if dataclasses.replace(second, proof=b'') != hello:
         raise GreetingError('the two greetings differ')
     _check_proof(second, _proof(identity.key, b'caller', hello, answer))
-    return hello.host
+    return hello
 
 
-def _nonce() -> bytes:
+def _make_hello(identity: PeerIdentity, replaces: bool = False) -> Hello:
     # Must not be predictable, so it does not come from the seeded generator.
-    return secrets.token_bytes(_NONCE_BYTES)
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    return Hello(
+        identity.host,
+        identity.incarnation,
+        nonce,
+        answers_pings=True,
+        replaces=replaces,
+    )
 
 
 def _send_hello(stream: FrameStream, hello: Hello) -> None:
--- a/mustardscale/peers/tcp_peers.py
+++ b/mustardscale/peers/tcp_peers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 
 from mustardscale.exceptions import (
     PeerNotReachedError,
     PeerUnavailableError,
 )
+from mustardscale.outcomes import Outcome
 from mustardscale.peers.peer_connections import OutboundPeer, split_address
 from mustardscale.peers.peer_messages import PeerReply, PeerRequest
 from mustardscale.peers.peer_server import PeerServer
@@ -19,6 +21,8 @@
 )
 from mustardscale.peers.peer_transport import PeerHandler, PeerTransport
 
+log = logging.getLogger(__name__)
+
 
 class TcpPeerTransport(PeerTransport):
     """One connection to each peer, which carries all calls made to it.
@@ -42,6 +46,7 @@
         self._limits = limits or PeerLimits()
         self._server: PeerServer | None = None
         self._peer_by_host: dict[str, OutboundPeer] = {}
+        self._checking: asyncio.Task[None] | None = None
         self._closing = False
 
     async def start(self, handler: PeerHandler) -> None:
@@ -50,6 +55,7 @@
             self._identity, handler, self._limits, self.traffic
         )
         self.address = await self._server.start(*split_address(self.address))
+        self._checking = asyncio.create_task(self._check_connections())
 
     async def call(
         self, host: str, address: str, request: PeerRequest, timeout_s: float
@@ -70,6 +76,8 @@
     async def close(self) -> None:
         """Closes all connections and stops serving."""
         self._closing = True
+        if self._checking is not None:
+            self._checking.cancel()
         peers = list(self._peer_by_host.values())
         self._peer_by_host.clear()
         for peer in peers:
@@ -77,6 +85,22 @@
         if self._server is not None:
             await self._server.close()
 
+    async def _check_connections(self) -> None:
+        """Finds connections that have gone silent, in both directions."""
+        while True:
+            await asyncio.sleep(self._limits.check_s)
+            try:
+                self._check_once()
+            except Exception:
+                code = Outcome.INTERNAL_ERROR
+                log.exception('check failed', extra={'code': int(code)})
+
+    def _check_once(self) -> None:
+        for peer in list(self._peer_by_host.values()):
+            peer.check()
+        if self._server is not None:
+            self._server.close_replaced()
+
     def _peer(self, host: str, address: str) -> OutboundPeer:
         # Host ids have no colon, so that addresses are told from them.
         key = host or address
--- a/standins/stream_plan.py
+++ b/standins/stream_plan.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Sequence
 
+from standins.peer_links import Silence
 from standins.route_changes import RouteChange
 from standins.store_troubles import StoreTrouble
 from standins.worker_links import LinkCut
@@ -27,6 +28,10 @@
 # Time between two cuts between hosts, and the time that one lasts, seconds.
 PEER_CUT_GAP_S = (1.0, 5.0)
 PEER_CUT_S = (0.3, 5.0)
+# Time between two silences of connections between hosts, and the time in which
+# the hosts should notice, seconds.
+SILENCE_GAP_S = (0.5, 6.0)
+SILENCE_NOTICED_S = 3.0
 # Time from the notice of a worker to its shutdown, seconds.
 NOTICE_S = (0.1, 1.5)
 # Time from the stop of a host that is replaced to its next start, seconds.
@@ -54,6 +59,7 @@
     STORE_SET_BACK = 'store set back'
     PEERS_CUT = 'peers cut'
     PEERS_CUT_ONE_WAY = 'peers cut one way'
+    PEERS_SILENT = 'peers silent'
 
 
 HOST_KILLS = (TroubleKind.HOST_KILLED, TroubleKind.HOSTS_KILLED)
@@ -117,7 +123,8 @@
     Attributes:
         kind: what happens.
         targets: the hosts or the worker; the host whose connections close; the
-            host that sends and the one that receives.
+            host that sends and the one that receives; the host whose
+            connections go silent, and those that have opened them.
         at: seconds from the start of the load.
         for_s: seconds that it lasts; from the notice of a worker to its
             shutdown.
@@ -127,6 +134,7 @@
         store: how the store treats hosts.
         route: name of a route that is another one for that time.
         change: what becomes of that route.
+        silence: what no longer arrives on open connections.
     """
 
     kind: TroubleKind
@@ -139,6 +147,7 @@
     store: StoreTrouble | None = None
     route: str = ''
     change: RouteChange | None = None
+    silence: Silence = Silence.NONE
 
 
 def draw_troubles(
@@ -153,7 +162,13 @@
     stopped once at most.
     """
     rng = random.Random(f'troubles {seed}')
-    drawn_apart = (*FURTHER_KINDS, *CLOSINGS, *FOR_ALL_HOSTS, *PEER_CUTS)
+    drawn_apart = (
+        *FURTHER_KINDS,
+        *CLOSINGS,
+        *FOR_ALL_HOSTS,
+        *PEER_CUTS,
+        TroubleKind.PEERS_SILENT,
+    )
     kinds = [kind for kind in TroubleKind if kind not in drawn_apart]
     if seed % 3:
         kinds += [TroubleKind.HOSTS_CUT_OFF] * 2
@@ -170,6 +185,7 @@
         *_draw_closings(seed, hosts, seconds),
         *_draw_for_all(seed, seconds),
         *_draw_peer_cuts(seed, hosts, seconds),
+        *_draw_silences(seed, hosts, seconds),
     ]
 
 
@@ -243,6 +259,31 @@
     return troubles
 
 
+def _draw_silences(
+    seed: int, hosts: Sequence[str], seconds: float
+) -> list[Trouble]:
+    """Draws which open connections to a host go silent for good."""
+    if len(hosts) < 2:
+        return []
+    rng = random.Random(f'silent connections {seed}')
+    troubles = []
+    at = FIRST_AT_S + rng.random()
+    while at < seconds - CALM_S:
+        troubles.append(
+            Trouble(
+                TroubleKind.PEERS_SILENT,
+                tuple(rng.sample(list(hosts), rng.randint(2, len(hosts)))),
+                at,
+                SILENCE_NOTICED_S,
+                silence=rng.choice(
+                    (Silence.CALLS, Silence.REPLIES, Silence.BOTH)
+                ),
+            )
+        )
+        at += rng.uniform(*SILENCE_GAP_S)
+    return troubles
+
+
 def draw_replacements(hosts: Sequence[str], seconds: float) -> list[Trouble]:
     """Returns the stops of all hosts, one after the other."""
     step_s = (seconds - CALM_S) / (len(hosts) + 1)
--- a/standins/stream_runs.py
+++ b/standins/stream_runs.py
@@ -266,6 +266,9 @@
         if kind in PEER_CUTS:
             await self._cut_peers(trouble)
             return
+        if kind is TroubleKind.PEERS_SILENT:
+            self._silence_peers(trouble)
+            return
         for target in trouble.targets:
             if kind is TroubleKind.WORKER_KILLED:
                 site.workers[target].send_signal(signal.SIGKILL)
@@ -336,6 +339,13 @@
         for sender, receiver in ways:
             links.restore(sender, receiver)
 
+    def _silence_peers(self, trouble: Trouble) -> None:
+        """Silences the open connections of some hosts to another for good."""
+        called, *callers = trouble.targets
+        for caller in callers:
+            self._site.hosts.links.silence(caller, called, trouble.silence)
+        self.counts[trouble.kind.value] += 1
+
     def _count_idle(self, calls: Iterable[Call]) -> None:
         """Counts requests on connections that had idled."""
         sends = [s for call in calls for s in call.sends if s.is_reused]
--- a/tests/test_stream_runs.py
+++ b/tests/test_stream_runs.py
@@ -1,5 +1,6 @@
 """Tests of the runs of streams: plan, builds of the hosts, one seed."""
 
+import collections
 import pathlib
 import subprocess
 
@@ -7,13 +8,16 @@
 import uvloop
 
 from standins.builds import check_out
+from standins.peer_links import Silence
 from standins.route_changes import RouteChange
+from standins.stream_callers import STREAMS
 from standins.stream_plan import (
     CALM_S,
     FIRST_AT_S,
     FOR_ALL_HOSTS,
     PEER_CUTS,
     ROUTES,
+    SILENCE_NOTICED_S,
     StopNotice,
     Trouble,
     TroubleKind,
@@ -27,6 +31,15 @@
 WORKERS = ['a1', 'd1']
 PLAN_S = 30.0
 SEED_S = 8.0
+# Time of a run with silent connections, and when they go silent, seconds.
+SILENT_SEED_S = 12.0
+SILENT_AT_S = 3.0
+# The host of these that owns the pool of the engines.
+POOL_OWNER = 'h2'
+# Streams of a host before and after that, and the share served after it of that
+# before it, at least.
+LEAST_STREAMS = 5
+LEAST_SERVED_SHARE = 0.5
 
 
 class TestPlan:
@@ -73,6 +86,22 @@
         alone = draw_troubles(7, HOSTS[:1], WORKERS, PLAN_S)
         assert not any(trouble.kind in PEER_CUTS for trouble in alone)
 
+    def test_connections_of_some_hosts_go_silent(self):
+        silences = [
+            trouble
+            for seed in range(50)
+            for trouble in self.draw(seed)
+            if trouble.kind is TroubleKind.PEERS_SILENT
+        ]
+        assert {len(set(s.targets)) for s in silences} == {2, 3}
+        assert {s.silence for s in silences} == {
+            Silence.CALLS,
+            Silence.REPLIES,
+            Silence.BOTH,
+        }
+        alone = draw_troubles(7, HOSTS[:1], WORKERS, PLAN_S)
+        assert not any(t.kind is TroubleKind.PEERS_SILENT for t in alone)
+
     def test_troubles_begin_after_the_start_and_before_the_calm(self):
         for seed in range(50):
             for trouble in self.draw(seed):
@@ -208,3 +237,46 @@
             assert run.counts[name] == 1
         assert run.counts['streams whole'] > 10
         assert run.counts['plain whole'] > 10
+
+    def test_each_host_serves_streams_soon_after_connections_go_silent(
+        self, tmp_path
+    ):
+        """Guards against hosts that call a pool's owner over dead connections.
+
+        They then serve no stream of an engine any more.
+        """
+        trouble = Trouble(
+            TroubleKind.PEERS_SILENT,
+            (POOL_OWNER, 'h0', 'h1'),
+            SILENT_AT_S,
+            SILENCE_NOTICED_S,
+            silence=Silence.BOTH,
+        )
+        run = StreamRun(
+            5, SILENT_SEED_S, tmp_path, cut_share=0.0, troubles=[trouble]
+        )
+        uvloop.run(run.play())
+        assert run.violations == []
+        owner_log = (tmp_path / f'{POOL_OWNER}.log').read_text()
+        assert owner_log.count('pool_decided') > LEAST_STREAMS
+        for host in HOSTS:
+            before, after = _count_streams(run, host)
+            assert min(before.total(), after.total()) > LEAST_STREAMS
+            served_before = before[200] / before.total()
+            served_after = after[200] / after.total()
+            assert served_after >= LEAST_SERVED_SHARE * served_before
+
+
+def _count_streams(run, host):
+    """Counts a host's streams by status, before a silence and once noticed."""
+    sends = [s for c in run.calls if c.route in STREAMS for s in c.sends]
+    silent_at = min(send.at for send in sends) + SILENT_AT_S
+    before, after = collections.Counter(), collections.Counter()
+    for send in sends:
+        if send.host != host:
+            continue
+        if send.ended_at < silent_at:
+            before[send.status] += 1
+        elif send.at > silent_at + SILENCE_NOTICED_S:
+            after[send.status] += 1
+    return before, after
