Name the silent connection that another one replaces

The serving side marked all connections of a caller that connected anew, those by its address too, and closed them when they idled for 2 s; a call that was sent at that moment would have been lost. The caller now names the one that it replaces, by the nonce of its greeting.

--- a/mustardscale/peers/call_connection.py
+++ b/mustardscale/peers/call_connection.py
@@ -20,7 +20,6 @@
     CallFailure,
     Frame,
     FrameKind,
-    Hello,
     encode_frame,
 )
 from mustardscale.peers.peer_messages import (
@@ -31,6 +30,7 @@
 from mustardscale.peers.peer_streams import (
     CONNECTION_LOST,
     FrameStream,
+    Greeting,
     PeerLimits,
     PeerTraffic,
 )
@@ -65,7 +65,7 @@
 
     def __init__(
         self,
-        peer: Hello,
+        greeting: Greeting,
         stream: FrameStream,
         limits: PeerLimits,
         traffic: PeerTraffic,
@@ -73,19 +73,19 @@
         """Starts to read.
 
         Args:
-            peer: the greeting of the peer.
+            greeting: the greetings that opened it.
             stream: the connection after the greeting.
             limits: bounds of connections.
             traffic: counts what is exchanged.
         """
         self.closed = False
-        self._peer = peer
+        self._greeting = greeting
         self._stream = stream
         self._limits = limits
         self._traffic = traffic
         self._liveness = ConnectionLiveness(
             limits.ping_after_s,
-            limits.ping_timeout_s if peer.answers_pings else limits.unheard_s,
+            limits.ping_timeout_s if self.answers_pings else limits.unheard_s,
         )
         # Loop time of the last bytes when it was last logged that none come.
         self._logged_received_at = -math.inf
@@ -135,7 +135,7 @@
         self._logged_received_at = received_at
         log.info(
             'call to %s given up: its connection brought nothing for %.3f s',
-            self._peer.host,
+            self._greeting.server.host,
             asyncio.get_running_loop().time() - received_at,
         )
 
@@ -147,7 +147,12 @@
     @property
     def answers_pings(self) -> bool:
         """Whether the peer answers pings."""
-        return self._peer.answers_pings
+        return self._greeting.server.answers_pings
+
+    @property
+    def nonce(self) -> bytes:
+        """What tells this connection from others of this host."""
+        return self._greeting.caller.nonce
 
     def check(self) -> Liveness:
         """Returns whether it carries anything, and pings the peer if due."""
--- a/mustardscale/peers/peer_codec.py
+++ b/mustardscale/peers/peer_codec.py
@@ -52,8 +52,8 @@
         proof: proof that the sender holds the peer key, or empty.
         answers_pings: whether the sender answers pings; hosts of earlier
             releases do not.
-        replaces: whether the caller opens this connection in place of one that
-            has gone silent.
+        replaces: nonce of the caller on the silent connection in whose place
+            it opens this one, empty for none.
     """
 
     host: str
@@ -61,7 +61,7 @@
     nonce: bytes = b''
     proof: bytes = b''
     answers_pings: bool = False
-    replaces: bool = False
+    replaces: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -135,7 +135,7 @@
         """Opens a connection in place of a silent one."""
         try:
             async with asyncio.timeout(self._limits.connect_s):
-                connection = await self._open(replaces=True)
+                connection = await self._open(replaces=silent.nonce)
         except _NOT_CONNECTED as error:
             log.info('%s is silent and not reached: %r', self._host, error)
             await asyncio.sleep(self._limits.backoff_s)
@@ -196,12 +196,12 @@
         self._failures = 0
         return connection
 
-    async def _open(self, replaces: bool = False) -> CallConnection:
+    async def _open(self, replaces: bytes = b'') -> CallConnection:
         ip, port = split_address(self._address)
         reader, writer = await asyncio.open_connection(ip, port)
         stream = FrameStream(reader, writer, self._limits, self._traffic)
         try:
-            peer = await greet_server(
+            greeting = await greet_server(
                 stream,
                 self._identity,
                 self._host,
@@ -211,7 +211,7 @@
         except BaseException:
             stream.close()
             raise
-        return CallConnection(peer, stream, self._limits, self._traffic)
+        return CallConnection(greeting, stream, self._limits, self._traffic)
 
     def _back_off(self) -> None:
         delay_s = min(
--- a/mustardscale/peers/peer_messages.capnp
+++ b/mustardscale/peers/peer_messages.capnp
@@ -52,7 +52,7 @@
   nonce @2 :Data;
   proof @3 :Data;
   answersPings @4 :Bool;
-  replaces @5 :Bool;
+  replaces @5 :Data;
 }
 
 struct CallFailure {
--- a/mustardscale/peers/peer_server.py
+++ b/mustardscale/peers/peer_server.py
@@ -198,7 +198,7 @@
         if successor is self or mine is None or other is None:
             return False
         return mine.host == other.host and (
-            other.replaces or mine.incarnation < other.incarnation
+            mine.nonce == other.replaces or mine.incarnation < other.incarnation
         )
 
     def close(self) -> None:
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -127,6 +127,19 @@
             )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Greeting:
+    """The greetings that opened a connection.
+
+    Attributes:
+        caller: that of the side that calls.
+        server: that of the side that serves.
+    """
+
+    caller: Hello
+    server: Hello
+
+
 class FrameStream:
     """Sends and receives frames on one connection.
 
@@ -265,16 +278,17 @@
     identity: PeerIdentity,
     host: str,
     connect_s: float,
-    replaces: bool = False,
-) -> Hello:
-    """Opens a connection as the caller, and returns the peer's greeting.
+    replaces: bytes = b'',
+) -> Greeting:
+    """Opens a connection as the caller.
 
     Args:
         stream: the connection.
         identity: who calls.
         host: id of the host that must answer, '' for any.
         connect_s: seconds until the greeting is given up.
-        replaces: whether the connection replaces one that has gone silent.
+        replaces: nonce of the caller on a silent connection that this one
+            replaces, empty for none.
 
     Raises:
         GreetingError: another host answered, or one without the peer key.
@@ -288,7 +302,7 @@
     _check_proof(answer, _proof(identity.key, b'server', hello, answer))
     proof = _proof(identity.key, b'caller', hello, answer)
     _send_hello(stream, dataclasses.replace(hello, proof=proof))
-    return answer
+    return Greeting(hello, answer)
 
 
 async def greet_caller(
@@ -311,7 +325,7 @@
     return hello
 
 
-def _make_hello(identity: PeerIdentity, replaces: bool = False) -> Hello:
+def _make_hello(identity: PeerIdentity, replaces: bytes = b'') -> Hello:
     # Must not be predictable, so it does not come from the seeded generator.
     nonce = secrets.token_bytes(_NONCE_BYTES)
     return Hello(
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -159,6 +159,20 @@
             assert pair.inbound == 1
             assert (pair.handler.running, pair.handler.cancelled) == (0, 1)
 
+    @virtual_time
+    async def test_other_connections_of_the_caller_stay(self):
+        """Guards against sound connections that the serving side closes."""
+        async with LinkedPair() as pair:
+            lookup = StreamLookup('0')
+            assert await pair.a.call('', '127.0.0.1:7002', lookup, 1) == REPLY
+            assert await pair.call('0') == REPLY
+            pair.link.silence(Silence.BOTH)
+            with pytest.raises(PeerUnavailableError):
+                await pair.call('0')
+            assert await pair.call('0') == REPLY
+            await asyncio.sleep(2 * NOTICED_S)
+            assert pair.inbound == 2
+
     @virtual_time
     async def test_replaced_connections_make_room_at_the_limit(self):
         """Guards against a limit that dead connections fill."""
