Try no further kept connection where one has gone silent

A request that is given up after 0.5 s or more without a byte now shows that the connections to that address which have brought nothing since may be lost, too; they are closed in place of being used. What this costs where the endpoint is only slow: new connections. Connections to the platform's workers carry one request each and were not concerned.

--- a/mustardscale/endpoints/bounded_connections.py
+++ b/mustardscale/endpoints/bounded_connections.py
@@ -13,6 +13,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from mustardscale.endpoints.loop_rounds import LoopRounds
+from mustardscale.endpoints.silent_addresses import SilentAddresses
 from mustardscale.endpoints.tcp_connect import open_socket
 from mustardscale.endpoints.unsent_bytes import count_unsent_bytes
 
@@ -57,13 +58,18 @@
             side was seen to end the connection.
     """
 
-    def __init__(self, loop: Any, rounds: LoopRounds):
+    def __init__(
+        self, loop: Any, rounds: LoopRounds, silent_addresses: SilentAddresses
+    ):
         super().__init__(loop)
         self.ended_after = -math.inf
         self.unsent_bytes = 0
         self._rounds = rounds
+        self._silent_addresses = silent_addresses
+        self._address: Any = None
         self._is_watching = False
         self._sent_at = -math.inf
+        self._received_at = -math.inf
         # Loop time at which reading was last resumed, and the time before
         # which nothing had come that was unread when it was paused.
         self._resumed_at = -math.inf
@@ -72,6 +78,38 @@
         self._heads = 0
         self._violation: aiohttp.ClientError | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes the address of the other side."""
+        super().connection_made(transport)
+        self._address = transport.get_extra_info('peername')
+
+    def is_connected(self) -> bool:
+        """Returns whether it is open and, if idle, not known to be lost."""
+        if not super().is_connected():
+            return False
+        is_answered = self._received_bytes > 0
+        return not is_answered or not self._silent_addresses.may_be_silent(
+            self._address, self._received_at
+        )
+
+    def close(self) -> None:
+        """Closes the connection, and notes if no byte of an answer came."""
+        self._note_unanswered()
+        super().close()
+
+    def abort(self) -> None:
+        """Does the same at once."""
+        self._note_unanswered()
+        super().abort()
+
+    def _note_unanswered(self) -> None:
+        was_sent = self._sent_at > -math.inf
+        if self.transport is None or not was_sent or self._received_bytes:
+            return
+        self._silent_addresses.record(
+            self._address, self._sent_at, self._loop.time()
+        )
+
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the answer to the next request."""
         self._received_bytes = 0
@@ -82,6 +120,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses data, and aborts if it has too many bytes but content."""
+        self._received_at = self._loop.time()
         super().data_received(data)
         if isinstance(self._exception, HttpProcessingError):
             # aiohttp tells only those who wait for a head.
@@ -203,11 +242,15 @@
         super().__init__(socket_factory=socket_factory, **options)
         self._make_socket = socket_factory
         self._rounds = LoopRounds(self._loop)
+        # None where each connection carries one request.
+        self._silent_addresses = SilentAddresses(self._keepalive_timeout or 0.0)
         # aiohttp offers no argument for the class of its connections.
         self._factory = functools.partial(self._make_handler)
 
     def _make_handler(self) -> ResponseHandler:
-        return BoundedResponseHandler(self._loop, self._rounds)
+        return BoundedResponseHandler(
+            self._loop, self._rounds, self._silent_addresses
+        )
 
     async def _wrap_create_connection(
         self,
