Let calls that were given up show a silent connection, too

Calls with shorter time-outs, as admissions to another pool (0.1 s), would each have been given up before, and never have shown that their connection was silent. A call that was given up unheard now counts until bytes come again.

Test: five calls of 0.1 s, 0.6 s apart, after a silence; before, the sixth was lost too (no reply within 0.1 s), now it is answered.

--- a/mustardscale/peers/call_connection.py
+++ b/mustardscale/peers/call_connection.py
@@ -87,8 +87,10 @@
             limits.ping_after_s,
             limits.ping_timeout_s if self.answers_pings else limits.unheard_s,
         )
-        # Loop time of the last bytes when it was last logged that none come.
-        self._logged_received_at = -math.inf
+        # Loop times of the first call that was given up since bytes last came,
+        # and of these bytes.
+        self._unheard_since = -math.inf
+        self._unheard_after = -math.inf
         self._pinged_at = -math.inf
         self._call_ids = itertools.count(1)
         # The oldest call comes first.
@@ -132,7 +134,8 @@
         self._traffic.calls_unheard += 1
         if self._has_unheard_calls():
             return
-        self._logged_received_at = received_at
+        self._unheard_since = pending.began_at
+        self._unheard_after = received_at
         log.info(
             'call to %s given up: its connection brought nothing for %.3f s',
             self._greeting.server.host,
@@ -158,16 +161,26 @@
         """Returns whether it carries anything, and pings the peer if due."""
         if not self.answers_pings and not self._has_unheard_calls():
             return Liveness.LIVE
-        pending = next(iter(self._pending_by_id.values()), None)
         liveness = self._liveness.judge(
             asyncio.get_running_loop().time(),
-            pending.began_at if pending is not None else None,
+            self._find_waiting_since(),
             self._stream.measure_transfer,
         )
         if liveness is Liveness.PING_DUE:
             self._ping()
         return liveness
 
+    def _find_waiting_since(self) -> float | None:
+        """Returns when the first call began of which nothing was heard.
+
+        Calls that are given up count too, so that short ones show silence as
+        well as long ones.
+        """
+        if self._has_unheard_calls():
+            return self._unheard_since
+        pending = next(iter(self._pending_by_id.values()), None)
+        return pending.began_at if pending is not None else None
+
     def check_replaced(self) -> Liveness:
         """Does the same for a connection that was replaced.
 
@@ -193,7 +206,7 @@
 
     def _has_unheard_calls(self) -> bool:
         """Returns whether calls were given up since bytes last came."""
-        return self._logged_received_at == self._stream.received_at
+        return self._unheard_after == self._stream.received_at
 
     async def close(self) -> None:
         """Closes the connection; calls in flight fail."""
--- a/mustardscale/peers/connection_liveness.py
+++ b/mustardscale/peers/connection_liveness.py
@@ -60,8 +60,8 @@
         """Prepares the decisions.
 
         Args:
-            ping_after_s: seconds without bytes, with calls in flight, after
-                which the peer is pinged.
+            ping_after_s: seconds without bytes, while calls wait for them,
+                after which the peer is pinged.
             timeout_s: seconds after which a ping counts as unanswered.
         """
         self._ping_after_s = ping_after_s
@@ -82,8 +82,8 @@
 
         Args:
             now: loop time.
-            waiting_since: loop time at which the oldest call in flight began,
-                None if there is none.
+            waiting_since: loop time at which the oldest call began that is in
+                flight or was given up unheard, None if there is none.
             measure: returns what has passed on the connection.
         """
         if waiting_since is None:
--- a/mustardscale/peers/peer_streams.py
+++ b/mustardscale/peers/peer_streams.py
@@ -54,8 +54,8 @@
         backoff_s: seconds before the second connection attempt.
         backoff_limit_s: seconds between attempts at most.
         check_s: interval at which open connections are checked, seconds.
-        ping_after_s: seconds without bytes, with calls in flight, after which
-            the peer is pinged.
+        ping_after_s: seconds without bytes, while calls wait for them, after
+            which the peer is pinged.
         ping_timeout_s: seconds after which a ping counts as unanswered.
         unheard_s: the same for a peer that does not answer pings, seconds from
             when one would have been sent.
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -1,6 +1,7 @@
 """Tests of connections between hosts that go silent without a reset."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import pytest
@@ -132,6 +133,18 @@
                     await pair.call('0', timeout_s=100.0)
             assert await pair.call('0') == REPLY
 
+    @virtual_time
+    async def test_short_calls_notice_silence(self):
+        """Guards against calls that are all given up before a ping is due."""
+        async with LinkedPair() as pair:
+            assert await pair.call('0') == REPLY
+            pair.link.silence(Silence.BOTH)
+            for _ in range(5):
+                with contextlib.suppress(PeerUnavailableError):
+                    await pair.call('0', timeout_s=0.1)
+                await asyncio.sleep(NOTICED_S / 5)
+            assert await pair.call('0', timeout_s=0.1) == REPLY
+
     @virtual_time
     async def test_silence_while_silence_is_noticed(self):
         """Guards against a replacement that is not checked itself."""
