Let an empty nonce name no connection

By reading: a caller that greets without a nonce, and another one of the same host id, would each have marked the other's connection as replaced, since an empty nonce equals an empty name; the serving side closes such a one when it idles. Builds of this project always send a nonce.

--- a/mustardscale/peers/peer_server.py
+++ b/mustardscale/peers/peer_server.py
@@ -197,9 +197,10 @@
         mine, other = self._caller, successor._caller
         if successor is self or mine is None or other is None:
             return False
-        return mine.host == other.host and (
-            mine.nonce == other.replaces or mine.incarnation < other.incarnation
-        )
+        if mine.host != other.host:
+            return False
+        is_named = bool(other.replaces) and mine.nonce == other.replaces
+        return is_named or mine.incarnation < other.incarnation
 
     def close(self) -> None:
         """Closes the connection; its handlers are cancelled."""
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -186,6 +186,22 @@
             await asyncio.sleep(2 * NOTICED_S)
             assert pair.inbound == 2
 
+    @virtual_time
+    async def test_connections_without_nonces_are_not_confused(
+        self, monkeypatch
+    ):
+        """Guards against an empty nonce that names all connections."""
+        monkeypatch.setattr(peer_streams, '_NONCE_BYTES', 0)
+        async with LinkedPair() as pair:
+            second = transport('a', 7003)
+            assert await pair.call('0') == REPLY
+            lookup = StreamLookup('0')
+            reply = await second.call('b', '127.0.0.1:7002', lookup, 1)
+            assert reply == REPLY
+            await asyncio.sleep(2 * NOTICED_S)
+            assert pair.inbound == 2
+            await second.close()
+
     @virtual_time
     async def test_replaced_connections_make_room_at_the_limit(self):
         """Guards against a limit that dead connections fill."""
