Test seven parts of the handling of silent connections

The bound was not found by the first form of its test, since the peer of an earlier release still named the connection that it replaces, which such a release does not.

PeerLink holds open connections back alone, and passes slowly. The pair of hosts with a link moves to tests/linked_pair.py, as two files use it.

--- a/standins/peer_links.py
+++ b/standins/peer_links.py
@@ -25,12 +25,17 @@
 
     Attributes:
         silence: what no longer arrives, for good.
+        passes: set while bytes pass; the others wait.
+        chunk_pause_s: seconds before each chunk is passed on.
     """
 
-    __slots__ = ('silence',)
+    __slots__ = ('chunk_pause_s', 'passes', 'silence')
 
-    def __init__(self) -> None:
+    def __init__(self, chunk_pause_s: float):
+        self.chunk_pause_s = chunk_pause_s
         self.silence = Silence.NONE
+        self.passes = asyncio.Event()
+        self.passes.set()
 
 
 class PeerLink:
@@ -41,6 +46,8 @@
         calls_pass: set while the bytes of the calling host pass; the others
             wait, as those of a connection that is not given up.
         replies_pass: set while the bytes of the called host pass.
+        chunk_pause_s: seconds before each 64 KiB or less are passed on over
+            a new connection, as over a narrow link.
     """
 
     def __init__(self, target: str):
@@ -50,6 +57,7 @@
             target: 'ip:port' of the called host.
         """
         self.address = ''
+        self.chunk_pause_s = 0.0
         self.calls_pass = asyncio.Event()
         self.replies_pass = asyncio.Event()
         self.calls_pass.set()
@@ -74,6 +82,16 @@
         for relay in self._open:
             relay.silence |= silence
 
+    def hold(self) -> None:
+        """Holds back the bytes of the open connections; new ones work."""
+        for relay in self._open:
+            relay.passes.clear()
+
+    def release(self) -> None:
+        """Passes on what was held back."""
+        for relay in self._open:
+            relay.passes.set()
+
     async def close(self) -> None:
         """Ends all connections."""
         if self._server is not None:
@@ -111,7 +129,7 @@
         except OSError:
             writer.transport.abort()
             return
-        relay = _Relay()
+        relay = _Relay(self.chunk_pause_s)
         self._open.add(relay)
         ways = [
             asyncio.create_task(
@@ -213,6 +231,8 @@
     with contextlib.suppress(OSError):
         while data := await reader.read(_CHUNK_BYTES):
             await may_pass.wait()
+            await relay.passes.wait()
+            await asyncio.sleep(relay.chunk_pause_s)
             if direction in relay.silence:
                 continue
             if writer.is_closing():
--- a/tests/peer_pair.py
+++ b/tests/peer_pair.py
@@ -63,9 +63,9 @@
         return REPLY
 
 
-def transport(host, port, key=b'', limits=None):
+def transport(host, port, key=b'', limits=None, incarnation=1):
     return TcpPeerTransport(
-        PeerIdentity(host, 1, key),
+        PeerIdentity(host, incarnation, key),
         f'127.0.0.1:{port}',
         random.Random(1),
         limits,
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
 import pytest
 
@@ -15,66 +14,14 @@
 )
 from mustardscale.peers.peer_messages import StreamLookup
 from mustardscale.peers.peer_streams import PeerLimits
-from standins.peer_links import PeerLink, Silence
-from tests.peer_pair import REPLY, Handler, Pair, transport
+from standins.peer_links import Silence
+from tests.linked_pair import NOTICED_S, LinkedPair, forbid_pings
+from tests.peer_pair import REPLY, Handler, transport
 from tests.virtual_time import virtual_time
 
-# Time within which all calls go over sound connections again, as the users'
-# stable_ms, seconds.
-NOTICED_S = 3.0
-# Interval of calls, so that some are always in flight, seconds.
-CALL_INTERVAL_S = 0.05
 ALL_WAYS = [Silence.CALLS, Silence.REPLIES, Silence.BOTH]
 
 
-class LinkedPair(Pair):
-    """Two hosts, of which a reaches b over a link."""
-
-    def __init__(self, limits=None):
-        super().__init__(limits=limits)
-        self.link = PeerLink('127.0.0.1:7002')
-
-    async def __aenter__(self):
-        """Starts the hosts and the link."""
-        await super().__aenter__()
-        await self.link.start()
-        return self
-
-    async def __aexit__(self, *error):
-        """Closes the hosts and the link."""
-        await super().__aexit__(*error)
-        await self.link.close()
-
-    async def call(self, wish, timeout_s=10.0, host='b'):
-        return await self.a.call(
-            host, self.link.address, StreamLookup(wish), timeout_s
-        )
-
-    async def call_for(self, seconds):
-        """Calls at an interval; returns when each failed call began."""
-        loop = asyncio.get_running_loop()
-        failed_at = []
-
-        async def call():
-            began_at = loop.time()
-            try:
-                await self.call('0.2', timeout_s=1.0)
-            except PeerUnavailableError:
-                failed_at.append(began_at)
-
-        until = loop.time() + seconds
-        async with asyncio.TaskGroup() as group:
-            while loop.time() < until:
-                group.create_task(call())
-                await asyncio.sleep(CALL_INTERVAL_S)
-        return failed_at
-
-    @property
-    def inbound(self):
-        """Number of connections that b serves."""
-        return len(self.b._server._connection_by_task)
-
-
 class TestUnheardCalls:
     """What the metrics tell of calls without a reply."""
 
@@ -259,13 +206,7 @@
         self, monkeypatch
     ):
         """Guards against frames that earlier releases take for damage."""
-        make_hello = peer_streams._make_hello
-
-        def make_old_hello(*arguments):
-            hello = make_hello(*arguments)
-            return dataclasses.replace(hello, answers_pings=False)
-
-        monkeypatch.setattr(peer_streams, '_make_hello', make_old_hello)
+        forbid_pings(monkeypatch)
         async with LinkedPair() as pair:
             assert await pair.call('30', timeout_s=100.0) == REPLY
             assert pair.a.traffic.connections_replaced == 0
