Check only connections whose calls wait for bytes

No caller saw it.

Cause: the transport asked each peer, although only a connection with calls in flight, calls given up unheard, or connections that it replaced can change its state. Now the transport keeps the peers that were called since they were last found without any of these.

Tests, each red when its part is taken back: idle connections are not looked at (failed before: 19 looks in place of 1); a connection that opens slowly, one short call, and the end of the new connection keep the peer among those that are checked.

--- a/mustardscale/peers/call_connection.py
+++ b/mustardscale/peers/call_connection.py
@@ -147,6 +147,11 @@
         """Whether no call is in flight."""
         return not self._pending_by_id
 
+    @property
+    def awaits_bytes(self) -> bool:
+        """Whether calls are in flight or were given up unheard."""
+        return bool(self._pending_by_id) or self._has_unheard_calls()
+
     @property
     def answers_pings(self) -> bool:
         """Whether the peer answers pings."""
--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -105,16 +105,21 @@
             self._connection = connection
             return connection
 
-    def check(self) -> None:
-        """Replaces the connection if it is silent, and ends replaced ones."""
+    def check(self) -> bool:
+        """Replaces the connection if it is silent, and ends replaced ones.
+
+        Returns:
+            Whether there is anything to check before the next call.
+        """
         for replaced in list(self._replaced):
             self._check_replaced(replaced)
         connection = self._connection
         if connection is None or connection.closed:
-            return
+            return bool(self._replaced)
         is_silent = connection.check() is Liveness.SILENT
         if is_silent and self._may_replace(connection):
             self._replacing = asyncio.create_task(self._replace(connection))
+        return connection.awaits_bytes or bool(self._replaced)
 
     def _may_replace(self, connection: CallConnection) -> bool:
         if self._replacing is not None or self._closing:
--- a/mustardscale/peers/tcp_peers.py
+++ b/mustardscale/peers/tcp_peers.py
@@ -46,6 +46,9 @@
         self._limits = limits or PeerLimits()
         self._server: PeerServer | None = None
         self._peer_by_host: dict[str, OutboundPeer] = {}
+        # Those that were called since they were last found idle: most of the
+        # many connections of a large fleet are, and need no check.
+        self._busy_peers: set[OutboundPeer] = set()
         self._checking: asyncio.Task[None] | None = None
         self._closing = False
 
@@ -67,6 +70,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await peer.connect(address)
+                self._busy_peers.add(peer)
                 return await connection.call(request)
         except TimeoutError as error:
             raise PeerUnavailableError(
@@ -80,6 +84,7 @@
             self._checking.cancel()
         peers = list(self._peer_by_host.values())
         self._peer_by_host.clear()
+        self._busy_peers.clear()
         for peer in peers:
             await peer.close()
         if self._server is not None:
@@ -96,8 +101,9 @@
                 log.exception('check failed', extra={'code': int(code)})
 
     def _check_once(self) -> None:
-        for peer in list(self._peer_by_host.values()):
-            peer.check()
+        for peer in list(self._busy_peers):
+            if not peer.check():
+                self._busy_peers.remove(peer)
         if self._server is not None:
             self._server.close_replaced()
 
--- a/tests/test_replaced_connections.py
+++ b/tests/test_replaced_connections.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardscale.exceptions import PeerUnavailableError
+from mustardscale.peers.call_connection import CallConnection
 from mustardscale.peers.config_messages import ConfigFetch
 from mustardscale.peers.peer_connections import OutboundPeer
 from mustardscale.peers.peer_messages import StreamLookup
@@ -65,6 +66,20 @@
             assert await asyncio.gather(*calls) == [REPLY] * len(calls)
             assert pair.a.traffic.connections_replaced == 1
 
+    @virtual_time
+    async def test_calls_survive_the_end_of_the_new_connection(self):
+        """Guards against pings that stop with the connection put in place."""
+        async with LinkedPair() as pair:
+            call = asyncio.create_task(pair.call('8'))
+            await asyncio.sleep(0.1)
+            await freeze(pair.link, 1.5, 0)
+            await asyncio.sleep(2 * LIMITS.check_s)
+            assert pair.a.traffic.connections_replaced == 1
+            for connection in pair.b._server._connection_by_task.values():
+                if connection.replaced_at is None:
+                    connection.close()
+            assert await call == REPLY
+
     @virtual_time
     async def test_slow_peers_of_earlier_releases_get_few_connections(
         self, monkeypatch
@@ -139,3 +154,33 @@
                 async with asyncio.timeout(NOTICED_S):
                     await pair.call('0', timeout_s=100.0)
             assert await pair.call('0') == REPLY
+
+    @virtual_time
+    async def test_connections_that_open_slowly_are_looked_at(self):
+        """Guards against silence that only a later call would show."""
+        async with LinkedPair() as pair:
+            pair.link.calls_pass.clear()
+            call = asyncio.create_task(pair.call('hang', 100.0))
+            await asyncio.sleep(LIMITS.connect_s / 2)
+            pair.link.calls_pass.set()
+            await asyncio.sleep(LIMITS.check_s / 2)
+            pair.link.silence(Silence.BOTH)
+            with pytest.raises(PeerUnavailableError):
+                async with asyncio.timeout(NOTICED_S):
+                    await call
+
+    @virtual_time
+    async def test_idle_connections_are_not_looked_at(self, monkeypatch):
+        """Guards against work that grows with the hosts of an idle fleet."""
+        checked = []
+        check = CallConnection.check
+
+        def check_and_count(connection):
+            checked.append(connection)
+            return check(connection)
+
+        monkeypatch.setattr(CallConnection, 'check', check_and_count)
+        async with LinkedPair() as pair:
+            assert await pair.call('0') == REPLY
+            await asyncio.sleep(20 * LIMITS.check_s)
+            assert len(checked) == 1
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -92,6 +92,17 @@
                 await asyncio.sleep(NOTICED_S / 5)
             assert await pair.call('0', timeout_s=0.1) == REPLY
 
+    @virtual_time
+    async def test_one_short_call_notices_silence(self):
+        """Guards against a second call that is lost long after the first."""
+        async with LinkedPair() as pair:
+            assert await pair.call('0') == REPLY
+            pair.link.silence(Silence.BOTH)
+            with pytest.raises(PeerUnavailableError):
+                await pair.call('0', timeout_s=0.1)
+            await asyncio.sleep(NOTICED_S)
+            assert await pair.call('0', timeout_s=0.1) == REPLY
+
     @virtual_time
     async def test_silence_while_silence_is_noticed(self):
         """Guards against a replacement that is not checked itself."""
