Let the test of callers' descriptors wait for a starved process

Cause: the check reads the descriptors once, right after one ordinary answer. A process that gets too little of the processor has then not yet worked off that its callers have closed their connections.

The check now waits for the same bound, for up to 30 s as for the answer, and is as strict on what stays open: the idle time-out of the host is set to 75 s, so that it cannot close in that time what the process left open.

--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -38,6 +38,9 @@
 # Descriptors that the callers may leave open.
 LEFT_DESCRIPTORS = 8
 ANSWER_TIMEOUT_S = 30.0
+# Time after which idle connections are closed: longer than the tests wait, so
+# that it does not close what callers have left open.
+IDLE_TIMEOUT_MS = 75_000
 ATTACKS = make_attacks(b'/read/x')
 HEAD_ATTACKS = [name for name in ATTACKS if 'without end' in name]
 
@@ -78,6 +81,14 @@
             await asyncio.sleep(0.1)
 
 
+async def are_released(pid, most):
+    """Waits until a process has worked off what its callers have closed."""
+    until = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_S
+    while (left := descriptors(pid)) > most:
+        assert asyncio.get_running_loop().time() < until, f'{left} > {most}'
+        await asyncio.sleep(0.1)
+
+
 async def check(process, address, name, statuses, ask_at=None):
     """Attacks a process's address and checks what must hold."""
     ask_at = ask_at or address
@@ -95,7 +106,7 @@
     assert peak_kb - before_kb <= bound_kb
     if name in HEAD_ATTACKS:
         assert not not_cut_off
-    assert descriptors(pid) <= open_before + LEFT_DESCRIPTORS
+    await are_released(pid, open_before + LEFT_DESCRIPTORS)
 
 
 @contextlib.asynccontextmanager
@@ -103,7 +114,9 @@
     """A host of the platform with its store and its workers."""
     for name, value in SETTINGS.items():
         monkeypatch.setenv(name, value)
-    monkeypatch.setitem(CONFIG['limits'], 'max_body_bytes', MAX_BODY_BYTES)
+    limits = CONFIG['limits']
+    monkeypatch.setitem(limits, 'max_body_bytes', MAX_BODY_BYTES)
+    monkeypatch.setitem(limits, 'idle_timeout_ms', IDLE_TIMEOUT_MS)
     async with PlatformProcesses(1, tmp_path) as site:
         yield site
 
