Check connections until their replacement is open

What was seen: no caller saw it; found by reading. A connection that is being replaced may bring its last reply before the new one is open. Its peer then counted as idle, so that the replaced connection was looked at only with the next call, and the serving side closed it after 2 s.

The peer is now checked as long as a replacement is under way.

Test: connections replaced after their last call are closed; before, the serving side had 2 connections in place of 1.

--- a/mustardscale/peers/peer_connections.py
+++ b/mustardscale/peers/peer_connections.py
@@ -119,7 +119,8 @@
         is_silent = connection.check() is Liveness.SILENT
         if is_silent and self._may_replace(connection):
             self._replacing = asyncio.create_task(self._replace(connection))
-        return connection.awaits_bytes or bool(self._replaced)
+        is_replacing = bool(self._replaced) or self._replacing is not None
+        return is_replacing or connection.awaits_bytes
 
     def _may_replace(self, connection: CallConnection) -> bool:
         if self._replacing is not None or self._closing:
--- a/tests/test_replaced_connections.py
+++ b/tests/test_replaced_connections.py
@@ -80,6 +80,23 @@
                     connection.close()
             assert await call == REPLY
 
+    @virtual_time
+    async def test_connections_replaced_after_their_last_call_are_closed(self):
+        """Guards against unused connections that nothing looks at."""
+        async with LinkedPair() as pair:
+            call = asyncio.create_task(pair.call('1'))
+            await asyncio.sleep(0.1)
+            pair.link.calls_pass.clear()
+            pair.link.hold()
+            await asyncio.sleep(1.2)
+            pair.link.release()
+            assert await call == REPLY
+            await asyncio.sleep(2 * LIMITS.check_s)
+            pair.link.calls_pass.set()
+            await asyncio.sleep(3 * LIMITS.check_s)
+            assert pair.a.traffic.connections_replaced == 1
+            assert pair.inbound == 1
+
     @virtual_time
     async def test_slow_peers_of_earlier_releases_get_few_connections(
         self, monkeypatch
