Let answers of the test of resumed streams end once the rest is set

Cause: both workers are prepared with the broken answer, and the test gives the other one the rest once it sees that one runs. It looks every 10 ms; a starved test looks only after the stream has been taken up, by a worker that still has the broken answer, and loses that one too.

The workers now hold the end of an answer until the rest is set, as in test_closed_plain. What is required is the same.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -204,13 +204,16 @@
             async with RawSite('d1', 'd2') as site:
                 first = RawAnswer(EVENTS, Framing.NONE, ending, BETWEEN)
                 rest = RawAnswer(EVENTS[-1:], Framing.NONE)
+                rest_is_set = asyncio.Event()
                 for worker in site.raw.values():
                     worker.answers = [first]
+                    worker.before_end = rest_is_set.wait
                 resumed = asyncio.create_task(read_answer(site, '/chat/x'))
                 await until(lambda: any(w.ran for w in site.raw.values()))
                 for worker in site.raw.values():
                     if not worker.ran:
                         worker.answers = [rest]
+                rest_is_set.set()
                 assert await resumed == (200, b''.join(EVENTS), True)
 
         uvloop.run(main())
