Keep the ports of sites of tests reserved until they are closed

That a taken port was the cause is suspected, not shown: the failure kept no output of the host.

Cause: free_addresses gave up the ports before the processes bound them, and so did hosts inside the test's process. Anyone could take them in between, outgoing connections too.

reserve_port, as the sites of host processes use it, keeps a port bound without listening. Servers set SO_REUSEADDR and can listen at it; the kernel gives it to nobody else. free_addresses is gone.

--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -23,10 +23,10 @@
 from mustardscale.hosts.host_list import ListedHost, ListedKind
 from mustardscale.hosts.http_host_list import HostsAnswer
 from standins.memory_site import SiteLayout
+from standins.reserved_ports import address_of, reserve_port
 
 log = logging.getLogger(__name__)
 
-LOOPBACK = '127.0.0.1'
 OPERATORS_TOKEN = 'operators-of-the-stand-in-site'
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
@@ -67,15 +67,6 @@
     process: subprocess.Popen[bytes] | None = None
 
 
-def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses whose ports are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [f'{LOOPBACK}:{item.getsockname()[1]}' for item in sockets]
-
-
 class LocalSite:
     """Starts and ends the processes of a site.
 
@@ -96,16 +87,15 @@
         self.endpoint_address_by_id: dict[str, str] = {}
         self._engine_roles: dict[str, EngineRole] = {}
         self._unfenced: set[str] = set()
+        self._reserved: list[socket.socket] = []
         self._choose_addresses()
 
     def _choose_addresses(self) -> None:
         layout = self.layout
         engines = layout.prefill_engines + layout.decode_engines
-        addresses = iter(
-            free_addresses(
-                2 + 3 * layout.entry_hosts + engines + layout.plain_endpoints
-            )
-        )
+        count = 2 + 3 * layout.entry_hosts + engines + layout.plain_endpoints
+        self._reserved = [reserve_port() for _ in range(count)]
+        addresses = map(address_of, self._reserved)
         self.log_address = next(addresses)
         self.host_list_address = next(addresses)
         for number in range(layout.entry_hosts):
@@ -284,13 +274,15 @@
                 await _poll_until_ok(session, url)
 
     def stop(self) -> None:
-        """Ends all processes that were started."""
+        """Ends all processes that were started, and frees the ports."""
         running = [item for item in self._processes if item.poll() is None]
         for process in running:
             process.send_signal(signal.SIGCONT)
             process.kill()
         for process in running:
             process.wait(STOP_TIMEOUT_S)
+        for bound in self._reserved:
+            bound.close()
 
 
 async def _poll_until_ok(session: aiohttp.ClientSession, url: str) -> None:
--- a/standins/reserved_ports.py
+++ b/standins/reserved_ports.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+from collections.abc import Iterator
 
 
 def reserve_port() -> socket.socket:
@@ -21,3 +23,13 @@
     """Returns the 'ip:port' of a bound socket."""
     ip, port = bound.getsockname()
     return f'{ip}:{port}'
+
+
+@contextlib.contextmanager
+def reserved_addresses(count: int) -> Iterator[list[str]]:
+    """Keeps free ports reserved; yields the addresses."""
+    with contextlib.ExitStack() as stack:
+        yield [
+            address_of(stack.enter_context(reserve_port()))
+            for _ in range(count)
+        ]
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -20,6 +20,7 @@
     PlatformStore,
 )
 from standins.platform_worker import PlatformWorker
+from standins.reserved_ports import reserved_addresses
 
 WAIT_S = 20.0
 
@@ -115,8 +116,7 @@
 
     async def add_host(self, name, seeds=(), **fields):
         """Starts a host and waits until it is ready."""
-        probe, peers = await listen(web.Server(lambda request: None))
-        await probe.cleanup()
+        (peers,) = self._stack.enter_context(reserved_addresses(1))
         settings = RelaySettings(
             host_id=name,
             data_centre='z',
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -17,9 +17,10 @@
 import pytest
 
 from standins.hostile_callers import MAX_BODY_BYTES, attack, make_attacks
-from standins.local_site import OPERATORS_TOKEN, free_addresses
+from standins.local_site import OPERATORS_TOKEN
 from standins.platform_plan import CONFIG, HOST
 from standins.platform_processes import PlatformProcesses
+from standins.reserved_ports import reserved_addresses
 
 log = logging.getLogger(__name__)
 
@@ -172,26 +173,29 @@
 @pytest.fixture
 def daemon(tmp_path):
     """The daemon alone, so that it refuses every caller's key."""
-    callers, peers, operators = free_addresses(3)
-    command = [
-        *(sys.executable, '-m', 'mustardscale.daemon'),
-        '--host-id=apart',
-        '--data-centre=dc1',
-        '--region=r',
-        '--log-url=http://127.0.0.1:1',
-        '--host-list-url=http://127.0.0.1:1',
-        f'--callers-listen={callers}',
-        f'--peers-listen={peers}',
-        f'--operators-listen={operators}',
-    ]
-    environment = SETTINGS | {'MUSTARDSCALE_OPERATORS_TOKEN': OPERATORS_TOKEN}
-    with open(tmp_path / 'output', 'wb') as output:
-        process = subprocess.Popen(
-            command, env=os.environ | environment, stdout=output, stderr=output
-        )
-    yield process, callers, operators
-    process.kill()
-    process.wait()
+    with reserved_addresses(3) as (callers, peers, operators):
+        command = [
+            *(sys.executable, '-m', 'mustardscale.daemon'),
+            '--host-id=apart',
+            '--data-centre=dc1',
+            '--region=r',
+            '--log-url=http://127.0.0.1:1',
+            '--host-list-url=http://127.0.0.1:1',
+            f'--callers-listen={callers}',
+            f'--peers-listen={peers}',
+            f'--operators-listen={operators}',
+        ]
+        token = {'MUSTARDSCALE_OPERATORS_TOKEN': OPERATORS_TOKEN}
+        with open(tmp_path / 'output', 'wb') as output:
+            process = subprocess.Popen(
+                command,
+                env=os.environ | SETTINGS | token,
+                stdout=output,
+                stderr=output,
+            )
+        yield process, callers, operators
+        process.kill()
+        process.wait()
 
 
 class TestDaemon:
--- a/tests/test_process_daemon.py
+++ b/tests/test_process_daemon.py
@@ -10,8 +10,9 @@
 import pytest
 
 from mustardscale.outcomes import Outcome
-from standins.local_site import OPERATORS_TOKEN, free_addresses
+from standins.local_site import OPERATORS_TOKEN
 from standins.memory_site import token_of
+from standins.reserved_ports import reserved_addresses
 from tests.process_site import on_site
 
 MAX_HEADER_BYTES = 4096
@@ -75,24 +76,27 @@
 @pytest.fixture(scope='module')
 def apart(site, tmp_path_factory):
     """A daemon with small limits; yields (its addresses, pid, output)."""
-    callers, operators, peers = free_addresses(3)
-    settings = SETTINGS | {
-        'callers-listen': callers,
-        'operators-listen': operators,
-        'peers-listen': peers,
-        'log-url': f'http://{site.local.log_address}',
-        'host-list-url': f'http://{site.local.host_list_address}',
-        'max-header-bytes': MAX_HEADER_BYTES,
-        'body-timeout-s': BODY_TIMEOUT_S,
-    }
     path = tmp_path_factory.mktemp('apart') / 'output'
-    with open(path, 'wb') as output:
-        process = subprocess.Popen(
-            command(settings), env=environment(), stdout=output, stderr=output
-        )
-    yield callers, operators, process, path
-    process.kill()
-    process.wait()
+    with reserved_addresses(3) as (callers, operators, peers):
+        settings = SETTINGS | {
+            'callers-listen': callers,
+            'operators-listen': operators,
+            'peers-listen': peers,
+            'log-url': f'http://{site.local.log_address}',
+            'host-list-url': f'http://{site.local.host_list_address}',
+            'max-header-bytes': MAX_HEADER_BYTES,
+            'body-timeout-s': BODY_TIMEOUT_S,
+        }
+        with open(path, 'wb') as output:
+            process = subprocess.Popen(
+                command(settings),
+                env=environment(),
+                stdout=output,
+                stderr=output,
+            )
+        yield callers, operators, process, path
+        process.kill()
+        process.wait()
 
 
 async def wait_ready(site, operators):
