Say which host of a site of processes did not answer, and why

wait_ready now ends at once when a host's process has ended, and both errors name the host with the end of its output.

--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -31,6 +31,8 @@
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
 STOP_TIMEOUT_S = 10.0
+# Bytes of a host's output that an error about it shows.
+SHOWN_OUTPUT_BYTES = 2000
 
 LAYOUT_BY_SITE = {
     'kobberfonden': SiteLayout(),
@@ -67,6 +69,10 @@
     process: subprocess.Popen[bytes] | None = None
 
 
+class HostEndedError(Exception):
+    """An entry host's process ended by itself."""
+
+
 class LocalSite:
     """Starts and ends the processes of a site.
 
@@ -266,12 +272,37 @@
         """Waits until each host answers a path of its operators' address.
 
         Raises:
+            HostEndedError: a host's process has ended.
             TimeoutError: a host did not answer in time.
         """
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            for host in hosts:
-                url = self.entries_by_id[host].operators_url + path
-                await _poll_until_ok(session, url)
+        give_up_at = asyncio.get_running_loop().time() + READY_TIMEOUT_S
+        for host in hosts:
+            try:
+                async with asyncio.timeout_at(give_up_at):
+                    await self._wait_for_host(session, path, host)
+            except TimeoutError as error:
+                raise TimeoutError(
+                    f'{host} did not answer {path}: {self._output_of(host)}'
+                ) from error
+
+    async def _wait_for_host(
+        self, session: aiohttp.ClientSession, path: str, host: str
+    ) -> None:
+        """Asks until a host answers a path with status 200."""
+        entry = self.entries_by_id[host]
+        url = entry.operators_url + path
+        while not await _is_ok(session, url):
+            status = entry.process.poll() if entry.process else None
+            if status is not None:
+                raise HostEndedError(
+                    f'{host} ended with {status}: {self._output_of(host)}'
+                )
+            await asyncio.sleep(POLL_S)
+
+    def _output_of(self, host: str) -> str:
+        """Returns the last lines that a host has printed."""
+        output = (self._directory / f'{host}.log').read_bytes()
+        return output[-SHOWN_OUTPUT_BYTES:].decode(errors='replace')
 
     def stop(self) -> None:
         """Ends all processes that were started, and frees the ports."""
@@ -285,16 +316,14 @@
             bound.close()
 
 
-async def _poll_until_ok(session: aiohttp.ClientSession, url: str) -> None:
-    """Asks until a URL answers with status 200."""
-    while True:
-        try:
-            async with session.get(url) as response:
-                if response.status == http.HTTPStatus.OK:
-                    return
-        except aiohttp.ClientError as error:
-            log.debug('%s: %s', url, error)
-        await asyncio.sleep(POLL_S)
+async def _is_ok(session: aiohttp.ClientSession, url: str) -> bool:
+    """Returns whether a URL answers with status 200."""
+    try:
+        async with session.get(url) as response:
+            return response.status == http.HTTPStatus.OK
+    except aiohttp.ClientError as error:
+        log.debug('%s: %s', url, error)
+        return False
 
 
 @contextlib.contextmanager
