--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -63,6 +63,11 @@
         self.fronts = []
         self._stack = contextlib.AsyncExitStack()
 
+    @property
+    def ran_ids(self):
+        """Ids of the requests that its workers ran."""
+        return [run for worker in self.workers.values() for run in worker.ran]
+
     async def __aenter__(self):
         """Starts the stand-ins."""
         await self._stack.__aenter__()
