Share how tests ask two workers of which the first one answers otherwise

test_closed_links and test_closed_plain held the same 20 lines; they stand in tests/two_workers.py now.

--- a/tests/test_closed_links.py
+++ b/tests/test_closed_links.py
@@ -1,14 +1,11 @@
 """Streams whose connection closes between two events; both ends run on."""
 
-import asyncio
-
 import pytest
-import uvloop
 
 from standins.raw_worker import Ending, Framing, RawAnswer
-from tests.platform_site import until
-from tests.test_broken_answers import EVENT_BYTES, EVENTS, RawSite, read_answer
+from tests.test_broken_answers import EVENT_BYTES, EVENTS, RawSite
 from tests.test_forwarding_http import CutSite
+from tests.two_workers import read_of_two
 
 UNFRAMED = (Framing.NONE, Framing.OLD_PROTOCOL)
 CLOSINGS = (Ending.CLOSED, Ending.LINK_CLOSED)
@@ -30,33 +27,8 @@
 
 
 def read(path, first, later, site_type=RawSite):
-    """Returns what a caller gets of two engines, and their numbers of runs.
-
-    Args:
-        path: path of the request.
-        first: what the engine answers that is asked first, once.
-        later: what both answer after that.
-        site_type: type of the site; the host of a CutSite has another one read
-            the answers.
-    """
-
-    async def main():
-        async with site_type('d1', 'd2') as site:
-            later_is_set = asyncio.Event()
-            workers = site.raw.values()
-            for worker in workers:
-                worker.answers = [first, later]
-                worker.before_end = later_is_set.wait
-            reading = asyncio.create_task(read_answer(site, path))
-            await until(lambda: any(worker.ran for worker in workers))
-            for worker in workers:
-                if not worker.ran:
-                    worker.answers = [later]
-            later_is_set.set()
-            received = await reading
-            return *received, sorted(len(worker.ran) for worker in workers)
-
-    return uvloop.run(main())
+    """Returns what a caller gets of two engines, and their numbers of runs."""
+    return read_of_two(('d1', 'd2'), path, first, later, site_type)
 
 
 class TestResumableStreams:
--- a/tests/test_closed_plain.py
+++ b/tests/test_closed_plain.py
@@ -10,8 +10,9 @@
 from mustardscale.exceptions import EndpointFailedError
 from standins.raw_worker import Ending, Framing, RawAnswer, RawWorker
 from tests.platform_site import until
-from tests.test_broken_answers import RawSite, ask, read_answer
+from tests.test_broken_answers import RawSite, ask
 from tests.test_forwarding_http import CutSite
+from tests.two_workers import read_of_two
 
 SITES = (RawSite, CutSite)
 UNFRAMED = (Framing.NONE, Framing.OLD_PROTOCOL)
@@ -24,35 +25,14 @@
 
 
 def read(path, first, later, site_type=RawSite):
-    """Returns what a caller gets of two workers, and their numbers of runs.
-
-    Args:
-        path: path of the request.
-        first: what the worker answers that is asked first, once.
-        later: what both answer after that.
-        site_type: type of the site; the host of a CutSite has another one read
-            the answers.
-    """
-
-    async def main():
-        async with site_type('a1', 'a2') as site:
-            later_is_set = asyncio.Event()
-            workers = site.raw.values()
-            for worker in workers:
-                worker.answers = [first, later]
-                worker.before_end = later_is_set.wait
-            reading = asyncio.create_task(read_answer(site, path))
-            await until(lambda: any(worker.ran for worker in workers))
-            if first.ending is Ending.LINK_CLOSED and not first.in_one_burst:
-                await is_watched(workers)
-            for worker in workers:
-                if not worker.ran:
-                    worker.answers = [later]
-            later_is_set.set()
-            received = await reading
-            return *received, sum(len(worker.ran) for worker in workers)
-
-    return uvloop.run(main())
+    """Returns what a caller gets of two workers, and their sum of runs."""
+    names = ('a1', 'a2')
+    if first.ending is Ending.LINK_CLOSED and not first.in_one_burst:
+        answer = read_of_two(names, path, first, later, site_type, is_watched)
+    else:
+        answer = read_of_two(names, path, first, later, site_type)
+    *received, runs = answer
+    return *received, sum(runs)
 
 
 async def is_watched(workers):
