Keep garbage collections of the tests' process short

Cause: an attempt of the host to connect to the worker runs out of its time where their common process pauses in between; the engine is left out for this request, and 503 NO_ENDPOINT is the sound refusal of a request that did not run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import pathlib
 
 import pytest
@@ -36,6 +37,16 @@
             item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
 
 
+def pytest_collection_finish():
+    """Leaves what the collected tests take up out of garbage collections.
+
+    Each one would otherwise pause the hosts and workers inside the process for
+    so long that attempts to connect time out.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 @pytest.fixture(scope='session')
 def site():
     """A site with its profiles published; every test begins by healing it."""
