--- a/tests/test_watched_links.py
+++ b/tests/test_watched_links.py
@@ -87,8 +87,9 @@
 def read_often(path, answer, make_worker, callers=1, times=1):
     """Returns what callers get, each for requests one after the other.
 
-    A request that the host refuses since the worker's reports were late is
-    sent again under another id: `worker.ran_ids` shows which ones ran.
+    A request that is refused and did not run, as after a pause of the test's
+    process, is sent again under another id: `worker.ran_ids` has those that
+    ran.
     """
 
     async def main():
